--- /dev/null
+++ b/programs/sluice.cpp
@@ -0,0 +1,140 @@
+// sluice: the data plane on a machine that callers and minions reach. Stateless. docs/design.md 9.
+#include "edge/http.hpp"
+#include "edge/log.hpp"
+#include "edge/options.hpp"
+#include "edge/relay.hpp"
+#include "edge/stopping.hpp"
+#include <thread>
+
+using namespace aniseline;
+
+namespace {
+
+struct Settings {
+    Address http;
+    std::string area;
+    std::vector<Address> seeds;
+    std::int64_t threads = 2, exchanges = 2000;
+    bool quiet = false;
+};
+
+class Program {
+public:
+    explicit Program(Settings settings) : settings(std::move(settings)) {}
+
+    int run() {
+        RouteReader reader;
+        std::vector<std::thread> threads;
+        std::atomic<int> listening{0}, failed{0};
+        for (std::int64_t count = 0; count < settings.threads; ++count)
+            threads.emplace_back([&] { work(listening, failed); });
+        StopSignal stop(loop);
+        while (listening + failed < settings.threads) pause(Span{5});
+        if (failed) {
+            stopping = true;
+            for (auto& thread : threads) thread.join();
+            return 1;
+        }
+        log(LogLevel::info, "started", {{"http", json(settings.http.value)}, {"area", json(settings.area)}});
+        while (!stop.requested()) {
+            refresh();
+            for (int wait = 0; wait < 10 && !stop.requested(); ++wait) pause(Span{20});
+        }
+        // Not ready first, so that the platform stops sending; then the listeners close. docs/operations.md 4.
+        stopping = true;
+        log(LogLevel::info, "stopping", {{"exchanges", json(inFlight.load())}});
+        const Instant until = monotonicNow() + Span{2500};
+        while ((inFlight > 0 || monotonicNow() < until - Span{1500}) && monotonicNow() < until) pause(Span{20});
+        log(LogLevel::info, "stopped", {{"served", json(served.load())}});
+        std::_Exit(0);
+    }
+
+private:
+    // Asks reservoirs for the route; the first contact goes to the seeds, later ones to whoever the state names.
+    void refresh() {
+        std::vector<Address> known = board.read([](const RouteView& view) { return view.reservoirs; });
+        for (const auto& seed : settings.seeds)
+            if (!std::count(known.begin(), known.end(), seed)) known.push_back(seed);
+        auto asked = std::make_shared<std::size_t>(known.size());
+        for (const auto& address : known) {
+            auto& caller = callers[address];
+            if (!caller) caller = std::make_shared<WireCaller>(loop, address);
+            if (busy.count(address)) continue;
+            busy.insert(address);
+            spawn([this, address, caller] {
+                auto answered = caller->call(RouteAsk{settings.http}, Span{1000});
+                busy.erase(address);
+                if (!answered) return;
+                auto* told = boost::get<RouteTell>(&answered.value().body);
+                if (!told || told->blank) return;
+                RouteView view = told->view;
+                view.sluices.clear();
+                const Address before = board.read([](const RouteView& view) { return view.leader; });
+                if (!board.publish(view)) return;
+                if (told->leads || !view.leader.value.empty()) freshAt = monotonicNow().milliseconds;
+                if (view.leader != before && !view.leader.value.empty()) log(LogLevel::info, "leader", {{"address", json(view.leader.value)}, {"epoch", json(view.epoch.value)}});
+            });
+        }
+    }
+
+    void work(std::atomic<int>& listening, std::atomic<int>& failed) {
+        RouteReader reader;
+        Loop threadLoop;
+        Relay relay(threadLoop, board, settings.seeds);
+        HttpServer http(threadLoop, HttpLimits{}, [&](const HttpRequest& request) { return handle(relay, request); });
+        if (auto opened = http.listen(settings.http, true); !opened) {
+            log(LogLevel::error, opened.error().text);
+            ++failed;
+            return;
+        }
+        ++listening;
+        while (!stopping) pause(Span{50});
+        pause(Span{1000});
+        http.stop();
+        pause(Span{5000});
+    }
+
+    Answer handle(Relay& relay, const HttpRequest& request) {
+        if (request.target == "/healthz") return Answer::of(200, {{"alive", json(true)}});
+        if (request.target == "/readyz") {
+            const bool fresh = monotonicNow().milliseconds - freshAt < 2500;
+            const bool ready = fresh && !stopping;
+            return Answer::of(ready ? 200 : 503, board.read([&](const RouteView& view) {
+                return picojson::object{{"ready", json(ready)}, {"leader", json(view.leader.value)}, {"epoch", json(view.epoch.value)}, {"setup", json(view.setup.value)}};
+            }));
+        }
+        auto parsed = Exchange::parse(request.method, request.target, request.body);
+        if (!parsed) return Answer::from(parsed.error());
+        if (parsed.value().ask != Ask::sync && inFlight >= settings.exchanges) return Answer::error(429, "overloaded", "this sluice has too many exchanges under way", Span{1000});
+        ++inFlight;
+        Answer answer = relay.relay(parsed.value());
+        --inFlight;
+        ++served;
+        return answer;
+    }
+
+    Settings settings;
+    Loop loop;
+    RouteBoard board;
+    std::map<Address, std::shared_ptr<WireCaller>> callers;
+    std::set<Address> busy;
+    std::atomic<std::int64_t> freshAt{-1'000'000}, inFlight{0};
+    std::atomic<std::uint64_t> served{0};
+    std::atomic<bool> stopping{false};
+};
+
+}  // namespace
+
+int main(int count, char** values) {
+    Settings settings;
+    OptionSet options("sluice", "aniseline's data plane, on every machine that callers and minions reach");
+    options.address("http", settings.http, "the address for callers, minions and operators", true);
+    options.text("area", settings.area, "the area of this machine", true);
+    options.addresses("seeds", settings.seeds, "peer addresses of reservoirs, for first contact", true);
+    options.whole("threads", settings.threads, "threads that serve", 1, 64);
+    options.whole("exchanges", settings.exchanges, "exchanges under way at once", 1, 100'000);
+    options.flag("quiet", settings.quiet, "no logs");
+    options.read(count, values);
+    startLog("sluice", settings.http.value, settings.quiet);
+    return Program(settings).run();
+}
--- /dev/null
+++ b/programs/tailrace.cpp
@@ -0,0 +1,60 @@
+// tailrace: checks the never-rules from the histories that callers and minions witnessed. docs/design.md 11.
+#include "edge/options.hpp"
+#include "exchange.hpp"
+#include "promises.hpp"
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace aniseline;
+
+int main(int count, char** values) {
+    std::string folder, setupFile;
+    std::int64_t slack = 300;
+    OptionSet options("tailrace", "checks aniseline's never-rules from witnessed histories (*.witness, *.submissions in a folder)");
+    options.text("folder", folder, "the folder with the histories", true);
+    options.text("setup", setupFile, "the setup in force, for the queues' retries");
+    options.whole("slack-ms", slack, "allowed for the witnesses' own clock readings", 0, 10'000);
+    options.read(count, values);
+
+    std::vector<Witness> history;
+    std::map<std::string, JobSubmission> submissions;
+    PromiseOptions promises;
+    promises.slack = slack;
+    std::error_code error;
+    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
+        const std::string name = entry.path();
+        if (!name.ends_with(".witness") && !name.ends_with(".submissions")) continue;
+        std::ifstream stream(name);
+        std::size_t number = 0;
+        for (std::string line; std::getline(stream, line);) {
+            ++number;
+            if (line.empty()) continue;
+            if (name.ends_with(".witness")) {
+                auto witness = Witness::parse(line);
+                // A process that was killed may leave its last line half written.
+                if (witness) history.push_back(std::move(*witness));
+                else if (!stream.eof()) std::cerr << "tailrace: " << name << ":" << number << ": is no witness' line\n";
+            } else if (auto job = Exchange::parse("POST", "/v1/jobs", line)) submissions[job.value().job.id.value] = job.value().job;
+        }
+    }
+    if (error || history.empty()) {
+        std::cerr << "tailrace: " << folder << ": " << (error ? error.message() : "holds no history") << "\n";
+        return 2;
+    }
+    if (!setupFile.empty()) {
+        std::ifstream stream(setupFile);
+        auto setup = Setup::parse(std::string((std::istreambuf_iterator<char>(stream)), {}));
+        if (!setup) {
+            std::cerr << "tailrace: " << setupFile << ": " << setup.error().text() << "\n";
+            return 2;
+        }
+        for (const auto& [name, queue] : setup.value().queues) promises.retriesOf[name.value] = queue.retries;
+    }
+    std::size_t starts = 0;
+    for (const auto& witness : history) starts += witness.kind == Witness::Kind::started;
+    const auto broken = checkPromises(history, submissions, promises);
+    for (const auto& promise : broken) std::cout << "rule " << promise.rule << " at " << promise.at << ": " << promise.text << "\n";
+    std::cout << json(picojson::object{{"lines", json(history.size())}, {"jobs", json(submissions.size())}, {"starts", json(starts)}, {"broken", json(broken.size())}}).serialize() << std::endl;
+    return broken.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/source/agreement.cpp
@@ -0,0 +1,600 @@
+#include "agreement.hpp"
+
+namespace aniseline {
+
+const char* name(Role role) {
+    static const char* const names[] = {"learner", "follower", "candidate", "leader"};
+    return names[std::size_t(role)];
+}
+
+Agreement::Agreement(Member self, AgreementOptions options, std::uint64_t seed, const std::vector<DiskRecord>& restored, Instant now)
+    : own(std::move(self)), options(options), draw(seed), clockNow(now) {
+    for (const auto& record : restored) {
+        currentEpoch = record.epoch;
+        vote = record.vote;
+        if (record.whole) {
+            stored = record.view;
+            base = LogView{record.view.index, record.view.epoch, record.view.members, {}};
+            log = record.entries;
+            sinceWhole = 0;
+        } else {
+            if (!record.entries.empty()) {
+                log.resize(record.first.value - base.index.value - 1);
+                log.insert(log.end(), record.entries.begin(), record.entries.end());
+            }
+            ++sinceWhole;
+        }
+        nextVersion = record.version.next();
+    }
+    commit = base.index;
+    syncedIndex = last();
+    findMembers();
+    currentRole = selfVotes() ? Role::follower : Role::learner;
+    resetElection(now);
+}
+
+bool Agreement::selfVotes() const {
+    const auto* found = member(own.id);
+    return found && found->voter;
+}
+const Member* Agreement::member(const ReservoirId& id) const {
+    for (const auto& entry : currentMembers)
+        if (entry.id == id) return &entry;
+    return nullptr;
+}
+std::size_t Agreement::majority() const {
+    return std::size_t(std::count_if(currentMembers.begin(), currentMembers.end(), [](auto& entry) { return entry.voter; })) / 2 + 1;
+}
+Epoch Agreement::epochAt(LogIndex index) const {
+    if (index == base.index) return base.epoch;
+    if (index < base.index || index > last()) return Epoch{};
+    return entry(index).epoch;
+}
+
+void Agreement::findMembers() {
+    currentMembers = base.members;
+    membersIndex = base.index;
+    for (std::uint64_t place = log.size(); place > 0; --place)
+        if (log[place - 1].members) {
+            auto found = unpack<Members>(log[place - 1].payload);
+            if (found) currentMembers = found.value();
+            membersIndex = LogIndex{base.index.value + place};
+            break;
+        }
+}
+
+void Agreement::resetElection(Instant now) {
+    electionAt = now + Span{draw.between(options.electionLow.milliseconds, options.electionHigh.milliseconds)};
+}
+
+Address Agreement::addressOf(const ReservoirId& id) const {
+    if (const auto* found = member(id)) return found->peer;
+    auto heard = addresses.find(id);
+    return heard == addresses.end() ? Address{} : heard->second;
+}
+void Agreement::send(const ReservoirId& to, PeerBody body) {
+    outgoing.push_back(PeerMessage{own.id, to, addressOf(to), std::move(body), own.peer});
+}
+// docs/design.md 3.3: what rests on durable state leaves only when that state is synced.
+void Agreement::sendAfterSync(const ReservoirId& to, PeerBody body) {
+    afterSync.emplace_back(nextVersion, PeerMessage{own.id, to, addressOf(to), std::move(body), own.peer});
+}
+
+void Agreement::mark(LogIndex from) {
+    if (!dirty || from < dirtyFrom) dirtyFrom = from;
+    dirty = true;
+}
+
+std::optional<DiskRecord> Agreement::takeWrite() {
+    if (inFlight || (!dirty && !wantWhole)) return std::nullopt;
+    DiskRecord record;
+    record.version = nextVersion;
+    nextVersion = nextVersion.next();
+    record.epoch = currentEpoch;
+    record.vote = vote;
+    record.whole = wantWhole;
+    if (wantWhole) {
+        record.view = stored;
+        record.first = stored.index.next();
+        for (LogIndex index = record.first; index <= last(); index = index.next()) record.entries.push_back(entry(index));
+        sinceWhole = 0;
+        bytesWritten = 0;
+    } else {
+        record.first = dirtyFrom;
+        for (LogIndex index = dirtyFrom; index <= last(); index = index.next()) {
+            record.entries.push_back(entry(index));
+            bytesWritten += entry(index).payload.size() + 32;
+        }
+        ++sinceWhole;
+    }
+    inFlight = InFlight{record.version, last(), ownVotePending};
+    ownVotePending = false;
+    dirty = wantWhole = false;
+    writeStarted = clockNow;
+    return record;
+}
+
+void Agreement::synced(DiskVersion version, Instant now) {
+    if (!inFlight || inFlight->version != version) return;
+    clockNow = now;
+    syncedIndex = std::max(syncedIndex, inFlight->covers);
+    const bool ownVote = inFlight->ownVote;
+    inFlight.reset();
+    std::vector<std::pair<DiskVersion, PeerMessage>> later;
+    for (auto& [needs, message] : afterSync) {
+        if (needs <= version) {
+            outgoing.push_back(std::move(message));
+        } else later.emplace_back(needs, std::move(message));
+    }
+    afterSync = std::move(later);
+    if (ownVote && currentRole == Role::candidate && !trialElection && vote == own.id) {
+        votes.insert(own.id);
+        countVotes(now);
+    }
+    if (leads()) advanceCommit();
+    else if (!lastAppender.value.empty() && lastAppender == knownLeader) replyAppend(lastAppender, true, std::min(syncedIndex, last()), lastRoundSeen);
+}
+
+void Agreement::cutLog(LogIndex from) {
+    log.resize(from.value - base.index.value - 1);
+    syncedIndex = std::min(syncedIndex, LogIndex{from.value - 1});
+    if (inFlight) inFlight->covers = std::min(inFlight->covers, LogIndex{from.value - 1});
+    mark(from);
+    if (membersIndex >= from) findMembers();
+}
+
+void Agreement::seeEpoch(Epoch epoch, Instant now) {
+    if (epoch <= currentEpoch) return;
+    currentEpoch = epoch;
+    vote = ReservoirId{};
+    knownLeader = ReservoirId{};
+    mark(last().next());
+    if (currentRole != Role::learner) become(Role::follower, now);
+}
+
+void Agreement::become(Role role, Instant now) {
+    currentRole = role;
+    votes.clear();
+    trialElection = false;
+    if (role == Role::follower) {
+        if (!selfVotes()) currentRole = Role::learner;
+        resetElection(now);
+        handingOver = false;
+    }
+}
+
+void Agreement::tick(Instant now, WallTime wall) {
+    clockNow = now;
+    wallNow = wall;
+    wallAt = now;
+    if (leads()) {
+        // A leader that has not heard from a majority for the shortest election time may have been replaced. docs/design.md 3.2.
+        if (currentMembers.size() > 1 && now - quorumContact() > options.electionHigh) {
+            knownLeader = ReservoirId{};
+            become(Role::follower, now);
+            return;
+        }
+        if (handingOver && now > handOverUntil) handingOver = false;
+        if (now >= nextHeartbeat) broadcast(now, true);
+        return;
+    }
+    if (!leaderJoinAddress.value.empty() && blank() && now >= nextHeartbeat) {
+        outgoing.push_back({own.id, ReservoirId{}, leaderJoinAddress, Join{own}, own.peer});
+        nextHeartbeat = now + Span{500};
+    }
+    if (selfVotes() && currentRole == Role::learner) currentRole = Role::follower;
+    if (currentRole != Role::learner && now >= electionAt && !wasRetired) campaign(now, true, false);
+}
+
+void Agreement::campaign(Instant now, bool trial, bool handover) {
+    if (!selfVotes()) return;
+    currentRole = Role::candidate;
+    knownLeader = ReservoirId{};
+    trialElection = trial;
+    votes.clear();
+    resetElection(now);
+    if (!trial) {
+        currentEpoch = currentEpoch.next();
+        vote = own.id;
+        ownVotePending = true;
+        mark(last().next());
+    } else votes.insert(own.id);
+    AskVote ask;
+    ask.epoch = trial ? currentEpoch.next() : currentEpoch;
+    ask.trial = trial;
+    ask.handover = handover;
+    ask.last = last();
+    ask.lastEpoch = epochAt(last());
+    for (const auto& entry : currentMembers)
+        if (entry.voter && entry.id != own.id) send(entry.id, ask);
+    if (trial) countVotes(now);
+}
+
+void Agreement::countVotes(Instant now) {
+    std::size_t given = 0;
+    for (const auto& entry : currentMembers) given += entry.voter && votes.count(entry.id);
+    if (given < majority()) return;
+    if (trialElection) campaign(now, false, false);
+    else lead(now);
+}
+
+void Agreement::lead(Instant now) {
+    become(Role::leader, now);
+    knownLeader = own.id;
+    handingOver = false;
+    peers.clear();
+    roundTimes.clear();
+    round = RoundNumber{};
+    for (const auto& entry : currentMembers)
+        if (entry.id != own.id) {
+            Peer& peer = peers[entry.id];
+            peer.next = last().next();
+            peer.heard = peer.contact = now;
+        }
+    openedAt = last().next();  // the owner proposes its opening entry at once
+    nextHeartbeat = now;
+}
+
+LogIndex Agreement::propose(std::string payload, Instant now) {
+    log.push_back(LogEntry{currentEpoch, false, std::move(payload)});
+    mark(last());
+    nextHeartbeat = std::min(nextHeartbeat, now);
+    return last();
+}
+
+bool Agreement::proposeMembers(const Members& members, Instant now) {
+    if (!serves() || !membersSettled()) return false;
+    log.push_back(LogEntry{currentEpoch, true, pack(members)});
+    mark(last());
+    currentMembers = members;
+    membersIndex = last();
+    for (const auto& entry : currentMembers)
+        if (entry.id != own.id && !peers.count(entry.id)) {
+            Peer& peer = peers[entry.id];
+            peer.next = last().next();
+            peer.heard = peer.contact = now;
+        }
+    std::erase_if(peers, [&](const auto& entry) { return !member(entry.first); });
+    nextHeartbeat = std::min(nextHeartbeat, now);
+    return true;
+}
+
+void Agreement::found(Instant now) {
+    if (!blank()) return;
+    currentEpoch = currentEpoch.next();
+    vote = own.id;
+    Member first = own;
+    first.voter = true;
+    log.push_back(LogEntry{currentEpoch, true, pack(Members{first})});
+    mark(last());
+    findMembers();
+    currentRole = Role::follower;
+    resetElection(now);
+}
+
+void Agreement::handOver(Instant now) {
+    if (!leads()) return;
+    const Member* best = nullptr;
+    for (const auto& entry : currentMembers)
+        if (entry.voter && entry.id != own.id && now - peers[entry.id].heard < options.electionLow &&
+            (!best || peers[entry.id].match > peers[best->id].match))
+            best = &entry;
+    if (!best) return;
+    handingOver = true;
+    handOverUntil = now + options.electionHigh;
+    broadcast(now, true);
+    send(best->id, HandOver{currentEpoch});
+}
+
+void Agreement::checkpoint(LogIndex index, std::string state) {
+    if (index > commit || index <= stored.index) return;
+    Members members = base.members;
+    for (LogIndex at = base.index.next(); at <= index; at = at.next())
+        if (entry(at).members)
+            if (auto found = unpack<Members>(entry(at).payload)) members = found.value();
+    stored = LogView{index, epochAt(index), members, std::move(state)};
+    wantWhole = true;
+    const std::uint64_t cut = std::min<std::uint64_t>(index.value, last().value > options.keepEntries ? last().value - options.keepEntries : 0);
+    if (cut > base.index.value) {
+        Members atCut = base.members;
+        for (std::uint64_t at = base.index.value + 1; at <= cut; ++at)
+            if (entry(LogIndex{at}).members)
+                if (auto found = unpack<Members>(entry(LogIndex{at}).payload)) atCut = found.value();
+        const Epoch epochAtCut = epochAt(LogIndex{cut});
+        log.erase(log.begin(), log.begin() + std::ptrdiff_t(cut - base.index.value));
+        base = LogView{LogIndex{cut}, epochAtCut, atCut, {}};
+    }
+}
+
+void Agreement::join(const Address& address) { leaderJoinAddress = address; }
+
+RoundNumber Agreement::startRound(Instant now) {
+    nextHeartbeat = std::min(nextHeartbeat, now);
+    return round.next();
+}
+
+RoundNumber Agreement::confirmedRound() const {
+    std::vector<RoundNumber> acked;
+    for (const auto& entry : currentMembers) {
+        if (!entry.voter) continue;
+        if (entry.id == own.id) acked.push_back(round);
+        else {
+            auto found = peers.find(entry.id);
+            acked.push_back(found == peers.end() ? RoundNumber{} : found->second.acked);
+        }
+    }
+    if (acked.size() < majority()) return RoundNumber{};
+    std::sort(acked.begin(), acked.end(), std::greater<>());
+    return acked[majority() - 1];
+}
+Instant Agreement::quorumContact() const {
+    std::vector<Instant> contacts;
+    for (const auto& entry : currentMembers) {
+        if (!entry.voter) continue;
+        if (entry.id == own.id) contacts.push_back(clockNow);
+        else {
+            auto found = peers.find(entry.id);
+            contacts.push_back(found == peers.end() ? Instant{} : found->second.contact);
+        }
+    }
+    if (contacts.size() < majority()) return Instant{};
+    std::sort(contacts.begin(), contacts.end(), std::greater<>());
+    return contacts[majority() - 1];
+}
+Instant Agreement::heardFrom(const ReservoirId& id) const {
+    auto found = peers.find(id);
+    return found == peers.end() ? clockNow : found->second.heard;
+}
+LogIndex Agreement::matchOf(const ReservoirId& id) const {
+    auto found = peers.find(id);
+    return found == peers.end() ? LogIndex{} : found->second.match;
+}
+bool Agreement::forgetful(const ReservoirId& id) const {
+    auto found = peers.find(id);
+    return found != peers.end() && found->second.forgetful;
+}
+
+std::optional<WallTime> Agreement::agreedWall(Instant now) const {
+    std::vector<std::int64_t> walls;
+    for (const auto& entry : currentMembers) {
+        if (!entry.voter) continue;
+        if (entry.id == own.id) walls.push_back(wallNow.milliseconds + (now - wallAt).milliseconds);
+        else {
+            auto found = peers.find(entry.id);
+            if (found != peers.end() && found->second.wallOffset) walls.push_back(now.milliseconds + *found->second.wallOffset);
+        }
+    }
+    if (walls.size() < majority()) return std::nullopt;
+    std::sort(walls.begin(), walls.end());
+    return WallTime{walls[(walls.size() - 1) / 2]};  // the lower median: one clock alone cannot move it ahead
+}
+
+void Agreement::broadcast(Instant now, bool force) {
+    round = round.next();
+    roundTimes.emplace_back(round, now);
+    if (roundTimes.size() > 256) roundTimes.pop_front();
+    for (const auto& entry : currentMembers)
+        if (entry.id != own.id) sendAppend(entry, peers[entry.id], now, force);
+    nextHeartbeat = now + options.heartbeat;
+    advanceCommit();
+}
+
+void Agreement::sendAppend(const Member& to, Peer& peer, Instant now, bool force) {
+    if (peer.next <= base.index) {
+        if (peer.installing && now - peer.installSent < Span{2000}) {
+            send(to.id, Append{currentEpoch, last(), epochAt(last()), {}, LogIndex{}, round});
+            return;
+        }
+        peer.installing = true;
+        peer.installSent = now;
+        send(to.id, InstallView{currentEpoch, stored, round});
+        return;
+    }
+    Append body;
+    body.epoch = currentEpoch;
+    body.previous = LogIndex{peer.next.value - 1};
+    body.previousEpoch = epochAt(body.previous);
+    body.commit = commit;
+    body.round = round;
+    std::size_t bytes = 0;
+    for (LogIndex index = peer.next; index <= last() && bytes < options.batchBytes; index = index.next()) {
+        body.entries.push_back(entry(index));
+        bytes += entry(index).payload.size() + 32;
+    }
+    if (body.entries.empty() && !force) return;
+    peer.next = LogIndex{peer.next.value + body.entries.size()};
+    peer.sentAt = now;
+    send(to.id, std::move(body));
+}
+
+void Agreement::advanceCommit() {
+    std::vector<LogIndex> matches;
+    for (const auto& entry : currentMembers) {
+        if (!entry.voter) continue;
+        if (entry.id == own.id) matches.push_back(std::min(syncedIndex, last()));
+        else matches.push_back(matchOf(entry.id));
+    }
+    if (matches.size() < majority()) return;
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const LogIndex agreed = matches[majority() - 1];
+    if (agreed > commit && epochAt(agreed) == currentEpoch) {
+        commit = agreed;
+        nextHeartbeat = std::min(nextHeartbeat, clockNow + Span{10});
+        if (!selfVotes()) become(Role::follower, clockNow);
+    }
+}
+
+void Agreement::receive(const PeerMessage& message, Instant now) {
+    clockNow = std::max(clockNow, now);
+    const bool isJoin = message.body.type() == typeid(Join);
+    if (!isJoin && message.to != own.id) return;  // meant for another identity at this address
+    if (addresses.size() > 64) addresses.clear();
+    addresses[message.from] = message.fromAddress;
+    boost::apply_visitor([&](const auto& body) { on(message, body, now); }, message.body);
+}
+
+void Agreement::on(const PeerMessage& message, const AskVote& body, Instant now) {
+    const auto* candidate = member(message.from);
+    if (!candidate && body.epoch > currentEpoch && leads()) {
+        send(message.from, Retire{currentEpoch});
+        return;
+    }
+    // One that hears a leader does not help to unseat it. docs/design.md 3.2.
+    const bool content = leads() || (now - heardLeader < options.electionLow);
+    if (content && !body.handover) {
+        send(message.from, GiveVote{currentEpoch, body.trial, false});
+        return;
+    }
+    if (!body.trial) seeEpoch(body.epoch, now);
+    const bool newer = std::tie(body.lastEpoch, body.last) >= std::make_tuple(epochAt(last()), last());
+    bool given = newer && body.epoch >= currentEpoch && selfVotes();
+    if (!body.trial) {
+        given = given && body.epoch == currentEpoch && (vote.value.empty() || vote == message.from);
+        if (given) {
+            vote = message.from;
+            mark(last().next());
+            resetElection(now);
+        }
+        sendAfterSync(message.from, GiveVote{currentEpoch, false, given});
+        if (!dirty && !inFlight) mark(last().next());
+    } else send(message.from, GiveVote{body.epoch, true, given});
+}
+
+void Agreement::on(const PeerMessage& message, const GiveVote& body, Instant now) {
+    if (!body.given) {
+        if (body.epoch > currentEpoch) seeEpoch(body.epoch, now);
+        return;
+    }
+    if (currentRole != Role::candidate || trialElection != body.trial) return;
+    if (body.epoch != (body.trial ? currentEpoch.next() : currentEpoch)) return;
+    votes.insert(message.from);
+    countVotes(now);
+}
+
+void Agreement::replyAppend(const ReservoirId& to, bool matched, LogIndex match, RoundNumber answered) {
+    AppendReply reply;
+    reply.epoch = currentEpoch;
+    reply.matched = matched;
+    reply.match = match;
+    reply.last = std::min(syncedIndex, last());
+    reply.round = answered;
+    reply.wall = wallNow + (clockNow - wallAt);
+    send(to, reply);
+}
+
+void Agreement::on(const PeerMessage& message, const Append& body, Instant now) {
+    if (body.epoch < currentEpoch) {
+        replyAppend(message.from, false, LogIndex{}, RoundNumber{});
+        return;
+    }
+    seeEpoch(body.epoch, now);
+    if (leads()) return;  // cannot be: one leader an epoch
+    if (currentRole == Role::candidate) become(Role::follower, now);
+    knownLeader = message.from;
+    heardLeader = now;
+    resetElection(now);
+    lastAppender = message.from;
+    lastRoundSeen = body.round;
+    if (body.previous > last()) return replyAppend(message.from, false, last(), body.round);
+    if (body.previous < base.index) return replyAppend(message.from, true, std::min(syncedIndex, commit), body.round);
+    if (epochAt(body.previous) != body.previousEpoch)
+        return replyAppend(message.from, false, LogIndex{std::max(commit.value, body.previous.value - 1)}, body.round);
+    LogIndex index = body.previous;
+    bool membersChanged = false;
+    for (const auto& added : body.entries) {
+        index = index.next();
+        if (index <= last()) {
+            if (epochAt(index) == added.epoch) continue;
+            cutLog(index);
+        }
+        log.push_back(added);
+        mark(index);
+        membersChanged = membersChanged || added.members;
+    }
+    if (membersChanged) {
+        findMembers();
+        if (selfVotes() && currentRole == Role::learner) currentRole = Role::follower;
+        else if (!selfVotes() && currentRole == Role::follower) currentRole = Role::learner;
+    }
+    commit = std::max(commit, std::min(body.commit, index));
+    replyAppend(message.from, true, std::min(index, syncedIndex), body.round);
+}
+
+void Agreement::on(const PeerMessage& message, const AppendReply& body, Instant now) {
+    if (body.epoch > currentEpoch) return seeEpoch(body.epoch, now);
+    if (!leads() || body.epoch != currentEpoch) return;
+    auto found = peers.find(message.from);
+    if (found == peers.end()) return;
+    Peer& peer = found->second;
+    peer.heard = now;
+    peer.wallOffset = body.wall.milliseconds - now.milliseconds;
+    if (body.round > peer.acked) {
+        peer.acked = body.round;
+        for (const auto& [number, sent] : roundTimes)
+            if (number == body.round) peer.contact = std::max(peer.contact, sent);
+    }
+    // docs/design.md 3.5: it once acknowledged more than it now has; its disk is not the one that voted.
+    if (body.last < peer.match) {
+        peer.forgetful = true;
+        return;
+    }
+    if (body.matched) {
+        peer.match = std::max(peer.match, body.match);
+        if (peer.installing && body.match >= base.index) peer.installing = false;
+        if (peer.next <= peer.match) peer.next = peer.match.next();
+        advanceCommit();
+        if (peer.next <= last()) {
+            if (const auto* to = member(message.from)) sendAppend(*to, peer, now, false);
+        }
+    } else if (!peer.installing || body.match >= base.index) {
+        peer.installing = false;
+        peer.next = LogIndex{std::max(peer.match.value, std::min(body.match.value, peer.next.value - 1)) + 1};
+        if (const auto* to = member(message.from)) sendAppend(*to, peer, now, true);
+    }
+}
+
+void Agreement::on(const PeerMessage& message, const InstallView& body, Instant now) {
+    if (body.epoch < currentEpoch) return replyAppend(message.from, false, LogIndex{}, RoundNumber{});
+    seeEpoch(body.epoch, now);
+    if (leads()) return;
+    knownLeader = message.from;
+    heardLeader = now;
+    resetElection(now);
+    lastAppender = message.from;
+    lastRoundSeen = body.round;
+    if (body.view.index > commit) {
+        stored = body.view;
+        base = LogView{body.view.index, body.view.epoch, body.view.members, {}};
+        log.clear();
+        commit = body.view.index;
+        wantWhole = true;
+        installed = true;
+        findMembers();
+        if (selfVotes() && currentRole == Role::learner) currentRole = Role::follower;
+    }
+    replyAppend(message.from, true, std::min(syncedIndex, last()), body.round);
+}
+
+void Agreement::on(const PeerMessage& message, const HandOver& body, Instant now) {
+    if (body.epoch == currentEpoch && message.from == knownLeader) campaign(now, false, true);
+}
+void Agreement::on(const PeerMessage& message, const Retire& body, Instant) {
+    // Only a leader of a later or the same epoch, once a member with us, can retire us.
+    if (body.epoch >= currentEpoch && message.from != own.id && !leads()) wasRetired = true;
+}
+void Agreement::on(const PeerMessage&, const Join& body, Instant now) {
+    if (!serves() || member(body.member.id) || !membersSettled()) return;
+    // A learner costs a copy of the log, so only a few are taken at a time. docs/design.md 3.5.
+    std::size_t learners = 0;
+    for (const auto& entry : currentMembers) learners += !entry.voter;
+    if (learners >= 3) return;
+    Members members = currentMembers;
+    // The same address under a new identity: the old learner there is no more.
+    std::erase_if(members, [&](const Member& entry) { return !entry.voter && entry.peer == body.member.peer; });
+    Member learner = body.member;
+    learner.voter = false;
+    members.push_back(learner);
+    proposeMembers(members, now);
+}
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/aniseline.hpp
@@ -0,0 +1,190 @@
+// The project's one common header: small types, errors, archives. docs/design.md 2.
+#pragma once
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <cstring>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include <boost/archive/binary_iarchive.hpp>
+#include <boost/archive/binary_oarchive.hpp>
+#include <boost/crc.hpp>
+#include <boost/outcome.hpp>
+#include <boost/serialization/deque.hpp>
+#include <boost/serialization/map.hpp>
+#include <boost/serialization/set.hpp>
+#include <boost/serialization/string.hpp>
+#include <boost/serialization/utility.hpp>
+#include <boost/serialization/variant.hpp>
+#include <boost/serialization/vector.hpp>
+#include <boost/signals2/signal.hpp>
+#include <boost/variant.hpp>
+
+namespace aniseline {
+
+namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
+
+// Small types (docs/design.md 2.1): each id, version and time is its own type.
+template <class Tag, class Value = std::uint64_t>
+struct Small {
+    Value value{};
+    Small() = default;
+    explicit Small(Value given) : value(std::move(given)) {}
+    auto operator<=>(const Small&) const = default;
+    bool operator==(const Small&) const = default;
+    Small next() const requires std::is_integral_v<Value> { return Small{value + 1}; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & value; }
+};
+
+using Epoch = Small<struct EpochTag>;
+using LogIndex = Small<struct LogIndexTag>;
+using DiskVersion = Small<struct DiskVersionTag>;
+using SetupVersion = Small<struct SetupVersionTag>;
+using OrderNumber = Small<struct OrderNumberTag>;
+using AttemptNumber = Small<struct AttemptNumberTag>;
+using PlanNumber = Small<struct PlanNumberTag>;
+using RoundNumber = Small<struct RoundNumberTag>;
+using ExchangeNumber = Small<struct ExchangeNumberTag>;
+using Incarnation = Small<struct IncarnationTag>;
+using JobId = Small<struct JobIdTag, std::string>;
+using QueueName = Small<struct QueueNameTag, std::string>;
+using MinionId = Small<struct MinionIdTag, std::string>;
+using ReservoirId = Small<struct ReservoirIdTag, std::string>;
+using AreaName = Small<struct AreaNameTag, std::string>;
+using Address = Small<struct AddressTag, std::string>;
+
+// A length of time in milliseconds.
+struct Span {
+    std::int64_t milliseconds = 0;
+    Span() = default;
+    explicit constexpr Span(std::int64_t given) : milliseconds(given) {}
+    auto operator<=>(const Span&) const = default;
+    bool operator==(const Span&) const = default;
+    Span operator+(Span other) const { return Span{milliseconds + other.milliseconds}; }
+    Span operator-(Span other) const { return Span{milliseconds - other.milliseconds}; }
+    double hours() const { return double(milliseconds) / 3'600'000.0; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & milliseconds; }
+};
+
+// A point on some clock; the tag keeps the clocks apart.
+template <class Clock>
+struct Point {
+    std::int64_t milliseconds = 0;
+    Point() = default;
+    explicit constexpr Point(std::int64_t given) : milliseconds(given) {}
+    auto operator<=>(const Point&) const = default;
+    bool operator==(const Point&) const = default;
+    Point operator+(Span span) const { return Point{milliseconds + span.milliseconds}; }
+    Point operator-(Span span) const { return Point{milliseconds - span.milliseconds}; }
+    Span operator-(Point other) const { return Span{milliseconds - other.milliseconds}; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & milliseconds; }
+};
+using Instant = Point<struct MonotonicClock>;    // one process' monotonic clock
+using WallTime = Point<struct WallClock>;        // one machine's calendar clock, never trusted alone
+using ClusterTime = Point<struct ClusterClock>;  // agreed by the reservoirs, docs/design.md 3.6
+
+// Errors of the core layer; the edges turn theirs into these (docs/design.md 2.3).
+struct ErrorDetail {
+    std::string path;
+    std::string text;
+};
+struct CoreError {
+    enum class Kind { invalid, conflict, overloaded, missing, unknown, gone };
+    Kind kind = Kind::invalid;
+    std::vector<ErrorDetail> details;
+    static CoreError at(Kind kind, std::string path, std::string text) {
+        return CoreError{kind, {ErrorDetail{std::move(path), std::move(text)}}};
+    }
+    std::string text() const {
+        std::string all;
+        for (const auto& detail : details) {
+            if (!all.empty()) all += "; ";
+            all += detail.path.empty() ? detail.text : detail.path + ": " + detail.text;
+        }
+        return all;
+    }
+};
+template <class Value, class Error = CoreError>
+using Result = outcome::unchecked<Value, Error>;
+
+inline std::uint32_t checksum(std::string_view bytes) {
+    boost::crc_32_type sum;
+    sum.process_bytes(bytes.data(), bytes.size());
+    return sum.checksum();
+}
+
+constexpr auto archiveFlags = boost::archive::no_header | boost::archive::no_codecvt;
+
+template <class Value>
+std::string pack(const Value& value) {
+    std::ostringstream stream;
+    {
+        boost::archive::binary_oarchive archive(stream, archiveFlags);
+        archive << value;
+    }
+    return std::move(stream).str();
+}
+
+// Unpacks bytes that a checksum has already vouched for; a mismatch in shape is an error, not a crash.
+template <class Value>
+Result<Value> unpack(const std::string& bytes) {
+    try {
+        std::istringstream stream(bytes);
+        boost::archive::binary_iarchive archive(stream, archiveFlags);
+        Value value;
+        archive >> value;
+        return value;
+    } catch (const std::exception& error) {
+        return CoreError::at(CoreError::Kind::invalid, "", std::string("unreadable record: ") + error.what());
+    }
+}
+
+// The JSON reader recurses; a text nested deeper than this is not read at all.
+inline bool nestedTooDeep(std::string_view text, int most = 32) {
+    int depth = 0;
+    bool inString = false;
+    for (std::size_t place = 0; place < text.size(); ++place) {
+        const char letter = text[place];
+        if (inString) {
+            if (letter == '\\') ++place;
+            else if (letter == '"') inString = false;
+        } else if (letter == '"') inString = true;
+        else if (letter == '[' || letter == '{') {
+            if (++depth > most) return true;
+        } else if (letter == ']' || letter == '}') --depth;
+    }
+    return false;
+}
+
+// splitmix64: seeded draws that are the same on every machine.
+struct Draw {
+    std::uint64_t state;
+    explicit Draw(std::uint64_t seed) : state(seed) {}
+    std::uint64_t next() {
+        std::uint64_t mixed = (state += 0x9e3779b97f4a7c15ull);
+        mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ull;
+        mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebull;
+        return mixed ^ (mixed >> 31);
+    }
+    std::int64_t between(std::int64_t low, std::int64_t high) {
+        return low + std::int64_t(next() % std::uint64_t(high - low + 1));
+    }
+    bool chance(double probability) { return double(next() >> 11) / 9007199254740992.0 < probability; }
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/client.hpp
@@ -0,0 +1,57 @@
+// libaniseline: the library for callers' and minions' programs. docs/api.md 4.
+#pragma once
+#include "edge/http.hpp"
+#include "minion_hand.hpp"
+
+namespace aniseline {
+
+struct ClientError {
+    enum class Kind { rejected, unknown, missing } kind = Kind::unknown;
+    int status = 0;
+    std::string text;
+    Span retryAfter{0};
+};
+
+// Asks through any of several sluices; goes on to the next when one is silent or not able.
+class Caller {
+public:
+    Caller(Loop& loop, std::vector<Address> sluices) : client(loop), sluices(std::move(sluices)) {}
+    // One try at one sluice.
+    Result<HttpAnswer, HttpError> once(const HttpRequest& request, Span within);
+    // Tries until there is an answer other than `unknown`, or the time is over. Safe for every exchange: all are idempotent.
+    Result<HttpAnswer, ClientError> ask(const HttpRequest& request, Span within);
+    Result<HttpAnswer, ClientError> submit(const JobSubmission& job, Span within) { return ask({"POST", "/v1/jobs", renderJob(job)}, within); }
+    Result<HttpAnswer, ClientError> cancel(const JobId& job, Span within) { return ask({"DELETE", "/v1/jobs/" + job.value, ""}, within); }
+    Result<HttpAnswer, ClientError> show(const JobId& job, Span within) { return ask({"GET", "/v1/jobs/" + job.value, ""}, within); }
+    void turn() { place = (place + 1) % sluices.size(); }
+    std::function<void(const HttpRequest&, const Result<HttpAnswer, HttpError>&)> witness;
+
+private:
+    HttpClient client;
+    std::vector<Address> sluices;
+    std::size_t place = 0;
+};
+
+// Keeps a minion in touch and drives its hand; the program connects its slots to the signals.
+class MinionClient {
+public:
+    MinionClient(Loop& loop, MinionHand::Options options, Incarnation incarnation, std::vector<Address> sluices);
+    boost::signals2::signal<void(const HandEffect&)> effect;
+    boost::signals2::signal<void(Incarnation)> began;
+    void run(const std::atomic<bool>& stop);  // the syncing fiber
+    void ended(AttemptNumber attempt, bool well);
+    void leave(Span within);
+    // A cut for tests of the library's users: while set nothing is sent.
+    bool cut = false;
+    const MinionHand& hand() const { return core; }
+
+private:
+    void deliver();
+    Loop& loop;
+    MinionHand core;
+    std::vector<Address> seeds, sluices;
+    std::size_t place = 0;
+    Draw draw;
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/edge/http.cpp
@@ -0,0 +1,141 @@
+#include "edge/http.hpp"
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace aniseline {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+struct HttpClient::Connection {
+    explicit Connection(asio::io_context& context) : stream(context) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+Result<bool, HttpError> HttpServer::listen(const Address& address, bool shared) {
+    auto endpoint = endpointOf(address);
+    if (!endpoint) return HttpError{HttpError::Kind::unreachable, endpoint.error().text()};
+    acceptor = std::make_shared<tcp::acceptor>(loop.context);
+    IoError error;
+    acceptor->open(endpoint.value().protocol(), error);
+    acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    if (shared) acceptor->set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true), error);
+    acceptor->bind(endpoint.value(), error);
+    if (!error) acceptor->listen(1024, error);
+    if (error) return HttpError{HttpError::Kind::unreachable, "can't listen on " + address.value + ": " + error.message()};
+    spawn([this, acceptor = acceptor] {
+        while (!stopping) {
+            tcp::socket socket(loop.context);
+            if (await([&](auto done) { acceptor->async_accept(socket, done); }).error) {
+                if (stopping) return;
+                pause(Span{10});
+                continue;
+            }
+            if (connections >= limits.connections) continue;  // closed at once: the bound holds
+            ++connections;
+            auto shared = std::make_shared<tcp::socket>(std::move(socket));
+            spawn([this, shared] {
+                serveConnection(std::move(*shared));
+                --connections;
+            });
+        }
+    });
+    return true;
+}
+
+void HttpServer::stop() {
+    stopping = true;
+    IoError ignored;
+    if (acceptor) acceptor->close(ignored);
+}
+
+void HttpServer::serveConnection(tcp::socket socket) {
+    IoError ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    for (bool keep = true; keep && !stopping;) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(limits.bodyBytes);
+        parser.header_limit(16 * 1024);
+        stream.expires_after(std::chrono::milliseconds(limits.idle.milliseconds));
+        const auto read = await([&](auto done) { http::async_read(stream, buffer, parser, done); });
+        Answer answer;
+        bool bad = false;
+        if (read.error == http::error::body_limit) answer = Answer::error(413, "invalid", "the body is larger than " + std::to_string(limits.bodyBytes) + " bytes"), bad = true;
+        else if (read.error == http::error::header_limit) answer = Answer::error(431, "invalid", "the header is too large"), bad = true;
+        else if (read.error && read.error.category() == http::make_error_code(http::error::bad_method).category() && read.error != http::error::end_of_stream &&
+                 read.error != http::error::partial_message)
+            answer = Answer::error(400, "invalid", "this is no HTTP/1.1 request: " + read.error.message()), bad = true;
+        else if (read.error) return;
+        else answer = handler(HttpRequest{std::string(parser.get().method_string()), std::string(parser.get().target()), std::move(parser.get().body())});
+        keep = !bad && parser.get().keep_alive() && !stopping;
+        http::response<http::string_body> response{http::status(answer.status), 11};
+        response.set(http::field::content_type, "application/json");
+        if (answer.retryAfter.milliseconds > 0) {
+            response.set(http::field::retry_after, std::to_string((answer.retryAfter.milliseconds + 999) / 1000));
+            response.set("Retry-After-Ms", std::to_string(answer.retryAfter.milliseconds));
+        }
+        response.keep_alive(keep);
+        response.body() = std::move(answer.body);
+        response.prepare_payload();
+        stream.expires_after(std::chrono::milliseconds(limits.exchange.milliseconds));
+        if (await([&](auto done) { http::async_write(stream, response, done); }).error) return;
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+HttpClient::~HttpClient() = default;
+
+Result<HttpAnswer, HttpError> HttpClient::ask(const Address& address, const HttpRequest& given, Span within) {
+    auto endpoint = endpointOf(address);
+    if (!endpoint) return HttpError{HttpError::Kind::unreachable, endpoint.error().text()};
+    if (connectedTo != address) connection.reset();
+    http::request<http::string_body> request{http::string_to_verb(given.method), given.target, 11};
+    request.set(http::field::host, address.value);
+    request.set(http::field::content_type, "application/json");
+    request.body() = given.body;
+    request.keep_alive(true);
+    request.prepare_payload();
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(within.milliseconds);
+    for (bool again = true; again;) {
+        const bool kept = connection != nullptr;
+        again = false;
+        if (!connection) {
+            connection = std::make_shared<Connection>(loop.context);
+            connectedTo = address;
+            connection->stream.expires_after(std::chrono::milliseconds(std::min<std::int64_t>(within.milliseconds, 1000)));
+            const auto connected = await([&](auto done) { connection->stream.async_connect(endpoint.value(), done); });
+            if (connected.error) {
+                connection.reset();
+                return HttpError{HttpError::Kind::unreachable, connected.error.message()};
+            }
+            IoError ignored;
+            connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+        }
+        auto used = connection;
+        used->stream.expires_at(deadline);
+        http::response<http::string_body> response;
+        auto result = await([&](auto done) { http::async_write(used->stream, request, done); });
+        if (!result.error) result = await([&](auto done) { http::async_read(used->stream, used->buffer, response, done); });
+        if (result.error) {
+            connection.reset();
+            if (result.error == beast::error::timeout) return HttpError{HttpError::Kind::late, "no answer in time"};
+            // A kept connection that the other side had closed meanwhile: its end came before any byte of an answer.
+            if (kept && result.error == http::error::end_of_stream && given.method == "GET") again = true;
+            else return HttpError{HttpError::Kind::lost, result.error.message()};
+            continue;
+        }
+        HttpAnswer answer;
+        answer.status = int(response.result_int());
+        answer.body = std::move(response.body());
+        const auto retry = response.find("Retry-After-Ms");
+        if (retry != response.end()) answer.retryAfter = Span{std::strtoll(std::string(retry->value()).c_str(), nullptr, 10)};
+        if (!response.keep_alive()) connection.reset();
+        return answer;
+    }
+    return HttpError{HttpError::Kind::lost, "the connection was lost"};
+}
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/edge/http.hpp
@@ -0,0 +1,62 @@
+// HTTP/1.1 with JSON, outward, by Boost.Beast on fibers. docs/design.md 9.4.
+#pragma once
+#include "edge/loop.hpp"
+#include "exchange.hpp"
+
+namespace aniseline {
+
+struct HttpError {
+    enum class Kind { unreachable, lost, late } kind = Kind::unreachable;
+    std::string text;
+};
+struct HttpRequest {
+    std::string method, target, body;
+};
+
+struct HttpLimits {
+    std::size_t bodyBytes = 1024 * 1024;
+    std::size_t connections = 2000;
+    Span idle{30'000};
+    Span exchange{10'000};  // to read one request or write one answer
+};
+
+// Serves until told to stop; one fiber a connection, all on the thread that calls serve().
+class HttpServer {
+public:
+    using Handler = std::function<Answer(const HttpRequest&)>;
+    HttpServer(Loop& loop, HttpLimits limits, Handler handler) : loop(loop), limits(limits), handler(std::move(handler)) {}
+    Result<bool, HttpError> listen(const Address& address, bool shared);
+    void stop();
+    std::size_t connectionCount() const { return connections; }
+
+private:
+    void serveConnection(tcp::socket socket);
+    Loop& loop;
+    HttpLimits limits;
+    Handler handler;
+    std::shared_ptr<tcp::acceptor> acceptor;
+    std::atomic<std::size_t> connections{0};
+    bool stopping = false;
+};
+
+struct HttpAnswer {
+    int status = 0;
+    std::string body;
+    Span retryAfter{0};
+};
+
+// One kept connection to one address.
+class HttpClient {
+public:
+    explicit HttpClient(Loop& loop) : loop(loop) {}
+    ~HttpClient();
+    Result<HttpAnswer, HttpError> ask(const Address& address, const HttpRequest& request, Span within);
+
+private:
+    struct Connection;
+    Loop& loop;
+    Address connectedTo;
+    std::shared_ptr<Connection> connection;
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/edge/log.hpp
@@ -0,0 +1,11 @@
+// Logs: one JSON object a line on standard error. docs/operations.md 5.
+#pragma once
+#include "exchange.hpp"
+
+namespace aniseline {
+
+enum class LogLevel { debug, info, warning, error };
+void startLog(const std::string& program, const std::string& who, bool quiet = false);
+void log(LogLevel level, const std::string& what, picojson::object fields = {});
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/edge/options.hpp
@@ -0,0 +1,39 @@
+// Command lines (TCLAP) over an options file (JSON): every fault is named by file and field. docs/operations.md 2.
+#pragma once
+#include "exchange.hpp"
+#include <tclap/CmdLine.h>
+
+namespace aniseline {
+
+// A program's options: each has a name that is a flag and a field of the options file; a flag wins.
+class OptionSet {
+public:
+    OptionSet(std::string program, std::string purpose);
+    void text(const std::string& name, std::string& target, const std::string& help, bool needed = false);
+    void address(const std::string& name, Address& target, const std::string& help, bool needed = false);
+    void addresses(const std::string& name, std::vector<Address>& target, const std::string& help, bool needed = false);
+    void whole(const std::string& name, std::int64_t& target, const std::string& help, std::int64_t low, std::int64_t high);
+    void real(const std::string& name, double& target, const std::string& help, double low, double high);
+    void flag(const std::string& name, bool& target, const std::string& help);
+    // Words that are no flags; at most this many.
+    void words(std::vector<std::string>& target, const std::string& help);
+    // Reads all; ends the process with status 2 and a plain line for each fault.
+    void read(int count, char** values);
+
+private:
+    struct Entry {
+        std::string name, help;
+        bool needed = false, isFlag = false, isList = false;
+        std::function<std::optional<std::string>(const std::string&)> take;
+        std::shared_ptr<TCLAP::Arg> arg;
+        std::function<std::vector<std::string>()> given;
+        bool set = false;
+    };
+    void add(Entry entry);
+    std::string program, purpose;
+    std::vector<Entry> entries;
+    std::vector<std::string>* wordsTarget = nullptr;
+    std::string wordsHelp;
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/edge/route.hpp
@@ -0,0 +1,34 @@
+// The route view that a sluice's threads read without waiting: read-copy-update by liburcu. docs/design.md 9.2.
+#pragma once
+#include "exchange.hpp"
+
+namespace aniseline {
+
+class RouteBoard {
+public:
+    RouteBoard();
+    ~RouteBoard();
+    // For any thread that holds a RouteReader.
+    template <class Use> auto read(Use&& use) const {
+        lockRead();
+        const RouteView* view = current.load(std::memory_order_acquire);
+        auto result = use(*view);
+        unlockRead();
+        return result;
+    }
+    // Takes the view if it is not older than the one that stands; by one thread at a time.
+    bool publish(const RouteView& view);
+
+private:
+    static void lockRead();
+    static void unlockRead();
+    std::atomic<const RouteView*> current;
+};
+
+// Each reading thread holds one for as long as it reads.
+struct RouteReader {
+    RouteReader();
+    ~RouteReader();
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/edge/stopping.hpp
@@ -0,0 +1,22 @@
+// The polite signals, as a flag that fibers can see.
+#pragma once
+#include "edge/loop.hpp"
+#include <boost/asio/signal_set.hpp>
+
+namespace aniseline {
+
+class StopSignal {
+public:
+    explicit StopSignal(Loop& loop) : signals(loop.context, SIGTERM, SIGINT) {
+        signals.async_wait([this](IoError error, int) {
+            if (!error) stop = true;
+        });
+    }
+    bool requested() const { return stop; }
+
+private:
+    asio::signal_set signals;
+    std::atomic<bool> stop{false};
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/edge/wire.hpp
@@ -0,0 +1,84 @@
+// What our own processes say to each other: framed, checksummed Boost.Serialization over TCP. docs/design.md 9.3.
+#pragma once
+#include "edge/loop.hpp"
+#include "reservoir.hpp"
+
+namespace aniseline {
+
+struct RouteAsk {
+    Address sluice;  // the outer address of a sluice that asks, else empty
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & sluice; }
+};
+struct RouteTell {
+    RouteView view;
+    ReservoirId id;
+    Address peer;
+    AreaName area;
+    bool blank = false;
+    bool leads = false;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & view & id & peer & area & blank & leads; }
+};
+struct FoundAsk {  // an operator's word: found a new cluster here
+    template <class Archive> void serialize(Archive&, unsigned) {}
+};
+using WireBody = boost::variant<PeerMessage, Exchange, Answer, RouteAsk, RouteTell, FoundAsk>;
+struct WireMessage {
+    std::uint64_t correlation = 0;
+    WireBody body;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & correlation & body; }
+};
+
+struct WireError {
+    enum class Kind { unreachable, lost, late, garbled } kind = Kind::unreachable;
+    std::string text;
+};
+
+constexpr std::uint32_t wireFormat = 1;
+std::string encode(const WireMessage& message);
+// Reads one message; a peer that speaks another format, or garbles, is an error and its connection ends.
+Result<WireMessage, WireError> readMessage(tcp::socket& socket);
+// Writes queued bytes in order on one socket. Owned jointly by the fibers of its connection.
+class WireWriter {
+public:
+    explicit WireWriter(std::shared_ptr<tcp::socket> socket) : socket(std::move(socket)) {}
+    bool send(std::string bytes);  // false: the queue is full or the connection is over
+    void run();                    // the writing fiber
+    void close();
+
+private:
+    std::shared_ptr<tcp::socket> socket;
+    std::deque<std::string> queue;
+    std::size_t queued = 0;
+    bool closed = false;
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable some;
+};
+
+// A connection that asks and is answered; reconnects when used after a loss. For the fibers of one thread.
+class WireCaller {
+public:
+    WireCaller(Loop& loop, Address address) : loop(loop), address(std::move(address)) {}
+    // An error of kind `unreachable` means that nothing was sent.
+    Result<WireMessage, WireError> call(WireBody body, Span within);
+    bool post(WireMessage message);  // without an answer; lost when it can't be sent
+
+private:
+    struct Waiting {
+        boost::fibers::promise<Result<WireMessage, WireError>> promise;
+    };
+    struct Connection {
+        std::shared_ptr<tcp::socket> socket;
+        std::shared_ptr<WireWriter> writer;
+        std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
+        bool open = true;
+    };
+    std::shared_ptr<Connection> connection(Span within);
+    Loop& loop;
+    Address address;
+    std::shared_ptr<Connection> current;
+    bool connecting = false;
+    Instant notBefore{0};
+    std::uint64_t nextCorrelation = 1;
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/exchange.hpp
@@ -0,0 +1,73 @@
+// What callers, minions and operators ask, typed, and what they are told. docs/api.md, docs/design.md 8.
+#pragma once
+#include "minion.hpp"
+
+namespace aniseline {
+
+enum class Ask : std::uint8_t {
+    submitJob, cancelJob, showJob, listJobs, applySetup, showSetup, sync, leave, drain, undrain, declareGone,
+    listMinions, showCluster, showPlan, showCounters, replaceReservoir, exportState
+};
+const char* name(Ask ask);
+
+struct Exchange {
+    Ask ask = Ask::showCounters;
+    std::string id;    // the job, minion or reservoir named in the target
+    std::string text;  // a setup's text, a queue or state to list
+    SetupVersion basedOn;
+    std::uint64_t limit = 100;
+    Span within{0};
+    JobSubmission job;
+    SyncReport report;
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & ask & id & text & basedOn & limit & within & job & report;
+    }
+    // Turns a request of the outer interface into a typed exchange, or names every fault in it.
+    static Result<Exchange> parse(const std::string& method, const std::string& target, const std::string& body);
+};
+
+struct Answer {
+    int status = 200;
+    std::string body;
+    Span retryAfter{0};
+    bool notLeader = false;  // nothing was done; ask the leader named here
+    Address leader;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & status & body & retryAfter & notLeader & leader; }
+    static Answer of(int status, const picojson::object& body);
+    static Answer error(int status, const std::string& kind, const std::string& text, Span retryAfter = Span{0});
+    static Answer from(const CoreError& error);
+    static Answer unknown(const std::string& text);
+};
+
+// What sluices hold of the cluster: the way to the leader. docs/design.md 9.2.
+struct RouteView {
+    Epoch epoch;
+    Address leader;
+    std::vector<Address> reservoirs;
+    std::vector<Address> sluices;  // outer addresses, for minions and callers
+    SetupVersion setup;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & leader & reservoirs & sluices & setup; }
+};
+
+// JSON of a minion's sync, both ways.
+std::string renderReport(const SyncReport& report);
+std::string renderJob(const JobSubmission& job);
+struct SyncAnswer {
+    Epoch epoch;
+    std::vector<Order> orders;
+    std::vector<AttemptNumber> confirmed;
+    Span term{3000};
+    std::vector<Address> sluices;
+    picojson::object render() const;
+    static Result<SyncAnswer> parse(const std::string& body);
+};
+
+inline picojson::value json(const std::string& text) { return picojson::value(text); }
+inline picojson::value json(const char* text) { return picojson::value(std::string(text)); }
+inline picojson::value json(bool flag) { return picojson::value(flag); }
+template <class Number> requires(std::is_arithmetic_v<Number> && !std::is_same_v<Number, bool>)
+picojson::value json(Number number) { return picojson::value(double(number)); }
+inline picojson::value json(picojson::object object) { return picojson::value(std::move(object)); }
+inline picojson::value json(picojson::array array) { return picojson::value(std::move(array)); }
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/ledger.cpp
@@ -0,0 +1,431 @@
+#include "ledger.hpp"
+
+namespace aniseline {
+
+std::vector<AttemptNumber> Ledger::attemptsOf(const JobId& job, bool withLost) const {
+    std::vector<AttemptNumber> found;
+    for (const auto& [number, attempt] : attempts)
+        if (attempt.job == job && (withLost || !attempt.lost)) found.push_back(number);
+    return found;
+}
+
+std::vector<AttemptNumber> Ledger::attemptsOn(const MinionId& minion) const {
+    std::vector<AttemptNumber> found;
+    for (const auto& [number, attempt] : attempts)
+        if (attempt.minion == minion) found.push_back(number);
+    return found;
+}
+
+std::optional<std::string> Ledger::neverFits(const StepRequest& step) const {
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> rooms;
+    for (const auto& [id, minion] : minions)
+        if (minion.state != MinionState::gone) rooms.emplace_back(minion.capacity.cores, minion.capacity.memory);
+    if (rooms.empty()) return std::nullopt;  // nobody has announced itself yet: no ground to judge on
+    auto tasks = step.tasks;
+    std::sort(tasks.begin(), tasks.end(), [](auto& left, auto& right) { return std::tie(left.cores, left.memory) > std::tie(right.cores, right.memory); });
+    for (const auto& task : tasks) {
+        auto best = rooms.end();
+        for (auto room = rooms.begin(); room != rooms.end(); ++room)
+            if (room->first >= task.cores && room->second >= task.memory && (best == rooms.end() || room->first < best->first)) best = room;
+        if (best == rooms.end())
+            return step.gang ? "no set of known minions could ever hold this gang together" : "no known minion could ever hold a task of this step";
+        if (step.gang) {
+            best->first -= task.cores;
+            best->second -= task.memory;
+        }
+    }
+    return std::nullopt;
+}
+
+void Ledger::allow(const JobSubmission& submission) {
+    if (jobs.count(submission.id)) return;
+    Job job;
+    job.submission = submission;
+    job.digest = submission.digest();
+    job.allowedAt = now;
+    job.state = submission.timed() ? JobState::timed : JobState::open;
+    if (!submission.timed())
+        for (std::uint32_t step = 0; step < submission.steps.size(); ++step)
+            for (std::uint32_t within = 0; within < submission.steps[step].tasks.size(); ++within) {
+                Task task;
+                task.step = step;
+                task.within = within;
+                job.tasks.push_back(task);
+            }
+    job.unblock(now);
+    open.insert(submission.id);
+    ++openByQueue[submission.queue];
+    ++counters.allowed;
+    jobs.emplace(submission.id, std::move(job));
+}
+
+void Ledger::forceStop(Attempt& attempt, bool tryless) {
+    if (attempt.state == AttemptState::stopping) return;
+    attempt.runBefore = attempt.ranBy(now);
+    attempt.state = AttemptState::stopping;
+    attempt.heldFor = AttemptNumber{};
+    attempt.tryless = tryless;
+    minions[attempt.minion].give(OrderKind::stop, attempt);
+}
+
+void Ledger::resumeVictimsOf(AttemptNumber trial) {
+    for (auto& [number, attempt] : attempts)
+        if (attempt.heldFor == trial && attempt.state == AttemptState::held) {
+            attempt.state = AttemptState::running;
+            attempt.runningSince = now;
+            attempt.heldFor = AttemptNumber{};
+            minions[attempt.minion].give(OrderKind::resume, attempt);
+        }
+}
+
+void Ledger::removeAttempt(AttemptNumber number) {
+    auto found = attempts.find(number);
+    if (found == attempts.end()) return;
+    const bool trial = found->second.trial();
+    attempts.erase(found);
+    if (trial) resumeVictimsOf(number);
+}
+
+void Ledger::taskDone(Job& job, Task& task) {
+    task.state = TaskState::done;
+    task.attempt = AttemptNumber{};
+    job.unblock(now);
+}
+
+// A task whose attempt came to nothing: it waits again, or its allowance is used up. docs/design.md 4.4.
+void Ledger::taskBack(Job& job, Task& task, const MinionId& avoid, Span pause) {
+    task.attempt = AttemptNumber{};
+    if (job.ending || job.over()) {
+        task.state = TaskState::stopped;
+        return;
+    }
+    const auto* queue = setup.queue(job.submission.queue);
+    const std::uint32_t allowance = queue ? queue->retries : 0;
+    if (task.starts >= 1 + allowance) {
+        task.state = TaskState::failed;
+        failJob(job, "task " + std::to_string(&task - job.tasks.data()) + " used up its retries");
+        return;
+    }
+    task.state = TaskState::waiting;
+    task.avoid = avoid;
+    task.notBefore = now + pause;
+}
+
+void Ledger::abortGang(Job& job, std::uint32_t step, AttemptNumber except) {
+    for (auto& [number, attempt] : attempts)
+        if (attempt.job == job.submission.id && attempt.step == step && number != except && !attempt.lost) forceStop(attempt, false);
+}
+
+void Ledger::failJob(Job& job, const std::string& reason) {
+    if (job.ending || job.over()) return;
+    job.ending = true;
+    job.reason = reason;
+    for (auto& task : job.tasks)
+        if (task.state == TaskState::waiting || task.state == TaskState::blocked) task.state = TaskState::stopped;
+    for (auto& [number, attempt] : attempts)
+        if (attempt.job == job.submission.id && !attempt.lost) forceStop(attempt, false);
+}
+
+// docs/design.md 4.2: a job is over only when no task of it is open anywhere.
+void Ledger::settle(Job& job) {
+    if (job.over() || job.state == JobState::timed) return;
+    const bool allDone = std::all_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) { return task.state == TaskState::done; });
+    if (!job.ending && !allDone) return;
+    if (!attemptsOf(job.submission.id, false).empty()) return;
+    if (job.state == JobState::cancelling) {
+        job.state = JobState::cancelled;
+        ++counters.cancelled;
+    } else if (allDone) {
+        job.state = JobState::finished;
+        ++counters.finished;
+    } else {
+        job.state = JobState::failed;
+        ++counters.failed;
+    }
+    job.endedAt = now;
+    open.erase(job.submission.id);
+    --openByQueue[job.submission.queue];
+}
+
+void Ledger::endAttempt(AttemptNumber number, EndingKind kind) {
+    auto found = attempts.find(number);
+    if (found == attempts.end()) return;  // told before; endings are sent until confirmed
+    const Attempt attempt = found->second;
+    removeAttempt(number);
+    auto foundJob = jobs.find(attempt.job);
+    if (foundJob == jobs.end()) return;
+    Job& job = foundJob->second;
+    Task& task = job.tasks[attempt.task];
+    Minion& minion = minions[attempt.minion];
+    const std::int64_t blame = minion.blameAt(now);
+    if (kind == EndingKind::failed) {
+        minion.blame = std::min<std::int64_t>(blame + 250, 1000);
+        minion.blamedAt = now;
+    } else if (kind == EndingKind::finished) {
+        minion.blame = blame * 7 / 8;
+        minion.blamedAt = now;
+    }
+    if (kind == EndingKind::unstarted && attempt.counted && task.starts > 0) --task.starts;
+    const bool current = task.attempt == number;
+    if (kind == EndingKind::finished) {
+        // A clean ending told late wins as long as nothing has taken the task's place. docs/design.md 5.5.
+        if (attempt.trial() && current) ++counters.trialsFinished;
+        if (current || task.state == TaskState::waiting) taskDone(job, task);
+    } else if (current) {
+        if (kind == EndingKind::ranOut) {
+            ++counters.trialsRanOut;
+            if (task.starts > 0) --task.starts;
+            task.tried = true;
+            taskBack(job, task, MinionId{}, Span{0});
+        } else {
+            const bool free = attempt.tryless || kind == EndingKind::unstarted;
+            const bool failed = kind == EndingKind::failed;
+            if (failed && attempt.gang) abortGang(job, attempt.step, number);
+            const auto pause = failed ? std::min<std::int64_t>(5000, 100ll << std::min<std::uint32_t>(task.starts, 6)) : 0;
+            taskBack(job, task, failed ? attempt.minion : MinionId{}, Span{free ? 0 : pause});
+        }
+    }
+    settle(job);
+}
+
+// The minion is taken to have lost this attempt, or to hold it in place for good. docs/design.md 5.5.
+void Ledger::giveUpAttempt(AttemptNumber number) {
+    Attempt& attempt = attempts[number];
+    if (attempt.lost) return;
+    attempt.lost = true;
+    ++counters.lost;
+    auto foundJob = jobs.find(attempt.job);
+    if (foundJob == jobs.end()) return;
+    Job& job = foundJob->second;
+    Task& task = job.tasks[attempt.task];
+    if (task.attempt == number) {
+        if (attempt.gang) abortGang(job, attempt.step, number);
+        taskBack(job, task, attempt.minion, Span{0});
+    }
+    settle(job);
+}
+
+struct Ledger::Folder : boost::static_visitor<void> {
+    Ledger& ledger;
+    explicit Folder(Ledger& given) : ledger(given) {}
+
+    void operator()(const Opened&) {}
+    void operator()(const SetupTaken& event) {
+        auto before = std::move(ledger.setup);
+        ledger.setup = event.setup;
+        // docs/design.md 6.4: a queue that is no longer named but has open jobs runs them out and takes nothing new.
+        for (auto& [name, options] : before.queues)
+            if (!ledger.setup.queues.count(name) && ledger.openByQueue[name] > 0) {
+                auto closed = options;
+                closed.closed = true;
+                closed.policy = "default";
+                ledger.setup.queues[name] = closed;
+            }
+    }
+    void operator()(const JobAllowed& event) { ledger.allow(event.submission); }
+    void operator()(const JobCancelled& event) {
+        auto found = ledger.jobs.find(event.job);
+        if (found == ledger.jobs.end() || found->second.over()) return;
+        Job& job = found->second;
+        if (job.state == JobState::timed) {
+            job.state = JobState::cancelled;
+            job.endedAt = ledger.now;
+            ledger.open.erase(event.job);
+            --ledger.openByQueue[job.submission.queue];
+            ++ledger.counters.cancelled;
+            return;
+        }
+        job.state = JobState::cancelling;
+        if (!job.ending) ledger.failJob(job, "cancelled");
+        ledger.settle(job);
+    }
+    void operator()(const OccurrenceFired& event) {
+        auto found = ledger.jobs.find(event.job);
+        if (found == ledger.jobs.end() || found->second.state != JobState::timed) return;
+        JobSubmission occurrence = found->second.submission;
+        occurrence.id = JobId{event.job.value + "@" + std::to_string(found->second.fired)};
+        occurrence.timetable = Timetable{};
+        if (++found->second.fired >= found->second.submission.timetable.count) {
+            found->second.state = JobState::finished;
+            found->second.endedAt = ledger.now;
+            ledger.open.erase(event.job);
+            --ledger.openByQueue[occurrence.queue];
+        }
+        ledger.allow(occurrence);
+    }
+    void operator()(const JobsForgotten& event) {
+        for (const auto& id : event.jobs) {
+            auto found = ledger.jobs.find(id);
+            if (found != ledger.jobs.end() && found->second.over()) ledger.jobs.erase(found);
+        }
+    }
+    void operator()(const MinionSeen& event) {
+        Minion& minion = ledger.minions[event.minion];
+        minion.id = event.minion;
+        minion.seenAt = ledger.now;
+        if (minion.incarnation != event.incarnation) {
+            for (auto number : ledger.attemptsOn(event.minion)) {
+                ledger.giveUpAttempt(number);
+                ledger.removeAttempt(number);
+            }
+            if (minion.incarnation.value) minion.retired.push_back(minion.incarnation);
+            if (minion.retired.size() > 16) minion.retired.erase(minion.retired.begin());
+            minion.incarnation = event.incarnation;
+            minion.orders.clear();
+            minion.applied = minion.lastOrder = OrderNumber{};  // orders are numbered within an incarnation
+            if (minion.state != MinionState::drained) minion.state = MinionState::present;
+            minion.leaveStopped = false;
+        }
+        minion.capacity = event.capacity;
+    }
+    void operator()(const MinionSynced& event) {
+        auto found = ledger.minions.find(event.minion);
+        if (found == ledger.minions.end()) return;
+        Minion& minion = found->second;
+        if (event.applied > minion.applied && event.applied <= minion.lastOrder) {
+            minion.applied = event.applied;
+            while (!minion.orders.empty() && minion.orders.front().number <= event.applied) {
+                const Order order = minion.orders.front();
+                minion.orders.pop_front();
+                auto place = ledger.attempts.find(order.attempt);
+                if (place == ledger.attempts.end()) continue;
+                Attempt& attempt = place->second;
+                if (order.kind == OrderKind::stage && attempt.state == AttemptState::ordered) attempt.state = AttemptState::staged;
+                if ((order.kind == OrderKind::start && attempt.state == AttemptState::ordered) ||
+                    (order.kind == OrderKind::go && attempt.state == AttemptState::going)) {
+                    attempt.state = AttemptState::running;
+                    attempt.runningSince = ledger.now;
+                }
+            }
+        }
+        for (const auto& ending : event.endings) ledger.endAttempt(ending.attempt, ending.kind);
+    }
+    void operator()(const MinionLeaves& event) {
+        auto found = ledger.minions.find(event.minion);
+        if (found == ledger.minions.end() || found->second.state == MinionState::gone) return;
+        Minion& minion = found->second;
+        if (minion.state != MinionState::silent || event.byOperator)
+            minion.state = event.byOperator ? MinionState::drained : MinionState::leaving;
+        minion.leaveBy = ledger.now + event.within;
+        minion.leaveStopped = false;
+        // docs/design.md 5.7: what it has not yet said it started is taken back at once.
+        for (auto number : ledger.attemptsOn(event.minion)) {
+            Attempt& attempt = ledger.attempts[number];
+            if (attempt.state == AttemptState::ordered || attempt.state == AttemptState::staged || attempt.state == AttemptState::going) {
+                if (attempt.gang) ledger.abortGang(ledger.jobs[attempt.job], attempt.step, number);
+                ledger.forceStop(attempt, true);
+            }
+        }
+    }
+    void operator()(const MinionLeaveOver& event) {
+        auto found = ledger.minions.find(event.minion);
+        if (found == ledger.minions.end()) return;
+        found->second.leaveStopped = true;
+        for (auto number : ledger.attemptsOn(event.minion)) {
+            Attempt& attempt = ledger.attempts[number];
+            if (attempt.lost) continue;
+            if (attempt.gang) ledger.abortGang(ledger.jobs[attempt.job], attempt.step, number);
+            ledger.forceStop(attempt, false);
+        }
+    }
+    void operator()(const MinionAllowed& event) {
+        auto found = ledger.minions.find(event.minion);
+        if (found == ledger.minions.end() || found->second.state == MinionState::gone) return;
+        found->second.state = MinionState::present;
+        found->second.leaveStopped = false;
+        found->second.seenAt = ledger.now;
+    }
+    void operator()(const MinionSilent& event) {
+        auto found = ledger.minions.find(event.minion);
+        if (found == ledger.minions.end() || found->second.state == MinionState::gone) return;
+        if (found->second.state != MinionState::drained) found->second.state = MinionState::silent;
+        if (!found->second.capacity.honoursTerms) return;
+        for (auto number : ledger.attemptsOn(event.minion)) {
+            ledger.giveUpAttempt(number);
+            ledger.forceStop(ledger.attempts[number], false);
+        }
+    }
+    void operator()(const MinionGone& event) {
+        auto found = ledger.minions.find(event.minion);
+        if (found == ledger.minions.end()) return;
+        found->second.state = MinionState::gone;
+        for (auto number : ledger.attemptsOn(event.minion)) {
+            ledger.giveUpAttempt(number);
+            ledger.removeAttempt(number);
+        }
+        found->second.orders.clear();
+        found->second.applied = found->second.lastOrder;
+    }
+    void operator()(const PlanMade& event) {
+        ++ledger.counters.plans;
+        ledger.plan = event.number;
+        if (event.reservation.moved > ledger.reservation.moved) ++ledger.counters.reservationsMoved;
+        ledger.reservation = event.reservation;
+        for (const auto& action : event.actions) apply(action);
+    }
+    void apply(const Action& action) {
+        if (action.kind == ActionKind::start || action.kind == ActionKind::stage) {
+            Job& job = ledger.jobs[action.job];
+            Task& task = job.tasks[action.task];
+            const TaskRequest& request = job.request(task);
+            Attempt attempt;
+            attempt.number = action.attempt;
+            attempt.job = action.job;
+            attempt.task = action.task;
+            attempt.step = task.step;
+            attempt.minion = action.minion;
+            attempt.cores = request.cores;
+            attempt.memory = action.memory;
+            attempt.runtime = request.runtime;
+            attempt.quantum = action.trial ? action.quantum : Span{0};
+            attempt.gang = action.kind == ActionKind::stage;
+            attempt.counted = action.kind == ActionKind::start;
+            attempt.orderedAt = attempt.runningSince = ledger.now;
+            Minion& minion = ledger.minions[action.minion];
+            Order& order = minion.give(action.kind == ActionKind::start ? OrderKind::start : OrderKind::stage, attempt);
+            order.payload = request.payload;
+            attempt.order = order.number;
+            ledger.lastAttempt = std::max(ledger.lastAttempt, action.attempt);
+            ledger.attempts[action.attempt] = attempt;
+            task.state = TaskState::placed;
+            task.attempt = action.attempt;
+            if (action.trial) {
+                task.trialled = true;
+                ++counters().trials;
+            }
+            if (attempt.counted) countStart(task);
+            return;
+        }
+        auto found = ledger.attempts.find(action.attempt);
+        if (found == ledger.attempts.end()) return;
+        Attempt& attempt = found->second;
+        if (action.kind == ActionKind::go && attempt.state == AttemptState::staged) {
+            attempt.state = AttemptState::going;
+            attempt.counted = true;
+            attempt.runningSince = ledger.now;
+            countStart(ledger.jobs[attempt.job].tasks[attempt.task]);
+            attempt.order = ledger.minions[attempt.minion].give(OrderKind::go, attempt).number;
+        } else if (action.kind == ActionKind::hold && attempt.state == AttemptState::running) {
+            attempt.runBefore = attempt.ranBy(ledger.now);
+            attempt.state = AttemptState::held;
+            attempt.heldFor = action.heldFor;
+            ledger.minions[attempt.minion].give(OrderKind::hold, attempt);
+            ++counters().holds;
+        } else if (action.kind == ActionKind::stop) {
+            ledger.forceStop(attempt, action.reason == "staging");
+        }
+    }
+    void countStart(Task& task) {
+        if (task.starts++ > 0) ++counters().retries;
+        ++counters().starts;
+    }
+    Counters& counters() { return ledger.counters; }
+};
+
+void Ledger::fold(const Record& record) {
+    now = std::max(now, record.at);
+    Folder folder(*this);
+    boost::apply_visitor(folder, record.event);
+}
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/ledger.hpp
@@ -0,0 +1,56 @@
+// The fold of the replicated log: setups, jobs, minions, attempts. docs/design.md 3.2, 4, 5.
+#pragma once
+#include "event.hpp"
+
+namespace aniseline {
+
+struct Counters {
+    std::uint64_t allowed = 0, cancelled = 0, finished = 0, failed = 0, starts = 0, trials = 0, trialsRanOut = 0, trialsFinished = 0,
+                  holds = 0, retries = 0, lost = 0, plans = 0, reservationsMoved = 0;
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & allowed & cancelled & finished & failed & starts & trials & trialsRanOut & trialsFinished & holds & retries & lost &
+            plans & reservationsMoved;
+    }
+};
+
+class Ledger {
+public:
+    ClusterTime now;  // the latest record's time; cluster time never goes back
+    Setup setup;
+    std::map<JobId, Job> jobs;
+    std::set<JobId> open;                             // jobs with work to do, timetables too
+    std::map<QueueName, std::uint64_t> openByQueue;
+    std::map<MinionId, Minion> minions;
+    std::map<AttemptNumber, Attempt> attempts;
+    AttemptNumber lastAttempt;
+    PlanNumber plan;
+    Reservation reservation;
+    Counters counters;
+
+    void fold(const Record& record);
+
+    std::vector<AttemptNumber> attemptsOf(const JobId& job, bool withLost) const;
+    std::vector<AttemptNumber> attemptsOn(const MinionId& minion) const;
+    // Could the known minions, all empty, ever hold these tasks together (a gang) or one by one?
+    std::optional<std::string> neverFits(const StepRequest& step) const;
+
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & now & setup & jobs & open & openByQueue & minions & attempts & lastAttempt & plan & reservation & counters;
+    }
+
+private:
+    struct Folder;
+    void allow(const JobSubmission& submission);
+    void forceStop(Attempt& attempt, bool tryless);
+    void endAttempt(AttemptNumber number, EndingKind kind);
+    void giveUpAttempt(AttemptNumber number);
+    void removeAttempt(AttemptNumber number);
+    void taskDone(Job& job, Task& task);
+    void taskBack(Job& job, Task& task, const MinionId& avoid, Span pause);
+    void abortGang(Job& job, std::uint32_t step, AttemptNumber except);
+    void failJob(Job& job, const std::string& reason);
+    void settle(Job& job);
+    void resumeVictimsOf(AttemptNumber trial);
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/minion.hpp
@@ -0,0 +1,132 @@
+// The minion aggregate: what is known of a minion, its orders, and the attempts placed on it. docs/design.md 5.
+#pragma once
+#include "job.hpp"
+
+namespace aniseline {
+
+struct Capacity {
+    std::uint32_t cores = 0;
+    std::uint64_t memory = 0;  // MB
+    AreaName area;
+    std::string rack;
+    bool honoursTerms = false;  // holds its tasks when its term lapses
+    bool guardsRoom = false;    // itself rejects what it cannot hold
+    bool operator==(const Capacity&) const = default;
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & cores & memory & area & rack & honoursTerms & guardsRoom;
+    }
+};
+
+enum class OrderKind : std::uint8_t { start, stage, go, hold, resume, stop };
+const char* name(OrderKind kind);
+std::optional<OrderKind> orderKind(const std::string& text);
+
+struct Order {
+    OrderNumber number;
+    OrderKind kind = OrderKind::start;
+    AttemptNumber attempt;
+    JobId job;
+    std::uint32_t task = 0;
+    std::uint32_t cores = 0;
+    std::uint64_t memory = 0;
+    Span runtime;
+    Span quantum;  // not 0: a trial, which the minion stops by itself when this much run time is used
+    std::string payload;
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & number & kind & attempt & job & task & cores & memory & runtime & quantum & payload;
+    }
+};
+
+enum class EndingKind : std::uint8_t { finished, failed, stopped, ranOut, unstarted };
+const char* name(EndingKind kind);
+std::optional<EndingKind> endingKind(const std::string& text);
+
+struct Ending {
+    AttemptNumber attempt;
+    EndingKind kind = EndingKind::finished;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & attempt & kind; }
+};
+
+enum class AttemptState : std::uint8_t { ordered, staged, going, running, held, stopping };
+const char* name(AttemptState state);
+
+// One start of one task on one minion; it occupies room until its ending is known.
+struct Attempt {
+    AttemptNumber number;
+    JobId job;
+    std::uint32_t task = 0;
+    std::uint32_t step = 0;
+    MinionId minion;
+    std::uint32_t cores = 0;
+    std::uint64_t memory = 0;
+    Span runtime;
+    Span quantum;
+    bool gang = false;
+    bool lost = false;     // given up on; its task may have been placed anew. docs/design.md 5.5
+    bool counted = true;   // its start counts against the allowance
+    bool tryless = false;  // stopped by us in a way that takes nothing from the allowance
+    AttemptState state = AttemptState::ordered;
+    OrderNumber order;
+    ClusterTime orderedAt;
+    ClusterTime runningSince;  // of the present uninterrupted run
+    Span runBefore;            // run time before the present run
+    AttemptNumber heldFor;
+    bool trial() const { return quantum.milliseconds > 0; }
+    bool usesCores() const { return state != AttemptState::held; }
+    Span ranBy(ClusterTime now) const {
+        const bool runs = state == AttemptState::running || state == AttemptState::going;
+        return runs && now > runningSince ? runBefore + (now - runningSince) : runBefore;
+    }
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & number & job & task & step & minion & cores & memory & runtime & quantum & gang & lost & counted & tryless &
+            state & order & orderedAt & runningSince & runBefore & heldFor;
+    }
+};
+
+enum class MinionState : std::uint8_t { present, leaving, drained, silent, gone };
+const char* name(MinionState state);
+
+struct Minion {
+    MinionId id;
+    Incarnation incarnation;
+    std::vector<Incarnation> retired;  // earlier ones, the latest few
+    Capacity capacity;
+    MinionState state = MinionState::present;
+    ClusterTime seenAt;
+    ClusterTime leaveBy;
+    bool leaveStopped = false;  // the deadline of its leaving has passed and its tasks were stopped
+    OrderNumber lastOrder;      // the last one given
+    OrderNumber applied;        // the last one the minion said it applied
+    std::deque<Order> orders;   // those not yet applied
+    std::int64_t blame = 0;     // standing: rises with failed work, falls with good work. docs/design.md 5.6
+    ClusterTime blamedAt;
+
+    bool open() const { return state == MinionState::present; }
+    // Blame fades by half a minute's half-life, so that a mended minion gets work again.
+    std::int64_t blameAt(ClusterTime now) const {
+        const auto halvings = std::max<std::int64_t>(0, (now - blamedAt).milliseconds / 30'000);
+        return halvings > 20 ? 0 : blame >> halvings;
+    }
+    Order& give(OrderKind kind, const Attempt& attempt);
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & id & incarnation & retired & capacity & state & seenAt & leaveBy & leaveStopped & lastOrder & applied & orders &
+            blame & blamedAt;
+    }
+};
+
+// What a minion says in a sync, docs/api.md 3.
+struct SyncReport {
+    MinionId id;
+    Incarnation incarnation;
+    Capacity capacity;
+    OrderNumber lastOrder;
+    std::vector<Ending> endings;
+    bool leaving = false;
+    Span leaveWithin{0};
+    Span wait{0};  // how long the answer may be held back when there is nothing to say
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & id & incarnation & capacity & lastOrder & endings & leaving & leaveWithin & wait;
+    }
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/planner.cpp
@@ -0,0 +1,620 @@
+#include "planner.hpp"
+
+namespace aniseline {
+
+namespace {
+
+constexpr Span silentTooLong{2000};     // an unheard minion gets no new work, docs/design.md 5.6
+constexpr Span unappliedTooLong{1500};  // nor one that is slow to apply its orders
+constexpr Span stagingLimit{5000};
+constexpr Span trialGrace{2000};        // past its quantum a trial is stopped by order, docs/design.md 7.5
+constexpr std::int64_t blameLimit = 500;
+
+// One attempt as the plan sees it: what it takes and when it is expected to end.
+struct Projection {
+    AttemptNumber attempt;
+    std::int64_t cores = 0, memory = 0;
+    ClusterTime end;
+    bool held = false;
+    ClusterTime resumes;  // of a held one: when its trial is expected to end
+    bool trialWithVictims = false;
+    AttemptNumber heldFor;
+};
+
+struct Room {
+    const Minion* minion = nullptr;
+    std::int64_t cores = 0, memory = 0;
+    bool usable = true;
+    int penalty = 0;
+    std::vector<Projection> projections;
+
+    std::int64_t freeCores() const {
+        std::int64_t used = 0;
+        for (const auto& projection : projections) used += projection.held ? 0 : projection.cores;
+        return cores - used;
+    }
+    std::int64_t freeMemory() const {
+        std::int64_t used = 0;
+        for (const auto& projection : projections) used += projection.memory;
+        return memory - used;
+    }
+    // Cores that stay free when every held task is back, counting no expected ending. docs/design.md 7.4.
+    std::int64_t safeCores() const {
+        std::int64_t held = 0, trials = 0;
+        for (const auto& projection : projections) {
+            if (projection.held) held += projection.cores;
+            if (projection.trialWithVictims) trials += projection.cores;
+        }
+        const auto now = freeCores();
+        return std::min(now, now + trials - held);
+    }
+    // Cores and memory free from the given time on, by expected endings; later resumptions are counted in.
+    std::pair<std::int64_t, std::int64_t> freeFrom(ClusterTime time) const {
+        std::int64_t usedCores = 0, usedMemory = 0;
+        for (const auto& projection : projections)
+            if (projection.end > time) {
+                usedCores += projection.cores;
+                usedMemory += projection.memory;
+            }
+        return {cores - usedCores, memory - usedMemory};
+    }
+};
+
+bool memoryFits(const Room& room, std::int64_t free, std::int64_t wanted, std::int64_t trialRoom) {
+    if (wanted <= free - trialRoom) return true;
+    return wanted > room.memory - trialRoom && wanted <= free;  // else it could never start
+}
+
+// Shapes that found no place in this plan; whatever needs at least as much need not be tried again.
+struct FailedShapes {
+    struct Shape {
+        std::int64_t cores, memory, span;
+    };
+    std::vector<Shape> shapes;
+    bool covers(const Shape& shape) const {
+        return std::any_of(shapes.begin(), shapes.end(), [&](const Shape& known) {
+            return shape.cores >= known.cores && shape.memory >= known.memory && shape.span >= known.span;
+        });
+    }
+    void add(const Shape& shape) {
+        std::erase_if(shapes, [&](const Shape& known) {
+            return known.cores >= shape.cores && known.memory >= shape.memory && known.span >= shape.span;
+        });
+        shapes.push_back(shape);
+    }
+};
+
+}  // namespace
+
+bool Plan::empty(const Reservation& before) const {
+    if (!made.actions.empty()) return false;
+    if (made.reservation.job != before.job || made.reservation.step != before.step) return false;
+    if (!before.held()) return true;
+    return std::abs((made.reservation.start - before.start).milliseconds) < 1000;
+}
+
+struct Planner::Work {
+    Planner& planner;
+    const Ledger& ledger;
+    ClusterTime now;
+    const Silence& silence;
+    bool explain;
+    Plan plan;
+    std::vector<Room> rooms;
+    std::map<MinionId, std::size_t> roomOf;
+    std::int64_t trialRoom;
+    AttemptNumber lastAttempt;
+    FailedShapes noBackfill, noTrial;
+
+    Work(Planner& planner, const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain)
+        : planner(planner), ledger(ledger), now(now), silence(silence), explain(explain),
+          trialRoom(std::int64_t(ledger.setup.planner.trialRoom)), lastAttempt(ledger.lastAttempt) {}
+
+    Programs& programsOf(const std::string& policy) {
+        auto found = planner.programs.find(policy);
+        return found != planner.programs.end() ? found->second : planner.programs.at("default");
+    }
+    const QueueOptions& queueOf(const JobId& job) const {
+        static const QueueOptions none;
+        const auto* queue = ledger.setup.queue(ledger.jobs.at(job).submission.queue);
+        return queue ? *queue : none;
+    }
+
+    // An overrunning task stays in place; it is expected to need half as long again as it has run. docs/design.md 7.6.
+    Span remaining(const Attempt& attempt) const {
+        const Span ran = attempt.ranBy(now);
+        const Span wanted = attempt.trial() ? attempt.quantum : attempt.runtime;
+        if (wanted > ran) return wanted - ran;
+        if (attempt.trial()) return Span{1000};
+        return Span{std::max<std::int64_t>(1000, ran.milliseconds / 2)};
+    }
+
+    void buildRooms() {
+        std::set<AttemptNumber> withVictims;
+        std::map<AttemptNumber, ClusterTime> trialEnds;
+        for (const auto& [number, attempt] : ledger.attempts) {
+            if (attempt.state == AttemptState::held) withVictims.insert(attempt.heldFor);
+            if (attempt.trial()) trialEnds[number] = now + remaining(attempt);
+        }
+        for (const auto& [id, minion] : ledger.minions) {
+            if (minion.state == MinionState::gone) continue;
+            Room room;
+            room.minion = &minion;
+            room.cores = minion.capacity.cores;
+            room.memory = std::int64_t(minion.capacity.memory);
+            auto quiet = silence.find(id);
+            room.usable = minion.open() && quiet != silence.end() && quiet->second < silentTooLong;
+            if (minion.blameAt(now) >= blameLimit) room.penalty = 2;
+            roomOf[id] = rooms.size();
+            rooms.push_back(std::move(room));
+        }
+        for (const auto& [number, attempt] : ledger.attempts) {
+            auto place = roomOf.find(attempt.minion);
+            if (place == roomOf.end()) continue;
+            Room& room = rooms[place->second];
+            Projection projection;
+            projection.attempt = number;
+            projection.cores = attempt.cores;
+            projection.memory = std::int64_t(attempt.memory);
+            projection.held = attempt.state == AttemptState::held;
+            projection.heldFor = attempt.heldFor;
+            projection.trialWithVictims = withVictims.count(number) > 0;
+            projection.end = attempt.state == AttemptState::stopping ? now + Span{500} : now + remaining(attempt);
+            if (projection.held) {
+                auto trial = trialEnds.find(attempt.heldFor);
+                projection.resumes = trial == trialEnds.end() ? now : trial->second;
+                projection.end = projection.resumes + remaining(attempt);
+            }
+            room.projections.push_back(projection);
+            if (attempt.state == AttemptState::ordered && now - attempt.orderedAt > unappliedTooLong) room.usable = false;
+            // A minion that fails work is tried with one task at a time. docs/design.md 5.6.
+            if (room.penalty > 0) room.usable = false;
+        }
+    }
+
+    std::vector<Unit> waitingUnits() {
+        std::vector<Unit> units;
+        for (const auto& id : ledger.open) {
+            const Job& job = ledger.jobs.at(id);
+            if (job.state != JobState::open || job.ending) continue;
+            std::map<std::uint32_t, Unit> gangs;
+            std::set<std::uint32_t> unready;
+            for (std::uint32_t place = 0; place < job.tasks.size(); ++place) {
+                const Task& task = job.tasks[place];
+                if (task.state == TaskState::done) continue;
+                const bool gang = job.submission.steps[task.step].gang;
+                const bool ready = task.state == TaskState::waiting && task.notBefore <= now;
+                if (gang && !ready) unready.insert(task.step);
+                if (!ready) continue;
+                if (!gang) {
+                    units.push_back({id, task.step, {place}, false, job.request(task).runtime, task.readyAt, 0});
+                    continue;
+                }
+                Unit& unit = gangs[task.step];
+                unit.job = id;
+                unit.step = task.step;
+                unit.gang = true;
+                unit.tasks.push_back(place);
+                unit.runtime = std::max(unit.runtime, job.request(task).runtime);
+                unit.readyAt = task.readyAt;
+            }
+            for (auto& [step, unit] : gangs)
+                if (!unready.count(step)) units.push_back(std::move(unit));
+        }
+        // Paper 2.2 and table 3: priority is computed anew as units wait.
+        for (auto& unit : units) {
+            const QueueOptions& queue = queueOf(unit.job);
+            PolicyProgram::Inputs inputs;
+            inputs.wait = std::max(0.0, (now - unit.readyAt).hours());
+            inputs.runtime = unit.runtime.hours();
+            inputs.expansion = (inputs.wait + inputs.runtime) / inputs.runtime;
+            const Job& job = ledger.jobs.at(unit.job);
+            for (auto task : unit.tasks) {
+                inputs.cores += job.request(job.tasks[task]).cores;
+                inputs.memory += double(job.request(job.tasks[task]).memory);
+            }
+            inputs.urgency = double(queue.urgency);
+            inputs.weightWait = ledger.setup.planner.weightWait;
+            inputs.weightExpansion = ledger.setup.planner.weightExpansion;
+            unit.priority = programsOf(queue.policy).rank.evaluate(inputs);
+        }
+        std::sort(units.begin(), units.end(), [](const Unit& left, const Unit& right) {
+            if (left.priority != right.priority) return left.priority > right.priority;
+            return std::tie(left.readyAt, left.job, left.step, left.tasks) < std::tie(right.readyAt, right.job, right.step, right.tasks);
+        });
+        return units;
+    }
+
+    const Task& taskOf(const Unit& unit, std::uint32_t task) const { return ledger.jobs.at(unit.job).tasks[task]; }
+    const TaskRequest& requestOf(const Unit& unit, std::uint32_t task) const {
+        const Job& job = ledger.jobs.at(unit.job);
+        return job.request(job.tasks[task]);
+    }
+    // Largest part first, so that a gang is not blocked by its own small parts.
+    std::vector<std::uint32_t> partsBySize(const Unit& unit) const {
+        auto parts = unit.tasks;
+        std::stable_sort(parts.begin(), parts.end(), [&](auto left, auto right) {
+            return requestOf(unit, left).cores > requestOf(unit, right).cores;
+        });
+        return parts;
+    }
+
+    // The one reserved start: would these additions on the room delay it? docs/paper.md 3.
+    bool delays(std::size_t place, std::int64_t cores, std::int64_t memory, ClusterTime end) const {
+        const Reservation& reservation = plan.made.reservation;
+        if (!reservation.held() || end <= reservation.start) return false;
+        return !reservedStillFits(place, rooms[place], cores, memory);
+    }
+    bool reservedStillFits(std::size_t place, const Room& room, std::int64_t cores, std::int64_t memory) const {
+        const Reservation& reservation = plan.made.reservation;
+        if (!reservation.held()) return true;
+        const Job& job = ledger.jobs.at(reservation.job);
+        std::int64_t wantedCores = 0, wantedMemory = 0;
+        for (const auto& placement : reservation.placements)
+            if (roomOf.at(placement.minion) == place) {
+                wantedCores += job.request(job.tasks[placement.task]).cores;
+                wantedMemory += std::int64_t(job.request(job.tasks[placement.task]).memory);
+            }
+        if (wantedCores == 0) return true;
+        auto [freeCores, freeMemory] = room.freeFrom(reservation.start);
+        return freeCores - cores >= wantedCores && freeMemory - memory >= wantedMemory;
+    }
+
+    void occupy(std::size_t place, AttemptNumber attempt, const TaskRequest& request, std::int64_t memory, ClusterTime end, bool withVictims) {
+        Projection projection;
+        projection.attempt = attempt;
+        projection.cores = request.cores;
+        projection.memory = memory;
+        projection.end = end;
+        projection.trialWithVictims = withVictims;
+        rooms[place].projections.push_back(projection);
+    }
+
+    // Among fitting minions the one with the fewest unallocated cores; ties by name. Paper 2.2.
+    bool startNow(const Unit& unit) {
+        std::vector<std::pair<std::uint32_t, std::size_t>> placed;
+        for (auto part : partsBySize(unit)) {
+            const TaskRequest& request = requestOf(unit, part);
+            const MinionId& avoid = taskOf(unit, part).avoid;
+            std::size_t best = rooms.size();
+            std::tuple<int, std::int64_t> bestKey{};
+            for (std::size_t place = 0; place < rooms.size(); ++place) {
+                Room& room = rooms[place];
+                if (!room.usable || room.safeCores() < request.cores) continue;
+                if (!memoryFits(room, room.freeMemory(), std::int64_t(request.memory), trialRoom)) continue;
+                if (delays(place, request.cores, std::int64_t(request.memory), now + request.runtime)) continue;
+                const std::tuple<int, std::int64_t> key{room.penalty + (room.minion->id == avoid ? 1 : 0), room.freeCores()};
+                if (best == rooms.size() || key < bestKey) {
+                    best = place;
+                    bestKey = key;
+                }
+            }
+            if (best == rooms.size()) {
+                for (auto& [task, place] : placed) rooms[place].projections.pop_back();
+                return false;
+            }
+            occupy(best, AttemptNumber{}, request, std::int64_t(request.memory), now + request.runtime, false);
+            placed.emplace_back(part, best);
+        }
+        for (auto& [task, place] : placed) {
+            Action action;
+            action.kind = unit.gang ? ActionKind::stage : ActionKind::start;
+            action.attempt = lastAttempt = lastAttempt.next();
+            action.job = unit.job;
+            action.task = task;
+            action.minion = rooms[place].minion->id;
+            action.memory = requestOf(unit, task).memory;
+            if (rooms[place].penalty > 0) rooms[place].usable = false;
+            plan.made.actions.push_back(std::move(action));
+        }
+        return true;
+    }
+
+    // Paper 2.2: the earliest guaranteed start, by requested runtimes; for a gang the earliest at which all parts fit.
+    std::optional<Reservation> reserve(const Unit& unit) const {
+        std::vector<ClusterTime> times{now};
+        for (const auto& room : rooms)
+            for (const auto& projection : room.projections) times.push_back(projection.end);
+        std::sort(times.begin(), times.end());
+        times.erase(std::unique(times.begin(), times.end()), times.end());
+        const auto parts = partsBySize(unit);
+        for (auto time : times) {
+            std::vector<std::pair<std::int64_t, std::int64_t>> free(rooms.size());
+            for (std::size_t place = 0; place < rooms.size(); ++place) free[place] = rooms[place].freeFrom(time);
+            Reservation reservation;
+            reservation.job = unit.job;
+            reservation.step = unit.step;
+            reservation.start = time;
+            for (auto part : parts) {
+                const TaskRequest& request = requestOf(unit, part);
+                std::size_t best = rooms.size();
+                for (std::size_t place = 0; place < rooms.size(); ++place) {
+                    if (!rooms[place].minion->open() || free[place].first < request.cores) continue;
+                    if (!memoryFits(rooms[place], free[place].second, std::int64_t(request.memory), trialRoom)) continue;
+                    if (best == rooms.size() || free[place].first < free[best].first) best = place;
+                }
+                if (best == rooms.size()) break;
+                free[best].first -= request.cores;
+                free[best].second -= std::int64_t(request.memory);
+                reservation.placements.push_back({part, rooms[best].minion->id});
+            }
+            if (reservation.placements.size() == parts.size()) return reservation;
+        }
+        return std::nullopt;
+    }
+
+    double slowdown(const Attempt& attempt) const {
+        const Task& task = ledger.jobs.at(attempt.job).tasks[attempt.task];
+        const double ran = std::max(1.0, double(attempt.ranBy(now).milliseconds));
+        return double((now - task.readyAt).milliseconds) / ran;
+    }
+    bool mayHold(const Attempt& attempt) {
+        const QueueOptions& queue = queueOf(attempt.job);
+        PolicyProgram::Inputs inputs;
+        inputs.runtime = attempt.runtime.hours();
+        inputs.running = (now - attempt.runningSince).hours();
+        inputs.slowdown = slowdown(attempt);
+        inputs.cores = attempt.cores;
+        inputs.memory = double(attempt.memory);
+        inputs.urgency = double(queue.urgency);
+        return programsOf(queue.policy).mayHold.evaluate(inputs) != 0.0;
+    }
+
+    struct TrialPlace {
+        std::size_t place = 0;
+        std::int64_t idleAfter = 0;
+        std::vector<AttemptNumber> victims;
+    };
+    // Paper 2.4: idle cores first, else holds of those with the least slowdown among the long uninterrupted.
+    std::optional<TrialPlace> trialPlace(const TaskRequest& request, const MinionId& avoid, std::int64_t memory, const TrialOptions& options, bool holds) {
+        std::optional<TrialPlace> best;
+        for (std::size_t place = 0; place < rooms.size(); ++place) {
+            Room& room = rooms[place];
+            if (!room.usable || room.penalty > 0 || room.minion->id == avoid) continue;
+            if (room.cores < request.cores || room.freeMemory() < memory) continue;
+            TrialPlace candidate;
+            candidate.place = place;
+            std::int64_t free = room.safeCores();
+            if (free < request.cores) {
+                if (!holds) continue;
+                std::vector<std::pair<double, const Attempt*>> eligible;
+                for (const auto& projection : room.projections) {
+                    auto found = ledger.attempts.find(projection.attempt);
+                    if (found == ledger.attempts.end() || projection.held) continue;
+                    const Attempt& attempt = found->second;
+                    // A gang's parts are never held: the others would run on alone. docs/paper.md 5.
+                    if (attempt.state != AttemptState::running || attempt.trial() || attempt.gang || attempt.lost) continue;
+                    if (now - attempt.runningSince < options.minimumRun || !mayHold(attempt)) continue;
+                    eligible.emplace_back(slowdown(attempt), &attempt);
+                }
+                std::sort(eligible.begin(), eligible.end(), [](auto& left, auto& right) {
+                    return std::tie(left.first, left.second->number) < std::tie(right.first, right.second->number);
+                });
+                for (auto& [least, victim] : eligible) {
+                    if (free >= request.cores) break;
+                    free += victim->cores;
+                    candidate.victims.push_back(victim->number);
+                }
+                if (free < request.cores) continue;
+            }
+            candidate.idleAfter = free - request.cores;
+            const ClusterTime end = now + options.quantum;
+            if (candidate.victims.empty()) {
+                if (delays(place, request.cores, memory, end)) continue;
+            } else {
+                Room changed = room;
+                for (auto& projection : changed.projections)
+                    if (std::count(candidate.victims.begin(), candidate.victims.end(), projection.attempt)) projection.end = projection.end + options.quantum;
+                const bool overlaps = end > plan.made.reservation.start;
+                if (!reservedStillFits(place, changed, overlaps ? request.cores : 0, overlaps ? memory : 0)) continue;
+            }
+            if (!best || candidate.idleAfter < best->idleAfter) best = std::move(candidate);
+        }
+        return best;
+    }
+
+    bool tryTrial(const Unit& unit) {
+        const QueueOptions& queue = queueOf(unit.job);
+        std::vector<Room> before;
+        if (unit.gang) before = rooms;
+        const auto actionsBefore = plan.made.actions.size();
+        const AttemptNumber attemptBefore = lastAttempt;
+        for (auto part : partsBySize(unit)) {
+            const TaskRequest& request = requestOf(unit, part);
+            const auto memory = std::int64_t(std::min<std::uint64_t>(request.memory, queue.trial.memory));
+            const MinionId& avoid = taskOf(unit, part).avoid;
+            auto found = trialPlace(request, avoid, memory, queue.trial, false);
+            if (!found) found = trialPlace(request, avoid, memory, queue.trial, true);
+            if (!found) {
+                if (unit.gang) rooms = std::move(before);
+                plan.made.actions.resize(actionsBefore);
+                lastAttempt = attemptBefore;
+                return false;
+            }
+            lastAttempt = lastAttempt.next();
+            for (auto victim : found->victims) {
+                Action hold;
+                hold.kind = ActionKind::hold;
+                hold.attempt = victim;
+                hold.minion = rooms[found->place].minion->id;
+                hold.heldFor = lastAttempt;
+                plan.made.actions.push_back(hold);
+                for (auto& projection : rooms[found->place].projections)
+                    if (projection.attempt == victim) {
+                        projection.held = true;
+                        projection.end = projection.end + queue.trial.quantum;
+                    }
+            }
+            Action action;
+            action.kind = unit.gang ? ActionKind::stage : ActionKind::start;
+            action.attempt = lastAttempt;
+            action.job = unit.job;
+            action.task = part;
+            action.minion = rooms[found->place].minion->id;
+            action.trial = true;
+            action.quantum = queue.trial.quantum;
+            action.memory = std::uint64_t(memory);
+            occupy(found->place, lastAttempt, request, memory, now + queue.trial.quantum, !found->victims.empty());
+            plan.made.actions.push_back(std::move(action));
+        }
+        return true;
+    }
+
+    // Gangs that are wholly staged go; those that cannot be are taken back. docs/design.md 7.3.
+    void moveGangs() {
+        std::map<std::pair<JobId, std::uint32_t>, std::vector<const Attempt*>> gangs;
+        for (const auto& [number, attempt] : ledger.attempts)
+            if (attempt.gang && !attempt.lost) gangs[{attempt.job, attempt.step}].push_back(&attempt);
+        for (const auto& [key, parts] : gangs) {
+            const Job& job = ledger.jobs.at(key.first);
+            std::size_t openParts = 0;
+            for (const auto& task : job.tasks) openParts += task.step == key.second && task.state != TaskState::done;
+            bool allStaged = parts.size() == openParts, staging = false, late = false;
+            for (const auto* part : parts) {
+                if (part->state == AttemptState::staged || part->state == AttemptState::ordered) {
+                    staging = true;
+                    late = late || now - part->orderedAt > stagingLimit;
+                }
+                auto quiet = silence.find(part->minion);
+                const bool heard = quiet != silence.end() && quiet->second < Span{1500};
+                allStaged = allStaged && part->state == AttemptState::staged && heard && ledger.minions.at(part->minion).open();
+            }
+            for (const auto* part : parts) {
+                Action action;
+                action.attempt = part->number;
+                action.minion = part->minion;
+                if (allStaged) action.kind = ActionKind::go;
+                else if (staging && late && part->state != AttemptState::stopping) {
+                    action.kind = ActionKind::stop;
+                    action.reason = "staging";
+                } else continue;
+                plan.made.actions.push_back(std::move(action));
+            }
+        }
+    }
+
+    void stopOverdue() {
+        for (const auto& [number, attempt] : ledger.attempts) {
+            if (attempt.lost || attempt.state != AttemptState::running) continue;
+            const Span limit = queueOf(attempt.job).hardLimit;
+            Action action;
+            action.kind = ActionKind::stop;
+            action.attempt = number;
+            action.minion = attempt.minion;
+            if (attempt.trial() && attempt.ranBy(now) > attempt.quantum + trialGrace) action.reason = "trial";
+            else if (!attempt.trial() && limit.milliseconds > 0 && attempt.ranBy(now) > limit) action.reason = "hard limit";
+            else continue;
+            plan.made.actions.push_back(std::move(action));
+        }
+    }
+
+    void note(const Unit& unit, std::string text) {
+        if (explain) plan.reasons.push_back({unit.job, unit.step, unit.priority, std::move(text)});
+    }
+
+    Plan run() {
+        buildRooms();
+        moveGangs();
+        stopOverdue();
+        auto units = waitingUnits();
+        plan.waiting = units.size();
+        std::vector<const Unit*> notStarted;
+        for (const auto& unit : units) {
+            const bool reserved = plan.made.reservation.held();
+            FailedShapes::Shape shape{0, 0, unit.runtime.milliseconds};
+            if (!unit.gang) {
+                shape.cores = requestOf(unit, unit.tasks[0]).cores;
+                shape.memory = std::int64_t(requestOf(unit, unit.tasks[0]).memory);
+                if (reserved && noBackfill.covers(shape)) {
+                    note(unit, "would delay the reserved start, or no minion has room");
+                    notStarted.push_back(&unit);
+                    continue;
+                }
+            }
+            if (startNow(unit)) {
+                note(unit, "starts in this plan");
+                continue;
+            }
+            notStarted.push_back(&unit);
+            if (!reserved) {
+                if (auto reservation = reserve(unit)) {
+                    const Reservation& before = ledger.reservation;
+                    const bool same = before.job == unit.job && before.step == unit.step;
+                    reservation->moved = same ? before.moved : 0;
+                    if (same && reservation->start > before.start + Span{1000}) ++reservation->moved;
+                    plan.made.reservation = *reservation;
+                    note(unit, "holds the reserved start on " + reservation->placements.front().minion.value + " in " +
+                                   std::to_string((reservation->start - now).milliseconds) + " ms");
+                    continue;
+                }
+                note(unit, "no minion that is here now could ever hold it");
+                continue;
+            }
+            if (!unit.gang) noBackfill.add(shape);
+            note(unit, "would delay the reserved start, or no minion has room");
+        }
+        if (ledger.setup.planner.trials)
+            for (const auto* unit : notStarted) {
+                const Task& first = taskOf(*unit, unit->tasks[0]);
+                if (first.trialled || first.tried || first.starts > 0) continue;
+                const QueueOptions& queue = queueOf(unit->job);
+                FailedShapes::Shape shape{0, 0, queue.trial.minimumRun.milliseconds};
+                if (!unit->gang) {
+                    const TaskRequest& request = requestOf(*unit, unit->tasks[0]);
+                    shape.cores = request.cores;
+                    shape.memory = std::int64_t(std::min<std::uint64_t>(request.memory, queue.trial.memory));
+                    if (noTrial.covers(shape)) continue;
+                }
+                if (!tryTrial(*unit)) {
+                    if (!unit->gang && queue.trial.quantum >= Span{1000}) noTrial.add(shape);
+                } else note(*unit, "gets its trial in this plan");
+            }
+        plan.made.number = ledger.plan.next();
+        return std::move(plan);
+    }
+};
+
+Planner::Planner() = default;
+Planner::~Planner() = default;
+
+Plan Planner::make(const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain) {
+    if (!any || compiled != ledger.setup.version) {
+        programs.clear();
+        for (const auto& [name, policy] : ledger.setup.policies)
+            programs.emplace(name, Programs{PolicyProgram(policy.rank), PolicyProgram(policy.mayHold)});
+        if (!programs.count("default")) programs.emplace("default", Programs{PolicyProgram(PolicyOptions{}.rank), PolicyProgram("1")});
+        compiled = ledger.setup.version;
+        any = true;
+    }
+    return Work(*this, ledger, now, silence, explain).run();
+}
+
+std::optional<ClusterTime> Planner::nextDue(const Ledger& ledger, ClusterTime now) {
+    std::optional<ClusterTime> due;
+    auto consider = [&](ClusterTime time) {
+        if (time <= now) time = now + Span{1};
+        if (!due || time < *due) due = time;
+    };
+    for (const auto& [number, attempt] : ledger.attempts) {
+        if (attempt.lost) continue;
+        if (attempt.trial() && attempt.state == AttemptState::running) consider(now + (attempt.quantum + trialGrace - attempt.ranBy(now)) + Span{1});
+        if (attempt.gang && (attempt.state == AttemptState::ordered || attempt.state == AttemptState::staged)) consider(now + Span{200});
+        if (!attempt.trial() && attempt.state == AttemptState::running) {
+            const auto found = ledger.jobs.find(attempt.job);
+            const auto* queue = found == ledger.jobs.end() ? nullptr : ledger.setup.queue(found->second.submission.queue);
+            if (queue && queue->hardLimit.milliseconds > 0) consider(now + (queue->hardLimit - attempt.ranBy(now)) + Span{1});
+        }
+    }
+    for (const auto& id : ledger.open) {
+        const Job& job = ledger.jobs.at(id);
+        if (job.state != JobState::open) continue;
+        for (const auto& task : job.tasks)
+            if (task.state == TaskState::waiting) {
+                consider(std::max(task.notBefore, now + Span{500}));
+                break;
+            }
+    }
+    return due;
+}
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/planner.hpp
@@ -0,0 +1,54 @@
+// The paper's LXF&W-backfill with immediate service, as a pure function of a view and a time. docs/paper.md.
+#pragma once
+#include "ledger.hpp"
+
+namespace aniseline {
+
+// What waits for a start: one ready task, or a whole gang. docs/design.md 7.1.
+struct Unit {
+    JobId job;
+    std::uint32_t step = 0;
+    std::vector<std::uint32_t> tasks;
+    bool gang = false;
+    Span runtime;  // the longest of its parts
+    ClusterTime readyAt;
+    double priority = 0;
+};
+
+struct Reason {
+    JobId job;
+    std::uint32_t step = 0;
+    double priority = 0;
+    std::string text;
+};
+
+struct Plan {
+    PlanMade made;
+    std::vector<Reason> reasons;  // only when asked for
+    std::size_t waiting = 0;
+    bool empty(const Reservation& before) const;
+};
+
+// What the leader knows of minions and does not log: how long each has been unheard.
+using Silence = std::map<MinionId, Span>;
+
+class Planner {
+public:
+    Planner();
+    ~Planner();
+    Plan make(const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain = false);
+    // When a plan is due though nothing was told: a trial's end, a hard limit, a retry's pause.
+    static std::optional<ClusterTime> nextDue(const Ledger& ledger, ClusterTime now);
+
+private:
+    struct Work;
+    struct Programs {
+        PolicyProgram rank;
+        PolicyProgram mayHold;
+    };
+    std::map<std::string, Programs> programs;
+    SetupVersion compiled;
+    bool any = false;
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/reservoir.cpp
@@ -0,0 +1,582 @@
+#include "reservoir.hpp"
+
+namespace aniseline {
+
+Reservoir::Reservoir(Member self, ReservoirOptions options, std::uint64_t seed, const std::vector<DiskRecord>& restored, Instant now)
+    : options(options), agreement(std::move(self), options.agreement, seed, restored, now), now(now) {
+    if (agreement.viewIndex().value > 0) {
+        auto state = unpack<Ledger>(agreement.view().state);
+        if (state) committedLedger = std::move(state.value());
+        foldedTo = agreement.viewIndex();
+    }
+}
+
+ClusterTime Reservoir::clusterNow() const { return clusterBase + (now - clusterBaseAt); }
+
+// Truth is the log: nothing is changed but by a record of it. docs/design.md 3.2.
+LogIndex Reservoir::append(Event event) {
+    Record record{std::max(clusterNow(), working().now), std::move(event)};
+    const LogIndex index = agreement.propose(pack(record), now);
+    working().fold(record);
+    planWanted = true;
+    return index;
+}
+
+void Reservoir::followLog() {
+    if (agreement.takeInstalled()) {
+        auto state = unpack<Ledger>(agreement.view().state);
+        if (state) committedLedger = std::move(state.value());
+        foldedTo = agreement.view().index;
+        note("view installed", {{"index", json(foldedTo.value)}});
+    }
+    while (foldedTo < agreement.commitIndex()) {
+        foldedTo = foldedTo.next();
+        const LogEntry& entry = agreement.entry(foldedTo);
+        if (entry.members) continue;
+        auto record = unpack<Record>(entry.payload);
+        if (record) committedLedger.fold(record.value());
+        else note("unreadable record", {{"index", json(foldedTo.value)}});
+    }
+}
+
+void Reservoir::followRole() {
+    if (agreement.leads() && (!workingLedger || ledEpoch != agreement.epoch())) {
+        ledEpoch = agreement.epoch();
+        workingLedger = committedLedger;
+        for (LogIndex index = foldedTo.next(); index <= agreement.last(); index = index.next()) {
+            const LogEntry& entry = agreement.entry(index);
+            if (entry.members) continue;
+            if (auto record = unpack<Record>(entry.payload)) working().fold(record.value());
+        }
+        leaderSince = now;
+        clusterBase = working().now;
+        clusterBaseAt = now;
+        contacts.clear();
+        named.clear();
+        append(Opened{});
+        note("leads", {{"epoch", json(ledEpoch.value)}, {"last", json(agreement.last().value)}});
+    } else if (!agreement.leads() && workingLedger) {
+        workingLedger.reset();
+        wasServing = false;
+        note("leads no more", {{"epoch", json(agreement.epoch().value)}});
+        for (const auto& record : exchanges)
+            answer(record, record.logged && record.exchange.ask != Ask::sync ? Answer::unknown("the leader changed while this was under way; ask again") : notLeader());
+        exchanges.clear();
+    }
+}
+
+Answer Reservoir::notLeader() const {
+    Answer answer = Answer::error(503, "unknown", "this reservoir does not lead", Span{200});
+    answer.notLeader = true;
+    for (const auto& member : agreement.members())
+        if (member.id == agreement.leader() && member.id != agreement.self().id) answer.leader = member.peer;
+    return answer;
+}
+
+void Reservoir::answer(const ExchangeRecord& record, Answer given) { answers.emplace_back(record.number, std::move(given)); }
+
+void Reservoir::take(ExchangeNumber number, Exchange exchange, Instant at) {
+    ExchangeRecord record;
+    record.number = number;
+    record.exchange = std::move(exchange);
+    record.deadline = at + options.answerWithin;
+    if (!workingLedger || !agreement.leads()) return answer(record, notLeader());
+    if (exchanges.size() >= options.exchangesAtOnce && record.exchange.ask != Ask::sync)
+        return answer(record, Answer::error(429, "overloaded", "too many exchanges are under way", Span{1000}));
+    exchanges.push_back(std::move(record));
+}
+void Reservoir::dropExchange(ExchangeNumber number) {
+    std::erase_if(exchanges, [&](const ExchangeRecord& record) { return record.number == number && record.stage != Stage::taken; });
+}
+
+// An answer rests on the working ledger, so it leaves only when all that ledger holds is committed and a round
+// begun after the exchange came has been confirmed by a majority. docs/design.md 8.2.
+void Reservoir::decide(ExchangeRecord& record, Answer given, bool logged) {
+    record.stage = Stage::decided;
+    record.answer = std::move(given);
+    record.logged = logged;
+    record.barrier = agreement.last();
+    record.round = agreement.startRound(now);
+}
+
+void Reservoir::step(Instant at, WallTime wall) {
+    now = std::max(now, at);
+    agreement.tick(now, wall);
+    followLog();
+    followRole();
+    if (workingLedger && agreement.serves()) {
+        if (!wasServing) {
+            wasServing = true;
+            note("serves", {{"epoch", json(agreement.epoch().value)}});
+        }
+        if (auto wallNow = agreement.agreedWall(now); wallNow && wallNow->milliseconds > clusterNow().milliseconds) {
+            clusterBase = ClusterTime{wallNow->milliseconds};
+            clusterBaseAt = now;
+        }
+        passIntake();
+        passMinions();
+        passTimetables();
+        passForget();
+        passPlan();
+        passMembers();
+        agreement.tick(now, wall);  // what was proposed leaves at once
+        followLog();
+        followRole();
+    }
+    if (workingLedger) {
+        passPolls();
+        passAnswers();
+    }
+    passCheckpoint();
+}
+
+void Reservoir::passIntake() {
+    for (auto& record : exchanges)
+        if (record.stage == Stage::taken) intake(record);
+}
+
+void Reservoir::intake(ExchangeRecord& record) {
+    const Exchange& exchange = record.exchange;
+    switch (exchange.ask) {
+        case Ask::submitJob: return intakeSubmit(record);
+        case Ask::cancelJob: return intakeCancel(record);
+        case Ask::applySetup: return intakeSetup(record);
+        case Ask::sync: return intakeSync(record);
+        case Ask::leave:
+        case Ask::drain:
+        case Ask::undrain:
+        case Ask::declareGone: return intakeMinionOrder(record);
+        case Ask::showJob: {
+            auto found = working().jobs.find(JobId{exchange.id});
+            if (found == working().jobs.end()) return decide(record, Answer::error(404, "missing", "no job " + exchange.id), false);
+            return decide(record, Answer::of(200, showJob(found->second)), false);
+        }
+        case Ask::listJobs: return decide(record, Answer::of(200, listJobs(exchange)), false);
+        case Ask::showSetup: {
+            picojson::object shown{{"version", json(working().setup.version.value)}};
+            picojson::value setup;
+            if (!working().setup.text.empty() && picojson::parse(setup, working().setup.text).empty()) shown["setup"] = setup;
+            return decide(record, Answer::of(200, shown), false);
+        }
+        case Ask::listMinions: return decide(record, Answer::of(200, showMinions()), false);
+        case Ask::showCluster: return decide(record, Answer::of(200, showCluster()), false);
+        case Ask::showPlan: return decide(record, Answer::of(200, showPlan()), false);
+        case Ask::showCounters: return decide(record, Answer::of(200, showCounters()), false);
+        case Ask::replaceReservoir: {
+            const ReservoirId id{exchange.id};
+            for (const auto& member : agreement.members())
+                if (member.id == id && id != agreement.self().id) {
+                    named.insert(id);
+                    return decide(record, Answer::of(202, {{"replacing", json(exchange.id)}}), false);
+                }
+            return decide(record, id == agreement.self().id ? Answer::error(409, "conflict", "it leads; stop it first so that leadership moves")
+                                                            : Answer::error(404, "missing", "no member " + exchange.id), false);
+        }
+        case Ask::exportState: {
+            picojson::array jobs;
+            for (const auto& [id, job] : working().jobs) jobs.push_back(json(showJob(job)));
+            return decide(record, Answer::of(200, {{"jobs", json(jobs)}, {"cluster_time_ms", json(clusterNow().milliseconds)}}), false);
+        }
+    }
+}
+
+void Reservoir::intakeSubmit(ExchangeRecord& record) {
+    const JobSubmission& job = record.exchange.job;
+    auto accepted = [&] { return Answer::of(202, {{"id", json(job.id.value)}, {"accepted", json(true)}}); };
+    auto found = working().jobs.find(job.id);
+    if (found != working().jobs.end()) {
+        if (found->second.digest == job.digest()) return decide(record, accepted(), false);
+        return decide(record, Answer::error(409, "conflict", "job " + job.id.value + " exists with other content"), false);
+    }
+    const auto* queue = working().setup.queue(job.queue);
+    if (!queue || queue->closed)
+        return decide(record, Answer::from(CoreError::at(CoreError::Kind::invalid, "/queue", "the setup has no queue " + job.queue.value)), false);
+    for (std::size_t step = 0; step < job.steps.size(); ++step)
+        if (auto never = working().neverFits(job.steps[step]))
+            return decide(record, Answer::from(CoreError::at(CoreError::Kind::invalid, "/steps/" + std::to_string(step), *never)), false);
+    // docs/design.md 10: the whole is bounded, and what is reserved to other queues is not for this one.
+    std::uint64_t heldBack = 0;
+    for (const auto& [name, options] : working().setup.queues) {
+        if (name == job.queue) continue;
+        const auto open = working().openByQueue[name];
+        heldBack += options.reserved > open ? options.reserved - open : 0;
+    }
+    const auto limit = working().setup.planner.openLimit;
+    const bool full = working().open.size() + heldBack >= limit || working().openByQueue[job.queue] >= queue->openLimit ||
+                      working().jobs.size() >= limit * 5;
+    if (full) return decide(record, Answer::error(429, "overloaded", "queue " + job.queue.value + " is full", Span{1000}), false);
+    append(JobAllowed{job});
+    if (queue->urgency > 0) planAtOnce = true;
+    decide(record, accepted(), true);
+}
+
+void Reservoir::intakeCancel(ExchangeRecord& record) {
+    const JobId id{record.exchange.id};
+    auto found = working().jobs.find(id);
+    if (found == working().jobs.end()) return decide(record, Answer::error(404, "missing", "no job " + id.value), false);
+    const bool wanted = !found->second.over() && found->second.state != JobState::cancelling;
+    if (wanted) append(JobCancelled{id});
+    decide(record, Answer::of(200, {{"id", json(id.value)}, {"state", json(name(found->second.state))}}), wanted);
+}
+
+void Reservoir::intakeSetup(ExchangeRecord& record) {
+    auto parsed = Setup::parse(record.exchange.text);
+    if (!parsed) return decide(record, Answer::from(parsed.error()), false);
+    const SetupVersion current = working().setup.version;
+    Setup setup = std::move(parsed.value());
+    auto taken = [](SetupVersion version) { return Answer::of(200, {{"version", json(version.value)}}); };
+    if (record.exchange.basedOn.next() == current && setup.text == working().setup.text) return decide(record, taken(current), false);
+    if (record.exchange.basedOn != current) {
+        Answer answer = Answer::of(409, {{"error", json("conflict")}, {"text", json("setup " + std::to_string(current.value) + " is newer than the one this is based on")}, {"version", json(current.value)}});
+        return decide(record, answer, false);
+    }
+    setup.version = current.next();
+    append(SetupTaken{setup});
+    decide(record, taken(setup.version), true);
+    note("setup taken", {{"version", json(setup.version.value)}});
+}
+
+void Reservoir::intakeSync(ExchangeRecord& record) {
+    const SyncReport& report = record.exchange.report;
+    auto found = working().minions.find(report.id);
+    const Minion* known = found == working().minions.end() ? nullptr : &found->second;
+    if (known && (std::count(known->retired.begin(), known->retired.end(), report.incarnation) ||
+                  (known->state == MinionState::gone && known->incarnation == report.incarnation)))
+        return decide(record, Answer::error(410, "gone", "this incarnation is replaced: stop all tasks and begin anew"), false);
+    bool prompt = false;
+    if (!known || known->incarnation != report.incarnation || known->capacity != report.capacity) {
+        append(MinionSeen{report.id, report.incarnation, report.capacity});
+        prompt = true;
+    }
+    const Minion& minion = working().minions.at(report.id);
+    for (auto& other : exchanges)  // a newer sync takes the place of one that still waits
+        if (other.stage == Stage::polling && other.exchange.report.id == report.id) other.pollUntil = now;
+    contacts[report.id] = now;
+    if (minion.state == MinionState::silent) append(MinionAllowed{report.id});
+    if (report.leaving && minion.state == MinionState::present) {
+        append(MinionLeaves{report.id, report.leaveWithin, false});
+        note("minion leaves", {{"minion", json(report.id.value)}});
+    }
+    MinionSynced synced{report.id, std::min(report.lastOrder, minion.lastOrder), {}};
+    for (const auto& ending : report.endings) {
+        auto attempt = working().attempts.find(ending.attempt);
+        if (attempt != working().attempts.end() && attempt->second.minion == report.id) synced.endings.push_back(ending);
+    }
+    if (synced.applied > minion.applied || !synced.endings.empty()) append(std::move(synced));
+    record.stage = Stage::polling;
+    record.logged = false;
+    record.barrier = agreement.last();
+    record.round = agreement.startRound(now);
+    record.pollUntil = prompt || !report.endings.empty() || report.leaving ? now : now + std::min(report.wait, options.longestPoll);
+    record.deadline = now + options.longestPoll + options.answerWithin;
+}
+
+void Reservoir::intakeMinionOrder(ExchangeRecord& record) {
+    const MinionId id{record.exchange.id};
+    auto found = working().minions.find(id);
+    if (found == working().minions.end()) return decide(record, Answer::error(404, "missing", "no minion " + id.value), false);
+    const Minion& minion = found->second;
+    bool logged = true;
+    switch (record.exchange.ask) {
+        case Ask::leave:
+            if (minion.state == MinionState::present) append(MinionLeaves{id, record.exchange.within, false});
+            else logged = false;
+            break;
+        case Ask::drain:
+            if (minion.state != MinionState::drained && minion.state != MinionState::gone) append(MinionLeaves{id, record.exchange.within, true});
+            else logged = false;
+            break;
+        case Ask::undrain:
+            if (minion.state == MinionState::drained || minion.state == MinionState::leaving) append(MinionAllowed{id});
+            else logged = false;
+            break;
+        default:
+            if (minion.state != MinionState::gone) append(MinionGone{id, "declared gone by an operator"});
+            else logged = false;
+    }
+    decide(record, Answer::of(200, {{"minion", json(id.value)}, {"state", json(name(minion.state))}}), logged);
+}
+
+// Terms, leavings, and their ends. docs/design.md 5.4 to 5.7.
+void Reservoir::passMinions() {
+    std::vector<Event> events;
+    for (const auto& [id, minion] : working().minions) {
+        if (minion.state == MinionState::gone) continue;
+        auto contact = contacts.find(id);
+        const Instant heard = std::max(leaderSince, contact == contacts.end() ? leaderSince : contact->second);
+        const bool lapsed = now - heard > options.term + options.margin;
+        if (lapsed && minion.state != MinionState::silent) {
+            const auto placed = working().attemptsOn(id);
+            const bool someOpen = std::any_of(placed.begin(), placed.end(), [&](auto number) { return !working().attempts[number].lost; });
+            if (minion.state == MinionState::leaving && placed.empty()) events.push_back(MinionGone{id, "left"});
+            else if (minion.state != MinionState::drained || (someOpen && minion.capacity.honoursTerms)) events.push_back(MinionSilent{id});
+        }
+        if ((minion.state == MinionState::leaving || minion.state == MinionState::drained) && !minion.leaveStopped && clusterNow() >= minion.leaveBy)
+            events.push_back(MinionLeaveOver{id});
+    }
+    for (auto& event : events) {
+        if (auto* silent = boost::get<MinionSilent>(&event)) note("minion silent", {{"minion", json(silent->minion.value)}});
+        append(std::move(event));
+    }
+}
+
+void Reservoir::passTimetables() {
+    std::vector<JobId> due;
+    for (const auto& id : working().open) {
+        const Job& job = working().jobs.at(id);
+        if (job.state != JobState::timed) continue;
+        const Timetable& timetable = job.submission.timetable;
+        const auto next = timetable.first.milliseconds + std::int64_t(job.fired) * timetable.every.milliseconds;
+        if (agreement.agreedWall(now) && clusterNow().milliseconds >= next) due.push_back(id);
+    }
+    for (auto& id : due) append(OccurrenceFired{id});
+}
+
+void Reservoir::passForget() {
+    if (now < nextForget) return;
+    nextForget = now + Span{1000};
+    JobsForgotten forgotten;
+    for (const auto& [id, job] : working().jobs)
+        if (job.over() && clusterNow() - job.endedAt > working().setup.planner.keepFinished && forgotten.jobs.size() < 1000) forgotten.jobs.push_back(id);
+    if (!forgotten.jobs.empty()) append(std::move(forgotten));
+    std::erase_if(sluices, [&](const auto& entry) { return now - entry.second > Span{10'000}; });
+}
+
+Silence Reservoir::silence() const {
+    Silence known;
+    for (const auto& [id, heard] : contacts) known[id] = now - heard;
+    return known;
+}
+
+void Reservoir::passPlan() {
+    if (!planWanted) {
+        if (now - lastPlan < Span{100}) return;
+        auto due = Planner::nextDue(working(), clusterNow());
+        if (due && *due - clusterNow() <= Span{1}) planWanted = true;
+        if (due && now - lastPlan >= Span{500}) planWanted = true;
+        if (!planWanted) return;
+    }
+    if (!planAtOnce && now - lastPlan < working().setup.planner.period) return;
+    lastPlan = now;
+    planAtOnce = false;
+    Plan plan = planner.make(working(), clusterNow(), silence());
+    planWanted = false;
+    if (plan.empty(working().reservation)) return;
+    append(std::move(plan.made));
+    planWanted = false;
+}
+
+void Reservoir::passPolls() {
+    std::erase_if(exchanges, [&](const ExchangeRecord& record) {
+        if (record.stage != Stage::polling) return false;
+        if (now >= record.deadline) {
+            answer(record, Answer::unknown("no majority of the reservoirs answers"));
+            return true;
+        }
+        if (record.barrier > agreement.commitIndex() || record.round > agreement.confirmedRound()) return false;
+        const auto& report = record.exchange.report;
+        auto found = committedLedger.minions.find(report.id);
+        if (found == committedLedger.minions.end()) return false;
+        if (found->second.incarnation != report.incarnation) {
+            answer(record, Answer::error(410, "gone", "this incarnation is replaced: stop all tasks and begin anew"));
+            return true;
+        }
+        SyncAnswer answered;
+        for (const auto& order : found->second.orders)
+            if (order.number > report.lastOrder) answered.orders.push_back(order);
+        if (answered.orders.empty() && now < record.pollUntil) return false;
+        answered.epoch = agreement.epoch();
+        answered.term = options.term;
+        for (const auto& ending : report.endings) answered.confirmed.push_back(ending.attempt);
+        for (const auto& [address, heard] : sluices) answered.sluices.push_back(address);
+        answer(record, Answer::of(200, answered.render()));
+        return true;
+    });
+}
+
+void Reservoir::passAnswers() {
+    std::erase_if(exchanges, [&](const ExchangeRecord& record) {
+        if (record.stage == Stage::polling) return false;
+        if (record.stage == Stage::decided && record.barrier <= agreement.commitIndex() && record.round <= agreement.confirmedRound()) {
+            answer(record, record.answer);
+            return true;
+        }
+        if (now < record.deadline) return false;
+        answer(record, Answer::unknown("no majority of the reservoirs answers; ask again"));
+        return true;
+    });
+}
+
+// One change at a time, each logged; a learner is promoted when it has caught up. docs/design.md 3.5.
+void Reservoir::passMembers() {
+    if (!agreement.membersSettled()) return;
+    Members members = agreement.members();
+    auto isDead = [&](const Member& member) {
+        if (member.id == agreement.self().id) return false;
+        if (named.count(member.id)) return true;
+        return now - std::max(leaderSince, agreement.heardFrom(member.id)) > options.replaceAfter;
+    };
+    auto change = [&](const char* what, const Member& member) {
+        if (agreement.proposeMembers(members, now))
+            note("members change", {{"what", json(what)}, {"member", json(member.id.value)}, {"area", json(member.area.value)}});
+    };
+    std::size_t voters = 0, dead = 0;
+    for (const auto& member : members) {
+        voters += member.voter;
+        dead += member.voter && isDead(member);
+    }
+    for (std::size_t place = 0; place < members.size(); ++place) {
+        const Member member = members[place];
+        const bool forgetful = agreement.forgetful(member.id);
+        const bool superfluous = member.voter && voters > 3 && isDead(member);
+        const bool deadLearner = !member.voter && isDead(member);
+        if (!(forgetful && (!member.voter || voters > 1)) && !superfluous && !deadLearner) continue;
+        members.erase(members.begin() + std::ptrdiff_t(place));
+        named.erase(member.id);
+        return change(forgetful ? "forgetful" : "removed", member);
+    }
+    if (voters >= 3 && dead == 0) return;
+    if (voters > 3) return;
+    Member* best = nullptr;
+    for (auto& member : members) {
+        if (member.voter || now - agreement.heardFrom(member.id) > Span{1000}) continue;
+        if (agreement.matchOf(member.id).value + 20 < agreement.commitIndex().value) continue;
+        const bool areaTaken = std::any_of(members.begin(), members.end(), [&](const Member& other) {
+            return other.voter && other.area == member.area && !isDead(other);
+        });
+        if (areaTaken && best) continue;
+        best = &member;
+        if (!areaTaken) break;
+    }
+    if (!best) return;
+    best->voter = true;
+    change("voter", *best);
+}
+
+void Reservoir::passCheckpoint() {
+    if (agreement.versionsSinceWhole() < options.checkpointVersions && agreement.bytesSinceWhole() < options.checkpointBytes) return;
+    if (foldedTo <= agreement.view().index) return;
+    agreement.checkpoint(foldedTo, pack(committedLedger));
+}
+
+RouteView Reservoir::route(Instant at) const {
+    RouteView view;
+    view.epoch = agreement.epoch();
+    view.setup = committedLedger.setup.version;
+    for (const auto& member : agreement.members()) {
+        view.reservoirs.push_back(member.peer);
+        if (member.id == agreement.leader()) view.leader = member.peer;
+    }
+    for (const auto& [address, heard] : sluices)
+        if (at - heard < Span{10'000}) view.sluices.push_back(address);
+    return view;
+}
+
+picojson::object Reservoir::showJob(const Job& job) const {
+    picojson::array tasks;
+    std::map<std::string, double> counts;
+    for (std::size_t place = 0; place < job.tasks.size(); ++place) {
+        const Task& task = job.tasks[place];
+        std::string state = name(task.state);
+        picojson::object shown;
+        auto attempt = workingLedger->attempts.find(task.attempt);
+        if (task.state == TaskState::placed && attempt != workingLedger->attempts.end()) {
+            state = name(attempt->second.state);
+            shown["minion"] = json(attempt->second.minion.value);
+            if (attempt->second.trial()) shown["trial"] = json(true);
+        }
+        ++counts[state];
+        if (place >= 200) continue;
+        shown["task"] = json(place);
+        shown["step"] = json(job.submission.steps[task.step].name);
+        shown["state"] = json(state);
+        shown["starts"] = json(task.starts);
+        tasks.push_back(json(shown));
+    }
+    picojson::object byState;
+    for (const auto& [state, count] : counts) byState[state] = json(count);
+    picojson::object shown{{"id", json(job.submission.id.value)}, {"queue", json(job.submission.queue.value)}, {"state", json(name(job.state))},
+                           {"allowed_at_ms", json(job.allowedAt.milliseconds)}, {"tasks", json(tasks)}, {"tasks_by_state", json(byState)}};
+    if (!job.reason.empty()) shown["reason"] = json(job.reason);
+    if (job.over()) shown["ended_at_ms"] = json(job.endedAt.milliseconds);
+    if (job.submission.timed()) shown["fired"] = json(job.fired);
+    return shown;
+}
+
+picojson::object Reservoir::listJobs(const Exchange& exchange) const {
+    picojson::array listed;
+    for (const auto& [id, job] : workingLedger->jobs) {
+        if (!exchange.text.empty() && exchange.text != name(job.state)) continue;
+        if (listed.size() >= exchange.limit) break;
+        listed.push_back(json(picojson::object{{"id", json(id.value)}, {"queue", json(job.submission.queue.value)}, {"state", json(name(job.state))}}));
+    }
+    return {{"jobs", json(listed)}, {"kept", json(workingLedger->jobs.size())}, {"open", json(workingLedger->open.size())}};
+}
+
+picojson::object Reservoir::showMinions() const {
+    picojson::array listed;
+    const auto known = silence();
+    for (const auto& [id, minion] : workingLedger->minions) {
+        std::uint64_t cores = 0, memory = 0, held = 0, count = 0;
+        for (const auto& [number, attempt] : workingLedger->attempts)
+            if (attempt.minion == id) {
+                ++count;
+                held += attempt.state == AttemptState::held;
+                memory += attempt.memory;
+                if (attempt.usesCores()) cores += attempt.cores;
+            }
+        auto quiet = known.find(id);
+        listed.push_back(json(picojson::object{{"id", json(id.value)}, {"state", json(name(minion.state))}, {"area", json(minion.capacity.area.value)},
+            {"rack", json(minion.capacity.rack)}, {"cores", json(minion.capacity.cores)}, {"cores_used", json(cores)},
+            {"memory_mb", json(minion.capacity.memory)}, {"memory_used_mb", json(memory)}, {"attempts", json(count)}, {"held", json(held)},
+            {"honours_terms", json(minion.capacity.honoursTerms)}, {"guards_room", json(minion.capacity.guardsRoom)},
+            {"blame", json(minion.blameAt(clusterNow()))}, {"orders_pending", json(minion.orders.size())},
+            {"unheard_ms", json(quiet == known.end() ? -1 : quiet->second.milliseconds)}}));
+    }
+    return {{"minions", json(listed)}};
+}
+
+picojson::object Reservoir::showCluster() const {
+    picojson::array listed, outer;
+    for (const auto& member : agreement.members()) {
+        const bool own = member.id == agreement.self().id;
+        listed.push_back(json(picojson::object{{"id", json(member.id.value)}, {"address", json(member.peer.value)}, {"area", json(member.area.value)},
+            {"voter", json(member.voter)}, {"leads", json(own)}, {"match", json(own ? agreement.last().value : agreement.matchOf(member.id).value)},
+            {"unheard_ms", json(own ? 0 : (now - agreement.heardFrom(member.id)).milliseconds)}}));
+    }
+    for (const auto& [address, heard] : sluices) outer.push_back(json(picojson::object{{"address", json(address.value)}, {"unheard_ms", json((now - heard).milliseconds)}}));
+    return {{"epoch", json(agreement.epoch().value)}, {"commit", json(agreement.commitIndex().value)}, {"last", json(agreement.last().value)},
+            {"view", json(agreement.view().index.value)}, {"setup", json(workingLedger->setup.version.value)},
+            {"cluster_time_ms", json(clusterNow().milliseconds)}, {"reservoirs", json(listed)}, {"sluices", json(outer)}};
+}
+
+picojson::object Reservoir::showPlan() {
+    Plan plan = planner.make(working(), clusterNow(), silence(), true);
+    picojson::array reasons;
+    for (const auto& reason : plan.reasons) {
+        if (reasons.size() >= 200) break;
+        reasons.push_back(json(picojson::object{{"job", json(reason.job.value)}, {"step", json(reason.step)}, {"priority", json(reason.priority)}, {"reason", json(reason.text)}}));
+    }
+    picojson::object shown{{"plan", json(working().plan.value)}, {"waiting", json(plan.waiting)}, {"reasons", json(reasons)}};
+    const Reservation& reservation = working().reservation;
+    if (reservation.held()) {
+        picojson::array placements;
+        for (const auto& placement : reservation.placements) placements.push_back(json(picojson::object{{"task", json(placement.task)}, {"minion", json(placement.minion.value)}}));
+        shown["reservation"] = json(picojson::object{{"job", json(reservation.job.value)}, {"step", json(reservation.step)},
+            {"in_ms", json((reservation.start - clusterNow()).milliseconds)}, {"moved", json(reservation.moved)}, {"placements", json(placements)}});
+    }
+    return shown;
+}
+
+picojson::object Reservoir::showCounters() const {
+    const Counters& counters = workingLedger->counters;
+    return {{"allowed", json(counters.allowed)}, {"finished", json(counters.finished)}, {"failed", json(counters.failed)},
+            {"cancelled", json(counters.cancelled)}, {"starts", json(counters.starts)}, {"trials", json(counters.trials)},
+            {"trials_ran_out", json(counters.trialsRanOut)}, {"trials_finished", json(counters.trialsFinished)}, {"holds", json(counters.holds)},
+            {"retries", json(counters.retries)}, {"lost", json(counters.lost)}, {"plans", json(counters.plans)},
+            {"reservations_moved", json(counters.reservationsMoved)}, {"open", json(workingLedger->open.size())},
+            {"kept", json(workingLedger->jobs.size())}, {"attempts", json(workingLedger->attempts.size())}, {"exchanges", json(exchanges.size())},
+            {"commit", json(agreement.commitIndex().value)}, {"epoch", json(agreement.epoch().value)}};
+}
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/reservoir.hpp
@@ -0,0 +1,118 @@
+// The control plane's core: agreement, ledger, planner and the table of exchanges, in passes. Sans-IO. docs/design.md 3, 8.
+#pragma once
+#include "agreement.hpp"
+#include "exchange.hpp"
+#include "planner.hpp"
+
+namespace aniseline {
+
+struct ReservoirOptions {
+    AgreementOptions agreement;
+    Span term{3000};
+    Span margin{1000};
+    Span longestPoll{1000};
+    Span answerWithin{2000};
+    Span replaceAfter{30'000};
+    std::uint64_t checkpointVersions = 1000;
+    std::uint64_t checkpointBytes = 8 * 1024 * 1024;
+    std::size_t exchangesAtOnce = 4000;
+};
+
+// What the core tells whoever listens: logs, traces, witnesses.
+struct Note {
+    std::string what;
+    picojson::object fields;
+};
+
+class Reservoir {
+public:
+    Reservoir(Member self, ReservoirOptions options, std::uint64_t seed, const std::vector<DiskRecord>& restored, Instant now);
+
+    void step(Instant now, WallTime wall);
+    void receive(const PeerMessage& message, Instant now) { agreement.receive(message, now); }
+    void synced(DiskVersion version, Instant now) { agreement.synced(version, now); }
+    void take(ExchangeNumber number, Exchange exchange, Instant now);
+    void dropExchange(ExchangeNumber number);
+    void found(Instant now) { agreement.found(now); }
+    void join(const Address& leader) { agreement.join(leader); }
+    void handOver(Instant now) { agreement.handOver(now); }
+    void noteSluice(const Address& outer, Instant now) { sluices[outer] = now; }
+
+    std::vector<PeerMessage> takeMessages() { return agreement.takeMessages(); }
+    std::optional<DiskRecord> takeWrite() { return agreement.takeWrite(); }
+    std::vector<std::pair<ExchangeNumber, Answer>> takeAnswers() { return std::exchange(answers, {}); }
+
+    const Agreement& agreed() const { return agreement; }
+    const Ledger& committed() const { return committedLedger; }
+    RouteView route(Instant now) const;
+    boost::signals2::signal<void(const Note&)> noted;
+
+private:
+    enum class Stage : std::uint8_t { taken, decided, polling };
+    struct ExchangeRecord {
+        ExchangeNumber number;
+        Exchange exchange;
+        Stage stage = Stage::taken;
+        Instant deadline;
+        Instant pollUntil;
+        LogIndex barrier;
+        RoundNumber round;
+        bool logged = false;
+        Answer answer;
+    };
+    Ledger& working() { return *workingLedger; }
+    ClusterTime clusterNow() const;
+    LogIndex append(Event event);
+    void followLog();
+    void followRole();
+    void passIntake();
+    void passMinions();
+    void passTimetables();
+    void passForget();
+    void passPlan();
+    void passPolls();
+    void passAnswers();
+    void passMembers();
+    void passCheckpoint();
+    void decide(ExchangeRecord& record, Answer answer, bool logged);
+    void answer(const ExchangeRecord& record, Answer answer);
+    Answer notLeader() const;
+    void intake(ExchangeRecord& record);
+    void intakeSubmit(ExchangeRecord& record);
+    void intakeCancel(ExchangeRecord& record);
+    void intakeSetup(ExchangeRecord& record);
+    void intakeSync(ExchangeRecord& record);
+    void intakeMinionOrder(ExchangeRecord& record);
+    void note(std::string what, picojson::object fields = {}) { noted(Note{std::move(what), std::move(fields)}); }
+    Silence silence() const;
+    picojson::object showJob(const Job& job) const;
+    picojson::object showMinions() const;
+    picojson::object showCluster() const;
+    picojson::object showPlan();
+    picojson::object showCounters() const;
+    picojson::object listJobs(const Exchange& exchange) const;
+
+    ReservoirOptions options;
+    Agreement agreement;
+    Planner planner;
+    Ledger committedLedger;
+    LogIndex foldedTo;
+    std::optional<Ledger> workingLedger;
+    Epoch ledEpoch;
+    Instant now;
+    Instant leaderSince;
+    ClusterTime clusterBase;
+    Instant clusterBaseAt;
+    bool wasServing = false;
+    bool planWanted = false, planAtOnce = false;
+    Instant lastPlan{-1'000'000};
+    Instant nextForget;
+    std::map<MinionId, Instant> contacts;
+    std::map<Address, Instant> sluices;
+    std::set<ReservoirId> named;  // to be replaced by word of an operator
+    std::vector<ExchangeRecord> exchanges;
+    std::vector<std::pair<ExchangeNumber, Answer>> answers;
+    std::uint64_t foldErrors = 0;
+};
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/setup.cpp
@@ -0,0 +1,223 @@
+#include "setup.hpp"
+#include <muParser.h>
+#include <cmath>
+
+namespace aniseline {
+
+struct PolicyProgram::Parts {
+    mutable Inputs inputs;
+    mu::Parser parser;
+};
+
+// docs/design.md 6.3: programs are short expressions over numbers, so their cost is bounded by their length.
+PolicyProgram::PolicyProgram(const std::string& text) : parts(std::make_unique<Parts>()) {
+    auto& parser = parts->parser;
+    auto& inputs = parts->inputs;
+    parser.DefineVar("wait", &inputs.wait);
+    parser.DefineVar("runtime", &inputs.runtime);
+    parser.DefineVar("expansion", &inputs.expansion);
+    parser.DefineVar("cores", &inputs.cores);
+    parser.DefineVar("memory", &inputs.memory);
+    parser.DefineVar("urgency", &inputs.urgency);
+    parser.DefineVar("slowdown", &inputs.slowdown);
+    parser.DefineVar("running", &inputs.running);
+    parser.DefineVar("weight_wait", &inputs.weightWait);
+    parser.DefineVar("weight_expansion", &inputs.weightExpansion);
+    parser.SetExpr(text);
+}
+PolicyProgram::PolicyProgram(PolicyProgram&&) noexcept = default;
+PolicyProgram::~PolicyProgram() = default;
+
+double PolicyProgram::evaluate(const Inputs& inputs) const {
+    parts->inputs = inputs;
+    try {
+        const double value = parts->parser.Eval();
+        return std::isfinite(value) ? value : 0.0;
+    } catch (const mu::Parser::exception_type&) {
+        return 0.0;
+    }
+}
+
+std::optional<std::string> PolicyProgram::check(const std::string& text) {
+    if (text.size() > 400) return "a policy program may hold at most 400 characters";
+    if (text.find('=') != std::string::npos && text.find("==") == std::string::npos && text.find("<=") == std::string::npos &&
+        text.find(">=") == std::string::npos && text.find("!=") == std::string::npos)
+        return "a policy program may not assign";
+    try {
+        PolicyProgram program(text);
+        Inputs inputs{0.1, 0.2, 1.5, 1, 1024, 1, 1.5, 0.1, 0.0167, 1};
+        const double value = program.parts->parser.Eval();
+        program.parts->inputs = inputs;
+        const double second = program.parts->parser.Eval();
+        if (!std::isfinite(second) && !std::isfinite(value)) return "gives no finite number";
+    } catch (const mu::Parser::exception_type& error) {
+        return error.GetMsg();
+    }
+    return std::nullopt;
+}
+
+const QueueOptions* Setup::queue(const QueueName& name) const {
+    auto found = queues.find(name);
+    return found == queues.end() ? nullptr : &found->second;
+}
+
+namespace {
+
+// Reads one JSON object, noting each fault by path and each field nobody asked for.
+class Reader {
+public:
+    Reader(const picojson::value& value, std::string path, std::vector<ErrorDetail>& faults)
+        : path(std::move(path)), faults(faults) {
+        if (value.is<picojson::object>()) object = &value.get<picojson::object>();
+        else fault("", "must be an object");
+    }
+    ~Reader() {
+        if (!object) return;
+        for (const auto& field : *object)
+            if (!asked.count(field.first)) fault(field.first, "is not a known field");
+    }
+    void fault(const std::string& field, const std::string& text) {
+        faults.push_back({field.empty() ? path : path + "/" + field, text});
+    }
+    const picojson::value* find(const std::string& field) {
+        asked.insert(field);
+        if (!object) return nullptr;
+        auto found = object->find(field);
+        return found == object->end() ? nullptr : &found->second;
+    }
+    template <class Number>
+    void whole(const std::string& field, Number& target, double low, double high) {
+        const auto* value = find(field);
+        if (!value) return;
+        if (!value->is<double>() || value->get<double>() != std::floor(value->get<double>()))
+            return fault(field, "must be a whole number");
+        if (value->get<double>() < low || value->get<double>() > high)
+            return fault(field, "must be from " + std::to_string((long long)low) + " to " + std::to_string((long long)high));
+        target = Number(value->get<double>());
+    }
+    void real(const std::string& field, double& target, double low, double high) {
+        const auto* value = find(field);
+        if (!value) return;
+        if (!value->is<double>() || value->get<double>() < low || value->get<double>() > high)
+            return fault(field, "must be a number from " + std::to_string(low) + " to " + std::to_string(high));
+        target = value->get<double>();
+    }
+    void span(const std::string& field, Span& target, double low, double high) { whole(field, target.milliseconds, low, high); }
+    void flag(const std::string& field, bool& target) {
+        const auto* value = find(field);
+        if (!value) return;
+        if (!value->is<bool>()) return fault(field, "must be true or false");
+        target = value->get<bool>();
+    }
+    void words(const std::string& field, std::string& target) {
+        const auto* value = find(field);
+        if (!value) return;
+        if (!value->is<std::string>()) return fault(field, "must be a string");
+        target = value->get<std::string>();
+    }
+    const picojson::object* object = nullptr;
+    std::string path;
+
+private:
+    std::vector<ErrorDetail>& faults;
+    std::set<std::string> asked;
+};
+
+constexpr double dayMilliseconds = 86'400'000.0;
+
+}  // namespace
+
+Result<Setup> Setup::parse(const std::string& text) {
+    Setup setup;
+    std::vector<ErrorDetail> faults;
+    if (text.size() > 256 * 1024) return CoreError::at(CoreError::Kind::invalid, "", "a setup may hold at most 262144 bytes");
+    if (nestedTooDeep(text)) return CoreError::at(CoreError::Kind::invalid, "", "is nested too deep");
+    picojson::value root;
+    const std::string parseError = picojson::parse(root, text);
+    if (!parseError.empty()) return CoreError::at(CoreError::Kind::invalid, "", "is not JSON: " + parseError);
+    {
+        Reader reader(root, "", faults);
+        if (const auto* policies = reader.find("policies")) {
+            if (!policies->is<picojson::object>()) reader.fault("policies", "must be an object");
+            else
+                for (const auto& [name, value] : policies->get<picojson::object>()) {
+                    Reader policy(value, "/policies/" + name, faults);
+                    PolicyOptions options;
+                    policy.words("rank", options.rank);
+                    policy.words("may_hold", options.mayHold);
+                    if (auto fault = PolicyProgram::check(options.rank)) policy.fault("rank", *fault);
+                    if (auto fault = PolicyProgram::check(options.mayHold)) policy.fault("may_hold", *fault);
+                    setup.policies[name] = options;
+                }
+        }
+        setup.policies.emplace("default", PolicyOptions{});
+        if (const auto* value = reader.find("planner")) {
+            Reader planner(*value, "/planner", faults);
+            planner.span("period_ms", setup.planner.period, 5, 10'000);
+            planner.real("weight_wait", setup.planner.weightWait, 0, 1e6);
+            planner.real("weight_expansion", setup.planner.weightExpansion, 0, 1e6);
+            planner.flag("trials", setup.planner.trials);
+            planner.whole("trial_room_mb", setup.planner.trialRoom, 0, 1e9);
+            planner.whole("open_limit", setup.planner.openLimit, 1, 100'000);
+            planner.span("keep_finished_ms", setup.planner.keepFinished, 10'000, dayMilliseconds);
+        }
+        const auto* queues = reader.find("queues");
+        if (!queues || !queues->is<picojson::object>() || queues->get<picojson::object>().empty())
+            reader.fault("queues", "must name at least one queue");
+        else {
+            std::uint64_t reserved = 0;
+            for (const auto& [name, value] : queues->get<picojson::object>()) {
+                Reader queue(value, "/queues/" + name, faults);
+                if (name.empty() || name.size() > 64) queue.fault("", "a queue's name holds 1 to 64 characters");
+                QueueOptions options;
+                options.name = QueueName{name};
+                queue.whole("urgency", options.urgency, -1000, 1000);
+                queue.whole("retries", options.retries, 0, 100);
+                queue.whole("open_limit", options.openLimit, 1, 100'000);
+                queue.whole("reserved", options.reserved, 0, 100'000);
+                queue.span("hard_limit_ms", options.hardLimit, 0, 366 * dayMilliseconds);
+                queue.words("policy", options.policy);
+                if (!setup.policies.count(options.policy)) queue.fault("policy", "names no policy of this setup");
+                if (const auto* trialValue = queue.find("trial")) {
+                    Reader trial(*trialValue, queue.path + "/trial", faults);
+                    trial.span("quantum_ms", options.trial.quantum, 10, 3'600'000);
+                    trial.whole("memory_mb", options.trial.memory, 1, 1e6);
+                    trial.span("minimum_run_ms", options.trial.minimumRun, 0, dayMilliseconds);
+                }
+                reserved += options.reserved;
+                setup.queues[options.name] = options;
+            }
+            if (reserved >= setup.planner.openLimit) reader.fault("queues", "reserve together all of planner/open_limit");
+        }
+    }
+    if (!faults.empty()) return CoreError{CoreError::Kind::invalid, std::move(faults)};
+    setup.text = text;
+    return setup;
+}
+
+}  // namespace aniseline
+
+#ifdef ANISELINE_TESTS
+#include <CppUTest/TestHarness.h>
+using namespace aniseline;
+
+TEST_GROUP(SetupTests){};
+
+TEST(SetupTests, takesAWholeDescription) {
+    auto setup = Setup::parse(R"({"policies":{"short":{"rank":"expansion + urgency","may_hold":"runtime > 0.1"}},
+        "queues":{"proofs":{"urgency":9,"retries":2,"policy":"short","trial":{"quantum_ms":5000}}}})");
+    CHECK(setup.has_value());
+    LONGS_EQUAL(5000, setup.value().queue(QueueName{"proofs"})->trial.quantum.milliseconds);
+    LONGS_EQUAL(600000, setup.value().queue(QueueName{"proofs"})->trial.minimumRun.milliseconds);
+}
+
+TEST(SetupTests, namesEveryFaultByItsPath) {
+    auto setup = Setup::parse(R"({"policies":{"odd":{"rank":"wait +"}},
+        "queues":{"proofs":{"urgency":"high","retries":-1,"colour":1,"policy":"none"}}})");
+    CHECK(!setup.has_value());
+    std::string text = setup.error().text();
+    for (const char* path : {"/policies/odd/rank", "/queues/proofs/urgency", "/queues/proofs/retries",
+                             "/queues/proofs/colour", "/queues/proofs/policy"})
+        CHECK_TEXT(text.find(path) != std::string::npos, (std::string(path) + " missing from " + text).c_str());
+}
+#endif
--- /dev/null
+++ b/source/setup.hpp
@@ -0,0 +1,82 @@
+// The setup aggregate: the operators' whole description of queues, policies and planner options. docs/design.md 6.
+#pragma once
+#include "aniseline.hpp"
+#include <picojson.h>
+
+namespace aniseline {
+
+struct TrialOptions {
+    Span quantum{60'000};         // paper section 3: one minute
+    std::uint64_t memory = 1024;  // MB, paper section 3: one gigabyte
+    Span minimumRun{600'000};     // paper section 2.4: ten minutes uninterrupted
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & quantum & memory & minimumRun; }
+};
+
+struct QueueOptions {
+    QueueName name;
+    std::int64_t urgency = 0;
+    std::uint32_t retries = 0;
+    std::uint64_t openLimit = 1000;  // open jobs past which a submission is rejected
+    std::uint64_t reserved = 0;      // open jobs of the whole that only this queue may use
+    TrialOptions trial;
+    Span hardLimit{0};  // 0: an overrunning task stays in place
+    std::string policy = "default";
+    bool closed = false;  // removed from the setup while jobs were open: runs on, takes nothing new
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & name & urgency & retries & openLimit & reserved & trial & hardLimit & policy & closed;
+    }
+};
+
+struct PolicyOptions {
+    std::string rank = "weight_wait * wait + weight_expansion * expansion";
+    std::string mayHold = "1";
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & rank & mayHold; }
+};
+
+struct PlannerOptions {
+    Span period{50};
+    double weightWait = 0.0167;   // paper table 3, LXF&W-backfill
+    double weightExpansion = 1.0;
+    bool trials = true;
+    std::uint64_t trialRoom = 0;  // MB of each minion that only trials may use; 0 is the paper's design
+    std::uint64_t openLimit = 20'000;
+    Span keepFinished{3'600'000};
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & period & weightWait & weightExpansion & trials & trialRoom & openLimit & keepFinished;
+    }
+};
+
+struct Setup {
+    SetupVersion version;
+    std::map<QueueName, QueueOptions> queues;
+    std::map<std::string, PolicyOptions> policies;
+    PlannerOptions planner;
+    std::string text;  // as the operator wrote it
+
+    const QueueOptions* queue(const QueueName& name) const;
+    // Every fault is named by its path; nothing is taken from a faulty text.
+    static Result<Setup> parse(const std::string& text);
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & version & queues & policies & planner & text;
+    }
+};
+
+// A compiled policy program (muParser). Not for threads to share.
+class PolicyProgram {
+public:
+    struct Inputs {
+        double wait = 0, runtime = 0, expansion = 0, cores = 0, memory = 0, urgency = 0, slowdown = 0, running = 0;
+        double weightWait = 0, weightExpansion = 0;
+    };
+    explicit PolicyProgram(const std::string& text);
+    PolicyProgram(PolicyProgram&&) noexcept;
+    ~PolicyProgram();
+    double evaluate(const Inputs& inputs) const;
+    static std::optional<std::string> check(const std::string& text);
+
+private:
+    struct Parts;
+    std::unique_ptr<Parts> parts;
+};
+
+}  // namespace aniseline
