--- /dev/null
+++ b/source/course.cpp
@@ -0,0 +1,99 @@
+#include "course.hpp"
+
+namespace aniseline {
+
+namespace {
+// A submission, cancel, setup or order about a minion that may have been taken is never sent twice by a sluice.
+bool readsOnly(Ask ask) {
+    switch (ask) {
+        case Ask::sync:
+        case Ask::showJob:
+        case Ask::listJobs:
+        case Ask::showSetup:
+        case Ask::listMinions:
+        case Ask::showCluster:
+        case Ask::showPlan:
+        case Ask::showCounters:
+        case Ask::exportState: return true;
+        default: return false;
+    }
+}
+}  // namespace
+
+RelayCourse::RelayCourse(const Exchange& exchange, Route route, const std::vector<Address>& seeds, Instant now)
+    : route(std::move(route)), seeds(seeds), mayRepeat(readsOnly(exchange.ask)),
+      deadline(now + (exchange.ask == Ask::sync ? exchange.report.wait + Span{1500} : Span{2500})), seekUntil(now + Span{2000}) {}
+
+RelayCourse::Step RelayCourse::done(Answer answer) { return Step{Step::Kind::answer, {}, {}, std::move(answer)}; }
+
+RelayCourse::Step RelayCourse::ask(Instant now) {
+    if (now >= deadline) return done(Answer::unknown("no leader of the reservoirs is known; ask again"));
+    Address target = std::exchange(hint, Address{});
+    if (target.value.empty()) {
+        const RouteView view = route();
+        if (turn == 0 && !view.leader.value.empty()) target = view.leader;
+        else if (!view.reservoirs.empty()) target = view.reservoirs[turn % view.reservoirs.size()];
+        else target = seeds[turn % seeds.size()];
+    }
+    return Step{Step::Kind::ask, target, deadline - now, {}};
+}
+
+RelayCourse::Step RelayCourse::next(Instant now) {
+    if (now >= seekUntil) return done(Answer::unknown("no leader of the reservoirs is known; ask again"));
+    if (!hint.value.empty() && hints++ < 3) return ask(now);
+    hint = Address{};
+    ++turn;
+    return Step{Step::Kind::wait, {}, Span{turn < 4 ? 20 : 60}, {}};
+}
+
+RelayCourse::Step RelayCourse::answered(const Answer& answer, Instant now) {
+    if (!answer.notLeader) return done(answer);
+    hint = answer.leader;
+    return next(now);
+}
+
+RelayCourse::Step RelayCourse::failed(Loss loss, Instant now) {
+    if (loss != Loss::unreachable && !mayRepeat) return done(Answer::unknown("the leader was lost while this was under way; ask again"));
+    return next(now);
+}
+
+}  // namespace aniseline
+
+#ifdef ANISELINE_TESTS
+#include <CppUTest/TestHarness.h>
+using namespace aniseline;
+
+TEST_GROUP(RelayCourseTests) {
+    std::vector<Address> seeds{Address{"s:1"}, Address{"s:2"}};
+    RouteView view;
+    RelayCourse course(Ask ask) {
+        Exchange exchange;
+        exchange.ask = ask;
+        return RelayCourse(exchange, [this] { return view; }, seeds, Instant{0});
+    }
+};
+
+// What may have been taken is neither sent again nor called rejected.
+TEST(RelayCourseTests, aSubmissionLostOnTheWayIsUnknown) {
+    view.leader = Address{"r:1"};
+    auto submit = course(Ask::submitJob);
+    STRCMP_EQUAL("r:1", submit.begin(Instant{0}).target.value.c_str());
+    auto step = submit.failed(RelayCourse::Loss::lost, Instant{5});
+    CHECK(step.kind == RelayCourse::Step::Kind::answer);
+    LONGS_EQUAL(503, step.answer.status);
+    auto read = course(Ask::showJob);
+    read.begin(Instant{0});
+    CHECK(read.failed(RelayCourse::Loss::lost, Instant{5}).kind == RelayCourse::Step::Kind::wait);
+}
+
+TEST(RelayCourseTests, followsTheHintAndGivesUpInTime) {
+    auto submit = course(Ask::submitJob);
+    STRCMP_EQUAL("s:1", submit.begin(Instant{0}).target.value.c_str());
+    Answer notLeader;
+    notLeader.notLeader = true;
+    notLeader.leader = Address{"r:2"};
+    STRCMP_EQUAL("r:2", submit.answered(notLeader, Instant{1}).target.value.c_str());
+    CHECK(submit.failed(RelayCourse::Loss::unreachable, Instant{2}).kind == RelayCourse::Step::Kind::wait);
+    CHECK(submit.failed(RelayCourse::Loss::unreachable, Instant{2000}).kind == RelayCourse::Step::Kind::answer);
+}
+#endif
