Simulator: the whole cluster in virtual time under seeded faults

Cause: faults need causing on purpose, with one seed giving one run. Runs whose ending no one could yet know of were counted as finished; a confirmed ending is now witnessed and is what counts.

--- /dev/null
+++ b/programs/flume.cpp
@@ -0,0 +1,107 @@
+// flume: seeded runs of the whole cluster in virtual time, with faults; shrinks what fails. docs/operations.md 8.
+#include "edge/options.hpp"
+#include "simulator/world.hpp"
+#include <iostream>
+#include <numeric>
+#include <thread>
+
+using namespace aniseline;
+
+namespace {
+
+void show(const CampaignResult& result) {
+    for (const auto& fault : result.faults) std::cout << "  fault " << fault << "\n";
+    for (const auto& promise : result.broken) std::cout << "  broken rule " << promise.rule << " at " << promise.at - World::calendar << ": " << promise.text << "\n";
+    for (const auto& left : result.unfinished) std::cout << "  unfinished " << left << "\n";
+}
+
+// Leaves out one fault after the other while the run still fails.
+CampaignOptions shrink(CampaignOptions options) {
+    if (options.only.empty()) {
+        options.only.resize(options.faults);
+        std::iota(options.only.begin(), options.only.end(), 0);
+    }
+    for (bool smaller = true; smaller;) {
+        smaller = false;
+        for (std::size_t place = 0; place < options.only.size() && options.only.size() > 1; ++place) {
+            auto fewer = options;
+            fewer.only.erase(fewer.only.begin() + std::ptrdiff_t(place));
+            if (runCampaign(fewer).good()) continue;
+            options = fewer;
+            smaller = true;
+            break;
+        }
+    }
+    return options;
+}
+
+}  // namespace
+
+int main(int count, char** values) {
+    std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
+    bool verbose = false, shrinks = false;
+    std::string only;
+    OptionSet options("flume", "seeded runs of the whole cluster in virtual time, with faults");
+    options.whole("from", from, "the first seed", 0, 1'000'000'000);
+    options.whole("seeds", seeds, "how many seeds", 1, 10'000'000);
+    options.whole("length-ms", length, "virtual time before all is healed", 20'000, 86'400'000);
+    options.whole("faults", faults, "faults a run", 0, 1000);
+    options.whole("threads", threads, "runs at the same time", 1, 256);
+    options.text("only", only, "keep only these faults of the schedule, by number, with commas");
+    options.flag("verbose", verbose, "tell all that happens");
+    options.flag("shrink", shrinks, "shorten the schedule of the first seed that fails");
+    options.read(count, values);
+
+    CampaignOptions base;
+    base.length = length;
+    base.faults = std::size_t(faults);
+    base.verbose = verbose;
+    std::istringstream numbers(only);
+    for (std::string number; std::getline(numbers, number, ',');) base.only.push_back(std::strtoull(number.c_str(), nullptr, 10));
+
+    std::vector<CampaignResult> results{std::size_t(seeds)};
+    std::atomic<std::int64_t> next{0};
+    std::vector<std::thread> workers;
+    for (std::int64_t worker = 0; worker < std::min(threads, seeds); ++worker)
+        workers.emplace_back([&] {
+            for (std::int64_t place; (place = next++) < seeds;) {
+                auto own = base;
+                own.seed = std::uint64_t(from + place);
+                results[std::size_t(place)] = runCampaign(own);
+            }
+        });
+    for (auto& worker : workers) worker.join();
+
+    std::size_t failed = 0, jobs = 0, starts = 0;
+    std::vector<std::int64_t> recoveries;
+    std::map<std::string, double> counters;
+    std::uint64_t hash = 0;
+    std::optional<std::uint64_t> firstFailed;
+    for (std::size_t place = 0; place < results.size(); ++place) {
+        const auto& result = results[place];
+        jobs += result.jobs;
+        starts += result.starts;
+        hash = hash * 31 + result.hash;
+        recoveries.push_back(result.recovery);
+        for (const auto& [name, value] : result.counters) counters[name] += value;
+        if (result.good()) continue;
+        ++failed;
+        if (!firstFailed) firstFailed = std::uint64_t(from) + place;
+        std::cout << "seed " << std::uint64_t(from) + place << " FAILED\n";
+        show(result);
+    }
+    if (shrinks && firstFailed) {
+        auto own = base;
+        own.seed = *firstFailed;
+        own = shrink(own);
+        std::cout << "seed " << *firstFailed << " still fails with only these faults:\n";
+        show(runCampaign(own));
+    }
+    std::sort(recoveries.begin(), recoveries.end());
+    picojson::object shown{{"seeds", json(seeds)}, {"failed", json(failed)}, {"jobs", json(jobs)}, {"starts", json(starts)}, {"hash", json(std::to_string(hash))},
+                           {"recovery_p50_ms", json(recoveries[recoveries.size() / 2])}, {"recovery_max_ms", json(recoveries.back())}};
+    for (const auto& [name, value] : counters) shown[name] = json(value);
+    std::cout << json(shown).serialize() << "\n";
+    std::cout << seeds - std::int64_t(failed) << " passed, " << failed << " failed" << std::endl;
+    return failed ? 1 : 0;
+}
--- a/programs/waterwheel.cpp
+++ b/programs/waterwheel.cpp
@@ -29,6 +29,7 @@
         options.capacity = Capacity{std::uint32_t(settings.cores), std::uint64_t(settings.memory), AreaName{settings.area}, settings.rack, !settings.termless, !settings.unguarded};
         std::random_device device;
         client = std::make_unique<MinionClient>(loop, options, Incarnation{((std::uint64_t(device()) << 32) | device()) | 1}, settings.sluices);
+        client->confirmed.connect([this](const Order& order, EndingKind kind) { write(Witness::Kind::confirmed, order, name(kind)); });
         client->effect.connect([this](const HandEffect& effect) { follow(effect); });
         // What an earlier process of this name ran ended with it.
         write(Witness::Kind::vanished, {});
--- a/source/agreement.cpp
+++ b/source/agreement.cpp
@@ -493,8 +493,10 @@
     knownLeader = message.from;
     heardLeader = now;
     resetElection(now);
+    const bool seenNewLeader = lastAppender != message.from || lastAppendEpoch != body.epoch;
     lastAppender = message.from;
-    lastRoundSeen = body.round;
+    lastAppendEpoch = body.epoch;
+    lastRoundSeen = seenNewLeader ? body.round : std::max(lastRoundSeen, body.round);
     if (body.previous > last()) return replyAppend(message.from, false, last(), body.round);
     if (body.previous < base.index) return replyAppend(message.from, true, std::min(syncedIndex, commit), body.round);
     if (epochAt(body.previous) != body.previousEpoch)
@@ -533,13 +535,17 @@
         for (const auto& [number, sent] : roundTimes)
             if (number == body.round) peer.contact = std::max(peer.contact, sent);
     }
-    // docs/design.md 3.5: it once acknowledged more than it now has; its disk is not the one that voted.
+    // docs/design.md 3.5: it once acknowledged more than it now has; its disk is not the one that voted. A reply of a
+    // later round was made later; one that was merely overtaken on the way proves nothing.
     if (body.last < peer.match) {
-        peer.forgetful = true;
+        peer.forgetful = peer.forgetful || body.round > peer.matchRound;
         return;
     }
     if (body.matched) {
-        peer.match = std::max(peer.match, body.match);
+        if (body.match > peer.match) {
+            peer.match = body.match;
+            peer.matchRound = body.round;
+        }
         if (peer.installing && body.match >= base.index) peer.installing = false;
         if (peer.next <= peer.match) peer.next = peer.match.next();
         advanceCommit();
@@ -560,8 +566,10 @@
     knownLeader = message.from;
     heardLeader = now;
     resetElection(now);
+    const bool seenNewLeader = lastAppender != message.from || lastAppendEpoch != body.epoch;
     lastAppender = message.from;
-    lastRoundSeen = body.round;
+    lastAppendEpoch = body.epoch;
+    lastRoundSeen = seenNewLeader ? body.round : std::max(lastRoundSeen, body.round);
     if (body.view.index > commit) {
         stored = body.view;
         base = LogView{body.view.index, body.view.epoch, body.view.members, {}};
--- a/source/agreement.hpp
+++ b/source/agreement.hpp
@@ -169,6 +169,7 @@
     struct Peer {
         LogIndex next{1};
         LogIndex match;
+        RoundNumber matchRound;  // of the reply that raised the match
         RoundNumber acked;
         Instant heard;
         Instant sentAt;
@@ -260,6 +261,7 @@
     std::map<ReservoirId, Address> addresses;  // of those heard from, members or not
     RoundNumber lastRoundSeen;
     ReservoirId lastAppender;
+    Epoch lastAppendEpoch;
 };
 
 }  // namespace aniseline
--- a/source/client.cpp
+++ b/source/client.cpp
@@ -32,6 +32,7 @@
 }
 
 void MinionClient::deliver() {
+    for (const auto& [order, kind] : core.takeConfirmed()) confirmed(order, kind);
     for (const auto& wanted : core.takeEffects()) effect(wanted);
 }
 
--- a/source/client.hpp
+++ b/source/client.hpp
@@ -38,6 +38,7 @@
     MinionClient(Loop& loop, MinionHand::Options options, Incarnation incarnation, std::vector<Address> sluices);
     boost::signals2::signal<void(const HandEffect&)> effect;
     boost::signals2::signal<void(Incarnation)> began;
+    boost::signals2::signal<void(const Order&, EndingKind)> confirmed;
     void run(const std::atomic<bool>& stop);  // the syncing fiber
     void ended(AttemptNumber attempt, bool well);
     void leave(Span within);
--- a/source/minion_hand.cpp
+++ b/source/minion_hand.cpp
@@ -9,7 +9,7 @@
     report.incarnation = incarnation;
     report.capacity = options.capacity;
     report.lastOrder = applied;
-    for (const auto& [attempt, kind] : endings) report.endings.push_back({attempt, kind});
+    for (const auto& [attempt, ended] : endings) report.endings.push_back({attempt, ended.kind});
     report.leaving = leaving;
     report.leaveWithin = leaveWithin;
     report.wait = urgent() ? Span{0} : options.wait;
@@ -25,7 +25,11 @@
     // docs/design.md 5.3: an order from a superseded leader, or under a term that is over, is not followed.
     if (answer.epoch < seenEpoch || now >= sentAt + answer.term) return false;
     seenEpoch = answer.epoch;
-    for (const auto& attempt : answer.confirmed) endings.erase(attempt);
+    for (const auto& attempt : answer.confirmed)
+        if (auto found = endings.find(attempt); found != endings.end()) {
+            if (found->second.order.attempt.value) confirmed.emplace_back(found->second.order, found->second.kind);
+            endings.erase(found);
+        }
     if (!answer.sluices.empty()) knownSluices = answer.sluices;
     termEnds = std::max(termEnds, sentAt + answer.term);
     const bool wasHolding = std::exchange(holding, false);
@@ -86,8 +90,8 @@
 }
 
 void MinionHand::end(AttemptNumber attempt, EndingKind kind) {
+    endings[attempt] = Ended{tasks[attempt].order, kind};
     tasks.erase(attempt);
-    endings[attempt] = kind;
 }
 
 void MinionHand::ended(AttemptNumber attempt, bool well, Instant) {
@@ -106,7 +110,7 @@
         case OrderKind::stage: {
             if (found != tasks.end() || endings.count(order.attempt)) return;
             if (leaving) {  // docs/design.md 5.7: nothing starts once the word is given
-                endings[order.attempt] = EndingKind::unstarted;
+                endings[order.attempt] = Ended{{}, EndingKind::unstarted};
                 return;
             }
             Running task;
@@ -144,7 +148,7 @@
         }
         case OrderKind::stop:
             if (found == tasks.end()) {
-                if (!endings.count(order.attempt)) endings[order.attempt] = EndingKind::unstarted;
+                if (!endings.count(order.attempt)) endings[order.attempt] = Ended{{}, EndingKind::unstarted};
                 return;
             }
             const bool started = found->second.started;
--- a/source/minion_hand.hpp
+++ b/source/minion_hand.hpp
@@ -31,6 +31,8 @@
     void ended(AttemptNumber attempt, bool well, Instant now);
     void leave(Span within);
 
+    // Endings that the centre has confirmed: from then on they are final. docs/design.md 5.5.
+    std::vector<std::pair<Order, EndingKind>> takeConfirmed() { return std::exchange(confirmed, {}); }
     std::vector<HandEffect> takeEffects() { return std::exchange(effects, {}); }
     bool urgent() const { return !endings.empty() || applied != toldApplied || leaving != toldLeaving; }
     bool lapsed() const { return holding; }
@@ -65,7 +67,12 @@
     bool leaving = false, toldLeaving = false;
     Span leaveWithin{0};
     std::map<AttemptNumber, Running> tasks;
-    std::map<AttemptNumber, EndingKind> endings;  // said until confirmed
+    struct Ended {
+        Order order;
+        EndingKind kind;
+    };
+    std::map<AttemptNumber, Ended> endings;  // said until confirmed
+    std::vector<std::pair<Order, EndingKind>> confirmed;
     std::vector<HandEffect> effects;
     std::vector<Address> knownSluices;
 };
--- a/source/promises.cpp
+++ b/source/promises.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 constexpr const char* kindNames[] = {"submitted", "accepted", "rejected", "unknown", "shown", "cancel_acknowledged", "started", "held", "resumed",
-                                     "ended", "leaving", "capacity", "setup_acknowledged", "setup_seen", "whole", "served", "vanished"};
+                                     "ended", "confirmed", "leaving", "capacity", "setup_acknowledged", "setup_seen", "whole", "served", "vanished"};
 }
 const char* name(Witness::Kind kind) { return kindNames[std::size_t(kind)]; }
 
@@ -81,7 +81,8 @@
 };
 struct TaskHistory {
     std::vector<Run> runs;
-    std::optional<std::int64_t> finishedAt;
+    std::optional<std::int64_t> finishedAt;   // the work ended well
+    std::optional<std::int64_t> confirmedAt;  // and its minion knows that the centre knows
 };
 struct JobHistory {
     std::optional<std::int64_t> firstSubmitted, acceptedAt, cancelledAt;
@@ -154,6 +155,7 @@
                 break;
             case Witness::Kind::resumed: resumed(witness); break;
             case Witness::Kind::ended: ended(witness); break;
+            case Witness::Kind::confirmed: confirmed(witness); break;
             case Witness::Kind::vanished: vanished(witness); break;
             case Witness::Kind::leaving: leavingSince.emplace(witness.minion, witness.at); break;
             case Witness::Kind::capacity: capacities[witness.minion] = witness; leavingSince.erase(witness.minion); break;
@@ -201,7 +203,7 @@
         const std::string what = nameOf(witness.job, witness.task);
         for (const auto& run : task.runs)
             if (!run.endedAt && run.active) broken(1, witness.at, what + " runs on " + witness.minion + " and still on " + run.minion);
-        if (task.finishedAt) broken(1, witness.at, what + " starts again after finishing well");
+        if (task.confirmedAt) broken(1, witness.at, what + " starts again after finishing well");
         if (job.cancelledAt && witness.at > *job.cancelledAt + 3000 + options.slack) broken(5, witness.at, what + " starts long after its job was cancelled");
         if (auto left = leavingSince.find(witness.minion); left != leavingSince.end() && witness.at > left->second + 2000 + options.slack)
             broken(9, witness.at, what + " starts on " + witness.minion + ", which is leaving");
@@ -256,7 +258,7 @@
         if (!run) return;
         for (auto& other : jobs[witness.job].tasks[witness.task].runs)
             if (&other != run && !other.endedAt && other.active) broken(1, witness.at, nameOf(witness.job, witness.task) + " is resumed on " + witness.minion + " while it runs on " + other.minion);
-        if (jobs[witness.job].tasks[witness.task].finishedAt) broken(1, witness.at, nameOf(witness.job, witness.task) + " is resumed after finishing well");
+        if (jobs[witness.job].tasks[witness.task].confirmedAt) broken(1, witness.at, nameOf(witness.job, witness.task) + " is resumed after finishing well");
         run->active = true;
         room(witness);
     }
@@ -271,10 +273,12 @@
                 if (job.cancelledAt && run.active && witness.at > std::max(*job.cancelledAt, run.startedAt) + 4000 + options.slack)
                     broken(5, witness.at, nameOf(witness.job, witness.task) + " kept running " + std::to_string(witness.at - *job.cancelledAt) + " ms after its cancel");
             }
-        if (witness.detail == "finished") {
-            if (task.finishedAt) broken(1, witness.at, nameOf(witness.job, witness.task) + " finished well twice");
-            task.finishedAt = witness.at;
-        }
+        if (witness.detail == "finished" && !task.finishedAt) task.finishedAt = witness.at;
+    }
+    // docs/design.md 5.5: an ending is final once the minion has its confirmation; before that nobody else can know of it.
+    void confirmed(const Witness& witness) {
+        auto& task = jobs[witness.job].tasks[witness.task];
+        if (witness.detail == "finished" && !task.confirmedAt) task.confirmedAt = witness.at;
     }
 
     void vanished(const Witness& witness) {
--- a/source/promises.hpp
+++ b/source/promises.hpp
@@ -8,7 +8,7 @@
 struct Witness {
     enum class Kind : std::uint8_t {
         submitted, accepted, rejected, unknown, shown, cancelAcknowledged,   // callers
-        started, held, resumed, ended, leaving, capacity,                    // minions
+        started, held, resumed, ended, confirmed, leaving, capacity,         // minions
         setupAcknowledged, setupSeen,                                        // operators and processes
         whole, served,                                                       // the fleet's keeper: all is whole; service seen
         vanished                                                             // a minion's process, with all that ran in it
