A follower's mismatches set the leader back once a round

Ruled out: the planner (not in any sample). Now one reset a round, and a follower whose log differs answers with its commit index at once.

--- a/source/agreement.cpp
+++ b/source/agreement.cpp
@@ -502,7 +502,7 @@
     if (body.previous > last()) return replyAppend(message.from, false, last(), body.round);
     if (body.previous < base.index) return replyAppend(message.from, true, std::min(syncedIndex, commit), body.round);
     if (epochAt(body.previous) != body.previousEpoch)
-        return replyAppend(message.from, false, LogIndex{std::max(commit.value, body.previous.value - 1)}, body.round);
+        return replyAppend(message.from, false, commit, body.round);  // what is committed here agrees with every leader
     LogIndex index = body.previous;
     bool membersChanged = false;
     for (const auto& added : body.entries) {
@@ -554,8 +554,9 @@
         if (peer.next <= last()) {
             if (const auto* to = member(message.from)) sendAppend(*to, peer, now, false);
         }
-    } else if (!peer.installing || body.match >= base.index) {
+    } else if (body.round > peer.resetRound && (!peer.installing || body.match >= base.index)) {
         peer.installing = false;
+        peer.resetRound = round;
         peer.next = LogIndex{std::max(peer.match.value, std::min(body.match.value, peer.next.value - 1)) + 1};
         if (const auto* to = member(message.from)) sendAppend(*to, peer, now, true);
     }
--- a/source/agreement.hpp
+++ b/source/agreement.hpp
@@ -169,6 +169,7 @@
     struct Peer {
         LogIndex next{1};
         LogIndex match;
+        RoundNumber resetRound;  // when its place was last set back; answers to what was sent before say nothing new
         RoundNumber matchRound;  // of the reply that raised the match
         RoundNumber acked;
         Instant heard;
