--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -365,8 +365,9 @@
         std::int64_t idleAfter = 0;
         std::vector<AttemptNumber> victims;
     };
+    // A trial may not delay the reserved start, but for the reserved unit's own, which gains by it. docs/paper.md 4.
     // Paper 2.4: idle cores first, else holds of those with the least slowdown among the long uninterrupted.
-    std::optional<TrialPlace> trialPlace(const TaskRequest& request, const MinionId& avoid, std::int64_t memory, const TrialOptions& options, bool holds) {
+    std::optional<TrialPlace> trialPlace(const TaskRequest& request, const MinionId& avoid, std::int64_t memory, const TrialOptions& options, bool holds, bool own) {
         std::optional<TrialPlace> best;
         for (std::size_t place = 0; place < rooms.size(); ++place) {
             Room& room = rooms[place];
@@ -400,8 +401,8 @@
             candidate.idleAfter = free - request.cores;
             const ClusterTime end = now + options.quantum;
             if (candidate.victims.empty()) {
-                if (delays(place, request.cores, memory, end)) continue;
-            } else {
+                if (!own && delays(place, request.cores, memory, end)) continue;
+            } else if (!own) {
                 Room changed = room;
                 for (auto& projection : changed.projections)
                     if (std::count(candidate.victims.begin(), candidate.victims.end(), projection.attempt)) projection.end = projection.end + options.quantum;
@@ -419,12 +420,14 @@
         if (unit.gang) before = rooms;
         const auto actionsBefore = plan.made.actions.size();
         const AttemptNumber attemptBefore = lastAttempt;
+        const Reservation& reservation = plan.made.reservation;
+        const bool own = reservation.job == unit.job && reservation.step == unit.step;
         for (auto part : partsBySize(unit)) {
             const TaskRequest& request = requestOf(unit, part);
             const auto memory = std::int64_t(std::min<std::uint64_t>(request.memory, queue.trial.memory));
             const MinionId& avoid = taskOf(unit, part).avoid;
-            auto found = trialPlace(request, avoid, memory, queue.trial, false);
-            if (!found) found = trialPlace(request, avoid, memory, queue.trial, true);
+            auto found = trialPlace(request, avoid, memory, queue.trial, false, own);
+            if (!found) found = trialPlace(request, avoid, memory, queue.trial, true, own);
             if (!found) {
                 if (unit.gang) rooms = std::move(before);
                 plan.made.actions.resize(actionsBefore);
@@ -618,3 +621,164 @@
 }
 
 }  // namespace aniseline
+
+#ifdef ANISELINE_TESTS
+#include <CppUTest/TestHarness.h>
+using namespace aniseline;
+
+namespace {
+// A ledger made by events alone, as in the daemons, and the plan of one moment.
+struct Bench {
+    Ledger ledger;
+    Planner planner;
+    std::int64_t now = 0;
+    Silence heard;
+    std::uint64_t ackedOf = 0;
+    explicit Bench(const std::string& setup = R"({"queues":{"q":{"retries":1}}})") {
+        auto parsed = Setup::parse(setup);
+        CHECK(parsed.has_value());
+        parsed.value().version = SetupVersion{1};
+        fold(SetupTaken{parsed.value()});
+    }
+    void fold(Event event) { ledger.fold(Record{ClusterTime{now}, std::move(event)}); }
+    void minion(const std::string& id, std::uint32_t cores, std::uint64_t memory) {
+        Capacity capacity;
+        capacity.cores = cores;
+        capacity.memory = memory;
+        fold(MinionSeen{MinionId{id}, Incarnation{1}, capacity});
+        heard[MinionId{id}] = Span{0};
+    }
+    void submit(const std::string& id, std::uint32_t cores, std::uint64_t memory, std::int64_t runtime, std::size_t tasks = 1, bool gang = false) {
+        JobSubmission job;
+        job.id = JobId{id};
+        job.queue = QueueName{"q"};
+        job.steps = {{"s", {}, gang, std::vector<TaskRequest>(tasks, TaskRequest{cores, memory, Span{runtime}, ""})}};
+        fold(JobAllowed{job});
+    }
+    // What the plan does, one word an action; folded and applied by the minions at once.
+    std::string plan() {
+        auto made = planner.make(ledger, ClusterTime{now}, heard);
+        std::string text;
+        for (const auto& action : made.made.actions) {
+            static const char* const names[] = {"start", "stage", "go", "hold", "stop"};
+            text += std::string(text.empty() ? "" : ", ") + names[int(action.kind)] + (action.trial ? " trial " : " ") +
+                    (action.job.value.empty() ? "#" + std::to_string(action.attempt.value) : action.job.value) + " on " + action.minion.value;
+        }
+        if (made.made.reservation.held())
+            text += std::string(text.empty() ? "" : ", ") + "reserve " + made.made.reservation.job.value + " on " + made.made.reservation.placements[0].minion.value + " at " + std::to_string(made.made.reservation.start.milliseconds / 1000);
+        fold(made.made);
+        for (auto& [id, minion] : ledger.minions) fold(MinionSynced{id, minion.lastOrder, {}});
+        return text;
+    }
+    void end(std::uint64_t attempt, EndingKind kind = EndingKind::finished) {
+        fold(MinionSynced{ledger.attempts[AttemptNumber{attempt}].minion, {}, {{AttemptNumber{attempt}, kind}}});
+    }
+};
+constexpr const char* noTrials = R"({"planner":{"trials":false},"queues":{"q":{"retries":1}}})";
+}  // namespace
+
+TEST_GROUP(PlannerTests){};
+
+// Paper 2.2: of the minions with room the one with the fewest unallocated cores.
+TEST(PlannerTests, fewestUnallocatedCoresWins) {
+    Bench bench(noTrials);
+    bench.minion("big", 16, 9999);
+    bench.minion("small", 4, 9999);
+    bench.submit("a", 2, 100, 60'000);
+    STRCMP_EQUAL("start a on small", bench.plan().c_str());
+    bench.submit("b", 4, 100, 60'000);
+    STRCMP_EQUAL("start b on big", bench.plan().c_str());
+}
+
+// Paper table 3: with one hour of wait the short job's expansion is 1+1/0.1=11, the long one's 1+1/10=1.1.
+TEST(PlannerTests, waitingRaisesTheShortJobFaster) {
+    Bench bench(noTrials);
+    bench.minion("m", 4, 9999);
+    bench.submit("running", 4, 100, 3'600'000);
+    bench.plan();
+    bench.submit("long", 4, 100, 36'000'000);
+    bench.now = 1000;
+    bench.submit("short", 4, 100, 360'000);
+    bench.now = 3'600'000;
+    bench.end(1);
+    STRCMP_EQUAL("start short on m, reserve long on m at 3960", bench.plan().c_str());
+}
+
+// Paper 2.2: one reserved start, and backfill that does not delay it.
+TEST(PlannerTests, backfillGoesInOnlyWhereTheReservedStartStays) {
+    Bench bench(noTrials);
+    bench.minion("m", 8, 9999);
+    bench.submit("first", 6, 100, 100'000);
+    bench.plan();
+    bench.now = 1000;
+    bench.submit("wide", 8, 100, 50'000);
+    STRCMP_EQUAL("reserve wide on m at 100", bench.plan().c_str());
+    bench.now = 2000;
+    bench.submit("fits", 2, 100, 90'000);
+    bench.submit("late", 2, 100, 120'000);
+    STRCMP_EQUAL("start fits on m, reserve wide on m at 100", bench.plan().c_str());
+    bench.now = 60'000;
+    bench.end(2);
+    STRCMP_EQUAL("reserve wide on m at 100", bench.plan().c_str());  // late would still run at 100
+}
+
+// Paper 2.4: victims with ten minutes behind them, the least slowdown first, held with their memory, back afterwards.
+TEST(PlannerTests, aTrialHoldsTheLeastSlowedDownAndResumesIt) {
+    Bench bench;
+    bench.minion("m", 4, 4096);
+    bench.submit("older", 2, 1024, 36'000'000);
+    bench.plan();
+    bench.now = 300'000;
+    bench.submit("waited", 2, 1024, 36'000'000);
+    bench.now = 400'000;
+    bench.plan();
+    bench.submit("new", 2, 3000, 1'800'000);
+    STRCMP_EQUAL("reserve new on m at 36000", bench.plan().c_str());  // nobody has run for ten minutes yet
+    bench.now = 1'100'000;
+    STRCMP_EQUAL("hold #1 on m, start trial new on m, reserve new on m at 36000", bench.plan().c_str());
+    CHECK(bench.ledger.attempts[AttemptNumber{1}].state == AttemptState::held);
+    LONGS_EQUAL(1024, bench.ledger.attempts[AttemptNumber{3}].memory);
+    bench.now = 1'160'000;
+    bench.end(3, EndingKind::ranOut);
+    CHECK(bench.ledger.attempts[AttemptNumber{1}].state == AttemptState::running);
+    LONGS_EQUAL(0, bench.ledger.jobs[JobId{"new"}].tasks[0].starts);  // a trial that ran out takes nothing
+    bench.now = 2'000'000;
+    CHECK(bench.plan().find("trial") == std::string::npos);  // one trial a unit
+}
+
+// With too little unallocated memory there is no trial, however few cores it wants.
+TEST(PlannerTests, noTrialWithoutUnallocatedMemory) {
+    Bench bench;
+    bench.minion("m", 4, 4096);
+    bench.submit("older", 4, 3500, 36'000'000);
+    bench.plan();
+    bench.now = 1'000'000;
+    bench.submit("new", 1, 2000, 1'800'000);
+    STRCMP_EQUAL("reserve new on m at 36000", bench.plan().c_str());
+}
+
+// docs/design.md 7.3: a gang is staged whole, and goes only when every part is staged.
+TEST(PlannerTests, aGangIsStagedAndGoesTogether) {
+    Bench bench(noTrials);
+    bench.minion("m", 2, 4096);
+    bench.minion("n", 2, 4096);
+    bench.submit("gang", 2, 100, 1000, 2, true);
+    STRCMP_EQUAL("stage gang on m, stage gang on n", bench.plan().c_str());
+    STRCMP_EQUAL("go #1 on m, go #2 on n", bench.plan().c_str());
+    bench.fold(MinionGone{MinionId{"m"}, "test"});
+    CHECK(bench.ledger.attempts[AttemptNumber{2}].state == AttemptState::stopping);  // it does not run alone
+}
+
+// docs/design.md 7.6: an overrunning task stays; the reserved start moves and says so.
+TEST(PlannerTests, anOverrunMovesTheReservedStart) {
+    Bench bench(noTrials);
+    bench.minion("m", 4, 4096);
+    bench.submit("over", 4, 100, 10'000);
+    bench.plan();
+    bench.submit("next", 4, 100, 10'000);
+    STRCMP_EQUAL("reserve next on m at 10", bench.plan().c_str());
+    bench.now = 20'000;
+    STRCMP_EQUAL("reserve next on m at 30", bench.plan().c_str());
+    LONGS_EQUAL(1, bench.ledger.reservation.moved);
+}
+#endif
--- a/source/promises.cpp
+++ b/source/promises.cpp
@@ -326,3 +326,93 @@
 }
 
 }  // namespace aniseline
+
+#ifdef ANISELINE_TESTS
+#include <CppUTest/TestHarness.h>
+using namespace aniseline;
+
+namespace {
+JobSubmission twoSteps() {
+    JobSubmission job;
+    job.id = JobId{"a"};
+    job.queue = QueueName{"q"};
+    job.steps = {{"first", {}, true, {TaskRequest{}, TaskRequest{}}}, {"second", {"first"}, false, {TaskRequest{}}}};
+    return job;
+}
+Witness line(Witness::Kind kind, std::int64_t at, std::uint32_t task = 0, std::string minion = "m", std::string attempt = "1", std::string detail = "") {
+    Witness witness;
+    witness.kind = kind;
+    witness.at = at;
+    witness.job = "a";
+    witness.task = task;
+    witness.minion = std::move(minion);
+    witness.attempt = std::move(attempt);
+    witness.detail = std::move(detail);
+    witness.cores = 1;
+    witness.memory = 1;
+    return witness;
+}
+using K = Witness::Kind;
+// A run with nothing wrong: both parts of the gang, then the second step.
+std::vector<Witness> goodRun() {
+    auto capacity = line(K::capacity, 1);
+    capacity.cores = 4;
+    capacity.memory = 100;
+    return {capacity, line(K::submitted, 10), line(K::accepted, 11), line(K::started, 20, 0), line(K::started, 21, 1, "m", "2"),
+            line(K::ended, 100, 0, "m", "1", "finished"), line(K::confirmed, 105, 0, "m", "1", "finished"),
+            line(K::ended, 110, 1, "m", "2", "finished"), line(K::confirmed, 115, 1, "m", "2", "finished"),
+            line(K::started, 200, 2, "m", "3"), line(K::ended, 300, 2, "m", "3", "finished"), line(K::shown, 400, 0, "", "", "finished")};
+}
+std::set<int> rulesBroken(std::vector<Witness> history, const JobSubmission& job = twoSteps()) {
+    PromiseOptions options;
+    options.retriesOf["q"] = 0;
+    options.slack = 0;
+    std::set<int> rules;
+    for (const auto& promise : checkPromises(std::move(history), {{"a", job}}, options)) rules.insert(promise.rule);
+    return rules;
+}
+std::vector<Witness> with(std::vector<Witness> more) {
+    auto history = goodRun();
+    history.insert(history.end(), more.begin(), more.end());
+    return history;
+}
+}  // namespace
+
+TEST_GROUP(PromiseTests){};
+
+TEST(PromiseTests, aGoodRunBreaksNothing) { CHECK(rulesBroken(goodRun()).empty()); }
+
+// Each rule catches a planted violation, docs/design.md 11.
+TEST(PromiseTests, eachRuleCatchesAPlantedViolation) {
+    CHECK(rulesBroken(with({line(K::started, 50, 0, "n", "9")})).count(1));             // twice at once
+    CHECK(rulesBroken(with({line(K::started, 500, 0, "n", "9")})).count(1));            // again after finishing well
+    CHECK(rulesBroken(with({line(K::shown, 4000, 0, "", "", "missing")})).count(2));    // forgotten
+    CHECK(rulesBroken({line(K::submitted, 1), line(K::rejected, 2), line(K::started, 3)}).count(3));
+    CHECK(rulesBroken(with({line(K::shown, 150, 0, "", "", "finished")})).count(4));    // shown finished too early
+    CHECK(rulesBroken({line(K::submitted, 1), line(K::accepted, 2), line(K::cancelAcknowledged, 3), line(K::started, 4000)}).count(5));
+    CHECK(rulesBroken({line(K::started, 1), line(K::cancelAcknowledged, 3), line(K::ended, 5000, 0, "m", "1", "finished")}).count(5));
+    CHECK(rulesBroken({line(K::started, 30, 2)}).count(6));                             // before its step may
+    auto timed = twoSteps();
+    timed.timetable.first = ClusterTime{1000};
+    CHECK(rulesBroken({line(K::started, 900)}, timed).count(6));                        // early
+    CHECK(rulesBroken({line(K::started, 1), line(K::ended, 2, 0, "m", "1", "failed"), line(K::started, 3, 0, "m", "2")}).count(7));
+    CHECK(!rulesBroken({line(K::started, 1), line(K::ended, 2, 0, "m", "1", "ran_out"), line(K::started, 3, 0, "m", "2")}).count(7));
+    CHECK(rulesBroken({line(K::started, 1), line(K::started, 7000, 1, "m", "2")}).count(8));
+    CHECK(rulesBroken({line(K::leaving, 1), line(K::started, 2100)}).count(9));
+    auto tight = line(K::capacity, 1);
+    tight.cores = 1;
+    tight.memory = 1;
+    CHECK(rulesBroken({tight, line(K::started, 2, 0), line(K::started, 3, 1, "m", "2")}).count(10));
+    auto acknowledged = line(K::setupAcknowledged, 1), seen = line(K::setupSeen, 2500, 0, "", "", "sluice");
+    acknowledged.version = 2;
+    seen.version = 1;
+    CHECK(rulesBroken({acknowledged, seen}).count(11));
+    CHECK(rulesBroken({line(K::whole, 1), line(K::served, 12'100)}).count(12));
+}
+
+TEST(PromiseTests, aLineSurvivesItsWriting) {
+    const auto given = goodRun()[3];
+    STRCMP_EQUAL(given.line().c_str(), Witness::parse(given.line())->line().c_str());
+    CHECK(!Witness::parse("{\"at\":1,\"kind\":\"sung\"}"));
+}
+#endif
--- /dev/null
+++ b/tests/transcripts.cpp
@@ -0,0 +1,235 @@
+// Approved transcripts of whole exchanges in the simulator; docs/design.md 12.2. ANISELINE_APPROVE=1 writes them anew.
+#include "simulator/world.hpp"
+#include <CppUTest/TestHarness.h>
+#include <fstream>
+
+using namespace aniseline;
+
+namespace {
+
+struct Script {
+    std::string text;
+    std::unique_ptr<World> world;
+    std::int64_t begun = 0;
+    explicit Script(WorldOptions options = {}) {
+        options.reservoir.replaceAfter = Span{5000};
+        world = std::make_unique<World>(options);
+        CHECK(world->runUntilTrue([&] { return world->voterCount() == 3; }, 20'000));
+        bool taken = false;
+        world->applySetup(standardSetup(), 0, [&](int status, const std::string&) { taken = status == 200; });
+        CHECK(world->runUntilTrue([&] { return taken; }, 5000));
+        begun = world->now;
+    }
+    void write(const std::string& line) { text += line + "\n"; }
+    void ask(const std::string& method, const std::string& target, const std::string& body = "", std::size_t sluice = 0) {
+        bool over = false;
+        world->ask(sluice, method, target, body, [&, method, target](int status, const std::string& answer) {
+            write(method + " " + target + " " + body + "\n  -> " + std::to_string(status) + " " + answer);
+            over = true;
+        }, 5000);
+        CHECK(world->runUntilTrue([&] { return over; }, 6000));
+    }
+    void askQuietly(const std::string& method, const std::string& target, const std::string& body, std::function<void(int)> told) {
+        world->ask(1, method, target, body, [told](int status, const std::string&) { told(status); });
+    }
+    void run(std::int64_t span) { world->runUntil(world->now + span); }
+    // What callers and minions witnessed of one job, without times and places that another build may draw otherwise.
+    void history(const std::string& job) {
+        for (const auto& given : world->history)
+            if (given.job == job && given.kind != Witness::Kind::submitted && given.kind != Witness::Kind::unknown)
+                write("  witnessed " + std::string(name(given.kind)) + (given.attempt.empty() ? "" : " task " + std::to_string(given.task)) + (given.detail.empty() ? "" : " " + given.detail));
+    }
+    void approve(const std::string& name) {
+        for (const auto& promise : world->broken()) write("BROKEN rule " + std::to_string(promise.rule) + ": " + promise.text);
+        const std::string file = std::string(ANISELINE_SOURCE) + "/tests/approved/" + name + ".txt";
+        if (std::getenv("ANISELINE_APPROVE")) std::ofstream(file) << text;
+        std::ifstream stream(file);
+        const std::string approved((std::istreambuf_iterator<char>(stream)), {});
+        STRCMP_EQUAL(approved.c_str(), text.c_str());
+    }
+};
+
+std::string job(const std::string& id, std::int64_t run, const std::string& queue = "proofs", std::uint32_t cores = 1) {
+    return "{\"id\":\"" + id + "\",\"queue\":\"" + queue + "\",\"steps\":[{\"name\":\"s\",\"tasks\":[{\"cores\":" + std::to_string(cores) +
+           ",\"memory_mb\":512,\"runtime_ms\":1000,\"payload\":\"run=" + std::to_string(run) + "\"}]}]}";
+}
+JobSubmission typed(const std::string& text) { return Exchange::parse("POST", "/v1/jobs", text).value().job; }
+
+}  // namespace
+
+TEST_GROUP(Transcripts){};
+
+TEST(Transcripts, submitResendCancel) {
+    Script script;
+    script.ask("POST", "/v1/jobs", job("a", 300));
+    script.ask("POST", "/v1/jobs", job("a", 300), 3);
+    script.ask("POST", "/v1/jobs", job("a", 400));
+    script.ask("POST", "/v1/jobs", job("b", 60'000));
+    script.ask("POST", "/v1/jobs", job("c", 300, "nowhere"));
+    script.ask("POST", "/v1/jobs", job("d", 300, "proofs", 99));
+    script.ask("GET", "/v1/jobs/d");
+    script.run(1000);
+    script.ask("DELETE", "/v1/jobs/b");
+    script.ask("DELETE", "/v1/jobs/b");
+    script.run(1000);
+    script.ask("DELETE", "/v1/jobs/nobody");
+    script.history("a");
+    script.history("b");
+    script.approve("submit-resend-cancel");
+}
+
+TEST(Transcripts, twoSetupsAtOnce) {
+    Script script;
+    std::vector<int> statuses;
+    for (int count = 0; count < 2; ++count)
+        script.world->applySetup(standardSetup(",\"extra" + std::to_string(count) + "\":{}"), 1, [&](int status, const std::string&) { statuses.push_back(status); }, std::size_t(count));
+    script.run(2000);
+    std::sort(statuses.begin(), statuses.end());
+    for (int status : statuses) script.write("applied on version 1 -> " + std::to_string(status));
+    script.ask("PUT", "/v1/setup", "{\"based_on\":2,\"setup\":{\"queues\":{\"q\":{\"retries\":-1}}}}");
+    script.ask("PUT", "/v1/setup", "{\"based_on\":1,\"setup\":{\"queues\":{\"q\":{}}}}");
+    script.ask("PUT", "/v1/setup", "{\"based_on\":2,\"setup\":{\"queues\":{\"q\":{}}}}");
+    script.ask("PUT", "/v1/setup", "{\"based_on\":2,\"setup\":{\"queues\":{\"q\":{}}}}");  // a resend: the same answer
+    script.ask("GET", "/v1/setup");
+    script.approve("two-setups");
+}
+
+// The leader dies right after it acknowledged; what it acknowledged stays, and runs once.
+TEST(Transcripts, leaderLostAfterAcknowledging) {
+    Script script;
+    const std::size_t before = *script.world->leader();
+    script.world->submit(typed(job("a", 2000)));
+    CHECK(script.world->runUntilTrue([&] { return script.world->history.back().kind == Witness::Kind::accepted; }, 2000));
+    script.world->killReservoir(before, true);
+    script.write("the leader loses power");
+    CHECK(script.world->runUntilTrue([&] { return script.world->leader().has_value(); }, 3000));
+    script.write("another leads");
+    CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 10'000));
+    script.history("a");
+    script.approve("leader-lost");
+}
+
+// All three lose power right after an acknowledgement: only what was synced counts, and that was.
+TEST(Transcripts, powerLossEverywhereAfterAcknowledging) {
+    Script script;
+    script.world->submit(typed(job("a", 300)));
+    CHECK(script.world->runUntilTrue([&] { return script.world->history.back().kind == Witness::Kind::accepted; }, 2000));
+    for (std::size_t place = 0; place < 3; ++place) script.world->killReservoir(place, true);
+    script.run(3000);
+    for (std::size_t place = 0; place < 3; ++place) script.world->restartReservoir(place);
+    CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 15'000));
+    script.history("a");
+    script.approve("power-loss");
+}
+
+// A frozen leader that wakes is fenced: it neither answers nor orders, and nothing runs twice.
+TEST(Transcripts, frozenLeaderWakes) {
+    Script script;
+    const std::size_t before = *script.world->leader();
+    script.world->freezeReservoir(before, true);
+    script.run(500);
+    script.world->submit(typed(job("a", 1000)));
+    CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 8000));
+    script.world->freezeReservoir(before, false);
+    script.run(100);
+    CHECK(!script.world->reservoir(before)->agreed().leads());
+    script.write("the woken one leads no more");
+    CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 8000));
+    LONGS_EQUAL(1, script.world->startsOf("a"));
+    script.history("a");
+    script.approve("frozen-leader");
+}
+
+// A cut-off minion holds in place when its term lapses; what was replaced is stopped on its return, never resumed.
+TEST(Transcripts, cutOffMinionReturns) {
+    WorldOptions options;
+    options.minions = 2;
+    Script script(options);
+    script.world->submit(typed(job("a", 6000, "plates")));
+    CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
+    std::size_t first = 0;
+    for (const auto& given : script.world->history)
+        if (given.kind == Witness::Kind::started) first = given.minion == "m1" ? 0 : 1;
+    script.world->cutMinion(first, true);
+    CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 2; }, 8000));
+    script.world->cutMinion(first, false);
+    CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 10'000));
+    script.run(500);
+    script.history("a");
+    script.approve("cut-off-minion");
+}
+
+// docs/design.md 5.4: without the word that it honours terms a silent minion's tasks are not replaced, until an operator speaks.
+TEST(Transcripts, termlessMinionNeedsAWord) {
+    WorldOptions options;
+    options.minions = 2;
+    options.termless = 2;
+    Script script(options);
+    script.world->submit(typed(job("a", 4000, "plates")));
+    CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
+    std::size_t first = 0;
+    for (const auto& given : script.world->history)
+        if (given.kind == Witness::Kind::started) first = given.minion == "m1" ? 0 : 1;
+    script.world->killMinion(first, true);
+    script.run(20'000);
+    LONGS_EQUAL(1, script.world->startsOf("a"));
+    script.write("after 20 s of silence nothing was replaced");
+    int status = 0;
+    script.askQuietly("POST", "/v1/minions/m" + std::to_string(first + 1) + "/gone", "", [&](int given) { status = given; });
+    CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 15'000));
+    script.write("declared gone -> " + std::to_string(status));
+    script.history("a");
+    script.approve("termless-minion");
+}
+
+// An emptied machine at a new address is a new identity: it learns, is admitted, and the dead one goes.
+TEST(Transcripts, emptyReservoirAtANewAddress) {
+    Script script;
+    const std::size_t victim = (*script.world->leader() + 1) % 3;
+    script.world->loseDisk(victim);
+    script.world->moveReservoir(victim);
+    script.run(500);
+    script.world->restartReservoir(victim);
+    CHECK(script.world->runUntilTrue([&] {
+        const auto leader = script.world->leader();
+        return leader && script.world->reservoir(*leader)->agreed().members().size() == 3 && script.world->isVoter(victim);
+    }, 20'000));
+    script.write("three voters again, one of them new");
+    script.world->submit(typed(job("a", 300)));
+    CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 8000));
+    script.history("a");
+    script.approve("empty-reservoir");
+}
+
+// A reservoir that comes back with an old copy of its disk has forgotten what it acknowledged; it is put out and begins anew.
+TEST(Transcripts, oldDiskIsNotTrusted) {
+    Script script;
+    const std::size_t victim = (*script.world->leader() + 1) % 3;
+    const auto old = script.world->copyDisk(victim);
+    for (int count = 0; count < 20; ++count) script.world->submit(typed(job("j" + std::to_string(count), 100)));
+    script.run(3000);
+    script.world->killReservoir(victim, false);
+    script.world->putDisk(victim, old);
+    std::vector<std::string> notes;
+    script.world->say = [&](const std::string& text) {
+        if (text.find("forgetful") != std::string::npos) notes.push_back("put out as forgetful");
+        if (text.find("begins anew") != std::string::npos) notes.push_back("begins anew");
+    };
+    script.world->restartReservoir(victim);
+    CHECK(script.world->runUntilTrue([&] { return notes.size() >= 2 && script.world->voterCount() == 3; }, 20'000));
+    for (const auto& note : notes) script.write(note);
+    script.approve("old-disk");
+}
+
+// The same seed gives the same run, to the letter.
+TEST(Transcripts, sameSeedSameRun) {
+    CampaignOptions options;
+    options.seed = 7;
+    options.length = 20'000;
+    options.faults = 6;
+    const auto first = runCampaign(options), second = runCampaign(options);
+    CHECK(first.hash == second.hash);
+    CHECK(first.good());
+    options.seed = 8;
+    CHECK(runCampaign(options).hash != first.hash);
+}
