millrace, a fleet of real processes under kill and freeze; refusals; waits on a frozen leader end early

Cause: with the leader frozen, exchanges under way at the sluices waited out their whole deadline although another already led: acknowledged p95 3004 ms in a 15 s run with one kill and one freeze. Now a sluice stops waiting for a reservoir once its route names another leader of a later epoch.

--- a/programs/millrace.cpp
+++ b/programs/millrace.cpp
@@ -1,1 +1,258 @@
-int main() { return 0; }
+// millrace: a whole fleet of real processes on one machine, with load and faults, checked at its end.
+// The only program that starts processes. docs/operations.md 6.
+#include "client.hpp"
+#include "edge/log.hpp"
+#include "edge/options.hpp"
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace aniseline;
+
+extern char** environ;
+
+namespace {
+
+struct Settings {
+    std::string folder, programs, deployment = "cedarmark", setup;
+    std::int64_t seconds = 20, port = 21'000, fill = 0, sluices = 7, minions = 11, keep = 0;
+    double rate = 1;
+    std::vector<std::string> steps;
+};
+
+struct Child {
+    std::string name;
+    std::vector<std::string> words;
+    pid_t process = 0;
+};
+
+class Fleet {
+public:
+    explicit Fleet(Settings given) : settings(std::move(given)) {}
+    ~Fleet() {
+        // Only what was started here is ended here, by its number.
+        for (auto& child : children) signal(child, SIGCONT), signal(child, SIGTERM);
+        const Instant until = monotonicNow() + Span{5000};
+        for (auto& child : children)
+            while (child.process && monotonicNow() < until && !reap(child)) usleep(10'000);
+        for (auto& child : children) signal(child, SIGKILL), reap(child);
+    }
+
+    int run() {
+        std::filesystem::create_directories(settings.folder);
+        for (int place = 1; place <= 3; ++place)
+            add("reservoir" + std::to_string(place), {"reservoir", "--peer", peer(place), "--http", standing(place), "--area", "area" + std::to_string(place), "--data", settings.folder + "/data" + std::to_string(place), "--found"}, true);
+        for (int place = 1; place <= settings.sluices; ++place)
+            add("sluice" + std::to_string(place), {"sluice", "--http", outer(place), "--area", area(place)}, true);
+        const bool cedarmark = settings.deployment == "cedarmark";
+        for (int place = 1; place <= settings.minions; ++place) {
+            std::vector<std::string> words{"waterwheel", "--id", "m" + std::to_string(place), "--area", area(place), "--rack", "rack" + std::to_string((place + 2) / 3),
+                                           "--cores", cedarmark ? "16" : "64", "--memory-mb", cedarmark ? "32768" : "131072",
+                                           "--witness", settings.folder + "/m" + std::to_string(place) + ".witness"};
+            for (int sluice = 1; sluice <= 3; ++sluice) words.insert(words.end(), {"--sluices", outer((place + sluice) % int(settings.sluices) + 1)});
+            if (place <= 4) words.push_back("--unguarded");
+            add("waterwheel" + std::to_string(place), words, false);
+        }
+        for (auto& child : children)
+            if (!start(child)) return 1;
+        std::vector<Address> sluices;
+        for (int place = 1; place <= settings.sluices; ++place) sluices.push_back(Address{outer(place)});
+        caller = std::make_unique<Caller>(loop, sluices);
+        if (!until("three voters and every minion", Span{30'000}, [this] { return whole(); })) return 1;
+        std::ifstream stream(settings.setup);
+        const std::string setup((std::istreambuf_iterator<char>(stream)), {});
+        auto applied = caller->ask({"PUT", "/v1/setup", "{\"based_on\":0,\"setup\":" + setup + "}"}, Span{10'000});
+        if (!applied) {
+            say("the setup was not taken: " + applied.error().text);
+            return 1;
+        }
+        say("the fleet is whole");
+        Child dipper{"dipper", {"dipper", "--deployment", settings.deployment, "--seconds", std::to_string(settings.seconds), "--rate", std::to_string(settings.rate), "--fill", std::to_string(settings.fill),
+                                "--witness", settings.folder + "/dipper.witness", "--submissions", settings.folder + "/dipper.submissions", "--report", settings.folder + "/dipper.report"}, 0};
+        for (const auto& sluice : sluices) dipper.words.insert(dipper.words.end(), {"--sluices", sluice.value});
+        children.push_back(dipper);
+        if (!start(children.back())) return 1;
+        pause(Span{2000});
+        bool good = true;
+        for (const auto& step : settings.steps) good = take(step) && good;
+        if (settings.keep) {
+            say("kept running; the outer addresses begin at " + outer(1));
+            pause(Span{settings.keep * 1000});
+        }
+        Child& load = children.back();
+        const Instant end = monotonicNow() + Span{(settings.seconds + 75) * 1000};
+        while (load.process && monotonicNow() < end && !reap(load)) pause(Span{50});
+        if (load.process || lastStatus != 0) {
+            say("not every job that was accepted was seen to end");
+            good = false;
+        }
+        std::ifstream report(settings.folder + "/dipper.report");
+        std::cout << std::string((std::istreambuf_iterator<char>(report)), {});
+        Child checker{"tailrace", {"tailrace", "--folder", settings.folder, "--setup", settings.setup}, 0};
+        children.push_back(checker);
+        if (!start(children.back(), true)) return 1;
+        while (!reap(children.back())) pause(Span{20});
+        if (lastStatus != 0) {
+            say("tailrace found broken promises");
+            good = false;
+        }
+        std::cout << (good ? "1 passed, 0 failed" : "0 passed, 1 failed") << std::endl;
+        return good ? 0 : 1;
+    }
+
+private:
+    std::string at(std::int64_t offset) const { return "127.0.0.1:" + std::to_string(settings.port + offset); }
+    std::string peer(int place) const { return at(place); }
+    std::string standing(int place) const { return at(10 + place); }
+    std::string outer(int place) const { return at(20 + place); }
+    static std::string area(int place) { return "area" + std::to_string((place - 1) % 3 + 1); }
+    void say(const std::string& text) { std::cout << "millrace: " << text << std::endl; }
+
+    void add(std::string name, std::vector<std::string> words, bool seeded) {
+        if (seeded)
+            for (int place = 1; place <= 3; ++place) words.insert(words.end(), {"--seeds", peer(place)});
+        children.push_back(Child{std::move(name), std::move(words), 0});
+    }
+    bool start(Child& child, bool outputHere = false) {
+        std::vector<std::string> words = child.words;
+        words[0] = settings.programs + "/" + words[0];
+        std::vector<char*> values;
+        for (auto& word : words) values.push_back(word.data());
+        values.push_back(nullptr);
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        const std::string file = settings.folder + "/" + child.name + ".log";
+        if (!outputHere) {
+            posix_spawn_file_actions_addopen(&actions, 1, file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            posix_spawn_file_actions_adddup2(&actions, 1, 2);
+        }
+        const int failed = posix_spawn(&child.process, values[0], &actions, nullptr, values.data(), environ);
+        posix_spawn_file_actions_destroy(&actions);
+        if (failed) {
+            say(words[0] + " can't be started: " + std::strerror(failed));
+            child.process = 0;
+        }
+        return !failed;
+    }
+    void signal(Child& child, int number) {
+        if (child.process) ::kill(child.process, number);
+    }
+    bool reap(Child& child) {
+        int status = 0;
+        if (!child.process) return true;
+        if (waitpid(child.process, &status, WNOHANG) != child.process) return false;
+        child.process = 0;
+        lastStatus = WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+        return true;
+    }
+    Child* named(const std::string& name) {
+        for (auto& child : children)
+            if (child.name == name) return &child;
+        return nullptr;
+    }
+    bool until(const std::string& what, Span within, const std::function<bool()>& condition) {
+        const Instant begun = monotonicNow(), end = begun + within;
+        while (monotonicNow() < end) {
+            if (condition()) {
+                say(what + ": after " + std::to_string((monotonicNow() - begun).milliseconds) + " ms");
+                return true;
+            }
+            pause(Span{50});
+        }
+        say(what + ": not within " + std::to_string(within.milliseconds) + " ms");
+        return false;
+    }
+    std::optional<picojson::value> show(const std::string& target) {
+        auto answer = caller->ask({"GET", target, ""}, Span{3000});
+        picojson::value root;
+        if (!answer || !picojson::parse(root, answer.value().body).empty()) return std::nullopt;
+        return root;
+    }
+    bool whole() {
+        auto cluster = show("/v1/cluster");
+        if (!cluster) return false;
+        int voters = 0;
+        for (const auto& member : cluster->get("reservoirs").get<picojson::array>())
+            voters += member.get("voter").get<bool>() && member.get("unheard_ms").get<double>() < 1000;
+        auto minions = show("/v1/minions");
+        if (!minions) return false;
+        std::int64_t present = 0;
+        for (const auto& minion : minions->get("minions").get<picojson::array>()) present += minion.get("state").to_str() == "present" && minion.get("unheard_ms").get<double>() < 2000;
+        return voters == 3 && present == settings.minions;
+    }
+    Child* leader() {
+        auto cluster = show("/v1/cluster");
+        if (!cluster) return nullptr;
+        for (const auto& member : cluster->get("reservoirs").get<picojson::array>())
+            if (member.get("leads").get<bool>())
+                for (int place = 1; place <= 3; ++place)
+                    if (member.get("address").to_str() == peer(place)) return named("reservoir" + std::to_string(place));
+        return nullptr;
+    }
+    // A step: VERB:NAME[:SECONDS]; the name may be "leader". Verbs: kill, freeze, stop, empty.
+    bool take(const std::string& step) {
+        const auto first = step.find(':'), second = step.find(':', first + 1);
+        const std::string verb = step.substr(0, first);
+        const std::string name = first == std::string::npos ? "" : step.substr(first + 1, second == std::string::npos ? std::string::npos : second - first - 1);
+        const std::int64_t seconds = second == std::string::npos ? 3 : std::strtoll(step.c_str() + second + 1, nullptr, 10);
+        Child* child = name == "leader" ? leader() : named(name);
+        if (!child) {
+            say(step + ": there is no such process");
+            return false;
+        }
+        say(step + ": " + child->name);
+        const bool freeze = verb == "freeze";
+        signal(*child, freeze ? SIGSTOP : verb == "stop" ? SIGTERM : SIGKILL);
+        bool good = true;
+        if (!freeze) good = until(child->name + " has ended", Span{8000}, [&] { return reap(*child); });
+        if (verb == "empty") std::filesystem::remove_all(settings.folder + "/data" + child->name.substr(9));
+        good = until("service meanwhile", Span{12'000}, [&] { return show("/v1/counters").has_value(); }) && good;
+        pause(Span{seconds * 1000});
+        if (freeze) signal(*child, SIGCONT);
+        else good = start(*child) && good;
+        return until("whole again", Span{verb == "empty" ? 60'000 : 12'000}, [this] { return whole(); }) && good;
+    }
+
+    Settings settings;
+    Loop loop;
+    std::unique_ptr<Caller> caller;
+    std::deque<Child> children;
+    int lastStatus = 0;
+};
+
+}  // namespace
+
+int main(int count, char** values) {
+    Settings settings;
+    settings.programs = std::filesystem::path(values[0]).parent_path().string();
+    OptionSet options("millrace", "a whole fleet of aniseline on this machine; steps are VERB:NAME[:SECONDS], with kill, freeze, stop or empty and a process' name or 'leader'");
+    options.text("folder", settings.folder, "a folder for data, logs and histories; must be new", true);
+    options.text("setup", settings.setup, "the setup to apply", true);
+    options.text("deployment", settings.deployment, "cedarmark or cooperative");
+    options.text("programs", settings.programs, "the folder with the programs");
+    options.whole("seconds", settings.seconds, "how long to submit", 5, 86'400);
+    options.whole("keep", settings.keep, "seconds to stay up for a look", 0, 86'400);
+    options.whole("port", settings.port, "the first port", 1024, 65'000);
+    options.whole("fill", settings.fill, "long jobs to fill the minions with", 0, 10'000);
+    options.whole("sluices", settings.sluices, "sluices", 1, 50);
+    options.whole("minions", settings.minions, "minions", 1, 200);
+    options.real("rate", settings.rate, "times the deployment's load", 0.01, 1000);
+    options.words(settings.steps, "steps, one after the other");
+    options.read(count, values);
+    if (std::filesystem::exists(settings.folder) && !std::filesystem::is_empty(settings.folder)) {
+        std::cerr << "millrace: --folder: " << settings.folder << " is not empty\n";
+        return 2;
+    }
+    startLog("millrace", "", true);
+    int status = 1;
+    {
+        Fleet fleet(settings);
+        status = fleet.run();
+    }
+    std::cout.flush();
+    std::_Exit(status);
+}
--- a/source/edge/relay.cpp
+++ b/source/edge/relay.cpp
@@ -19,7 +19,11 @@
             step = course.waited(monotonicNow());
             continue;
         }
-        auto answered = callerTo(step.target).call(exchange, step.within);
+        // Once another is known to lead, one that is silent is not waited for: it may be frozen. docs/design.md 9.2.
+        const Epoch asked = board.read([](const RouteView& view) { return view.epoch; });
+        auto answered = callerTo(step.target).call(exchange, step.within, [&] {
+            return board.read([&](const RouteView& view) { return view.epoch > asked && !view.leader.value.empty() && view.leader != step.target; });
+        });
         if (answered) {
             auto* answer = boost::get<Answer>(&answered.value().body);
             step = course.answered(answer ? *answer : Answer::unknown("the leader's answer could not be read"), monotonicNow());
--- a/source/edge/wire.cpp
+++ b/source/edge/wire.cpp
@@ -120,7 +120,7 @@
     return made;
 }
 
-Result<WireMessage, WireError> WireCaller::call(WireBody body, Span within) {
+Result<WireMessage, WireError> WireCaller::call(WireBody body, Span within, const std::function<bool()>& abandoned) {
     auto link = connection(within);
     if (!link) return WireError{WireError::Kind::unreachable, address.value + " can't be reached"};
     const std::uint64_t correlation = nextCorrelation++;
@@ -131,11 +131,13 @@
         link->waiting.erase(correlation);
         return WireError{WireError::Kind::unreachable, "the link to " + address.value + " is full"};
     }
-    if (future.wait_for(std::chrono::milliseconds(within.milliseconds)) != boost::fibers::future_status::ready) {
-        link->waiting.erase(correlation);
-        return WireError{WireError::Kind::late, address.value + " did not answer in time"};
+    const Instant until = monotonicNow() + within;
+    while (monotonicNow() < until && !(abandoned && abandoned())) {
+        const Span slice = std::min(abandoned ? Span{50} : within, until - monotonicNow());
+        if (future.wait_for(std::chrono::milliseconds(slice.milliseconds)) == boost::fibers::future_status::ready) return future.get();
     }
-    return future.get();
+    link->waiting.erase(correlation);
+    return WireError{WireError::Kind::late, address.value + " did not answer in time"};
 }
 
 bool WireCaller::post(WireMessage message) {
--- a/source/edge/wire.hpp
+++ b/source/edge/wire.hpp
@@ -59,7 +59,8 @@
 public:
     WireCaller(Loop& loop, Address address) : loop(loop), address(std::move(address)) {}
     // An error of kind `unreachable` means that nothing was sent.
-    Result<WireMessage, WireError> call(WireBody body, Span within);
+    // `abandoned` is asked now and then whether to wait on; true ends the wait as late.
+    Result<WireMessage, WireError> call(WireBody body, Span within, const std::function<bool()>& abandoned = {});
     bool post(WireMessage message);  // without an answer; lost when it can't be sent
 
 private:
--- a/source/minion_hand.cpp
+++ b/source/minion_hand.cpp
@@ -127,6 +127,7 @@
             if (leaving) return end(order.attempt, EndingKind::unstarted);
             found->second.staged = false;
             found->second.started = true;
+            found->second.paused = false;
             found->second.since = now;
             effects.push_back({HandEffect::Kind::start, order.attempt, found->second.order});
             return;
--- a/source/promises.cpp
+++ b/source/promises.cpp
@@ -73,7 +73,8 @@
     std::int64_t startedAt = 0;
     std::optional<std::int64_t> endedAt;
     bool active = true;  // neither held nor ended
-    std::int64_t heldSince = 0;
+    std::int64_t activeSince = 0, activeBefore = 0;
+    std::int64_t activeBy(std::int64_t at) const { return activeBefore + (active && !endedAt ? at - activeSince : 0); }
     std::string ending;
     bool trial = false;
     std::uint32_t cores = 0;
@@ -149,8 +150,8 @@
             case Witness::Kind::started: started(witness); break;
             case Witness::Kind::held:
                 if (auto* run = runOf(witness)) {
+                    run->activeBefore = run->activeBy(witness.at);
                     run->active = false;
-                    run->heldSince = witness.at;
                 }
                 break;
             case Witness::Kind::resumed: resumed(witness); break;
@@ -234,7 +235,7 @@
         Run run;
         run.minion = witness.minion;
         run.attempt = witness.attempt;
-        run.startedAt = witness.at;
+        run.startedAt = run.activeSince = witness.at;
         run.trial = witness.trial;
         run.cores = witness.cores;
         run.memory = witness.memory;
@@ -248,8 +249,8 @@
         for (std::uint32_t at = first; at < first + submission.steps[step].tasks.size(); ++at) {
             if (at == witness.task) continue;
             for (const auto& run : jobs[witness.job].tasks[at].runs)
-                if (!run.endedAt && run.active && witness.at - run.startedAt > 6000 + options.slack)
-                    broken(8, witness.at, nameOf(witness.job, at) + " ran alone for " + std::to_string(witness.at - run.startedAt) + " ms");
+                if (!run.endedAt && run.active && run.activeBy(witness.at) > 6000 + options.slack)
+                    broken(8, witness.at, nameOf(witness.job, at) + " ran alone for " + std::to_string(run.activeBy(witness.at)) + " ms");
         }
     }
 
@@ -259,6 +260,7 @@
         for (auto& other : jobs[witness.job].tasks[witness.task].runs)
             if (&other != run && !other.endedAt && other.active) broken(1, witness.at, nameOf(witness.job, witness.task) + " is resumed on " + witness.minion + " while it runs on " + other.minion);
         if (jobs[witness.job].tasks[witness.task].confirmedAt) broken(1, witness.at, nameOf(witness.job, witness.task) + " is resumed after finishing well");
+        if (!run->active) run->activeSince = witness.at;
         run->active = true;
         room(witness);
     }
--- /dev/null
+++ b/tests/refusals.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# What an operator gets wrong is named, with status 2 (the words) or 3 (refused), and nothing starts.
+set -u
+cd "$(dirname "$0")/.."
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+failed=0
+passed=0
+# refuse STATUS PART COMMAND...
+refuse() {
+  local wanted=$1 part=$2
+  shift 2
+  local said status
+  said=$(timeout 10 "$@" 2>&1)
+  status=$?
+  if [ "$status" = "$wanted" ] && printf '%s' "$said" | grep -qF -- "$part"; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "wanted status $wanted and '$part' from: $* (got $status: $said)"
+  fi
+}
+printf '{"peer":"127.0.0.1:70000","area":"a","colour":1}' > "$folder/options.json"
+printf '{"queues":{"q":{"retries":-1}},"policies":{"p":{"rank":"wait +"}}}' > "$folder/setup.json"
+printf '{"queues":' > "$folder/torn.json"
+refuse 2 "--peer: is missing" build/reservoir --area a --data "$folder/d" --seeds 127.0.0.1:1
+refuse 2 "--peer: 'localhost:1'" build/reservoir --peer localhost:1 --area a --data "$folder/d" --seeds 127.0.0.1:1
+refuse 2 "options.json: peer: '127.0.0.1:70000'" build/reservoir --options "$folder/options.json" --data "$folder/d" --seeds 127.0.0.1:1
+refuse 2 "options.json: colour: is not a known option" build/reservoir --options "$folder/options.json" --data "$folder/d" --seeds 127.0.0.1:1
+refuse 2 "--election-low-ms" build/reservoir --peer 127.0.0.1:1 --area a --data "$folder/d" --seeds 127.0.0.1:1 --election-low-ms 150
+refuse 2 "nothing.json: can't be read" build/sluice --options "$folder/nothing.json" --http 127.0.0.1:1 --area a --seeds 127.0.0.1:1
+refuse 2 "--threads: must be a whole number from 1 to 64" build/sluice --threads 0 --http 127.0.0.1:1 --area a --seeds 127.0.0.1:1
+refuse 2 "--fail: must be a number" build/waterwheel --id m --area a --sluices 127.0.0.1:1 --fail much
+refuse 2 "the words make no command" build/headgate paint
+refuse 3 "/queues/q/retries" build/headgate setup check "$folder/setup.json"
+refuse 3 "/policies/p/rank" build/headgate setup check "$folder/setup.json"
+refuse 3 "is not JSON" build/headgate setup check "$folder/torn.json"
+refuse 5 "no sluice answers" build/headgate --sluices 127.0.0.1:1 --within-ms 300 counters
+refuse 2 "holds no history" build/tailrace --folder "$folder"
+[ ! -e "$folder/d" ] || { echo "a refused start left a data folder"; failed=$((failed + 1)); }
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ]
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -3,3 +3,12 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build/aniseline_tests
+# Seeded faults on the whole cluster in virtual time; a fixed set of seeds, so the verdict is the same every time.
+build/flume --from 1 --seeds 32
+# Bad flags, options and setups are refused by file and field, before anything starts.
+bash tests/refusals.sh
+# Real processes on this machine, bounded, waiting on conditions: the leader is killed, then frozen and woken.
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+build/millrace --folder "$folder/fleet" --setup examples/setup-cedarmark.json --seconds 12 kill:leader freeze:leader:4 ||
+  { tail -n 5 "$folder"/fleet/*.log; exit 1; }
--- /dev/null
+++ b/tests/sanitize.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# The same tests under the address and undefined-behaviour sanitizers, and what threads share under the thread sanitizer.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B build-address -G Ninja -DANISELINE_SANITIZE=address,undefined >/dev/null
+cmake --build build-address --target aniseline_tests flume
+UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 build-address/aniseline_tests
+UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 build-address/flume --from 501 --seeds 8
+cmake -S . -B build-thread -G Ninja -DANISELINE_SANITIZE=thread >/dev/null
+cmake --build build-thread --target aniseline_tests
+TSAN_OPTIONS=halt_on_error=1 build-thread/aniseline_tests -g RouteBoardTests
