--- a/source/client.cpp
+++ b/source/client.cpp
@@ -3,7 +3,9 @@
 namespace aniseline {
 
 Result<HttpAnswer, HttpError> Caller::once(const HttpRequest& request, Span within) {
-    auto result = client.ask(sluices[place], request, within);
+    const Address asked = sluices[place];
+    auto result = client.ask(asked, request, within);
+    if (!result) result = HttpError{result.error().kind, asked.value + ": " + result.error().text};
     if (witness) witness(request, result);
     if (!result) turn();
     return result;
--- a/tests/refusals.sh
+++ b/tests/refusals.sh
@@ -35,7 +35,7 @@
 refuse 3 "/queues/q/retries" build/headgate setup check "$folder/setup.json"
 refuse 3 "/policies/p/rank" build/headgate setup check "$folder/setup.json"
 refuse 3 "is not JSON" build/headgate setup check "$folder/torn.json"
-refuse 5 "no sluice answers" build/headgate --sluices 127.0.0.1:1 --within-ms 300 counters
+refuse 5 "127.0.0.1:1: Connection refused" build/headgate --sluices 127.0.0.1:1 --within-ms 300 counters
 refuse 2 "holds no history" build/tailrace --folder "$folder"
 [ ! -e "$folder/d" ] || { echo "a refused start left a data folder"; failed=$((failed + 1)); }
 echo "$passed passed, $failed failed"
