--- a/programs/flume.cpp
+++ b/programs/flume.cpp
@@ -1,6 +1,7 @@
 // flume: seeded runs of the whole cluster in virtual time, with faults; shrinks what fails. docs/operations.md 8.
 #include "edge/options.hpp"
 #include "simulator/world.hpp"
+#include <ctime>
 #include <iostream>
 #include <numeric>
 #include <thread>
@@ -35,11 +36,52 @@
     return options;
 }
 
+// What one plan costs with so many tasks waiting and every minion full; the median of many, by the processor's clock.
+void planCost(std::size_t waiting, std::size_t minions) {
+    Ledger ledger;
+    std::int64_t now = 0;
+    auto fold = [&](Event event) { ledger.fold(Record{ClusterTime{now}, std::move(event)}); };
+    auto setup = Setup::parse(standardSetup());
+    setup.value().version = SetupVersion{1};
+    fold(SetupTaken{setup.value()});
+    Silence heard;
+    for (std::size_t place = 0; place < minions; ++place) {
+        const MinionId id{"m" + std::to_string(place)};
+        Capacity capacity;
+        capacity.cores = 16;
+        capacity.memory = 32 * 1024;
+        fold(MinionSeen{id, Incarnation{1}, capacity});
+        heard[id] = Span{0};
+    }
+    Planner planner;
+    Draw draw(1);
+    auto submit = [&](std::size_t count, const char* queue, std::uint32_t cores) {
+        JobSubmission job;
+        job.id = JobId{queue + std::to_string(count)};
+        job.queue = QueueName{queue};
+        job.steps = {{"s", {}, false, {TaskRequest{cores, std::uint64_t(draw.between(256, 4096)), Span{draw.between(1000, 600'000)}, ""}}}};
+        fold(JobAllowed{job});
+    };
+    for (std::size_t count = 0; count < minions * 4; ++count) submit(count, "long", 4);
+    fold(planner.make(ledger, ClusterTime{now}, heard).made);
+    for (const auto& [id, minion] : ledger.minions) fold(MinionSynced{id, minion.lastOrder, {}});
+    now = 500;
+    for (std::size_t count = 0; count < waiting; ++count) submit(count, "plates", std::uint32_t(draw.between(1, 8)));
+    std::vector<double> costs;
+    for (int round = 0; round < 31; ++round) {
+        const auto begun = std::clock();
+        planner.make(ledger, ClusterTime{now + round}, heard);
+        costs.push_back(double(std::clock() - begun) * 1000.0 / CLOCKS_PER_SEC);
+    }
+    std::sort(costs.begin(), costs.end());
+    std::cout << json(picojson::object{{"waiting", json(waiting)}, {"minions", json(minions)}, {"plan_p50_ms", json(costs[15])}, {"plan_min_ms", json(costs[0])}, {"plan_max_ms", json(costs[30])}}).serialize() << std::endl;
+}
+
 }  // namespace
 
 int main(int count, char** values) {
     std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
-    bool verbose = false, shrinks = false;
+    bool verbose = false, shrinks = false, cost = false;
     std::string only;
     OptionSet options("flume", "seeded runs of the whole cluster in virtual time, with faults");
     options.whole("from", from, "the first seed", 0, 1'000'000'000);
@@ -50,7 +92,13 @@
     options.text("only", only, "keep only these faults of the schedule, by number, with commas");
     options.flag("verbose", verbose, "tell all that happens");
     options.flag("shrink", shrinks, "shorten the schedule of the first seed that fails");
+    options.flag("plan-cost", cost, "measure plans instead, by tasks waiting and by minions");
     options.read(count, values);
+    if (cost) {
+        for (std::size_t waiting : {100, 1000, 5000, 10'000}) planCost(waiting, 11);
+        for (std::size_t minions : {50, 200}) planCost(1000, minions);
+        return 0;
+    }
 
     CampaignOptions base;
     base.length = length;
--- a/source/event.hpp
+++ b/source/event.hpp
@@ -23,9 +23,10 @@
     JobId job;
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & job; }
 };
-struct JobsForgotten {
+struct Forgotten {
     std::vector<JobId> jobs;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & jobs; }
+    std::vector<MinionId> minions;  // gone as long ago
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & jobs & minions; }
 };
 struct MinionSeen {  // a new minion, a new incarnation, or a changed word about itself
     MinionId minion;
@@ -100,7 +101,7 @@
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & number & actions & reservation; }
 };
 
-using Event = boost::variant<Opened, SetupTaken, JobAllowed, JobCancelled, OccurrenceFired, JobsForgotten, MinionSeen, MinionSynced,
+using Event = boost::variant<Opened, SetupTaken, JobAllowed, JobCancelled, OccurrenceFired, Forgotten, MinionSeen, MinionSynced,
                              MinionLeaves, MinionLeaveOver, MinionAllowed, MinionSilent, MinionGone, PlanMade>;
 
 struct Record {
--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -268,11 +268,15 @@
         }
         ledger.allow(occurrence);
     }
-    void operator()(const JobsForgotten& event) {
+    void operator()(const Forgotten& event) {
         for (const auto& id : event.jobs) {
             auto found = ledger.jobs.find(id);
             if (found != ledger.jobs.end() && found->second.over()) ledger.jobs.erase(found);
         }
+        for (const auto& id : event.minions) {
+            auto found = ledger.minions.find(id);
+            if (found != ledger.minions.end() && found->second.state == MinionState::gone) ledger.minions.erase(found);
+        }
     }
     void operator()(const MinionSeen& event) {
         Minion& minion = ledger.minions[event.minion];
@@ -364,6 +368,7 @@
         auto found = ledger.minions.find(event.minion);
         if (found == ledger.minions.end()) return;
         found->second.state = MinionState::gone;
+        found->second.seenAt = ledger.now;
         for (auto number : ledger.attemptsOn(event.minion)) {
             ledger.giveUpAttempt(number);
             ledger.removeAttempt(number);
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -335,10 +335,12 @@
 void Reservoir::passForget() {
     if (now < nextForget) return;
     nextForget = now + Span{1000};
-    JobsForgotten forgotten;
+    Forgotten forgotten;
     for (const auto& [id, job] : working().jobs)
         if (job.over() && clusterNow() - job.endedAt > working().setup.planner.keepFinished && forgotten.jobs.size() < 1000) forgotten.jobs.push_back(id);
-    if (!forgotten.jobs.empty()) append(std::move(forgotten));
+    for (const auto& [id, minion] : working().minions)
+        if (minion.state == MinionState::gone && clusterNow() - minion.seenAt > working().setup.planner.keepFinished) forgotten.minions.push_back(id);
+    if (!forgotten.jobs.empty() || !forgotten.minions.empty()) append(std::move(forgotten));
     std::erase_if(sluices, [&](const auto& entry) { return now - entry.second > Span{10'000}; });
 }
 
--- a/tests/transcripts.cpp
+++ b/tests/transcripts.cpp
@@ -222,6 +222,46 @@
     script.approve("old-disk");
 }
 
+// docs/design.md 5.7: a drained minion's task may go on until the deadline, then is stopped and starts elsewhere.
+TEST(Transcripts, drainMovesWorkAway) {
+    WorldOptions options;
+    options.minions = 2;
+    Script script(options);
+    script.world->submit(typed(job("a", 4000, "plates")));
+    CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
+    std::string first;
+    for (const auto& given : script.world->history)
+        if (given.kind == Witness::Kind::started) first = given.minion;
+    int status = 0;
+    script.askQuietly("POST", "/v1/minions/" + first + "/drain?within_ms=1500", "", [&](int given) { status = given; });
+    script.run(1000);
+    LONGS_EQUAL(1, script.world->startsOf("a"));
+    script.write("drained -> " + std::to_string(status) + ", still running after a second");
+    CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 10'000));
+    std::string last;
+    for (const auto& given : script.world->history)
+        if (given.kind == Witness::Kind::started) last = given.minion;
+    CHECK(first != last);
+    script.history("a");
+    script.approve("drain");
+}
+
+// docs/design.md 10: past its limit a queue is told so at once, and another's reserve is not touched.
+TEST(Transcripts, aFloodLeavesTheReserve) {
+    Script script;
+    bool taken = false;
+    script.world->applySetup(R"({"planner":{"open_limit":30},"queues":{"proofs":{"urgency":10,"reserved":10},"plates":{},"small":{"open_limit":2}}})", 1,
+                             [&](int status, const std::string&) { taken = status == 200; });
+    CHECK(script.world->runUntilTrue([&] { return taken; }, 3000));
+    std::map<int, int> counts;
+    for (int count = 0; count < 50; ++count) script.askQuietly("POST", "/v1/jobs", job("flood" + std::to_string(count), 60'000, "plates", 16), [&](int status) { ++counts[status]; });
+    script.run(1000);
+    for (const auto& [status, count] : counts) script.write("50 to plates -> " + std::to_string(count) + " times " + std::to_string(status));
+    script.ask("POST", "/v1/jobs", job("urgent", 100));
+    script.ask("POST", "/v1/jobs", job("more", 100, "plates"));
+    script.approve("flood");
+}
+
 // The same seed gives the same run, to the letter.
 TEST(Transcripts, sameSeedSameRun) {
     CampaignOptions options;
