--- a/programs/flume.cpp
+++ b/programs/flume.cpp
@@ -77,11 +77,33 @@
     std::cout << json(picojson::object{{"waiting", json(waiting)}, {"minions", json(minions)}, {"plan_p50_ms", json(costs[15])}, {"plan_min_ms", json(costs[0])}, {"plan_max_ms", json(costs[30])}}).serialize() << std::endl;
 }
 
+// From the loss of a leader to another that serves, over many seeds.
+void failover(std::int64_t from, std::int64_t seeds, bool freezes) {
+    std::vector<std::int64_t> spans;
+    for (std::int64_t seed = from; seed < from + seeds; ++seed) {
+        WorldOptions options;
+        options.seed = std::uint64_t(seed);
+        options.sluices = options.minions = 1;
+        World world(options);
+        if (!world.runUntilTrue([&] { return world.voterCount() == 3; }, 20'000)) continue;
+        world.runUntil(world.now + seed % 997);
+        const std::size_t lost = *world.leader();
+        const std::int64_t begun = world.now;
+        if (freezes) world.freezeReservoir(lost, true);
+        else world.killReservoir(lost, true);
+        world.runUntilTrue([&] { return world.leader().has_value(); }, 20'000);
+        spans.push_back(world.now - begun);
+    }
+    std::sort(spans.begin(), spans.end());
+    std::cout << json(picojson::object{{"leader", json(freezes ? "frozen" : "killed")}, {"seeds", json(spans.size())}, {"p50_ms", json(spans[spans.size() / 2])},
+                                       {"p95_ms", json(spans[spans.size() * 95 / 100])}, {"max_ms", json(spans.back())}}).serialize() << std::endl;
+}
+
 }  // namespace
 
 int main(int count, char** values) {
     std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
-    bool verbose = false, shrinks = false, cost = false;
+    bool verbose = false, shrinks = false, cost = false, failovers = false;
     std::string only;
     OptionSet options("flume", "seeded runs of the whole cluster in virtual time, with faults");
     options.whole("from", from, "the first seed", 0, 1'000'000'000);
@@ -93,7 +115,13 @@
     options.flag("verbose", verbose, "tell all that happens");
     options.flag("shrink", shrinks, "shorten the schedule of the first seed that fails");
     options.flag("plan-cost", cost, "measure plans instead, by tasks waiting and by minions");
+    options.flag("failover", failovers, "measure the loss of a leader instead");
     options.read(count, values);
+    if (failovers) {
+        failover(from, seeds, false);
+        failover(from, seeds, true);
+        return 0;
+    }
     if (cost) {
         for (std::size_t waiting : {100, 1000, 5000, 10'000}) planCost(waiting, 11);
         for (std::size_t minions : {50, 200}) planCost(1000, minions);
--- a/source/client.cpp
+++ b/source/client.cpp
@@ -15,7 +15,8 @@
     const Instant until = monotonicNow() + within;
     ClientError last{ClientError::Kind::unknown, 0, "no sluice answers", Span{0}};
     while (monotonicNow() < until) {
-        auto result = once(request, std::min(Span{3000}, until - monotonicNow()));
+        // A sluice that is silent for longer is left for the next; what it may have taken is asked again with the same id.
+        auto result = once(request, std::min(Span{1500}, until - monotonicNow()));
         if (result) {
             if (result.value().status < 400) return result.value();
             last = ClientError{result.value().status == 404 ? ClientError::Kind::missing : result.value().status == 503 ? ClientError::Kind::unknown : ClientError::Kind::rejected,
--- a/source/minion_hand.cpp
+++ b/source/minion_hand.cpp
@@ -160,3 +160,98 @@
 }
 
 }  // namespace aniseline
+
+#ifdef ANISELINE_TESTS
+#include <CppUTest/TestHarness.h>
+using namespace aniseline;
+
+namespace {
+Order orderOf(std::uint64_t number, OrderKind kind, std::uint64_t attempt, std::int64_t quantum = 0) {
+    Order order;
+    order.number = OrderNumber{number};
+    order.kind = kind;
+    order.attempt = AttemptNumber{attempt};
+    order.quantum = Span{quantum};
+    return order;
+}
+SyncAnswer answerOf(std::uint64_t epoch, std::vector<Order> orders, std::vector<AttemptNumber> confirmed = {}) {
+    SyncAnswer answer;
+    answer.epoch = Epoch{epoch};
+    answer.orders = std::move(orders);
+    answer.confirmed = std::move(confirmed);
+    return answer;
+}
+std::string effectsOf(MinionHand& hand) {
+    static const char* const names[] = {"start", "hold", "resume", "stop"};
+    std::string text;
+    for (const auto& effect : hand.takeEffects()) text += std::string(text.empty() ? "" : ", ") + names[int(effect.kind)] + " " + std::to_string(effect.attempt.value);
+    return text;
+}
+std::string endingsOf(MinionHand& hand, std::int64_t now) {
+    std::string text;
+    for (const auto& ending : hand.report(Instant{now}).endings) text += std::string(text.empty() ? "" : ", ") + name(ending.kind) + " " + std::to_string(ending.attempt.value);
+    return text;
+}
+}  // namespace
+
+TEST_GROUP(MinionHandTests) {
+    MinionHand hand{[] {
+        MinionHand::Options options;
+        options.id = MinionId{"m"};
+        options.capacity.honoursTerms = true;
+        return options;
+    }(), Incarnation{1}};
+};
+
+// docs/design.md 5.3: neither a superseded leader nor an answer past its term moves a minion.
+TEST(MinionHandTests, staleAnswersAreNotFollowed) {
+    CHECK(hand.answered(answerOf(5, {orderOf(1, OrderKind::start, 1)}), Instant{0}, Instant{10}));
+    STRCMP_EQUAL("start 1", effectsOf(hand).c_str());
+    CHECK(!hand.answered(answerOf(4, {orderOf(2, OrderKind::start, 2)}), Instant{20}, Instant{30}));
+    CHECK(!hand.answered(answerOf(6, {orderOf(2, OrderKind::start, 3)}), Instant{40}, Instant{3040}));
+    CHECK(hand.takeEffects().empty() || effectsOf(hand).find("start") == std::string::npos);
+    LONGS_EQUAL(1, hand.report(Instant{3050}).lastOrder.value);
+}
+
+// docs/design.md 5.4: the term counts from the send; when it lapses all holds in place, and goes on only when told nothing else.
+TEST(MinionHandTests, aLapsedTermHoldsAndATermAnewResumesOrStops) {
+    hand.answered(answerOf(1, {orderOf(1, OrderKind::start, 1), orderOf(2, OrderKind::start, 2)}), Instant{0}, Instant{500});
+    effectsOf(hand);
+    hand.tick(Instant{2999});
+    STRCMP_EQUAL("", effectsOf(hand).c_str());
+    hand.tick(Instant{3000});
+    STRCMP_EQUAL("hold 1, hold 2", effectsOf(hand).c_str());
+    hand.answered(answerOf(1, {orderOf(3, OrderKind::stop, 1)}), Instant{9000}, Instant{9010});
+    STRCMP_EQUAL("stop 1, resume 2", effectsOf(hand).c_str());
+}
+
+// Orders apply once each and in order, however often they come; endings are told until confirmed.
+TEST(MinionHandTests, ordersApplyOnceAndEndingsAreToldUntilConfirmed) {
+    for (int again = 0; again < 2; ++again) hand.answered(answerOf(1, {orderOf(1, OrderKind::start, 1)}), Instant{0}, Instant{1});
+    STRCMP_EQUAL("start 1", effectsOf(hand).c_str());
+    hand.answered(answerOf(1, {orderOf(3, OrderKind::start, 3)}), Instant{0}, Instant{2});  // 2 is missing
+    STRCMP_EQUAL("", effectsOf(hand).c_str());
+    hand.ended(AttemptNumber{1}, true, Instant{5});
+    STRCMP_EQUAL("finished 1", endingsOf(hand, 6).c_str());
+    STRCMP_EQUAL("finished 1", endingsOf(hand, 7).c_str());
+    hand.answered(answerOf(1, {}, {AttemptNumber{1}}), Instant{7}, Instant{8});
+    STRCMP_EQUAL("", endingsOf(hand, 9).c_str());
+    LONGS_EQUAL(1, hand.takeConfirmed().size());
+}
+
+// A trial ends itself after its run time, which a hold does not use up; nothing starts once it is leaving.
+TEST(MinionHandTests, trialsEndThemselvesAndLeavingStartsNothing) {
+    hand.answered(answerOf(1, {orderOf(1, OrderKind::start, 1, 1000)}), Instant{0}, Instant{0});
+    hand.answered(answerOf(1, {orderOf(2, OrderKind::hold, 1)}), Instant{400}, Instant{400});
+    hand.answered(answerOf(1, {orderOf(3, OrderKind::resume, 1)}), Instant{2000}, Instant{2000});
+    hand.tick(Instant{2599});
+    STRCMP_EQUAL("start 1, hold 1, resume 1", effectsOf(hand).c_str());
+    hand.tick(Instant{2600});
+    STRCMP_EQUAL("stop 1", effectsOf(hand).c_str());
+    STRCMP_EQUAL("ran_out 1", endingsOf(hand, 2601).c_str());
+    hand.leave(Span{1000});
+    hand.answered(answerOf(1, {orderOf(4, OrderKind::start, 4), orderOf(5, OrderKind::stop, 5)}), Instant{2700}, Instant{2700});
+    STRCMP_EQUAL("", effectsOf(hand).c_str());
+    STRCMP_EQUAL("ran_out 1, unstarted 4, unstarted 5", endingsOf(hand, 2701).c_str());
+}
+#endif
--- a/source/simulator/world.cpp
+++ b/source/simulator/world.cpp
@@ -214,28 +214,28 @@
     });
 }
 
+void World::finishWrite(ReservoirNode& node, std::uint64_t generation) {
+    if (!node.up || node.generation != generation || !node.writing) return;
+    if (now < node.stalledUntil) return schedule(node.stalledUntil + 1, [this, &node, generation] { finishWrite(node, generation); });
+    // The operating system's work goes on while the process is frozen; the news of it waits.
+    const DiskVersion version = node.writing->version;
+    if (node.writing->whole) node.disk.clear();
+    node.disk.push_back(std::move(*node.writing));
+    node.writing.reset();
+    auto tell = [this, &node, version] {
+        node.core->synced(version, Instant{now + node.monotonicBase});
+        stepSoon(node);
+    };
+    if (node.frozen) node.inbox.push_back(tell);
+    else tell();
+}
+
 void World::drive(ReservoirNode& node) {
     if (auto record = node.core->takeWrite()) {
         node.writing = std::move(*record);
         const std::int64_t done = std::max(now, node.stalledUntil) + draw.between(1, 4) + node.slow;
         const std::uint64_t generation = node.generation;
-        auto finish = std::make_shared<std::function<void()>>();
-        *finish = [this, &node, generation, finish] {
-            if (!node.up || node.generation != generation || !node.writing) return;
-            if (now < node.stalledUntil) return schedule(node.stalledUntil + 1, *finish);
-            // The operating system's work goes on while the process is frozen; the news of it waits.
-            const DiskVersion version = node.writing->version;
-            if (node.writing->whole) node.disk.clear();
-            node.disk.push_back(std::move(*node.writing));
-            node.writing.reset();
-            auto tell = [this, &node, version] {
-                node.core->synced(version, Instant{now + node.monotonicBase});
-                stepSoon(node);
-            };
-            if (node.frozen) node.inbox.push_back(tell);
-            else tell();
-        };
-        schedule(done, *finish);
+        schedule(done, [this, &node, generation] { finishWrite(node, generation); });
     }
     for (auto& message : node.core->takeMessages()) {
         auto* to = at(message.toAddress);
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -95,6 +95,7 @@
     bool cutBetween(const Node& from, const Node& to) const;
     void deliver(Node& from, Node& to, std::function<void()> work);
     void drive(ReservoirNode& node);
+    void finishWrite(ReservoirNode& node, std::uint64_t generation);
     void stepSoon(ReservoirNode& node);
     void bootReservoir(ReservoirNode& node);
     void tickReservoir(ReservoirNode& node, std::uint64_t generation);
