--- a/source/simulator/world.cpp
+++ b/source/simulator/world.cpp
@@ -538,12 +538,12 @@
 
 void World::killMinion(std::size_t place, bool forGood) {
     auto& node = *minions[place];
+    node.gone = node.gone || forGood;
     if (!node.up) return;
     node.up = node.frozen = false;
     ++node.generation;
     node.inbox.clear();
     node.tasks.clear();
-    node.gone = forGood;
     auto vanished = seen(Witness::Kind::vanished, calendar + now);
     vanished.minion = node.id;
     witness(vanished);
@@ -605,11 +605,12 @@
 void World::cutMinion(std::size_t place, bool cut) { minions[place]->cut = cut; }
 void World::leaveMinion(std::size_t place, std::int64_t within) {
     auto& node = *minions[place];
-    if (!node.up || node.frozen) return;
-    node.hand->leave(Span{within});
-    auto leaving = seen(Witness::Kind::leaving, calendar + now);
-    leaving.minion = node.id;
-    witness(leaving);
+    if (node.up && !node.frozen) {
+        node.hand->leave(Span{within});
+        auto leaving = seen(Witness::Kind::leaving, calendar + now);
+        leaving.minion = node.id;
+        witness(leaving);
+    }
     after(within + 2000, [this, place] { killMinion(place, true); });
 }
 void World::setMinion(std::size_t place, double slow, double fail) {
--- a/tests/sanitize.sh
+++ b/tests/sanitize.sh
@@ -7,5 +7,5 @@
 UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 build-address/aniseline_tests
 UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 build-address/flume --from 501 --seeds 8
 cmake -S . -B build-thread -G Ninja -DANISELINE_SANITIZE=thread >/dev/null
-cmake --build build-thread --target aniseline_tests
-TSAN_OPTIONS=halt_on_error=1 build-thread/aniseline_tests -g RouteBoardTests
+cmake --build build-thread --target aniseline_thread_tests
+TSAN_OPTIONS=halt_on_error=1 build-thread/aniseline_thread_tests
