--- a/source/agreement.cpp
+++ b/source/agreement.cpp
@@ -313,33 +313,25 @@
     return round.next();
 }
 
-RoundNumber Agreement::confirmedRound() const {
-    std::vector<RoundNumber> acked;
+// The highest value that a majority of the voters has reached.
+template <class Value, class OfPeer>
+Value Agreement::reachedByMajority(Value ofSelf, OfPeer ofPeer) const {
+    std::vector<Value> reached;
     for (const auto& entry : currentMembers) {
         if (!entry.voter) continue;
-        if (entry.id == own.id) acked.push_back(round);
-        else {
-            auto found = peers.find(entry.id);
-            acked.push_back(found == peers.end() ? RoundNumber{} : found->second.acked);
-        }
+        auto found = peers.find(entry.id);
+        if (entry.id == own.id) reached.push_back(ofSelf);
+        else reached.push_back(found == peers.end() ? Value{} : ofPeer(found->second));
     }
-    if (acked.size() < majority()) return RoundNumber{};
-    std::sort(acked.begin(), acked.end(), std::greater<>());
-    return acked[majority() - 1];
+    if (reached.size() < majority()) return Value{};
+    std::sort(reached.begin(), reached.end(), std::greater<>());
+    return reached[majority() - 1];
+}
+RoundNumber Agreement::confirmedRound() const {
+    return reachedByMajority(round, [](const Peer& peer) { return peer.acked; });
 }
 Instant Agreement::quorumContact() const {
-    std::vector<Instant> contacts;
-    for (const auto& entry : currentMembers) {
-        if (!entry.voter) continue;
-        if (entry.id == own.id) contacts.push_back(clockNow);
-        else {
-            auto found = peers.find(entry.id);
-            contacts.push_back(found == peers.end() ? Instant{} : found->second.contact);
-        }
-    }
-    if (contacts.size() < majority()) return Instant{};
-    std::sort(contacts.begin(), contacts.end(), std::greater<>());
-    return contacts[majority() - 1];
+    return reachedByMajority(clockNow, [](const Peer& peer) { return peer.contact; });
 }
 Instant Agreement::heardFrom(const ReservoirId& id) const {
     auto found = peers.find(id);
@@ -408,15 +400,7 @@
 }
 
 void Agreement::advanceCommit() {
-    std::vector<LogIndex> matches;
-    for (const auto& entry : currentMembers) {
-        if (!entry.voter) continue;
-        if (entry.id == own.id) matches.push_back(std::min(syncedIndex, last()));
-        else matches.push_back(matchOf(entry.id));
-    }
-    if (matches.size() < majority()) return;
-    std::sort(matches.begin(), matches.end(), std::greater<>());
-    const LogIndex agreed = matches[majority() - 1];
+    const LogIndex agreed = reachedByMajority(std::min(syncedIndex, last()), [](const Peer& peer) { return peer.match; });
     if (agreed > commit && epochAt(agreed) == currentEpoch) {
         commit = agreed;
         nextHeartbeat = std::min(nextHeartbeat, clockNow + Span{10});
--- a/source/agreement.hpp
+++ b/source/agreement.hpp
@@ -192,6 +192,7 @@
     void lead(Instant now);
     void broadcast(Instant now, bool force);
     void sendAppend(const Member& to, Peer& peer, Instant now, bool force);
+    template <class Value, class OfPeer> Value reachedByMajority(Value ofSelf, OfPeer ofPeer) const;
     void advanceCommit();
     void cutLog(LogIndex from);
     void findMembers();
--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -41,6 +41,7 @@
         world.runUntilTrue([&] { return applied >= 1; }, 10'000);
         begun = world.now;
         planWorkload();
+        watchSetup();
         auto faults = planFaults();
         for (std::size_t place = 0; place < faults.size(); ++place) {
             if (!options.only.empty() && !std::count(options.only.begin(), options.only.end(), place)) continue;
@@ -71,6 +72,7 @@
         auto serving = Witness{};
         serving.kind = Witness::Kind::served;
         world.witness(serving);
+        if (setupsSeen < 10) result.unfinished.push_back("too few looks at the setup");
         if (!served) result.unfinished.push_back("the probe job after healing");
         for (const auto& minion : goneForGood) declareGone(minion);
         world.runUntilTrue([&] { return world.allOver(); }, 240'000);
@@ -106,6 +108,24 @@
             else if (status != 409 && status != 400) world.after(300, [this, text, basedOn] { applyUntilTaken(text, basedOn); });
         }, draw.next() % 7);
     }
+    // What is in force as any sluice tells it; an answer speaks for no earlier time than its asking.
+    void watchSetup() {
+        const std::size_t sluice = draw.next() % 7;
+        const std::int64_t askedAt = world.now;
+        world.ask(sluice, "GET", "/v1/setup", "", [this, askedAt](int status, const std::string& body) {
+            // One look at a time: looks that overlap may rightly tell of the change in either order.
+            world.after(draw.between(300, 900), [this] { watchSetup(); });
+            picojson::value root;
+            if (status != 200 || !picojson::parse(root, body).empty()) return;
+            Witness seen;
+            seen.kind = Witness::Kind::setupSeen;
+            seen.at = World::calendar + askedAt;
+            seen.detail = "the leader";
+            seen.version = std::uint64_t(root.get("version").get<double>());
+            world.witness(seen);
+            ++setupsSeen;
+        });
+    }
     void declareGone(std::string minion) {
         world.ask(0, "POST", "/v1/minions/" + minion + "/gone", "", [this, minion](int status, const std::string&) {
             if (status != 200 && status != 404) world.after(300, [this, minion] { declareGone(minion); });
@@ -236,7 +256,7 @@
     CampaignOptions options;
     Draw draw;
     World world;
-    std::uint64_t applied = 0;
+    std::uint64_t applied = 0, setupsSeen = 0;
     std::int64_t begun = 0, lastDiskLoss = -100'000, clockFreeAt = 0;
     std::set<std::string> goneForGood;
 };
