A fifth of the room for exchanges is kept for urgent queues

Cause: the bound on exchanges under way, at sluices and at the leader, did not know queues, so a flood of other work could turn urgent submissions away before the queues' reserves were asked. The route now names the urgent queues. Test: 80 of 100 for plain submissions, 100 for urgent ones, syncs always; it fails with the share left out.

--- a/programs/sluice.cpp
+++ b/programs/sluice.cpp
@@ -105,7 +105,7 @@
         }
         auto parsed = Exchange::parse(request.method, request.target, request.body);
         if (!parsed) return Answer::from(parsed.error());
-        if (parsed.value().ask != Ask::sync && inFlight >= settings.exchanges) return Answer::error(429, "overloaded", "this sluice has too many exchanges under way", Span{1000});
+        if (!board.read([&](const RouteView& view) { return view.mayTake(parsed.value(), std::size_t(inFlight), std::size_t(settings.exchanges)); })) return Answer::error(429, "overloaded", "this sluice has too many exchanges under way", Span{1000});
         ++inFlight;
         Answer answer = relay.relay(parsed.value());
         --inFlight;
--- a/source/exchange.cpp
+++ b/source/exchange.cpp
@@ -9,6 +9,12 @@
     return names[std::size_t(ask)];
 }
 
+bool RouteView::mayTake(const Exchange& exchange, std::size_t underWay, std::size_t most) const {
+    if (exchange.ask == Ask::sync) return true;  // as many as there are minions, and without them nothing ends
+    const bool plain = exchange.ask == Ask::submitJob && !std::count(urgent.begin(), urgent.end(), exchange.job.queue);
+    return underWay < (plain ? most - most / 5 : most);
+}
+
 Answer Answer::of(int status, const picojson::object& body) {
     Answer answer;
     answer.status = status;
@@ -377,6 +383,21 @@
     }
 }
 
+TEST(ExchangeTests, aFloodOfOtherWorkLeavesRoomForUrgent) {
+    RouteView view;
+    view.urgent = {QueueName{"proofs"}};
+    Exchange plain, urgent, sync;
+    plain.ask = urgent.ask = Ask::submitJob;
+    plain.job.queue = QueueName{"plates"};
+    urgent.job.queue = QueueName{"proofs"};
+    sync.ask = Ask::sync;
+    CHECK(view.mayTake(plain, 79, 100));
+    CHECK(!view.mayTake(plain, 80, 100));
+    CHECK(view.mayTake(urgent, 99, 100));
+    CHECK(!view.mayTake(urgent, 100, 100));
+    CHECK(view.mayTake(sync, 1000, 100));
+}
+
 TEST(ExchangeTests, aJobSurvivesItsOwnRendering) {
     auto parsed = Exchange::parse("POST", "/v1/jobs", R"({"id":"a","queue":"q","steps":[{"name":"x","gang":true,"tasks":[{"count":3,"cores":2,"memory_mb":5,"runtime_ms":7,"payload":"p"}]}]})");
     CHECK(parsed.has_value());
--- a/source/exchange.hpp
+++ b/source/exchange.hpp
@@ -46,7 +46,10 @@
     std::vector<Address> reservoirs;
     std::vector<Address> sluices;  // outer addresses, for minions and callers
     SetupVersion setup;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & leader & reservoirs & sluices & setup; }
+    std::vector<QueueName> urgent;  // queues whose submissions are let in last to be turned away
+    // Of the room for exchanges a fifth is kept for urgent submissions and for all that is no submission. docs/design.md 10.
+    bool mayTake(const Exchange& exchange, std::size_t underWay, std::size_t most) const;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & leader & reservoirs & sluices & setup & urgent; }
 };
 
 // JSON of a minion's sync, both ways.
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -81,7 +81,7 @@
     record.exchange = std::move(exchange);
     record.deadline = at + options.answerWithin;
     if (!workingLedger || !agreement.leads()) return answer(record, notLeader());
-    if (exchanges.size() >= options.exchangesAtOnce && record.exchange.ask != Ask::sync)
+    if (!route(at).mayTake(record.exchange, exchanges.size(), options.exchangesAtOnce))
         return answer(record, Answer::error(429, "overloaded", "too many exchanges are under way", Span{1000}));
     exchanges.push_back(std::move(record));
 }
@@ -468,6 +468,8 @@
     RouteView view;
     view.epoch = agreement.epoch();
     view.setup = committedLedger.setup.version;
+    for (const auto& [name, queue] : committedLedger.setup.queues)
+        if (queue.urgency > 0) view.urgent.push_back(name);
     for (const auto& member : agreement.members()) {
         view.reservoirs.push_back(member.peer);
         if (member.id == agreement.leader()) view.leader = member.peer;
