--- a/source/agreement.cpp
+++ b/source/agreement.cpp
@@ -178,14 +178,24 @@
         if (now >= nextHeartbeat) broadcast(now, true);
         return;
     }
-    if (!leaderJoinAddress.value.empty() && blank() && now >= nextHeartbeat) {
-        outgoing.push_back({own.id, ReservoirId{}, leaderJoinAddress, Join{own}, own.peer});
-        nextHeartbeat = now + Span{500};
-    }
+    if (now >= nextHeartbeat) askToJoin(now);
     if (selfVotes() && currentRole == Role::learner) currentRole = Role::follower;
     if (currentRole != Role::learner && now >= electionAt && !wasRetired) campaign(now, true, false);
 }
 
+// A blank one asks where its seeds point; a learner that hears no leader may have been put out while it was away, and asks
+// whoever it knew. docs/design.md 3.5.
+void Agreement::askToJoin(Instant now) {
+    auto ask = [&](const Address& address) { outgoing.push_back({own.id, ReservoirId{}, address, Join{own}, own.peer}); };
+    if (blank() && !leaderJoinAddress.value.empty()) ask(leaderJoinAddress);
+    else if (!blank() && currentRole == Role::learner && now - heardLeader > Span{2000}) {
+        for (const auto& entry : currentMembers)
+            if (entry.id != own.id) ask(entry.peer);
+        if (!leaderJoinAddress.value.empty()) ask(leaderJoinAddress);
+    } else return;
+    nextHeartbeat = now + Span{500};
+}
+
 void Agreement::campaign(Instant now, bool trial, bool handover) {
     if (!selfVotes()) return;
     currentRole = Role::candidate;
@@ -454,7 +464,7 @@
         }
         sendAfterSync(message.from, GiveVote{currentEpoch, false, given});
         if (!dirty && !inFlight) mark(last().next());
-    } else send(message.from, GiveVote{body.epoch, true, given});
+    } else send(message.from, GiveVote{given ? body.epoch : currentEpoch, true, given});  // one behind must learn by how far
 }
 
 void Agreement::on(const PeerMessage& message, const GiveVote& body, Instant now) {
@@ -676,6 +686,34 @@
     LONGS_EQUAL(9, follower.last().value);
 }
 
+// docs/design.md 3.2: a candidate behind in epochs learns it from the refusal; else no one could ever be elected.
+TEST(AgreementTests, aRefusedTrialTellsTheEpoch) {
+    Append seen;
+    seen.epoch = Epoch{47};
+    follower.receive(fromC(seen), Instant{10});
+    follower.takeMessages();
+    AskVote ask{Epoch{33}, true, false, LogIndex{99}, Epoch{32}};
+    follower.receive(fromC(ask), Instant{5000});
+    const auto messages = follower.takeMessages();
+    LONGS_EQUAL(1, messages.size());
+    const auto& answer = boost::get<GiveVote>(messages[0].body);
+    CHECK(!answer.given);
+    LONGS_EQUAL(47, answer.epoch.value);
+}
+
+// A learner that was put out while it was away asks to learn again; it would stay out for ever. docs/design.md 3.5.
+TEST(AgreementTests, aLearnerThatHearsNoLeaderAsksToJoin) {
+    auto record = heldBy(1);
+    Members members = three;
+    members[1].voter = false;
+    record.entries[0].payload = pack(members);
+    Agreement learner(three[1], {}, 1, {record}, Instant{0});
+    for (std::int64_t now = 0; now < 4000; now += 100) learner.tick(Instant{now}, WallTime{now});
+    std::size_t asked = 0;
+    for (const auto& message : learner.takeMessages()) asked += message.body.type() == typeid(Join);
+    CHECK(asked > 0);
+}
+
 // A view counts only once it is synced; what lay on the disk before it is another log.
 TEST(AgreementTests, anInstalledViewIsClaimedOnlyWhenItIsSynced) {
     InstallView install{Epoch{2}, LogView{LogIndex{4}, Epoch{2}, three, "state"}, RoundNumber{1}};
--- a/source/agreement.hpp
+++ b/source/agreement.hpp
@@ -184,6 +184,7 @@
     void become(Role role, Instant now);
     void seeEpoch(Epoch epoch, Instant now);
     void resetElection(Instant now);
+    void askToJoin(Instant now);
     void campaign(Instant now, bool trial, bool handover);
     void countVotes(Instant now);
     void lead(Instant now);
--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -43,9 +43,12 @@
         auto faults = planFaults();
         world.runUntil(end);
         over = true;
+        deck.disarm();
+        if (world.say) world.sayReservoirs();
         world.healAll();
         result.recovery = probe("probe");
-        for (const auto& minion : deck.goneForGood()) declareGone(minion);
+        for (const auto& minion : deck.goneForGood())
+            if (!world.isMinionUp(minion)) declareGone(minion);
         // Some days end with one last fault, after which nothing else moves: what is lost stays away.
         if (options.seed % 4 == 1 && options.faults > 0) lastFault();
         world.runUntilTrue([&] { return world.allOver(); }, 240'000);
--- a/source/simulator/faults.hpp
+++ b/source/simulator/faults.hpp
@@ -21,6 +21,7 @@
     static std::vector<std::string> kinds();  // every kind's name, for the report
     const std::set<std::string>& goneForGood() const { return gone; }
     bool killForGood(std::size_t minion);
+    void disarm() { aims.clear(), memberAims.clear(); }  // strikes that found no answer to follow
 
 private:
     struct Kind;
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -78,6 +78,7 @@
     std::size_t reservoirCount() const;
     std::uint64_t startsOf(const std::string& job) const;
     bool isVoter(std::size_t place) const;
+    bool isMinionUp(const std::string& id) const;
     std::size_t voterCount() const;
     bool copiesWhole() const;  // three voters, each with its disk, and no change of members under way
     bool allOver() const;  // every job that was accepted has been shown as over
--- a/source/simulator/world_minions.cpp
+++ b/source/simulator/world_minions.cpp
@@ -143,6 +143,9 @@
 void World::restartMinion(std::size_t place) {
     if (!minions[place]->up && !minions[place]->gone) bootMinion(*minions[place]);
 }
+bool World::isMinionUp(const std::string& id) const {
+    return std::any_of(minions.begin(), minions.end(), [&](const auto& node) { return node->id == id && node->up; });
+}
 void World::returnMinion(std::size_t place) {
     minions[place]->gone = false;
     restartMinion(place);
@@ -207,7 +210,9 @@
         leaving.minion = node.id;
         witness(leaving);
     }
-    after(within + 2000, [this, place] { killMinion(place, true); });
+    after(within + 2000, [this, place, generation = node.generation] {
+        if (minions[place]->generation == generation) killMinion(place, true);  // else it is another process by now
+    });
 }
 void World::setMinion(std::size_t place, double slow, double fail) {
     minions[place]->slow = slow;
