--- a/programs/dipper.cpp
+++ b/programs/dipper.cpp
@@ -1,9 +1,9 @@
 // dipper: stand-in callers of the two deployments, open loop. docs/operations.md 7.
 #include "client.hpp"
+#include "edge/history.hpp"
 #include "edge/log.hpp"
 #include "edge/options.hpp"
 #include "edge/stopping.hpp"
-#include "witness.hpp"
 #include <fstream>
 #include <iostream>
 
@@ -51,8 +51,7 @@
 
 class Program {
 public:
-    explicit Program(Settings given) : settings(std::move(given)), draw(std::uint64_t(settings.seed)) {
-        if (!settings.witness.empty()) out.open(settings.witness, std::ios::app);
+    explicit Program(Settings given) : settings(std::move(given)), draw(std::uint64_t(settings.seed)), history(settings.witness) {
         if (!settings.submissions.empty()) jobsOut.open(settings.submissions, std::ios::app);
     }
     int run() {
@@ -81,7 +80,7 @@
                  {"acknowledged", json(acknowledged.show())}, {"to_finished_by_queue", json(byQueue)}};
         std::cout << json(shown).serialize() << std::endl;
         if (!settings.report.empty()) std::ofstream(settings.report) << json(shown).serialize() << "\n";
-        out.flush();
+        history.close();
         std::_Exit(open == 0 && unanswered == 0 ? 0 : 1);
     }
 
@@ -89,10 +88,9 @@
     void write(Witness::Kind kind, const JobId& job, std::string detail = {}) {
         Witness witness;
         witness.kind = kind;
-        witness.at = wallNow().milliseconds;
         witness.job = job.value;
         witness.detail = std::move(detail);
-        if (out.is_open()) out << witness.line() << "\n" << std::flush;
+        history.write(std::move(witness));
     }
     void begin(const Kind& kind) {
         JobSubmission job;
@@ -161,7 +159,8 @@
     Settings settings;
     Draw draw;
     Loop loop;
-    std::ofstream out, jobsOut;
+    HistoryFile history;
+    std::ofstream jobsOut;
     std::uint64_t submitted = 0, accepted = 0, rejected = 0, unanswered = 0, unknowns = 0, finishedCount = 0, failed = 0, cancelled = 0;
     std::int64_t open = 0;
     Latencies acknowledged;
--- a/programs/millrace.cpp
+++ b/programs/millrace.cpp
@@ -1,11 +1,12 @@
 // millrace: a whole fleet of real processes on one machine, with load and faults, checked at its end.
 // The only program that starts processes. docs/operations.md 6.
 #include "client.hpp"
+#include "edge/history.hpp"
 #include "edge/log.hpp"
 #include "edge/options.hpp"
+#include "edge/weir.hpp"
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -28,11 +29,12 @@
     std::string name;
     std::vector<std::string> words;
     pid_t process = 0;
+    std::string area;
 };
 
 class Fleet {
 public:
-    explicit Fleet(Settings given) : settings(std::move(given)) {}
+    explicit Fleet(Settings given) : settings(std::move(given)), weir(loop, areaOfIp), control(loop, HttpLimits{}, [this](const HttpRequest& request) { return controlled(request); }) {}
     ~Fleet() {
         // Only what was started here is ended here, by its number.
         for (auto& child : children) signal(child, SIGCONT), signal(child, SIGTERM);
@@ -45,23 +47,24 @@
     int run() {
         std::filesystem::create_directories(settings.folder);
         for (int place = 1; place <= 3; ++place)
-            add("reservoir" + std::to_string(place), {"reservoir", "--peer", peer(place), "--http", standing(place), "--area", "area" + std::to_string(place), "--data", settings.folder + "/data" + std::to_string(place), "--found"}, true);
+            add("reservoir" + std::to_string(place), {"reservoir", "--peer", real(place, place), "--advertise", peer(place), "--http", real(place, 10 + place), "--area", "area" + std::to_string(place), "--data", settings.folder + "/data" + std::to_string(place), "--found"}, area(place), true);
         for (int place = 1; place <= settings.sluices; ++place)
-            add("sluice" + std::to_string(place), {"sluice", "--http", outer(place), "--area", area(place)}, true);
+            add("sluice" + std::to_string(place), {"sluice", "--http", real(place, 20 + place), "--advertise", outer(place), "--area", area(place)}, area(place), true);
+        if (!openRelays()) return 1;
         const bool cedarmark = settings.deployment == "cedarmark";
         for (int place = 1; place <= settings.minions; ++place) {
-            std::vector<std::string> words{"waterwheel", "--id", "m" + std::to_string(place), "--area", area(place), "--rack", "rack" + std::to_string((place + 2) / 3),
+            std::vector<std::string> words{"waterwheel", "--id", "m" + std::to_string(place), "--area", area(place), "--from", ipOf(Address{real(place, 0)}), "--rack", "rack" + std::to_string((place + 2) / 3),
                                            "--cores", cedarmark ? "16" : "64", "--memory-mb", cedarmark ? "32768" : "131072",
                                            "--witness", settings.folder + "/m" + std::to_string(place) + ".witness"};
-            for (int sluice = 1; sluice <= 3; ++sluice) words.insert(words.end(), {"--sluices", outer((place + sluice) % int(settings.sluices) + 1)});
+            for (int sluice = 0; sluice < 3; ++sluice) words.insert(words.end(), {"--sluices", outer((place + sluice) % int(settings.sluices) + 1)});
             if (place <= 4) words.push_back("--unguarded");
-            add("waterwheel" + std::to_string(place), words, false);
+            add("waterwheel" + std::to_string(place), words, area(place), false);
         }
         for (auto& child : children)
             if (!start(child)) return 1;
-        std::vector<Address> sluices;
-        for (int place = 1; place <= settings.sluices; ++place) sluices.push_back(Address{outer(place)});
+        const auto sluices = sluiceAddresses();
         caller = std::make_unique<Caller>(loop, sluices);
+        keeper = HistoryFile(settings.folder + "/keeper.witness");
         if (!until("three voters and every minion", Span{30'000}, [this] { return whole(); })) return 1;
         std::ifstream stream(settings.setup);
         const std::string setup((std::istreambuf_iterator<char>(stream)), {});
@@ -71,8 +74,9 @@
             return 1;
         }
         say("the fleet is whole");
+        std::ofstream(settings.folder + "/control") << at(0) << "\n";
         Child dipper{"dipper", {"dipper", "--deployment", settings.deployment, "--seconds", std::to_string(settings.seconds), "--rate", std::to_string(settings.rate), "--fill", std::to_string(settings.fill),
-                                "--witness", settings.folder + "/dipper.witness", "--submissions", settings.folder + "/dipper.submissions", "--report", settings.folder + "/dipper.report"}, 0};
+                                "--witness", settings.folder + "/dipper.witness", "--submissions", settings.folder + "/dipper.submissions", "--report", settings.folder + "/dipper.report"}, 0, {}};
         for (const auto& sluice : sluices) dipper.words.insert(dipper.words.end(), {"--sluices", sluice.value});
         children.push_back(dipper);
         if (!start(children.back())) return 1;
@@ -80,9 +84,11 @@
         bool good = true;
         for (const auto& step : settings.steps) good = take(step) && good;
         if (settings.keep) {
-            say("kept running; the outer addresses begin at " + outer(1));
-            pause(Span{settings.keep * 1000});
+            say("kept running; control at " + at(0) + ", the first sluice at " + outer(1));
+            const Instant until = monotonicNow() + Span{settings.keep * 1000};
+            while (!released && monotonicNow() < until) pause(Span{50});
         }
+        while (busy) pause(Span{50});
         Child& load = children.back();
         const Instant end = monotonicNow() + Span{(settings.seconds + 75) * 1000};
         while (load.process && monotonicNow() < end && !reap(load)) pause(Span{50});
@@ -92,7 +98,15 @@
         }
         std::ifstream report(settings.folder + "/dipper.report");
         std::cout << std::string((std::istreambuf_iterator<char>(report)), {});
-        Child checker{"tailrace", {"tailrace", "--folder", settings.folder, "--setup", settings.setup}, 0};
+        // Every writer closes its history before it is read.
+        keeper.write(Witness::Kind::settled);
+        keeper.close();
+        for (auto& child : children)
+            if (child.name.starts_with("waterwheel")) signal(child, SIGCONT), signal(child, SIGTERM);
+        for (auto& child : children)
+            if (child.name.starts_with("waterwheel"))
+                good = until(child.name + " has ended", Span{8000}, [&] { return reap(child); }, true) && good;
+        Child checker{"tailrace", {"tailrace", "--folder", settings.folder, "--setup", settings.setup}, 0, {}};
         children.push_back(checker);
         if (!start(children.back(), true)) return 1;
         while (!reap(children.back())) pause(Span{20});
@@ -105,17 +119,36 @@
     }
 
 private:
+    // Each area has an IP number at which its processes really are, and one at which the others find them, through relays.
     std::string at(std::int64_t offset) const { return "127.0.0.1:" + std::to_string(settings.port + offset); }
-    std::string peer(int place) const { return at(place); }
-    std::string standing(int place) const { return at(10 + place); }
-    std::string outer(int place) const { return at(20 + place); }
+    std::string real(int place, std::int64_t offset) const { return "127.1." + area(place).substr(4) + ".1:" + std::to_string(settings.port + offset); }
+    std::string shown(int place, std::int64_t offset) const { return "127.2." + area(place).substr(4) + ".1:" + std::to_string(settings.port + offset); }
+    std::string peer(int place) const { return shown(place, place); }
+    std::string outer(int place) const { return shown(place, 20 + place); }
+    static std::string areaOfIp(const std::string& ip) { return ip.starts_with("127.1.") ? "area" + ip.substr(6, ip.find('.', 6) - 6) : std::string(); }
+    bool openRelays() {
+        auto open = [this](int place, std::int64_t offset) {
+            auto opened = weir.open(Address{shown(place, offset)}, Address{real(place, offset)}, area(place));
+            if (!opened) say(opened.error().text());
+            return opened.has_value();
+        };
+        for (int place = 1; place <= 3; ++place)
+            if (!open(place, place)) return false;
+        for (int place = 1; place <= settings.sluices; ++place)
+            if (!open(place, 20 + place)) return false;
+        if (auto listening = control.listen(Address{at(0)}, false); !listening) {
+            say(listening.error().text);
+            return false;
+        }
+        return true;
+    }
     static std::string area(int place) { return "area" + std::to_string((place - 1) % 3 + 1); }
     void say(const std::string& text) { std::cout << "millrace: " << text << std::endl; }
 
-    void add(std::string name, std::vector<std::string> words, bool seeded) {
+    void add(std::string name, std::vector<std::string> words, std::string area, bool seeded) {
         if (seeded)
             for (int place = 1; place <= 3; ++place) words.insert(words.end(), {"--seeds", peer(place)});
-        children.push_back(Child{std::move(name), std::move(words), 0});
+        children.push_back(Child{std::move(name), std::move(words), 0, std::move(area)});
     }
     bool start(Child& child, bool outputHere = false) {
         std::vector<std::string> words = child.words;
@@ -154,11 +187,11 @@
             if (child.name == name) return &child;
         return nullptr;
     }
-    bool until(const std::string& what, Span within, const std::function<bool()>& condition) {
+    bool until(const std::string& what, Span within, const std::function<bool()>& condition, bool quiet = false) {
         const Instant begun = monotonicNow(), end = begun + within;
         while (monotonicNow() < end) {
             if (condition()) {
-                say(what + ": after " + std::to_string((monotonicNow() - begun).milliseconds) + " ms");
+                if (!quiet) say(what + ": after " + std::to_string((monotonicNow() - begun).milliseconds) + " ms");
                 return true;
             }
             pause(Span{50});
@@ -167,7 +200,8 @@
         return false;
     }
     std::optional<picojson::value> show(const std::string& target) {
-        auto answer = caller->ask({"GET", target, ""}, Span{3000});
+        Caller own(loop, sluiceAddresses());
+        auto answer = own.ask({"GET", target, ""}, Span{3000});
         picojson::value root;
         if (!answer || !picojson::parse(root, answer.value().body).empty()) return std::nullopt;
         return root;
@@ -184,6 +218,63 @@
         for (const auto& minion : minions->get("minions").get<picojson::array>()) present += minion.get("state").to_str() == "present" && minion.get("unheard_ms").get<double>() < 2000;
         return voters == 3 && present == settings.minions;
     }
+    std::vector<Address> sluiceAddresses() const {
+        std::vector<Address> addresses;
+        for (int place = 1; place <= settings.sluices; ++place) addresses.push_back(Address{outer(place)});
+        return addresses;
+    }
+
+    // --- control: what drawdown asks for. docs/operations.md 9 ---
+    Answer controlled(const HttpRequest& request) {
+        if (request.method == "GET" && request.target == "/fleet") return Answer::of(200, showFleet());
+        if (request.method == "POST" && request.target == "/release") {
+            released = true;
+            return Answer::of(200, {{"released", json(true)}});
+        }
+        std::vector<std::string> parts;
+        std::istringstream stream(request.target);
+        for (std::string part; std::getline(stream, part, '/');)
+            if (!part.empty()) parts.push_back(part);
+        if (request.method != "POST" || parts.size() != 4 || parts[0] != "fleet" || (parts[2] != "out" && parts[2] != "back")) return Answer::error(404, "missing", "there is no " + request.method + " " + request.target);
+        const std::string& name = parts[1];
+        const std::string& by = parts[3];
+        if (std::none_of(children.begin(), children.end(), [&](const Child& child) { return child.area == name; })) return Answer::error(404, "missing", "there is no area " + name);
+        if (by != "kill" && by != "freeze" && by != "cut") return Answer::error(400, "invalid", "an area goes by kill, freeze or cut");
+        if (busy) return Answer::error(409, "conflict", "the fleet is at work on an area");
+        busy = true;
+        const bool goesOut = parts[2] == "out";
+        if (goesOut) mark(Witness::Kind::disturbed, name + " by " + by);
+        moveArea(name, by, goesOut);
+        if (!goesOut) mark(Witness::Kind::mended, name + " by " + by);
+        busy = false;
+        return Answer::of(200, {{"area", json(name)}, {"out", json(goesOut)}});
+    }
+    void moveArea(const std::string& name, const std::string& by, bool goesOut) {
+        if (by == "cut") return weir.cut(name, goesOut);
+        for (auto& child : children) {
+            if (child.area != name) continue;
+            if (by == "freeze") signal(child, goesOut ? SIGSTOP : SIGCONT);
+            else if (goesOut) {
+                signal(child, SIGKILL);
+                while (!reap(child)) pause(Span{5});
+            } else if (!child.process) start(child);
+        }
+    }
+    picojson::object showFleet() {
+        std::map<std::string, picojson::array> areas;
+        for (const auto& child : children)
+            if (!child.area.empty()) areas[child.area].push_back(json(picojson::object{{"name", json(child.name)}, {"up", json(child.process != 0)}}));
+        picojson::object byArea;
+        for (auto& [name, list] : areas) {
+            picojson::array outers;
+            for (int place = 1; place <= settings.sluices; ++place)
+                if (area(place) == name) outers.push_back(json(outer(place)));
+            byArea[name] = json(picojson::object{{"processes", json(list)}, {"sluices", json(outers)}});
+        }
+        return {{"whole", json(whole())}, {"folder", json(settings.folder)}, {"areas", json(byArea)}};
+    }
+    void mark(Witness::Kind kind, const std::string& detail = {}) { keeper.write(kind, detail); }
+
     Child* leader() {
         auto cluster = show("/v1/cluster");
         if (!cluster) return nullptr;
@@ -206,6 +297,7 @@
         }
         say(step + ": " + child->name);
         const bool freeze = verb == "freeze";
+        mark(Witness::Kind::disturbed, step);
         signal(*child, freeze ? SIGSTOP : verb == "stop" ? SIGTERM : SIGKILL);
         bool good = true;
         if (!freeze) good = until(child->name + " has ended", Span{8000}, [&] { return reap(*child); });
@@ -214,7 +306,11 @@
         pause(Span{seconds * 1000});
         if (freeze) signal(*child, SIGCONT);
         else good = start(*child) && good;
-        return until("whole again", Span{verb == "empty" ? 60'000 : 12'000}, [this] { return whole(); }) && good;
+        mark(Witness::Kind::mended, step);
+        mark(Witness::Kind::whole);
+        good = until("whole again", Span{verb == "empty" ? 60'000 : 12'000}, [this] { return whole(); }) && good;
+        if (show("/v1/counters")) mark(Witness::Kind::served);
+        return good;
     }
 
     Settings settings;
@@ -222,6 +318,10 @@
     std::unique_ptr<Caller> caller;
     std::deque<Child> children;
     int lastStatus = 0;
+    Weir weir;
+    HttpServer control;
+    HistoryFile keeper;
+    bool busy = false, released = false;
 };
 
 }  // namespace
--- a/programs/reservoir.cpp
+++ b/programs/reservoir.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 struct Settings {
-    Address peer, http;
+    Address peer, http, advertise;
     std::string area, data;
     std::vector<Address> seeds;
     bool found = false, quiet = false;
@@ -147,7 +147,7 @@
         options.replaceAfter = Span{settings.replaceAfter};
         options.checkpointVersions = std::uint64_t(settings.checkpointVersions);
         std::random_device device;
-        core = std::make_unique<Reservoir>(Member{identity, settings.peer, AreaName{settings.area}, false}, options, (std::uint64_t(device()) << 32) | device(), restored, monotonicNow());
+        core = std::make_unique<Reservoir>(Member{identity, settings.advertise, AreaName{settings.area}, false}, options, (std::uint64_t(device()) << 32) | device(), restored, monotonicNow());
         core->noted.connect([](const Note& note) { log(LogLevel::info, note.what, note.fields); });
     }
     bool renew() {
@@ -270,7 +270,7 @@
         RouteTell told;
         told.view = core->route(monotonicNow());
         told.id = identity;
-        told.peer = settings.peer;
+        told.peer = settings.advertise;
         told.area = AreaName{settings.area};
         told.blank = core->agreed().blank();
         told.leads = core->agreed().leads();
@@ -287,7 +287,7 @@
             std::size_t blanks = 0, answering = 0;
             bool lowest = true;
             for (const auto& seed : settings.seeds) {
-                if (seed == settings.peer) {
+                if (seed == settings.advertise) {
                     ++blanks;
                     continue;
                 }
@@ -300,7 +300,7 @@
                 ++answering;
                 if (told->blank) {
                     ++blanks;
-                    lowest = lowest && settings.peer < told->peer;
+                    lowest = lowest && settings.advertise < told->peer;
                     continue;
                 }
                 if (!told->view.leader.value.empty()) core->join(told->view.leader);
@@ -346,6 +346,7 @@
     Settings settings;
     OptionSet options("reservoir", "aniseline's control plane and state, on a machine with a disk");
     options.address("peer", settings.peer, "the address where other processes of the system reach this one", true);
+    options.address("advertise", settings.advertise, "the address at which other processes reach --peer, if another");
     options.address("http", settings.http, "the address of /healthz and /readyz");
     options.text("area", settings.area, "the area of this machine", true);
     options.text("data", settings.data, "the data folder", true);
@@ -358,6 +359,8 @@
     options.whole("checkpoint-versions", settings.checkpointVersions, "versions on disk between whole views", 10, 1'000'000);
     options.flag("quiet", settings.quiet, "no logs");
     options.read(count, values);
+    if (settings.advertise.value.empty()) settings.advertise = settings.peer;
+    Loop::source = ipOf(settings.peer);
     if (settings.electionHigh <= settings.electionLow || settings.electionLow <= 2 * settings.heartbeat) {
         std::fprintf(stderr, "reservoir: --election-low-ms: must be over twice the heartbeat and below --election-high-ms\n");
         return 2;
--- a/programs/sluice.cpp
+++ b/programs/sluice.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 struct Settings {
-    Address http;
+    Address http, advertise;
     std::string area;
     std::vector<Address> seeds;
     std::int64_t threads = 2, exchanges = 2000;
@@ -62,7 +62,7 @@
             if (busy.count(address)) continue;
             busy.insert(address);
             spawn([this, address, caller] {
-                auto answered = caller->call(RouteAsk{settings.http}, Span{1000});
+                auto answered = caller->call(RouteAsk{settings.advertise}, Span{1000});
                 busy.erase(address);
                 if (!answered) return;
                 auto* told = boost::get<RouteTell>(&answered.value().body);
@@ -129,12 +129,15 @@
     Settings settings;
     OptionSet options("sluice", "aniseline's data plane, on every machine that callers and minions reach");
     options.address("http", settings.http, "the address for callers, minions and operators", true);
+    options.address("advertise", settings.advertise, "the address at which others reach --http, if another");
     options.text("area", settings.area, "the area of this machine", true);
     options.addresses("seeds", settings.seeds, "peer addresses of reservoirs, for first contact", true);
     options.whole("threads", settings.threads, "threads that serve", 1, 64);
     options.whole("exchanges", settings.exchanges, "exchanges under way at once", 1, 100'000);
     options.flag("quiet", settings.quiet, "no logs");
     options.read(count, values);
+    if (settings.advertise.value.empty()) settings.advertise = settings.http;
+    Loop::source = ipOf(settings.http);
     startLog("sluice", settings.http.value, settings.quiet);
     return Program(settings).run();
 }
--- a/programs/waterwheel.cpp
+++ b/programs/waterwheel.cpp
@@ -1,17 +1,16 @@
 // waterwheel: a stand-in minion on the minion library. Its tasks are timers. docs/operations.md 7.
 #include "client.hpp"
+#include "edge/history.hpp"
 #include "edge/log.hpp"
 #include "edge/options.hpp"
 #include "edge/stopping.hpp"
-#include "witness.hpp"
-#include <fstream>
 
 using namespace aniseline;
 
 namespace {
 
 struct Settings {
-    std::string id, area, rack, witness;
+    std::string id, area, rack, witness, from;
     std::vector<Address> sluices;
     std::int64_t cores = 16, memory = 32 * 1024, seed = 1, leaveWithin = 2000;
     double slow = 1, fail = 0;
@@ -20,9 +19,7 @@
 
 class Program {
 public:
-    explicit Program(Settings given) : settings(std::move(given)), draw(std::uint64_t(settings.seed)) {
-        if (!settings.witness.empty()) out.open(settings.witness, std::ios::app);
-    }
+    explicit Program(Settings given) : settings(std::move(given)), draw(std::uint64_t(settings.seed)), history(settings.witness) {}
     int run() {
         MinionHand::Options options;
         options.id = MinionId{settings.id};
@@ -54,7 +51,9 @@
         pause(Span{200});
         over = true;
         log(LogLevel::info, "stopped");
-        out.flush();
+        // Whatever still runs ends with this process.
+        write(Witness::Kind::vanished, {});
+        history.close();
         std::_Exit(0);
     }
 
@@ -68,7 +67,6 @@
     void write(Witness::Kind kind, const Order& order, std::string detail = {}) {
         Witness witness;
         witness.kind = kind;
-        witness.at = wallNow().milliseconds;
         witness.minion = settings.id;
         if (order.attempt.value) {
             witness.job = order.job.value;
@@ -79,17 +77,17 @@
             witness.trial = order.quantum.milliseconds > 0;
         }
         witness.detail = std::move(detail);
-        if (out.is_open()) out << witness.line() << "\n" << std::flush;
+        history.write(std::move(witness));
     }
     void writeCapacity() {
         Witness witness;
         witness.kind = Witness::Kind::capacity;
-        witness.at = wallNow().milliseconds;
         witness.minion = settings.id;
         witness.cores = std::uint32_t(settings.cores);
         witness.memory = std::uint64_t(settings.memory);
         witness.guards = !settings.unguarded;
-        if (out.is_open()) out << witness.line() << "\n" << std::flush;
+        if (settings.termless) witness.detail = "termless";
+        history.write(std::move(witness));
     }
     // A payload "run=250" says what the task really takes; else it takes what was requested.
     Span really(const Order& order) const {
@@ -139,7 +137,7 @@
     Loop loop;
     std::unique_ptr<MinionClient> client;
     std::map<AttemptNumber, Running> tasks;
-    std::ofstream out;
+    HistoryFile history;
 };
 
 }  // namespace
@@ -151,6 +149,7 @@
     options.text("area", settings.area, "the area of this machine", true);
     options.text("rack", settings.rack, "the rack of this machine");
     options.addresses("sluices", settings.sluices, "outer addresses of sluices, for first contact", true);
+    options.text("from", settings.from, "the IP number to connect from, on a machine with several");
     options.whole("cores", settings.cores, "cores", 1, 65'536);
     options.whole("memory-mb", settings.memory, "memory", 1, 1'000'000'000);
     options.whole("seed", settings.seed, "of the draws for failures", 0, 1'000'000'000);
@@ -162,6 +161,7 @@
     options.text("witness", settings.witness, "a file for the history of what really ran");
     options.flag("quiet", settings.quiet, "no logs");
     options.read(count, values);
+    Loop::source = settings.from;
     startLog("waterwheel", settings.id, settings.quiet);
     return Program(settings).run();
 }
--- a/source/course.cpp
+++ b/source/course.cpp
@@ -27,7 +27,7 @@
 RelayCourse::Step RelayCourse::done(Answer answer) { return Step{Step::Kind::answer, {}, {}, std::move(answer)}; }
 
 RelayCourse::Step RelayCourse::ask(Instant now) {
-    if (now >= deadline) return done(Answer::unknown("no leader of the reservoirs is known; ask again"));
+    if (now >= deadline) return done(Answer::notTaken("no leader of the reservoirs is known"));
     Address target = std::exchange(hint, Address{});
     if (target.value.empty()) {
         const RouteView view = route();
@@ -44,7 +44,7 @@
 
 RelayCourse::Step RelayCourse::next(Instant now) {
     passedOver = asked;
-    if (now >= seekUntil) return done(Answer::unknown("no leader of the reservoirs is known; ask again"));
+    if (now >= seekUntil) return done(Answer::notTaken("no leader of the reservoirs is known"));
     if (!hint.value.empty() && hints++ < 3) return ask(now);
     hint = Address{};
     ++turn;
--- /dev/null
+++ b/source/edge/history.hpp
@@ -0,0 +1,35 @@
+// The file in which a program writes down what it witnesses, line by line, for tailrace. docs/design.md 11.
+#pragma once
+#include "edge/loop.hpp"
+#include "witness.hpp"
+#include <fstream>
+
+namespace aniseline {
+
+class HistoryFile {
+public:
+    HistoryFile() = default;
+    // What an earlier process of the same name left half written ends here.
+    explicit HistoryFile(const std::string& name) {
+        if (name.empty()) return;
+        out.open(name, std::ios::app);
+        out << "\n" << std::flush;
+    }
+    void write(Witness witness) {
+        if (!out.is_open()) return;
+        if (!witness.at) witness.at = wallNow().milliseconds;
+        out << witness.line() << "\n" << std::flush;
+    }
+    void write(Witness::Kind kind, std::string detail = {}) {
+        Witness witness;
+        witness.kind = kind;
+        witness.detail = std::move(detail);
+        write(std::move(witness));
+    }
+    void close() { write(Witness::Kind::closed); }
+
+private:
+    std::ofstream out;
+};
+
+}  // namespace aniseline
--- a/source/edge/http.cpp
+++ b/source/edge/http.cpp
@@ -106,7 +106,8 @@
             connection = std::make_shared<Connection>(loop.context);
             connectedTo = address;
             connection->stream.expires_after(std::chrono::milliseconds(std::min<std::int64_t>(within.milliseconds, 1000)));
-            const auto connected = await([&](auto done) { connection->stream.async_connect(endpoint.value(), done); });
+            IoResult connected{loop.openFrom(connection->stream.socket(), endpoint.value()), 0};
+            if (!connected.error) connected = await([&](auto done) { connection->stream.async_connect(endpoint.value(), done); });
             if (connected.error) {
                 connection.reset();
                 return HttpError{HttpError::Kind::unreachable, connected.error.message()};
--- a/source/edge/loop.hpp
+++ b/source/edge/loop.hpp
@@ -44,6 +44,14 @@
 public:
     Loop() : guard(asio::make_work_guard(context)) { boost::fibers::use_scheduling_algorithm<LoopScheduler>(context); }
     asio::io_context context;
+    // Opens a socket that connects from the given IP number, where a machine has several. Empty: the system chooses.
+    IoError openFrom(tcp::socket& socket, const tcp::endpoint& target) const {
+        IoError error;
+        socket.open(target.protocol(), error);
+        if (!error && !source.empty()) socket.bind(tcp::endpoint(asio::ip::make_address(source, error), 0), error);
+        return error;
+    }
+    static inline std::string source;  // of the whole process, set once before anything connects
 
 private:
     asio::executor_work_guard<asio::io_context::executor_type> guard;
@@ -76,6 +84,13 @@
 }
 inline void pause(Span span) { boost::this_fiber::sleep_for(std::chrono::milliseconds(span.milliseconds)); }
 
+inline std::string ipOf(const Address& address) {
+    const auto colon = address.value.rfind(':');
+    std::string ip = address.value.substr(0, colon);
+    if (ip.size() > 1 && ip.front() == '[') ip = ip.substr(1, ip.size() - 2);
+    return ip == "0.0.0.0" || ip == "::" ? std::string() : ip;
+}
+
 // IP numbers only: 127.0.0.1:8000 or [::1]:8000.
 Result<tcp::endpoint> endpointOf(const Address& address);
 
--- /dev/null
+++ b/source/edge/weir.cpp
@@ -0,0 +1,65 @@
+#include "edge/weir.hpp"
+#include <boost/asio/write.hpp>
+
+namespace aniseline {
+
+Result<bool> Weir::open(const Address& at, const Address& target, std::string area) {
+    auto endpoint = endpointOf(at), behind = endpointOf(target);
+    if (!endpoint) return endpoint.error();
+    if (!behind) return behind.error();
+    auto acceptor = std::make_shared<tcp::acceptor>(loop.context);
+    IoError error;
+    acceptor->open(endpoint.value().protocol(), error);
+    acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor->bind(endpoint.value(), error);
+    if (!error) acceptor->listen(256, error);
+    if (error) return CoreError::at(CoreError::Kind::invalid, at.value, "can't listen: " + error.message());
+    spawn([this, acceptor, behind = behind.value(), area = std::move(area)] {
+        for (;;) {
+            auto near = std::make_shared<tcp::socket>(loop.context);
+            if (await([&](auto done) { acceptor->async_accept(*near, done); }).error) {
+                pause(Span{10});
+                continue;
+            }
+            spawn([this, near, behind, area] {
+                IoError ignored;
+                const std::string from = areaOf(near->remote_endpoint(ignored).address().to_string());
+                while (blocked(from, area)) pause(Span{20});
+                auto far = std::make_shared<tcp::socket>(loop.context);
+                if (await([&](auto done) { far->async_connect(behind, done); }).error) {
+                    near->close(ignored);
+                    return;
+                }
+                near->set_option(tcp::no_delay(true), ignored);
+                far->set_option(tcp::no_delay(true), ignored);
+                spawn([this, near, far, from, area] { pass(near, far, from, area); });
+                pass(far, near, area, from);
+            });
+        }
+    });
+    return true;
+}
+
+void Weir::cut(const std::string& area, bool cut) {
+    if (cut) areasCut.insert(area);
+    else areasCut.erase(area);
+}
+
+bool Weir::blocked(const std::string& from, const std::string& to) const {
+    return !from.empty() && from != to && (areasCut.count(from) || areasCut.count(to));
+}
+
+void Weir::pass(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to, std::string fromArea, std::string toArea) {
+    std::vector<char> bytes(64 * 1024);
+    IoError ignored;
+    for (;;) {
+        const auto read = await([&](auto done) { from->async_read_some(asio::buffer(bytes), done); });
+        while (!toArea.empty() && blocked(fromArea, toArea)) pause(Span{20});
+        if (read.error) break;
+        if (await([&](auto done) { asio::async_write(*to, asio::buffer(bytes.data(), read.bytes), done); }).error) break;
+    }
+    from->close(ignored);
+    to->close(ignored);
+}
+
+}  // namespace aniseline
--- a/source/edge/wire.cpp
+++ b/source/edge/wire.cpp
@@ -88,7 +88,8 @@
         IoError ignored;
         if (!error) socket->close(ignored);
     });
-    const auto connected = await([&](auto done) { made->socket->async_connect(endpoint.value(), done); });
+    IoResult connected{loop.openFrom(*made->socket, endpoint.value()), 0};
+    if (!connected.error) connected = await([&](auto done) { made->socket->async_connect(endpoint.value(), done); });
     timer->cancel();
     connecting = false;
     if (connected.error) {
--- a/source/event.hpp
+++ b/source/event.hpp
@@ -25,8 +25,9 @@
 };
 struct Forgotten {
     std::vector<JobId> jobs;
+    std::vector<JobId> shortened;   // over for a while: only what a resend and a look need is kept
     std::vector<MinionId> minions;  // gone as long ago
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & jobs & minions; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & jobs & shortened & minions; }
 };
 struct MinionSeen {  // a new minion, a new incarnation, or a changed word about itself
     MinionId minion;
@@ -56,7 +57,8 @@
 };
 struct MinionSilent {
     MinionId minion;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion; }
+    std::vector<AttemptNumber> givenUp;  // those whose queues wait no longer
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & givenUp; }
 };
 struct MinionGone {
     MinionId minion;
@@ -64,6 +66,12 @@
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & reason; }
 };
 
+struct ReservoirNamed {  // an operator's word that a learner may take its place; or that this is over
+    ReservoirId reservoir;
+    bool over = false;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & reservoir & over; }
+};
+
 struct Placement {
     std::uint32_t task = 0;
     MinionId minion;
@@ -102,7 +110,7 @@
 };
 
 using Event = boost::variant<Opened, SetupTaken, JobAllowed, JobCancelled, OccurrenceFired, Forgotten, MinionSeen, MinionSynced,
-                             MinionLeaves, MinionLeaveOver, MinionAllowed, MinionSilent, MinionGone, PlanMade>;
+                             MinionLeaves, MinionLeaveOver, MinionAllowed, MinionSilent, MinionGone, PlanMade, ReservoirNamed>;
 
 struct Record {
     ClusterTime at;
--- a/source/exchange.cpp
+++ b/source/exchange.cpp
@@ -10,8 +10,10 @@
 }
 
 bool RouteView::mayTake(const Exchange& exchange, std::size_t underWay, std::size_t most) const {
-    if (exchange.ask == Ask::sync) return true;  // as many as there are minions, and without them nothing ends
-    const bool plain = exchange.ask == Ask::submitJob && !std::count(urgent.begin(), urgent.end(), exchange.job.queue);
+    return roomFor(exchange.ask, exchange.ask == Ask::submitJob && !std::count(urgent.begin(), urgent.end(), exchange.job.queue), underWay, most);
+}
+bool roomFor(Ask ask, bool plain, std::size_t underWay, std::size_t most) {
+    if (ask == Ask::sync) return true;  // as many as there are minions, and without them nothing ends
     return underWay < (plain ? most - most / 5 : most);
 }
 
@@ -27,6 +29,7 @@
     return answer;
 }
 Answer Answer::unknown(const std::string& text) { return error(503, "unknown", text, Span{500}); }
+Answer Answer::notTaken(const std::string& text) { return error(503, "not_taken", text + "; nothing was taken, ask again", Span{300}); }
 Answer Answer::from(const CoreError& error) {
     int status = 400;
     const char* kind = "invalid";
--- a/source/exchange.hpp
+++ b/source/exchange.hpp
@@ -37,6 +37,7 @@
     static Answer error(int status, const std::string& kind, const std::string& text, Span retryAfter = Span{0});
     static Answer from(const CoreError& error);
     static Answer unknown(const std::string& text);
+    static Answer notTaken(const std::string& text);  // surely nothing was done: ask again
 };
 
 // What sluices hold of the cluster: the way to the leader. docs/design.md 9.2.
@@ -52,6 +53,8 @@
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & leader & reservoirs & sluices & setup & urgent; }
 };
 
+bool roomFor(Ask ask, bool plain, std::size_t underWay, std::size_t most);
+
 // JSON of a minion's sync, both ways.
 std::string renderReport(const SyncReport& report);
 std::string renderJob(const JobSubmission& job);
--- a/source/job.hpp
+++ b/source/job.hpp
@@ -71,6 +71,7 @@
     ClusterTime endedAt;
     std::vector<Task> tasks;
     std::uint32_t fired = 0;  // occurrences of a timetable so far
+    std::uint32_t shortenedTasks = 0;  // not 0: over, and its steps and tasks are no longer kept. docs/design.md 4.5
 
     bool over() const { return state == JobState::finished || state == JobState::failed || state == JobState::cancelled; }
     const TaskRequest& request(const Task& task) const { return submission.steps[task.step].tasks[task.within]; }
@@ -78,7 +79,7 @@
     // Tasks whose steps before them are done become ready.
     void unblock(ClusterTime now);
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & submission & digest & state & reason & ending & allowedAt & endedAt & tasks & fired;
+        archive & submission & digest & state & reason & ending & allowedAt & endedAt & tasks & fired & shortenedTasks;
     }
 };
 
--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -18,9 +18,8 @@
 
 std::optional<std::string> Ledger::neverFits(const StepRequest& step) const {
     std::vector<std::pair<std::uint32_t, std::uint64_t>> rooms;
-    for (const auto& [id, minion] : minions)
-        if (minion.state != MinionState::gone) rooms.emplace_back(minion.capacity.cores, minion.capacity.memory);
-    if (rooms.empty()) return std::nullopt;  // nobody has announced itself yet: no ground to judge on
+    if (minions.empty() || now - capacityChangedAt < setup.planner.knownAfter) return std::nullopt;
+    for (const auto& [id, minion] : minions) rooms.emplace_back(minion.capacity.cores, minion.capacity.memory);
     auto tasks = step.tasks;
     std::sort(tasks.begin(), tasks.end(), [](auto& left, auto& right) { return std::tie(left.cores, left.memory) > std::tie(right.cores, right.memory); });
     for (const auto& task : tasks) {
@@ -137,19 +136,16 @@
     const bool allDone = std::all_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) { return task.state == TaskState::done; });
     if (!job.ending && !allDone) return;
     if (!attemptsOf(job.submission.id, false).empty()) return;
-    if (job.state == JobState::cancelling) {
-        job.state = JobState::cancelled;
-        ++counters.cancelled;
-    } else if (allDone) {
-        job.state = JobState::finished;
-        ++counters.finished;
-    } else {
-        job.state = JobState::failed;
-        ++counters.failed;
-    }
+    over(job, job.state == JobState::cancelling ? JobState::cancelled : allDone ? JobState::finished : JobState::failed);
+}
+
+void Ledger::over(Job& job, JobState state) {
+    job.state = state;
+    ++(state == JobState::cancelled ? counters.cancelled : state == JobState::finished ? counters.finished : counters.failed);
     job.endedAt = now;
     open.erase(job.submission.id);
     --openByQueue[job.submission.queue];
+    ended.emplace(now, job.submission.id);
 }
 
 void Ledger::endAttempt(AttemptNumber number, EndingKind kind) {
@@ -246,14 +242,7 @@
         auto found = ledger.jobs.find(event.job);
         if (found == ledger.jobs.end() || found->second.over()) return;
         Job& job = found->second;
-        if (job.state == JobState::timed) {
-            job.state = JobState::cancelled;
-            job.endedAt = ledger.now;
-            ledger.open.erase(event.job);
-            --ledger.openByQueue[job.submission.queue];
-            ++ledger.counters.cancelled;
-            return;
-        }
+        if (job.state == JobState::timed) return ledger.over(job, JobState::cancelled);
         job.state = JobState::cancelling;
         if (!job.ending) ledger.failJob(job, "cancelled");
         ledger.settle(job);
@@ -264,18 +253,23 @@
         JobSubmission occurrence = found->second.submission;
         occurrence.id = JobId{event.job.value + "@" + std::to_string(found->second.fired)};
         occurrence.timetable = Timetable{};
-        if (++found->second.fired >= found->second.submission.timetable.count) {
-            found->second.state = JobState::finished;
-            found->second.endedAt = ledger.now;
-            ledger.open.erase(event.job);
-            --ledger.openByQueue[occurrence.queue];
-        }
+        if (++found->second.fired >= found->second.submission.timetable.count) ledger.over(found->second, JobState::finished);
         ledger.allow(occurrence);
     }
     void operator()(const Forgotten& event) {
         for (const auto& id : event.jobs) {
             auto found = ledger.jobs.find(id);
-            if (found != ledger.jobs.end() && found->second.over()) ledger.jobs.erase(found);
+            if (found == ledger.jobs.end() || !found->second.over()) continue;
+            ledger.ended.erase({found->second.endedAt, id});
+            ledger.jobs.erase(found);
+        }
+        for (const auto& id : event.shortened) {
+            auto found = ledger.jobs.find(id);
+            if (found == ledger.jobs.end() || !found->second.over() || !ledger.attemptsOf(id, true).empty()) continue;
+            Job& job = found->second;
+            job.shortenedTasks = std::max<std::uint32_t>(1, std::uint32_t(job.tasks.size()));
+            std::vector<StepRequest>().swap(job.submission.steps);
+            std::vector<Task>().swap(job.tasks);
         }
         for (const auto& id : event.minions) {
             auto found = ledger.minions.find(id);
@@ -299,8 +293,13 @@
             if (minion.state != MinionState::drained) minion.state = MinionState::present;
             minion.leaveStopped = false;
         }
+        if (minion.capacity.cores != event.capacity.cores || minion.capacity.memory != event.capacity.memory) ledger.capacityChangedAt = ledger.now;
         minion.capacity = event.capacity;
     }
+    void operator()(const ReservoirNamed& event) {
+        if (event.over) ledger.toReplace.erase(event.reservoir);
+        else ledger.toReplace.insert(event.reservoir);
+    }
     void operator()(const MinionSynced& event) {
         auto found = ledger.minions.find(event.minion);
         if (found == ledger.minions.end()) return;
@@ -363,9 +362,11 @@
         if (found == ledger.minions.end() || found->second.state == MinionState::gone) return;
         if (found->second.state != MinionState::drained) found->second.state = MinionState::silent;
         if (!found->second.capacity.honoursTerms) return;
-        for (auto number : ledger.attemptsOn(event.minion)) {
+        for (auto number : event.givenUp) {
+            auto attempt = ledger.attempts.find(number);
+            if (attempt == ledger.attempts.end() || attempt->second.minion != event.minion) continue;
             ledger.giveUpAttempt(number);
-            ledger.forceStop(ledger.attempts[number], false);
+            ledger.forceStop(attempt->second, false);
         }
     }
     void operator()(const MinionGone& event) {
--- a/source/ledger.hpp
+++ b/source/ledger.hpp
@@ -26,16 +26,23 @@
     PlanNumber plan;
     Reservation reservation;
     Counters counters;
+    std::set<ReservoirId> toReplace;                 // by an operator's word
+    ClusterTime capacityChangedAt;                   // when a minion was last seen for the first time, or with another room
+    std::set<std::pair<ClusterTime, JobId>> ended;   // jobs that are over, the earliest first; derived
 
     void fold(const Record& record);
 
     std::vector<AttemptNumber> attemptsOf(const JobId& job, bool withLost) const;
     std::vector<AttemptNumber> attemptsOn(const MinionId& minion) const;
-    // Could the known minions, all empty, ever hold these tasks together (a gang) or one by one?
+    // Could the known minions, all empty, ever hold these tasks together (a gang) or one by one? Those away or gone count, and
+    // nothing is said before the minions are known to be all. docs/design.md 10.
     std::optional<std::string> neverFits(const StepRequest& step) const;
 
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & now & setup & jobs & open & openByQueue & minions & attempts & lastAttempt & plan & reservation & counters;
+        archive & now & setup & jobs & open & openByQueue & minions & attempts & lastAttempt & plan & reservation & counters & toReplace & capacityChangedAt;
+        if constexpr (Archive::is_loading::value)
+            for (const auto& [id, job] : jobs)
+                if (job.over()) ended.emplace(job.endedAt, id);
     }
 
 private:
@@ -50,6 +57,7 @@
     void abortGang(Job& job, std::uint32_t step, AttemptNumber except);
     void failJob(Job& job, const std::string& reason);
     void settle(Job& job);
+    void over(Job& job, JobState state);
     void resumeVictimsOf(AttemptNumber trial);
 };
 
--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -270,20 +270,29 @@
         rooms[place].projections.push_back(projection);
     }
 
-    // Among fitting minions the one with the fewest unallocated cores; ties by name. Paper 2.2.
+    std::string rackOf(const MinionId& id) const {
+        auto found = ledger.minions.find(id);
+        return found == ledger.minions.end() ? std::string() : found->second.capacity.rack;
+    }
+    // Among fitting minions the one with the fewest unallocated cores; ties by rack, then by name. Paper 2.2.
     bool startNow(const Unit& unit) {
         std::vector<std::pair<std::uint32_t, std::size_t>> placed;
         for (auto part : partsBySize(unit)) {
             const TaskRequest& request = requestOf(unit, part);
             const MinionId& avoid = taskOf(unit, part).avoid;
+            const std::string rackToAvoid = rackOf(avoid);
             std::size_t best = rooms.size();
-            std::tuple<int, std::int64_t> bestKey{};
+            std::tuple<int, std::int64_t, int> bestKey{};
             for (std::size_t place = 0; place < rooms.size(); ++place) {
                 Room& room = rooms[place];
                 if (!room.usable || room.safeCores() < request.cores) continue;
                 if (!memoryFits(room, room.freeMemory(), std::int64_t(request.memory), trialRoom)) continue;
                 if (delays(place, request.cores, std::int64_t(request.memory), now + request.runtime)) continue;
-                const std::tuple<int, std::int64_t> key{room.penalty + (room.minion->id == avoid ? 1 : 0), room.freeCores()};
+                // Where the paper's fit leaves a choice: a retry leaves the rack it failed on, a gang keeps to few. docs/paper.md 2.
+                const std::string& rack = room.minion->capacity.rack;
+                const bool sameGang = std::any_of(placed.begin(), placed.end(), [&](const auto& other) { return rooms[other.second].minion->capacity.rack == rack; });
+                const int rackChoice = !rack.empty() && rack == rackToAvoid ? 2 : unit.gang && !placed.empty() && !sameGang ? 1 : 0;
+                const std::tuple<int, std::int64_t, int> key{room.penalty + (room.minion->id == avoid ? 1 : 0), room.freeCores(), rackChoice};
                 if (best == rooms.size() || key < bestKey) {
                     best = place;
                     bestKey = key;
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -57,7 +57,7 @@
         clusterBase = working().now;
         clusterBaseAt = now;
         contacts.clear();
-        named.clear();
+        shortenedTo = ClusterTime{};
         append(Opened{});
         note("leads", {{"epoch", json(ledEpoch.value)}, {"last", json(agreement.last().value)}});
     } else if (!agreement.leads() && workingLedger) {
@@ -86,10 +86,16 @@
     record.exchange = std::move(exchange);
     record.deadline = at + options.answerWithin;
     if (!workingLedger || !agreement.leads()) return answer(record, notLeader());
-    if (!route(at).mayTake(record.exchange, exchanges.size(), options.exchangesAtOnce))
+    if (!mayTake(record.exchange))
         return answer(record, Answer::error(429, "overloaded", "too many exchanges are under way", Span{1000}));
     exchanges.push_back(std::move(record));
 }
+// docs/design.md 10: the setup in force says which queues are urgent.
+bool Reservoir::mayTake(const Exchange& exchange) const {
+    const auto* queue = committedLedger.setup.queue(exchange.job.queue);
+    const bool plain = exchange.ask == Ask::submitJob && !(queue && queue->urgency > 0);
+    return roomFor(exchange.ask, plain, exchanges.size(), options.exchangesAtOnce);
+}
 void Reservoir::dropExchange(ExchangeNumber number) {
     std::erase_if(exchanges, [&](const ExchangeRecord& record) { return record.number == number && record.stage != Stage::taken; });
 }
@@ -172,8 +178,9 @@
             const ReservoirId id{exchange.id};
             for (const auto& member : agreement.members())
                 if (member.id == id && id != agreement.self().id) {
-                    named.insert(id);
-                    return decide(record, Answer::of(202, {{"replacing", json(exchange.id)}}), false);
+                    const bool wanted = !working().toReplace.count(id);
+                    if (wanted) append(ReservoirNamed{id, false});
+                    return decide(record, Answer::of(202, {{"replacing", json(exchange.id)}}), wanted);
                 }
             return decide(record, id == agreement.self().id ? Answer::error(409, "conflict", "it leads; stop it first so that leadership moves")
                                                             : Answer::error(404, "missing", "no member " + exchange.id), false);
@@ -208,8 +215,7 @@
         heldBack += options.reserved > open ? options.reserved - open : 0;
     }
     const auto limit = working().setup.planner.openLimit;
-    const bool full = working().open.size() + heldBack >= limit || working().openByQueue[job.queue] >= queue->openLimit ||
-                      working().jobs.size() >= limit * 5;
+    const bool full = working().open.size() + heldBack >= limit || working().openByQueue[job.queue] >= queue->openLimit;
     if (full) return decide(record, Answer::error(429, "overloaded", "queue " + job.queue.value + " is full", Span{1000}), false);
     append(JobAllowed{job});
     if (queue->urgency > 0) planAtOnce = true;
@@ -249,6 +255,11 @@
     if (known && (std::count(known->retired.begin(), known->retired.end(), report.incarnation) ||
                   (known->state == MinionState::gone && known->incarnation == report.incarnation)))
         return decide(record, Answer::error(410, "gone", "this incarnation is replaced: stop all tasks and begin anew"), false);
+    // Two processes with one id would put each other out for ever: while the one that is known is alive the other is told so.
+    if (known && known->incarnation != report.incarnation && known->state != MinionState::gone && now - heardFrom(report.id) < options.aliveWithin) {
+        note("minion id in use", {{"minion", json(report.id.value)}});
+        return decide(record, Answer::error(409, "conflict", "minion " + report.id.value + " is alive as another process; give each its own id", options.aliveWithin), false);
+    }
     bool prompt = false;
     if (!known || known->incarnation != report.incarnation || known->capacity != report.capacity) {
         append(MinionSeen{report.id, report.incarnation, report.capacity});
@@ -303,25 +314,41 @@
     decide(record, Answer::of(200, {{"minion", json(id.value)}, {"state", json(name(minion.state))}}), logged);
 }
 
+Instant Reservoir::heardFrom(const MinionId& id) const {
+    auto contact = contacts.find(id);
+    return contact == contacts.end() ? leaderSince : std::max(leaderSince, contact->second);
+}
+
+// Which tasks of a silent minion are given up by now: their queues may ask for more patience. docs/design.md 5.5.
+MinionSilent Reservoir::silenceOf(const Minion& minion, Instant heard) {
+    MinionSilent silent{minion.id, {}};
+    if (!minion.capacity.honoursTerms) return silent;
+    for (auto number : working().attemptsOn(minion.id)) {
+        const Attempt& attempt = working().attempts.at(number);
+        auto job = working().jobs.find(attempt.job);
+        const auto* queue = job == working().jobs.end() ? nullptr : working().setup.queue(job->second.submission.queue);
+        const Span patience = queue ? queue->replaceAfter : Span{0};
+        if (!attempt.lost && now - heard > options.term + options.margin + patience) silent.givenUp.push_back(number);
+    }
+    return silent;
+}
+
 // Terms, leavings, and their ends. docs/design.md 5.4 to 5.7.
 void Reservoir::passMinions() {
     std::vector<Event> events;
     for (const auto& [id, minion] : working().minions) {
         if (minion.state == MinionState::gone) continue;
-        auto contact = contacts.find(id);
-        const Instant heard = std::max(leaderSince, contact == contacts.end() ? leaderSince : contact->second);
-        const bool lapsed = now - heard > options.term + options.margin;
-        if (lapsed && minion.state != MinionState::silent) {
-            const auto placed = working().attemptsOn(id);
-            const bool someOpen = std::any_of(placed.begin(), placed.end(), [&](auto number) { return !working().attempts[number].lost; });
-            if (minion.state == MinionState::leaving && placed.empty()) events.push_back(MinionGone{id, "left"});
-            else if (minion.state != MinionState::drained || (someOpen && minion.capacity.honoursTerms)) events.push_back(MinionSilent{id});
+        const Instant heard = heardFrom(id);
+        if (now - heard > options.term + options.margin) {
+            auto silent = silenceOf(minion, heard);
+            if (minion.state == MinionState::leaving && working().attemptsOn(id).empty()) events.push_back(MinionGone{id, "left"});
+            else if (!silent.givenUp.empty() || (minion.state != MinionState::silent && minion.state != MinionState::drained)) events.push_back(std::move(silent));
         }
         if ((minion.state == MinionState::leaving || minion.state == MinionState::drained) && !minion.leaveStopped && clusterNow() >= minion.leaveBy)
             events.push_back(MinionLeaveOver{id});
     }
     for (auto& event : events) {
-        if (auto* silent = boost::get<MinionSilent>(&event)) note("minion silent", {{"minion", json(silent->minion.value)}});
+        if (auto* silent = boost::get<MinionSilent>(&event); silent && working().minions.at(silent->minion).state != MinionState::silent) note("minion silent", {{"minion", json(silent->minion.value)}});
         append(std::move(event));
     }
 }
@@ -341,12 +368,27 @@
 void Reservoir::passForget() {
     if (now < nextForget) return;
     nextForget = now + Span{1000};
+    // docs/design.md 4.5: finished work never turns new work away; it is kept short, and past the limit the earliest goes.
+    constexpr Span keepWhole{60'000};
+    constexpr std::size_t atOnce = 2000;
+    const auto& planner = working().setup.planner;
     Forgotten forgotten;
-    for (const auto& [id, job] : working().jobs)
-        if (job.over() && clusterNow() - job.endedAt > working().setup.planner.keepFinished && forgotten.jobs.size() < 1000) forgotten.jobs.push_back(id);
+    std::size_t kept = working().jobs.size();
+    for (const auto& [endedAt, id] : working().ended) {
+        const Span since = clusterNow() - endedAt;
+        const bool goes = since > planner.keepFinished || kept > planner.keepLimit;
+        if (!goes || forgotten.jobs.size() >= atOnce) break;
+        --kept;
+        forgotten.jobs.push_back(id);
+    }
+    for (auto place = working().ended.lower_bound({shortenedTo, JobId{}}); place != working().ended.end() && forgotten.shortened.size() < atOnce; ++place) {
+        if (clusterNow() - place->first <= keepWhole) break;
+        shortenedTo = place->first;
+        if (!working().jobs.at(place->second).shortenedTasks) forgotten.shortened.push_back(place->second);
+    }
     for (const auto& [id, minion] : working().minions)
         if (minion.state == MinionState::gone && clusterNow() - minion.seenAt > working().setup.planner.keepFinished) forgotten.minions.push_back(id);
-    if (!forgotten.jobs.empty() || !forgotten.minions.empty()) append(std::move(forgotten));
+    if (!forgotten.jobs.empty() || !forgotten.shortened.empty() || !forgotten.minions.empty()) append(std::move(forgotten));
     std::erase_if(sluices, [&](const auto& entry) { return now - entry.second > Span{10'000}; });
 }
 
@@ -413,7 +455,7 @@
             return true;
         }
         if (now < record.deadline) return false;
-        answer(record, Answer::unknown("no majority of the reservoirs answers; ask again"));
+        answer(record, record.stage == Stage::taken ? Answer::notTaken("the leader can't serve yet") : Answer::unknown("no majority of the reservoirs answers; ask again"));
         return true;
     });
 }
@@ -424,8 +466,13 @@
     Members members = agreement.members();
     auto isDead = [&](const Member& member) {
         if (member.id == agreement.self().id) return false;
-        if (named.count(member.id)) return true;
-        return now - std::max(leaderSince, agreement.heardFrom(member.id)) > options.replaceAfter;
+        if (working().toReplace.count(member.id)) return true;
+        const Span unheard = now - std::max(leaderSince, agreement.heardFrom(member.id));
+        // A new identity that answers at its very address is proof that its disk is gone: no need to wait for more.
+        const bool supplanted = std::any_of(members.begin(), members.end(), [&](const Member& other) {
+            return other.id != member.id && other.peer == member.peer && now - agreement.heardFrom(other.id) < Span{1000};
+        });
+        return unheard > options.replaceAfter || (supplanted && unheard > Span{2000});
     };
     auto change = [&](const char* what, const Member& member) {
         if (agreement.proposeMembers(members, now))
@@ -459,7 +506,7 @@
         const bool deadLearner = !member.voter && isDead(member);
         if (!(forgetful && (!member.voter || voters > 1)) && !superfluous && !deadLearner) continue;
         members.erase(members.begin() + std::ptrdiff_t(place));
-        named.erase(member.id);
+        if (working().toReplace.count(member.id)) append(ReservoirNamed{member.id, true});
         return change(forgetful ? "forgetful" : "removed", member);
     }
     if (voters >= 3 && dead == 0) return;
@@ -524,6 +571,7 @@
     }
     picojson::object byState;
     for (const auto& [state, count] : counts) byState[state] = json(count);
+    if (job.shortenedTasks) byState["no longer kept"] = json(job.shortenedTasks);
     picojson::object shown{{"id", json(job.submission.id.value)}, {"queue", json(job.submission.queue.value)}, {"state", json(name(job.state))},
                            {"allowed_at_ms", json(job.allowedAt.milliseconds)}, {"tasks", json(tasks)}, {"tasks_by_state", json(byState)}};
     if (!job.reason.empty()) shown["reason"] = json(job.reason);
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -13,6 +13,7 @@
     Span longestPoll{1000};
     Span answerWithin{2000};
     Span replaceAfter{30'000};
+    Span aliveWithin{1500};  // a minion heard within this is alive: another process may not take its id
     std::uint64_t checkpointVersions = 1000;
     std::uint64_t checkpointBytes = 8 * 1024 * 1024;
     std::size_t exchangesAtOnce = 4000;
@@ -68,6 +69,7 @@
     void followLog();
     void takeView(const LogView& view);
     void followRole();
+    bool mayTake(const Exchange& exchange) const;
     void passIntake();
     void passMinions();
     void passTimetables();
@@ -88,6 +90,8 @@
     void intakeMinionOrder(ExchangeRecord& record);
     void note(std::string what, picojson::object fields = {}) { noted(Note{std::move(what), std::move(fields)}); }
     Silence silence() const;
+    Instant heardFrom(const MinionId& id) const;
+    MinionSilent silenceOf(const Minion& minion, Instant heard);
     picojson::object showJob(const Job& job) const;
     picojson::object showMinions() const;
     picojson::object showCluster() const;
@@ -110,9 +114,9 @@
     bool planWanted = false, planAtOnce = false;
     Instant lastPlan{-1'000'000};
     Instant nextForget;
+    ClusterTime shortenedTo;
     std::map<MinionId, Instant> contacts;
     std::map<Address, Instant> sluices;
-    std::set<ReservoirId> named;  // to be replaced by word of an operator
     std::vector<ExchangeRecord> exchanges;
     std::vector<std::pair<ExchangeNumber, Answer>> answers;
     bool unreadable = false;
--- a/source/setup.cpp
+++ b/source/setup.cpp
@@ -160,6 +160,8 @@
             planner.whole("trial_room_mb", setup.planner.trialRoom, 0, 1e9);
             planner.whole("open_limit", setup.planner.openLimit, 1, 100'000);
             planner.span("keep_finished_ms", setup.planner.keepFinished, 10'000, dayMilliseconds);
+            planner.whole("keep_limit", setup.planner.keepLimit, 100, 2'000'000);
+            planner.span("known_after_ms", setup.planner.knownAfter, 0, dayMilliseconds);
         }
         const auto* queues = reader.find("queues");
         if (!queues || !queues->is<picojson::object>() || queues->get<picojson::object>().empty())
@@ -176,6 +178,7 @@
                 queue.whole("open_limit", options.openLimit, 1, 100'000);
                 queue.whole("reserved", options.reserved, 0, 100'000);
                 queue.span("hard_limit_ms", options.hardLimit, 0, 366 * dayMilliseconds);
+                queue.span("replace_after_ms", options.replaceAfter, 0, dayMilliseconds);
                 queue.words("policy", options.policy);
                 if (!setup.policies.count(options.policy)) queue.fault("policy", "names no policy of this setup");
                 if (const auto* trialValue = queue.find("trial")) {
--- a/source/setup.hpp
+++ b/source/setup.hpp
@@ -20,10 +20,11 @@
     std::uint64_t reserved = 0;      // open jobs of the whole that only this queue may use
     TrialOptions trial;
     Span hardLimit{0};  // 0: an overrunning task stays in place
+    Span replaceAfter{0};  // waited beyond term and margin before a silent minion's tasks are started elsewhere
     std::string policy = "default";
     bool closed = false;  // removed from the setup while jobs were open: runs on, takes nothing new
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & name & urgency & retries & openLimit & reserved & trial & hardLimit & policy & closed;
+        archive & name & urgency & retries & openLimit & reserved & trial & hardLimit & replaceAfter & policy & closed;
     }
 };
 
@@ -41,8 +42,10 @@
     std::uint64_t trialRoom = 0;  // MB of each minion that only trials may use; 0 is the paper's design
     std::uint64_t openLimit = 20'000;
     Span keepFinished{3'600'000};
+    std::uint64_t keepLimit = 300'000;  // jobs kept; past it the earliest ended go first, docs/design.md 4.5
+    Span knownAfter{30'000};            // how long minions must have been as they are before a job is rejected as too large
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & period & weightWait & weightExpansion & trials & trialRoom & openLimit & keepFinished;
+        archive & period & weightWait & weightExpansion & trials & trialRoom & openLimit & keepFinished & keepLimit & knownAfter;
     }
 };
 
--- a/source/simulator/world.cpp
+++ b/source/simulator/world.cpp
@@ -27,7 +27,7 @@
         auto node = std::make_unique<MinionNode>();
         node->place = place;
         node->area = place % options.areas;
-        node->id = "m" + std::to_string(place + 1);
+        node->id = "m" + std::to_string(place + options.twins < options.minions ? place + 1 : 1);
         node->capacity = Capacity{options.cores, options.memory, AreaName{"area" + std::to_string(node->area + 1)}, "rack" + std::to_string(place / 3 + 1),
                                   place + options.termless < options.minions, place >= options.unguarded};
         minions.push_back(std::move(node));
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -16,6 +16,7 @@
     std::uint64_t memory = 32 * 1024;
     std::size_t termless = 0;     // minions, from the last on, that do not honour terms
     std::size_t unguarded = 6;    // minions, from the first on, that do not guard their room
+    std::size_t twins = 0;        // minions, from the last on, that wrongly bear the first one's id
     double loss = 0;              // part of the messages between processes
     ReservoirOptions reservoir;
 };
--- a/source/witness.cpp
+++ b/source/witness.cpp
@@ -67,7 +67,7 @@
     return witness;
 }
 
-Result<std::vector<Witness>, HistoryError> readHistory(const std::string& file, const std::string& text) {
+Result<std::vector<Witness>, HistoryError> readHistory(const std::string& file, const std::string& text, bool atWork) {
     std::vector<Witness> history;
     std::istringstream stream(text);
     std::size_t number = 0, torn = 0;
@@ -85,9 +85,9 @@
         if (!history.empty() && witness->at + 1000 < history.back().at) return HistoryError{file, number, "stands after a later line: the history is out of order"};
         history.push_back(std::move(*witness));
     }
-    if (torn) return HistoryError{file, torn, "is no witness' line"};
+    if (torn && !atWork) return HistoryError{file, torn, "is no witness' line"};
     if (history.empty()) return HistoryError{file, 0, "holds no history"};
-    if (history.back().kind != Witness::Kind::closed) return HistoryError{file, number, "is cut off: the writer's closing line is missing"};
+    if (!atWork && history.back().kind != Witness::Kind::closed) return HistoryError{file, number, "is cut off: the writer's closing line is missing"};
     return history;
 }
 
--- a/source/witness.hpp
+++ b/source/witness.hpp
@@ -42,7 +42,8 @@
     std::string message() const { return file + (line ? ":" + std::to_string(line) : "") + ": " + text; }
 };
 // Reads one writer's whole file. Empty, damaged, unordered or cut off: an error, never a shorter history. A line may be torn
-// only where a killed process left it: the next one then tells that the process vanished.
-Result<std::vector<Witness>, HistoryError> readHistory(const std::string& file, const std::string& text);
+// only where a killed process left it: the next one then tells that the process vanished. Of a writer that is still at work
+// the end may be missing.
+Result<std::vector<Witness>, HistoryError> readHistory(const std::string& file, const std::string& text, bool atWork = false);
 
 }  // namespace aniseline
--- /dev/null
+++ b/tests/drill.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# The area-out drill on a fleet of real processes, bounded, waiting on conditions. tests/drill.sh [kill|freeze|cut]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+by=${1:-kill}
+folder=$(mktemp -d)
+fleet=""
+trap '[ -z "$fleet" ] || kill "$fleet" 2>/dev/null || true; rm -rf "$folder"' EXIT
+build/millrace --folder "$folder/fleet" --port 23000 --setup examples/setup-cooperative.json --deployment cooperative --seconds 14 --keep 60 > "$folder/fleet.txt" 2>&1 &
+fleet=$!
+for _ in $(seq 300); do
+  [ -s "$folder/fleet/control" ] && break
+  kill -0 "$fleet" 2>/dev/null || { cat "$folder/fleet.txt"; exit 1; }
+  sleep 0.1
+done
+control=$(cat "$folder/fleet/control")
+build/drawdown --control "$control" --area area2 --dry-run | grep -q "nothing was done"
+# Machines that run checks are slow at times; the promise of a quarter of a second is measured in docs/measurements.md.
+build/drawdown --control "$control" --area area2 --by "$by" --queue updates --out-seconds 8 --urgent-ms 2000 --setup examples/setup-cooperative.json
+build/drawdown --control "$control" --area area2 --by "$by" --queue updates --out-seconds 30 --setup examples/setup-cooperative.json > "$folder/second.txt" &
+drill=$!
+whole() { build/drawdown --control "$control" --area area2 --dry-run >/dev/null 2>&1; }
+for _ in $(seq 100); do whole || break; sleep 0.1; done
+# While an area is out a second drill is refused; interrupted, the first gives its area back.
+if whole; then echo "a drill was not refused on a fleet that is not whole"; exit 1; fi
+kill -TERM "$drill"
+status=0
+wait "$drill" || status=$?
+[ "$status" = 4 ] || { cat "$folder/second.txt"; echo "an interrupted drill ended with $status"; exit 1; }
+whole || { echo "the area was not given back"; exit 1; }
+exec 3<>"/dev/tcp/${control%:*}/${control#*:}"
+printf 'POST /release HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\nContent-Length: 0\r\n\r\n' >&3
+grep -q released <&3
+wait "$fleet" || { cat "$folder/fleet.txt"; exit 1; }
+fleet=""
+tail -n 1 "$folder/fleet.txt"
--- a/tests/refusals.sh
+++ b/tests/refusals.sh
@@ -37,6 +37,10 @@
 refuse 3 "is not JSON" build/headgate setup check "$folder/torn.json"
 refuse 5 "127.0.0.1:1: Connection refused" build/headgate --sluices 127.0.0.1:1 --within-ms 300 counters
 refuse 2 "holds no history" build/tailrace --folder "$folder"
+printf '{"at":1,"kind":"sung"}\n' > "$folder/torn.witness"
+refuse 2 "torn.witness:1: is no witness' line" build/tailrace --folder "$folder"
+refuse 2 "--by: must be" build/drawdown --control 127.0.0.1:1 --area a --by paint
+refuse 3 "can't be asked" build/drawdown --control 127.0.0.1:1 --area a
 [ ! -e "$folder/d" ] || { echo "a refused start left a data folder"; failed=$((failed + 1)); }
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/tests/transcripts.cpp
+++ b/tests/transcripts.cpp
@@ -11,8 +11,8 @@
     std::string text;
     std::unique_ptr<World> world;
     std::int64_t begun = 0;
-    explicit Script(WorldOptions options = {}) {
-        options.reservoir.replaceAfter = Span{5000};
+    explicit Script(WorldOptions options = {}, std::int64_t replaceAfter = 5000) {
+        options.reservoir.replaceAfter = Span{replaceAfter};
         world = std::make_unique<World>(options);
         CHECK(world->runUntilTrue([&] { return world->voterCount() == 3; }, 20'000));
         bool taken = false;
@@ -32,6 +32,15 @@
     void askQuietly(const std::string& method, const std::string& target, const std::string& body, std::function<void(int)> told) {
         world->ask(1, method, target, body, [told](int status, const std::string&) { told(status); });
     }
+    // The minion that a job's task was started on last.
+    std::string minionOf(const std::string& job) const {
+        std::string found;
+        for (const auto& given : world->history)
+            if (given.kind == Witness::Kind::started && given.job == job) found = given.minion;
+        return found;
+    }
+    void untilVoters(std::size_t wanted, std::int64_t within) { CHECK(world->runUntilTrue([&] { return world->copiesWhole() && world->voterCount() == wanted; }, within)); }
+    void untilFinished(const std::string& job, std::int64_t within = 10'000) { CHECK(world->runUntilTrue([&] { return world->lastShown[job] == "finished"; }, within)); }
     void run(std::int64_t span) { world->runUntil(world->now + span); }
     // What the caller and then what the minions witnessed of one job, without times and places, which draws decide.
     void history(const std::string& job) {
@@ -41,7 +50,9 @@
                     write(std::string(minions ? "  minion: " : "  caller: ") + name(given.kind) + (given.detail.empty() ? "" : " " + given.detail));
     }
     void approve(const std::string& name) {
-        for (const auto& promise : world->findings().broken) write("BROKEN rule " + std::to_string(promise.rule) + ": " + promise.text);
+        const auto findings = world->findings();
+        for (const auto& limit : findings.limits) write("limit of rule " + std::to_string(limit.rule) + ": " + limit.text);
+        for (const auto& promise : findings.broken) write("BROKEN rule " + std::to_string(promise.rule) + ": " + promise.text);
         const std::string file = std::string(ANISELINE_SOURCE) + "/tests/approved/" + name + ".txt";
         if (std::getenv("ANISELINE_APPROVE")) std::ofstream(file) << text;
         std::ifstream stream(file);
@@ -69,7 +80,9 @@
     script.ask("POST", "/v1/jobs", job("c", 300, "nowhere"));
     script.ask("POST", "/v1/jobs", job("d", 300, "proofs", 99));
     script.ask("GET", "/v1/jobs/d");
-    script.run(1000);
+    // docs/design.md 10: only when the minions have been known for a while is a job called too large for all of them.
+    script.run(31'000);
+    script.ask("POST", "/v1/jobs", job("e", 300, "proofs", 99));
     script.ask("DELETE", "/v1/jobs/b");
     script.ask("DELETE", "/v1/jobs/b");
     script.run(1000);
@@ -148,9 +161,7 @@
     Script script(options);
     script.world->submit(typed(job("a", 6000, "plates")));
     CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
-    std::size_t first = 0;
-    for (const auto& given : script.world->history)
-        if (given.kind == Witness::Kind::started) first = given.minion == "m1" ? 0 : 1;
+    const std::size_t first = script.minionOf("a") == "m1" ? 0 : 1;
     script.world->cutMinion(first, true);
     CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 2; }, 8000));
     script.world->cutMinion(first, false);
@@ -168,9 +179,7 @@
     Script script(options);
     script.world->submit(typed(job("a", 4000, "plates")));
     CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
-    std::size_t first = 0;
-    for (const auto& given : script.world->history)
-        if (given.kind == Witness::Kind::started) first = given.minion == "m1" ? 0 : 1;
+    const std::size_t first = script.minionOf("a") == "m1" ? 0 : 1;
     script.world->killMinion(first, true);
     script.run(20'000);
     LONGS_EQUAL(1, script.world->startsOf("a"));
@@ -229,19 +238,14 @@
     Script script(options);
     script.world->submit(typed(job("a", 4000, "plates")));
     CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
-    std::string first;
-    for (const auto& given : script.world->history)
-        if (given.kind == Witness::Kind::started) first = given.minion;
+    const std::string first = script.minionOf("a");
     int status = 0;
     script.askQuietly("POST", "/v1/minions/" + first + "/drain?within_ms=1500", "", [&](int given) { status = given; });
     script.run(1000);
     LONGS_EQUAL(1, script.world->startsOf("a"));
     script.write("drained -> " + std::to_string(status) + ", still running after a second");
     CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 10'000));
-    std::string last;
-    for (const auto& given : script.world->history)
-        if (given.kind == Witness::Kind::started) last = given.minion;
-    CHECK(first != last);
+    CHECK(first != script.minionOf("a"));
     script.history("a");
     script.approve("drain");
 }
@@ -262,6 +266,124 @@
     script.approve("flood");
 }
 
+// docs/design.md 5.2: a second process with a minion's id is told so, and the first one's work goes on.
+TEST(Transcripts, twoMinionsWithOneId) {
+    WorldOptions options;
+    options.minions = 2;
+    options.twins = 1;
+    Script script(options);
+    std::size_t told = 0;
+    script.world->noting = [&](std::size_t, const Note& note) { told += note.what == "minion id in use"; };
+    script.world->submit(typed(job("a", 9000, "plates")));
+    script.untilFinished("a", 15'000);
+    CHECK(told > 3);
+    script.history("a");
+    script.approve("two-minions-one-id");
+}
+
+// docs/design.md 3.5: a new identity that answers at a voter's very address proves that voter's disk gone.
+TEST(Transcripts, aLostDiskIsReplacedWithoutTheWait) {
+    Script script({}, 30'000);
+    const std::size_t victim = (*script.world->leader() + 1) % 3;
+    script.world->loseDisk(victim);
+    script.run(500);
+    script.world->restartReservoir(victim);
+    script.untilVoters(3, 4000);
+    script.write("three voters within 4 s, though a silent one is waited for 30 s");
+    script.approve("lost-disk");
+}
+// And a voter that is only slow, cut off or frozen for less than the wait stays one.
+TEST(Transcripts, aSilentVoterStaysOne) {
+    Script script({}, 30'000);
+    const std::size_t victim = (*script.world->leader() + 1) % 3;
+    std::size_t changes = 0;
+    script.world->noting = [&](std::size_t, const Note& note) { changes += note.what == "members change"; };
+    script.world->freezeReservoir(victim, true);
+    script.run(20'000);
+    script.world->freezeReservoir(victim, false);
+    script.run(2000);
+    LONGS_EQUAL(0, changes);
+    LONGS_EQUAL(3, script.world->voterCount());
+}
+
+// An operator's word outlives the leader that heard it.
+TEST(Transcripts, aReplacementOutlivesItsLeader) {
+    Script script({}, 60'000);
+    const std::size_t before = *script.world->leader(), victim = (before + 1) % 3;
+    const std::string named = script.world->reservoir(victim)->agreed().self().id.value;
+    script.world->loseDisk(victim);
+    script.world->moveReservoir(victim);
+    int status = 0;
+    script.askQuietly("POST", "/v1/reservoirs/" + named + "/replace", "", [&](int given) { status = given; });
+    script.run(300);
+    script.world->killReservoir(before, true);
+    script.run(1500);
+    script.world->restartReservoir(before);
+    script.run(2500);
+    CHECK(script.world->leader().has_value());
+    CHECK(*script.world->leader() != before);
+    script.world->restartReservoir(victim);
+    script.untilVoters(3, 8000);
+    script.write("named -> " + std::to_string(status) + "; the leader after the next one replaced it");
+    script.approve("replacement-outlives");
+}
+
+// docs/design.md 4.5: past the limit the earliest ended go; none of it turns new work away, and a resend is still known.
+TEST(Transcripts, finishedWorkTurnsNoneAway) {
+    Script script;
+    bool taken = false;
+    script.world->applySetup(R"({"planner":{"keep_limit":100,"open_limit":20},"queues":{"proofs":{"urgency":10}}})", 1, [&](int status, const std::string&) { taken = status == 200; });
+    CHECK(script.world->runUntilTrue([&] { return taken; }, 3000));
+    std::map<int, int> counts;
+    for (int count = 0; count < 300; ++count) {
+        script.askQuietly("POST", "/v1/jobs", job("k" + std::to_string(count), 50), [&](int status) { ++counts[status]; });
+        script.run(100);
+    }
+    script.run(65'000);
+    for (const auto& [status, count] : counts) script.write("300 jobs -> " + std::to_string(count) + " times " + std::to_string(status));
+    const auto& ledger = script.world->reservoir(*script.world->leader())->committed();
+    script.write(std::to_string(ledger.jobs.size()) + " are kept, the latest shortened: " + (ledger.jobs.at(JobId{"k299"}).tasks.empty() ? "yes" : "no"));
+    script.ask("POST", "/v1/jobs", job("k299", 50));
+    script.ask("POST", "/v1/jobs", job("k299", 60));
+    script.approve("kept-jobs");
+}
+
+// docs/design.md 5.5: a queue may wait longer for a silent minion, which then tells its ending instead of being replaced.
+TEST(Transcripts, patienceSavesAnEnding) {
+    for (const char* patience : {"0", "6000"}) {
+        Script script;
+        bool taken = false;
+        script.world->applySetup(std::string(R"({"queues":{"plates":{"retries":3,"replace_after_ms":)") + patience + "}}}", 1, [&](int status, const std::string&) { taken = status == 200; });
+        CHECK(script.world->runUntilTrue([&] { return taken; }, 3000));
+        script.world->submit(typed(job("a", 1500, "plates")));
+        CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
+        const std::size_t place = std::stoul(script.minionOf("a").substr(1)) - 1;
+        script.world->disturb("the cut", false);
+        script.world->cutMinion(place, true);
+        script.run(7000);
+        script.world->cutMinion(place, false);
+        script.world->disturb("the cut", true);
+        script.untilFinished("a");
+        script.write(std::string("waiting ") + patience + " ms more: started " + std::to_string(script.world->startsOf("a")) + " times");
+        script.approve(std::string("patience-") + patience);
+    }
+}
+
+// The centre cut one way: whoever still reaches a majority both ways leads, and service goes on.
+TEST(Transcripts, oneWayCutsOfTheCentre) {
+    for (const bool whole : {false, true}) {
+        Script script;
+        const std::size_t before = *script.world->leader();
+        script.world->cutAreas(before, (before + 1) % 3, true);
+        if (whole) script.world->cutAreas(before, (before + 2) % 3, true);
+        script.run(3000);
+        CHECK(script.world->leader().has_value());
+        if (whole) CHECK(*script.world->leader() != before);
+        script.world->submit(typed(job("a", 300)));
+        script.untilFinished("a", 6000);
+    }
+}
+
 // The same seed gives the same run, to the letter.
 TEST(Transcripts, sameSeedSameRun) {
     CampaignOptions options;
