A gang's parts that run alone are stopped after 2.5 s, not after term and margin

Ruled out: staging (all were staged and heard within 1.5 s). Now a part not heard to have gone 2.5 s after its order has the others stopped; they wait whole again.

--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -7,6 +7,7 @@
 constexpr Span silentTooLong{2000};     // an unheard minion gets no new work, docs/design.md 5.6
 constexpr Span unappliedTooLong{1500};  // nor one that is slow to apply its orders
 constexpr Span stagingLimit{5000};
+constexpr Span goLimit{2500};           // told to go but not heard to have gone: the others run alone, docs/design.md 7.3
 constexpr Span trialGrace{2000};        // past its quantum a trial is stopped by order, docs/design.md 7.5
 constexpr std::int64_t blameLimit = 500;
 
@@ -481,8 +482,9 @@
             const Job& job = ledger.jobs.at(key.first);
             std::size_t openParts = 0;
             for (const auto& task : job.tasks) openParts += task.step == key.second && task.state != TaskState::done;
-            bool allStaged = parts.size() == openParts, staging = false, late = false;
+            bool allStaged = parts.size() == openParts, staging = false, late = false, alone = false;
             for (const auto* part : parts) {
+                alone = alone || (part->state == AttemptState::going && now - part->runningSince > goLimit);
                 if (part->state == AttemptState::staged || part->state == AttemptState::ordered) {
                     staging = true;
                     late = late || now - part->orderedAt > stagingLimit;
@@ -496,6 +498,10 @@
                 action.attempt = part->number;
                 action.minion = part->minion;
                 if (allStaged) action.kind = ActionKind::go;
+                else if (alone && part->state != AttemptState::stopping) {
+                    action.kind = ActionKind::stop;
+                    action.reason = "alone";
+                }
                 else if (staging && late && part->state != AttemptState::stopping) {
                     action.kind = ActionKind::stop;
                     action.reason = "staging";
@@ -611,6 +617,7 @@
         if (attempt.lost) continue;
         if (attempt.trial() && attempt.state == AttemptState::running) consider(now + (attempt.quantum + trialGrace - attempt.ranBy(now)) + Span{1});
         if (attempt.gang && (attempt.state == AttemptState::ordered || attempt.state == AttemptState::staged)) consider(now + Span{200});
+        if (attempt.gang && attempt.state == AttemptState::going) consider(attempt.runningSince + goLimit + Span{1});
         if (!attempt.trial() && attempt.state == AttemptState::running) {
             const auto found = ledger.jobs.find(attempt.job);
             const auto* queue = found == ledger.jobs.end() ? nullptr : ledger.setup.queue(found->second.submission.queue);
