--- a/source/edge/route.cpp
+++ b/source/edge/route.cpp
@@ -27,12 +27,9 @@
 
 bool RouteBoard::publish(const RouteView& view) {
     const RouteView* before = current.load(std::memory_order_acquire);
-    if (view.epoch < before->epoch) return false;
-    auto* next = new RouteView(view);
-    // docs/design.md 6.5: a setup's version never slips back in a process.
-    next->setup = std::max(next->setup, before->setup);
-    if (next->leader.value.empty() && next->epoch == before->epoch) next->leader = before->leader;
-    current.store(next, std::memory_order_release);
+    auto next = std::make_unique<RouteView>(*before);
+    if (!next->takeNewer(view)) return false;
+    current.store(next.release(), std::memory_order_release);
     synchronize_rcu();
     ANISELINE_GRACE_ACQUIRE();
     delete before;
--- a/source/exchange.hpp
+++ b/source/exchange.hpp
@@ -57,6 +57,14 @@
     std::vector<Contact> sluices;  // for minions and callers
     SetupVersion setup;
     std::vector<QueueName> urgent;  // queues whose submissions are let in last to be turned away
+    // Takes what another process tells, unless it is older; a setup's version never slips back. docs/design.md 6.5.
+    bool takeNewer(RouteView told) {
+        if (told.epoch < epoch) return false;
+        told.setup = std::max(told.setup, setup);
+        if (told.leader.value.empty() && told.epoch == epoch) told.leader = leader;
+        *this = std::move(told);
+        return true;
+    }
     // Of the room for exchanges a fifth is kept for urgent submissions and for all that is no submission. docs/design.md 10.
     bool mayTake(const Exchange& exchange, std::size_t underWay, std::size_t most) const;
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & leader & reservoirs & sluices & setup & urgent; }
--- a/source/simulator/world_sluices.cpp
+++ b/source/simulator/world_sluices.cpp
@@ -12,13 +12,7 @@
                 to->core->noteSluice({node.outer, AreaName{"area" + std::to_string(node.area + 1)}}, Instant{now + to->monotonicBase});
                 if (to->core->agreed().blank()) return;
                 auto view = to->core->route(Instant{now + to->monotonicBase});
-                deliver(*to, node, [&node, view] {
-                    if (view.epoch < node.route.epoch) return;
-                    auto next = view;
-                    next.setup = std::max(next.setup, node.route.setup);
-                    if (next.leader.value.empty() && next.epoch == node.route.epoch) next.leader = node.route.leader;
-                    node.route = next;
-                });
+                deliver(*to, node, [&node, view] { node.route.takeNewer(view); });
             });
         }
     schedule(now + 200, [this, &node, generation] { refreshSluice(node, generation); });
