--- a/programs/drawdown.cpp
+++ b/programs/drawdown.cpp
@@ -5,7 +5,6 @@
 #include "edge/options.hpp"
 #include "edge/stopping.hpp"
 #include "promises.hpp"
-#include <filesystem>
 #include <iostream>
 
 using namespace aniseline;
@@ -172,31 +171,13 @@
     }
     // The never-rules over what callers and minions have witnessed so far; the writers are still at work.
     void judgeHistories() {
-        std::vector<Witness> all;
-        std::map<std::string, JobSubmission> submissions;
-        for (const auto& entry : std::filesystem::directory_iterator(folder)) {
-            const std::string name = entry.path();
-            if (!name.ends_with(".witness") && !name.ends_with(".submissions")) continue;
-            std::ifstream stream(name);
-            const std::string text((std::istreambuf_iterator<char>(stream)), {});
-            if (name.ends_with(".witness")) {
-                auto read = readHistory(name, text, true);
-                if (!read) {
-                    hold(read.error().message(), false);
-                    continue;
-                }
-                all.insert(all.end(), read.value().begin(), read.value().end());
-                continue;
-            }
-            std::istringstream lines(text);
-            for (std::string line; std::getline(lines, line);)
-                if (auto job = Exchange::parse("POST", "/v1/jobs", line)) submissions[job.value().job.id.value] = job.value().job;
-        }
+        auto read = readFolder(folder, true);
+        if (!read) return hold(read.error().message(), false);
         PromiseOptions options;
         std::ifstream stream(settings.setup);
         if (auto setup = Setup::parse(std::string((std::istreambuf_iterator<char>(stream)), {})))
             for (const auto& [name, queue] : setup.value().queues) options.retriesOf[name.value] = queue.retries;
-        const auto findings = checkPromises(std::move(all), submissions, options);
+        const auto findings = checkPromises(std::move(read.value().witnessed), read.value().submissions, options);
         picojson::array limits;
         for (const auto& limit : findings.limits) limits.push_back(json("rule " + std::to_string(limit.rule) + ": " + limit.text));
         report["limits"] = json(limits);
--- a/programs/tailrace.cpp
+++ b/programs/tailrace.cpp
@@ -1,8 +1,8 @@
 // tailrace: checks the never-rules from the histories that callers and minions witnessed. docs/design.md 11.
+#include "edge/history.hpp"
 #include "edge/options.hpp"
 #include "exchange.hpp"
 #include "promises.hpp"
-#include <filesystem>
 #include <fstream>
 #include <iostream>
 
@@ -17,41 +17,15 @@
     options.whole("slack-ms", slack, "allowed for the witnesses' own clock readings", 0, 10'000);
     options.read(count, values);
 
-    std::vector<Witness> history;
-    std::map<std::string, JobSubmission> submissions;
-    PromiseOptions promises;
-    promises.slack = slack;
-    std::error_code error;
-    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
-        const std::string name = entry.path();
-        if (!name.ends_with(".witness") && !name.ends_with(".submissions")) continue;
-        std::ifstream stream(name);
-        const std::string text((std::istreambuf_iterator<char>(stream)), {});
-        if (name.ends_with(".witness")) {
-            auto read = readHistory(name, text);
-            if (!read) {
-                std::cerr << "tailrace: " << read.error().message() << "\n";
-                return 2;
-            }
-            history.insert(history.end(), read.value().begin(), read.value().end());
-            continue;
-        }
-        std::istringstream lines(text);
-        std::size_t number = 0;
-        for (std::string line; std::getline(lines, line);) {
-            ++number;
-            auto job = Exchange::parse("POST", "/v1/jobs", line);
-            if (!job) {
-                std::cerr << "tailrace: " << name << ":" << number << ": " << job.error().text() << "\n";
-                return 2;
-            }
-            submissions[job.value().job.id.value] = job.value().job;
-        }
-    }
-    if (error || history.empty() || submissions.empty()) {
-        std::cerr << "tailrace: " << folder << ": " << (error ? error.message() : history.empty() ? "holds no history" : "holds no submissions") << "\n";
+    auto read = readFolder(folder);
+    if (!read) {
+        std::cerr << "tailrace: " << read.error().message() << "\n";
         return 2;
     }
+    const auto& history = read.value().witnessed;
+    const auto& submissions = read.value().submissions;
+    PromiseOptions promises;
+    promises.slack = slack;
     if (!setupFile.empty()) {
         std::ifstream stream(setupFile);
         auto setup = Setup::parse(std::string((std::istreambuf_iterator<char>(stream)), {}));
--- a/source/edge/history.hpp
+++ b/source/edge/history.hpp
@@ -1,6 +1,7 @@
 // The file in which a program writes down what it witnesses, line by line, for tailrace. docs/design.md 11.
 #pragma once
 #include "edge/loop.hpp"
+#include "exchange.hpp"
 #include "witness.hpp"
 #include <fstream>
 
@@ -32,4 +33,12 @@
     std::ofstream out;
 };
 
+// What all writers of a folder witnessed (*.witness), and the jobs submitted (*.submissions).
+struct FleetHistory {
+    std::vector<Witness> witnessed;
+    std::map<std::string, JobSubmission> submissions;
+};
+// An error in any file is an error of the whole; of writers still at work a line may be half written.
+Result<FleetHistory, HistoryError> readFolder(const std::string& folder, bool atWork = false);
+
 }  // namespace aniseline
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -100,9 +100,6 @@
     const bool plain = exchange.ask == Ask::submitJob && !(queue && queue->urgency > 0);
     return roomFor(exchange.ask, plain, exchanges.size(), options.exchangesAtOnce);
 }
-void Reservoir::dropExchange(ExchangeNumber number) {
-    std::erase_if(exchanges, [&](const ExchangeRecord& record) { return record.number == number && record.stage != Stage::taken; });
-}
 
 // An answer rests on the working ledger, so it leaves only when all that ledger holds is committed and a round
 // begun after the exchange came has been confirmed by a majority. docs/design.md 8.2.
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -34,7 +34,6 @@
     void receive(const PeerMessage& message, Instant now) { agreement.receive(message, now); }
     void synced(DiskVersion version, Instant now) { agreement.synced(version, now); }
     void take(ExchangeNumber number, Exchange exchange, Instant now);
-    void dropExchange(ExchangeNumber number);
     void found(Instant now) { agreement.found(now); }
     void join(const Address& leader) { agreement.join(leader); }
     void handOver(Instant now) { agreement.handOver(now); }
