--- a/library/library.cpp
+++ b/library/library.cpp
@@ -99,7 +99,7 @@
         StepRequest request{step.name, step.after, step.gang, {}};
         for (const auto& task : step.tasks)
             for (unsigned count = 0; count < task.count; ++count)
-                request.tasks.push_back(TaskRequest{task.cores, task.memoryMb, aniseline::Span{task.runtime.count()}, task.payload});
+                request.tasks.push_back(TaskRequest{task.cores * 1000, task.memoryMb, aniseline::Span{task.runtime.count()}, task.payload});
         submission.steps.push_back(std::move(request));
     }
     submission.timetable.first = ClusterTime{job.firstAt};
@@ -165,7 +165,7 @@
     parts->slots = std::move(slots);
     MinionHand::Options hand;
     hand.id = MinionId{options.id};
-    hand.capacity = Capacity{options.cores, options.memoryMb, AreaName{options.area}, options.rack, options.honoursTerms, options.guardsRoom};
+    hand.capacity = Capacity{options.cores * 1000, options.memoryMb, AreaName{options.area}, options.rack, options.honoursTerms, options.guardsRoom};
     const auto contacts = addresses(options.contacts);
     parts->engine.run<bool>([&](Loop& loop) {
         std::random_device device;
@@ -175,7 +175,7 @@
             const auto attempt = effect.attempt.value;
             const Order& order = effect.order;
             if (effect.kind == HandEffect::Kind::start && own.slots.start)
-                own.slots.start(Work{attempt, order.job.value, order.task, order.cores, order.memory, Span{order.runtime.milliseconds}, order.quantum.milliseconds > 0, order.payload});
+                own.slots.start(Work{attempt, order.job.value, order.task, order.cores / 1000, order.memory, Span{order.runtime.milliseconds}, order.quantum.milliseconds > 0, order.payload});
             else if (effect.kind == HandEffect::Kind::hold && own.slots.hold) own.slots.hold(attempt);
             else if (effect.kind == HandEffect::Kind::resume && own.slots.resume) own.slots.resume(attempt);
             else if (effect.kind == HandEffect::Kind::stop && own.slots.stop) own.slots.stop(attempt);
--- a/programs/dipper.cpp
+++ b/programs/dipper.cpp
@@ -26,7 +26,7 @@
 };
 
 TaskRequest task(std::uint32_t cores, std::uint64_t memory, std::int64_t requested, std::int64_t really) {
-    return TaskRequest{cores, memory, Span{requested}, "run=" + std::to_string(really)};
+    return TaskRequest{cores * 1000, memory, Span{requested}, "run=" + std::to_string(really)};
 }
 std::vector<TaskRequest> many(std::size_t count, const TaskRequest& one) { return std::vector<TaskRequest>(count, one); }
 
--- a/programs/drawdown.cpp
+++ b/programs/drawdown.cpp
@@ -132,7 +132,7 @@
         JobSubmission job;
         job.id = JobId{"drill-" + std::to_string(wallNow().milliseconds) + "-" + std::to_string(place)};
         job.queue = QueueName{settings.queue};
-        job.steps = {{"probe", {}, false, {TaskRequest{1, 128, Span{500}, "run=60"}}}};
+        job.steps = {{"probe", {}, false, {TaskRequest{1000, 128, Span{500}, "run=60"}}}};
         jobs << renderJob(job) << "\n" << std::flush;
         Caller caller(loop, sluices);
         caller.witness = [&](const HttpRequest& request, const Result<HttpAnswer, HttpError>& result) {
--- a/programs/waterwheel.cpp
+++ b/programs/waterwheel.cpp
@@ -23,7 +23,7 @@
     int run() {
         MinionHand::Options options;
         options.id = MinionId{settings.id};
-        options.capacity = Capacity{std::uint32_t(settings.cores), std::uint64_t(settings.memory), AreaName{settings.area}, settings.rack, !settings.termless, !settings.unguarded};
+        options.capacity = Capacity{std::uint32_t(settings.cores * 1000), std::uint64_t(settings.memory), AreaName{settings.area}, settings.rack, !settings.termless, !settings.unguarded};
         std::random_device device;
         client = std::make_unique<MinionClient>(loop, options, Incarnation{((std::uint64_t(device()) << 32) | device()) | 1}, settings.sluices);
         client->confirmed.connect([this](const Order& order, EndingKind kind) { write(Witness::Kind::confirmed, order, name(kind)); });
@@ -84,7 +84,7 @@
         Witness witness;
         witness.kind = Witness::Kind::capacity;
         witness.minion = settings.id;
-        witness.cores = std::uint32_t(settings.cores);
+        witness.cores = std::uint32_t(settings.cores * 1000);
         witness.memory = std::uint64_t(settings.memory);
         witness.guards = !settings.unguarded;
         if (settings.termless) witness.detail = "termless";
--- a/source/course.cpp
+++ b/source/course.cpp
@@ -14,6 +14,9 @@
         case Ask::showCluster:
         case Ask::showPlan:
         case Ask::showCounters:
+        case Ask::showPhase:
+        case Ask::countWaiting:
+        case Ask::readSetup:
         case Ask::exportState: return true;
         default: return false;
     }
@@ -22,7 +25,7 @@
 
 RelayCourse::RelayCourse(const Exchange& exchange, Route route, const std::vector<Address>& seeds, Instant now)
     : route(std::move(route)), seeds(seeds), mayRepeat(readsOnly(exchange.ask)),
-      deadline(now + (exchange.ask == Ask::sync ? exchange.report.wait + Span{1500} : Span{2500})), seekUntil(now + Span{2000}) {}
+      deadline(now + (exchange.ask == Ask::sync ? exchange.report.wait + Span{1500} : std::min(exchange.patience, Span{2500}))), seekUntil(now + std::min(exchange.patience, Span{2000})) {}
 
 RelayCourse::Step RelayCourse::done(Answer answer) { return Step{Step::Kind::answer, {}, {}, std::move(answer)}; }
 
--- /dev/null
+++ b/source/daemons/reservoir_daemon.cpp
@@ -0,0 +1,364 @@
+#include "daemons/reservoir_daemon.hpp"
+#include "edge/disk.hpp"
+#include "edge/log.hpp"
+#include "edge/stopping.hpp"
+#include "edge/wire.hpp"
+#include <thread>
+
+namespace aniseline {
+
+namespace {
+
+// Works off what it is handed, in order, off the agreement's thread. docs/design.md 9.1.
+class WorkThread {
+public:
+    WorkThread() : thread([this] { run(); }) {}
+    ~WorkThread() {
+        hand({});
+        thread.join();
+    }
+    void hand(std::function<void()> work) {  // an empty one ends it
+        {
+            std::lock_guard lock(mutex);
+            waiting.push_back(std::move(work));
+        }
+        some.notify_one();
+    }
+
+private:
+    void run() {
+        for (;;) {
+            std::function<void()> work;
+            {
+                std::unique_lock lock(mutex);
+                some.wait(lock, [&] { return !waiting.empty(); });
+                work = std::move(waiting.front());
+                waiting.pop_front();
+            }
+            if (!work) return;
+            work();
+        }
+    }
+    std::mutex mutex;
+    std::condition_variable some;
+    std::deque<std::function<void()>> waiting;
+    std::thread thread;
+};
+
+class Program {
+public:
+    explicit Program(ReservoirSettings settings) : settings(std::move(settings)), folder(this->settings.data) {}
+
+    int run() {
+        if (!openCore()) return 1;
+        if (!listenPeers()) return 1;
+        HttpServer http(loop, HttpLimits{64 * 1024, 100, Span{30'000}, Span{2000}}, [this](const HttpRequest& request) { return standing(request); });
+        if (!settings.http.value.empty())
+            if (auto listening = http.listen(settings.http, false); !listening) {
+                log(LogLevel::error, listening.error().text);
+                return 1;
+            }
+        // What an adapter serves here beside the product's own interface. docs/design.md 9.6.
+        Relay relay(loop, [this] { return core->route(monotonicNow()); }, settings.seeds, [] { return false; });
+        const Serve serve = [&relay](const Exchange& exchange) { return relay.relay(exchange); };
+        HttpServer outer(loop, settings.outer.limits, [&](const HttpRequest& request) { return settings.outer.handle(request, serve); });
+        if (settings.outer.handle)
+            if (auto listening = outer.listen(settings.outer.address, false); !listening) {
+                log(LogLevel::error, listening.error().text);
+                return 1;
+            }
+        disk = std::make_unique<WorkThread>();
+        views = std::make_unique<WorkThread>();
+        spawn([this] { seekCluster(); });
+        log(LogLevel::info, "started", {{"identity", json(identity.value)}, {"peer", json(settings.peer.value)}, {"area", json(settings.area)}});
+        StopSignal stop(loop);
+        Instant handOverAt{0}, stopBy{0};
+        while (true) {
+            stepped.store(monotonicNow().milliseconds);
+            core->step(monotonicNow(), wallNow());
+            drive();
+            if (core->agreed().retired() && !renew()) return 1;
+            if (core->damaged()) {
+                log(LogLevel::error, "the state can't be read by this version; stopping, nothing is changed", {{"data", json(settings.data)}});
+                broken = true;
+            }
+            if (broken) std::_Exit(1);
+            if (stop.requested()) {
+                // SIGTERM hands leadership over before the process ends. docs/operations.md 4.
+                if (stopBy == Instant{0}) {
+                    stopBy = monotonicNow() + Span{1500};
+                    log(LogLevel::info, "stopping");
+                }
+                if (!core->agreed().leads() || monotonicNow() >= stopBy) break;
+                if (monotonicNow() >= handOverAt) {
+                    core->handOver(monotonicNow());
+                    handOverAt = monotonicNow() + Span{700};
+                }
+            }
+            std::unique_lock lock(wakeMutex);
+            wake.wait_for(lock, std::chrono::milliseconds(10), [&] { return woken; });
+            woken = false;
+        }
+        http.stop();
+        outer.stop();
+        disk.reset();
+        views.reset();
+        log(LogLevel::info, "stopped");
+        std::_Exit(0);  // fibers that wait on sockets end with the process
+    }
+
+private:
+    bool openCore() {
+        auto opened = folder.open();
+        DiskResult<std::vector<DiskRecord>> restored = std::vector<DiskRecord>{};
+        if (opened) restored = folder.load();
+        if (!opened || !restored) {
+            const auto& error = opened ? restored.error() : opened.error();
+            log(LogLevel::error, "the data folder can't be used", {{"why", json(error.message())}});
+            if (error.text.find("in use") != std::string::npos || error.text.find("ermission") != std::string::npos) return false;
+            // docs/design.md 3.5: damaged state never votes; this machine goes on as a new identity.
+            auto aside = folder.setAside();
+            if (!aside) {
+                log(LogLevel::error, "the data folder can't be set aside", {{"why", json(aside.error().message())}});
+                return false;
+            }
+            opened = folder.openHeld();
+            if (!opened) return false;
+            restored = std::vector<DiskRecord>{};
+            log(LogLevel::warning, "began as a new identity; the damaged state is kept aside", {{"identity", json(opened.value().value)}});
+        }
+        identity = opened.value();
+        makeCore(restored.value());
+        return true;
+    }
+    void makeCore(const std::vector<DiskRecord>& restored) {
+        ReservoirOptions options;
+        options.agreement.heartbeat = Span{settings.heartbeat};
+        options.agreement.electionLow = Span{settings.electionLow};
+        options.agreement.electionHigh = Span{settings.electionHigh};
+        options.replaceAfter = Span{settings.replaceAfter};
+        options.term = Span{settings.term};
+        options.margin = Span{settings.margin};
+        options.checkpointVersions = std::uint64_t(settings.checkpointVersions);
+        std::random_device device;
+        core = std::make_unique<Reservoir>(Member{identity, settings.advertise, AreaName{settings.area}, false}, options, (std::uint64_t(device()) << 32) | device(), restored, monotonicNow());
+        keeper = std::make_shared<ViewKeeper>();
+        core->noted.connect([](const Note& note) { log(LogLevel::info, note.what, note.fields); });
+    }
+    bool renew() {
+        log(LogLevel::warning, "this identity is no member any more; beginning anew", {{"identity", json(identity.value)}});
+        disk.reset();
+        views.reset();
+        if (!folder.setAside()) return false;
+        auto opened = folder.openHeld();
+        if (!opened) return false;
+        identity = opened.value();
+        makeCore({});
+        disk = std::make_unique<WorkThread>();
+        views = std::make_unique<WorkThread>();
+        return true;
+    }
+    void written(const DiskResult<bool>& result, DiskVersion version) {
+        if (!result) {
+            log(LogLevel::error, "a write to disk failed; stopping rather than vouch for it", {{"why", json(result.error().message())}});
+            broken = true;
+        } else core->synced(version, monotonicNow());
+        nudge();
+    }
+    void nudge() {
+        std::unique_lock lock(wakeMutex);
+        woken = true;
+        wake.notify_one();
+    }
+    void drive() {
+        if (auto record = core->takeWrite())
+            disk->hand([this, record = std::move(*record), keeper = keeper] {
+                auto result = folder.write(record);
+                asio::post(loop.context, [this, result, keeper, version = record.version] {
+                    if (keeper == this->keeper) written(result, version);
+                });
+            });
+        if (auto work = core->takeViewWork(); !work.empty())
+            views->hand([this, work = std::move(work), keeper = keeper] {
+                if (auto view = keeper->work(work))
+                    asio::post(loop.context, [this, keeper, view = std::move(*view)]() mutable {
+                        if (keeper != this->keeper) return;  // of an identity that is no more
+                        core->packed(std::move(view));
+                        nudge();
+                    });
+            });
+        for (auto& message : core->takeMessages()) {
+            if (message.toAddress.value.empty()) continue;
+            auto& queue = outbox[message.toAddress];
+            if (!queue) {
+                queue = std::make_shared<Outbox>();
+                spawn([this, queue, address = message.toAddress] { sendTo(address, *queue); });
+            }
+            std::unique_lock lock(queue->mutex);
+            if (queue->messages.size() < 2000) queue->messages.push_back(std::move(message));
+            queue->some.notify_one();
+        }
+        for (auto& [number, answer] : core->takeAnswers()) {
+            auto found = askers.find(number);
+            if (found == askers.end()) continue;
+            found->second.first->send(encode(WireMessage{found->second.second, std::move(answer)}));
+            askers.erase(found);
+        }
+    }
+    struct Outbox {
+        boost::fibers::mutex mutex;
+        boost::fibers::condition_variable some;
+        std::deque<PeerMessage> messages;
+    };
+    void sendTo(const Address& address, Outbox& queue) {
+        WireCaller caller(loop, address);
+        for (;;) {
+            PeerMessage message;
+            {
+                std::unique_lock lock(queue.mutex);
+                queue.some.wait(lock, [&] { return !queue.messages.empty(); });
+                message = std::move(queue.messages.front());
+                queue.messages.pop_front();
+            }
+            caller.post(WireMessage{0, std::move(message)});  // a lost one is made good by the agreement
+        }
+    }
+    bool listenPeers() {
+        auto endpoint = endpointOf(settings.peer);
+        auto acceptor = std::make_shared<tcp::acceptor>(loop.context);
+        IoError error;
+        acceptor->open(endpoint.value().protocol(), error);
+        acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+        acceptor->bind(endpoint.value(), error);
+        if (!error) acceptor->listen(256, error);
+        if (error) {
+            log(LogLevel::error, "can't listen", {{"address", json(settings.peer.value)}, {"why", json(error.message())}});
+            return false;
+        }
+        spawn([this, acceptor] {
+            for (;;) {
+                auto socket = std::make_shared<tcp::socket>(loop.context);
+                if (await([&](auto done) { acceptor->async_accept(*socket, done); }).error) {
+                    pause(Span{10});
+                    continue;
+                }
+                spawn([this, socket] { servePeer(socket); });
+            }
+        });
+        return true;
+    }
+    void servePeer(std::shared_ptr<tcp::socket> socket) {
+        IoError ignored;
+        socket->set_option(tcp::no_delay(true), ignored);
+        auto writer = std::make_shared<WireWriter>(socket);
+        spawn([writer] { writer->run(); });
+        for (;;) {
+            auto message = readMessage(*socket);
+            if (!message) {
+                if (message.error().kind == WireError::Kind::garbled) log(LogLevel::warning, "a peer's message was not taken", {{"why", json(message.error().text)}});
+                writer->close();
+                std::erase_if(askers, [&](const auto& entry) { return entry.second.first == writer; });
+                return;
+            }
+            const auto correlation = message.value().correlation;
+            if (auto* peer = boost::get<PeerMessage>(&message.value().body)) core->receive(*peer, monotonicNow());
+            else if (auto* exchange = boost::get<Exchange>(&message.value().body)) {
+                const ExchangeNumber number{++lastExchange};
+                askers[number] = {writer, correlation};
+                core->take(number, std::move(*exchange), monotonicNow());
+            } else if (auto* ask = boost::get<RouteAsk>(&message.value().body)) {
+                if (!ask->sluice.address.value.empty()) core->noteSluice(ask->sluice, monotonicNow());
+                writer->send(encode(WireMessage{correlation, tell()}));
+            } else if (boost::get<FoundAsk>(&message.value().body)) {
+                const bool blank = core->agreed().blank();
+                if (blank) core->found(monotonicNow());
+                writer->send(encode(WireMessage{correlation, blank ? Answer::of(202, {{"founded", json(identity.value)}})
+                                                                  : Answer::error(409, "conflict", "this reservoir has a cluster already")}));
+            }
+            nudge();
+        }
+    }
+    RouteTell tell() const {
+        RouteTell told;
+        told.view = core->route(monotonicNow());
+        told.id = identity;
+        told.peer = settings.advertise;
+        told.area = AreaName{settings.area};
+        told.blank = core->agreed().blank();
+        told.leads = core->agreed().leads();
+        return told;
+    }
+    // A blank reservoir looks for a cluster through its seeds, and joins it as a learner. docs/design.md 3.5.
+    void seekCluster() {
+        std::map<Address, std::shared_ptr<WireCaller>> callers;
+        for (;; pause(Span{200})) {
+            if (!core->agreed().blank()) {
+                pause(Span{1000});
+                continue;
+            }
+            std::size_t blanks = 0, answering = 0;
+            bool lowest = true;
+            for (const auto& seed : settings.seeds) {
+                if (seed == settings.advertise) {
+                    ++blanks;
+                    continue;
+                }
+                auto& caller = callers[seed];
+                if (!caller) caller = std::make_shared<WireCaller>(loop, seed);
+                auto answered = caller->call(RouteAsk{}, Span{500});
+                auto* told = answered ? boost::get<RouteTell>(&answered.value().body) : nullptr;
+                if (!told) {
+                    // docs/design.md 9.5: a seed may be a sluice; it names the reservoirs.
+                    for (const auto& address : reservoirsBy(loop, seed)) core->join(address);
+                    continue;
+                }
+                ++answering;
+                if (told->blank) {
+                    ++blanks;
+                    lowest = lowest && settings.advertise < told->peer;
+                    continue;
+                }
+                if (!told->view.leader.value.empty()) core->join(told->view.leader);
+                else if (!told->view.reservoirs.empty()) core->join(told->view.reservoirs.front());
+            }
+            // Founding needs the option, and every seed there and blank: a cluster that exists is never doubled. docs/design.md 3.7.
+            if (settings.found && lowest && answering > 0 && blanks == settings.seeds.size() && core->agreed().blank()) {
+                log(LogLevel::info, "founds a cluster");
+                core->found(monotonicNow());
+                nudge();
+            }
+        }
+    }
+    Answer standing(const HttpRequest& request) {
+        const bool alive = monotonicNow().milliseconds - stepped.load() < 2000;
+        if (request.target == "/healthz") return Answer::of(alive ? 200 : 503, {{"alive", json(alive)}});
+        if (request.target == "/readyz") {
+            const bool ready = alive && !core->agreed().blank() && (core->agreed().serves() || !core->agreed().leader().value.empty());
+            return Answer::of(ready ? 200 : 503, {{"ready", json(ready)}, {"role", json(name(core->agreed().role()))}, {"epoch", json(core->agreed().epoch().value)},
+                                                  {"identity", json(identity.value)}, {"setup", json(core->committed().setup.version.value)}});
+        }
+        if (auto contacts = contactsAnswer(request, core->route(monotonicNow()))) return *contacts;
+        return Answer::error(404, "missing", "a reservoir serves /healthz, /readyz and /v1/contacts here; all else is at the sluices");
+    }
+
+    ReservoirSettings settings;
+    Loop loop;
+    DataFolder folder;
+    ReservoirId identity;
+    std::unique_ptr<Reservoir> core;
+    std::shared_ptr<ViewKeeper> keeper;
+    std::unique_ptr<WorkThread> disk, views;
+    std::map<Address, std::shared_ptr<Outbox>> outbox;
+    std::map<ExchangeNumber, std::pair<std::shared_ptr<WireWriter>, std::uint64_t>> askers;
+    std::uint64_t lastExchange = 0;
+    std::atomic<std::int64_t> stepped{0};
+    bool broken = false, woken = false;
+    boost::fibers::mutex wakeMutex;
+    boost::fibers::condition_variable wake;
+};
+
+}  // namespace
+
+int runReservoir(ReservoirSettings settings) { return Program(std::move(settings)).run(); }
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/daemons/reservoir_daemon.hpp
@@ -0,0 +1,20 @@
+// The reservoir as a daemon: sockets, disk and threads round the core. docs/design.md 9.
+#pragma once
+#include "edge/relay.hpp"
+
+namespace aniseline {
+
+struct ReservoirSettings {
+    Address peer, http, advertise;
+    std::string area, data;
+    std::vector<Address> seeds;
+    bool found = false, quiet = false;
+    std::int64_t heartbeat = 100, electionLow = 500, electionHigh = 1000, replaceAfter = 30'000, checkpointVersions = 1000;
+    std::int64_t term = 3000, margin = 1000;  // of minions' leases, in milliseconds
+    OuterInterface outer;
+};
+
+// Serves until it is told to stop; the process' exit status.
+int runReservoir(ReservoirSettings settings);
+
+}  // namespace aniseline
--- a/source/edge/http.cpp
+++ b/source/edge/http.cpp
@@ -69,7 +69,16 @@
                  read.error != http::error::partial_message)
             answer = Answer::error(400, "invalid", "this is no HTTP/1.1 request: " + read.error.message()), bad = true;
         else if (read.error) return;
-        else answer = handler(HttpRequest{std::string(parser.get().method_string()), std::string(parser.get().target()), std::move(parser.get().body())});
+        else {
+            HttpRequest request{std::string(parser.get().method_string()), std::string(parser.get().target()), std::move(parser.get().body())};
+            if (limits.keepFields)
+                for (const auto& field : parser.get()) {
+                    std::string name(field.name_string());
+                    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return char(std::tolower(letter)); });
+                    request.fields.emplace_back(std::move(name), std::string(field.value()));
+                }
+            answer = handler(request);
+        }
         keep = !bad && parser.get().keep_alive() && !stopping;
         http::response<http::string_body> response{http::status(answer.status), 11};
         response.set(http::field::content_type, "application/json");
@@ -118,6 +127,7 @@
     if (connectedTo != address) connection.reset();
     http::request<http::string_body> request{http::string_to_verb(given.method), given.target, 11};
     request.set(http::field::host, address.value);
+    for (const auto& [name, value] : given.fields) request.set(name, value);
     request.set(http::field::content_type, "application/json");
     request.body() = given.body;
     request.keep_alive(true);
--- a/source/edge/http.hpp
+++ b/source/edge/http.hpp
@@ -11,6 +11,12 @@
 };
 struct HttpRequest {
     std::string method, target, body;
+    std::vector<std::pair<std::string, std::string>> fields{};  // of the header, names in small letters
+    std::string field(const std::string& name) const {
+        for (const auto& [known, value] : fields)
+            if (known == name) return value;
+        return "";
+    }
 };
 
 struct HttpLimits {
@@ -18,6 +24,7 @@
     std::size_t connections = 2000;
     Span idle{30'000};
     Span exchange{10'000};  // to read one request or write one answer
+    bool keepFields = false;  // hand the header's fields to the handler
 };
 
 // Serves until told to stop; one fiber a connection, all on the thread that calls serve().
--- a/source/edge/relay.cpp
+++ b/source/edge/relay.cpp
@@ -10,7 +10,7 @@
 }
 
 Answer Relay::relay(const Exchange& exchange) {
-    RelayCourse course(exchange, [this] { return board.read([](const RouteView& view) { return view; }); }, seeds, monotonicNow());
+    RelayCourse course(exchange, route, seeds, monotonicNow());
     auto step = course.begin(monotonicNow());
     for (;;) {
         if (step.kind == RelayCourse::Step::Kind::answer) return step.answer;
@@ -21,12 +21,15 @@
             continue;
         }
         // Once another is known to lead, one that is silent is not waited for: it may be frozen. docs/design.md 9.2.
-        const Epoch asked = board.read([](const RouteView& view) { return view.epoch; });
+        const Epoch asked = route().epoch;
         auto answered = callerTo(step.target).call(exchange, step.within, [&] {
-            return givingUp() || board.read([&](const RouteView& view) { return view.epoch > asked && !view.leader.value.empty() && view.leader != step.target; });
+            if (givingUp()) return true;
+            const RouteView view = route();
+            return view.epoch > asked && !view.leader.value.empty() && view.leader != step.target;
         });
         if (answered) {
             auto* answer = boost::get<Answer>(&answered.value().body);
+            if (answer && !answer->notLeader) lastServed = step.target;
             step = course.answered(answer ? *answer : Answer::unknown("the leader's answer could not be read"), monotonicNow());
         } else {
             const auto kind = answered.error().kind;
--- a/source/edge/relay.hpp
+++ b/source/edge/relay.hpp
@@ -1,23 +1,37 @@
 // A sluice's way from a typed exchange to the leader and back. docs/design.md 9.2.
 #pragma once
+#include "edge/http.hpp"
 #include "edge/route.hpp"
 #include "edge/wire.hpp"
 
 namespace aniseline {
 
+// Has an exchange served by the leader, wherever that is.
+using Serve = std::function<Answer(const Exchange&)>;
+
+// An interface that an adapter gives a daemon beside the product's own. docs/design.md 9.6.
+struct OuterInterface {
+    Address address;
+    HttpLimits limits;
+    std::function<Answer(const HttpRequest&, const Serve&)> handle;
+};
+
 class Relay {
 public:
     // givingUp: this process ends, and what is under way gets its last answer now.
-    Relay(Loop& loop, const RouteBoard& board, std::vector<Address> seeds, std::function<bool()> givingUp)
-        : loop(loop), board(board), seeds(std::move(seeds)), givingUp(std::move(givingUp)) {}
+    Relay(Loop& loop, std::function<RouteView()> route, std::vector<Address> seeds, std::function<bool()> givingUp)
+        : loop(loop), route(std::move(route)), seeds(std::move(seeds)), givingUp(std::move(givingUp)) {}
     Answer relay(const Exchange& exchange);
+    // Whoever served last; empty before anyone did.
+    const Address& served() const { return lastServed; }
 
 private:
     WireCaller& callerTo(const Address& address);
     Loop& loop;
-    const RouteBoard& board;
+    std::function<RouteView()> route;
     std::vector<Address> seeds;
     std::function<bool()> givingUp;
+    Address lastServed;
     std::map<Address, std::unique_ptr<WireCaller>> callers;
 };
 
--- a/source/event.hpp
+++ b/source/event.hpp
@@ -39,7 +39,8 @@
     MinionId minion;
     OrderNumber applied;
     std::vector<Ending> endings;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & applied & endings; }
+    std::vector<std::pair<AttemptNumber, std::string>> saves{};  // checkpoints of what runs on
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & applied & endings & saves; }
 };
 struct MinionLeaves {
     MinionId minion;
@@ -66,6 +67,12 @@
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & reason; }
 };
 
+struct JobFailed {  // it can never be done
+    JobId job;
+    std::string reason;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & job & reason; }
+};
+
 struct ReservoirNamed {  // an operator's word that a learner may take its place; or that this is over
     ReservoirId reservoir;
     bool over = false;
@@ -97,9 +104,10 @@
     Span quantum;
     std::uint64_t memory = 0;
     AttemptNumber heldFor;  // of a hold: the trial it makes way for
+    std::uint32_t run = 0;  // of a start
     std::string reason;
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & kind & attempt & job & task & minion & trial & quantum & memory & heldFor & reason;
+        archive & kind & attempt & job & task & minion & trial & quantum & memory & heldFor & run & reason;
     }
 };
 struct PlanMade {
@@ -110,7 +118,7 @@
 };
 
 using Event = boost::variant<Opened, SetupTaken, JobAllowed, JobCancelled, OccurrenceFired, Forgotten, MinionSeen, MinionSynced,
-                             MinionLeaves, MinionLeaveOver, MinionAllowed, MinionSilent, MinionGone, PlanMade, ReservoirNamed>;
+                             MinionLeaves, MinionLeaveOver, MinionAllowed, MinionSilent, MinionGone, PlanMade, ReservoirNamed, JobFailed>;
 
 struct Record {
     ClusterTime at;
--- a/source/exchange.cpp
+++ b/source/exchange.cpp
@@ -5,7 +5,7 @@
 
 const char* name(Ask ask) {
     static const char* const names[] = {"submit", "cancel", "show-job", "list-jobs", "apply-setup", "show-setup", "sync", "leave", "drain",
-                                        "undrain", "declare-gone", "minions", "cluster", "plan", "counters", "replace", "export"};
+                                        "undrain", "declare-gone", "minions", "cluster", "plan", "counters", "replace", "export", "phase", "waiting", "read-setup"};
     return names[std::size_t(ask)];
 }
 
@@ -34,6 +34,7 @@
 Answer Answer::error(int status, const std::string& kind, const std::string& text, Span retryAfter) {
     Answer answer = of(status, {{"error", json(kind)}, {"text", json(text)}});
     answer.retryAfter = retryAfter;
+    answer.kind = kind;
     return answer;
 }
 Answer Answer::unknown(const std::string& text) { return error(503, "unknown", text, Span{500}); }
@@ -54,6 +55,7 @@
     for (const auto& detail : error.details) details.push_back(json(picojson::object{{"path", json(detail.path)}, {"text", json(detail.text)}}));
     Answer answer = of(status, {{"error", json(kind)}, {"text", json(error.text())}, {"details", json(details)}});
     answer.retryAfter = retryAfter;
+    answer.kind = kind;
     return answer;
 }
 
@@ -104,6 +106,14 @@
         faults.push_back({path + "/" + field, "must be a whole number from 0 on"});
         return otherwise;
     }
+    std::uint32_t thousandths(const std::string& field, bool needed) {  // a number with up to three decimals
+        const auto* value = find(field, needed);
+        if (!value) return needed ? 1 : 0;
+        const double number = value->is<double>() ? value->get<double>() * 1000 : -1;
+        if (number >= 0 && number <= 4e9 && std::abs(number - std::round(number)) < 1e-4) return std::uint32_t(std::llround(number));
+        faults.push_back({path + "/" + field, "must be a number from 0 on with at most three decimals"});
+        return needed ? 1 : 0;
+    }
     std::uint64_t number(const std::string& field, bool needed) {  // 64 bits, as decimal digits in a string
         const std::string text = words(field, needed);
         if (text.empty()) return 0;
@@ -132,6 +142,7 @@
     Fields fields(root, "", faults);
     job.id = JobId{fields.words("id", true)};
     job.queue = QueueName{fields.words("queue", true)};
+    job.payload = fields.words("payload");
     std::size_t total = 0;
     if (const auto* steps = fields.list("steps", true))
         for (std::size_t place = 0; place < steps->size() && place < 1000; ++place) {
@@ -140,6 +151,13 @@
             request.name = step.words("name");
             if (request.name.empty()) request.name = std::to_string(place);
             request.gang = step.flag("gang");
+            request.needs.label = step.words("label");
+            request.needs.near = step.words("near");
+            request.needs.apart = narrow(step.whole("apart", false));
+            request.needs.sameRack = step.flag("same_rack");
+            request.needs.redundant = step.flag("redundant");
+            request.needs.lasts = step.flag("lasts");
+            request.needs.saves = step.flag("saves");
             if (const auto* after = step.list("after"))
                 for (const auto& before : *after) {
                     if (before.is<std::string>()) request.after.push_back(before.get<std::string>());
@@ -149,9 +167,10 @@
                 for (std::size_t within = 0; within < tasks->size() && total <= 2000; ++within) {
                     Fields task((*tasks)[within], step.path + "/tasks/" + std::to_string(within), faults);
                     TaskRequest taskRequest;
-                    taskRequest.cores = narrow(task.whole("cores", true, 1));
+                    taskRequest.cores = task.thousandths("cores", true);
                     taskRequest.memory = task.whole("memory_mb", true, 1);
                     taskRequest.runtime = spanOf(task.whole("runtime_ms", true, 1));
+                    taskRequest.accelerators = narrow(task.whole("accelerators", false));
                     taskRequest.payload = task.words("payload");
                     const auto count = task.whole("count", false, 1);
                     if (count < 1 || count > 2000) faults.push_back({task.path + "/count", "must be from 1 to 2000"});
@@ -178,14 +197,21 @@
     Fields fields(root, "", faults);
     report.incarnation = Incarnation{fields.number("incarnation", true)};
     if (!report.incarnation.value) faults.push_back({"/incarnation", "must not be 0"});
-    report.capacity.cores = narrow(fields.whole("cores", true));
+    report.capacity.cores = fields.thousandths("cores", true);
     report.capacity.memory = fields.whole("memory_mb", true);
-    if (!report.capacity.cores || report.capacity.cores > 65'536) faults.push_back({"/cores", "must be from 1 to 65536"});
+    if (!report.capacity.cores || report.capacity.cores > 65'536'000) faults.push_back({"/cores", "must be from 0.001 to 65536"});
     if (!report.capacity.memory || report.capacity.memory > 1'000'000'000) faults.push_back({"/memory_mb", "must be from 1 to 1000000000"});
     report.capacity.area = AreaName{fields.words("area")};
     report.capacity.rack = fields.words("rack");
     report.capacity.honoursTerms = fields.flag("honours_terms");
     report.capacity.guardsRoom = fields.flag("guards_room");
+    report.capacity.accelerators = narrow(fields.whole("accelerators", false));
+    report.capacity.pool = fields.words("pool");
+    if (const auto* labels = fields.list("labels"))
+        for (const auto& label : *labels) {
+            if (label.is<std::string>()) report.capacity.labels.push_back(label.get<std::string>());
+            else faults.push_back({"/labels", "must hold strings"});
+        }
     report.lastOrder = OrderNumber{fields.number("last_order", true)};
     report.leaving = fields.flag("leaving");
     report.leaveWithin = spanOf(fields.whole("leave_within_ms", false));
@@ -233,7 +259,7 @@
         {"POST minions/*/gone", {Ask::declareGone, false}}, {"GET minions", {Ask::listMinions, false}},
         {"GET cluster", {Ask::showCluster, false}},      {"GET plan", {Ask::showPlan, false}},
         {"GET counters", {Ask::showCounters, false}},    {"POST reservoirs/*/replace", {Ask::replaceReservoir, false}},
-        {"GET state", {Ask::exportState, false}},
+        {"GET state", {Ask::exportState, false}},         {"GET jobs/*/phase", {Ask::showPhase, false}},
     };
     auto found = parts.size() <= 4 ? shapes.find(shape) : shapes.end();
     if (found == shapes.end()) return fail(CoreError::Kind::missing, "", "there is no " + method + " " + path);
@@ -266,8 +292,8 @@
     picojson::array endings;
     for (const auto& ending : report.endings)
         endings.push_back(json(picojson::object{{"attempt", json(std::to_string(ending.attempt.value))}, {"kind", json(name(ending.kind))}}));
-    return json(picojson::object{{"incarnation", json(std::to_string(report.incarnation.value))},
-                                 {"cores", json(report.capacity.cores)},
+    picojson::object shown{{"incarnation", json(std::to_string(report.incarnation.value))},
+                                 {"cores", json(report.capacity.cores / 1000.0)},
                                  {"memory_mb", json(report.capacity.memory)},
                                  {"area", json(report.capacity.area.value)},
                                  {"rack", json(report.capacity.rack)},
@@ -277,8 +303,15 @@
                                  {"leaving", json(report.leaving)},
                                  {"leave_within_ms", json(report.leaveWithin.milliseconds)},
                                  {"wait_ms", json(report.wait.milliseconds)},
-                                 {"endings", json(endings)}})
-        .serialize();
+                                 {"endings", json(endings)}};
+    if (report.capacity.accelerators) shown["accelerators"] = json(report.capacity.accelerators);
+    if (!report.capacity.pool.empty()) shown["pool"] = json(report.capacity.pool);
+    if (!report.capacity.labels.empty()) {
+        picojson::array labels;
+        for (const auto& label : report.capacity.labels) labels.push_back(json(label));
+        shown["labels"] = json(labels);
+    }
+    return json(shown).serialize();
 }
 
 std::string renderJob(const JobSubmission& job) {
@@ -287,13 +320,21 @@
         picojson::array tasks, after;
         for (const auto& before : step.after) after.push_back(json(before));
         for (const auto& task : step.tasks) {
-            picojson::object shown{{"cores", json(task.cores)}, {"memory_mb", json(task.memory)}, {"runtime_ms", json(task.runtime.milliseconds)}};
+            picojson::object shown{{"cores", json(task.cores / 1000.0)}, {"memory_mb", json(task.memory)}, {"runtime_ms", json(task.runtime.milliseconds)}};
             if (!task.payload.empty()) shown["payload"] = json(task.payload);
+            if (task.accelerators) shown["accelerators"] = json(task.accelerators);
             tasks.push_back(json(shown));
         }
-        steps.push_back(json(picojson::object{{"name", json(step.name)}, {"gang", json(step.gang)}, {"after", json(after)}, {"tasks", json(tasks)}}));
+        picojson::object shownStep{{"name", json(step.name)}, {"gang", json(step.gang)}, {"after", json(after)}, {"tasks", json(tasks)}};
+        if (!step.needs.label.empty()) shownStep["label"] = json(step.needs.label);
+        if (!step.needs.near.empty()) shownStep["near"] = json(step.needs.near);
+        if (step.needs.apart) shownStep["apart"] = json(step.needs.apart);
+        for (const auto& [field, flag] : {std::pair{"same_rack", step.needs.sameRack}, {"redundant", step.needs.redundant}, {"lasts", step.needs.lasts}, {"saves", step.needs.saves}})
+            if (flag) shownStep[field] = json(flag);
+        steps.push_back(json(shownStep));
     }
     picojson::object shown{{"id", json(job.id.value)}, {"queue", json(job.queue.value)}, {"steps", json(steps)}};
+    if (!job.payload.empty()) shown["payload"] = json(job.payload);
     if (job.timed())
         shown["timetable"] = json(picojson::object{{"first_ms", json(job.timetable.first.milliseconds)},
                                                    {"every_ms", json(job.timetable.every.milliseconds)},
@@ -310,7 +351,7 @@
         if (order.kind == OrderKind::start || order.kind == OrderKind::stage) {
             shown["job"] = json(order.job.value);
             shown["task"] = json(order.task);
-            shown["cores"] = json(order.cores);
+            shown["cores"] = json(order.cores / 1000.0);
             shown["memory_mb"] = json(order.memory);
             shown["runtime_ms"] = json(order.runtime.milliseconds);
             if (order.quantum.milliseconds) shown["quantum_ms"] = json(order.quantum.milliseconds);
@@ -346,7 +387,7 @@
                 order.attempt = AttemptNumber{shown.number("attempt", true)};
                 order.job = JobId{shown.words("job")};
                 order.task = narrow(shown.whole("task", false));
-                order.cores = narrow(shown.whole("cores", false));
+                order.cores = shown.thousandths("cores", false);
                 order.memory = shown.whole("memory_mb", false);
                 order.runtime = spanOf(shown.whole("runtime_ms", false));
                 order.quantum = spanOf(shown.whole("quantum_ms", false));
--- a/source/exchange.hpp
+++ b/source/exchange.hpp
@@ -6,7 +6,7 @@
 
 enum class Ask : std::uint8_t {
     submitJob, cancelJob, showJob, listJobs, applySetup, showSetup, sync, leave, drain, undrain, declareGone,
-    listMinions, showCluster, showPlan, showCounters, replaceReservoir, exportState
+    listMinions, showCluster, showPlan, showCounters, replaceReservoir, exportState, showPhase, countWaiting, readSetup
 };
 const char* name(Ask ask);
 
@@ -19,8 +19,15 @@
     Span within{0};
     JobSubmission job;
     SyncReport report;
+    std::string host, path;   // of one that came by an entrance; the setup in force says which queue that is. docs/design.md 6.6
+    std::string readySetup;   // a packed Setup that an adapter has read, in place of a text
+    Span patience{2500};      // how long whoever asks will wait; not sent on
+    bool byEntrance() const { return !path.empty(); }
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & ask & id & text & basedOn & limit & within & job & report;
+        archive & ask & id & text & basedOn & limit & within & host & path & readySetup;
+        // What only some exchanges carry is not sent with the others.
+        if (ask == Ask::submitJob) archive & job;
+        if (ask == Ask::sync) archive & report;
     }
     // Turns a request of the outer interface into a typed exchange, or names every fault in it.
     static Result<Exchange> parse(const std::string& method, const std::string& target, const std::string& body);
@@ -30,9 +37,12 @@
     int status = 200;
     std::string body;
     Span retryAfter{0};
+    std::string kind;        // of an error, as in the body
+    std::string word;        // a job's phase, for who wants no more
+    std::uint64_t number = 0;
     bool notLeader = false;  // nothing was done; ask the leader named here
     Address leader;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & status & body & retryAfter & notLeader & leader; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & status & body & retryAfter & kind & word & number & notLeader & leader; }
     static Answer of(int status, const picojson::object& body);
     static Answer error(int status, const std::string& kind, const std::string& text, Span retryAfter = Span{0});
     static Answer from(const CoreError& error);
@@ -81,6 +91,8 @@
     std::vector<AttemptNumber> confirmed;
     Span term{3000};
     std::vector<Address> sluices;
+    std::uint32_t closed = 0;  // so many of the report's named endings, from the first on, are final
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & orders & confirmed & term & closed; }
     picojson::object render() const;
     static Result<SyncAnswer> parse(const std::string& body);
 };
--- a/source/job.cpp
+++ b/source/job.cpp
@@ -34,7 +34,7 @@
         for (std::size_t within = 0; within < step.tasks.size(); ++within) {
             const auto& task = step.tasks[within];
             const std::string taskPath = path + "/tasks/" + std::to_string(within);
-            if (task.cores < 1 || task.cores > 65'536) fault(taskPath + "/cores", "must be from 1 to 65536");
+            if (task.cores < 1 || task.cores > 65'536'000) fault(taskPath + "/cores", "must be from 0.001 to 65536");
             if (task.memory < 1 || task.memory > 1'000'000'000) fault(taskPath + "/memory_mb", "must be from 1 to 1000000000");
             if (task.runtime.milliseconds < 1 || task.runtime.milliseconds > 366ll * 86'400'000)
                 fault(taskPath + "/runtime_ms", "must be from 1 ms to 366 days");
@@ -64,12 +64,19 @@
     if (timed()) {
         if (timetable.first.milliseconds > 253402300799000ll) fault("/timetable/first_ms", "is beyond the calendar");
         if (timetable.count < 1 || timetable.count > 10'000) fault("/timetable/count", "must be from 1 to 10000");
-        if (timetable.count > 1 && timetable.every.milliseconds < 1000) fault("/timetable/every_ms", "must be at least 1000");
+        if (timetable.count > 1 && timetable.every.milliseconds < 100) fault("/timetable/every_ms", "must be at least 100");
         if (timetable.every.milliseconds > 366ll * 86'400'000) fault("/timetable/every_ms", "must be at most 366 days");
     }
     return faults;
 }
 
+std::size_t Job::place(std::uint32_t step, std::uint32_t within) const {
+    if (step >= submission.steps.size() || within >= submission.steps[step].tasks.size()) return tasks.size();
+    std::size_t first = 0;
+    for (std::uint32_t before = 0; before < step; ++before) first += submission.steps[before].tasks.size();
+    return first + within;
+}
+
 bool Job::stepDone(std::uint32_t step) const {
     return std::all_of(tasks.begin(), tasks.end(),
                        [&](const Task& task) { return task.step != step || task.state == TaskState::done; });
--- a/source/job.hpp
+++ b/source/job.hpp
@@ -5,11 +5,26 @@
 namespace aniseline {
 
 struct TaskRequest {
-    std::uint32_t cores = 1;
+    std::uint32_t cores = 1;   // thousandths of a core
     std::uint64_t memory = 1;  // MB
     Span runtime{1000};
     std::string payload;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & cores & memory & runtime & payload; }
+    std::uint32_t accelerators = 0;
+    bool operator==(const TaskRequest&) const = default;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & cores & memory & runtime & payload & accelerators; }
+};
+
+// What a step asks of the places its tasks run on, and how they run. docs/design.md 4.6.
+struct StepNeeds {
+    std::string label;        // the minion must have it
+    std::string near;         // the rack that holds the data: elsewhere a task takes `far` times as long
+    std::uint32_t apart = 0;  // not 0: the most tasks of the step that may be on one minion
+    bool sameRack = false;    // the tasks take `far` times as long when they are on more than one rack
+    bool redundant = false;   // copies of a task may run side by side; the first clean ending counts
+    bool lasts = false;       // runs until the job is cancelled, and is started again however it ends
+    bool saves = false;       // keeps its progress as checkpoints
+    bool operator==(const StepNeeds&) const = default;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & label & near & apart & sameRack & redundant & lasts & saves; }
 };
 
 struct StepRequest {
@@ -17,7 +32,22 @@
     std::vector<std::string> after;
     bool gang = false;
     std::vector<TaskRequest> tasks;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & name & after & gang & tasks; }
+    StepNeeds needs{};
+    template <class Archive> void serialize(Archive& archive, unsigned) {
+        archive & name & after & gang & needs;
+        // Tasks that are alike stand once, with their count: a step of a thousand is as short as one of two.
+        std::vector<std::pair<std::uint32_t, TaskRequest>> runs;
+        if constexpr (Archive::is_saving::value)
+            for (const auto& task : tasks) {
+                if (!runs.empty() && runs.back().second == task) ++runs.back().first;
+                else runs.emplace_back(1, task);
+            }
+        archive & runs;
+        if constexpr (Archive::is_loading::value) {
+            tasks.clear();
+            for (const auto& [count, task] : runs) tasks.insert(tasks.end(), std::min<std::uint32_t>(count, 100'000), task);
+        }
+    }
 };
 
 struct Timetable {
@@ -32,11 +62,12 @@
     QueueName queue;
     std::vector<StepRequest> steps;
     Timetable timetable;
+    std::string payload;  // for every task, where the task brings none of its own
     bool timed() const { return timetable.first.milliseconds > 0; }
     std::uint32_t digest() const { return checksum(pack(*this)); }
     // The rules that need no state: shape, sizes, cycles, unknown steps.
     std::vector<ErrorDetail> faults() const;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & id & queue & steps & timetable; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & id & queue & steps & timetable & payload; }
 };
 
 enum class TaskState : std::uint8_t { blocked, waiting, placed, done, failed, stopped };
@@ -56,8 +87,14 @@
     ClusterTime notBefore;
     MinionId avoid;  // where it last failed
     bool finishedBefore = false;  // an earlier attempt turned out to have ended well, docs/design.md 5.5
+    std::uint32_t run = 0;        // starts of any kind so far: the number that minions know a start by. docs/design.md 4.7
+    std::uint32_t failures = 0;   // runs that ended as failed; of a gang its first task counts them
+    std::uint32_t failedRun = 0;  // the last run that was counted among them
+    std::string saved;            // the latest checkpoint known, and the run it came from
+    std::uint32_t savedRun = 0;
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & step & within & state & starts & trialled & tried & attempt & readyAt & notBefore & avoid & finishedBefore;
+        archive & step & within & state & starts & trialled & tried & attempt & readyAt & notBefore & avoid & finishedBefore & run &
+            failures & failedRun & saved & savedRun;
     }
 };
 
@@ -71,15 +108,20 @@
     ClusterTime endedAt;
     std::vector<Task> tasks;
     std::uint32_t fired = 0;  // occurrences of a timetable so far
+    std::uint32_t occurrencesOpen = 0;  // of those, the ones not over yet
     std::uint32_t shortenedTasks = 0;  // not 0: over, and its steps and tasks are no longer kept. docs/design.md 4.5
 
     bool over() const { return state == JobState::finished || state == JobState::failed || state == JobState::cancelled; }
     const TaskRequest& request(const Task& task) const { return submission.steps[task.step].tasks[task.within]; }
+    const StepRequest& step(const Task& task) const { return submission.steps[task.step]; }
+    const std::string& payload(const Task& task) const { return request(task).payload.empty() ? submission.payload : request(task).payload; }
+    // The place in `tasks` of a step's task; past the end if there is none such.
+    std::size_t place(std::uint32_t step, std::uint32_t within) const;
     bool stepDone(std::uint32_t step) const;
     // Tasks whose steps before them are done become ready.
     void unblock(ClusterTime now);
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & submission & digest & state & reason & ending & allowedAt & endedAt & tasks & fired & shortenedTasks;
+        archive & submission & digest & state & reason & ending & allowedAt & endedAt & tasks & fired & occurrencesOpen & shortenedTasks;
     }
 };
 
--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -16,21 +16,47 @@
     return found;
 }
 
-std::optional<std::string> Ledger::neverFits(const StepRequest& step) const {
-    std::vector<std::pair<std::uint32_t, std::uint64_t>> rooms;
+AttemptNumber Ledger::attemptNamed(const MinionId& minion, const RunName& name) const {
+    auto job = jobs.find(name.job);
+    if (job != jobs.end() && job->second.submission.timed()) job = jobs.find(JobId{name.job.value + "@" + std::to_string(name.occurrence)});
+    if (job == jobs.end()) return AttemptNumber{};
+    const std::size_t place = job->second.place(name.step, name.within);
+    if (place >= job->second.tasks.size()) return AttemptNumber{};
+    const Task& task = job->second.tasks[place];
+    auto fits = [&](const Attempt& attempt) { return attempt.run == name.run && attempt.minion == minion && attempt.job == job->first && attempt.task == place; };
+    if (auto current = attempts.find(task.attempt); current != attempts.end() && fits(current->second)) return task.attempt;
+    for (const auto& [number, attempt] : attempts)  // given up, or of a gang that is done
+        if (fits(attempt)) return number;
+    return AttemptNumber{};
+}
+
+std::optional<std::string> Ledger::neverFits(const JobSubmission& job, const StepRequest& step) const {
+    struct Room {
+        std::uint32_t cores;
+        std::uint64_t memory;
+        std::uint32_t accelerators, placed = 0;
+    };
+    std::vector<Room> rooms;
     if (minions.empty() || now - capacityChangedAt < setup.planner.knownAfter) return std::nullopt;
-    for (const auto& [id, minion] : minions) rooms.emplace_back(minion.capacity.cores, minion.capacity.memory);
+    const auto* queue = setup.queue(job.queue);
+    for (const auto& [id, minion] : minions)
+        if (queue && minion.capacity.pool == queue->pool && minion.capacity.has(step.needs.label))
+            rooms.push_back({minion.capacity.cores, minion.capacity.memory, minion.capacity.accelerators});
     auto tasks = step.tasks;
     std::sort(tasks.begin(), tasks.end(), [](auto& left, auto& right) { return std::tie(left.cores, left.memory) > std::tie(right.cores, right.memory); });
     for (const auto& task : tasks) {
         auto best = rooms.end();
         for (auto room = rooms.begin(); room != rooms.end(); ++room)
-            if (room->first >= task.cores && room->second >= task.memory && (best == rooms.end() || room->first < best->first)) best = room;
+            if (room->cores >= task.cores && room->memory >= task.memory && room->accelerators >= task.accelerators &&
+                !(step.gang && step.needs.apart && room->placed >= step.needs.apart) && (best == rooms.end() || room->cores < best->cores))
+                best = room;
         if (best == rooms.end())
             return step.gang ? "no set of known minions could ever hold this gang together" : "no known minion could ever hold a task of this step";
         if (step.gang) {
-            best->first -= task.cores;
-            best->second -= task.memory;
+            best->cores -= task.cores;
+            best->memory -= task.memory;
+            best->accelerators -= task.accelerators;
+            ++best->placed;
         }
     }
     return std::nullopt;
@@ -103,9 +129,7 @@
         task.state = TaskState::stopped;
         return;
     }
-    const auto* queue = setup.queue(job.submission.queue);
-    const std::uint32_t allowance = queue ? queue->retries : 0;
-    if (task.starts >= 1 + allowance) {
+    if (spent(job, task)) {
         task.state = TaskState::failed;
         failJob(job, "task " + std::to_string(&task - job.tasks.data()) + " used up its retries");
         return;
@@ -115,6 +139,38 @@
     task.notBefore = now + pause;
 }
 
+// docs/design.md 4.4: a queue with `tries` counts what ended as failed, any other counts starts; what lasts counts nothing.
+bool Ledger::spent(const Job& job, const Task& task) const {
+    const auto& step = job.step(task);
+    if (step.needs.lasts) return false;
+    const auto* queue = setup.queue(job.submission.queue);
+    if (queue && queue->tries) return job.tasks[step.gang ? job.place(task.step, 0) : job.place(task.step, task.within)].failures >= queue->tries;
+    return task.starts >= 1 + (queue ? queue->retries : 0);
+}
+void Ledger::countFailure(Job& job, const Attempt& attempt) {
+    Task& task = job.tasks[attempt.gang ? job.place(attempt.step, 0) : attempt.task];
+    if (task.failedRun >= attempt.run && attempt.run) return;  // of a gang's run one failure is counted
+    task.failedRun = attempt.run;
+    ++task.failures;
+}
+// A checkpoint belongs to its task, or to the whole gang; that of an earlier run never replaces a later one's.
+void Ledger::keepSaved(const Attempt& attempt, const std::string& saved) {
+    auto found = jobs.find(attempt.job);
+    if (saved.empty() || found == jobs.end() || found->second.tasks.empty()) return;
+    Task& task = found->second.tasks[attempt.gang ? found->second.place(attempt.step, 0) : attempt.task];
+    if (attempt.run < task.savedRun) return;
+    task.saved = saved;
+    task.savedRun = attempt.run;
+}
+// The parts of a gang that assembles itself end well together: one such ending counts for all.
+void Ledger::gangDone(Job& job, const Attempt& attempt) {
+    for (auto& task : job.tasks) {
+        if (task.step != attempt.step || task.state == TaskState::done) continue;
+        auto part = attempts.find(task.attempt);
+        if (part != attempts.end() && part->second.run == attempt.run) taskDone(job, task);
+    }
+}
+
 void Ledger::abortGang(Job& job, std::uint32_t step, AttemptNumber except) {
     for (auto& [number, attempt] : attempts)
         if (attempt.job == job.submission.id && attempt.step == step && number != except && !attempt.lost) forceStop(attempt, false);
@@ -139,6 +195,40 @@
     over(job, job.state == JobState::cancelling ? JobState::cancelled : allDone ? JobState::finished : JobState::failed);
 }
 
+// docs/design.md 4.1: a timetable is over when all its occurrences are, and fails with the first that fails.
+void Ledger::occurrenceOver(const Job& job) {
+    const auto mark = job.submission.id.value.rfind('@');
+    if (mark == std::string::npos) return;
+    auto found = jobs.find(JobId{job.submission.id.value.substr(0, mark)});
+    if (found == jobs.end()) return;
+    Job& whole = found->second;
+    if (whole.occurrencesOpen > 0) --whole.occurrencesOpen;
+    if (whole.state != JobState::timed) return;
+    if (job.state == JobState::failed) {
+        whole.reason = "occurrence " + job.submission.id.value.substr(mark + 1) + ": " + job.reason;
+        over(whole, JobState::failed);
+        for (std::uint32_t count = 0; count < whole.fired; ++count) {
+            auto other = jobs.find(JobId{whole.submission.id.value + "@" + std::to_string(count)});
+            if (other != jobs.end() && !other->second.over()) cancel(other->second, "another occurrence failed");
+        }
+    } else if (whole.fired >= whole.submission.timetable.count && whole.occurrencesOpen == 0) over(whole, JobState::finished);
+}
+
+void Ledger::cancel(Job& job, const std::string& reason) {
+    if (job.over()) return;
+    if (job.state == JobState::timed) {
+        over(job, JobState::cancelled);
+        for (std::uint32_t count = 0; count < job.fired; ++count) {
+            auto occurrence = jobs.find(JobId{job.submission.id.value + "@" + std::to_string(count)});
+            if (occurrence != jobs.end()) cancel(occurrence->second, reason);
+        }
+        return;
+    }
+    job.state = JobState::cancelling;
+    if (!job.ending) failJob(job, reason);
+    settle(job);
+}
+
 void Ledger::over(Job& job, JobState state) {
     job.state = state;
     ++(state == JobState::cancelled ? counters.cancelled : state == JobState::finished ? counters.finished : counters.failed);
@@ -146,6 +236,7 @@
     open.erase(job.submission.id);
     --openByQueue[job.submission.queue];
     ended.emplace(now, job.submission.id);
+    occurrenceOver(job);
 }
 
 void Ledger::endAttempt(AttemptNumber number, EndingKind kind) {
@@ -153,6 +244,10 @@
     if (found == attempts.end()) return;  // told before; endings are sent until confirmed
     const Attempt attempt = found->second;
     auto foundJob = jobs.find(attempt.job);
+    // docs/design.md 5.5: what a minion that lapses ended before it lapsed is void once its work was given up.
+    if (attempt.lost && minions[attempt.minion].capacity.lapses && kind != EndingKind::unstarted && kind != EndingKind::refused) kind = EndingKind::stopped;
+    const bool lasts = foundJob != jobs.end() && !foundJob->second.tasks.empty() && foundJob->second.submission.steps[attempt.step].needs.lasts;
+    if (lasts && kind == EndingKind::finished) kind = EndingKind::stopped;
     // docs/design.md 5.5: a clean ending told late wins over whatever took the task's place. That is stopped first, and
     // the ending stays unconfirmed until it has: nothing of the task starts or resumes after the confirmation.
     if (kind == EndingKind::finished && foundJob != jobs.end()) {
@@ -171,8 +266,10 @@
     Minion& minion = minions[attempt.minion];
     const std::int64_t blame = minion.blameAt(now);
     if (kind == EndingKind::failed) {
-        minion.blame = std::min<std::int64_t>(blame + 250, 1000);
+        // A task that failed before, here or elsewhere, says little of the minion.
+        minion.blame = std::min<std::int64_t>(blame + (task.failures ? 50 : 250), 1000);
         minion.blamedAt = now;
+        countFailure(job, attempt);
     } else if (kind == EndingKind::finished && !attempt.trial() && attempt.ranBy(now).milliseconds > 2 * attempt.runtime.milliseconds + 1000) {
         // Far over what was requested: once may be the caller's mistake, again and again it is a slow minion.
         minion.blame = std::min<std::int64_t>(blame + 125, 1000);
@@ -181,11 +278,18 @@
         minion.blame = blame * 7 / 8;
         minion.blamedAt = now;
     }
+    const bool refused = kind == EndingKind::refused;
+    if (refused) {  // it has no room that we thought it had, or is sick
+        minion.blame = std::min<std::int64_t>(blame + 100, 1000);
+        minion.blamedAt = now;
+        kind = EndingKind::unstarted;
+    }
     if (kind == EndingKind::unstarted && attempt.counted && task.starts > 0) --task.starts;
     const bool current = task.attempt == number;
     if (kind == EndingKind::finished) {
         if (attempt.trial() && current) ++counters.trialsFinished;
         if (current || task.state == TaskState::waiting) taskDone(job, task);
+        if (attempt.assembles) gangDone(job, attempt);
     } else if (current) {
         if (kind == EndingKind::ranOut) {
             ++counters.trialsRanOut;
@@ -195,9 +299,9 @@
         } else {
             const bool free = attempt.tryless || kind == EndingKind::unstarted;
             const bool failed = kind == EndingKind::failed;
-            if (failed && attempt.gang) abortGang(job, attempt.step, number);
-            const auto pause = failed ? std::min<std::int64_t>(5000, 100ll << std::min<std::uint32_t>(task.starts, 6)) : 0;
-            taskBack(job, task, failed ? attempt.minion : MinionId{}, Span{free ? 0 : pause});
+            if ((failed && attempt.gang) || (attempt.assembles && attempt.state != AttemptState::stopping)) abortGang(job, attempt.step, number);
+            const auto pause = failed && !attempt.assembles ? std::min<std::int64_t>(5000, 100ll << std::min<std::uint32_t>(task.starts, 6)) : 0;
+            taskBack(job, task, failed || refused ? attempt.minion : MinionId{}, Span{free ? 0 : pause});
         }
     }
     settle(job);
@@ -242,10 +346,13 @@
         auto found = ledger.jobs.find(event.job);
         if (found == ledger.jobs.end() || found->second.over()) return;
         Job& job = found->second;
-        if (job.state == JobState::timed) return ledger.over(job, JobState::cancelled);
-        job.state = JobState::cancelling;
-        if (!job.ending) ledger.failJob(job, "cancelled");
-        ledger.settle(job);
+        ledger.cancel(job, "cancelled");
+    }
+    void operator()(const JobFailed& event) {
+        auto found = ledger.jobs.find(event.job);
+        if (found == ledger.jobs.end() || found->second.over() || found->second.state == JobState::timed) return;
+        ledger.failJob(found->second, event.reason);
+        ledger.settle(found->second);
     }
     void operator()(const OccurrenceFired& event) {
         auto found = ledger.jobs.find(event.job);
@@ -253,7 +360,8 @@
         JobSubmission occurrence = found->second.submission;
         occurrence.id = JobId{event.job.value + "@" + std::to_string(found->second.fired)};
         occurrence.timetable = Timetable{};
-        if (++found->second.fired >= found->second.submission.timetable.count) ledger.over(found->second, JobState::finished);
+        ++found->second.fired;
+        ++found->second.occurrencesOpen;
         ledger.allow(occurrence);
     }
     void operator()(const Forgotten& event) {
@@ -277,6 +385,15 @@
         }
     }
     void operator()(const MinionSeen& event) {
+        // One minion a host: another that stood there is gone. docs/design.md 5.8.
+        if (!event.capacity.host.empty())
+            for (auto& [id, other] : ledger.minions)
+                if (id != event.minion && other.capacity.host == event.capacity.host && other.state != MinionState::gone) (*this)(MinionGone{id, "another stands on its host"});
+        const bool alike = std::any_of(ledger.minions.begin(), ledger.minions.end(), [&](const auto& other) {
+            const Capacity& known = other.second.capacity;
+            return known.cores >= event.capacity.cores && known.memory >= event.capacity.memory && known.accelerators >= event.capacity.accelerators && known.pool == event.capacity.pool &&
+                   std::all_of(event.capacity.labels.begin(), event.capacity.labels.end(), [&](const auto& label) { return known.has(label); });
+        });
         Minion& minion = ledger.minions[event.minion];
         minion.id = event.minion;
         minion.seenAt = ledger.now;
@@ -293,7 +410,7 @@
             if (minion.state != MinionState::drained) minion.state = MinionState::present;
             minion.leaveStopped = false;
         }
-        if (minion.capacity.cores != event.capacity.cores || minion.capacity.memory != event.capacity.memory) ledger.capacityChangedAt = ledger.now;
+        if (!alike) ledger.capacityChangedAt = ledger.now;
         minion.capacity = event.capacity;
     }
     void operator()(const ReservoirNamed& event) {
@@ -320,7 +437,12 @@
                 }
             }
         }
-        for (const auto& ending : event.endings) ledger.endAttempt(ending.attempt, ending.kind);
+        for (const auto& [number, saved] : event.saves)
+            if (auto attempt = ledger.attempts.find(number); attempt != ledger.attempts.end()) ledger.keepSaved(attempt->second, saved);
+        for (const auto& ending : event.endings) {
+            if (auto attempt = ledger.attempts.find(ending.attempt); attempt != ledger.attempts.end()) ledger.keepSaved(attempt->second, ending.saved);
+            ledger.endAttempt(ending.attempt, ending.kind);
+        }
     }
     void operator()(const MinionLeaves& event) {
         auto found = ledger.minions.find(event.minion);
@@ -398,17 +520,22 @@
             attempt.job = action.job;
             attempt.task = action.task;
             attempt.step = task.step;
+            attempt.within = task.within;
             attempt.minion = action.minion;
             attempt.cores = request.cores;
+            attempt.accelerators = request.accelerators;
+            attempt.run = task.run = std::max(task.run + 1, action.run);
             attempt.memory = action.memory;
             attempt.runtime = request.runtime;
             attempt.quantum = action.trial ? action.quantum : Span{0};
-            attempt.gang = action.kind == ActionKind::stage;
+            attempt.gang = job.step(task).gang;
+            attempt.assembles = attempt.gang && action.kind == ActionKind::start;
             attempt.counted = action.kind == ActionKind::start;
             attempt.orderedAt = attempt.runningSince = ledger.now;
             Minion& minion = ledger.minions[action.minion];
             Order& order = minion.give(action.kind == ActionKind::start ? OrderKind::start : OrderKind::stage, attempt);
-            order.payload = request.payload;
+            order.payload = job.payload(task);
+            order.saved = job.tasks[attempt.gang ? job.place(task.step, 0) : action.task].saved;
             attempt.order = order.number;
             ledger.lastAttempt = std::max(ledger.lastAttempt, action.attempt);
             ledger.attempts[action.attempt] = attempt;
--- a/source/ledger.hpp
+++ b/source/ledger.hpp
@@ -34,9 +34,11 @@
 
     std::vector<AttemptNumber> attemptsOf(const JobId& job, bool withLost) const;
     std::vector<AttemptNumber> attemptsOn(const MinionId& minion) const;
+    // The attempt behind the names that minions know a start by; 0 if there is none any more. docs/design.md 4.7.
+    AttemptNumber attemptNamed(const MinionId& minion, const RunName& name) const;
     // Could the known minions, all empty, ever hold these tasks together (a gang) or one by one? Those away or gone count, and
     // nothing is said before the minions are known to be all. docs/design.md 10.
-    std::optional<std::string> neverFits(const StepRequest& step) const;
+    std::optional<std::string> neverFits(const JobSubmission& job, const StepRequest& step) const;
 
     template <class Archive> void serialize(Archive& archive, unsigned) {
         archive & now & setup & jobs & open & openByQueue & minions & attempts & lastAttempt & plan & reservation & counters & toReplace & capacityChangedAt;
@@ -58,6 +60,12 @@
     void failJob(Job& job, const std::string& reason);
     void settle(Job& job);
     void over(Job& job, JobState state);
+    void occurrenceOver(const Job& job);
+    void keepSaved(const Attempt& attempt, const std::string& saved);
+    void countFailure(Job& job, const Attempt& attempt);
+    bool spent(const Job& job, const Task& task) const;
+    void cancel(Job& job, const std::string& reason);
+    void gangDone(Job& job, const Attempt& attempt);
     void resumeVictimsOf(AttemptNumber trial);
 };
 
--- a/source/minion.cpp
+++ b/source/minion.cpp
@@ -10,7 +10,7 @@
     return std::nullopt;
 }
 constexpr const char* orderNames[] = {"start", "stage", "go", "hold", "resume", "stop"};
-constexpr const char* endingNames[] = {"finished", "failed", "stopped", "ran_out", "unstarted"};
+constexpr const char* endingNames[] = {"finished", "failed", "stopped", "ran_out", "unstarted", "refused"};
 constexpr const char* attemptNames[] = {"ordered", "staged", "going", "running", "held", "stopping"};
 constexpr const char* minionNames[] = {"present", "leaving", "drained", "silent", "gone"};
 }  // namespace
@@ -28,8 +28,11 @@
     order.number = lastOrder;
     order.kind = kind;
     order.attempt = attempt.number;
+    order.job = attempt.job;
+    order.step = attempt.step;
+    order.within = attempt.within;
+    order.run = attempt.run;
     if (kind == OrderKind::start || kind == OrderKind::stage) {
-        order.job = attempt.job;
         order.task = attempt.task;
         order.cores = attempt.cores;
         order.memory = attempt.memory;
--- a/source/minion.hpp
+++ b/source/minion.hpp
@@ -5,15 +5,23 @@
 namespace aniseline {
 
 struct Capacity {
-    std::uint32_t cores = 0;
+    std::uint32_t cores = 0;   // thousandths of a core
     std::uint64_t memory = 0;  // MB
     AreaName area;
     std::string rack;
     bool honoursTerms = false;  // holds its tasks when its term lapses
     bool guardsRoom = false;    // itself rejects what it cannot hold
+    std::uint32_t accelerators = 0;
+    std::string pool{};               // queues name the pool their tasks run in; empty: the one without a name
+    std::vector<std::string> labels{};
+    std::string host{};               // where it stands; there is one minion a host. docs/design.md 5.8
+    bool pauses = true;               // can hold a task in place; otherwise a hold is a stop
+    bool lapses = false;              // kills all when its term is over; what ended before that and was not confirmed is void
+    bool assembles = false;           // a gang's parts find each other there; they are started, not staged
     bool operator==(const Capacity&) const = default;
+    bool has(const std::string& label) const { return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end(); }
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & cores & memory & area & rack & honoursTerms & guardsRoom;
+        archive & cores & memory & area & rack & honoursTerms & guardsRoom & accelerators & pool & labels & host & pauses & lapses & assembles;
     }
 };
 
@@ -32,19 +40,50 @@
     Span runtime;
     Span quantum;  // not 0: a trial, which the minion stops by itself when this much run time is used
     std::string payload;
+    std::uint32_t step = 0, within = 0, run = 0;  // the names minions know a start by. docs/design.md 4.7
+    std::string saved;                            // the checkpoint to go on from
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & number & kind & attempt & job & task & cores & memory & runtime & quantum & payload;
+        archive & number & kind & attempt & job & task & cores & memory & runtime & quantum & payload & step & within & run & saved;
     }
 };
 
-enum class EndingKind : std::uint8_t { finished, failed, stopped, ranOut, unstarted };
+enum class EndingKind : std::uint8_t { finished, failed, stopped, ranOut, unstarted, refused };  // refused: turned away by the minion
 const char* name(EndingKind kind);
 std::optional<EndingKind> endingKind(const std::string& text);
 
 struct Ending {
     AttemptNumber attempt;
     EndingKind kind = EndingKind::finished;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & attempt & kind; }
+    std::string saved{};  // its latest checkpoint
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & attempt & kind & saved; }
+};
+
+// A start by the names that minions know it by; penstocks speak of nothing else. docs/design.md 4.7.
+struct RunName {
+    JobId job;                     // of a timetable's occurrence the timetable's
+    std::uint32_t occurrence = 0, step = 0, within = 0, run = 0;
+    static RunName of(const Order& order) {
+        RunName name{order.job, 0, order.step, order.within, order.run};
+        if (const auto mark = order.job.value.rfind('@'); mark != std::string::npos) {
+            name.job = JobId{order.job.value.substr(0, mark)};
+            name.occurrence = std::uint32_t(std::strtoul(order.job.value.c_str() + mark + 1, nullptr, 10));
+        }
+        return name;
+    }
+    auto operator<=>(const RunName&) const = default;
+    bool operator==(const RunName&) const = default;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & job & occurrence & step & within & run; }
+};
+struct NamedEnding {
+    RunName name;
+    EndingKind kind = EndingKind::finished;
+    std::string saved{};
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & name & kind & saved; }
+};
+struct NamedSave {
+    RunName name;
+    std::string saved;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & name & saved; }
 };
 
 enum class AttemptState : std::uint8_t { ordered, staged, going, running, held, stopping };
@@ -55,13 +94,16 @@
     AttemptNumber number;
     JobId job;
     std::uint32_t task = 0;
-    std::uint32_t step = 0;
+    std::uint32_t step = 0, within = 0;
     MinionId minion;
     std::uint32_t cores = 0;
     std::uint64_t memory = 0;
+    std::uint32_t accelerators = 0;
+    std::uint32_t run = 0;
     Span runtime;
     Span quantum;
     bool gang = false;
+    bool assembles = false;  // of a gang: started, not staged
     bool lost = false;     // given up on; its task may have been placed anew. docs/design.md 5.5
     bool counted = true;   // its start counts against the allowance
     bool tryless = false;  // stopped by us in a way that takes nothing from the allowance
@@ -78,7 +120,7 @@
         return runs && now > runningSince ? runBefore + (now - runningSince) : runBefore;
     }
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & number & job & task & step & minion & cores & memory & runtime & quantum & gang & lost & counted & tryless &
+        archive & number & job & task & step & within & minion & cores & memory & accelerators & run & runtime & quantum & gang & assembles & lost & counted & tryless &
             state & order & orderedAt & runningSince & runBefore & heldFor;
     }
 };
@@ -124,8 +166,12 @@
     bool leaving = false;
     Span leaveWithin{0};
     Span wait{0};  // how long the answer may be held back when there is nothing to say
+    OrderNumber received;  // of a penstock: what it has got, while lastOrder is what it has carried out
+    bool packed = false;   // of a penstock: the answer's body is a packed SyncAnswer, endings and checkpoints go by name
+    std::vector<NamedEnding> namedEndings;
+    std::vector<NamedSave> saves;
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & id & incarnation & capacity & lastOrder & endings & leaving & leaveWithin & wait;
+        archive & id & incarnation & capacity & lastOrder & endings & leaving & leaveWithin & wait & received & packed & namedEndings & saves;
     }
 };
 
--- /dev/null
+++ b/source/penstock.cpp
@@ -0,0 +1,382 @@
+#include "penstock.hpp"
+
+namespace aniseline {
+
+bool Penstock::known(const MinionAccount& given, Instant now) {
+    if (formerLives.count(given.life)) return false;
+    if (given.life != account.life) {
+        // Another life: nothing of the former one runs or will. docs/design.md 5.8.
+        if (!account.life.value.empty()) formerLives.insert(account.life);
+        const PenstockOptions kept = options;
+        auto lives = std::move(formerLives);
+        const Epoch seen = epoch;
+        *this = Penstock(kept);
+        formerLives = std::move(lives);
+        epoch = seen;
+    }
+    const bool leaving = account.leaving || given.leaving;
+    const auto before = account.clock;
+    account = given;
+    account.leaving = leaving;
+    if (!account.clock) account.clock = before;
+    hear(given.clock, now);
+    return true;
+}
+
+void Penstock::left(const MinionId& life) {
+    if (life != account.life) return;
+    over = true;
+    works.clear();
+    told.clear();
+}
+
+void Penstock::hear(const std::optional<MinionTime>& told, Instant now) {
+    if (!told) return;
+    if (clock && *told <= *clock) return;
+    clock = told;
+    clockAt = now;
+    noteLapse(now);
+}
+
+// What had ended when the hold ran out, and was not confirmed, is void. docs/design.md 5.5.
+void Penstock::noteLapse(Instant now) {
+    if (lapsed || !granted || !clock || *clock + (now - clockAt) < *granted) return;
+    granted.reset();
+    if (works.empty() && told.empty()) return;
+    lapsed = true;
+    for (auto& ending : told)
+        if (ending.ending.kind == EndingKind::finished && ending.number) ending.ending.kind = EndingKind::stopped;
+}
+
+// The lease as a time on the minion's clock. Counted as if that clock were slow, it is never later than the lease.
+std::optional<MinionTime> Penstock::deadline(Instant now) const {
+    if (!clock || leaseUntil <= now) return std::nullopt;
+    const Span left = std::min(leaseUntil - now, options.longestHold);
+    return *clock + Span{std::int64_t(double((now - clockAt).milliseconds + left.milliseconds) * options.slowest)};
+}
+
+OrderNumber Penstock::applied() const { return openOrders.empty() ? received : OrderNumber{openOrders.begin()->value - 1}; }
+
+SyncReport Penstock::report(Instant now) {
+    SyncReport report;
+    report.id = account.life;
+    report.incarnation = incarnation;
+    report.capacity = account.capacity;
+    report.packed = true;
+    report.received = received;
+    report.lastOrder = toldApplied = applied();
+    appliedAt = now;
+    for (auto& ending : told) {
+        report.namedEndings.push_back(ending.ending);
+        ending.told = true;
+        if (report.namedEndings.size() >= 500) break;
+    }
+    for (const auto& [name, saved] : saves) report.saves.push_back({name, saved});
+    report.leaving = account.leaving;
+    report.leaveWithin = account.leaveWithin;
+    return report;
+}
+
+bool Penstock::urgent(Instant now) const {
+    if (!mayReport() || now < retiredUntil) return false;
+    if (account.leaving && !toldLeaving) return true;
+    if (std::any_of(told.begin(), told.end(), [](const Told& ending) { return !ending.told; })) return true;
+    return applied() != toldApplied && now - appliedAt > Span{400};
+}
+
+void Penstock::answered(const SyncReport& asked, const SyncAnswer& answer, Instant sentAt, Instant now) {
+    if (asked.id != account.life || asked.incarnation != incarnation || answer.epoch < epoch) return;
+    epoch = answer.epoch;
+    const Span term = std::min(answer.term, options.longestHold);
+    lease = term;
+    leaseUntil = std::max(leaseUntil, sentAt + term);
+    if (asked.leaving) toldLeaving = true;
+    for (const auto& save : asked.saves)
+        if (auto found = saves.find(save.name); found != saves.end() && found->second == save.saved) saves.erase(found);
+    for (std::size_t place = 0; place < answer.closed && place < asked.namedEndings.size(); ++place) {
+        const auto& name = asked.namedEndings[place].name;
+        for (auto ending = told.begin(); ending != told.end(); ++ending)
+            if (ending->ending.name == name) {
+                // Endings are final in the order of their numbers only: the minion forgets all up to one.
+                if (ending->number && ending != told.begin()) break;
+                lastSeen = std::max(lastSeen, ending->number);
+                told.erase(ending);
+                break;
+            }
+    }
+    if (now >= sentAt + term) return;  // too late to be followed, docs/design.md 5.3
+    for (const auto& order : answer.orders)
+        if (order.number > received) {
+            received = order.number;
+            take(order, now);
+        }
+}
+
+void Penstock::replaced(Instant now) {
+    // Whatever still runs there dies with its hold; only then may this minion be used under another incarnation.
+    works.clear();
+    told.clear();
+    saves.clear();
+    openOrders.clear();
+    received = toldApplied = OrderNumber{};
+    incarnation = incarnation.next();
+    leaseUntil = Instant{0};
+    retiredUntil = now + Span{options.longestHold.milliseconds * 11 / 10 + 500};
+}
+
+void Penstock::take(const Order& order, Instant now) {
+    const RunName name = RunName::of(order);
+    auto found = works.find(name);
+    if (order.kind == OrderKind::start) {
+        if (found != works.end()) return;
+        if (std::any_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; })) return;
+        Work work;
+        work.order = order;
+        work.notBefore = now;
+        work.orders.push_back(order.number);
+        openOrders.insert(order.number);
+        works.emplace(name, std::move(work));
+        return;
+    }
+    if (order.kind != OrderKind::stop) return;
+    if (found == works.end()) {
+        if (std::any_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; })) return;
+        // Of a start that this process never saw: it is fenced all the same, and a look tells what became of it.
+        Work work;
+        work.order = order;
+        work.unsure = true;
+        found = works.emplace(name, std::move(work)).first;
+    }
+    found->second.wanted = false;
+    found->second.orders.push_back(order.number);
+    openOrders.insert(order.number);
+    found->second.notBefore = now;
+}
+
+void Penstock::settleOrders(Work& work) {
+    for (auto number : work.orders) openOrders.erase(number);
+    work.orders.clear();
+}
+
+void Penstock::finish(const RunName& name, EndingKind kind, std::uint64_t number, std::string saved) {
+    auto found = works.find(name);
+    if (found != works.end()) {
+        settleOrders(found->second);
+        works.erase(found);
+    }
+    saves.erase(name);
+    lastSaved.erase(name);
+    Told ending{number, NamedEnding{name, kind, std::move(saved)}, false};
+    if (!number) told.push_back(std::move(ending));
+    else {
+        auto place = std::find_if(told.begin(), told.end(), [&](const Told& other) { return other.number == 0 || other.number > number; });
+        told.insert(place, std::move(ending));
+    }
+}
+
+void Penstock::lookAfter(Work& work) {
+    work.looked = false;
+    work.lookFrom = looksBegun + 1;
+}
+
+Span Penstock::lookWait() const {
+    return std::clamp(Span{lease.milliseconds / 4}, Span{100}, options.longestLook);
+}
+
+bool Penstock::wantsLook(Instant now) const {
+    if (looking || account.life.value.empty() || over || now < retiredUntil || epoch == Epoch{} || leaseUntil <= now) return false;
+    if (!everLooked || lapsed) return true;
+    const bool toFindOut = std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
+    if (toFindOut) return now - lookedAt >= (told.empty() ? Span{20} : options.lookAgain);
+    const bool running = std::any_of(works.begin(), works.end(), [](const auto& entry) { return entry.second.running; });
+    if (!running) return false;
+    // While endings wait to be confirmed a look would only tell them again; it is due all the same to keep the hold up.
+    const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
+    return !unconfirmed || now - lookedAt >= std::max(lookWait(), Span{500});
+}
+
+std::vector<MinionCall> Penstock::takeCalls(Instant now) {
+    std::vector<MinionCall> calls;
+    noteLapse(now);
+    if (account.life.value.empty() || over || now < retiredUntil) return calls;
+    auto make = [&](MinionCall::Kind kind) {
+        MinionCall call;
+        call.kind = kind;
+        call.number = nextCall++;
+        call.life = account.life;
+        call.fence = epoch;
+        call.deadline = deadline(now);
+        if (call.deadline && (!granted || *granted < *call.deadline)) granted = call.deadline;
+        return call;
+    };
+    std::vector<RunName> never;
+    for (auto& [name, work] : works) {
+        if (work.calling || work.notBefore > now || callsUnderWay >= options.callsAtOnce) continue;
+        if (work.wanted && !work.running && work.looked && !work.failed) {
+            if (account.leaving && !work.unsure) {  // docs/design.md 5.7: nothing starts once the word is given
+                never.push_back(name);
+                continue;
+            }
+            if (account.leaving) work.failed = true;
+            else {
+                if (lapsed || leaseUntil <= now || !clock) continue;
+                auto call = make(MinionCall::Kind::start);
+                call.name = name;
+                call.payload = work.order.payload;
+                call.saved = work.order.saved;
+                calls.push_back(std::move(call));
+                work.calling = true;
+                ++callsUnderWay;
+                continue;
+            }
+        }
+        if ((!work.wanted || work.failed) && !work.stopped) {
+            // What was never sent needs no stop: no call of it can be on its way.
+            if (!work.running && !work.unsure) {
+                never.push_back(name);
+                continue;
+            }
+            auto call = make(MinionCall::Kind::stop);
+            call.name = name;
+            calls.push_back(std::move(call));
+            work.calling = true;
+            ++callsUnderWay;
+        }
+    }
+    for (const auto& name : never) finish(name, works[name].refused ? EndingKind::refused : EndingKind::unstarted, 0, "");
+    if (wantsLook(now)) {
+        auto call = make(MinionCall::Kind::look);
+        call.lastSeen = lastSeen;
+        const bool toFindOut = !everLooked || lapsed || std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
+        const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
+        call.wait = toFindOut || unconfirmed ? Span{0} : lookWait();
+        call.within = call.wait + Span{700};
+        looking = true;
+        ++looksBegun;
+        call.number = looksBegun;
+        lookedAt = now;
+        calls.push_back(std::move(call));
+    }
+    return calls;
+}
+
+void Penstock::replied(const MinionCall& call, const MinionReply& reply, Instant now) {
+    if (call.life != account.life) return;
+    if (call.kind == MinionCall::Kind::look) looking = false;
+    else if (callsUnderWay > 0) --callsUnderWay;
+    hear(reply.clock, now);
+    if (call.kind == MinionCall::Kind::look) {
+        if (reply.kind == MinionReply::Kind::done) looked(call, reply, now);
+        return;
+    }
+    auto found = works.find(call.name);
+    if (found == works.end()) return;  // its ending was seen meanwhile
+    Work& work = found->second;
+    work.calling = false;
+    const bool start = call.kind == MinionCall::Kind::start;
+    switch (reply.kind) {
+        case MinionReply::Kind::done:
+            if (start) {
+                work.running = true;
+                if (work.wanted) settleOrders(work);
+            } else {
+                work.stopped = true;
+                settleOrders(work);
+                lookAfter(work);
+            }
+            return;
+        case MinionReply::Kind::lost:
+            work.unsure = true;
+            work.notBefore = now + Span{20};
+            return;
+        case MinionReply::Kind::old:
+            work.unsure = true;  // it was there before, or a later one is: a look tells
+            if (start) lookAfter(work);
+            else work.notBefore = now + Span{100};
+            return;
+        case MinionReply::Kind::late:
+            work.notBefore = now + Span{50};  // with the next lease
+            return;
+        case MinionReply::Kind::sick:
+            if (++work.sick < 3 || !start) {
+                work.notBefore = now + Span{std::int64_t(50) << std::min(work.sick, 4u)};
+                return;
+            }
+            [[fallthrough]];
+        case MinionReply::Kind::room:
+            if (start) work.failed = work.refused = true;
+            else work.notBefore = now + Span{100};
+            return;
+        case MinionReply::Kind::fenced:
+            work.notBefore = now + Span{200};  // a newer leader has been here: its sync tells
+            return;
+        case MinionReply::Kind::invalid:
+            if (start) work.failed = true;
+            else {
+                work.stopped = true;
+                settleOrders(work);
+                lookAfter(work);
+            }
+            return;
+        case MinionReply::Kind::otherLife:
+            work.notBefore = now + Span{300};  // the next account of itself will tell
+            return;
+    }
+}
+
+void Penstock::looked(const MinionCall& call, const MinionReply& reply, Instant now) {
+    everLooked = true;
+    lookedAt = now;
+    std::set<RunName> seen;
+    for (const auto& active : reply.active) {
+        seen.insert(active.name);
+        if (!active.saved.empty() && lastSaved[active.name] != active.saved) {
+            lastSaved[active.name] = active.saved;
+            saves[active.name] = active.saved;
+        }
+        auto [found, isNew] = works.try_emplace(active.name);
+        Work& work = found->second;
+        if (isNew) work.wanted = true;  // begun by an earlier process: it is watched, never begun or stopped of our own accord
+        work.running = true;
+        if (work.wanted && !work.calling) {
+            work.looked = true;
+            settleOrders(work);
+        }
+    }
+    for (const auto& ended : reply.ended) {
+        seen.insert(ended.name);
+        if (ended.number <= lastSeen || ended.number <= highestEnding) continue;
+        highestEnding = ended.number;
+        finish(ended.name, lapsed && ended.kind == EndingKind::finished ? EndingKind::stopped : ended.kind, ended.number, ended.saved);
+    }
+    lapsed = false;
+    // docs/design.md 5.8: what a look begun after the last call for it does not show was never begun.
+    if (!reply.whole) return;
+    std::vector<RunName> absent;
+    for (auto& [name, work] : works) {
+        if (seen.count(name) || work.calling) continue;
+        if (!work.looked && call.number >= work.lookFrom) {
+            if (work.stopped || work.wanted) absent.push_back(name);
+        }
+    }
+    for (const auto& name : absent) {
+        Work& work = works[name];
+        if (work.stopped) finish(name, work.refused ? EndingKind::refused : EndingKind::unstarted, 0, "");
+        else {  // `old`, yet not to be seen: what is there is another run; it is fenced before it is given up
+            work.failed = work.looked = true;
+            work.unsure = true;
+        }
+    }
+}
+
+Instant Penstock::nextDue(Instant now) const {
+    Instant due = now + Span{60'000};
+    if (account.life.value.empty() || over) return due;
+    for (const auto& [name, work] : works)
+        if (!work.calling && (!work.running || !work.wanted) && !work.stopped) due = std::min(due, std::max(work.notBefore, now + Span{5}));
+    if (!looking && (!works.empty() || !everLooked)) due = std::min(due, now + Span{25});
+    if (applied() != toldApplied) due = std::min(due, std::max(appliedAt + Span{401}, now + Span{5}));
+    return due;
+}
+
+}  // namespace aniseline
--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -14,7 +14,7 @@
 // One attempt as the plan sees it: what it takes and when it is expected to end.
 struct Projection {
     AttemptNumber attempt;
-    std::int64_t cores = 0, memory = 0;
+    std::int64_t cores = 0, memory = 0, accelerators = 0;
     ClusterTime end;
     bool held = false;
     ClusterTime resumes;  // of a held one: when its trial is expected to end
@@ -24,31 +24,39 @@
 
 struct Room {
     const Minion* minion = nullptr;
-    std::int64_t cores = 0, memory = 0;
+    std::int64_t cores = 0, memory = 0, accelerators = 0;
     bool usable = true;
     int penalty = 0;
     std::vector<Projection> projections;
-
-    std::int64_t freeCores() const {
-        std::int64_t used = 0;
-        for (const auto& projection : projections) used += projection.held ? 0 : projection.cores;
-        return cores - used;
-    }
-    std::int64_t freeMemory() const {
-        std::int64_t used = 0;
-        for (const auto& projection : projections) used += projection.memory;
-        return memory - used;
-    }
+    std::map<std::pair<JobId, std::uint32_t>, std::uint32_t> ofStep;  // tasks here of the steps that are kept apart
+    // Sums over the projections, kept as these come and go.
+    std::int64_t usedCores = 0, usedMemory = 0, usedAccelerators = 0, heldCores = 0, trialCores = 0;
+
+    void count(const Projection& projection, std::int64_t sign) {
+        usedCores += projection.held ? 0 : sign * projection.cores;
+        usedMemory += sign * projection.memory;
+        usedAccelerators += sign * projection.accelerators;
+        heldCores += projection.held ? sign * projection.cores : 0;
+        trialCores += projection.trialWithVictims ? sign * projection.cores : 0;
+    }
+    void add(const Projection& projection) {
+        projections.push_back(projection);
+        count(projection, 1);
+    }
+    void dropLast() {
+        count(projections.back(), -1);
+        projections.pop_back();
+    }
+    void hold(Projection& projection) {
+        count(projection, -1);
+        projection.held = true;
+        count(projection, 1);
+    }
+    std::int64_t freeCores() const { return cores - usedCores; }
+    std::int64_t freeMemory() const { return memory - usedMemory; }
+    std::int64_t freeAccelerators() const { return accelerators - usedAccelerators; }
     // Cores that stay free when every held task is back, counting no expected ending. docs/design.md 7.4.
-    std::int64_t safeCores() const {
-        std::int64_t held = 0, trials = 0;
-        for (const auto& projection : projections) {
-            if (projection.held) held += projection.cores;
-            if (projection.trialWithVictims) trials += projection.cores;
-        }
-        const auto now = freeCores();
-        return std::min(now, now + trials - held);
-    }
+    std::int64_t safeCores() const { return std::min(freeCores(), freeCores() + trialCores - heldCores); }
     // Cores and memory free from the given time on, by expected endings; later resumptions are counted in.
     std::pair<std::int64_t, std::int64_t> freeFrom(ClusterTime time) const {
         std::int64_t usedCores = 0, usedMemory = 0;
@@ -105,7 +113,9 @@
     std::map<MinionId, std::size_t> roomOf;
     std::int64_t trialRoom;
     AttemptNumber lastAttempt;
-    FailedShapes noBackfill, noTrial;
+    std::map<std::pair<std::string, std::string>, FailedShapes> noBackfill;  // by pool and label
+    FailedShapes noTrial;
+    std::map<std::pair<JobId, std::uint32_t>, std::string> racks;  // chosen for steps that want one rack
 
     Work(Planner& planner, const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain)
         : planner(planner), ledger(ledger), now(now), silence(silence), explain(explain),
@@ -143,6 +153,7 @@
             room.minion = &minion;
             room.cores = minion.capacity.cores;
             room.memory = std::int64_t(minion.capacity.memory);
+            room.accelerators = minion.capacity.accelerators;
             auto quiet = silence.find(id);
             room.usable = minion.open() && quiet != silence.end() && quiet->second < silentTooLong;
             if (minion.blameAt(now) >= blameLimit) room.penalty = 2;
@@ -157,6 +168,7 @@
             projection.attempt = number;
             projection.cores = attempt.cores;
             projection.memory = std::int64_t(attempt.memory);
+            projection.accelerators = attempt.accelerators;
             projection.held = attempt.state == AttemptState::held;
             projection.heldFor = attempt.heldFor;
             projection.trialWithVictims = withVictims.count(number) > 0;
@@ -166,13 +178,51 @@
                 projection.resumes = trial == trialEnds.end() ? now : trial->second;
                 projection.end = projection.resumes + remaining(attempt);
             }
-            room.projections.push_back(projection);
+            room.add(projection);
+            if (const auto* needs = needsOf(attempt.job, attempt.step); needs && needs->apart) ++room.ofStep[{attempt.job, attempt.step}];
             if (attempt.state == AttemptState::ordered && now - attempt.orderedAt > unappliedTooLong) room.usable = false;
             // A minion that fails work is tried with one task at a time. docs/design.md 5.6.
             if (room.penalty > 0) room.usable = false;
         }
     }
 
+    const StepNeeds* needsOf(const JobId& job, std::uint32_t step) const {
+        auto found = ledger.jobs.find(job);
+        return found == ledger.jobs.end() || step >= found->second.submission.steps.size() ? nullptr : &found->second.submission.steps[step].needs;
+    }
+    // May a task of this step run there at all? Label, pool and accelerators are conditions. docs/paper.md 2.
+    bool suits(const Unit& unit, const Room& room) const {
+        return room.minion->capacity.pool == unit.pool && room.minion->capacity.has(unit.needs->label);
+    }
+    bool hasRoom(const Unit& unit, const Room& room, const TaskRequest& request) const {
+        if (room.freeAccelerators() < request.accelerators) return false;
+        if (!unit.needs->apart) return true;
+        auto found = room.ofStep.find({unit.job, unit.step});
+        return found == room.ofStep.end() || found->second < unit.needs->apart;
+    }
+    // The rack that a step which wants one rack is on, or had best go to: the one with the most idle cores that suit.
+    const std::string& rackFor(const Unit& unit) {
+        auto [found, isNew] = racks.try_emplace({unit.job, unit.step});
+        if (!isNew) return found->second;
+        for (const auto& [number, attempt] : ledger.attempts)
+            if (attempt.job == unit.job && attempt.step == unit.step && !attempt.lost) return found->second = rackOf(attempt.minion);
+        std::map<std::string, std::int64_t> idle;
+        for (const auto& room : rooms)
+            if (room.usable && suits(unit, room)) idle[room.minion->capacity.rack] += room.safeCores();
+        std::int64_t most = -1;
+        for (const auto& [rack, cores] : idle)
+            if (cores > most) most = cores, found->second = rack;
+        return found->second;
+    }
+    // Away from its data or from the rest of its step a task takes `far` times as long. docs/paper.md 2.
+    bool isFar(const Unit& unit, const Room& room) {
+        if (!unit.needs->near.empty() && !room.minion->capacity.has(unit.needs->near)) return true;
+        return unit.needs->sameRack && room.minion->capacity.rack != rackFor(unit);
+    }
+    Span runtimeAt(const Unit& unit, const Room& room, const TaskRequest& request) {
+        return isFar(unit, room) ? Span{std::int64_t(double(request.runtime.milliseconds) * ledger.setup.planner.far)} : request.runtime;
+    }
+
     std::vector<Unit> waitingUnits() {
         std::vector<Unit> units;
         for (const auto& id : ledger.open) {
@@ -188,7 +238,12 @@
                 if (gang && !ready) unready.insert(task.step);
                 if (!ready) continue;
                 if (!gang) {
-                    units.push_back({id, task.step, {place}, false, job.request(task).runtime, task.readyAt, 0});
+                    Unit& unit = units.emplace_back();
+                    unit.job = id;
+                    unit.step = task.step;
+                    unit.tasks = {place};
+                    unit.runtime = job.request(task).runtime;
+                    unit.readyAt = task.readyAt;
                     continue;
                 }
                 Unit& unit = gangs[task.step];
@@ -210,8 +265,11 @@
             inputs.runtime = unit.runtime.hours();
             inputs.expansion = (inputs.wait + inputs.runtime) / inputs.runtime;
             const Job& job = ledger.jobs.at(unit.job);
+            unit.needs = &job.submission.steps[unit.step].needs;
+            unit.pool = queue.pool;
+            unit.urgency = ledger.setup.planner.urgencyFirst ? queue.urgency : 0;
             for (auto task : unit.tasks) {
-                inputs.cores += job.request(job.tasks[task]).cores;
+                inputs.cores += job.request(job.tasks[task]).cores / 1000.0;
                 inputs.memory += double(job.request(job.tasks[task]).memory);
             }
             inputs.urgency = double(queue.urgency);
@@ -220,12 +278,17 @@
             unit.priority = programsOf(queue.policy).rank.evaluate(inputs);
         }
         std::sort(units.begin(), units.end(), [](const Unit& left, const Unit& right) {
+            if (left.urgency != right.urgency) return left.urgency > right.urgency;
             if (left.priority != right.priority) return left.priority > right.priority;
             return std::tie(left.readyAt, left.job, left.step, left.tasks) < std::tie(right.readyAt, right.job, right.step, right.tasks);
         });
         return units;
     }
 
+    void leave(const Unit& unit, std::size_t place) {
+        rooms[place].dropLast();
+        if (unit.needs->apart) --rooms[place].ofStep[{unit.job, unit.step}];
+    }
     const Task& taskOf(const Unit& unit, std::uint32_t task) const { return ledger.jobs.at(unit.job).tasks[task]; }
     const TaskRequest& requestOf(const Unit& unit, std::uint32_t task) const {
         const Job& job = ledger.jobs.at(unit.job);
@@ -266,9 +329,10 @@
         projection.attempt = attempt;
         projection.cores = request.cores;
         projection.memory = memory;
+        projection.accelerators = request.accelerators;
         projection.end = end;
         projection.trialWithVictims = withVictims;
-        rooms[place].projections.push_back(projection);
+        rooms[place].add(projection);
     }
 
     std::string rackOf(const MinionId& id) const {
@@ -283,32 +347,39 @@
             const MinionId& avoid = taskOf(unit, part).avoid;
             const std::string rackToAvoid = rackOf(avoid);
             std::size_t best = rooms.size();
-            std::tuple<int, std::int64_t, int> bestKey{};
+            std::tuple<int, int, std::int64_t, int> bestKey{};
             for (std::size_t place = 0; place < rooms.size(); ++place) {
                 Room& room = rooms[place];
-                if (!room.usable || room.safeCores() < request.cores) continue;
+                if (!room.usable || room.safeCores() < request.cores || !suits(unit, room) || !hasRoom(unit, room, request)) continue;
                 if (!memoryFits(room, room.freeMemory(), std::int64_t(request.memory), trialRoom)) continue;
-                if (delays(place, request.cores, std::int64_t(request.memory), now + request.runtime)) continue;
+                if (delays(place, request.cores, std::int64_t(request.memory), now + runtimeAt(unit, room, request))) continue;
                 // Where the paper's fit leaves a choice: a retry leaves the rack it failed on, a gang keeps to few. docs/paper.md 2.
                 const std::string& rack = room.minion->capacity.rack;
                 const bool sameGang = std::any_of(placed.begin(), placed.end(), [&](const auto& other) { return rooms[other.second].minion->capacity.rack == rack; });
                 const int rackChoice = !rack.empty() && rack == rackToAvoid ? 2 : unit.gang && !placed.empty() && !sameGang ? 1 : 0;
-                const std::tuple<int, std::int64_t, int> key{room.penalty + (room.minion->id == avoid ? 1 : 0), room.freeCores(), rackChoice};
+                const std::tuple<int, int, std::int64_t, int> key{room.penalty + (room.minion->id == avoid ? 1 : 0), isFar(unit, room), room.freeCores(), rackChoice};
                 if (best == rooms.size() || key < bestKey) {
                     best = place;
                     bestKey = key;
                 }
             }
             if (best == rooms.size()) {
-                for (auto& [task, place] : placed) rooms[place].projections.pop_back();
+                for (auto& [task, place] : placed) leave(unit, place);
                 return false;
             }
-            occupy(best, AttemptNumber{}, request, std::int64_t(request.memory), now + request.runtime, false);
+            occupy(best, AttemptNumber{}, request, std::int64_t(request.memory), now + runtimeAt(unit, rooms[best], request), false);
+            if (unit.needs->apart) ++rooms[best].ofStep[{unit.job, unit.step}];
             placed.emplace_back(part, best);
         }
+        // Parts that find each other at the minions are started, with one number; others are staged. docs/design.md 7.3.
+        const bool assembles = unit.gang && std::all_of(placed.begin(), placed.end(), [&](const auto& part) { return rooms[part.second].minion->capacity.assembles; });
+        std::uint32_t run = 0;
+        if (unit.gang)
+            for (auto part : unit.tasks) run = std::max(run, taskOf(unit, part).run + 1);
         for (auto& [task, place] : placed) {
             Action action;
-            action.kind = unit.gang ? ActionKind::stage : ActionKind::start;
+            action.kind = unit.gang && !assembles ? ActionKind::stage : ActionKind::start;
+            action.run = run;
             action.attempt = lastAttempt = lastAttempt.next();
             action.job = unit.job;
             action.task = task;
@@ -339,7 +410,7 @@
                 const TaskRequest& request = requestOf(unit, part);
                 std::size_t best = rooms.size();
                 for (std::size_t place = 0; place < rooms.size(); ++place) {
-                    if (!rooms[place].minion->open() || free[place].first < request.cores) continue;
+                    if (!rooms[place].minion->open() || free[place].first < request.cores || !suits(unit, rooms[place]) || rooms[place].accelerators < request.accelerators) continue;
                     if (!memoryFits(rooms[place], free[place].second, std::int64_t(request.memory), trialRoom)) continue;
                     if (best == rooms.size() || free[place].first < free[best].first) best = place;
                 }
@@ -364,7 +435,7 @@
         inputs.runtime = attempt.runtime.hours();
         inputs.running = (now - attempt.runningSince).hours();
         inputs.slowdown = slowdown(attempt);
-        inputs.cores = attempt.cores;
+        inputs.cores = attempt.cores / 1000.0;
         inputs.memory = double(attempt.memory);
         inputs.urgency = double(queue.urgency);
         return programsOf(queue.policy).mayHold.evaluate(inputs) != 0.0;
@@ -377,11 +448,11 @@
     };
     // A trial may not delay the reserved start, but for the reserved unit's own, which gains by it. docs/paper.md 4.
     // Paper 2.4: idle cores first, else holds of those with the least slowdown among the long uninterrupted.
-    std::optional<TrialPlace> trialPlace(const TaskRequest& request, const MinionId& avoid, std::int64_t memory, const TrialOptions& options, bool holds, bool own) {
+    std::optional<TrialPlace> trialPlace(const Unit& unit, const TaskRequest& request, const MinionId& avoid, std::int64_t memory, const TrialOptions& options, bool holds, bool own) {
         std::optional<TrialPlace> best;
         for (std::size_t place = 0; place < rooms.size(); ++place) {
             Room& room = rooms[place];
-            if (!room.usable || room.penalty > 0 || room.minion->id == avoid) continue;
+            if (!room.usable || room.penalty > 0 || room.minion->id == avoid || !room.minion->capacity.pauses || !suits(unit, room) || !hasRoom(unit, room, request)) continue;
             if (room.cores < request.cores || room.freeMemory() < memory) continue;
             TrialPlace candidate;
             candidate.place = place;
@@ -436,8 +507,8 @@
             const TaskRequest& request = requestOf(unit, part);
             const auto memory = std::int64_t(std::min<std::uint64_t>(request.memory, queue.trial.memory));
             const MinionId& avoid = taskOf(unit, part).avoid;
-            auto found = trialPlace(request, avoid, memory, queue.trial, false, own);
-            if (!found) found = trialPlace(request, avoid, memory, queue.trial, true, own);
+            auto found = trialPlace(unit, request, avoid, memory, queue.trial, false, own);
+            if (!found) found = trialPlace(unit, request, avoid, memory, queue.trial, true, own);
             if (!found) {
                 if (unit.gang) rooms = std::move(before);
                 plan.made.actions.resize(actionsBefore);
@@ -454,7 +525,7 @@
                 plan.made.actions.push_back(hold);
                 for (auto& projection : rooms[found->place].projections)
                     if (projection.attempt == victim) {
-                        projection.held = true;
+                        rooms[found->place].hold(projection);
                         projection.end = projection.end + queue.trial.quantum;
                     }
             }
@@ -477,14 +548,16 @@
     void moveGangs() {
         std::map<std::pair<JobId, std::uint32_t>, std::vector<const Attempt*>> gangs;
         for (const auto& [number, attempt] : ledger.attempts)
-            if (attempt.gang && !attempt.lost) gangs[{attempt.job, attempt.step}].push_back(&attempt);
+            if (attempt.gang && !attempt.lost && !ledger.jobs.at(attempt.job).tasks.empty()) gangs[{attempt.job, attempt.step}].push_back(&attempt);
         for (const auto& [key, parts] : gangs) {
             const Job& job = ledger.jobs.at(key.first);
             std::size_t openParts = 0;
             for (const auto& task : job.tasks) openParts += task.step == key.second && task.state != TaskState::done;
             bool allStaged = parts.size() == openParts, staging = false, late = false, alone = false;
             for (const auto* part : parts) {
-                alone = alone || (part->state == AttemptState::going && now - part->runningSince > goLimit);
+                const bool unheard = part->state == AttemptState::going || (part->assembles && part->state == AttemptState::ordered);
+                alone = alone || (unheard && now - part->runningSince > goLimit);
+                if (part->assembles) continue;
                 if (part->state == AttemptState::staged || part->state == AttemptState::ordered) {
                     staging = true;
                     late = late || now - part->orderedAt > stagingLimit;
@@ -497,7 +570,7 @@
                 Action action;
                 action.attempt = part->number;
                 action.minion = part->minion;
-                if (allStaged) action.kind = ActionKind::go;
+                if (allStaged && !part->assembles) action.kind = ActionKind::go;
                 else if (alone && part->state != AttemptState::stopping) {
                     action.kind = ActionKind::stop;
                     action.reason = "alone";
@@ -543,7 +616,7 @@
             if (!unit.gang) {
                 shape.cores = requestOf(unit, unit.tasks[0]).cores;
                 shape.memory = std::int64_t(requestOf(unit, unit.tasks[0]).memory);
-                if (reserved && noBackfill.covers(shape)) {
+                if (reserved && !unit.needs->apart && noBackfill[{unit.pool, unit.needs->label}].covers(shape)) {
                     note(unit, "would delay the reserved start, or no minion has room");
                     notStarted.push_back(&unit);
                     continue;
@@ -568,7 +641,7 @@
                 note(unit, "no minion that is here now could ever hold it");
                 continue;
             }
-            if (!unit.gang) noBackfill.add(shape);
+            if (!unit.gang && !unit.needs->apart && !requestOf(unit, unit.tasks[0]).accelerators) noBackfill[{unit.pool, unit.needs->label}].add(shape);
             note(unit, "would delay the reserved start, or no minion has room");
         }
         if (ledger.setup.planner.trials)
@@ -581,10 +654,10 @@
                     const TaskRequest& request = requestOf(*unit, unit->tasks[0]);
                     shape.cores = request.cores;
                     shape.memory = std::int64_t(std::min<std::uint64_t>(request.memory, queue.trial.memory));
-                    if (noTrial.covers(shape)) continue;
+                    if (noTrial.covers(shape) || !unit->needs->label.empty() || !unit->pool.empty()) continue;
                 }
                 if (!tryTrial(*unit)) {
-                    if (!unit->gang && queue.trial.quantum >= Span{1000}) noTrial.add(shape);
+                    if (!unit->gang && unit->needs->label.empty() && unit->pool.empty() && queue.trial.quantum >= Span{1000}) noTrial.add(shape);
                 } else note(*unit, "gets its trial in this plan");
             }
         plan.made.number = ledger.plan.next();
@@ -616,8 +689,8 @@
     for (const auto& [number, attempt] : ledger.attempts) {
         if (attempt.lost) continue;
         if (attempt.trial() && attempt.state == AttemptState::running) consider(now + (attempt.quantum + trialGrace - attempt.ranBy(now)) + Span{1});
-        if (attempt.gang && (attempt.state == AttemptState::ordered || attempt.state == AttemptState::staged)) consider(now + Span{200});
-        if (attempt.gang && attempt.state == AttemptState::going) consider(attempt.runningSince + goLimit + Span{1});
+        if (attempt.gang && !attempt.assembles && (attempt.state == AttemptState::ordered || attempt.state == AttemptState::staged)) consider(now + Span{200});
+        if (attempt.gang && (attempt.state == AttemptState::going || (attempt.assembles && attempt.state == AttemptState::ordered))) consider(attempt.runningSince + goLimit + Span{1});
         if (!attempt.trial() && attempt.state == AttemptState::running) {
             const auto found = ledger.jobs.find(attempt.job);
             const auto* queue = found == ledger.jobs.end() ? nullptr : ledger.setup.queue(found->second.submission.queue);
--- a/source/planner.hpp
+++ b/source/planner.hpp
@@ -13,6 +13,9 @@
     Span runtime;  // the longest of its parts
     ClusterTime readyAt;
     double priority = 0;
+    std::int64_t urgency = 0;  // where urgency goes before all
+    std::string pool;
+    const StepNeeds* needs = nullptr;
 };
 
 struct Reason {
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -61,6 +61,7 @@
         clusterBase = working().now;
         clusterBaseAt = now;
         contacts.clear();
+        ordersSent.clear();
         shortenedTo = ClusterTime{};
         append(Opened{});
         note("leads", {{"epoch", json(ledEpoch.value)}, {"last", json(agreement.last().value)}});
@@ -130,6 +131,7 @@
         passMinions();
         passTimetables();
         passForget();
+        passHopeless();
         passPlan();
         passMembers();
         agreement.tick(now, wall);  // what was proposed leaves at once
@@ -148,7 +150,24 @@
         if (record.stage == Stage::taken) intake(record);
 }
 
+// docs/design.md 6.6: the leader's setup is the newest there is, so what comes by an entrance is never judged by an older one.
+bool Reservoir::enter(ExchangeRecord& record) {
+    Exchange& exchange = record.exchange;
+    const Setup& setup = working().setup;
+    if (!setup.version.value) return decide(record, Answer::notTaken("there is no setup yet"), false), false;
+    const auto* entrance = setup.entrance(exchange.host, exchange.path);
+    if (!entrance) return decide(record, Answer::error(404, "no_queue", "no queue is entered there"), false), false;
+    exchange.id = exchange.path.substr(entrance->prefix.size());
+    exchange.job.queue = entrance->queue;
+    exchange.job.id = JobId{exchange.id};
+    if (exchange.ask == Ask::showPhase && exchange.id.empty()) exchange.ask = Ask::countWaiting;
+    if (exchange.ask == Ask::submitJob)
+        if (auto faults = exchange.job.faults(); !faults.empty()) return decide(record, Answer::from(CoreError{CoreError::Kind::invalid, std::move(faults)}), false), false;
+    return true;
+}
+
 void Reservoir::intake(ExchangeRecord& record) {
+    if (record.exchange.byEntrance() && !enter(record)) return;
     const Exchange& exchange = record.exchange;
     switch (exchange.ask) {
         case Ask::submitJob: return intakeSubmit(record);
@@ -164,6 +183,19 @@
             if (found == working().jobs.end()) return decide(record, Answer::error(404, "missing", "no job " + exchange.id), false);
             return decide(record, Answer::of(200, showJob(found->second)), false);
         }
+        case Ask::showPhase: return decide(record, showPhase(JobId{exchange.id}), false);
+        case Ask::countWaiting: {
+            Answer answer;
+            auto found = working().openByQueue.find(exchange.job.queue);
+            answer.number = found == working().openByQueue.end() ? 0 : found->second;
+            return decide(record, std::move(answer), false);
+        }
+        case Ask::readSetup: {
+            if (!working().setup.version.value) return decide(record, Answer::error(404, "missing", "there is no setup yet"), false);
+            Answer answer;
+            answer.body = working().setup.text;
+            return decide(record, std::move(answer), false);
+        }
         case Ask::listJobs: return decide(record, Answer::of(200, listJobs(exchange)), false);
         case Ask::showSetup: {
             picojson::object shown{{"version", json(working().setup.version.value)}};
@@ -205,8 +237,8 @@
     const auto* queue = working().setup.queue(job.queue);
     if (!queue || queue->closed)
         return decide(record, Answer::from(CoreError::at(CoreError::Kind::invalid, "/queue", "the setup has no queue " + job.queue.value)), false);
-    for (std::size_t step = 0; step < job.steps.size(); ++step)
-        if (auto never = working().neverFits(job.steps[step]))
+    for (std::size_t step = 0; step < job.steps.size() && !record.exchange.byEntrance(); ++step)
+        if (auto never = working().neverFits(job, job.steps[step]))
             return decide(record, Answer::from(CoreError::at(CoreError::Kind::invalid, "/steps/" + std::to_string(step), *never)), false);
     // docs/design.md 10: the whole is bounded, and what is reserved to other queues is not for this one.
     std::uint64_t heldBack = 0;
@@ -233,17 +265,19 @@
 }
 
 void Reservoir::intakeSetup(ExchangeRecord& record) {
-    auto parsed = Setup::parse(record.exchange.text);
+    auto parsed = record.exchange.readySetup.empty() ? Setup::parse(record.exchange.text) : unpack<Setup>(record.exchange.readySetup);
     if (!parsed) return decide(record, Answer::from(parsed.error()), false);
     const SetupVersion current = working().setup.version;
     Setup setup = std::move(parsed.value());
     auto taken = [](SetupVersion version) { return Answer::of(200, {{"version", json(version.value)}}); };
-    if (record.exchange.basedOn.next() == current && setup.text == working().setup.text) return decide(record, taken(current), false);
+    if ((record.exchange.basedOn.next() == current || setup.version == current) && current.value && setup.text == working().setup.text) return decide(record, taken(current), false);
     if (record.exchange.basedOn != current) {
         Answer answer = Answer::of(409, {{"error", json("conflict")}, {"text", json("setup " + std::to_string(current.value) + " is newer than the one this is based on")}, {"version", json(current.value)}});
         return decide(record, answer, false);
     }
-    setup.version = current.next();
+    if (setup.version.value && setup.version <= current)
+        return decide(record, Answer::from(CoreError::at(CoreError::Kind::invalid, "/version", "must be above the current one, " + std::to_string(current.value))), false);
+    if (!setup.version.value) setup.version = current.next();
     append(SetupTaken{setup});
     decide(record, taken(setup.version), true);
     note("setup taken", {{"version", json(setup.version.value)}});
@@ -267,8 +301,8 @@
         prompt = true;
     }
     const Minion& minion = working().minions.at(report.id);
-    for (auto& other : exchanges)  // a newer sync takes the place of one that still waits
-        if (other.stage == Stage::polling && other.exchange.report.id == report.id) other.pollUntil = now;
+    for (auto& other : exchanges)  // a newer sync that waits takes the place of one that still does
+        if ((!report.packed || report.wait.milliseconds) && other.stage == Stage::polling && other.exchange.report.id == report.id) other.pollUntil = now;
     contacts[report.id] = now;
     if (minion.state == MinionState::silent) append(MinionAllowed{report.id});
     if (report.leaving && minion.state == MinionState::present) {
@@ -280,12 +314,16 @@
         auto attempt = working().attempts.find(ending.attempt);
         if (attempt != working().attempts.end() && attempt->second.minion == report.id) synced.endings.push_back(ending);
     }
-    if (synced.applied > minion.applied || !synced.endings.empty()) append(std::move(synced));
+    for (const auto& ending : report.namedEndings)
+        if (auto number = working().attemptNamed(report.id, ending.name); number.value) synced.endings.push_back({number, ending.kind, ending.saved});
+    for (const auto& save : report.saves)
+        if (auto number = working().attemptNamed(report.id, save.name); number.value) synced.saves.emplace_back(number, save.saved);
+    if (synced.applied > minion.applied || !synced.endings.empty() || !synced.saves.empty()) append(std::move(synced));
     record.stage = Stage::polling;
     record.logged = false;
     record.barrier = agreement.last();
     record.round = agreement.startRound(now);
-    record.pollUntil = prompt || !report.endings.empty() || report.leaving ? now : now + std::min(report.wait, options.longestPoll);
+    record.pollUntil = prompt || !report.endings.empty() || !report.namedEndings.empty() || (report.leaving && !report.packed) ? now : now + std::min(report.wait, options.longestPoll);
     record.deadline = now + options.longestPoll + options.answerWithin;
 }
 
@@ -366,6 +404,25 @@
     for (auto& id : due) append(OccurrenceFired{id});
 }
 
+// docs/design.md 4.8: what no minion could ever hold fails, with its cause, rather than wait for ever.
+void Reservoir::passHopeless() {
+    if (now < nextHopeless) return;
+    nextHopeless = now + Span{500};
+    std::vector<JobFailed> hopeless;
+    for (const auto& id : working().open) {
+        const Job& job = working().jobs.at(id);
+        if (job.state != JobState::open || job.ending) continue;
+        const bool waits = std::any_of(job.tasks.begin(), job.tasks.end(), [&](const Task& task) { return task.state == TaskState::waiting && clusterNow() - task.readyAt > Span{300}; });
+        if (!waits) continue;
+        for (const auto& step : job.submission.steps)
+            if (auto never = working().neverFits(job.submission, step)) {
+                hopeless.push_back({id, *never});
+                break;
+            }
+    }
+    for (auto& failed : hopeless) append(std::move(failed));
+}
+
 void Reservoir::passForget() {
     if (now < nextForget) return;
     nextForget = now + Span{1000};
@@ -433,8 +490,10 @@
             return true;
         }
         SyncAnswer answered;
+        OrderNumber known = report.packed ? std::max(report.lastOrder, report.received) : report.lastOrder;
+        if (auto sent = ordersSent.find(report.id); report.packed && sent != ordersSent.end() && now - sent->second.at < Span{500}) known = std::max(known, sent->second.through);
         for (const auto& order : found->second.orders)
-            if (order.number > report.lastOrder) answered.orders.push_back(order);
+            if (order.number > known) answered.orders.push_back(order);
         if (answered.orders.empty() && now < record.pollUntil) return false;
         answered.epoch = agreement.epoch();
         answered.term = options.term;
@@ -442,6 +501,17 @@
             auto open = committedLedger.attempts.find(ending.attempt);
             if (open == committedLedger.attempts.end() || open->second.minion != report.id) answered.confirmed.push_back(ending.attempt);
         }
+        if (report.packed) {
+            for (const auto& ending : report.namedEndings) {
+                if (committedLedger.attemptNamed(report.id, ending.name).value) break;
+                ++answered.closed;
+            }
+            if (!answered.orders.empty()) ordersSent[report.id] = {answered.orders.back().number, now};
+            Answer packedAnswer;
+            packedAnswer.body = pack(answered);
+            answer(record, std::move(packedAnswer));
+            return true;
+        }
         answered.sluices = preferred(sluicesHeard(now), report.capacity.area, checksum(report.id.value));
         answer(record, Answer::of(200, answered.render()));
         return true;
@@ -561,6 +631,18 @@
     return heard;
 }
 
+// A job's phase alone. docs/api.md 1.
+Answer Reservoir::showPhase(const JobId& id) const {
+    auto found = workingLedger->jobs.find(id);
+    if (found == workingLedger->jobs.end()) return Answer::error(410, "gone", "no job " + id.value);
+    const Job& job = found->second;
+    const bool begun = job.state == JobState::timed ? job.fired > 0 : std::any_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) { return task.run > 0; });
+    Answer answer;
+    answer.word = job.over() ? name(job.state) : job.state == JobState::cancelling ? "cancelled" : job.ending ? "failed" : begun ? "running" : "waiting";
+    answer.body = json(picojson::object{{"phase", json(answer.word)}}).serialize();
+    return answer;
+}
+
 picojson::object Reservoir::showJob(const Job& job) const {
     picojson::array tasks;
     std::map<std::string, double> counts;
@@ -617,7 +699,7 @@
             }
         auto quiet = known.find(id);
         listed.push_back(json(picojson::object{{"id", json(id.value)}, {"state", json(name(minion.state))}, {"area", json(minion.capacity.area.value)},
-            {"rack", json(minion.capacity.rack)}, {"cores", json(minion.capacity.cores)}, {"cores_used", json(cores)},
+            {"rack", json(minion.capacity.rack)}, {"cores", json(minion.capacity.cores / 1000.0)}, {"cores_used", json(double(cores) / 1000.0)},
             {"memory_mb", json(minion.capacity.memory)}, {"memory_used_mb", json(memory)}, {"attempts", json(count)}, {"held", json(held)},
             {"honours_terms", json(minion.capacity.honoursTerms)}, {"guards_room", json(minion.capacity.guardsRoom)},
             {"blame", json(minion.blameAt(clusterNow()))}, {"orders_pending", json(minion.orders.size())},
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -86,6 +86,9 @@
     void answer(const ExchangeRecord& record, Answer answer);
     Answer notLeader() const;
     void intake(ExchangeRecord& record);
+    bool enter(ExchangeRecord& record);
+    void passHopeless();
+    Answer showPhase(const JobId& id) const;
     void intakeSubmit(ExchangeRecord& record);
     void intakeCancel(ExchangeRecord& record);
     void intakeSetup(ExchangeRecord& record);
@@ -119,6 +122,12 @@
     Instant nextForget;
     ClusterTime shortenedTo;
     std::map<MinionId, Instant> contacts;
+    struct OrdersSent {
+        OrderNumber through;
+        Instant at;
+    };
+    std::map<MinionId, OrdersSent> ordersSent;  // to penstocks, so that two waiting syncs do not get the same
+    Instant nextHopeless;
     struct SluiceSeen {
         AreaName area;
         Instant heard;
--- a/source/setup.cpp
+++ b/source/setup.cpp
@@ -61,6 +61,13 @@
     return found == queues.end() ? nullptr : &found->second;
 }
 
+const Entrance* Setup::entrance(const std::string& host, const std::string& path) const {
+    const Entrance* best = nullptr;
+    for (const auto& entrance : entrances)
+        if (entrance.host == host && path.starts_with(entrance.prefix) && (!best || entrance.prefix.size() > best->prefix.size())) best = &entrance;
+    return best;
+}
+
 namespace {
 
 // Reads one JSON object, noting each fault by path and each field nobody asked for.
@@ -161,8 +168,19 @@
             planner.whole("open_limit", setup.planner.openLimit, 1, 100'000);
             planner.span("keep_finished_ms", setup.planner.keepFinished, 10'000, dayMilliseconds);
             planner.whole("keep_limit", setup.planner.keepLimit, 100, 2'000'000);
+            planner.flag("urgency_first", setup.planner.urgencyFirst);
+            planner.real("far", setup.planner.far, 1, 1000);
             planner.span("known_after_ms", setup.planner.knownAfter, 0, dayMilliseconds);
         }
+        reader.whole("version", setup.version.value, 1, 9007199254740991.0);
+        if (const auto* pools = reader.find("pools")) {
+            if (!pools->is<picojson::object>()) reader.fault("pools", "must be an object");
+            else
+                for (const auto& [name, value] : pools->get<picojson::object>()) {
+                    Reader pool(value, "/pools/" + name, faults);
+                    pool.flag("guards_room", setup.pools[name].guardsRoom);
+                }
+        }
         const auto* queues = reader.find("queues");
         if (!queues || !queues->is<picojson::object>() || queues->get<picojson::object>().empty())
             reader.fault("queues", "must name at least one queue");
@@ -179,6 +197,11 @@
                 queue.whole("reserved", options.reserved, 0, 100'000);
                 queue.span("hard_limit_ms", options.hardLimit, 0, 366 * dayMilliseconds);
                 queue.span("replace_after_ms", options.replaceAfter, 0, dayMilliseconds);
+                queue.words("pool", options.pool);
+                if (!options.pool.empty() && !setup.pools.count(options.pool)) queue.fault("pool", "names no pool of this setup");
+                queue.whole("tries", options.tries, 1, 1000);
+                queue.real("extend", options.extend, 0, 1e6);
+                queue.span("target_ms", options.target, 0, dayMilliseconds);
                 queue.words("policy", options.policy);
                 if (!setup.policies.count(options.policy)) queue.fault("policy", "names no policy of this setup");
                 if (const auto* trialValue = queue.find("trial")) {
@@ -192,6 +215,21 @@
             }
             if (reserved >= setup.planner.openLimit) reader.fault("queues", "reserve together all of planner/open_limit");
         }
+        if (const auto* entrances = reader.find("entrances")) {
+            if (!entrances->is<picojson::array>()) reader.fault("entrances", "must be a list");
+            else
+                for (std::size_t place = 0; place < entrances->get<picojson::array>().size(); ++place) {
+                    Reader shown(entrances->get<picojson::array>()[place], "/entrances/" + std::to_string(place), faults);
+                    Entrance entrance;
+                    shown.words("host", entrance.host);
+                    shown.words("prefix", entrance.prefix);
+                    shown.words("queue", entrance.queue.value);
+                    if (!setup.queues.count(entrance.queue)) shown.fault("queue", "names no queue of this setup");
+                    for (const auto& other : setup.entrances)
+                        if (other.host == entrance.host && other.prefix == entrance.prefix) shown.fault("prefix", "stands twice for this host");
+                    setup.entrances.push_back(std::move(entrance));
+                }
+        }
     }
     if (!faults.empty()) return CoreError{CoreError::Kind::invalid, std::move(faults)};
     setup.text = text;
--- a/source/setup.hpp
+++ b/source/setup.hpp
@@ -22,12 +22,28 @@
     Span hardLimit{0};  // 0: an overrunning task stays in place
     Span replaceAfter{0};  // waited beyond term and margin before a silent minion's tasks are started elsewhere
     std::string policy = "default";
+    std::string pool;        // the minions its tasks run on; empty: those of no pool
+    std::uint32_t tries = 0; // not 0: a task may end as failed this often, and nothing else counts. docs/design.md 4.4
+    double extend = 1.0;     // the aim of a job is this times its longest chain of work, and the target
+    Span target{0};
     bool closed = false;  // removed from the setup while jobs were open: runs on, takes nothing new
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & name & urgency & retries & openLimit & reserved & trial & hardLimit & replaceAfter & policy & closed;
+        archive & name & urgency & retries & openLimit & reserved & trial & hardLimit & replaceAfter & policy & pool & tries & extend & target & closed;
     }
 };
 
+struct PoolOptions {
+    bool guardsRoom = false;  // its minions themselves reject what they can't hold
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & guardsRoom; }
+};
+
+// Where callers that speak of hosts and paths reach a queue: the longest prefix of the path wins.
+struct Entrance {
+    std::string host, prefix;
+    QueueName queue;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & host & prefix & queue; }
+};
+
 struct PolicyOptions {
     std::string rank = "weight_wait * wait + weight_expansion * expansion";
     std::string mayHold = "1";
@@ -43,9 +59,11 @@
     std::uint64_t openLimit = 20'000;
     Span keepFinished{3'600'000};
     std::uint64_t keepLimit = 300'000;  // jobs kept; past it the earliest ended go first, docs/design.md 4.5
+    bool urgencyFirst = false;          // a more urgent queue's work goes before all less urgent work, whatever its rank
+    double far = 1.0;                   // what a task away from its data, or from its step's rack, takes of its time
     Span knownAfter{30'000};            // how long minions must have been as they are before a job is rejected as too large
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & period & weightWait & weightExpansion & trials & trialRoom & openLimit & keepFinished & keepLimit & knownAfter;
+        archive & period & weightWait & weightExpansion & trials & trialRoom & openLimit & keepFinished & keepLimit & urgencyFirst & far & knownAfter;
     }
 };
 
@@ -54,13 +72,17 @@
     std::map<QueueName, QueueOptions> queues;
     std::map<std::string, PolicyOptions> policies;
     PlannerOptions planner;
+    std::map<std::string, PoolOptions> pools;
+    std::vector<Entrance> entrances;
     std::string text;  // as the operator wrote it
 
     const QueueOptions* queue(const QueueName& name) const;
+    // The queue behind a host and path, and how much of the path is its prefix.
+    const Entrance* entrance(const std::string& host, const std::string& path) const;
     // Every fault is named by its path; nothing is taken from a faulty text.
     static Result<Setup> parse(const std::string& text);
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & version & queues & policies & planner & text;
+        archive & version & queues & policies & planner & pools & entrances & text;
     }
 };
 
--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -18,7 +18,7 @@
     JobSubmission job;
     job.id = JobId{id};
     job.queue = QueueName{queue};
-    job.steps = {{"only", {}, gang, std::vector<TaskRequest>(tasks, TaskRequest{cores, memory, Span{requested}, "run=" + std::to_string(run)})}};
+    job.steps = {{"only", {}, gang, std::vector<TaskRequest>(tasks, TaskRequest{cores * 1000, memory, Span{requested}, "run=" + std::to_string(run)})}};
     return job;
 }
 
@@ -156,7 +156,7 @@
         });
         every(5000, [=, this](const std::string& id) {
             auto job = oneStep(id, "plates", 4, 3, 2048, 10'000, draw.between(2000, 9000), true);
-            job.steps.push_back({"merge", {"only"}, false, {TaskRequest{2, 1024, Span{3000}, "run=800"}}});
+            job.steps.push_back({"merge", {"only"}, false, {TaskRequest{2000, 1024, Span{3000}, "run=800"}}});
             world.submit(job, maybeCancel());
         });
         every(2500, [=, this](const std::string& id) {
--- a/source/simulator/measures.cpp
+++ b/source/simulator/measures.cpp
@@ -15,7 +15,7 @@
     for (std::size_t place = 0; place < minions; ++place) {
         const MinionId id{"m" + std::to_string(place)};
         Capacity capacity;
-        capacity.cores = 16;
+        capacity.cores = 16'000;
         capacity.memory = 32 * 1024;
         fold(MinionSeen{id, Incarnation{1}, capacity});
         heard[id] = Span{0};
@@ -26,7 +26,7 @@
         JobSubmission job;
         job.id = JobId{queue + std::to_string(count)};
         job.queue = QueueName{queue};
-        job.steps = {{"s", {}, false, {TaskRequest{cores, std::uint64_t(draw.between(256, 4096)), Span{draw.between(1000, 600'000)}, ""}}}};
+        job.steps = {{"s", {}, false, {TaskRequest{cores * 1000, std::uint64_t(draw.between(256, 4096)), Span{draw.between(1000, 600'000)}, ""}}}};
         fold(JobAllowed{job});
     };
     for (std::size_t count = 0; count < minions * 4; ++count) submit(count, "long", 4);
@@ -75,7 +75,7 @@
         JobSubmission job;
         job.id = JobId{"caller-0123456789-" + std::to_string(count)};
         job.queue = QueueName{"plates"};
-        job.steps = {{"separate", {}, false, std::vector<TaskRequest>(4, TaskRequest{2, 2048, Span{8000}, "run=8000"})}, {"merge", {"separate"}, false, {TaskRequest{}}}};
+        job.steps = {{"separate", {}, false, std::vector<TaskRequest>(4, TaskRequest{2000, 2048, Span{8000}, "run=8000"})}, {"merge", {"separate"}, false, {TaskRequest{}}}};
         ledger.fold(Record{ClusterTime{1}, JobAllowed{job}});
         ledger.fold(Record{ClusterTime{2}, JobCancelled{job.id}});
         shortened.shortened.push_back(job.id);
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -13,7 +13,7 @@
 struct WorldOptions {
     std::uint64_t seed = 1;
     std::size_t areas = 3, sluices = 7, minions = 11;
-    std::uint32_t cores = 16;
+    std::uint32_t cores = 16'000;  // thousandths
     std::uint64_t memory = 32 * 1024;
     std::size_t termless = 0;     // minions, from the last on, that do not honour terms
     std::size_t unguarded = 6;    // minions, from the first on, that do not guard their room
