--- a/source/daemons/penstock_daemon.cpp
+++ b/source/daemons/penstock_daemon.cpp
@@ -19,6 +19,7 @@
         }
         log(LogLevel::info, "started", {{"listen", json(settings.listen.value)}, {"minion", json(settings.minion.value)}});
         StopSignal stop(loop);
+        ReloadSignal reload(loop, [this] { renewSeeds(); });
         spawn([this] { learnRoute(); });
         while (!stop.requested()) {
             const Instant now = monotonicNow();
@@ -36,6 +37,11 @@
     }
 
 private:
+    void renewSeeds() {
+        if (!settings.seedsNow) return;
+        if (auto seeds = settings.seedsNow(); !seeds.empty()) settings.seeds = seeds;
+        relay.useSeeds(settings.seeds);
+    }
     void nudge() {
         std::unique_lock lock(wakeMutex);
         woken = true;
@@ -123,6 +129,7 @@
                     route.sluices.clear();
                 }
             }
+            if (!learned) renewSeeds();
             pause(learned && !route.leader.value.empty() ? Span{1000} : Span{200});
         }
     }
--- a/source/daemons/penstock_daemon.hpp
+++ b/source/daemons/penstock_daemon.hpp
@@ -26,6 +26,7 @@
     Span patience{1000};  // a sync waits for orders this long
     Span tellWithin{900}; // a word of leaving is answered by then, or not acknowledged
     MinionWords words;
+    SeedSource seedsNow;
 };
 
 // Serves until it is told to stop; the process' exit status.
--- a/source/daemons/reservoir_daemon.cpp
+++ b/source/daemons/reservoir_daemon.cpp
@@ -72,6 +72,8 @@
         spawn([this] { seekCluster(); });
         log(LogLevel::info, "started", {{"identity", json(identity.value)}, {"peer", json(settings.peer.value)}, {"area", json(settings.area)}});
         StopSignal stop(loop);
+        ReloadSignal reload(loop, [&] { renewSeeds(relay); });
+        lookForSeeds = [&] { renewSeeds(relay); };
         Instant handOverAt{0}, stopBy{0};
         while (true) {
             stepped.store(monotonicNow().milliseconds);
@@ -165,6 +167,12 @@
         } else core->synced(version, monotonicNow());
         nudge();
     }
+    // The seeds may have changed, with or without a signal.
+    void renewSeeds(Relay& relay) {
+        if (!settings.seedsNow) return;
+        if (auto seeds = settings.seedsNow(); !seeds.empty()) settings.seeds = seeds;
+        relay.useSeeds(settings.seeds);
+    }
     void nudge() {
         std::unique_lock lock(wakeMutex);
         woken = true;
@@ -292,13 +300,15 @@
     void seekCluster() {
         std::map<Address, std::shared_ptr<WireCaller>> callers;
         for (;; pause(Span{200})) {
+            if (lookForSeeds && (core->agreed().blank() || core->agreed().leader().value.empty())) lookForSeeds();
             if (!core->agreed().blank()) {
                 pause(Span{1000});
                 continue;
             }
             std::size_t blanks = 0, answering = 0;
             bool lowest = true;
-            for (const auto& seed : settings.seeds) {
+            const auto seeds = settings.seeds;
+            for (const auto& seed : seeds) {
                 if (seed == settings.advertise) {
                     ++blanks;
                     continue;
@@ -322,7 +332,7 @@
                 else if (!told->view.reservoirs.empty()) core->join(told->view.reservoirs.front());
             }
             // Founding needs the option, and every seed there and blank: a cluster that exists is never doubled. docs/design.md 3.7.
-            if (settings.found && lowest && answering > 0 && blanks == settings.seeds.size() && core->agreed().blank()) {
+            if (settings.found && lowest && answering > 0 && blanks == seeds.size() && core->agreed().blank()) {
                 log(LogLevel::info, "founds a cluster");
                 core->found(monotonicNow());
                 nudge();
@@ -352,6 +362,7 @@
     std::map<ExchangeNumber, std::pair<std::shared_ptr<WireWriter>, std::uint64_t>> askers;
     std::uint64_t lastExchange = 0;
     std::atomic<std::int64_t> stepped{0};
+    std::function<void()> lookForSeeds;
     bool broken = false, woken = false;
     boost::fibers::mutex wakeMutex;
     boost::fibers::condition_variable wake;
--- a/source/daemons/reservoir_daemon.hpp
+++ b/source/daemons/reservoir_daemon.hpp
@@ -12,6 +12,7 @@
     std::int64_t heartbeat = 100, electionLow = 500, electionHigh = 1000, replaceAfter = 30'000, checkpointVersions = 1000;
     std::int64_t term = 3000, margin = 1000;  // of minions' leases, in milliseconds
     OuterInterface outer;
+    SeedSource seedsNow;
 };
 
 // Serves until it is told to stop; the process' exit status.
--- a/source/daemons/sluice_daemon.cpp
+++ b/source/daemons/sluice_daemon.cpp
@@ -18,6 +18,7 @@
         for (std::int64_t count = 0; count < settings.threads; ++count)
             threads.emplace_back([&] { work(listening, failed); });
         StopSignal stop(loop);
+        ReloadSignal reload(loop, [this] { renewSeeds(); });
         while (listening + failed < settings.threads) pause(Span{5});
         if (failed) {
             stopping = true;
@@ -41,8 +42,14 @@
     }
 
 private:
+    // The seeds may have changed, with or without a signal; only the thread of the route works with them.
+    void renewSeeds() {
+        if (!settings.seedsNow) return;
+        if (auto seeds = settings.seedsNow(); !seeds.empty()) settings.seeds = seeds;
+    }
     // Asks reservoirs for the route; the first contact goes to the seeds, later ones to whoever the state names.
     void refresh() {
+        if (!ready()) renewSeeds();
         std::vector<Address> known = board.read([](const RouteView& view) { return view.reservoirs; });
         for (const auto& seed : settings.seeds)
             if (!std::count(known.begin(), known.end(), seed)) known.push_back(seed);
--- a/source/daemons/sluice_daemon.hpp
+++ b/source/daemons/sluice_daemon.hpp
@@ -12,6 +12,7 @@
     std::int64_t refresh = 200;  // milliseconds between looks at the route
     bool quiet = false;
     OuterInterface outer;
+    SeedSource seedsNow;
     Address standingAddress;     // where an adapter asks whether this sluice is ready
     std::function<Answer(const HttpRequest&, bool ready)> standing;
 };
--- a/source/edge/relay.hpp
+++ b/source/edge/relay.hpp
@@ -10,6 +10,9 @@
 using Serve = std::function<Answer(const Exchange&)>;
 
 // An interface that an adapter gives a daemon beside the product's own. docs/design.md 9.6.
+// The addresses for first contact as they stand now, where they can change while a process runs.
+using SeedSource = std::function<std::vector<Address>()>;
+
 struct OuterInterface {
     Address address;
     HttpLimits limits;
@@ -22,6 +25,7 @@
     Relay(Loop& loop, std::function<RouteView()> route, std::vector<Address> seeds, std::function<bool()> givingUp)
         : loop(loop), route(std::move(route)), seeds(std::move(seeds)), givingUp(std::move(givingUp)) {}
     Answer relay(const Exchange& exchange);
+    void useSeeds(std::vector<Address> given) { seeds = std::move(given); }
     // Whoever served last; empty before anyone did.
     const Address& served() const { return lastServed; }
 
--- a/source/edge/stopping.hpp
+++ b/source/edge/stopping.hpp
@@ -19,4 +19,21 @@
     std::atomic<bool> stop{false};
 };
 
+// SIGHUP: the options of this process have changed where they are kept.
+class ReloadSignal {
+public:
+    ReloadSignal(Loop& loop, std::function<void()> reload) : signals(loop.context, SIGHUP), reload(std::move(reload)) { wait(); }
+
+private:
+    void wait() {
+        signals.async_wait([this](IoError error, int) {
+            if (error) return;
+            if (reload) reload();
+            wait();
+        });
+    }
+    asio::signal_set signals;
+    std::function<void()> reload;
+};
+
 }  // namespace aniseline
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -396,7 +396,7 @@
     std::vector<JobId> due;
     for (const auto& id : working().open) {
         const Job& job = working().jobs.at(id);
-        if (job.state != JobState::timed) continue;
+        if (job.state != JobState::timed || job.fired >= job.submission.timetable.count) continue;
         const Timetable& timetable = job.submission.timetable;
         const auto next = timetable.first.milliseconds + std::int64_t(job.fired) * timetable.every.milliseconds;
         if (agreement.agreedWall(now) && clusterNow().milliseconds >= next) due.push_back(id);
