Orders that overtake each other are not lost; a deaf minion is told; retries at once

Answers now say which order they follow on; spans are put together. Second cause: a penstock went on syncing for a minion that was dead, so nothing was given up.

--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -300,7 +300,9 @@
             const bool free = attempt.tryless || kind == EndingKind::unstarted;
             const bool failed = kind == EndingKind::failed;
             if ((failed && attempt.gang) || (attempt.assembles && attempt.state != AttemptState::stopping)) abortGang(job, attempt.step, number);
-            const auto pause = failed && !attempt.assembles ? std::min<std::int64_t>(5000, 100ll << std::min<std::uint32_t>(task.starts, 6)) : 0;
+            // Where failures are counted there is nothing to wait for: the next try goes elsewhere, and there are only so many.
+            const auto* queue = setup.queue(job.submission.queue);
+            const auto pause = failed && !(queue && queue->tries) ? std::min<std::int64_t>(5000, 100ll << std::min<std::uint32_t>(task.starts, 6)) : 0;
             taskBack(job, task, failed || refused ? attempt.minion : MinionId{}, Span{free ? 0 : pause});
         }
     }
--- a/source/minion.hpp
+++ b/source/minion.hpp
@@ -167,11 +167,12 @@
     Span leaveWithin{0};
     Span wait{0};  // how long the answer may be held back when there is nothing to say
     OrderNumber received;  // of a penstock: what it has got, while lastOrder is what it has carried out
+    bool deaf = false;     // of a penstock: its minion does not answer; no lease is wanted, for it could not be passed on
     bool packed = false;   // of a penstock: the answer's body is a packed SyncAnswer, endings and checkpoints go by name
     std::vector<NamedEnding> namedEndings;
     std::vector<NamedSave> saves;
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & id & incarnation & capacity & lastOrder & endings & leaving & leaveWithin & wait & received & packed & namedEndings & saves;
+        archive & id & incarnation & capacity & lastOrder & endings & leaving & leaveWithin & wait & received & deaf & packed & namedEndings & saves;
     }
 };
 
--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -14,6 +14,7 @@
         formerLives = std::move(lives);
         epoch = seen;
     }
+    heardAt = now;
     const bool leaving = account.leaving || given.leaving;
     const auto before = account.clock;
     account = given;
@@ -55,7 +56,7 @@
     return *clock + Span{std::int64_t(double((now - clockAt).milliseconds + left.milliseconds) * options.slowest)};
 }
 
-OrderNumber Penstock::applied() const { return openOrders.empty() ? received : OrderNumber{openOrders.begin()->value - 1}; }
+OrderNumber Penstock::applied() const { return openOrders.empty() ? received : std::min(received, OrderNumber{openOrders.begin()->value - 1}); }
 
 SyncReport Penstock::report(Instant now) {
     SyncReport report;
@@ -72,14 +73,17 @@
         if (report.namedEndings.size() >= 500) break;
     }
     for (const auto& [name, saved] : saves) report.saves.push_back({name, saved});
+    report.deaf = toldDeaf = deaf(now);
     report.leaving = account.leaving;
     report.leaveWithin = account.leaveWithin;
     return report;
 }
 
+bool Penstock::deaf(Instant now) const { return unanswered && now - heardAt > options.deafAfter; }
+
 bool Penstock::urgent(Instant now) const {
     if (!mayReport() || now < retiredUntil) return false;
-    if (account.leaving && !toldLeaving) return true;
+    if ((account.leaving && !toldLeaving) || deaf(now) != toldDeaf) return true;
     if (std::any_of(told.begin(), told.end(), [](const Told& ending) { return !ending.told; })) return true;
     return applied() != toldApplied && now - appliedAt > Span{400};
 }
@@ -88,8 +92,10 @@
     if (asked.id != account.life || asked.incarnation != incarnation || answer.epoch < epoch) return;
     epoch = answer.epoch;
     const Span term = std::min(answer.term, options.longestHold);
-    lease = term;
-    leaseUntil = std::max(leaseUntil, sentAt + term);
+    if (!asked.deaf) {
+        lease = term;
+        leaseUntil = std::max(leaseUntil, sentAt + term);
+    }
     if (asked.leaving) toldLeaving = true;
     for (const auto& save : asked.saves)
         if (auto found = saves.find(save.name); found != saves.end() && found->second == save.saved) saves.erase(found);
@@ -104,12 +110,25 @@
                 break;
             }
     }
-    if (now >= sentAt + term) return;  // too late to be followed, docs/design.md 5.3
+    if (now >= leaseUntil) return;  // too late to be followed, docs/design.md 5.3
+    takeOrders(answer, now);
+}
+
+// Answers overtake each other, so orders may come with a gap before them; each is carried out when it comes.
+void Penstock::takeOrders(const SyncAnswer& answer, Instant now) {
+    auto has = [&](OrderNumber number) {
+        return number <= received || std::any_of(ahead.begin(), ahead.end(), [&](const auto& span) { return number > span.first && number <= span.second; });
+    };
     for (const auto& order : answer.orders)
-        if (order.number > received) {
-            received = order.number;
-            take(order, now);
-        }
+        if (!has(order.number)) take(order, now);
+    if (!answer.orders.empty()) {
+        auto& upTo = ahead[answer.previous];
+        upTo = std::max(upTo, answer.orders.back().number);
+    }
+    while (!ahead.empty() && ahead.begin()->first <= received) {
+        received = std::max(received, ahead.begin()->second);
+        ahead.erase(ahead.begin());
+    }
 }
 
 void Penstock::replaced(Instant now) {
@@ -118,6 +137,7 @@
     told.clear();
     saves.clear();
     openOrders.clear();
+    ahead.clear();
     received = toldApplied = OrderNumber{};
     incarnation = incarnation.next();
     leaseUntil = Instant{0};
@@ -188,7 +208,8 @@
     if (!everLooked || lapsed) return true;
     const bool toFindOut = std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
     if (toFindOut) return now - lookedAt >= (told.empty() ? Span{20} : options.lookAgain);
-    const bool running = std::any_of(works.begin(), works.end(), [](const auto& entry) { return entry.second.running; });
+    if (unanswered && now - lookedAt < Span{250}) return false;
+    const bool running = unanswered || std::any_of(works.begin(), works.end(), [](const auto& entry) { return entry.second.running; });
     if (!running) return false;
     // While endings wait to be confirmed a look would only tell them again; it is due all the same to keep the hold up.
     const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
@@ -250,7 +271,7 @@
         const bool toFindOut = !everLooked || lapsed || std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
         const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
         call.wait = toFindOut || unconfirmed ? Span{0} : lookWait();
-        call.within = call.wait + Span{700};
+        call.within = call.wait + Span{400};
         looking = true;
         ++looksBegun;
         call.number = looksBegun;
@@ -265,6 +286,11 @@
     if (call.kind == MinionCall::Kind::look) looking = false;
     else if (callsUnderWay > 0) --callsUnderWay;
     hear(reply.clock, now);
+    if (reply.kind == MinionReply::Kind::lost) unanswered = true;
+    else {
+        unanswered = false;
+        heardAt = now;
+    }
     if (call.kind == MinionCall::Kind::look) {
         if (reply.kind == MinionReply::Kind::done) looked(call, reply, now);
         return;
@@ -372,9 +398,10 @@
 Instant Penstock::nextDue(Instant now) const {
     Instant due = now + Span{60'000};
     if (account.life.value.empty() || over) return due;
+    if (unanswered && !toldDeaf) due = std::min(due, std::max(heardAt + options.deafAfter + Span{1}, now + Span{5}));
     for (const auto& [name, work] : works)
         if (!work.calling && (!work.running || !work.wanted) && !work.stopped) due = std::min(due, std::max(work.notBefore, now + Span{5}));
-    if (!looking && (!works.empty() || !everLooked)) due = std::min(due, now + Span{25});
+    if (!looking && (!works.empty() || !everLooked || unanswered)) due = std::min(due, now + Span{25});
     if (applied() != toldApplied) due = std::min(due, std::max(appliedAt + Span{401}, now + Span{5}));
     return due;
 }
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -27,7 +27,7 @@
     Epoch fence;
     std::uint64_t lastSeen = 0;  // of a look: endings up to here are final
     Span wait{0};                // of a look: how long the answer may wait for an ending
-    Span within{500};
+    Span within{300};
 };
 
 struct MinionReply {
@@ -50,7 +50,8 @@
 
 struct PenstockOptions {
     Span longestHold{6000};    // what the minion grants at most
-    Span longestLook{2000};
+    Span longestLook{600};
+    Span deafAfter{700};       // unanswered for so long it is taken for deaf
     Span lookAgain{200};       // between looks while something is to be found out
     std::size_t callsAtOnce = 6;
     double slowest = 0.98;     // the minion's clock against a true one
@@ -67,6 +68,7 @@
     // Towards the leader.
     bool mayReport() const { return !account.life.value.empty() && !over; }
     SyncReport report(Instant now);
+    bool deaf(Instant now) const;    // the minion leaves calls unanswered
     bool urgent(Instant now) const;  // there is something to tell without delay
     void answered(const SyncReport& asked, const SyncAnswer& answer, Instant sentAt, Instant now);
     void replaced(Instant now);      // the leader holds this life for gone
@@ -102,6 +104,7 @@
         NamedEnding ending;
         bool told = false;
     };
+    void takeOrders(const SyncAnswer& answer, Instant now);
     void take(const Order& order, Instant now);
     void finish(const RunName& name, EndingKind kind, std::uint64_t number, std::string saved);
     void settleOrders(Work& work);
@@ -125,8 +128,12 @@
     Span lease{0};
     std::optional<MinionTime> clock, granted;  // granted: the furthest deadline that may have been taken
     Instant clockAt;
+    Instant heardAt{0};
+    bool unanswered = false;  // a call since then got no answer
+    bool toldDeaf = false;
     bool lapsed = false;  // the hold may have run out: nothing is started before a look tells
-    OrderNumber received;
+    OrderNumber received;                        // all up to here have come
+    std::map<OrderNumber, OrderNumber> ahead;    // spans beyond that have come too: after, up to
     std::set<OrderNumber> openOrders;
     OrderNumber toldApplied;
     Instant appliedAt{0};
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -62,6 +62,7 @@
         clusterBaseAt = now;
         contacts.clear();
         ordersSent.clear();
+        deaf.clear();
         shortenedTo = ClusterTime{};
         append(Opened{});
         note("leads", {{"epoch", json(ledEpoch.value)}, {"last", json(agreement.last().value)}});
@@ -303,8 +304,13 @@
     const Minion& minion = working().minions.at(report.id);
     for (auto& other : exchanges)  // a newer sync that waits takes the place of one that still does
         if ((!report.packed || report.wait.milliseconds) && other.stage == Stage::polling && other.exchange.report.id == report.id) other.pollUntil = now;
-    contacts[report.id] = now;
-    if (minion.state == MinionState::silent) append(MinionAllowed{report.id});
+    // A deaf minion is not in touch, whoever speaks for it: no lease is granted, and it is given up when the last one is over.
+    if (report.deaf) deaf.insert(report.id);
+    else {
+        if (deaf.erase(report.id)) planWanted = true;
+        contacts[report.id] = now;
+    }
+    if (minion.state == MinionState::silent && !report.deaf) append(MinionAllowed{report.id});
     if (report.leaving && minion.state == MinionState::present) {
         append(MinionLeaves{report.id, report.leaveWithin, false});
         note("minion leaves", {{"minion", json(report.id.value)}});
@@ -412,6 +418,7 @@
     for (const auto& id : working().open) {
         const Job& job = working().jobs.at(id);
         if (job.state != JobState::open || job.ending) continue;
+        noteSlow(job);
         const bool waits = std::any_of(job.tasks.begin(), job.tasks.end(), [&](const Task& task) { return task.state == TaskState::waiting && clusterNow() - task.readyAt > Span{300}; });
         if (!waits) continue;
         for (const auto& step : job.submission.steps)
@@ -421,6 +428,28 @@
             }
     }
     for (auto& failed : hopeless) append(std::move(failed));
+    if (saidSlow.size() > 1000) saidSlow.clear();
+}
+
+// An alarm for operators: work whose turn has come and that has not begun for long, with what it waits for.
+void Reservoir::noteSlow(const Job& job) {
+    constexpr Span slow{3000};
+    const JobId& id = job.submission.id;
+    if (saidSlow.count(id)) return;
+    for (const auto& task : job.tasks) {
+        auto attempt = working().attempts.find(task.attempt);
+        const bool waits = task.state == TaskState::waiting && clusterNow() - std::max(task.readyAt, task.notBefore) > slow;
+        const bool ordered = attempt != working().attempts.end() && (attempt->second.state == AttemptState::ordered || attempt->second.state == AttemptState::stopping) && clusterNow() - attempt->second.orderedAt > slow + attempt->second.runtime;
+        if (!waits && !ordered) continue;
+        saidSlow.insert(id);
+        picojson::object fields{{"job", json(id.value)}, {"step", json(task.step)}, {"within", json(task.within)}, {"state", json(name(task.state))}, {"run", json(task.run)}};
+        if (attempt != working().attempts.end()) {
+            fields["attempt"] = json(name(attempt->second.state));
+            fields["minion"] = json(attempt->second.minion.value);
+        }
+        if (working().reservation.held()) fields["reserved_for"] = json(working().reservation.job.value);
+        return note("work waits long", std::move(fields));
+    }
 }
 
 void Reservoir::passForget() {
@@ -452,7 +481,7 @@
 
 Silence Reservoir::silence() const {
     Silence known;
-    for (const auto& [id, heard] : contacts) known[id] = now - heard;
+    for (const auto& [id, heard] : contacts) known[id] = deaf.count(id) ? Span{60'000} : now - heard;
     return known;
 }
 
@@ -496,12 +525,13 @@
             if (order.number > known) answered.orders.push_back(order);
         if (answered.orders.empty() && now < record.pollUntil) return false;
         answered.epoch = agreement.epoch();
-        answered.term = options.term;
+        answered.term = report.deaf ? Span{0} : options.term;
         for (const auto& ending : report.endings) {
             auto open = committedLedger.attempts.find(ending.attempt);
             if (open == committedLedger.attempts.end() || open->second.minion != report.id) answered.confirmed.push_back(ending.attempt);
         }
         if (report.packed) {
+            answered.previous = known;
             for (const auto& ending : report.namedEndings) {
                 if (committedLedger.attemptNamed(report.id, ending.name).value) break;
                 ++answered.closed;
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -122,12 +122,15 @@
     Instant nextForget;
     ClusterTime shortenedTo;
     std::map<MinionId, Instant> contacts;
+    std::set<MinionId> deaf;  // their penstocks say that they do not answer
     struct OrdersSent {
         OrderNumber through;
         Instant at;
     };
     std::map<MinionId, OrdersSent> ordersSent;  // to penstocks, so that two waiting syncs do not get the same
     Instant nextHopeless;
+    std::set<JobId> saidSlow;  // jobs whose long wait was told
+    void noteSlow(const Job& job);
     struct SluiceSeen {
         AreaName area;
         Instant heard;
