Holds of 2 s renewed beside the minion; deaf minions given up when held no more; aims before lateness

Cause: after a minion's crash its work was given up only when the leader's lease of 6 s was over, and until then tasks stood as ordered. The penstock renews short holds within the leader's lease and says how long a deaf minion's work is yet held. Under floods the paper's order made all work a little late: what can meet its aim goes before what can't, within its queue. Ruled out: shorter leases for all (cuts of machines then kill work).

--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -42,7 +42,7 @@
 // What had ended when the hold ran out, and was not confirmed, is void. docs/design.md 5.5.
 void Penstock::noteLapse(Instant now) {
     if (lapsed || !granted || !clock || *clock + (now - clockAt) < *granted) return;
-    granted.reset();
+    if (!outOfTouch) granted.reset();
     if (works.empty() && told.empty()) return;
     lapsed = true;
     for (auto& ending : told)
@@ -52,10 +52,17 @@
 // The lease as a time on the minion's clock. Counted as if that clock were slow, it is never later than the lease.
 std::optional<MinionTime> Penstock::deadline(Instant now) const {
     if (!clock || leaseUntil <= now) return std::nullopt;
-    const Span left = std::min(leaseUntil - now, options.longestHold);
+    const Span left = std::min({leaseUntil - now, options.longestHold, options.hold});
     return *clock + Span{std::int64_t(double((now - clockAt).milliseconds + left.milliseconds) * options.slowest)};
 }
 
+// How long its tasks may yet run if it can't be reached, on a true clock.
+Span Penstock::heldFor(Instant now) const {
+    if (!granted || !clock) return options.longestHold;
+    const double read = double(clock->milliseconds) + double((now - clockAt).milliseconds) * options.slowest;
+    return Span{std::max<std::int64_t>(0, std::int64_t((double(granted->milliseconds) - read) / options.slowest) + 1)};
+}
+
 OrderNumber Penstock::applied() const { return openOrders.empty() ? received : std::min(received, OrderNumber{openOrders.begin()->value - 1}); }
 
 SyncReport Penstock::report(Instant now) {
@@ -74,6 +81,10 @@
     }
     for (const auto& [name, saved] : saves) report.saves.push_back({name, saved});
     report.deaf = toldDeaf = deaf(now);
+    if (report.deaf) {
+        report.heldFor = heldFor(now);
+        outOfTouch = true;
+    }
     report.leaving = account.leaving;
     report.leaveWithin = account.leaveWithin;
     return report;
@@ -93,6 +104,7 @@
     epoch = answer.epoch;
     const Span term = std::min(answer.term, options.longestHold);
     if (!asked.deaf) {
+        if (!deaf(now)) outOfTouch = false;
         lease = term;
         leaseUntil = std::max(leaseUntil, sentAt + term);
     }
@@ -200,7 +212,7 @@
 }
 
 Span Penstock::lookWait() const {
-    return std::clamp(Span{lease.milliseconds / 4}, Span{100}, options.longestLook);
+    return std::clamp(Span{std::min(lease, options.hold).milliseconds / 3}, Span{100}, options.longestLook);
 }
 
 bool Penstock::wantsLook(Instant now) const {
@@ -226,7 +238,7 @@
         call.number = nextCall++;
         call.life = account.life;
         call.fence = epoch;
-        call.deadline = deadline(now);
+        call.deadline = deaf(now) || outOfTouch ? granted : deadline(now);  // what the leader was told of stays true
         if (call.deadline && (!granted || *granted < *call.deadline)) granted = call.deadline;
         return call;
     };
@@ -240,7 +252,7 @@
             }
             if (account.leaving) work.failed = true;
             else {
-                if (lapsed || leaseUntil <= now || !clock) continue;
+                if (lapsed || outOfTouch || deaf(now) || leaseUntil <= now || !clock) continue;
                 auto call = make(MinionCall::Kind::start);
                 call.name = name;
                 call.payload = work.order.payload;
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -50,6 +50,7 @@
 
 struct PenstockOptions {
     Span longestHold{6000};    // what the minion grants at most
+    Span hold{2000};           // what is asked of it at a time: renewed from here, within the leader's lease
     Span longestLook{600};
     Span deafAfter{700};       // unanswered for so long it is taken for deaf
     Span lookAgain{200};       // between looks while something is to be found out
@@ -110,6 +111,7 @@
     void settleOrders(Work& work);
     void lookAfter(Work& work);
     std::optional<MinionTime> deadline(Instant now) const;
+    Span heldFor(Instant now) const;
     void hear(const std::optional<MinionTime>& clock, Instant now);
     void noteLapse(Instant now);
     void looked(const MinionCall& call, const MinionReply& reply, Instant now);
@@ -131,6 +133,7 @@
     Instant heardAt{0};
     bool unanswered = false;  // a call since then got no answer
     bool toldDeaf = false;
+    bool outOfTouch = false;  // it was deaf: nothing is started before a leader has heard that it is not
     bool lapsed = false;  // the hold may have run out: nothing is started before a look tells
     OrderNumber received;                        // all up to here have come
     std::map<OrderNumber, OrderNumber> ahead;    // spans beyond that have come too: after, up to
--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -223,6 +223,34 @@
         return isFar(unit, room) ? Span{std::int64_t(double(request.runtime.milliseconds) * ledger.setup.planner.far)} : request.runtime;
     }
 
+    // Can the job's aim still be met, by requested runtimes? Under a flood the paper's order makes all work a little late;
+    // what can be in time goes before what can't. docs/paper.md 5.
+    std::map<JobId, int> standings;
+    int standingOf(const Job& job, const QueueOptions& queue) {
+        if (queue.target.milliseconds <= 0) return 0;
+        auto [found, isNew] = standings.try_emplace(job.submission.id);
+        if (!isNew) return found->second;
+        const auto& steps = job.submission.steps;
+        std::vector<std::int64_t> whole(steps.size()), left(steps.size());
+        std::vector<char> open(steps.size());
+        for (const auto& task : job.tasks) open[task.step] = open[task.step] || task.state != TaskState::done;
+        std::int64_t longest = 0, longestLeft = 0;
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            std::int64_t before = 0, beforeLeft = 0, own = 0;
+            for (const auto& name : steps[step].after)
+                for (std::size_t other = 0; other < step; ++other)
+                    if (steps[other].name == name) before = std::max(before, whole[other]), beforeLeft = std::max(beforeLeft, left[other]);
+            for (const auto& task : steps[step].tasks) own = std::max(own, task.runtime.milliseconds);
+            whole[step] = before + own;
+            left[step] = open[step] ? beforeLeft + own : 0;
+            longest = std::max(longest, whole[step]);
+            longestLeft = std::max(longestLeft, left[step]);
+        }
+        const double aim = queue.extend * double(longest) + double(queue.target.milliseconds);
+        const double done = double((now - job.allowedAt).milliseconds + longestLeft);
+        return found->second = done <= aim ? 0 : done <= 3 * aim ? 1 : 2;
+    }
+
     std::vector<Unit> waitingUnits() {
         std::vector<Unit> units;
         for (const auto& id : ledger.open) {
@@ -268,6 +296,7 @@
             unit.needs = &job.submission.steps[unit.step].needs;
             unit.pool = queue.pool;
             unit.urgency = ledger.setup.planner.urgencyFirst ? queue.urgency : 0;
+            unit.standing = standingOf(job, queue);
             for (auto task : unit.tasks) {
                 inputs.cores += job.request(job.tasks[task]).cores / 1000.0;
                 inputs.memory += double(job.request(job.tasks[task]).memory);
@@ -278,7 +307,9 @@
             unit.priority = programsOf(queue.policy).rank.evaluate(inputs);
         }
         std::sort(units.begin(), units.end(), [](const Unit& left, const Unit& right) {
+            if ((left.standing == 2) != (right.standing == 2)) return right.standing == 2;
             if (left.urgency != right.urgency) return left.urgency > right.urgency;
+            if (left.standing != right.standing) return left.standing < right.standing;
             if (left.priority != right.priority) return left.priority > right.priority;
             return std::tie(left.readyAt, left.job, left.step, left.tasks) < std::tie(right.readyAt, right.job, right.step, right.tasks);
         });
--- a/source/planner.hpp
+++ b/source/planner.hpp
@@ -13,6 +13,7 @@
     Span runtime;  // the longest of its parts
     ClusterTime readyAt;
     double priority = 0;
+    int standing = 0;          // 0: its job's aim can be met; 1: late, but of use; 2: past that. docs/paper.md 5
     std::int64_t urgency = 0;  // where urgency goes before all
     std::string pool;
     const StepNeeds* needs = nullptr;
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -305,7 +305,11 @@
     for (auto& other : exchanges)  // a newer sync that waits takes the place of one that still does
         if ((!report.packed || report.wait.milliseconds) && other.stage == Stage::polling && other.exchange.report.id == report.id) other.pollUntil = now;
     // A deaf minion is not in touch, whoever speaks for it: no lease is granted, and it is given up when the last one is over.
-    if (report.deaf) deaf.insert(report.id);
+    if (report.deaf) {
+        const Instant over = now + report.heldFor + options.deafMargin;
+        auto [known, isNew] = deaf.try_emplace(report.id, over);
+        if (!isNew) known->second = std::min(known->second, over);
+    }
     else {
         if (deaf.erase(report.id)) planWanted = true;
         contacts[report.id] = now;
@@ -373,7 +377,9 @@
         auto job = working().jobs.find(attempt.job);
         const auto* queue = job == working().jobs.end() ? nullptr : working().setup.queue(job->second.submission.queue);
         const Span patience = queue ? queue->replaceAfter : Span{0};
-        if (!attempt.lost && now - heard > options.term + options.margin + patience) silent.givenUp.push_back(number);
+        auto unheard = deaf.find(minion.id);
+        const bool over = unheard != deaf.end() && now > unheard->second + patience;
+        if (!attempt.lost && (over || now - heard > options.term + options.margin + patience)) silent.givenUp.push_back(number);
     }
     return silent;
 }
@@ -384,7 +390,8 @@
     for (const auto& [id, minion] : working().minions) {
         if (minion.state == MinionState::gone) continue;
         const Instant heard = heardFrom(id);
-        if (now - heard > options.term + options.margin) {
+        auto unheard = deaf.find(id);
+        if (now - heard > options.term + options.margin || (unheard != deaf.end() && now > unheard->second)) {
             auto silent = silenceOf(minion, heard);
             if (minion.state == MinionState::leaving && working().attemptsOn(id).empty()) events.push_back(MinionGone{id, "left"});
             else if (!silent.givenUp.empty() || (minion.state != MinionState::silent && minion.state != MinionState::drained)) events.push_back(std::move(silent));
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -11,6 +11,7 @@
     AgreementOptions agreement;
     Span term{3000};
     Span margin{1000};
+    Span deafMargin{150};  // beyond what a penstock says of a deaf minion
     Span longestPoll{1000};
     Span answerWithin{2000};
     Span replaceAfter{30'000};
@@ -122,7 +123,7 @@
     Instant nextForget;
     ClusterTime shortenedTo;
     std::map<MinionId, Instant> contacts;
-    std::set<MinionId> deaf;  // their penstocks say that they do not answer
+    std::map<MinionId, Instant> deaf;  // their penstocks say that they do not answer; by then what they held is over
     struct OrdersSent {
         OrderNumber through;
         Instant at;
