--- a/source/event.hpp
+++ b/source/event.hpp
@@ -105,9 +105,10 @@
     std::uint64_t memory = 0;
     AttemptNumber heldFor;  // of a hold: the trial it makes way for
     std::uint32_t run = 0;  // of a start
+    bool twin = false;      // of a start: a copy beside the one that runs
     std::string reason;
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & kind & attempt & job & task & minion & trial & quantum & memory & heldFor & run & reason;
+        archive & kind & attempt & job & task & minion & trial & quantum & memory & heldFor & run & twin & reason;
     }
 };
 struct PlanMade {
--- a/source/job.hpp
+++ b/source/job.hpp
@@ -90,11 +90,12 @@
     std::uint32_t run = 0;        // starts of any kind so far: the number that minions know a start by. docs/design.md 4.7
     std::uint32_t failures = 0;   // runs that ended as failed; of a gang its first task counts them
     std::uint32_t failedRun = 0;  // the last run that was counted among them
+    AttemptNumber twin;           // of a redundant step: a copy beside the current attempt
     std::string saved;            // the latest checkpoint known, and the run it came from
     std::uint32_t savedRun = 0;
     template <class Archive> void serialize(Archive& archive, unsigned) {
         archive & step & within & state & starts & trialled & tried & attempt & readyAt & notBefore & avoid & finishedBefore & run &
-            failures & failedRun & saved & savedRun;
+            failures & failedRun & twin & saved & savedRun;
     }
 };
 
--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -115,9 +115,14 @@
     if (trial) resumeVictimsOf(number);
 }
 
+void Ledger::stopCopies(const Task& task, AttemptNumber except) {
+    for (auto number : {task.attempt, task.twin})
+        if (auto found = attempts.find(number); number != except && found != attempts.end()) forceStop(found->second, true);
+}
+
 void Ledger::taskDone(Job& job, Task& task) {
     task.state = TaskState::done;
-    task.attempt = AttemptNumber{};
+    task.attempt = task.twin = AttemptNumber{};
     job.unblock(now);
 }
 
@@ -191,7 +196,11 @@
     if (job.over() || job.state == JobState::timed) return;
     const bool allDone = std::all_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) { return task.state == TaskState::done; });
     if (!job.ending && !allDone) return;
-    if (!attemptsOf(job.submission.id, false).empty()) return;
+    for (auto number : attemptsOf(job.submission.id, false)) {
+        // A copy that is being stopped after another ended well keeps its room, not its job.
+        const Attempt& attempt = attempts.at(number);
+        if (!(allDone && attempt.state == AttemptState::stopping && job.submission.steps[attempt.step].needs.redundant)) return;
+    }
     over(job, job.state == JobState::cancelling ? JobState::cancelled : allDone ? JobState::finished : JobState::failed);
 }
 
@@ -250,7 +259,8 @@
     if (lasts && kind == EndingKind::finished) kind = EndingKind::stopped;
     // docs/design.md 5.5: a clean ending told late wins over whatever took the task's place. That is stopped first, and
     // the ending stays unconfirmed until it has: nothing of the task starts or resumes after the confirmation.
-    if (kind == EndingKind::finished && foundJob != jobs.end()) {
+    const bool redundant = foundJob != jobs.end() && !foundJob->second.tasks.empty() && foundJob->second.submission.steps[attempt.step].needs.redundant;
+    if (kind == EndingKind::finished && foundJob != jobs.end() && !redundant) {
         Task& task = foundJob->second.tasks[attempt.task];
         auto replacement = attempts.find(task.attempt);
         if (task.attempt != number && replacement != attempts.end()) {
@@ -285,10 +295,17 @@
         kind = EndingKind::unstarted;
     }
     if (kind == EndingKind::unstarted && attempt.counted && task.starts > 0) --task.starts;
+    // Of two copies the first clean ending counts; one that ends otherwise leaves the task to the other.
+    if (redundant && kind == EndingKind::finished) stopCopies(task, number);
+    else if (task.twin == number) task.twin = AttemptNumber{};
+    else if (task.attempt == number && attempts.count(task.twin)) {
+        task.attempt = std::exchange(task.twin, AttemptNumber{});
+        return settle(job);
+    }
     const bool current = task.attempt == number;
     if (kind == EndingKind::finished) {
         if (attempt.trial() && current) ++counters.trialsFinished;
-        if (current || task.state == TaskState::waiting) taskDone(job, task);
+        if (current || task.state == TaskState::waiting || (redundant && task.state == TaskState::placed)) taskDone(job, task);
         if (attempt.assembles) gangDone(job, attempt);
     } else if (current) {
         if (kind == EndingKind::ranOut) {
@@ -319,7 +336,9 @@
     if (foundJob == jobs.end()) return;
     Job& job = foundJob->second;
     Task& task = job.tasks[attempt.task];
-    if (task.attempt == number) {
+    if (task.twin == number) task.twin = AttemptNumber{};
+    else if (task.attempt == number && attempts.count(task.twin)) task.attempt = std::exchange(task.twin, AttemptNumber{});
+    else if (task.attempt == number) {
         if (attempt.gang) abortGang(job, attempt.step, number);
         taskBack(job, task, attempt.minion, Span{0});
     }
@@ -542,7 +561,7 @@
             ledger.lastAttempt = std::max(ledger.lastAttempt, action.attempt);
             ledger.attempts[action.attempt] = attempt;
             task.state = TaskState::placed;
-            task.attempt = action.attempt;
+            (action.twin ? task.twin : task.attempt) = action.attempt;
             if (action.trial) {
                 task.trialled = true;
                 ++counters().trials;
--- a/source/ledger.hpp
+++ b/source/ledger.hpp
@@ -66,6 +66,7 @@
     bool spent(const Job& job, const Task& task) const;
     void cancel(Job& job, const std::string& reason);
     void gangDone(Job& job, const Attempt& attempt);
+    void stopCopies(const Task& task, AttemptNumber except);
     void resumeVictimsOf(AttemptNumber trial);
 };
 
--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -27,6 +27,7 @@
     std::int64_t cores = 0, memory = 0, accelerators = 0;
     bool usable = true;
     int penalty = 0;
+    std::set<JobId> overdue;  // jobs whose runs here stand still or go on far too long
     std::vector<Projection> projections;
     std::map<std::pair<JobId, std::uint32_t>, std::uint32_t> ofStep;  // tasks here of the steps that are kept apart
     // Sums over the projections, kept as these come and go.
@@ -108,6 +109,7 @@
     ClusterTime now;
     const Silence& silence;
     bool explain;
+    const Paces& paces;
     Plan plan;
     std::vector<Room> rooms;
     std::map<MinionId, std::size_t> roomOf;
@@ -117,8 +119,8 @@
     FailedShapes noTrial;
     std::map<std::pair<JobId, std::uint32_t>, std::string> racks;  // chosen for steps that want one rack
 
-    Work(Planner& planner, const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain)
-        : planner(planner), ledger(ledger), now(now), silence(silence), explain(explain),
+    Work(Planner& planner, const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain, const Paces& paces)
+        : planner(planner), ledger(ledger), now(now), silence(silence), explain(explain), paces(paces),
           trialRoom(std::int64_t(ledger.setup.planner.trialRoom)), lastAttempt(ledger.lastAttempt) {}
 
     Programs& programsOf(const std::string& policy) {
@@ -180,12 +182,95 @@
             }
             room.add(projection);
             if (const auto* needs = needsOf(attempt.job, attempt.step); needs && needs->apart) ++room.ofStep[{attempt.job, attempt.step}];
-            if (attempt.state == AttemptState::ordered && now - attempt.orderedAt > unappliedTooLong) room.usable = false;
+            // A penstock says itself when its minion does not answer; one late order holds up what it tells of the others.
+            if (!room.minion->capacity.lapses && attempt.state == AttemptState::ordered && now - attempt.orderedAt > unappliedTooLong) room.usable = false;
             // A minion that fails work is tried with one task at a time. docs/design.md 5.6.
             if (room.penalty > 0) room.usable = false;
+            if (!room.minion->capacity.pauses && overdue(attempt)) room.overdue.insert(attempt.job);  // jobs, not runs: a job's guess may be wrong for all of them
         }
+        passOverSlow();
     }
 
+    // Held against what was requested, its data's rack and a common overrun: does this run stand still, or on a slow minion?
+    bool overdue(const Attempt& attempt) const {
+        if (attempt.trial() || attempt.state == AttemptState::stopping || attempt.state == AttemptState::held) return false;
+        const auto* needs = needsOf(attempt.job, attempt.step);
+        if (!needs || needs->lasts) return false;
+        const bool far = !needs->near.empty() || needs->sameRack;
+        return double((now - attempt.orderedAt).milliseconds) > 2.2 * double(attempt.runtime.milliseconds) * (far ? ledger.setup.planner.far : 1.0) + 300;
+    }
+    // Minions on which work takes far longer than on their peers, or stands still, get none while others are sound; at most a
+    // third of a pool is passed over, and a hint is all this is. docs/design.md 5.6.
+    void passOverSlow() {
+        std::map<std::string, std::vector<double>> known;
+        for (const auto& room : rooms)
+            if (auto pace = paces.find(room.minion->id); pace != paces.end()) known[room.minion->capacity.pool].push_back(pace->second);
+        std::map<std::string, std::size_t> passedOver;
+        std::vector<std::pair<double, std::size_t>> slow;
+        for (std::size_t place = 0; place < rooms.size(); ++place) {
+            Room& room = rooms[place];
+            if (room.minion->capacity.pauses) continue;
+            auto& peers = known[room.minion->capacity.pool];
+            double ratio = 0;
+            if (auto pace = paces.find(room.minion->id); pace != paces.end() && peers.size() >= 3) {
+                auto middle = peers.begin() + std::ptrdiff_t(peers.size() / 2);
+                std::nth_element(peers.begin(), middle, peers.end());
+                ratio = pace->second / std::max(0.1, *middle);
+            }
+            if (room.overdue.size() >= 3) ratio = std::max(ratio, 2.5 + double(room.overdue.size()));
+            if (ratio > 1.9) slow.emplace_back(ratio, place);
+        }
+        std::sort(slow.rbegin(), slow.rend());
+        for (const auto& [ratio, place] : slow) {
+            const std::string& pool = rooms[place].minion->capacity.pool;
+            const auto size = std::size_t(std::count_if(rooms.begin(), rooms.end(), [&](const Room& room) { return room.minion->capacity.pool == pool; }));
+            if (3 * (passedOver[pool] + 1) > size) continue;
+            ++passedOver[pool];
+            if (ratio > 2.4) rooms[place].usable = false;
+            else rooms[place].penalty = std::max(rooms[place].penalty, 1);
+        }
+    }
+    // Of redundant steps a copy is begun elsewhere when a run is overdue or its minion is out of touch. docs/paper.md 5.
+    void startCopies() {
+        std::size_t begun = 0;
+        for (const auto& [number, attempt] : ledger.attempts) {
+            if (begun >= 8) return;
+            const auto* needs = needsOf(attempt.job, attempt.step);
+            if (!needs || !needs->redundant || attempt.lost || attempt.gang || attempt.state == AttemptState::stopping) continue;
+            const Job& job = ledger.jobs.at(attempt.job);
+            if (job.ending || job.over() || job.tasks.empty() || job.tasks[attempt.task].attempt != number || job.tasks[attempt.task].twin.value) continue;
+            auto quiet = silence.find(attempt.minion);
+            const bool outOfTouch = quiet == silence.end() || quiet->second > silentTooLong;
+            if (!outOfTouch && !overdue(attempt)) continue;
+            Unit unit;
+            unit.job = attempt.job;
+            unit.step = attempt.step;
+            unit.tasks = {attempt.task};
+            unit.needs = needs;
+            unit.pool = queueOf(attempt.job).pool;
+            const TaskRequest& request = job.request(job.tasks[attempt.task]);
+            std::size_t best = rooms.size();
+            for (std::size_t place = 0; place < rooms.size(); ++place) {
+                const Room& room = rooms[place];
+                if (!room.usable || room.penalty > 0 || room.minion->id == attempt.minion || room.safeCores() < request.cores || !suits(unit, room) || !hasRoom(unit, room, request)) continue;
+                if (!memoryFits(room, room.freeMemory(), std::int64_t(request.memory), trialRoom) || delays(place, request.cores, std::int64_t(request.memory), now + runtimeAt(unit, room, request))) continue;
+                if (best == rooms.size() || room.freeCores() < rooms[best].freeCores()) best = place;
+            }
+            if (best == rooms.size()) continue;
+            occupy(best, AttemptNumber{}, request, std::int64_t(request.memory), now + request.runtime, false);
+            Action action;
+            action.kind = ActionKind::start;
+            action.attempt = lastAttempt = lastAttempt.next();
+            action.job = attempt.job;
+            action.task = attempt.task;
+            action.minion = rooms[best].minion->id;
+            action.memory = request.memory;
+            action.twin = true;
+            ++plan.copies;
+            plan.made.actions.push_back(std::move(action));
+            ++begun;
+        }
+    }
     const StepNeeds* needsOf(const JobId& job, std::uint32_t step) const {
         auto found = ledger.jobs.find(job);
         return found == ledger.jobs.end() || step >= found->second.submission.steps.size() ? nullptr : &found->second.submission.steps[step].needs;
@@ -640,6 +725,12 @@
         stopOverdue();
         auto units = waitingUnits();
         plan.waiting = units.size();
+        for (const auto& unit : units) ++plan.standings[std::size_t(unit.standing)];
+        for (const auto& room : rooms) {
+            ++(room.usable ? plan.usable : plan.passedOver);
+            plan.cores += room.usable ? room.cores : 0;
+            plan.coresUsed += room.usable ? room.usedCores : 0;
+        }
         std::vector<const Unit*> notStarted;
         for (const auto& unit : units) {
             const bool reserved = plan.made.reservation.held();
@@ -691,6 +782,7 @@
                     if (!unit->gang && unit->needs->label.empty() && unit->pool.empty() && queue.trial.quantum >= Span{1000}) noTrial.add(shape);
                 } else note(*unit, "gets its trial in this plan");
             }
+        startCopies();
         plan.made.number = ledger.plan.next();
         return std::move(plan);
     }
@@ -699,7 +791,7 @@
 Planner::Planner() = default;
 Planner::~Planner() = default;
 
-Plan Planner::make(const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain) {
+Plan Planner::make(const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain, const Paces& paces) {
     if (!any || compiled != ledger.setup.version) {
         programs.clear();
         for (const auto& [name, policy] : ledger.setup.policies)
@@ -708,7 +800,7 @@
         compiled = ledger.setup.version;
         any = true;
     }
-    return Work(*this, ledger, now, silence, explain).run();
+    return Work(*this, ledger, now, silence, explain, paces).run();
 }
 
 std::optional<ClusterTime> Planner::nextDue(const Ledger& ledger, ClusterTime now) {
--- a/source/planner.hpp
+++ b/source/planner.hpp
@@ -30,17 +30,23 @@
     PlanMade made;
     std::vector<Reason> reasons;  // only when asked for
     std::size_t waiting = 0;
+    // For the log: minions that take work now, those passed over, and cores in thousandths.
+    std::size_t usable = 0, passedOver = 0, copies = 0;
+    std::int64_t cores = 0, coresUsed = 0;
+    std::array<std::size_t, 3> standings{};
     bool empty(const Reservation& before) const;
 };
 
 // What the leader knows of minions and does not log: how long each has been unheard.
 using Silence = std::map<MinionId, Span>;
+// How long the work of a minion takes against what was requested, lately. The leader's own, as a hint; not logged.
+using Paces = std::map<MinionId, double>;
 
 class Planner {
 public:
     Planner();
     ~Planner();
-    Plan make(const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain = false);
+    Plan make(const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain = false, const Paces& paces = {});
     // When a plan is due though nothing was told: a trial's end, a hard limit, a retry's pause.
     static std::optional<ClusterTime> nextDue(const Ledger& ledger, ClusterTime now);
 
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -1,4 +1,5 @@
 #include "reservoir.hpp"
+#include <cmath>
 
 namespace aniseline {
 
@@ -63,6 +64,7 @@
         contacts.clear();
         ordersSent.clear();
         deaf.clear();
+        paces.clear();
         shortenedTo = ClusterTime{};
         append(Opened{});
         note("leads", {{"epoch", json(ledEpoch.value)}, {"last", json(agreement.last().value)}});
@@ -326,6 +328,7 @@
     }
     for (const auto& ending : report.namedEndings)
         if (auto number = working().attemptNamed(report.id, ending.name); number.value) synced.endings.push_back({number, ending.kind, ending.saved});
+    notePace(synced);
     for (const auto& save : report.saves)
         if (auto number = working().attemptNamed(report.id, save.name); number.value) synced.saves.emplace_back(number, save.saved);
     if (synced.applied > minion.applied || !synced.endings.empty() || !synced.saves.empty()) append(std::move(synced));
@@ -492,9 +495,31 @@
     return known;
 }
 
+void Reservoir::notePace(const MinionSynced& synced) {
+    for (const auto& ending : synced.endings) {
+        auto attempt = working().attempts.find(ending.attempt);
+        if (ending.kind != EndingKind::finished || attempt == working().attempts.end() || attempt->second.trial()) continue;
+        const double ratio = double((clusterNow() - attempt->second.orderedAt).milliseconds) / double(std::max<std::int64_t>(50, attempt->second.runtime.milliseconds));
+        Pace& pace = paces[synced.minion];
+        pace.value += (std::log(std::clamp(ratio, 0.05, 20.0)) - pace.value) * (pace.samples < 8 ? 0.15 : 0.06);
+        ++pace.samples;
+        pace.at = now;
+    }
+}
+// A minion that has ended nothing for a while is given the benefit of the doubt, the more the longer.
+Paces Reservoir::pacesNow() const {
+    Paces known;
+    for (const auto& [id, pace] : paces) {
+        const double age = double(std::max<std::int64_t>(0, (now - pace.at).milliseconds - 1000));
+        if (pace.samples >= 8) known[id] = std::exp(pace.value * std::exp2(-age / 4000.0));
+    }
+    return known;
+}
+
 void Reservoir::passPlan() {
     if (!planWanted) {
-        if (now - lastPlan < Span{100}) return;
+        if (now < nextDueLook) return;
+        nextDueLook = now + Span{50};
         auto due = Planner::nextDue(working(), clusterNow());
         if (due && *due - clusterNow() <= Span{1}) planWanted = true;
         if (due && now - lastPlan >= Span{500}) planWanted = true;
@@ -503,21 +528,28 @@
     if (!planAtOnce && now - lastPlan < working().setup.planner.period) return;
     lastPlan = now;
     planAtOnce = false;
-    Plan plan = planner.make(working(), clusterNow(), silence());
+    Plan plan = planner.make(working(), clusterNow(), silence(), false, pacesNow());
     planWanted = false;
+    if (now >= nextOccupancy) {
+        nextOccupancy = now + Span{1000};
+        note("occupancy", {{"waiting", json(plan.waiting)}, {"in_time", json(plan.standings[0])}, {"late", json(plan.standings[1])}, {"past", json(plan.standings[2])},
+                           {"attempts", json(working().attempts.size())}, {"open", json(working().open.size())}, {"minions", json(plan.usable)}, {"passed_over", json(plan.passedOver)},
+                           {"copies", json(plan.copies)}, {"cores", json(double(plan.cores) / 1000)}, {"cores_used", json(double(plan.coresUsed) / 1000)}});
+    }
     if (plan.empty(working().reservation)) return;
     append(std::move(plan.made));
     planWanted = false;
 }
 
 void Reservoir::passPolls() {
+    const RoundNumber confirmed = agreement.confirmedRound();
     std::erase_if(exchanges, [&](const ExchangeRecord& record) {
         if (record.stage != Stage::polling) return false;
         if (now >= record.deadline) {
             answer(record, Answer::unknown("no majority of the reservoirs answers"));
             return true;
         }
-        if (record.barrier > agreement.commitIndex() || record.round > agreement.confirmedRound()) return false;
+        if (record.barrier > agreement.commitIndex() || record.round > confirmed) return false;
         const auto& report = record.exchange.report;
         auto found = committedLedger.minions.find(report.id);
         if (found == committedLedger.minions.end()) return false;
@@ -556,9 +588,10 @@
 }
 
 void Reservoir::passAnswers() {
+    const RoundNumber confirmed = agreement.confirmedRound();
     std::erase_if(exchanges, [&](const ExchangeRecord& record) {
         if (record.stage == Stage::polling) return false;
-        if (record.stage == Stage::decided && record.barrier <= agreement.commitIndex() && record.round <= agreement.confirmedRound()) {
+        if (record.stage == Stage::decided && record.barrier <= agreement.commitIndex() && record.round <= confirmed) {
             answer(record, record.answer);
             return true;
         }
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -129,7 +129,15 @@
         Instant at;
     };
     std::map<MinionId, OrdersSent> ordersSent;  // to penstocks, so that two waiting syncs do not get the same
-    Instant nextHopeless;
+    struct Pace {
+        double value = 0;  // a logarithm: guesses are wrong by factors, either way
+        std::uint32_t samples = 0;
+        Instant at;
+    };
+    std::map<MinionId, Pace> paces;  // docs/design.md 5.6
+    void notePace(const MinionSynced& synced);
+    Paces pacesNow() const;
+    Instant nextHopeless, nextOccupancy, nextDueLook;
     std::set<JobId> saidSlow;  // jobs whose long wait was told
     void noteSlow(const Job& job);
     struct SluiceSeen {
