Urgent work's recent room is left free by long work that has time; copies share their task's tries

The leader remembers, fading, what the most urgent queues wanted at once; work with slack leaves that free, never while two fifths of a pool are idle.

--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -154,7 +154,7 @@
 }
 void Ledger::countFailure(Job& job, const Attempt& attempt) {
     Task& task = job.tasks[attempt.gang ? job.place(attempt.step, 0) : attempt.task];
-    if (task.failedRun >= attempt.run && attempt.run) return;  // of a gang's run one failure is counted
+    if (attempt.gang && attempt.run && task.failedRun >= attempt.run) return;  // of a gang's run one failure is counted
     task.failedRun = attempt.run;
     ++task.failures;
 }
@@ -297,7 +297,13 @@
     if (kind == EndingKind::unstarted && attempt.counted && task.starts > 0) --task.starts;
     // Of two copies the first clean ending counts; one that ends otherwise leaves the task to the other.
     if (redundant && kind == EndingKind::finished) stopCopies(task, number);
-    else if (task.twin == number) task.twin = AttemptNumber{};
+    else if (redundant && kind == EndingKind::failed && spent(job, task) && (task.twin == number || task.attempt == number)) {
+        // The allowance is the task's, however many copies use it: the other one is stopped with the job.
+        task.twin = AttemptNumber{};
+        task.state = TaskState::failed;
+        failJob(job, "task " + std::to_string(&task - job.tasks.data()) + " used up its retries");
+        return settle(job);
+    } else if (task.twin == number) task.twin = AttemptNumber{};
     else if (task.attempt == number && attempts.count(task.twin)) {
         task.attempt = std::exchange(task.twin, AttemptNumber{});
         return settle(job);
--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -109,7 +109,7 @@
     ClusterTime now;
     const Silence& silence;
     bool explain;
-    const Paces& paces;
+    const Hints& hints;
     Plan plan;
     std::vector<Room> rooms;
     std::map<MinionId, std::size_t> roomOf;
@@ -119,8 +119,8 @@
     FailedShapes noTrial;
     std::map<std::pair<JobId, std::uint32_t>, std::string> racks;  // chosen for steps that want one rack
 
-    Work(Planner& planner, const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain, const Paces& paces)
-        : planner(planner), ledger(ledger), now(now), silence(silence), explain(explain), paces(paces),
+    Work(Planner& planner, const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain, const Hints& hints)
+        : planner(planner), ledger(ledger), now(now), silence(silence), explain(explain), hints(hints),
           trialRoom(std::int64_t(ledger.setup.planner.trialRoom)), lastAttempt(ledger.lastAttempt) {}
 
     Programs& programsOf(const std::string& policy) {
@@ -204,7 +204,7 @@
     void passOverSlow() {
         std::map<std::string, std::vector<double>> known;
         for (const auto& room : rooms)
-            if (auto pace = paces.find(room.minion->id); pace != paces.end()) known[room.minion->capacity.pool].push_back(pace->second);
+            if (auto pace = hints.paces.find(room.minion->id); pace != hints.paces.end()) known[room.minion->capacity.pool].push_back(pace->second);
         std::map<std::string, std::size_t> passedOver;
         std::vector<std::pair<double, std::size_t>> slow;
         for (std::size_t place = 0; place < rooms.size(); ++place) {
@@ -212,7 +212,7 @@
             if (room.minion->capacity.pauses) continue;
             auto& peers = known[room.minion->capacity.pool];
             double ratio = 0;
-            if (auto pace = paces.find(room.minion->id); pace != paces.end() && peers.size() >= 3) {
+            if (auto pace = hints.paces.find(room.minion->id); pace != hints.paces.end() && peers.size() >= 3) {
                 auto middle = peers.begin() + std::ptrdiff_t(peers.size() / 2);
                 std::nth_element(peers.begin(), middle, peers.end());
                 ratio = pace->second / std::max(0.1, *middle);
@@ -239,6 +239,8 @@
             if (!needs || !needs->redundant || attempt.lost || attempt.gang || attempt.state == AttemptState::stopping) continue;
             const Job& job = ledger.jobs.at(attempt.job);
             if (job.ending || job.over() || job.tasks.empty() || job.tasks[attempt.task].attempt != number || job.tasks[attempt.task].twin.value) continue;
+            const QueueOptions& queue = queueOf(attempt.job);
+            if (queue.tries && job.tasks[attempt.task].failures + 1 >= queue.tries) continue;  // the one that runs is the last try
             auto quiet = silence.find(attempt.minion);
             const bool outOfTouch = quiet == silence.end() || quiet->second > silentTooLong;
             if (!outOfTouch && !overdue(attempt)) continue;
@@ -310,10 +312,14 @@
 
     // Can the job's aim still be met, by requested runtimes? Under a flood the paper's order makes all work a little late;
     // what can be in time goes before what can't. docs/paper.md 5.
-    std::map<JobId, int> standings;
-    int standingOf(const Job& job, const QueueOptions& queue) {
-        if (queue.target.milliseconds <= 0) return 0;
-        auto [found, isNew] = standings.try_emplace(job.submission.id);
+    struct Aim {
+        int standing = 0;
+        bool pressed = true;
+    };
+    std::map<JobId, Aim> aims;
+    Aim aimOf(const Job& job, const QueueOptions& queue) {
+        if (queue.target.milliseconds <= 0) return {};
+        auto [found, isNew] = aims.try_emplace(job.submission.id);
         if (!isNew) return found->second;
         const auto& steps = job.submission.steps;
         std::vector<std::int64_t> whole(steps.size()), left(steps.size());
@@ -333,7 +339,9 @@
         }
         const double aim = queue.extend * double(longest) + double(queue.target.milliseconds);
         const double done = double((now - job.allowedAt).milliseconds + longestLeft);
-        return found->second = done <= aim ? 0 : done <= 3 * aim ? 1 : 2;
+        found->second.standing = done <= aim ? 0 : done <= 3 * aim ? 1 : 2;
+        found->second.pressed = aim - done < std::max(1500.0, 0.4 * (aim - double(longest)));
+        return found->second;
     }
 
     std::vector<Unit> waitingUnits() {
@@ -381,7 +389,9 @@
             unit.needs = &job.submission.steps[unit.step].needs;
             unit.pool = queue.pool;
             unit.urgency = ledger.setup.planner.urgencyFirst ? queue.urgency : 0;
-            unit.standing = standingOf(job, queue);
+            const Aim aim = aimOf(job, queue);
+            unit.standing = aim.standing;
+            unit.pressed = aim.pressed;
             for (auto task : unit.tasks) {
                 inputs.cores += job.request(job.tasks[task]).cores / 1000.0;
                 inputs.memory += double(job.request(job.tasks[task]).memory);
@@ -715,6 +725,39 @@
         }
     }
 
+    // Where urgency goes first, long work that has time leaves free what the most urgent queues have wanted lately: on minions
+    // that can't pause, the paper's immediate service has no victims that cost nothing. docs/paper.md 5.
+    struct PoolRoom {
+        std::int64_t cores = 0, free = 0, urgentUsed = 0, urgentWanted = 0;
+    };
+    std::map<std::string, PoolRoom> poolRooms;
+    std::int64_t mostUrgent = 0;
+    void weighPools(const std::vector<Unit>& units) {
+        for (const auto& [name, queue] : ledger.setup.queues) mostUrgent = std::max(mostUrgent, queue.urgency);
+        for (const auto& room : rooms)
+            if (room.usable) {
+                PoolRoom& pool = poolRooms[room.minion->capacity.pool];
+                pool.cores += room.cores;
+                pool.free += std::max<std::int64_t>(0, room.safeCores());
+            }
+        for (const auto& [number, attempt] : ledger.attempts)
+            if (!attempt.lost && queueOf(attempt.job).urgency == mostUrgent) poolRooms[queueOf(attempt.job).pool].urgentUsed += attempt.cores;
+        for (const auto& unit : units)
+            if (unit.urgency == mostUrgent && unit.standing < 2)
+                for (auto part : unit.tasks) poolRooms[unit.pool].urgentWanted += requestOf(unit, part).cores;
+        for (const auto& [name, pool] : poolRooms) plan.urgentDemand[name] = pool.urgentUsed + pool.urgentWanted;
+    }
+    bool leavesUrgentRoom(const Unit& unit) {
+        if (!ledger.setup.planner.urgencyFirst || unit.urgency == mostUrgent || (unit.pressed && unit.standing < 2)) return true;
+        auto demand = hints.urgentDemand.find(unit.pool);
+        const PoolRoom& pool = poolRooms[unit.pool];
+        // Never so that work stands while half of the pool is idle.
+        if (demand == hints.urgentDemand.end() || 5 * pool.free > 2 * pool.cores) return true;
+        std::int64_t cores = 0;
+        for (auto part : unit.tasks) cores += requestOf(unit, part).cores;
+        return pool.free - cores >= demand->second - pool.urgentUsed;
+    }
+
     void note(const Unit& unit, std::string text) {
         if (explain) plan.reasons.push_back({unit.job, unit.step, unit.priority, std::move(text)});
     }
@@ -731,6 +774,7 @@
             plan.cores += room.usable ? room.cores : 0;
             plan.coresUsed += room.usable ? room.usedCores : 0;
         }
+        if (ledger.setup.planner.urgencyFirst) weighPools(units);
         std::vector<const Unit*> notStarted;
         for (const auto& unit : units) {
             const bool reserved = plan.made.reservation.held();
@@ -744,7 +788,12 @@
                     continue;
                 }
             }
+            if (!leavesUrgentRoom(unit)) {
+                note(unit, "leaves room that urgent work has wanted lately");
+                continue;
+            }
             if (startNow(unit)) {
+                for (auto part : unit.tasks) poolRooms[unit.pool].free -= requestOf(unit, part).cores;
                 note(unit, "starts in this plan");
                 continue;
             }
@@ -791,7 +840,7 @@
 Planner::Planner() = default;
 Planner::~Planner() = default;
 
-Plan Planner::make(const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain, const Paces& paces) {
+Plan Planner::make(const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain, const Hints& hints) {
     if (!any || compiled != ledger.setup.version) {
         programs.clear();
         for (const auto& [name, policy] : ledger.setup.policies)
@@ -800,7 +849,7 @@
         compiled = ledger.setup.version;
         any = true;
     }
-    return Work(*this, ledger, now, silence, explain, paces).run();
+    return Work(*this, ledger, now, silence, explain, hints).run();
 }
 
 std::optional<ClusterTime> Planner::nextDue(const Ledger& ledger, ClusterTime now) {
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -65,6 +65,7 @@
         ordersSent.clear();
         deaf.clear();
         paces.clear();
+        urgentDemand.clear();
         shortenedTo = ClusterTime{};
         append(Opened{});
         note("leads", {{"epoch", json(ledEpoch.value)}, {"last", json(agreement.last().value)}});
@@ -507,14 +508,23 @@
     }
 }
 // A minion that has ended nothing for a while is given the benefit of the doubt, the more the longer.
-Paces Reservoir::pacesNow() const {
-    Paces known;
+Hints Reservoir::hints() const {
+    Hints known;
     for (const auto& [id, pace] : paces) {
         const double age = double(std::max<std::int64_t>(0, (now - pace.at).milliseconds - 1000));
-        if (pace.samples >= 8) known[id] = std::exp(pace.value * std::exp2(-age / 4000.0));
+        if (pace.samples >= 8) known.paces[id] = std::exp(pace.value * std::exp2(-age / 4000.0));
     }
+    for (const auto& [pool, demand] : urgentDemand) known.urgentDemand[pool] = std::int64_t(demand.peak * std::exp2(-double((now - demand.at).milliseconds) / 5000.0));
     return known;
 }
+void Reservoir::noteDemand(const Plan& plan) {
+    for (const auto& [pool, wanted] : plan.urgentDemand) {
+        Demand& known = urgentDemand[pool];
+        const double faded = known.peak * std::exp2(-double((now - known.at).milliseconds) / 5000.0);
+        known.peak = std::max(faded, double(wanted));
+        known.at = now;
+    }
+}
 
 void Reservoir::passPlan() {
     if (!planWanted) {
@@ -528,7 +538,8 @@
     if (!planAtOnce && now - lastPlan < working().setup.planner.period) return;
     lastPlan = now;
     planAtOnce = false;
-    Plan plan = planner.make(working(), clusterNow(), silence(), false, pacesNow());
+    Plan plan = planner.make(working(), clusterNow(), silence(), false, hints());
+    noteDemand(plan);
     planWanted = false;
     if (now >= nextOccupancy) {
         nextOccupancy = now + Span{1000};
@@ -793,7 +804,7 @@
 }
 
 picojson::object Reservoir::showPlan() {
-    Plan plan = planner.make(working(), clusterNow(), silence(), true);
+    Plan plan = planner.make(working(), clusterNow(), silence(), true, hints());
     picojson::array reasons;
     for (const auto& reason : plan.reasons) {
         if (reasons.size() >= 200) break;
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -136,7 +136,13 @@
     };
     std::map<MinionId, Pace> paces;  // docs/design.md 5.6
     void notePace(const MinionSynced& synced);
-    Paces pacesNow() const;
+    Hints hints() const;
+    struct Demand {
+        double peak = 0;
+        Instant at;
+    };
+    std::map<std::string, Demand> urgentDemand;  // by pool: the most wanted at once, fading
+    void noteDemand(const Plan& plan);
     Instant nextHopeless, nextOccupancy, nextDueLook;
     std::set<JobId> saidSlow;  // jobs whose long wait was told
     void noteSlow(const Job& job);
