--- /dev/null
+++ b/source/headgate/outcome.hpp
@@ -0,0 +1,25 @@
+// Exit codes by kind, and errors as people or programs read them. docs/operations.md 3.
+#pragma once
+#include "client.hpp"
+
+namespace aniseline {
+
+enum class ExitCode : int {
+    done = 0,
+    usage = 2,       // the words, options or files are wrong; nothing was asked
+    refused = 3,     // the content or the order is not valid
+    missing = 4,     // there is no such thing
+    unknown = 5,     // no answer: it may or may not have been taken; ask again
+    conflict = 6,    // something newer or other stands there
+    overloaded = 7,  // turned away for now; ask again later
+};
+
+ExitCode exitCodeOf(const ClientError& error);
+// One line, and one for each detail.
+std::string errorText(const ClientError& error);
+// The answer's own JSON, or one made of the same fields.
+std::string errorJson(const ClientError& error);
+std::string errorText(const std::string& where, const CoreError& error);
+std::string errorJson(const CoreError& error);
+
+}  // namespace aniseline
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -547,7 +547,7 @@
     };
     auto change = [&](const char* what, const Member& member) {
         if (agreement.proposeMembers(members, now))
-            note("members change", {{"what", json(what)}, {"member", json(member.id.value)}, {"area", json(member.area.value)}});
+            note("members change", {{"change", json(what)}, {"member", json(member.id.value)}, {"area", json(member.area.value)}});
     };
     std::size_t voters = 0, dead = 0;
     for (const auto& member : members) {
--- a/tests/refusals.sh
+++ b/tests/refusals.sh
@@ -36,6 +36,18 @@
 refuse 3 "/policies/p/rank" build/headgate setup check "$folder/setup.json"
 refuse 3 "is not JSON" build/headgate setup check "$folder/torn.json"
 refuse 5 "127.0.0.1:1: Connection refused" build/headgate --sluices 127.0.0.1:1 --within-ms 300 counters
+refuse 2 "--sluices: is missing, and HEADGATE_SLUICES is not set" env -u HEADGATE_SLUICES build/headgate cluster
+refuse 2 "HEADGATE_SLUICES: 'localhost:1'" env HEADGATE_SLUICES=127.0.0.1:1,localhost:1 build/headgate cluster
+refuse 5 "127.0.0.1:1: Connection refused" env HEADGATE_SLUICES=127.0.0.1:1 build/headgate --within-ms 300 cluster
+refuse 5 '"error":"unknown"' build/headgate --sluices 127.0.0.1:1 --within-ms 300 --json plan
+refuse 2 "show: it is: headgate show JOB" build/headgate --sluices 127.0.0.1:1 show
+refuse 2 "--state: is no option of this command" build/headgate --sluices 127.0.0.1:1 minions --state open
+refuse 2 "--times: must be a whole number from 1 to" build/headgate --sluices 127.0.0.1:1 watch plan --times 0
+refuse 2 "must only look" build/headgate --sluices 127.0.0.1:1 watch cancel a
+refuse 5 "2 of 2" build/headgate --sluices 127.0.0.1:1 --within-ms 100 watch plan --times 2 --every-ms 100
+refuse 2 "nothing.json: can't be read" build/headgate --sluices 127.0.0.1:1 submit "$folder/nothing.json"
+refuse 0 "--drain-within-ms VALUE" build/headgate drain --help
+refuse 0 "who waits and why" build/headgate help
 refuse 2 "holds no history" build/tailrace --folder "$folder"
 printf '{"at":1,"kind":"sung"}\n' > "$folder/torn.witness"
 refuse 2 "torn.witness:1: is no witness' line" build/tailrace --folder "$folder"
