--- a/programs/millrace.cpp
+++ b/programs/millrace.cpp
@@ -23,6 +23,7 @@
     std::string folder, programs, deployment = "cedarmark", setup;
     std::int64_t seconds = 20, port = 21'000, fill = 0, sluices = 7, minions = 11, keep = 0;
     double rate = 1;
+    bool called = false;  // minions are called by penstocks rather than call sluices
     std::vector<std::string> steps;
 };
 
@@ -64,7 +65,11 @@
             std::vector<std::string> words{"waterwheel", "--id", "m" + std::to_string(place), "--area", area(place), "--from", ipOf(Address{real(place, 0)}), "--rack", "rack" + std::to_string((place + 2) / 3),
                                            "--cores", cedarmark ? "16" : "64", "--memory-mb", cedarmark ? "32768" : "131072",
                                            "--witness", settings.folder + "/m" + std::to_string(place) + ".witness"};
-            for (int sluice = 0; sluice < 3; ++sluice) words.insert(words.end(), {"--sluices", outer((place + sluice) % int(settings.sluices) + 1)});
+            if (settings.called) {
+                words.insert(words.end(), {"--called", "--listen", real(place, calledOffset(place)), "--penstock", real(place, penstockOffset(place))});
+                add("penstock" + std::to_string(place), {"penstock", "--listen", real(place, penstockOffset(place)), "--minion", real(place, calledOffset(place)), "--area", area(place)}, area(place), true);
+            }
+            for (int sluice = 0; !settings.called && sluice < 3; ++sluice) words.insert(words.end(), {"--sluices", outer((place + sluice) % int(settings.sluices) + 1)});
             if (place <= 4) words.push_back("--unguarded");
             add("waterwheel" + std::to_string(place), words, area(place), false);
         }
@@ -132,6 +137,8 @@
     std::string real(int place, std::int64_t offset) const { return "127.1." + area(place).substr(4) + ".1:" + std::to_string(settings.port + offset); }
     std::string shown(int place, std::int64_t offset) const { return "127.2." + area(place).substr(4) + ".1:" + std::to_string(settings.port + offset); }
     std::string peer(int place) const { return shown(place, place); }
+    static std::int64_t penstockOffset(int place) { return 100 + place; }
+    static std::int64_t calledOffset(int place) { return 300 + place; }
     std::string outer(int place) const { return shown(place, 20 + place); }
     static std::string areaOfIp(const std::string& ip) { return ip.starts_with("127.1.") ? "area" + ip.substr(6, ip.find('.', 6) - 6) : std::string(); }
     bool openRelays() {
@@ -352,6 +359,7 @@
     options.whole("sluices", settings.sluices, "sluices", 1, 50);
     options.whole("minions", settings.minions, "minions", 1, 200);
     options.real("rate", settings.rate, "times the deployment's load", 0.01, 1000);
+    options.flag("called", settings.called, "minions are called by penstocks, one beside each");
     options.words(settings.steps, "steps, one after the other");
     options.read(count, values);
     if (std::filesystem::exists(settings.folder) && !std::filesystem::is_empty(settings.folder)) {
--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -147,17 +147,21 @@
 void Penstock::take(const Order& order, Instant now) {
     const RunName name = RunName::of(order);
     auto found = works.find(name);
-    if (order.kind == OrderKind::start) {
+    if (order.kind == OrderKind::start || order.kind == OrderKind::stage) {
         if (found != works.end()) return;
         if (std::any_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; })) return;
         Work work;
         work.order = order;
         work.notBefore = now;
-        work.orders.push_back(order.number);
-        openOrders.insert(order.number);
+        work.staged = order.kind == OrderKind::stage;
+        if (!work.staged) {
+            work.orders.push_back(order.number);
+            openOrders.insert(order.number);
+        }
         works.emplace(name, std::move(work));
         return;
     }
+    if (order.kind == OrderKind::go) return go(order, name, now);
     if (order.kind != OrderKind::stop) return;
     if (found == works.end()) {
         if (std::any_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; })) return;
@@ -173,6 +177,21 @@
     found->second.notBefore = now;
 }
 
+// A gang's part is staged here, not at the minion, which knows starts only. docs/design.md 7.3.
+void Penstock::go(const Order& order, const RunName& name, Instant now) {
+    auto found = works.find(name);
+    if (found == works.end()) {
+        // Staged by an earlier process of this agent: it was never begun.
+        if (std::none_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; })) finish(name, EndingKind::unstarted, 0, "");
+        return;
+    }
+    if (!found->second.staged) return;
+    found->second.staged = false;
+    found->second.notBefore = now;
+    found->second.orders.push_back(order.number);
+    openOrders.insert(order.number);
+}
+
 void Penstock::settleOrders(Work& work) {
     for (auto number : work.orders) openOrders.erase(number);
     work.orders.clear();
@@ -233,6 +252,7 @@
     std::vector<RunName> never;
     for (auto& [name, work] : works) {
         if (work.calling || work.notBefore > now || callsUnderWay >= options.callsAtOnce) continue;
+        if (work.staged && work.wanted && !account.leaving) continue;
         if (work.wanted && !work.running && work.looked && !work.failed) {
             if (account.leaving && !work.unsure) {  // docs/design.md 5.7: nothing starts once the word is given
                 never.push_back(name);
@@ -245,6 +265,7 @@
                 call.name = name;
                 call.payload = work.order.payload;
                 call.saved = work.order.saved;
+                call.order = work.order;
                 calls.push_back(std::move(call));
                 work.calling = true;
                 ++callsUnderWay;
@@ -400,7 +421,7 @@
     if (account.life.value.empty() || over) return due;
     if (unanswered && !toldDeaf) due = std::min(due, std::max(heardAt + options.deafAfter + Span{1}, now + Span{5}));
     for (const auto& [name, work] : works)
-        if (!work.calling && (!work.running || !work.wanted) && !work.stopped) due = std::min(due, std::max(work.notBefore, now + Span{5}));
+        if (!work.calling && (!work.running || !work.wanted) && !work.stopped && !(work.staged && work.wanted)) due = std::min(due, std::max(work.notBefore, now + Span{5}));
     if (!looking && (!works.empty() || !everLooked || unanswered)) due = std::min(due, now + Span{25});
     if (applied() != toldApplied) due = std::min(due, std::max(appliedAt + Span{401}, now + Span{5}));
     return due;
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -23,6 +23,7 @@
     MinionId life;
     RunName name;
     std::string payload, saved;
+    Order order{};  // of a start: all that the leader said
     std::optional<MinionTime> deadline;  // until when all that runs there is held
     Epoch fence;
     std::uint64_t lastSeen = 0;  // of a look: endings up to here are final
@@ -87,6 +88,7 @@
     struct Work {
         Order order;
         bool wanted = true;       // false: to be stopped
+        bool staged = false;      // a gang's part that waits here for its `go`
         bool calling = false;     // a call for it is under way
         bool unsure = false;      // a start got no answer: it may be carried out later
         bool running = false;
@@ -106,6 +108,7 @@
     };
     void takeOrders(const SyncAnswer& answer, Instant now);
     void take(const Order& order, Instant now);
+    void go(const Order& order, const RunName& name, Instant now);
     void finish(const RunName& name, EndingKind kind, std::uint64_t number, std::string saved);
     void settleOrders(Work& work);
     void lookAfter(Work& work);
--- a/tests/refusals.sh
+++ b/tests/refusals.sh
@@ -31,6 +31,10 @@
 refuse 2 "nothing.json: can't be read" build/sluice --options "$folder/nothing.json" --http 127.0.0.1:1 --area a --seeds 127.0.0.1:1
 refuse 2 "--threads: must be a whole number from 1 to 64" build/sluice --threads 0 --http 127.0.0.1:1 --area a --seeds 127.0.0.1:1
 refuse 2 "--fail: must be a number" build/waterwheel --id m --area a --sluices 127.0.0.1:1 --fail much
+refuse 2 "--sluices: is missing" build/waterwheel --id m --area a
+refuse 2 "--penstock: is missing" build/waterwheel --id m --area a --called --listen 127.0.0.1:1
+refuse 2 "--termless: is no option of a minion that is called" build/waterwheel --id m --area a --called --listen 127.0.0.1:1 --penstock 127.0.0.1:2 --termless
+refuse 2 "--minion: is missing" build/penstock --listen 127.0.0.1:1 --area a --seeds 127.0.0.1:2
 refuse 2 "the words make no command" build/headgate paint
 refuse 3 "/queues/q/retries" build/headgate setup check "$folder/setup.json"
 refuse 3 "/policies/p/rank" build/headgate setup check "$folder/setup.json"
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -12,6 +12,8 @@
 trap 'rm -rf "$folder"' EXIT
 build/millrace --folder "$folder/fleet" --setup examples/setup-cedarmark.json --seconds 12 kill:leader freeze:leader:4 ||
   { tail -n 5 "$folder"/fleet/*.log; exit 1; }
+# Minions that are called rather than call, with their penstocks.
+bash tests/called.sh
 # An area is taken out of a running fleet and given back; an interrupted drill gives it back too.
 bash tests/drill.sh kill
 # Other people's programs against the installed tree.
