Tests of the penstock without sockets: starts, stops, endings, leases, lives

What: 43 tests drive it by hand: starts without an answer, 409 by reason, sick minions, stops of what never began, endings closed in order, a new process that learns by looking, orders, leases on a slow clock, lapses, leaving, other lives, being replaced.

--- /dev/null
+++ b/tests/penstock_tests.cpp
@@ -0,0 +1,875 @@
+// The penstock without sockets: its calls are taken as text, and each test answers, loses or delays them. docs/design.md 5.8.
+#include "penstock.hpp"
+#include <CppUTest/TestHarness.h>
+
+using namespace aniseline;
+
+namespace {
+
+using CallKind = MinionCall::Kind;
+using ReplyKind = MinionReply::Kind;
+
+RunName run(const std::string& job, std::uint32_t number = 1) { return RunName{JobId{job}, 0, 0, 0, number}; }
+std::string text(const RunName& name) { return name.job.value + "/" + std::to_string(name.run); }
+Order order(std::uint64_t number, OrderKind kind, const std::string& job, std::uint32_t runNumber = 1) {
+    Order made;
+    made.number = OrderNumber{number};
+    made.kind = kind;
+    made.job = JobId{job};
+    made.run = runNumber;
+    made.payload = "work of " + job;
+    return made;
+}
+Order start(std::uint64_t number, const std::string& job, std::uint32_t runNumber = 1) { return order(number, OrderKind::start, job, runNumber); }
+Order stop(std::uint64_t number, const std::string& job, std::uint32_t runNumber = 1) { return order(number, OrderKind::stop, job, runNumber); }
+MinionReply::Active active(const std::string& job, const std::string& saved = "") { return {run(job), saved}; }
+MinionReply::Ended ended(std::uint64_t number, const std::string& job, EndingKind kind = EndingKind::finished) { return {number, run(job), kind, ""}; }
+
+// A penstock between a leader and a minion that are both the test.
+struct Stand {
+    Penstock penstock{PenstockOptions{}};
+    std::int64_t now = 100'000;
+    double rate = 1.0;  // of the minion's clock against ours
+    Epoch epoch{7};
+    Span term{6000};
+    std::string life = "life-1";
+    std::vector<MinionCall> open;  // under way to the minion
+
+    Instant at() const { return Instant{now}; }
+    MinionTime minionClock(std::int64_t time) const { return MinionTime{5'000'000 + std::int64_t(double(time - 100'000) * rate)}; }
+    MinionAccount account(bool leaving = false) const {
+        MinionAccount account;
+        account.life = MinionId{life};
+        account.leaving = leaving;
+        account.leaveWithin = Span{leaving ? 2000 : 0};
+        account.clock = minionClock(now);
+        return account;
+    }
+    bool beat(bool leaving = false) { return penstock.known(account(leaving), at()); }
+    SyncAnswer answer(std::vector<Order> orders, std::uint32_t closed = 0) const {
+        SyncAnswer made;
+        made.epoch = epoch;
+        made.term = term;
+        made.orders = std::move(orders);
+        made.closed = closed;
+        return made;
+    }
+    // One exchange with the leader, over at once.
+    SyncReport sync(std::vector<Order> orders = {}, std::uint32_t closed = 0) {
+        auto report = penstock.report(at());
+        penstock.answered(report, answer(std::move(orders), closed), at(), at());
+        return report;
+    }
+    // What the penstock asks of its minion now; the calls stay open until they are answered.
+    std::string calls() {
+        std::string words;
+        for (auto& call : penstock.takeCalls(at())) {
+            static const char* const names[] = {"start ", "stop ", "look"};
+            words += (words.empty() ? "" : ", ") + std::string(names[int(call.kind)]) + (call.kind == CallKind::look ? "" : text(call.name));
+            open.push_back(std::move(call));
+        }
+        return words;
+    }
+    std::string callsIn(std::int64_t span) {
+        now += span;
+        return calls();
+    }
+    MinionCall take(CallKind kind, const std::string& job = "") {
+        auto found = std::find_if(open.begin(), open.end(), [&](const MinionCall& call) { return call.kind == kind && (job.empty() || call.name.job.value == job); });
+        CHECK_TEXT(found != open.end(), "no such call is under way");
+        MinionCall call = *found;
+        open.erase(found);
+        return call;
+    }
+    MinionCall reply(CallKind kind, ReplyKind how, const std::string& job = "") {
+        const MinionCall call = take(kind, job);
+        MinionReply reply;
+        reply.kind = how;
+        if (how != ReplyKind::lost) reply.clock = minionClock(now);
+        penstock.replied(call, reply, at());
+        return call;
+    }
+    MinionReply lists(std::vector<MinionReply::Active> running, std::vector<MinionReply::Ended> over) const {
+        MinionReply reply;
+        reply.kind = ReplyKind::done;
+        reply.clock = minionClock(now);
+        reply.active = std::move(running);
+        reply.ended = std::move(over);
+        return reply;
+    }
+    MinionCall looked(std::vector<MinionReply::Active> running = {}, std::vector<MinionReply::Ended> over = {}) {
+        const MinionCall call = take(CallKind::look);
+        penstock.replied(call, lists(std::move(running), std::move(over)), at());
+        return call;
+    }
+    // The minion is known, the leader grants a lease, and the first look finds nothing there.
+    void begin() {
+        CHECK(beat());
+        sync();
+        STRCMP_EQUAL("look", calls().c_str());
+        looked();
+        now += 30;
+    }
+    void beginWith(const std::string& job, std::uint64_t number = 1) {
+        sync({start(number, job)});
+        CHECK(calls().find("start " + job) != std::string::npos);
+        reply(CallKind::start, ReplyKind::done, job);
+        now += 30;
+    }
+    // The endings that a report tells, in its order.
+    static std::string endings(const SyncReport& report) {
+        std::string words;
+        for (const auto& ending : report.namedEndings) words += (words.empty() ? "" : ", ") + text(ending.name) + " " + name(ending.kind);
+        return words;
+    }
+    std::string endings() { return endings(penstock.report(at())); }
+    std::uint64_t applied() { return penstock.report(at()).lastOrder.value; }
+};
+
+}  // namespace
+
+TEST_GROUP(PenstockStarts){};
+
+TEST(PenstockStarts, withoutAnAnswerIsTriedAgainAndNothingIsTold) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    STRCMP_EQUAL("start a/1", stand.calls().c_str());
+    for (int count = 0; count < 5; ++count) {
+        stand.reply(CallKind::start, ReplyKind::lost);
+        STRCMP_EQUAL("", stand.calls().c_str());  // not at once
+        STRCMP_EQUAL("", stand.endings().c_str());
+        LONGS_EQUAL(0, stand.applied());
+        STRCMP_EQUAL("start a/1", stand.callsIn(20).c_str());
+    }
+    auto call = stand.reply(CallKind::start, ReplyKind::done);
+    STRCMP_EQUAL("work of a", call.payload.c_str());
+    LONGS_EQUAL(1, stand.applied());
+    STRCMP_EQUAL("", stand.endings().c_str());
+}
+
+TEST(PenstockStarts, isNeverUnstartedBeforeAStopOfItWasAnsweredAndALookSawNothing) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::lost);
+    stand.sync({stop(2, "a")});
+    STRCMP_EQUAL("stop a/1", stand.calls().c_str());
+    stand.reply(CallKind::stop, ReplyKind::lost);
+    STRCMP_EQUAL("", stand.endings().c_str());
+    STRCMP_EQUAL("stop a/1", stand.callsIn(100).c_str());
+    stand.reply(CallKind::stop, ReplyKind::done);
+    STRCMP_EQUAL("", stand.endings().c_str());
+    STRCMP_EQUAL("look", stand.callsIn(30).c_str());
+    STRCMP_EQUAL("", stand.endings().c_str());
+    stand.looked();
+    STRCMP_EQUAL("a/1 unstarted", stand.endings().c_str());
+    LONGS_EQUAL(2, stand.applied());
+}
+
+TEST(PenstockStarts, carriedOutLateIsSeenAndEndsAsStopped) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::lost);
+    stand.sync({stop(2, "a")});
+    stand.calls();
+    stand.reply(CallKind::stop, ReplyKind::done);  // it had begun meanwhile and is being stopped
+    stand.callsIn(30);
+    stand.looked({active("a")});
+    STRCMP_EQUAL("", stand.endings().c_str());
+    STRCMP_EQUAL("look", stand.callsIn(250).c_str());
+    stand.looked({}, {ended(1, "a", EndingKind::stopped)});
+    STRCMP_EQUAL("a/1 stopped", stand.endings().c_str());
+}
+
+TEST(PenstockStarts, aLookBegunBeforeTheStopsAnswerProvesNothing) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("b");
+    stand.sync({start(2, "a")});
+    STRCMP_EQUAL("start a/1, look", stand.calls().c_str());
+    stand.reply(CallKind::start, ReplyKind::lost, "a");
+    stand.sync({stop(3, "a")});
+    stand.calls();
+    stand.reply(CallKind::stop, ReplyKind::done, "a");
+    stand.looked({active("b")});  // seen before the stop came there
+    STRCMP_EQUAL("", stand.endings().c_str());
+    STRCMP_EQUAL("look", stand.callsIn(250).c_str());
+    stand.looked({active("b")});
+    STRCMP_EQUAL("a/1 unstarted", stand.endings().c_str());
+}
+
+// A list that had no room for all endings proves no absence.
+TEST(PenstockStarts, aLookThatIsNotWholeProvesNothing) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::lost);
+    stand.sync({stop(2, "a")});
+    stand.calls();
+    stand.reply(CallKind::stop, ReplyKind::done);
+    stand.callsIn(30);
+    auto reply = stand.lists({}, {});
+    reply.whole = false;
+    stand.penstock.replied(stand.take(CallKind::look), reply, stand.at());
+    STRCMP_EQUAL("", stand.endings().c_str());
+    stand.callsIn(250);
+    stand.looked();
+    STRCMP_EQUAL("a/1 unstarted", stand.endings().c_str());
+}
+
+TEST(PenstockStarts, turnedAwayForRoomIsRefusedWithoutAStop) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::room);
+    STRCMP_EQUAL("", stand.calls().c_str());
+    STRCMP_EQUAL("a/1 refused", stand.endings().c_str());
+    LONGS_EQUAL(1, stand.applied());
+}
+
+TEST(PenstockStarts, turnedAwayForRoomAfterSilenceIsStoppedFirst) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::lost);
+    stand.callsIn(20);
+    stand.reply(CallKind::start, ReplyKind::room);
+    STRCMP_EQUAL("stop a/1", stand.calls().c_str());
+    STRCMP_EQUAL("", stand.endings().c_str());
+    stand.reply(CallKind::stop, ReplyKind::done);
+    STRCMP_EQUAL("look", stand.callsIn(30).c_str());
+    stand.looked();
+    STRCMP_EQUAL("a/1 refused", stand.endings().c_str());
+}
+
+TEST(PenstockStarts, behindAFenceWaitsForTheNewerLeader) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    LONGS_EQUAL(7, stand.reply(CallKind::start, ReplyKind::fenced).fence.value);
+    STRCMP_EQUAL("", stand.endings().c_str());
+    STRCMP_EQUAL("", stand.callsIn(100).c_str());
+    stand.epoch = Epoch{8};
+    stand.sync();
+    STRCMP_EQUAL("start a/1", stand.callsIn(100).c_str());
+    LONGS_EQUAL(8, stand.reply(CallKind::start, ReplyKind::done).fence.value);
+    LONGS_EQUAL(1, stand.applied());
+}
+
+TEST(PenstockStarts, calledOldIsLookedFor) {
+    Stand there;
+    there.begin();
+    there.sync({start(1, "a")});
+    there.calls();
+    there.reply(CallKind::start, ReplyKind::old);
+    STRCMP_EQUAL("", there.endings().c_str());
+    STRCMP_EQUAL("look", there.callsIn(30).c_str());
+    there.looked({active("a")});
+    LONGS_EQUAL(1, there.applied());
+    STRCMP_EQUAL("", there.endings().c_str());
+    CHECK(there.callsIn(30).find("start") == std::string::npos);
+
+    Stand over;
+    over.begin();
+    over.sync({start(1, "a")});
+    over.calls();
+    over.reply(CallKind::start, ReplyKind::old);
+    over.callsIn(30);
+    over.looked({}, {ended(4, "a")});
+    STRCMP_EQUAL("a/1 finished", over.endings().c_str());
+
+    Stand nowhere;
+    nowhere.begin();
+    nowhere.sync({start(1, "a")});
+    nowhere.calls();
+    nowhere.reply(CallKind::start, ReplyKind::old);
+    nowhere.callsIn(30);
+    nowhere.looked();
+    STRCMP_EQUAL("", nowhere.endings().c_str());
+    STRCMP_EQUAL("stop a/1", nowhere.calls().c_str());
+    nowhere.reply(CallKind::stop, ReplyKind::done);
+    nowhere.callsIn(30);
+    nowhere.looked();
+    STRCMP_EQUAL("a/1 unstarted", nowhere.endings().c_str());
+}
+
+TEST(PenstockStarts, calledLateIsTriedWithTheNextLease) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    const auto first = stand.reply(CallKind::start, ReplyKind::late);
+    STRCMP_EQUAL("", stand.calls().c_str());
+    stand.now += 50;
+    stand.sync();
+    STRCMP_EQUAL("start a/1", stand.calls().c_str());
+    const auto second = stand.reply(CallKind::start, ReplyKind::done);
+    CHECK(first.deadline && second.deadline && *second.deadline > *first.deadline);
+    STRCMP_EQUAL("", stand.endings().c_str());
+}
+
+TEST(PenstockStarts, atASickMinionIsTriedThreeTimes) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    STRCMP_EQUAL("start a/1", stand.calls().c_str());
+    for (int count = 0; count < 2; ++count) {
+        stand.reply(CallKind::start, ReplyKind::sick);
+        STRCMP_EQUAL("", stand.calls().c_str());
+        STRCMP_EQUAL("", stand.endings().c_str());
+        STRCMP_EQUAL("start a/1", stand.callsIn(1000).c_str());
+    }
+    stand.reply(CallKind::start, ReplyKind::sick);
+    STRCMP_EQUAL("", stand.callsIn(1000).c_str());
+    STRCMP_EQUAL("a/1 refused", stand.endings().c_str());
+}
+
+TEST(PenstockStarts, theStopIsTriedUntilASickMinionAnswers) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a");
+    stand.sync({stop(2, "a")});
+    for (int count = 0; count < 8; ++count) {
+        CHECK(stand.callsIn(1000).find("stop a/1") != std::string::npos);
+        stand.reply(CallKind::stop, ReplyKind::sick);
+        stand.sync();
+        LONGS_EQUAL(1, stand.applied());
+        if (!stand.open.empty()) stand.looked({active("a")});
+    }
+}
+
+TEST(PenstockStarts, ofAnotherLifeIsTriedAgainLater) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::otherLife);
+    STRCMP_EQUAL("", stand.calls().c_str());
+    STRCMP_EQUAL("", stand.endings().c_str());
+    STRCMP_EQUAL("start a/1", stand.callsIn(300).c_str());
+}
+
+TEST(PenstockStarts, waitForALease) {
+    Stand stand;
+    CHECK(stand.beat());
+    STRCMP_EQUAL("", stand.calls().c_str());  // no leader has been heard
+    stand.sync({start(1, "a")});
+    stand.now += 6000;
+    STRCMP_EQUAL("", stand.calls().c_str());
+    stand.sync();
+    CHECK(stand.calls().find("start a/1") != std::string::npos);
+}
+
+TEST_GROUP(PenstockStops){};
+
+TEST(PenstockStops, ofARunNeverBegunNeedNoCall) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a"), stop(2, "a")});
+    STRCMP_EQUAL("", stand.calls().c_str());
+    STRCMP_EQUAL("a/1 unstarted", stand.endings().c_str());
+    LONGS_EQUAL(2, stand.applied());
+}
+
+// Given to an earlier process: this one fences the run before it says that it never began.
+TEST(PenstockStops, ofAnUnknownRunAreFencedAndLookedFor) {
+    Stand stand;
+    stand.begin();
+    stand.sync({stop(9, "a")});
+    STRCMP_EQUAL("stop a/1", stand.calls().c_str());
+    LONGS_EQUAL(8, stand.applied());
+    stand.reply(CallKind::stop, ReplyKind::done);
+    STRCMP_EQUAL("", stand.endings().c_str());
+    STRCMP_EQUAL("look", stand.callsIn(30).c_str());
+    stand.looked();
+    STRCMP_EQUAL("a/1 unstarted", stand.endings().c_str());
+    LONGS_EQUAL(9, stand.applied());
+}
+
+TEST(PenstockStops, whileAStartIsUnderWayWaitForItsAnswer) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.sync({stop(2, "a")});
+    STRCMP_EQUAL("", stand.calls().c_str());
+    stand.reply(CallKind::start, ReplyKind::done);
+    CHECK(stand.calls().find("stop a/1") != std::string::npos);
+    LONGS_EQUAL(0, stand.applied());
+}
+
+TEST(PenstockStops, ofARunThatEndedByItselfAreDone) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a");
+    stand.calls();
+    stand.looked({}, {ended(1, "a")});
+    stand.sync({stop(2, "a")});
+    CHECK(stand.callsIn(30).find("stop") == std::string::npos);
+    STRCMP_EQUAL("a/1 finished", stand.endings().c_str());
+    LONGS_EQUAL(2, stand.applied());
+}
+
+TEST_GROUP(PenstockEndings){};
+
+// docs/design.md 5.5: a look passes an ending only when the leader's log holds it.
+TEST(PenstockEndings, passLastSeenOnlyOnceClosed) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.beginWith("b", 2);
+    stand.calls();
+    stand.looked({active("b")}, {ended(1, "a")});
+    CHECK(stand.penstock.urgent(stand.at()));
+    const auto told = stand.sync();
+    STRCMP_EQUAL("a/1 finished", Stand::endings(told).c_str());
+    CHECK_FALSE(stand.penstock.urgent(stand.at()));
+    stand.callsIn(1500);
+    LONGS_EQUAL(0, stand.looked({active("b")}, {ended(1, "a")}).lastSeen);
+    STRCMP_EQUAL("a/1 finished", stand.endings().c_str());  // told again, and once
+    stand.sync({}, 1);
+    STRCMP_EQUAL("", stand.endings().c_str());
+    stand.callsIn(1500);
+    LONGS_EQUAL(1, stand.looked({active("b")}).lastSeen);
+}
+
+TEST(PenstockEndings, areClosedInTheirOrderOnly) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.beginWith("b", 2);
+    stand.calls();
+    stand.looked({active("b")}, {ended(1, "a")});
+    const auto first = stand.penstock.report(stand.at());
+    stand.callsIn(1500);
+    stand.looked({}, {ended(1, "a"), ended(2, "b", EndingKind::failed)});
+    const auto second = stand.penstock.report(stand.at());
+    STRCMP_EQUAL("a/1 finished, b/1 failed", Stand::endings(second).c_str());
+    stand.penstock.answered(second, stand.answer({}, 1), stand.at(), stand.at());
+    STRCMP_EQUAL("b/1 failed", stand.endings().c_str());
+    stand.penstock.answered(first, stand.answer({}, 1), stand.at(), stand.at());  // overtaken
+    STRCMP_EQUAL("b/1 failed", stand.endings().c_str());
+    stand.penstock.answered(second, stand.answer({}, 2), stand.at(), stand.at());
+    STRCMP_EQUAL("", stand.endings().c_str());
+    stand.beginWith("c", 3);
+    stand.calls();
+    LONGS_EQUAL(2, stand.looked({active("c")}).lastSeen);
+}
+
+TEST(PenstockEndings, ofOlderLeadersAnswersCloseNothing) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a");
+    stand.calls();
+    stand.looked({}, {ended(1, "a")});
+    stand.epoch = Epoch{6};
+    stand.sync({}, 1);
+    STRCMP_EQUAL("a/1 finished", stand.endings().c_str());
+}
+
+// Those of no number have nothing to wait for; those with one go first.
+TEST(PenstockEndings, thatNeverBeganStandBehindTheNumbered) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.sync({start(2, "b"), stop(3, "b")});
+    stand.calls();
+    stand.looked({}, {ended(1, "a")});
+    const auto report = stand.penstock.report(stand.at());
+    STRCMP_EQUAL("a/1 finished, b/1 unstarted", Stand::endings(report).c_str());
+    stand.penstock.answered(report, stand.answer({}, 2), stand.at(), stand.at());
+    STRCMP_EQUAL("", stand.endings().c_str());
+}
+
+TEST(PenstockEndings, goFiveHundredAtATime) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.calls();
+    std::vector<MinionReply::Ended> many;
+    for (std::uint64_t number = 1; number <= 700; ++number) many.push_back(ended(number, "job" + std::to_string(number)));
+    stand.looked({active("a")}, many);
+    LONGS_EQUAL(500, stand.sync({}, 500).namedEndings.size());
+    LONGS_EQUAL(200, stand.sync({}, 200).namedEndings.size());
+    stand.callsIn(1000);
+    LONGS_EQUAL(700, stand.looked({active("a")}).lastSeen);
+}
+
+TEST(PenstockEndings, checkpointsAreToldOnceEach) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a");
+    auto saves = [](const SyncReport& report) {
+        std::string words;
+        for (const auto& save : report.saves) words += (words.empty() ? "" : ", ") + text(save.name) + " " + save.saved;
+        return words;
+    };
+    auto lookSeeing = [&](const std::string& saved) {
+        CHECK(stand.callsIn(1000).find("look") != std::string::npos);
+        stand.looked({active("a", saved)});
+    };
+    lookSeeing("");
+    STRCMP_EQUAL("", saves(stand.sync()).c_str());
+    lookSeeing("x1");
+    STRCMP_EQUAL("a/1 x1", saves(stand.penstock.report(stand.at())).c_str());  // this sync is lost
+    STRCMP_EQUAL("a/1 x1", saves(stand.sync()).c_str());
+    STRCMP_EQUAL("", saves(stand.sync()).c_str());
+    lookSeeing("x1");
+    STRCMP_EQUAL("", saves(stand.sync()).c_str());
+    lookSeeing("x2");
+    const auto told = stand.penstock.report(stand.at());
+    lookSeeing("x3");
+    stand.penstock.answered(told, stand.answer({}), stand.at(), stand.at());  // says nothing of x3
+    STRCMP_EQUAL("a/1 x3", saves(stand.sync()).c_str());
+    stand.calls();
+    auto over = ended(1, "a", EndingKind::stopped);
+    over.saved = "x4";
+    stand.callsIn(1000);
+    stand.looked({}, {over});
+    const auto last = stand.sync();
+    STRCMP_EQUAL("", saves(last).c_str());
+    STRCMP_EQUAL("x4", last.namedEndings.at(0).saved.c_str());
+}
+
+TEST_GROUP(PenstockBegunAnew){};
+
+// docs/design.md 5.8: killed and empty, it learns from both lists what runs, and neither stops nor starts any of it again.
+TEST(PenstockBegunAnew, learnsWhatRunsAndTouchesNoneOfIt) {
+    Stand stand;
+    CHECK(stand.beat());
+    stand.sync({start(5, "a"), start(6, "d")});  // given to the process before, and carried out by it
+    STRCMP_EQUAL("start a/1, start d/1, look", stand.calls().c_str());
+    LONGS_EQUAL(0, stand.open.back().lastSeen);
+    stand.reply(CallKind::start, ReplyKind::done, "a");  // it is there already
+    stand.reply(CallKind::start, ReplyKind::old, "d");   // it has ended
+    const std::vector<MinionReply::Ended> over{ended(3, "d"), ended(4, "e", EndingKind::failed)};
+    stand.looked({active("a"), active("c", "x1")}, over);
+    const auto report = stand.penstock.report(stand.at());
+    STRCMP_EQUAL("d/1 finished, e/1 failed", Stand::endings(report).c_str());
+    LONGS_EQUAL(6, report.lastOrder.value);
+    LONGS_EQUAL(1, report.saves.size());
+    for (int count = 0; count < 40; ++count) {
+        stand.sync();
+        const std::string calls = stand.callsIn(100);
+        CHECK_TEXT(calls.empty() || calls == "look", calls.c_str());
+        if (!calls.empty()) stand.looked({active("a"), active("c", "x1")}, over);
+    }
+    STRCMP_EQUAL("d/1 finished, e/1 failed", stand.endings().c_str());
+    stand.sync({stop(7, "c")});  // what it found it can stop by order
+    CHECK(stand.calls().find("stop c/1") != std::string::npos);
+}
+
+TEST(PenstockBegunAnew, asksAgainWhenTheFirstLookIsLost) {
+    Stand stand;
+    CHECK(stand.beat());
+    stand.sync();
+    STRCMP_EQUAL("look", stand.calls().c_str());
+    stand.reply(CallKind::look, ReplyKind::lost);
+    STRCMP_EQUAL("look", stand.callsIn(100).c_str());
+    stand.looked({active("a")});
+    LONGS_EQUAL(1, stand.penstock.running());
+}
+
+// An order for a run that ended and was closed before the kill: the minion turns it away, and nothing runs.
+TEST(PenstockBegunAnew, doesNotRunAgainWhatWasClosed) {
+    Stand stand;
+    CHECK(stand.beat());
+    stand.sync({start(5, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::old);
+    stand.looked();  // begun before: proves nothing
+    STRCMP_EQUAL("look", stand.callsIn(300).c_str());
+    stand.looked();
+    STRCMP_EQUAL("stop a/1", stand.callsIn(30).c_str());
+    stand.reply(CallKind::stop, ReplyKind::done);
+    stand.callsIn(300);
+    stand.looked();
+    STRCMP_EQUAL("a/1 unstarted", stand.endings().c_str());
+    STRCMP_EQUAL("", stand.callsIn(300).c_str());
+}
+
+TEST_GROUP(PenstockOrders){};
+
+TEST(PenstockOrders, mayBeginAnywhereForANewProcessAndAreCarriedOutOnce) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(41, "a"), start(42, "b")});
+    STRCMP_EQUAL("start a/1, start b/1", stand.calls().c_str());
+    LONGS_EQUAL(40, stand.applied());
+    LONGS_EQUAL(42, stand.penstock.report(stand.at()).received.value);
+    stand.sync({start(41, "a"), start(42, "b")});
+    STRCMP_EQUAL("", stand.calls().c_str());
+    stand.reply(CallKind::start, ReplyKind::done, "b");
+    LONGS_EQUAL(40, stand.applied());  // 41 is not carried out yet
+    stand.reply(CallKind::start, ReplyKind::done, "a");
+    LONGS_EQUAL(42, stand.applied());
+    stand.sync({start(41, "a"), start(42, "b"), start(43, "c")});
+    CHECK(stand.calls().find("start c/1") == 0);
+}
+
+TEST(PenstockOrders, ofAnOlderEpochAreIgnored) {
+    Stand stand;
+    stand.begin();
+    const auto report = stand.penstock.report(stand.at());
+    stand.epoch = Epoch{8};
+    stand.sync();
+    stand.epoch = Epoch{7};
+    stand.penstock.answered(report, stand.answer({start(1, "a")}), stand.at(), stand.at());
+    STRCMP_EQUAL("", stand.calls().c_str());
+    LONGS_EQUAL(0, stand.penstock.report(stand.at()).received.value);
+}
+
+TEST(PenstockOrders, inAnAnswerPastItsTermAreIgnored) {
+    Stand stand;
+    stand.begin();
+    const auto report = stand.penstock.report(stand.at());
+    const Instant sentAt = stand.at();
+    stand.now += 6000;
+    stand.penstock.answered(report, stand.answer({start(1, "a")}), sentAt, stand.at());
+    STRCMP_EQUAL("", stand.calls().c_str());
+    LONGS_EQUAL(0, stand.penstock.report(stand.at()).received.value);
+    stand.sync({start(1, "a")});  // they come again
+    CHECK(stand.calls().find("start a/1") != std::string::npos);
+}
+
+TEST(PenstockOrders, ofAnotherLifeAreIgnored) {
+    Stand stand;
+    stand.begin();
+    const auto report = stand.penstock.report(stand.at());
+    stand.life = "life-2";
+    CHECK(stand.beat());
+    stand.penstock.answered(report, stand.answer({start(1, "a")}), stand.at(), stand.at());
+    CHECK(stand.calls().find("start") == std::string::npos);
+}
+
+TEST_GROUP(PenstockLeases){};
+
+// Whatever the latencies and the minion's clock, what is held there is over when the lease is, or before. docs/design.md 5.4.
+TEST(PenstockLeases, deadlinesAreNeverLaterThanTheLease) {
+    for (double rate : {0.98, 0.985, 0.99, 1.0})
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            Draw draw(seed);
+            Stand stand;
+            stand.rate = rate;
+            stand.begin();
+            std::int64_t leaseUntil = stand.now - 30 + 6000, calls = 0;
+            std::uint64_t number = 0;
+            for (int count = 0; count < 200; ++count) {
+                stand.now += draw.between(0, 300);
+                if (draw.chance(0.1)) {  // heard late
+                    auto account = stand.account();
+                    account.clock = stand.minionClock(stand.now - draw.between(0, 900));
+                    stand.penstock.known(account, stand.at());
+                }
+                if (draw.chance(0.2)) {
+                    const Instant sentAt = stand.at();
+                    const auto report = stand.penstock.report(sentAt);
+                    ++number;
+                    stand.now += draw.between(0, 1500);
+                    stand.penstock.answered(report, stand.answer({start(number, "job" + std::to_string(number))}), sentAt, stand.at());
+                    leaseUntil = std::max(leaseUntil, sentAt.milliseconds + 6000);
+                }
+                for (const auto& call : stand.penstock.takeCalls(stand.at())) {
+                    if (call.deadline) {
+                        ++calls;
+                        const double until = double(call.deadline->milliseconds - 5'000'000) / rate + 100'000;
+                        CHECK_TEXT(until <= double(leaseUntil) + 1, "a deadline past the lease");
+                    }
+                    MinionReply reply;
+                    reply.kind = draw.chance(0.2) ? ReplyKind::lost : ReplyKind::done;
+                    if (reply.kind == ReplyKind::done) reply.clock = stand.minionClock(stand.now);
+                    stand.now += draw.between(0, 50);
+                    stand.penstock.replied(call, reply, stand.at());
+                }
+            }
+            CHECK(calls > 20);
+        }
+}
+
+TEST(PenstockLeases, areUsedNearlyWhole) {
+    Stand stand;
+    stand.begin();
+    stand.now += 500;
+    stand.sync({start(1, "a")});
+    stand.calls();
+    const auto call = stand.reply(CallKind::start, ReplyKind::done);
+    CHECK(call.deadline.has_value());
+    CHECK(*call.deadline > stand.minionClock(stand.now + 5800));
+}
+
+TEST(PenstockLeases, noCallGoesPastTheMinionsOwnLimit) {
+    Stand stand;
+    stand.term = Span{60'000};
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    const auto call = stand.reply(CallKind::start, ReplyKind::done);
+    CHECK(*call.deadline <= stand.minionClock(stand.now + 6000));
+}
+
+// What ended and was not confirmed when the hold ran out is void; nothing starts before a look tells. docs/design.md 5.5.
+TEST(PenstockLeases, aHoldThatLapsedVoidsWhatWasUnconfirmed) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.beginWith("b", 2);
+    stand.calls();
+    stand.looked({active("b")}, {ended(1, "a")});
+    stand.now += 7000;  // no leader all this time
+    STRCMP_EQUAL("", stand.calls().c_str());
+    const auto report = stand.sync({start(3, "c")});
+    STRCMP_EQUAL("a/1 stopped", Stand::endings(report).c_str());
+    STRCMP_EQUAL("look", stand.calls().c_str());
+    STRCMP_EQUAL("", stand.callsIn(300).c_str());
+    stand.looked({}, {ended(1, "a"), ended(2, "d"), ended(3, "b", EndingKind::stopped)});
+    STRCMP_EQUAL("a/1 stopped, d/1 stopped, b/1 stopped", stand.endings().c_str());
+    STRCMP_EQUAL("start c/1", stand.callsIn(30).c_str());
+}
+
+TEST(PenstockLeases, aHoldThatIsKeptUpVoidsNothing) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.beginWith("b", 2);
+    stand.calls();
+    stand.looked({active("b")}, {ended(1, "a")});
+    for (int count = 0; count < 20; ++count) {
+        stand.sync();
+        CHECK(stand.callsIn(1000).find("start") == std::string::npos);
+        if (!stand.open.empty()) stand.looked({active("b")}, {ended(1, "a")});
+    }
+    STRCMP_EQUAL("a/1 finished", stand.endings().c_str());
+}
+
+// What was confirmed before the lapse stays closed, and a failure stays one.
+TEST(PenstockLeases, aLapseTouchesNothingElse) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.beginWith("b", 2);
+    stand.calls();
+    stand.looked({}, {ended(1, "a"), ended(2, "b", EndingKind::failed)});
+    stand.sync({}, 1);
+    stand.now += 7000;
+    stand.calls();
+    STRCMP_EQUAL("b/1 failed", stand.endings().c_str());
+}
+
+TEST_GROUP(PenstockLives){};
+
+TEST(PenstockLives, leavingStartsNothingAndIsTold) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    CHECK_FALSE(stand.penstock.urgent(stand.at()));
+    CHECK(stand.beat(true));
+    CHECK(stand.penstock.urgent(stand.at()));
+    CHECK_FALSE(stand.penstock.leavingTold());
+    const auto report = stand.sync({start(2, "b")});
+    CHECK(report.leaving);
+    LONGS_EQUAL(2000, report.leaveWithin.milliseconds);
+    CHECK(stand.penstock.leavingTold());
+    const std::string calls = stand.calls();
+    CHECK_TEXT(calls.find("start") == std::string::npos && calls.find("stop") == std::string::npos, calls.c_str());
+    STRCMP_EQUAL("b/1 unstarted", stand.endings().c_str());
+    CHECK(stand.beat(false));  // an account sent before the word came later
+    CHECK(stand.sync().leaving);
+}
+
+TEST(PenstockLives, leavingStopsAStartThatGotNoAnswer) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::lost);
+    CHECK(stand.beat(true));
+    STRCMP_EQUAL("stop a/1", stand.callsIn(30).c_str());
+    STRCMP_EQUAL("", stand.endings().c_str());
+    stand.reply(CallKind::stop, ReplyKind::done);
+    stand.callsIn(30);
+    stand.looked();
+    STRCMP_EQUAL("a/1 unstarted", stand.endings().c_str());
+}
+
+TEST(PenstockLives, anotherLifeKnowsNothingOfTheFormer) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.calls();
+    stand.looked({active("a")}, {ended(5, "b")});
+    stand.sync({}, 1);
+    stand.callsIn(1500);  // a look that the former life answers too late
+    stand.life = "life-2";
+    CHECK(stand.beat());
+    LONGS_EQUAL(0, stand.penstock.running());
+    stand.looked({active("a")}, {ended(6, "c")});
+    LONGS_EQUAL(0, stand.penstock.running());
+    const auto report = stand.sync({start(1, "d")});
+    STRCMP_EQUAL("life-2", report.id.value.c_str());
+    STRCMP_EQUAL("", Stand::endings(report).c_str());
+    LONGS_EQUAL(0, report.lastOrder.value);
+    STRCMP_EQUAL("start d/1, look", stand.calls().c_str());
+    for (const auto& call : stand.open) STRCMP_EQUAL("life-2", call.life.value.c_str());
+    LONGS_EQUAL(0, stand.open.back().lastSeen);
+    stand.life = "life-1";
+    CHECK_FALSE(stand.beat());  // its last words come late
+    STRCMP_EQUAL("life-2", stand.penstock.life().value.c_str());
+}
+
+TEST(PenstockLives, anotherLifeIsStillFencedByTheNewestLeader) {
+    Stand stand;
+    stand.begin();
+    stand.life = "life-2";
+    CHECK(stand.beat());
+    stand.epoch = Epoch{6};
+    stand.sync({start(1, "a")});
+    STRCMP_EQUAL("", stand.calls().c_str());
+}
+
+TEST(PenstockLives, oneThatLeftIsCalledNoMore) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.penstock.left(MinionId{"life-1"});
+    stand.beat();  // overtaken by its last word
+    CHECK_FALSE(stand.penstock.mayReport());
+    STRCMP_EQUAL("", stand.callsIn(30).c_str());
+    stand.life = "life-2";
+    CHECK(stand.beat());
+    CHECK(stand.penstock.mayReport());
+}
+
+// The leader holds this life for gone: all that runs there dies with its hold before it is used again.
+TEST(PenstockLives, replacedWaitsUntilTheHoldIsSurelyOver) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.calls();
+    stand.looked({active("a")});
+    const auto before = stand.penstock.report(stand.at());
+    const std::int64_t replacedAt = stand.now;
+    stand.penstock.replaced(stand.at());
+    LONGS_EQUAL(0, stand.penstock.running());
+    stand.penstock.answered(before, stand.answer({start(2, "b")}), stand.at(), stand.at());  // to the former incarnation
+    auto report = stand.penstock.report(stand.at());
+    LONGS_EQUAL(before.incarnation.value + 1, report.incarnation.value);
+    LONGS_EQUAL(0, report.lastOrder.value);
+    STRCMP_EQUAL("", Stand::endings(report).c_str());
+    stand.sync({start(1, "c")});
+    while (stand.now < replacedAt + 6200) {  // 6000 ms on a clock 2% slow
+        stand.sync();
+        STRCMP_EQUAL("", stand.callsIn(100).c_str());
+    }
+    stand.sync();
+    STRCMP_EQUAL("look", stand.callsIn(2000).c_str());
+    stand.looked({}, {ended(1, "a", EndingKind::stopped)});
+    STRCMP_EQUAL("start c/1", stand.callsIn(30).c_str());
+}
--- /dev/null
+++ b/tests/placement_tests.cpp
@@ -0,0 +1,190 @@
+// Where a plan puts tasks: labels, the data's rack, apart, one rack, accelerators, pools. docs/design.md 4.6, docs/paper.md 2.
+#include "ledger_bench.hpp"
+
+using namespace aniseline;
+
+namespace {
+
+using Place = LedgerBench::Place;
+
+StepNeeds labelled(const std::string& label) {
+    StepNeeds needs;
+    needs.label = label;
+    return needs;
+}
+StepNeeds near(const std::string& rack) {
+    StepNeeds needs;
+    needs.near = rack;
+    return needs;
+}
+StepNeeds apart(std::uint32_t most) {
+    StepNeeds needs;
+    needs.apart = most;
+    return needs;
+}
+StepNeeds sameRack() {
+    StepNeeds needs;
+    needs.sameRack = true;
+    return needs;
+}
+StepRequest accelerated(std::size_t tasks, std::uint32_t accelerators, std::uint32_t cores = 1000) {
+    auto step = LedgerBench::step(tasks, cores);
+    for (auto& task : step.tasks) task.accelerators = accelerators;
+    return step;
+}
+
+}  // namespace
+
+TEST_GROUP(Placement){};
+
+TEST(Placement, aLabelIsACondition) {
+    LedgerBench bench;
+    bench.minion("plain", Place{.cores = 2000});
+    bench.minion("colour", Place{.cores = 16'000, .labels = {"mono", "colour"}});
+    bench.submit("a", {LedgerBench::step(1, 1000, labelled("colour"))});
+    STRCMP_EQUAL("start a on colour", bench.planAndRun().c_str());
+    bench.submit("b", {LedgerBench::step(1, 1000, labelled("foil"))});
+    STRCMP_EQUAL("", bench.planAndRun().c_str());
+    bench.submit("c", {LedgerBench::step(1, 1000)});
+    STRCMP_EQUAL("start c on plain", bench.planAndRun().c_str());  // the fewest unallocated cores
+}
+
+TEST(Placement, onlyThePoolOfTheQueue) {
+    LedgerBench bench;
+    bench.minion("press", Place{.cores = 16'000});
+    bench.minion("store", Place{.cores = 2000, .pool = "store"});
+    bench.submit("a", {LedgerBench::step(1)});
+    bench.submit("b", {LedgerBench::step(1)}, "other");
+    bench.submit("c", {LedgerBench::step(1)}, "plain");
+    const std::string plan = bench.planAndRun();
+    STRCMP_EQUAL("press", bench.minionOf("a").c_str());
+    STRCMP_EQUAL("store", bench.minionOf("b").c_str());
+    CHECK(plan.find("start c") == std::string::npos);  // its pool is the one without a name
+}
+
+TEST(Placement, nearItsDataWhereThereIsRoom) {
+    LedgerBench bench;
+    bench.minion("far", Place{.cores = 2000, .rack = "r1"});
+    bench.minion("near", Place{.cores = 4000, .rack = "r2"});
+    bench.submit("a", {LedgerBench::step(1, 3000, near("r2"))});
+    STRCMP_EQUAL("start a on near", bench.planAndRun().c_str());
+    bench.submit("b", {LedgerBench::step(1, 1000, near("r2"))});
+    STRCMP_EQUAL("start b on near", bench.planAndRun().c_str());
+    bench.submit("c", {LedgerBench::step(1, 1000, near("r2"))});  // no room there: elsewhere is slower, and better than waiting
+    STRCMP_EQUAL("start c on far", bench.planAndRun().c_str());
+}
+
+TEST(Placement, apartIsTheMostOfAStepOnOneMinion) {
+    LedgerBench bench;
+    bench.minion("a");
+    bench.minion("b");
+    bench.submit("job", {LedgerBench::step(5, 500, apart(2))});
+    STRCMP_EQUAL("start job on a, start job on a, start job on b, start job on b", bench.planAndRun().c_str());
+    bench.end("job", EndingKind::finished, 0);
+    STRCMP_EQUAL("start job on a", bench.planAndRun().c_str());
+}
+
+// One that is being stopped, or was given up, may still be there.
+TEST(Placement, apartCountsWhatIsNotKnownToHaveEnded) {
+    LedgerBench bench;
+    bench.minion("a");
+    bench.submit("job", {LedgerBench::step(1, 500, apart(1)), LedgerBench::step(1, 500)});
+    bench.planAndRun();
+    const AttemptNumber first = bench.attempt("job", 0);
+    bench.fold(MinionSilent{MinionId{"a"}, {first}});
+    bench.fold(MinionAllowed{MinionId{"a"}});
+    STRCMP_EQUAL("", bench.plan().c_str());
+    bench.end(first, EndingKind::stopped);
+    STRCMP_EQUAL("start job on a", bench.plan().c_str());
+}
+
+TEST(Placement, gangsKeepApartToo) {
+    LedgerBench bench;
+    bench.minion("a");
+    bench.minion("b");
+    bench.submit("three", {LedgerBench::gang(3, 500, apart(1))});
+    bench.submit("two", {LedgerBench::gang(2, 500, apart(1))});
+    STRCMP_EQUAL("start two on a, start two on b", bench.planAndRun().c_str());
+    bench.minion("c");
+    STRCMP_EQUAL("start three on a, start three on b, start three on c", bench.planAndRun().c_str());
+}
+
+TEST(Placement, oneRackForAStepThatWantsOne) {
+    LedgerBench bench;
+    bench.minion("a1", Place{.cores = 2000, .rack = "A"});
+    bench.minion("b1", Place{.cores = 4000, .rack = "B"});
+    bench.minion("a2", Place{.cores = 2000, .rack = "A"});
+    bench.minion("b2", Place{.cores = 4000, .rack = "B"});
+    bench.submit("job", {LedgerBench::gang(6, 1000, sameRack())});
+    const std::string plan = bench.planAndRun();
+    CHECK_TEXT(plan.find(" on a") == std::string::npos, plan.c_str());
+    bench.submit("more", {LedgerBench::gang(3, 1000, sameRack())});
+    const std::string second = bench.planAndRun();
+    CHECK_TEXT(second.find(" on b") == std::string::npos, second.c_str());
+}
+
+TEST(Placement, aTaskStartedAgainGoesToTheRackOfItsStep) {
+    LedgerBench bench;
+    bench.minion("a1", Place{.cores = 2000, .rack = "A"});
+    bench.minion("b1", Place{.cores = 3000, .rack = "B"});
+    bench.submit("job", {LedgerBench::step(2, 1000, sameRack())});
+    STRCMP_EQUAL("start job on b1, start job on b1", bench.planAndRun().c_str());
+    bench.end("job", EndingKind::stopped, 0);
+    bench.submit("other", {LedgerBench::step(1, 500)});  // now rack A has the more idle cores
+    bench.now += 100;
+    CHECK(bench.planAndRun().find("start job on b1") != std::string::npos);
+}
+
+TEST(Placement, acceleratorsAreRoom) {
+    LedgerBench bench;
+    bench.minion("plain", Place{.cores = 2000});
+    bench.minion("quick", Place{.cores = 8000, .accelerators = 2});
+    bench.submit("job", {accelerated(3, 1)});
+    STRCMP_EQUAL("start job on quick, start job on quick", bench.planAndRun().c_str());
+    bench.submit("plain", {LedgerBench::step(1)});
+    STRCMP_EQUAL("start plain on plain", bench.planAndRun().c_str());
+    bench.end("job", EndingKind::finished, 1);
+    STRCMP_EQUAL("start job on quick", bench.planAndRun().c_str());
+}
+
+TEST(Placement, aStepWaitsForAllTasksBeforeIt) {
+    LedgerBench bench;
+    bench.minion("a", Place{.cores = 16'000});
+    auto second = LedgerBench::step(1);
+    second.after = {"0"};
+    bench.submit("job", {LedgerBench::step(2), second});
+    STRCMP_EQUAL("start job on a, start job on a", bench.planAndRun().c_str());
+    bench.end("job", EndingKind::finished, 0);
+    STRCMP_EQUAL("", bench.planAndRun().c_str());
+    bench.end("job", EndingKind::finished, 1);
+    STRCMP_EQUAL("start job on a", bench.planAndRun().c_str());
+}
+
+TEST(Placement, aRetryGoesElsewhereWhereThereIsRoom) {
+    LedgerBench bench;
+    bench.minion("a", Place{.cores = 2000});
+    bench.minion("b", Place{.cores = 8000});
+    bench.submit("job", {LedgerBench::step(1)});
+    STRCMP_EQUAL("start job on a", bench.planAndRun().c_str());
+    bench.end("job", EndingKind::failed);
+    bench.now += 6000;
+    STRCMP_EQUAL("start job on b", bench.planAndRun().c_str());
+}
+
+TEST(Placement, moreUrgentQueuesGoFirst) {
+    LedgerBench bench(R"({"planner":{"trials":false,"urgency_first":true},"pools":{"press":{}},
+        "queues":{"slow":{"pool":"press","tries":1,"urgency":0},"quick":{"pool":"press","tries":1,"urgency":2}}})");
+    bench.minion("a", Place{.cores = 1000});
+    bench.submit("waited", {LedgerBench::step(1)}, "slow");
+    bench.now += 600'000;
+    bench.submit("urgent", {LedgerBench::step(1)}, "quick");
+    STRCMP_EQUAL("start urgent on a", bench.planAndRun().c_str());
+}
+
+// Thousandths of a core: nothing is rounded up to whole ones, and nothing is promised twice.
+TEST(Placement, coresAreSharedByThousandths) {
+    LedgerBench bench;
+    bench.minion("a", Place{.cores = 1000});
+    bench.submit("job", {LedgerBench::step(5, 240)});
+    STRCMP_EQUAL("start job on a, start job on a, start job on a, start job on a", bench.planAndRun().c_str());
+}
