--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -188,3 +188,18 @@
     bench.submit("job", {LedgerBench::step(5, 240)});
     STRCMP_EQUAL("start job on a, start job on a, start job on a, start job on a", bench.planAndRun().c_str());
 }
+
+// docs/design.md 7.3: a part not heard to have begun for 2.5 s may be missing, and the others wait or run alone.
+TEST(Placement, aGangThatIsNotHeardToHaveBegunIsStoppedWhole) {
+    LedgerBench bench;
+    bench.minion("a", Place{.cores = 1000});
+    bench.minion("b", Place{.cores = 1000});
+    bench.submit("gang", {LedgerBench::gang(2)});
+    STRCMP_EQUAL("start gang on a, start gang on b", bench.plan().c_str());
+    bench.fold(MinionSynced{MinionId{"a"}, bench.ledger.minions.at(MinionId{"a"}).lastOrder, {}});
+    bench.now += 2400;
+    STRCMP_EQUAL("", bench.plan().c_str());
+    bench.now += 200;
+    STRCMP_EQUAL("stop gang on a, stop gang on b", bench.plan().c_str());
+    STRCMP_EQUAL("", bench.plan().c_str());
+}
