A check that nothing outside platform/ knows of it and that the core compiles alone

Cause: the platform's folder may hold no decision and no part of the product may lean on it; nothing checked that.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -3,6 +3,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build/aniseline_tests
+# Nothing outside platform/ knows of it, and the core compiles alone.
+bash tests/layout.sh
 # Seeded faults on the whole cluster in virtual time; a fixed set of seeds, so the verdict is the same every time.
 build/flume --from 1 --seeds 96 --every-kind
 # Bad flags, options and setups are refused by file and field, before anything starts.
