Failing test: a configuration with a list of other things ends the process

Cause: picojson's get(field) throws on what is no object; readConfiguration asks entries of services and routes without looking, and no handler catches. A configuration like {"version":1,"routes":[],"services":["press"]} ends each reservoir that it is sent to. Fails: 'thrown out by: is<object>()'. Proposed: refuse entries that are no objects, as readJob does; HttpServer answers 500 to a throw.

--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -455,3 +455,17 @@
         CHECK_TEXT(faults.find("bounds.sync_s: ") == 0, odd);
     }
 }
+
+// Whatever the lists hold: an answer, and no end of the process.
+TEST(PlatformConfiguration, listsOfOtherThingsAreRefused) {
+    for (const std::string body : {R"({"version":1,"routes":[],"services":["press"]})", R"({"version":1,"routes":[],"services":[null]})",
+                                    R"({"version":1,"routes":[7],"services":[]})", R"({"version":1,"routes":["a"],"services":[{"name":"press"}]})"}) {
+        std::string fault;
+        try {
+            fault = configurationFault(body);
+        } catch (const std::exception& error) {
+            FAIL((body + " is thrown out by: " + error.what()).c_str());
+        }
+        CHECK_TEXT(!fault.empty(), body.c_str());
+    }
+}
