Failing test: orders are lost when one answer overtakes another

Cause: the leader gives each order in one answer (Reservoir::ordersSent), the penstock takes any number above the last it got. If the answer with 2 and 3 is late or lost and that with 4 comes, 2 and 3 are ignored for good and applied() says 4: the ledger holds them for running. Proposed: SyncAnswer tells the number its orders follow; the penstock takes them only where that is not above what it received (a new process: the leader's applied).

--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -873,3 +873,19 @@
     stand.looked({}, {ended(1, "a", EndingKind::stopped)});
     STRCMP_EQUAL("start c/1", stand.callsIn(30).c_str());
 }
+
+// Two syncs wait at the leader, and it gives each order in one answer only. The later answer may come first; the orders of the
+// earlier one are not lost by that, and never said to be carried out. docs/design.md 5.3.
+TEST(PenstockOrders, anAnswerThatOvertakesAnotherLosesNothing) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    const auto patient = stand.penstock.report(stand.at()), urgent = stand.penstock.report(stand.at());
+    stand.penstock.answered(urgent, stand.answer({start(4, "d")}), stand.at(), stand.at());
+    const auto applied = stand.applied();
+    CHECK_TEXT(applied < 2, "orders that never came are said to be carried out");
+    stand.penstock.answered(patient, stand.answer({start(2, "b"), start(3, "c")}), stand.at(), stand.at());
+    stand.sync({start(2, "b"), start(3, "c"), start(4, "d")});  // whatever is still not applied comes again
+    const std::string calls = stand.calls();
+    for (const char* wanted : {"start b/1", "start c/1", "start d/1"}) CHECK_TEXT(calls.find(wanted) != std::string::npos, calls.c_str());
+}
