Failing test: a gang's clean ending forgets the part whose minion went

Cause: gangDone marks tasks that have an attempt of this run; one that waits again (its minion crashed) stays waiting, and is started alone after the gang ended well. Fails: 'done waiting' for 'done done'.

--- a/tests/ledger_tests.cpp
+++ b/tests/ledger_tests.cpp
@@ -526,3 +526,21 @@
     CHECK(pack(read.value()) == pack(bench.ledger));
     STRCMP_EQUAL("x1", read.value().jobs.at(JobId{"gang"}).tasks[0].saved.c_str());
 }
+
+// They end well together, and one such ending counts for all: also for a part whose minion went before it could tell.
+TEST(LedgerGangs, oneCleanEndingCountsForAPartWhoseMinionWent) {
+    LedgerBench bench;
+    bench.minion("a", {.cores = 1000});
+    bench.minion("b", {.cores = 1000});
+    bench.minion("c", {.cores = 1000});
+    bench.submit("gang", {LedgerBench::gang(2)});
+    STRCMP_EQUAL("start gang on a, start gang on b", bench.planAndRun().c_str());
+    const AttemptNumber first = bench.attempt("gang", 0);
+    bench.fold(MinionGone{MinionId{"b"}, "crashed"});
+    STRCMP_EQUAL("placed waiting", bench.tasks("gang").c_str());
+    CHECK(bench.stopOrdered(first));
+    bench.end(first, EndingKind::finished);  // it had ended before the stop came
+    STRCMP_EQUAL("done done", bench.tasks("gang").c_str());
+    STRCMP_EQUAL("finished", bench.state("gang").c_str());
+    STRCMP_EQUAL("", bench.plan().c_str());
+}
