Failing test: what lasts waits for seconds after its fifth failure

Cause: taskBack's pause doubles with task.starts, up to 5 s, and what lasts starts without end. Its share at work earns nothing meanwhile, and a job with nothing running for 3 s breaks a rule. Proposed: pause by failures in a row, bounded to 1 s, and shorter where other minions have room.

--- a/tests/ledger_tests.cpp
+++ b/tests/ledger_tests.cpp
@@ -544,3 +544,17 @@
     STRCMP_EQUAL("finished", bench.state("gang").c_str());
     STRCMP_EQUAL("", bench.plan().c_str());
 }
+
+// A task whose turn has come and that has room is not kept waiting for 3 s, however often it failed or was stopped before.
+TEST(LedgerLasting, noFailureMakesItWaitForLong) {
+    LedgerBench bench;
+    bench.minion("a");
+    bench.submit("job", {LedgerBench::step(1, 1000, lasting())});
+    for (int count = 0; count < 10; ++count) {
+        bench.planAndRun();
+        bench.end("job", EndingKind::failed);
+        const Span pause = bench.task("job").notBefore - ClusterTime{bench.now};
+        CHECK_TEXT(pause < Span{2500}, ("waits " + std::to_string(pause.milliseconds) + " ms after failure " + std::to_string(count + 1)).c_str());
+        bench.now += 60'000;
+    }
+}
