--- a/tests/ledger_tests.cpp
+++ b/tests/ledger_tests.cpp
@@ -558,3 +558,18 @@
         bench.now += 60'000;
     }
 }
+
+TEST(LedgerTries, stopsMakeNoFailureWaitLonger) {
+    LedgerBench bench;
+    bench.minion("a");
+    bench.submit("job", {LedgerBench::step(1)});
+    for (int count = 0; count < 6; ++count) {
+        bench.planAndRun();
+        bench.end("job", EndingKind::stopped);
+        bench.now += 60'000;
+    }
+    bench.planAndRun();
+    bench.end("job", EndingKind::failed);
+    const Span pause = bench.task("job").notBefore - ClusterTime{bench.now};
+    CHECK_TEXT(pause < Span{2500}, ("waits " + std::to_string(pause.milliseconds) + " ms after its first failure").c_str());
+}
