Failing test: a task that waits to be apart keeps room idle

Cause: reserve() looks at cores and memory only, so the reserved start is 'now' on a minion that may not take the task, and others are held off from idle cores; where a step can't be apart any further the one reservation is parked. Fails: nothing starts beside it. Proposed: reserve() counts ofStep (as of what ends by then) and leaves out what can't be placed by any time known.

--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -203,3 +203,13 @@
     STRCMP_EQUAL("stop gang on a, stop gang on b", bench.plan().c_str());
     STRCMP_EQUAL("", bench.plan().c_str());
 }
+
+// What waits for something else than cores and memory reserves none of these: others would wait for it in vain. docs/paper.md 3.
+TEST(Placement, whatWaitsToBeApartKeepsNoRoomIdle) {
+    LedgerBench bench;
+    bench.minion("a");
+    bench.submit("job", {LedgerBench::step(2, 1000, apart(1))});
+    STRCMP_EQUAL("start job on a", bench.planAndRun().c_str());
+    bench.submit("other", {LedgerBench::step(1, 3000)});
+    STRCMP_EQUAL("start other on a", bench.planAndRun().c_str());
+}
