Failing test: a task that waits for an accelerator keeps room idle

Cause: reserve() compares a minion's whole accelerators, not the free ones at that time. Fails: nothing starts beside it. Proposed: freeFrom() gives accelerators too.

--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -213,3 +213,12 @@
     bench.submit("other", {LedgerBench::step(1, 3000)});
     STRCMP_EQUAL("start other on a", bench.planAndRun().c_str());
 }
+
+TEST(Placement, whatWaitsForAnAcceleratorKeepsNoRoomIdle) {
+    LedgerBench bench;
+    bench.minion("a", Place{.accelerators = 1});
+    bench.submit("job", {accelerated(2, 1)});
+    STRCMP_EQUAL("start job on a", bench.planAndRun().c_str());
+    bench.submit("other", {LedgerBench::step(1, 3000)});
+    STRCMP_EQUAL("start other on a", bench.planAndRun().c_str());
+}
