Failing test: a task far from its data keeps others of its shape from room

Cause: noBackfill remembers shapes by requested runtime; one that failed because it would take 'far' times as long covers a plain one. Fails: nothing starts; without the far task it does. Proposed: keep shapes of units with near, sameRack or avoid out of it.

--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -222,3 +222,19 @@
     bench.submit("other", {LedgerBench::step(1, 3000)});
     STRCMP_EQUAL("start other on a", bench.planAndRun().c_str());
 }
+
+// Away from its data a task takes longer; one that found no place for that says nothing of another that takes its plain time.
+TEST(Placement, aTaskFarFromItsDataKeepsNoOtherFromRoom) {
+    LedgerBench bench;
+    bench.minion("a", Place{.cores = 8000, .rack = "r1"});
+    bench.submit("first", {LedgerBench::step(1, 6000, {}, false, 100'000)});
+    bench.planAndRun();
+    bench.submit("wide", {LedgerBench::step(1, 8000, {}, false, 50'000)});
+    STRCMP_EQUAL("", bench.planAndRun().c_str());  // holds the reserved start
+    bench.now += 1;
+    bench.submit("far", {LedgerBench::step(1, 1000, near("r2"), false, 80'000)});  // 120 s here: past the reserved start
+    STRCMP_EQUAL("", bench.planAndRun().c_str());
+    bench.now += 1;
+    bench.submit("plain", {LedgerBench::step(1, 1000, {}, false, 80'000)});
+    STRCMP_EQUAL("start plain on a", bench.planAndRun().c_str());
+}
