Failing test: a replaced life is reported at once and given work that can't start

Cause: mayReport() does not look at retiredUntil though replaced() says that only then may the minion be used; the daemon's next sync makes it present, and orders lie there for up to 7.1 s. Proposed: mayReport(now) is false until retiredUntil.

--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -914,3 +914,13 @@
         CHECK_TEXT(!isVoid || !extended || lapsed, ("void, and extended, " + std::to_string(away) + " ms after the last call").c_str());
     }
 }
+
+// Until then the leader hears nothing of the new incarnation: it would give it work at once, and that would lie there for 7 s.
+TEST(PenstockLives, replacedIsNotReportedBeforeItCanWork) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    CHECK(stand.penstock.mayReport());
+    stand.penstock.replaced(stand.at());
+    CHECK_FALSE(stand.penstock.mayReport());
+}
