Failing test: a stop counts as if it had extended the hold

Cause: takeCalls sets a deadline on every call and raises 'granted'; a stop's is never sent (platform/words.cpp erases it). A lapse is noted late. Fails: finished for stopped. Proposed: no deadline on stops.

--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -924,3 +924,20 @@
     stand.penstock.replaced(stand.at());
     CHECK_FALSE(stand.penstock.mayReport());
 }
+
+// A stop brings its minion no deadline, so it keeps nothing there alive. docs/design.md 5.4.
+TEST(PenstockLeases, aStopExtendsNoHold) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.beginWith("b", 2);
+    stand.calls();
+    stand.looked({active("b")}, {ended(1, "a")});
+    stand.now += 1400;
+    stand.sync({stop(3, "b")});
+    STRCMP_EQUAL("stop b/1", stand.calls().c_str());
+    stand.reply(CallKind::stop, ReplyKind::lost);
+    stand.now += 4700;  // 6.1 s after the look that granted the last hold
+    stand.calls();
+    STRCMP_EQUAL("a/1 stopped", stand.endings().c_str());
+}
