Failing test: a report made after the lapse tells a void ending as clean

Cause: report() does not call noteLapse; only takeCalls and hear do. The daemon calls takeCalls just before, so the window is small. Fails: finished for stopped. Proposed: report() notes the lapse first.

--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -941,3 +941,14 @@
     stand.calls();
     STRCMP_EQUAL("a/1 stopped", stand.endings().c_str());
 }
+
+// Whoever asks for a report first, a lapse is noted before anything is told.
+TEST(PenstockLeases, aReportAfterTheLapseTellsNothingVoid) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.calls();
+    stand.looked({}, {ended(1, "a")});
+    stand.now += 7000;
+    STRCMP_EQUAL("a/1 stopped", stand.endings().c_str());
+}
