Failing test: a look answered before the lapse ends the wait for one after it

Cause: looked() clears 'lapsed' whatever the answer's clock says. Narrow: the answer must be on its way while the hold runs out. Fails: a start at once. Proposed: clear it only by a look that was called after the lapse was noted.

--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -952,3 +952,22 @@
     stand.now += 7000;
     STRCMP_EQUAL("a/1 stopped", stand.endings().c_str());
 }
+
+// The answer to a look that was given before the lapse tells nothing of it.
+TEST(PenstockLeases, aLookAnsweredBeforeTheLapseDoesNotEndIt) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a", 1);
+    stand.now += 5500;
+    STRCMP_EQUAL("look", stand.calls().c_str());
+    stand.now += 200;
+    const auto early = stand.lists({active("a")}, {});
+    stand.now += 600;  // it comes late, when the hold has run out
+    STRCMP_EQUAL("", stand.calls().c_str());
+    stand.penstock.replied(stand.take(CallKind::look), early, stand.at());
+    stand.sync({start(2, "b")});
+    const std::string calls = stand.calls();
+    CHECK_TEXT(calls.find("start") == std::string::npos, calls.c_str());
+    stand.looked({}, {ended(1, "a")});  // ended before the lapse, unconfirmed
+    STRCMP_EQUAL("a/1 stopped", stand.endings().c_str());
+}
