Failing test: numbers past 32 bits come round as small ones

Cause: whole() is cut to 32 bits without a look: cpu is read as a thousandth of a core, repeat as 2, gpus as none. Proposed: clamp to the type's largest value; the job is then refused or never fits.

--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -469,3 +469,11 @@
         CHECK_TEXT(!fault.empty(), body.c_str());
     }
 }
+
+// A number past 32 bits is refused or stays large; it never comes round as a small one.
+TEST(PlatformJobs, largeNumbersDoNotComeRound) {
+    CHECK(!jobFault(R"({"stages":[{"replicas":1,"cpu":4294967297}]})").empty());
+    CHECK(!jobFault(R"({"repeat":4294967298,"start_at_ms":1700000000000,"period_ms":1000,"stages":[{"replicas":1}]})").empty());
+    auto accelerated = readJob(R"({"stages":[{"replicas":1,"gpus":4294967296}]})");
+    CHECK_TEXT(!accelerated || accelerated.value().steps[0].tasks[0].accelerators > 0, "a task that asks for accelerators asks for none");
+}
