Tests sharpened where a guard taken out went unnoticed

Now the data's rack, repeated orders after closing, an account heard late and an answer to one that left are tested; their guards are noticed.

--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -615,6 +615,20 @@
     CHECK(stand.calls().find("start c/1") == 0);
 }
 
+// An answer that was overtaken repeats what was long carried out, told and closed.
+TEST(PenstockOrders, areNotRepeatedAfterTheirRunIsClosed) {
+    Stand stand;
+    stand.begin();
+    const auto overtaken = stand.penstock.report(stand.at());
+    stand.beginWith("a", 1);
+    stand.calls();
+    stand.looked({}, {ended(1, "a")});
+    stand.sync({}, 1);
+    stand.penstock.answered(overtaken, stand.answer({start(1, "a")}), stand.at(), stand.at());
+    STRCMP_EQUAL("", stand.callsIn(30).c_str());
+    LONGS_EQUAL(1, stand.applied());
+}
+
 TEST(PenstockOrders, ofAnOlderEpochAreIgnored) {
     Stand stand;
     stand.begin();
@@ -705,6 +719,17 @@
     CHECK(*call.deadline > stand.minionClock(stand.now + 5800));
 }
 
+TEST(PenstockLeases, anAccountHeardLateSetsNoClockBack) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    auto late = stand.account();
+    late.clock = stand.minionClock(stand.now - 2000);
+    CHECK(stand.penstock.known(late, stand.at()));
+    stand.calls();
+    CHECK(*stand.take(CallKind::start).deadline > stand.minionClock(stand.now + 5800));
+}
+
 TEST(PenstockLeases, noCallGoesPastTheMinionsOwnLimit) {
     Stand stand;
     stand.term = Span{60'000};
@@ -842,6 +867,8 @@
     stand.beat();  // overtaken by its last word
     CHECK_FALSE(stand.penstock.mayReport());
     STRCMP_EQUAL("", stand.callsIn(30).c_str());
+    stand.sync({start(2, "b")});  // one that was under way
+    STRCMP_EQUAL("", stand.callsIn(30).c_str());
     stand.life = "life-2";
     CHECK(stand.beat());
     CHECK(stand.penstock.mayReport());
--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -65,10 +65,12 @@
 TEST(Placement, nearItsDataWhereThereIsRoom) {
     LedgerBench bench;
     bench.minion("far", Place{.cores = 2000, .rack = "r1"});
-    bench.minion("near", Place{.cores = 4000, .rack = "r2"});
-    bench.submit("a", {LedgerBench::step(1, 3000, near("r2"))});
+    bench.minion("near", Place{.cores = 8000, .rack = "r2"});
+    bench.submit("plain", {LedgerBench::step(1)});
+    STRCMP_EQUAL("start plain on far", bench.planAndRun().c_str());  // the fewest unallocated cores
+    bench.submit("a", {LedgerBench::step(1, 1000, near("r2"))});
     STRCMP_EQUAL("start a on near", bench.planAndRun().c_str());
-    bench.submit("b", {LedgerBench::step(1, 1000, near("r2"))});
+    bench.submit("b", {LedgerBench::step(1, 7000, near("r2"))});
     STRCMP_EQUAL("start b on near", bench.planAndRun().c_str());
     bench.submit("c", {LedgerBench::step(1, 1000, near("r2"))});  // no room there: elsewhere is slower, and better than waiting
     STRCMP_EQUAL("start c on far", bench.planAndRun().c_str());
