Failing test: the start of an attempt that ended is still an order to its minion

Cause: endAttempt removes the attempt and leaves its orders in Minion::orders. A penstock that is killed gets all orders not applied again (one before them may still be open) and begins a run that was refused or unstarted, while the task runs elsewhere: TWICE. Fails: a start is still ordered. Proposed: removeAttempt turns its orders into stops, as forceStop does; numbers stay without gaps.

--- a/tests/ledger_tests.cpp
+++ b/tests/ledger_tests.cpp
@@ -573,3 +573,18 @@
     const Span pause = bench.task("job").notBefore - ClusterTime{bench.now};
     CHECK_TEXT(pause < Span{2500}, ("waits " + std::to_string(pause.milliseconds) + " ms after its first failure").c_str());
 }
+
+// docs/design.md 5.3: an order of a start whose ending is known must not begin when it is given again. A penstock that was killed
+// gets all orders that are not applied, and one before this may still be open; the task runs elsewhere by then.
+TEST(LedgerMinions, theOrderOfAStartThatEndedIsNoStartAnyMore) {
+    LedgerBench bench;
+    bench.minion("a");
+    bench.minion("b");
+    bench.submit("first", {LedgerBench::step(1)});
+    bench.submit("second", {LedgerBench::step(1)});
+    STRCMP_EQUAL("start first on a, start second on a", bench.plan().c_str());
+    bench.end("second", EndingKind::refused);  // it had no room; the first still gets no answer
+    STRCMP_EQUAL("start second on b", bench.plan().c_str());
+    for (const auto& order : bench.ledger.minions.at(MinionId{"a"}).orders)
+        CHECK_TEXT(order.job.value != "second" || order.kind != OrderKind::start, "a start that was refused is still ordered there");
+}
