Failing tests: an order is told as applied before its run's ending is known

Cause: the answer to a stop settles the orders of start and stop; the ending is told only after the next look. Killed in between, the next process knows neither, what never began is on no list, and the leader holds the attempt for running or stopping for ever. Fails: applied, and no ending is told.

--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -1027,3 +1027,36 @@
     STRCMP_EQUAL("stop a/1", stand.calls().c_str());
     STRCMP_EQUAL("", stand.endings().c_str());
 }
+
+// An order is carried out when its run's ending can be told with it: killed in between, the next process would know of neither
+// order nor run, for what never began is on no list, and the leader would hold it for running or stopping for ever.
+TEST(PenstockStops, areNotAppliedBeforeTheirRunsEndingIsKnown) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::lost);
+    stand.sync({stop(2, "a")});
+    stand.calls();
+    stand.reply(CallKind::stop, ReplyKind::done);
+    auto report = stand.penstock.report(stand.at());
+    CHECK_TEXT(report.lastOrder.value < 1 || !report.namedEndings.empty(), "applied, and no ending is told");
+    stand.callsIn(30);
+    stand.looked();
+    report = stand.penstock.report(stand.at());
+    LONGS_EQUAL(2, report.lastOrder.value);
+    STRCMP_EQUAL("a/1 unstarted", Stand::endings(report).c_str());
+}
+
+TEST(PenstockStarts, turnedAwayForRoomAfterSilenceAreNotAppliedBeforeThatIsTold) {
+    Stand stand;
+    stand.begin();
+    stand.sync({start(1, "a")});
+    stand.calls();
+    stand.reply(CallKind::start, ReplyKind::lost);
+    stand.callsIn(20);
+    stand.reply(CallKind::start, ReplyKind::room);
+    stand.calls();
+    stand.reply(CallKind::stop, ReplyKind::done);
+    LONGS_EQUAL(0, stand.applied());
+}
