--- a/source/edge/http.cpp
+++ b/source/edge/http.cpp
@@ -77,7 +77,12 @@
                     std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return char(std::tolower(letter)); });
                     request.fields.emplace_back(std::move(name), std::string(field.value()));
                 }
-            answer = handler(request);
+            // Whatever a body makes a reader throw ends the exchange, never the process.
+            try {
+                answer = handler(request);
+            } catch (const std::exception& error) {
+                answer = Answer::error(400, "invalid", std::string("the request can't be read: ") + error.what());
+            }
         }
         keep = !bad && parser.get().keep_alive() && !stopping;
         http::response<http::string_body> response{http::status(answer.status), 11};
--- a/source/exchange.hpp
+++ b/source/exchange.hpp
@@ -91,9 +91,8 @@
     std::vector<AttemptNumber> confirmed;
     Span term{3000};
     std::vector<Address> sluices;
-    OrderNumber previous;      // to a penstock: the orders are all there are after this one; answers may overtake each other
     std::uint32_t closed = 0;  // so many of the report's named endings, from the first on, are final
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & orders & confirmed & term & previous & closed; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & orders & confirmed & term & closed; }
     picojson::object render() const;
     static Result<SyncAnswer> parse(const std::string& body);
 };
--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -111,6 +111,10 @@
     auto found = attempts.find(number);
     if (found == attempts.end()) return;
     const bool trial = found->second.trial();
+    // docs/design.md 5.3: what ended is not begun when its order is given again.
+    if (auto minion = minions.find(found->second.minion); minion != minions.end())
+        for (auto& order : minion->second.orders)
+            if (order.attempt == number) order.kind = OrderKind::stop;
     attempts.erase(found);
     if (trial) resumeVictimsOf(number);
 }
@@ -172,7 +176,7 @@
     for (auto& task : job.tasks) {
         if (task.step != attempt.step || task.state == TaskState::done) continue;
         auto part = attempts.find(task.attempt);
-        if (part != attempts.end() && part->second.run == attempt.run) taskDone(job, task);
+        if (part != attempts.end() ? part->second.run == attempt.run : task.state == TaskState::waiting && task.run == attempt.run) taskDone(job, task);
     }
 }
 
@@ -325,7 +329,7 @@
             if ((failed && attempt.gang) || (attempt.assembles && attempt.state != AttemptState::stopping)) abortGang(job, attempt.step, number);
             // Where failures are counted there is nothing to wait for: the next try goes elsewhere, and there are only so many.
             const auto* queue = setup.queue(job.submission.queue);
-            const auto pause = failed && !(queue && queue->tries) ? std::min<std::int64_t>(5000, 100ll << std::min<std::uint32_t>(task.starts, 6)) : 0;
+            const auto pause = failed && !(queue && queue->tries) ? std::min<std::int64_t>(2000, 100ll << std::min<std::uint32_t>(std::max<std::uint32_t>(task.failures, 1), 6)) : 0;
             taskBack(job, task, failed || refused ? attempt.minion : MinionId{}, Span{free ? 0 : pause});
         }
     }
--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -41,14 +41,19 @@
 
 // What had ended when the hold ran out, and was not confirmed, is void. docs/design.md 5.5.
 void Penstock::noteLapse(Instant now) {
-    if (lapsed || !granted || !clock || *clock + (now - clockAt) < *granted) return;
-    if (!outOfTouch) granted.reset();
+    if (!granted || !clock || overNoted || surelyRead(now) < *granted) return;
+    overNoted = true;
     if (works.empty() && told.empty()) return;
     lapsed = true;
+    lapseSeenFrom = looksBegun + 1;
     for (auto& ending : told)
         if (ending.ending.kind == EndingKind::finished && ending.number) ending.ending.kind = EndingKind::stopped;
 }
 
+// What a clock that may be slow surely shows by now; and whether a true one may show the end of the hold already.
+MinionTime Penstock::surelyRead(Instant now) const { return *clock + Span{std::int64_t(double((now - clockAt).milliseconds) * options.slowest)}; }
+bool Penstock::mayLapse(Instant now) const { return granted && clock && !overNoted && *clock + (now - clockAt) + Span{50} >= *granted; }
+
 // The lease as a time on the minion's clock. Counted as if that clock were slow, it is never later than the lease.
 std::optional<MinionTime> Penstock::deadline(Instant now) const {
     if (!clock || leaseUntil <= now) return std::nullopt;
@@ -66,6 +71,7 @@
 OrderNumber Penstock::applied() const { return openOrders.empty() ? received : std::min(received, OrderNumber{openOrders.begin()->value - 1}); }
 
 SyncReport Penstock::report(Instant now) {
+    noteLapse(now);
     SyncReport report;
     report.id = account.life;
     report.incarnation = incarnation;
@@ -126,17 +132,24 @@
     takeOrders(answer, now);
 }
 
-// Answers overtake each other, so orders may come with a gap before them; each is carried out when it comes.
+// Answers overtake each other, so orders may come with a gap before them; each is carried out when it comes. A new process
+// begins where the leader does, and an earlier one may have begun to carry out what comes first. docs/design.md 5.8.
 void Penstock::takeOrders(const SyncAnswer& answer, Instant now) {
     auto has = [&](OrderNumber number) {
         return number <= received || std::any_of(ahead.begin(), ahead.end(), [&](const auto& span) { return number > span.first && number <= span.second; });
     };
-    for (const auto& order : answer.orders)
-        if (!has(order.number)) take(order, now);
-    if (!answer.orders.empty()) {
-        auto& upTo = ahead[answer.previous];
-        upTo = std::max(upTo, answer.orders.back().number);
+    const bool first = !answeredOnce;
+    answeredOnce = true;
+    if (answer.orders.empty()) return;
+    const OrderNumber before{answer.orders.front().number.value - 1};
+    if (received == OrderNumber{}) received = before;
+    for (const auto& order : answer.orders) {
+        if (has(order.number)) continue;
+        take(order, now);
+        if (auto work = works.find(RunName::of(order)); first && work != works.end()) work->second.unsure = true;
     }
+    auto& upTo = ahead[before];
+    upTo = std::max(upTo, answer.orders.back().number);
     while (!ahead.empty() && ahead.begin()->first <= received) {
         received = std::max(received, ahead.begin()->second);
         ahead.erase(ahead.begin());
@@ -153,6 +166,7 @@
     received = toldApplied = OrderNumber{};
     incarnation = incarnation.next();
     leaseUntil = Instant{0};
+    retired = true;
     retiredUntil = now + Span{options.longestHold.milliseconds * 11 / 10 + 500};
 }
 
@@ -231,7 +245,7 @@
 }
 
 Span Penstock::lookWait() const {
-    return std::clamp(Span{std::min(lease, options.hold).milliseconds / 3}, Span{100}, options.longestLook);
+    return std::clamp(Span{std::min(lease, options.hold).milliseconds / 4}, Span{100}, options.longestLook);
 }
 
 bool Penstock::wantsLook(Instant now) const {
@@ -250,6 +264,7 @@
 std::vector<MinionCall> Penstock::takeCalls(Instant now) {
     std::vector<MinionCall> calls;
     noteLapse(now);
+    retired = retired && now < retiredUntil;
     if (account.life.value.empty() || over || now < retiredUntil) return calls;
     auto make = [&](MinionCall::Kind kind) {
         MinionCall call;
@@ -257,8 +272,12 @@
         call.number = nextCall++;
         call.life = account.life;
         call.fence = epoch;
-        call.deadline = deaf(now) || outOfTouch ? granted : deadline(now);  // what the leader was told of stays true
-        if (call.deadline && (!granted || *granted < *call.deadline)) granted = call.deadline;
+        // A stop extends no hold; and what the leader was told of a deaf minion stays true.
+        if (kind != MinionCall::Kind::stop) call.deadline = deaf(now) || outOfTouch ? granted : deadline(now);
+        if (call.deadline && (!granted || *granted < *call.deadline)) {
+            granted = call.deadline;
+            overNoted = false;
+        }
         return call;
     };
     std::vector<RunName> never;
@@ -272,7 +291,7 @@
             }
             if (account.leaving) work.failed = true;
             else {
-                if (lapsed || outOfTouch || deaf(now) || leaseUntil <= now || !clock) continue;
+                if (lapsed || outOfTouch || deaf(now) || leaseUntil <= now || !clock || (mayLapse(now) && !told.empty())) continue;
                 auto call = make(MinionCall::Kind::start);
                 call.name = name;
                 call.payload = work.order.payload;
@@ -298,7 +317,7 @@
         }
     }
     for (const auto& name : never) finish(name, works[name].refused ? EndingKind::refused : EndingKind::unstarted, 0, "");
-    if (wantsLook(now)) {
+    if (wantsLook(now) && !(mayLapse(now) && !told.empty())) {
         auto call = make(MinionCall::Kind::look);
         call.lastSeen = lastSeen;
         const bool toFindOut = !everLooked || lapsed || std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
@@ -340,7 +359,6 @@
                 if (work.wanted) settleOrders(work);
             } else {
                 work.stopped = true;
-                settleOrders(work);
                 lookAfter(work);
             }
             return;
@@ -373,7 +391,6 @@
             if (start) work.failed = true;
             else {
                 work.stopped = true;
-                settleOrders(work);
                 lookAfter(work);
             }
             return;
@@ -408,7 +425,7 @@
         highestEnding = ended.number;
         finish(ended.name, lapsed && ended.kind == EndingKind::finished ? EndingKind::stopped : ended.kind, ended.number, ended.saved);
     }
-    lapsed = false;
+    if (lapsed && call.number >= lapseSeenFrom) lapsed = false;
     // docs/design.md 5.8: what a look begun after the last call for it does not show was never begun.
     if (!reply.whole) return;
     std::vector<RunName> absent;
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -51,8 +51,8 @@
 
 struct PenstockOptions {
     Span longestHold{6000};    // what the minion grants at most
-    Span hold{2000};           // what is asked of it at a time: renewed from here, within the leader's lease
-    Span longestLook{600};
+    Span hold{6000};           // what is asked of it at a time: renewed from here, within the leader's lease
+    Span longestLook{2000};
     Span deafAfter{700};       // unanswered for so long it is taken for deaf
     Span lookAgain{200};       // between looks while something is to be found out
     std::size_t callsAtOnce = 6;
@@ -68,7 +68,7 @@
     void left(const MinionId& life);
 
     // Towards the leader.
-    bool mayReport() const { return !account.life.value.empty() && !over; }
+    bool mayReport() const { return !account.life.value.empty() && !over && !retired; }
     SyncReport report(Instant now);
     bool deaf(Instant now) const;    // the minion leaves calls unanswered
     bool urgent(Instant now) const;  // there is something to tell without delay
@@ -117,6 +117,8 @@
     Span heldFor(Instant now) const;
     void hear(const std::optional<MinionTime>& clock, Instant now);
     void noteLapse(Instant now);
+    MinionTime surelyRead(Instant now) const;
+    bool mayLapse(Instant now) const;
     void looked(const MinionCall& call, const MinionReply& reply, Instant now);
     OrderNumber applied() const;
     bool wantsLook(Instant now) const;
@@ -128,6 +130,7 @@
     Incarnation incarnation{1};
     bool over = false;           // this life has left
     Instant retiredUntil{0};
+    bool retired = false;  // until then
     Epoch epoch;
     Instant leaseUntil{0};
     Span lease{0};
@@ -137,6 +140,7 @@
     bool unanswered = false;  // a call since then got no answer
     bool toldDeaf = false;
     bool outOfTouch = false;  // it was deaf: nothing is started before a leader has heard that it is not
+    bool overNoted = false;  // that the hold has run out is known
     bool lapsed = false;  // the hold may have run out: nothing is started before a look tells
     OrderNumber received;                        // all up to here have come
     std::map<OrderNumber, OrderNumber> ahead;    // spans beyond that have come too: after, up to
@@ -149,9 +153,9 @@
     std::map<RunName, std::string> saves;
     std::map<RunName, std::string> lastSaved;
     std::uint64_t lastSeen = 0, highestEnding = 0, nextCall = 1, callsUnderWay = 0;
-    bool looking = false, everLooked = false;
+    bool looking = false, everLooked = false, answeredOnce = false;
     Instant lookedAt{-1'000'000};
-    std::uint64_t looksBegun = 0;
+    std::uint64_t looksBegun = 0, lapseSeenFrom = 0;
 };
 
 }  // namespace aniseline
--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -56,6 +56,11 @@
     std::int64_t freeCores() const { return cores - usedCores; }
     std::int64_t freeMemory() const { return memory - usedMemory; }
     std::int64_t freeAccelerators() const { return accelerators - usedAccelerators; }
+    std::int64_t acceleratorsFrom(ClusterTime time) const {
+        std::int64_t used = 0;
+        for (const auto& projection : projections) used += projection.end > time ? projection.accelerators : 0;
+        return accelerators - used;
+    }
     // Cores that stay free when every held task is back, counting no expected ending. docs/design.md 7.4.
     std::int64_t safeCores() const { return std::min(freeCores(), freeCores() + trialCores - heldCores); }
     // Cores and memory free from the given time on, by expected endings; later resumptions are counted in.
@@ -527,7 +532,14 @@
         const auto parts = partsBySize(unit);
         for (auto time : times) {
             std::vector<std::pair<std::int64_t, std::int64_t>> free(rooms.size());
-            for (std::size_t place = 0; place < rooms.size(); ++place) free[place] = rooms[place].freeFrom(time);
+            std::vector<std::int64_t> accelerators(rooms.size());
+            std::vector<std::uint32_t> together(rooms.size());
+            for (std::size_t place = 0; place < rooms.size(); ++place) {
+                free[place] = rooms[place].freeFrom(time);
+                accelerators[place] = rooms[place].acceleratorsFrom(time);
+                // Tasks to be kept apart are counted as if none of them ended: what waits for that holds no reservation.
+                if (auto found = rooms[place].ofStep.find({unit.job, unit.step}); found != rooms[place].ofStep.end()) together[place] = found->second;
+            }
             Reservation reservation;
             reservation.job = unit.job;
             reservation.step = unit.step;
@@ -536,13 +548,16 @@
                 const TaskRequest& request = requestOf(unit, part);
                 std::size_t best = rooms.size();
                 for (std::size_t place = 0; place < rooms.size(); ++place) {
-                    if (!rooms[place].minion->open() || free[place].first < request.cores || !suits(unit, rooms[place]) || rooms[place].accelerators < request.accelerators) continue;
+                    if (!rooms[place].minion->open() || free[place].first < request.cores || !suits(unit, rooms[place]) || accelerators[place] < request.accelerators) continue;
+                    if (unit.needs->apart && together[place] >= unit.needs->apart) continue;
                     if (!memoryFits(rooms[place], free[place].second, std::int64_t(request.memory), trialRoom)) continue;
                     if (best == rooms.size() || free[place].first < free[best].first) best = place;
                 }
                 if (best == rooms.size()) break;
                 free[best].first -= request.cores;
                 free[best].second -= std::int64_t(request.memory);
+                accelerators[best] -= request.accelerators;
+                ++together[best];
                 reservation.placements.push_back({part, rooms[best].minion->id});
             }
             if (reservation.placements.size() == parts.size()) return reservation;
@@ -812,7 +827,7 @@
                 note(unit, "no minion that is here now could ever hold it");
                 continue;
             }
-            if (!unit.gang && !unit.needs->apart && !requestOf(unit, unit.tasks[0]).accelerators) noBackfill[{unit.pool, unit.needs->label}].add(shape);
+            if (!unit.gang && !unit.needs->apart && !unit.needs->sameRack && unit.needs->near.empty() && !requestOf(unit, unit.tasks[0]).accelerators) noBackfill[{unit.pool, unit.needs->label}].add(shape);
             note(unit, "would delay the reserved start, or no minion has room");
         }
         if (ledger.setup.planner.trials)
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -570,7 +570,7 @@
         }
         SyncAnswer answered;
         OrderNumber known = report.packed ? std::max(report.lastOrder, report.received) : report.lastOrder;
-        if (auto sent = ordersSent.find(report.id); report.packed && sent != ordersSent.end() && now - sent->second.at < Span{500}) known = std::max(known, sent->second.through);
+        if (auto sent = ordersSent.find(report.id); report.packed && report.received.value && sent != ordersSent.end() && now - sent->second.at < Span{500}) known = std::max(known, sent->second.through);
         for (const auto& order : found->second.orders)
             if (order.number > known) answered.orders.push_back(order);
         if (answered.orders.empty() && now < record.pollUntil) return false;
@@ -581,7 +581,6 @@
             if (open == committedLedger.attempts.end() || open->second.minion != report.id) answered.confirmed.push_back(ending.attempt);
         }
         if (report.packed) {
-            answered.previous = known;
             for (const auto& ending : report.namedEndings) {
                 if (committedLedger.attemptNamed(report.id, ending.name).value) break;
                 ++answered.closed;
--- a/tests/called_minion_tests.cpp
+++ b/tests/called_minion_tests.cpp
@@ -229,7 +229,6 @@
         order.kind = kind;
         order.job = JobId{job};
         order.run = 1;
-        answer.previous = OrderNumber{number - 1};
         answer.orders.push_back(order);
         penstock.answered(penstock.report(now), answer, now, now);
     };
