Simulator: minions that are called, their penstocks, faults and campaigns for both (first form)

Cause: the penstock had been run on the platform only, never under virtual time with seeded faults. What: a stand-in minion of that kind, penstock nodes in the world, fifteen kinds of fault, work with labels, racks, gangs, checkpoints; the checker's rules 13 to 18.

--- a/source/promises.cpp
+++ b/source/promises.cpp
@@ -30,7 +30,9 @@
     }
     std::string ending;
     bool trial = false;
-    std::uint32_t cores = 0;
+    bool called = false, late = false;      // on a minion that is called; begun by an order carried out late
+    std::optional<std::int64_t> notedAt;    // its ending was taken note of, with no lapse before that
+    std::uint32_t cores = 0, accelerators = 0;
     std::uint64_t memory = 0;
 };
 struct TaskHistory {
@@ -40,6 +42,7 @@
 };
 struct JobHistory {
     std::optional<std::int64_t> acceptedAt, cancelledAt;
+    std::optional<std::int64_t> finishedShownAt;
     std::size_t submissions = 0, rejections = 0;
     bool over = false, explained = false;
     std::map<std::uint32_t, TaskHistory> tasks;
@@ -61,6 +64,7 @@
 private:
     // Without a fault a gang's parts begin within little more than a round of syncs, with one within term, margin and a round trip.
     static constexpr std::int64_t calmGang = 700, disturbedGang = 5000;
+    static constexpr std::int64_t calledHold = 12'000;       // the longest hold, an order on its way, and the stop itself
     static constexpr std::int64_t aftermath = 6000;  // a fault's consequences: term, margin and a change of leader
 
     void broken(int rule, std::int64_t at, std::string text) { found.broken.push_back({rule, at, std::move(text)}); }
@@ -100,6 +104,7 @@
             for (auto& [place, task] : job.tasks)
                 for (auto& run : task.runs)
                     if (!run.endedAt && run.active) keptRunning(job, nameOf(id, place), run, end);
+            judgeEndings(id, job);
             if (const auto* submission = submissionOf(id))
                 for (std::uint32_t step = 0; step < submission->steps.size(); ++step)
                     if (submission->steps[step].gang) gangAlone(id, job, *submission, step, end);
@@ -108,17 +113,163 @@
     void keptRunning(const JobHistory& job, const std::string& what, const Run& run, std::int64_t at) {
         if (!job.cancelledAt || at <= *job.cancelledAt + 4000 + options.slack) return;
         const std::string text = what + " kept running " + std::to_string(at - *job.cancelledAt) + " ms after its cancel";
+        // With a fault about, the hold of a minion that is called ends it: docs/design.md 5.8.
+        if (run.called && disturbedWithin(*job.cancelledAt, at) && at <= *job.cancelledAt + calledHold + options.slack) return;
         // A cut-off minion that honours no terms can't be told and does not hold: docs/operations.md 8.
         if (termless(run.minion) && disturbedWithin(*job.cancelledAt, *job.cancelledAt + 4000)) limit(5, at, text + ", on a minion without terms");
         else broken(5, at, text);
     }
+    const StepRequest* stepOf(const std::string& id, std::uint32_t task) const {
+        const auto* submission = submissionOf(id);
+        if (!submission) return nullptr;
+        const auto step = placeOf(*submission, task).first;
+        return step < submission->steps.size() ? &submission->steps[step] : nullptr;
+    }
+    bool isCalled(const std::string& minion) const {
+        auto known = capacities.find(minion);
+        return known != capacities.end() && known->second.detail == "called";
+    }
+    // Of a gang that assembles itself one member's ending counts for all of its run.
+    template <class Use>
+    void eachMemberOf(const std::string& id, JobHistory& job, std::uint32_t task, const std::string& attempt, Use use) {
+        const auto* submission = submissionOf(id);
+        const auto* step = stepOf(id, task);
+        if (!step) return;
+        std::uint32_t first = task, after = task + 1;
+        if (step->gang) {
+            first = firstTask(*submission, std::uint32_t(step - submission->steps.data()));
+            after = first + std::uint32_t(step->tasks.size());
+        }
+        for (auto member = first; member < after; ++member)
+            if (auto known = job.tasks.find(member); known != job.tasks.end())
+                for (auto& run : known->second.runs)
+                    if (run.attempt == attempt) use(known->second, run);
+    }
+
+    // What only later lines decide: whether an ending was ever taken note of. docs/design.md 11.
+    void judgeEndings(const std::string& id, JobHistory& job) {
+        const auto* submission = submissionOf(id);
+        for (auto& [place, task] : job.tasks) {
+            const auto* step = stepOf(id, place);
+            if (!step || step->needs.lasts) continue;
+            for (auto& done : task.runs) {
+                if (!done.called || done.ending != "finished") continue;
+                std::optional<std::int64_t> noted;
+                eachMemberOf(id, job, place, done.attempt, [&](TaskHistory&, const Run& member) {
+                    if (member.ending == "finished" && member.notedAt) noted = std::min(noted.value_or(*member.notedAt), *member.notedAt);
+                });
+                if (!noted) continue;
+                for (const auto& run : task.runs) {
+                    if (&run == &done || run.startedAt < *done.endedAt) continue;
+                    const std::string text = nameOf(id, place) + " starts on " + run.minion + " though its run " + done.attempt + " had ended well on " + done.minion;
+                    if (!step->needs.redundant) broken(1, run.startedAt, text);
+                    else if (!run.late && run.startedAt > *noted + 1000 + options.slack && !disturbedWithin(*noted, run.startedAt)) broken(1, run.startedAt, text + ", which was long known");
+                }
+            }
+            auto tries = options.triesOf.find(submission->queue.value);
+            if (tries == options.triesOf.end()) continue;
+            for (const auto& run : task.runs) {
+                std::set<std::string> failed;
+                const auto first = step->gang ? firstTask(*submission, std::uint32_t(step - submission->steps.data())) : place;
+                for (auto member = first; member < first + (step->gang ? step->tasks.size() : 1); ++member)
+                    if (auto known = job.tasks.find(member); known != job.tasks.end())
+                        for (const auto& before : known->second.runs)
+                            if (before.ending == "failed" && before.notedAt && *before.endedAt <= run.startedAt &&
+                                (!step->needs.redundant || (!run.late && *before.notedAt + 1000 + options.slack < run.startedAt)))
+                                failed.insert(before.attempt);
+                if (failed.size() >= tries->second) broken(14, run.startedAt, nameOf(id, place) + " starts after " + std::to_string(failed.size()) + " runs that failed, with " + std::to_string(tries->second) + " tries");
+            }
+        }
+    }
+    // A job with tries fails by these, or because no minion that was ever there could hold it.
+    void judgeFailed(const Witness& witness, const JobSubmission& submission) {
+        auto tries = options.triesOf.find(submission.queue.value);
+        if (tries == options.triesOf.end()) return;
+        for (auto& [id, job] : jobs) {
+            if (id != witness.job && !id.starts_with(witness.job + "@")) continue;
+            std::map<std::pair<std::uint32_t, bool>, std::set<std::string>> failed;  // by step of a gang, else by task
+            for (auto& [place, task] : job.tasks) {
+                const auto step = placeOf(submission, place).first;
+                if (step >= submission.steps.size()) continue;
+                const bool gang = submission.steps[step].gang;
+                for (const auto& run : task.runs)
+                    if (run.ending == "failed") failed[{gang ? step : place, gang}].insert(run.attempt);
+            }
+            for (const auto& [key, attempts] : failed)
+                if (attempts.size() >= tries->second) return;
+        }
+        for (const auto& step : submission.steps) {
+            if (step.gang) {  // together they may not fit though one by one they do
+                std::uint64_t wanted = 0, known = 0;
+                for (const auto& task : step.tasks) wanted += task.cores;
+                for (const auto& [minion, capacity] : capacities)
+                    if (holds(submission, step, capacity)) known += capacity.cores;
+                if (wanted > known) return;
+            }
+            for (const auto& task : step.tasks)
+                if (std::none_of(capacities.begin(), capacities.end(), [&](const auto& known) {
+                        return holds(submission, step, known.second) && known.second.cores >= task.cores && known.second.memory >= task.memory && known.second.accelerators >= task.accelerators;
+                    }))
+                    return;
+        }
+        broken(18, witness.at, "job " + witness.job + " is shown as failed with no cause");
+    }
+    bool holds(const JobSubmission& submission, const StepRequest& step, const Witness& capacity) const {
+        auto pools = options.poolsOf.find(submission.queue.value);
+        if (pools != options.poolsOf.end() && !pools->second.count(capacity.pool)) return false;
+        return step.needs.label.empty() || std::count(capacity.labels.begin(), capacity.labels.end(), step.needs.label);
+    }
+    // Of a start on a minion that is called: where it is, what it was given, when. docs/design.md 11.
+    void startedOnCalled(const Witness& witness, JobHistory& job, const std::string& what) {
+        const auto* submission = submissionOf(witness.job);
+        if (!submission) return broken(15, witness.at, what + " starts on " + witness.minion + ", yet nobody asked for that job");
+        const auto [step, within] = placeOf(*submission, witness.task);
+        const bool ofOccurrence = witness.job != submission->id.value;
+        if (step >= submission->steps.size() || ofOccurrence != submission->timed()) return broken(15, witness.at, what + " starts on " + witness.minion + ", yet nobody asked for that task");
+        const auto& request = submission->steps[step];
+        const auto& needs = request.needs;
+        const auto& capacity = capacities.at(witness.minion);
+        auto pools = options.poolsOf.find(submission->queue.value);
+        if (pools != options.poolsOf.end() && !pools->second.count(capacity.pool)) broken(13, witness.at, what + " starts on " + witness.minion + " of pool " + capacity.pool + ", to which no setup sends its queue");
+        if (!needs.label.empty() && !std::count(capacity.labels.begin(), capacity.labels.end(), needs.label)) broken(13, witness.at, what + " starts on " + witness.minion + ", which lacks the label " + needs.label);
+        if (needs.apart) {
+            std::size_t there = 1;
+            const auto first = firstTask(*submission, step);
+            for (auto other = first; other < first + request.tasks.size(); ++other)
+                if (auto known = job.tasks.find(other); known != job.tasks.end())
+                    for (const auto& run : known->second.runs) there += !run.endedAt && run.minion == witness.minion;
+            if (there > needs.apart) broken(13, witness.at, what + " is the " + std::to_string(there) + "th of its step on " + witness.minion + ", of at most " + std::to_string(needs.apart));
+        }
+        const auto& own = request.tasks[within].payload;
+        if (witness.payload != (own.empty() ? submission->payload : own)) broken(15, witness.at, what + " starts with another payload");
+        const auto owner = ownerOf(witness.job, witness.task, request, step);
+        if (!witness.saved.empty()) {
+            auto made = savedBy.find(witness.saved);
+            if (made == savedBy.end() || made->second != owner) broken(15, witness.at, what + " starts from a checkpoint that is not its own");
+        }
+        if (request.gang) {
+            auto [brought, isNew] = broughtBy.try_emplace({owner, witness.attempt}, witness.saved);
+            if (!isNew && brought->second != witness.saved) broken(15, witness.at, what + " starts from another checkpoint than the rest of its gang");
+        }
+        if (auto left = leavingSince.find(witness.minion); left != leavingSince.end() && !witness.late && witness.at > left->second + options.slack)
+            broken(17, witness.at, what + " starts on " + witness.minion + " " + std::to_string(witness.at - left->second) + " ms after its leaving was acknowledged");
+        if (job.finishedShownAt && !witness.late && witness.at > *job.finishedShownAt + 1000 + options.slack) broken(1, witness.at, what + " starts though its job was shown as finished");
+    }
+    static std::string ownerOf(const std::string& job, std::uint32_t task, const StepRequest& request, std::uint32_t step) {
+        return job + (request.gang ? "/gang" + std::to_string(step) : "/" + std::to_string(task));
+    }
+    void saved(const Witness& witness) {
+        if (const auto* step = stepOf(witness.job, witness.task))
+            savedBy[witness.saved] = ownerOf(witness.job, witness.task, *step, placeOf(*submissionOf(witness.job), witness.task).first);
+    }
+
     // A part that ran on while another of its gang neither ran nor was done.
     void gangAlone(const std::string& id, JobHistory& job, const JobSubmission& submission, std::uint32_t step, std::int64_t end) {
         const auto first = firstTask(submission, step);
         const auto after = std::uint32_t(first + submission.steps[step].tasks.size());
         for (auto part = first; part < after; ++part)
             for (const auto& run : job.tasks[part].runs)
-                for (auto other = first; other < after; ++other) {
+                for (auto other = run.called ? after : first; other < after; ++other) {
                     const auto& beside = job.tasks[other];
                     if (other == part || (beside.finishedAt && *beside.finishedAt <= run.startedAt)) continue;
                     std::int64_t until = run.endedAt.value_or(end);
@@ -182,6 +333,7 @@
             case Witness::Kind::staying: leavingSince.erase(witness.minion); break;
             case Witness::Kind::explained: jobs[witness.job].explained = true; break;
             case Witness::Kind::settled: settledAt = witness.at; break;
+            case Witness::Kind::saved: saved(witness); break;
             case Witness::Kind::disturbed:
             case Witness::Kind::mended:
             case Witness::Kind::closed: break;
@@ -215,17 +367,26 @@
         job.over = witness.detail == "finished" || witness.detail == "failed" || witness.detail == "cancelled";
         if (witness.detail == "missing") {
             if (job.acceptedAt && witness.at > *job.acceptedAt + 3000) broken(2, witness.at, "job " + witness.job + " was accepted and is reported missing");
+        } else if (witness.detail == "failed") {
+            if (const auto* submission = submissionOf(witness.job)) judgeFailed(witness, *submission);
         } else if (witness.detail == "finished") {
-            if (const auto* submission = submissionOf(witness.job); submission && !submission->timed()) {
-                std::uint32_t total = firstTask(*submission, std::uint32_t(submission->steps.size()));
-                for (std::uint32_t task = 0; task < total; ++task) {
-                    auto known = job.tasks.find(task);
-                    if (known == job.tasks.end() || !known->second.finishedAt || *known->second.finishedAt > witness.at + options.slack)
-                        return broken(4, witness.at, "job " + witness.job + " is shown as finished while " + nameOf(witness.job, task) + " is open");
-                    for (const auto& run : known->second.runs)
-                        if (!run.endedAt && run.active) broken(4, witness.at, "job " + witness.job + " is shown as finished while " + nameOf(witness.job, task) + " still runs on " + run.minion);
-                }
-            }
+            if (!job.finishedShownAt) job.finishedShownAt = witness.at;
+            const auto* submission = submissionOf(witness.job);
+            if (!submission) return;
+            if (!submission->timed()) return allFinished(witness, witness.job, *submission);
+            for (std::uint32_t time = 0; time < submission->timetable.count; ++time) allFinished(witness, witness.job + "@" + std::to_string(time), *submission);
+        }
+    }
+    void allFinished(const Witness& witness, const std::string& id, const JobSubmission& submission) {
+        auto& job = jobs[id];
+        std::uint32_t total = firstTask(submission, std::uint32_t(submission.steps.size()));
+        for (std::uint32_t task = 0; task < total; ++task) {
+            auto known = job.tasks.find(task);
+            if (known == job.tasks.end() || !known->second.finishedAt || *known->second.finishedAt > witness.at + options.slack)
+                return broken(4, witness.at, "job " + witness.job + " is shown as finished while " + nameOf(id, task) + " is open");
+            for (const auto& run : known->second.runs)
+                if (!run.endedAt && run.active && !(run.called && (disturbedWithin(run.startedAt, witness.at) || submission.steps[placeOf(submission, task).first].needs.redundant)))
+                    broken(4, witness.at, "job " + witness.job + " is shown as finished while " + nameOf(id, task) + " still runs on " + run.minion);
         }
     }
 
@@ -233,12 +394,17 @@
         auto& job = jobs[witness.job];
         auto& task = job.tasks[witness.task];
         const std::string what = nameOf(witness.job, witness.task);
+        const bool called = isCalled(witness.minion);
+        const auto* ofStep = stepOf(witness.job, witness.task);
+        const bool redundant = ofStep && ofStep->needs.redundant;
+        if (called) startedOnCalled(witness, job, what);
         for (const auto& run : task.runs)
-            if (!run.endedAt && run.active) broken(1, witness.at, what + " runs on " + witness.minion + " and still on " + run.minion);
-        if (task.confirmedAt) broken(1, witness.at, what + " starts again after finishing well");
+            if (!run.endedAt && run.active && !redundant) broken(1, witness.at, what + " runs on " + witness.minion + " and still on " + run.minion);
+        if (called) {  // judged when all is known: docs/design.md 11
+        } else if (task.confirmedAt) broken(1, witness.at, what + " starts again after finishing well");
         else if (task.finishedAt) startedUnaware(witness, task, what);
-        if (job.cancelledAt && witness.at > *job.cancelledAt + 3000 + options.slack) broken(5, witness.at, what + " starts long after its job was cancelled");
-        if (auto left = leavingSince.find(witness.minion); left != leavingSince.end() && witness.at > left->second + 2000 + options.slack)
+        if (job.cancelledAt && witness.at > *job.cancelledAt + 3000 + options.slack && !(called && (witness.late || disturbedWithin(*job.cancelledAt, witness.at)))) broken(5, witness.at, what + " starts long after its job was cancelled");
+        if (auto left = leavingSince.find(witness.minion); left != leavingSince.end() && !called && witness.at > left->second + 2000 + options.slack)
             broken(9, witness.at, what + " starts on " + witness.minion + ", which is leaving");
         if (const auto* submission = submissionOf(witness.job)) {
             const auto [step, within] = placeOf(*submission, witness.task);
@@ -270,6 +436,9 @@
         run.trial = witness.trial;
         run.cores = witness.cores;
         run.memory = witness.memory;
+        run.accelerators = witness.accelerators;
+        run.called = called;
+        run.late = witness.late;
         task.runs.push_back(run);
         room(witness);
     }
@@ -302,13 +471,23 @@
             if (run.attempt == witness.attempt && run.minion == witness.minion && !run.endedAt) {
                 if (run.active) keptRunning(job, nameOf(witness.job, witness.task), run, witness.at);
                 run.end(witness.at, witness.detail);
+                // A gang's member that is alone waits for nothing: the others were not started, or not in time.
+                if (run.called && witness.detail == "alone" && !job.cancelledAt && !disturbedWithin(run.startedAt - 1000, witness.at))
+                    broken(16, witness.at, nameOf(witness.job, witness.task) + " waited alone on " + run.minion + " for the rest of its gang, with no fault about");
             }
-        if (witness.detail == "finished" && !task.finishedAt) task.finishedAt = witness.at;
+        if (witness.detail != "finished") return;
+        if (!task.finishedAt) task.finishedAt = witness.at;
+        if (isCalled(witness.minion))
+            eachMemberOf(witness.job, job, witness.task, witness.attempt, [&](TaskHistory& member, const Run&) {
+                if (!member.finishedAt) member.finishedAt = witness.at;
+            });
     }
     // docs/design.md 5.5: an ending is final once the minion has its confirmation; before that nobody else can know of it.
     void confirmed(const Witness& witness) {
         auto& task = jobs[witness.job].tasks[witness.task];
         if (witness.detail == "finished" && !task.confirmedAt) task.confirmedAt = witness.at;
+        for (auto& run : task.runs)
+            if (run.attempt == witness.attempt && run.minion == witness.minion && run.endedAt && !run.notedAt) run.notedAt = witness.at;
     }
 
     void vanished(const Witness& witness) {
@@ -322,15 +501,16 @@
     void room(const Witness& witness) {
         auto capacity = capacities.find(witness.minion);
         if (capacity == capacities.end() || capacity->second.guards) return;
-        std::uint64_t cores = 0, memory = 0;
+        std::uint64_t cores = 0, memory = 0, accelerators = 0;
         for (const auto& [id, job] : jobs)
             for (const auto& [place, task] : job.tasks)
                 for (const auto& run : task.runs)
                     if (run.minion == witness.minion && !run.endedAt) {
                         memory += run.memory;
                         if (run.active) cores += run.cores;
+                        accelerators += run.accelerators;
                     }
-        if (cores > capacity->second.cores || memory > capacity->second.memory)
+        if (cores > capacity->second.cores || memory > capacity->second.memory || accelerators > capacity->second.accelerators)
             broken(10, witness.at, witness.minion + " was given " + std::to_string(cores) + " cores and " + std::to_string(memory) + " MB, more than it holds");
     }
 
@@ -340,6 +520,8 @@
     std::map<std::string, JobHistory> jobs;
     std::map<std::string, std::int64_t> leavingSince;
     std::map<std::string, Witness> capacities;
+    std::map<std::string, std::string> savedBy;  // by checkpoint: the task or gang it belongs to
+    std::map<std::pair<std::string, std::string>, std::string> broughtBy;  // by gang and run: the checkpoint its members bring
     std::vector<std::pair<std::int64_t, std::uint64_t>> setups;
     std::map<std::string, std::uint64_t> seenSetup;
     std::uint64_t lastSetup = 0;
--- a/source/promises.hpp
+++ b/source/promises.hpp
@@ -1,11 +1,11 @@
-// tailrace's core: the brief's twelve never-rules, checked from what callers and minions witnessed. docs/design.md 11.
+// tailrace's core: the never-rules, checked from what callers and minions witnessed. docs/design.md 11.
 #pragma once
 #include "witness.hpp"
 
 namespace aniseline {
 
 struct BrokenPromise {
-    int rule = 0;  // 1 to 12, in the brief's order; docs/design.md 11
+    int rule = 0;  // 1 to 12 in the brief's order, then those of minions that are called; docs/design.md 11
     std::int64_t at = 0;
     std::string text;
 };
@@ -16,6 +16,8 @@
 
 struct PromiseOptions {
     std::map<std::string, std::uint32_t> retriesOf;  // by queue
+    std::map<std::string, std::uint32_t> triesOf;    // by queue: of those that count failures instead
+    std::map<std::string, std::set<std::string>> poolsOf;  // by queue: the pools that any setup sent it to; none known: not judged
     std::int64_t slack = 300;                        // ms, for what the witness' own clock reading may be late
 };
 
--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -12,6 +12,18 @@
            change + "}}";
 }
 
+std::string calledSetup(const std::string& change) {
+    return R"({"policies":{"default":{"rank":"weight_wait * wait + weight_expansion * expansion","may_hold":"urgency <= 0"}},
+"planner":{"period_ms":50,"trial_room_mb":4096,"far":2,"known_after_ms":3000},
+"pools":{"guarded":{"guards_room":true},"open":{}},
+"queues":{"proofs":{"urgency":10,"retries":8,"reserved":300,"trial":{"quantum_ms":3000,"memory_mb":512,"minimum_run_ms":1000}},
+"dielines":{"urgency":1,"retries":8,"trial":{"quantum_ms":3000,"memory_mb":1024,"minimum_run_ms":3000}},
+"plates":{"urgency":0,"retries":12},"long":{"urgency":-1,"retries":12,"hard_limit_ms":120000},"strict":{"retries":0},
+"prints":{"urgency":10,"pool":"guarded","tries":4},"sheets":{"urgency":1,"pool":"open","tries":2},
+"books":{"pool":"guarded","tries":3},"maps":{"pool":"open","tries":5})" +
+           change + "}}";
+}
+
 namespace {
 
 JobSubmission oneStep(const std::string& id, const char* queue, std::size_t tasks, std::uint32_t cores, std::uint64_t memory, std::int64_t requested, std::int64_t run, bool gang = false) {
@@ -25,7 +37,7 @@
 class Campaign {
 public:
     explicit Campaign(const CampaignOptions& options)
-        : options(options), draw(options.seed * 104729 + 5), world(worldOptions(options.seed)), deck(world, draw) {
+        : options(options), draw(options.seed * 104729 + 5), world(worldOptions(options)), deck(world, draw) {
         if (options.verbose) world.say = [this](const std::string& text) { std::fprintf(stderr, "%8lld %s\n", (long long)world.now, text.c_str()); };
         deck.flood = [this] { flood(++floods); };
         deck.operatorRace = [this] { operatorRace(); };
@@ -34,9 +46,10 @@
     CampaignResult run() {
         // The centre forms, and the first setup is taken.
         world.runUntilTrue([&] { return world.voterCount() == 3; }, 20'000);
-        applyUntilTaken(standardSetup(), 0);
+        applyUntilTaken(setupText(), 0);
         world.runUntilTrue([&] { return applied >= 1; }, 10'000);
         planWorkload();
+        if (options.called) planCalledWorkload();
         watchSetup();
         lookAtSetups();
         const std::int64_t end = world.now + options.length;
@@ -59,8 +72,11 @@
     }
 
 private:
-    static WorldOptions worldOptions(std::uint64_t seed) {
+    std::string setupText(const std::string& change = "") const { return options.called ? calledSetup(change) : standardSetup(change); }
+    static WorldOptions worldOptions(const CampaignOptions& options) {
+        const std::uint64_t seed = options.seed;
         WorldOptions world;
+        world.called = options.called;
         world.seed = seed;
         // Minions without terms and minions that do not guard their room, in every mix.
         world.termless = std::array<std::size_t, 4>{0, seed / 4 % 4 == 3 ? 0u : 2u, 0, 11}[seed % 4];
@@ -173,6 +189,73 @@
         world.submit(timed);
     }
 
+    // Work for minions that are called: labels, data's rack, apart, gangs, checkpoints, what lasts, times that overlap, what
+    // always fails and what can never fit.
+    void planCalledWorkload() {
+        std::size_t count = 0;
+        auto every = [&](double gap, std::function<void(const std::string&)> make) {
+            for (double time = double(draw.between(0, std::int64_t(gap))); time < double(options.length); time += gap * (0.5 + double(draw.between(0, 1000)) / 1000.0)) {
+                const std::string id = "c" + std::to_string(++count);
+                world.after(std::int64_t(time), [make, id] { make(id); });
+            }
+        };
+        auto maybeCancel = [this]() -> std::int64_t { return draw.chance(0.08) ? draw.between(0, 4000) : -1; };
+        auto queue = [this](const char* guarded, const char* open) { return draw.chance(0.5) ? guarded : open; };
+        every(250, [=, this](const std::string& id) {
+            auto job = oneStep(id, queue("prints", "sheets"), std::size_t(draw.between(1, 3)), 1, 512, 1000, draw.between(80, 900));
+            if (draw.chance(0.3)) job.steps[0].needs.label = draw.chance(0.5) ? "fine" : "plain";
+            if (draw.chance(0.3)) job.steps[0].needs.near = "shelf" + std::to_string(draw.between(1, 2));
+            if (draw.chance(0.2)) job.steps[0].needs.redundant = true;
+            if (draw.chance(0.2)) {  // one payload for all
+                job.payload = job.steps[0].tasks[0].payload;
+                for (auto& task : job.steps[0].tasks) task.payload.clear();
+            }
+            world.submit(job, maybeCancel());
+            if (draw.chance(0.1)) world.after(draw.between(1, 4000), [this, job] { world.resubmit(job); });
+        });
+        every(1800, [=, this](const std::string& id) {
+            auto job = oneStep(id, queue("books", "maps"), std::size_t(draw.between(2, 4)), std::uint32_t(draw.between(1, 6)), 2048, 4000, draw.between(500, 6000), true);
+            job.steps[0].needs.saves = draw.chance(0.6);
+            job.steps[0].needs.sameRack = draw.chance(0.3);
+            if (draw.chance(0.3)) job.steps[0].needs.apart = std::uint32_t(draw.between(1, 2));
+            if (draw.chance(0.5)) job.steps.push_back({"after", {"only"}, false, {TaskRequest{2000, 1024, Span{1000}, "run=300"}, TaskRequest{500, 256, Span{1000}, "run=200"}}});
+            world.submit(job, maybeCancel());
+        });
+        every(1500, [=, this](const std::string& id) {
+            auto job = oneStep(id, queue("books", "maps"), std::size_t(draw.between(1, 6)), 2, 1024, 3000, draw.between(1000, 9000));
+            job.steps[0].needs.saves = true;
+            if (draw.chance(0.5)) job.steps[0].needs.apart = 1;
+            if (draw.chance(0.15)) job.steps[0].tasks[0].accelerators = 1;
+            if (draw.chance(0.4)) job.steps.push_back({"gather", {"only"}, true, std::vector<TaskRequest>(2, TaskRequest{1000, 512, Span{1000}, "run=600"})});
+            world.submit(job, maybeCancel());
+        });
+        every(4000, [=, this](const std::string& id) {
+            auto job = oneStep(id, queue("prints", "maps"), 2, 1, 512, 1000, 100);
+            job.steps[0].needs.lasts = true;
+            world.submit(job, draw.between(2000, 20'000));
+        });
+        every(3500, [=, this](const std::string& id) {
+            auto job = oneStep(id, queue("prints", "sheets"), 2, 1, 256, 1000, draw.between(50, 600));
+            if (draw.chance(0.4)) job.steps[0].gang = true;
+            job.steps[0].tasks[draw.next() % 2].payload += " fail";
+            world.submit(job);
+        });
+        every(8000, [=, this](const std::string& id) {
+            auto job = oneStep(id, queue("books", "sheets"), 1, 1, 512, 1000, 100);
+            if (draw.chance(0.5)) job.steps[0].tasks[0].cores = 900'000;
+            else job.steps[0].needs.label = "none has it";
+            world.submit(job);
+        });
+        // Times that overlap, since one takes longer than the next is away.
+        for (int place = 0; place < 2; ++place) {
+            auto timed = oneStep("timed" + std::to_string(place), place ? "books" : "maps", 2, 1, 512, 1500, 1500, place > 0);
+            timed.timetable.first = ClusterTime{World::calendar + world.now + draw.between(2000, 9000)};
+            timed.timetable.every = Span{draw.between(500, 2000)};
+            timed.timetable.count = std::uint32_t(draw.between(4, 12));
+            world.submit(timed, draw.chance(0.2) ? draw.between(4000, 15'000) : -1);
+        }
+    }
+
     std::vector<Fault> planFaults() {
         std::vector<Fault> faults;
         std::int64_t at = 0;
@@ -221,7 +304,7 @@
         const std::uint64_t base = applied;
         ++races;
         for (int operatorNumber = 0; operatorNumber < 2; ++operatorNumber)
-            applyUntilTaken(standardSetup(",\"extra" + std::to_string(races) + "x" + std::to_string(operatorNumber) + "\":{\"retries\":1}"), base);
+            applyUntilTaken(setupText(",\"extra" + std::to_string(races) + "x" + std::to_string(operatorNumber) + "\":{\"retries\":1}"), base);
     }
     void flood(std::size_t count) {
         for (std::size_t place = 0; place < 60; ++place) {
--- a/source/simulator/campaign.hpp
+++ b/source/simulator/campaign.hpp
@@ -8,6 +8,7 @@
     std::uint64_t seed = 1;
     std::int64_t length = 60'000;
     std::size_t faults = 12;
+    std::size_t called = 0;  // minions that are called, beside the others
     std::vector<std::size_t> only;  // the places of the faults to keep; empty: all
     bool verbose = false;
 };
@@ -25,5 +26,7 @@
 CampaignResult runCampaign(const CampaignOptions& options);
 
 std::string standardSetup(const std::string& change = "");
+// With queues, pools and policies for minions that are called, too.
+std::string calledSetup(const std::string& change = "");
 
 }  // namespace aniseline
--- a/source/simulator/faults.cpp
+++ b/source/simulator/faults.cpp
@@ -3,7 +3,7 @@
 namespace aniseline {
 
 struct FaultDeck::Victims {
-    std::size_t reservoir, sluice, minion, from, to;
+    std::size_t reservoir, sluice, minion, from, to, called = 0;
     bool leader, coin;
     std::int64_t jump, length;
 };
@@ -37,16 +37,25 @@
     world.killReservoir(area, true);
     eachOf(sluices, area, [&](auto place) { world.killSluice(place); });
     eachOf(minions, area, [&](auto place) { world.killMinion(place, false); });
+    eachOf(world.calledCount(), area, [&](auto place) {
+        world.killPenstock(place);
+        world.killCalled(place);
+    });
 }
 void areaReturns(World& world, std::size_t area) {
     world.restartReservoir(area);
     eachOf(sluices, area, [&](auto place) { world.restartSluice(place); });
     eachOf(minions, area, [&](auto place) { world.restartMinion(place); });
+    eachOf(world.calledCount(), area, [&](auto place) {
+        world.restartPenstock(place);
+        world.restartCalled(place);
+    });
 }
 void freezeArea(World& world, std::size_t area, bool frozen) {
     world.freezeReservoir(area, frozen);
     eachOf(sluices, area, [&](auto place) { world.freezeSluice(place, frozen); });
     eachOf(minions, area, [&](auto place) { world.freezeMinion(place, frozen); });
+    eachOf(world.calledCount(), area, [&](auto place) { world.freezePenstock(place, frozen); });
 }
 }  // namespace
 
@@ -329,14 +338,109 @@
     return kinds;
 }
 
-std::vector<std::string> FaultDeck::kinds() {
+const std::vector<FaultDeck::Kind>& FaultDeck::calledTable() {
+    using V = const Victims&;
+    static const auto set = [](Fault& fault, std::function<bool()> begin, std::function<void()> end = {}) {
+        fault.begin = std::move(begin);
+        fault.end = std::move(end);
+    };
+    static const auto sick = [](const char* name, World::Sickness sickness) {
+        return Kind{name, [sickness](FaultDeck&, World& world, V victims, Fault& fault) {
+            set(fault, [&world, victims, sickness] { world.sickenCalled(victims.called, sickness); return true; }, [&world, victims] { world.sickenCalled(victims.called, World::Sickness::none); });
+        }};
+    };
+    static const auto strikes = [](FaultDeck& deck, V victims, Fault& fault, std::function<bool(const Exchange&, const Answer&)> matches) {
+        auto* world = &deck.world;
+        const std::string name = fault.name;
+        const std::int64_t at = fault.at, length = fault.length;
+        fault = deck.aimed(victims, std::move(matches), [world](std::size_t place) {
+            world->killReservoir(place, true);
+            world->after(1500, [world, place] { world->restartReservoir(place); });
+        });
+        fault.name = name;
+        fault.at = at;
+        fault.length = length;
+    };
+    static const std::vector<Kind> kinds = {
+        {"kill a called minion", [](FaultDeck&, World& world, V victims, Fault& fault) {
+             set(fault, [&world, victims] { world.killCalled(victims.called); return true; }, [&world, victims] { world.restartCalled(victims.called); });
+         }},
+        {"a called minion comes back at once", [](FaultDeck&, World& world, V victims, Fault& fault) {
+             set(fault, [&world, victims] {
+                 world.killCalled(victims.called);
+                 world.after(60, [&world, victims] { world.restartCalled(victims.called); });
+                 return true;
+             });
+         }},
+        {"a called minion leaves", [](FaultDeck&, World& world, V victims, Fault& fault) {
+             fault.length = std::max<std::int64_t>(fault.length, 5000);
+             set(fault, [&world, victims] { world.leaveCalled(victims.called, victims.coin ? 2500 : 600, 1500); return true; });
+         }},
+        {"kill a penstock", [](FaultDeck&, World& world, V victims, Fault& fault) {
+             if (victims.coin) fault.length = 100 + fault.length % 900;  // most are started again at once
+             set(fault, [&world, victims] { world.killPenstock(victims.called); return true; }, [&world, victims] { world.restartPenstock(victims.called); });
+         }},
+        {"freeze a penstock", [](FaultDeck&, World& world, V victims, Fault& fault) {
+             set(fault, [&world, victims] { world.freezePenstock(victims.called, true); return true; }, [&world, victims] { world.freezePenstock(victims.called, false); });
+         }},
+        {"cut off a penstock", [](FaultDeck&, World& world, V victims, Fault& fault) {
+             set(fault, [&world, victims] { world.cutPenstock(victims.called, true); return true; }, [&world, victims] { world.cutPenstock(victims.called, false); });
+         }},
+        {"a called minion's machine out", [](FaultDeck&, World& world, V victims, Fault& fault) {
+             set(fault, [&world, victims] {
+                 world.killPenstock(victims.called);
+                 world.killCalled(victims.called);
+                 return true;
+             }, [&world, victims] {
+                 world.restartPenstock(victims.called);
+                 world.restartCalled(victims.called);
+             });
+         }},
+        {"all penstocks killed", [](FaultDeck&, World& world, V, Fault& fault) {
+             set(fault, [&world] { for (std::size_t place = 0; place < world.calledCount(); ++place) world.killPenstock(place); return true; },
+                 [&world] { for (std::size_t place = 0; place < world.calledCount(); ++place) world.restartPenstock(place); });
+         }},
+        sick("a called minion stalls", World::Sickness::stalled),
+        sick("a called minion turns starts away", World::Sickness::refusing),
+        sick("a called minion is mute", World::Sickness::mute),
+        sick("a called minion fails all", World::Sickness::failing),
+        {"orders carried out late", [](FaultDeck&, World& world, V victims, Fault& fault) {
+             set(fault, [&world, victims] { world.delayOrders(victims.called, true); return true; }, [&world, victims] {
+                 world.delayOrders(victims.called, false);
+                 // What is still on its way is trouble too.
+                 const std::string still = "orders on their way " + std::to_string(world.now);
+                 world.disturb(still, false);
+                 world.after(12'000, [&world, still] { world.disturb(still, true); });
+             });
+         }},
+        {"struck after confirming a named ending", [](FaultDeck& deck, World&, V victims, Fault& fault) {
+             strikes(deck, victims, fault, [](const Exchange& exchange, const Answer& answer) { return exchange.ask == Ask::sync && !exchange.report.namedEndings.empty() && answer.status < 300; });
+         }},
+        {"struck after a penstock's word of a leaving", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
+             strikes(deck, victims, fault, [](const Exchange& exchange, const Answer& answer) { return exchange.ask == Ask::sync && exchange.report.packed && exchange.report.leaving && answer.status < 300; });
+             fault.begin = [&world, victims, begin = fault.begin] {
+                 begin();
+                 world.leaveCalled(victims.called, 2500, 1500);
+                 return false;
+             };
+         }},
+    };
+    return kinds;
+}
+
+std::vector<std::string> FaultDeck::kinds(bool called) {
     std::vector<std::string> names;
     for (const auto& kind : table()) names.push_back(kind.name);
+    if (called)
+        for (const auto& kind : calledTable()) names.push_back(kind.name);
     return names;
 }
 
 Fault FaultDeck::draw(std::int64_t at) {
-    const auto& kind = table()[source.next() % table().size()];
+    // Where there are minions that are called, half of the faults are theirs.
+    const bool called = world.calledCount() > 0;
+    const auto& kinds = called && source.chance(0.5) ? calledTable() : table();
+    const auto& kind = kinds[source.next() % kinds.size()];
     Fault fault;
     fault.at = at;
     fault.length = source.between(300, 9000);
@@ -351,6 +455,7 @@
     victims.coin = source.chance(0.5);
     victims.jump = source.between(-600'000, 600'000);
     victims.length = fault.length;
+    if (called) victims.called = source.next() % world.calledCount();
     kind.plan(*this, world, victims, fault);
     return fault;
 }
--- a/source/simulator/faults.hpp
+++ b/source/simulator/faults.hpp
@@ -18,7 +18,7 @@
     // Things only the campaign can do: a flood of jobs, two operators at once.
     std::function<void()> flood, operatorRace;
     Fault draw(std::int64_t at);
-    static std::vector<std::string> kinds();  // every kind's name, for the report
+    static std::vector<std::string> kinds(bool called);  // every kind's name, for the report
     const std::set<std::string>& goneForGood() const { return gone; }
     bool killForGood(std::size_t minion);
     void disarm() { aims.clear(), memberAims.clear(); }  // strikes that found no answer to follow
@@ -27,6 +27,7 @@
     struct Kind;
     struct Victims;
     static const std::vector<Kind>& table();
+    static const std::vector<Kind>& calledTable();  // kinds that need minions that are called
     bool loseDisk(std::size_t place, bool moves);
     std::size_t someReservoir(const Victims& victims) const;
     Fault aimed(const Victims& victims, std::function<bool(const Exchange&, const Answer&)> matches, std::function<void(std::size_t)> strike);
--- a/source/simulator/nodes.hpp
+++ b/source/simulator/nodes.hpp
@@ -1,5 +1,6 @@
 // What the simulated world is made of: processes with their machines, and callers. docs/design.md 12.1.
 #pragma once
+#include "simulator/called_minion.hpp"
 #include "simulator/world.hpp"
 
 namespace aniseline {
@@ -28,10 +29,14 @@
     std::map<std::uint64_t, std::function<void()>> onDeath;  // who is told when the process ends
 };
 
-struct World::SluiceNode : Node {
+// A process that asks the leader and holds the way to it.
+struct World::RoutedNode : Node {
+    RouteView route;
+};
+
+struct World::SluiceNode : RoutedNode {
     std::size_t place = 0;
     Address outer;
-    RouteView route;
     std::map<std::uint64_t, std::function<void()>> onDeath;
 };
 
@@ -51,6 +56,33 @@
     bool patientBusy = false, urgentBusy = false, gone = false;
 };
 
+// The agent of one minion that is called, on the same machine; killed, it begins empty.
+struct World::PenstockNode : RoutedNode {
+    std::size_t place = 0, turn = 0;
+    std::unique_ptr<Penstock> core;
+    bool patientBusy = false, urgentBusy = false;
+    std::int64_t beatWaitsUntil = 0;  // the word of a leaving is acknowledged once it is logged
+};
+
+struct World::CalledNode : Node {
+    std::size_t place = 0, lives = 0;
+    Capacity capacity;
+    std::unique_ptr<CalledMinion> minion;
+    struct Look {  // one that waits for an ending
+        MinionCall call;
+        std::int64_t until = 0;
+        std::function<void(MinionReply)> reply;
+    };
+    std::vector<Look> looks;
+    CalledMinion::Sickness sickness = CalledMinion::Sickness::none;
+    std::int64_t beatAt = 0;
+    bool ordersLate = false, gone = false, leavingAcknowledged = false;
+};
+
+struct World::Meetings {
+    GangMeetings gangs;
+};
+
 struct World::CallerState {
     JobSubmission job;
     std::size_t sluice = 0;
--- a/source/simulator/world.cpp
+++ b/source/simulator/world.cpp
@@ -33,6 +33,30 @@
         minions.push_back(std::move(node));
         bootMinion(*minions.back());
     }
+    meetings = std::make_unique<Meetings>();
+    for (std::size_t place = 0; place < options.called; ++place) {
+        auto penstock = std::make_unique<PenstockNode>();
+        auto node = std::make_unique<CalledNode>();
+        penstock->place = node->place = place;
+        penstock->area = node->area = place % options.areas;
+        // Two pools, of guarded and of unguarded minions; sizes, kinds and racks differ within each.
+        Capacity& capacity = node->capacity;
+        capacity.cores = place % 4 < 2 ? options.cores : options.cores * 3 / 2;
+        capacity.memory = options.memory;
+        capacity.accelerators = place % 4 == 3 ? 2 : 0;
+        capacity.area = AreaName{"area" + std::to_string(node->area + 1)};
+        capacity.rack = "shelf" + std::to_string(place / 4 + 1);
+        capacity.labels = {place % 3 ? "plain" : "fine", capacity.rack};
+        capacity.pool = place % 2 ? "open" : "guarded";
+        capacity.guardsRoom = place % 2 == 0;
+        capacity.host = "host" + std::to_string(place + 1);
+        capacity.honoursTerms = capacity.lapses = capacity.assembles = true;
+        capacity.pauses = false;
+        penstocks.push_back(std::move(penstock));
+        called.push_back(std::move(node));
+        bootPenstock(*penstocks.back());
+        bootCalled(*called.back());
+    }
 }
 World::~World() = default;
 
@@ -122,6 +146,14 @@
         restartMinion(place);
         setMinion(place, 1, 0);
     }
+    for (std::size_t place = 0; place < called.size(); ++place) {
+        restartPenstock(place);
+        cutPenstock(place, false);
+        freezePenstock(place, false);
+        sickenCalled(place, Sickness::none);
+        delayOrders(place, false);
+        restartCalled(place);
+    }
 }
 
 void World::disturb(const std::string& fault, bool ends) {
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -4,6 +4,7 @@
 #include "contacts.hpp"
 #include "course.hpp"
 #include "minion_hand.hpp"
+#include "penstock.hpp"
 #include "promises.hpp"
 #include "reservoir.hpp"
 #include <queue>
@@ -17,6 +18,7 @@
     std::uint64_t memory = 32 * 1024;
     std::size_t termless = 0;     // minions, from the last on, that do not honour terms
     std::size_t unguarded = 6;    // minions, from the first on, that do not guard their room
+    std::size_t called = 0;       // minions beside these that are called rather than call, each with its penstock
     std::size_t twins = 0;        // minions, from the last on, that wrongly bear the first one's id
     double loss = 0;              // part of the messages between processes
     ReservoirOptions reservoir;
@@ -58,6 +60,18 @@
     void cutMinion(std::size_t place, bool cut);
     void leaveMinion(std::size_t place, std::int64_t within);
     void setMinion(std::size_t place, double slow, double fail);
+    // Minions that are called, and their penstocks, by place.
+    void killPenstock(std::size_t place);
+    void restartPenstock(std::size_t place);
+    void freezePenstock(std::size_t place, bool frozen);
+    void cutPenstock(std::size_t place, bool cut);
+    void killCalled(std::size_t place);
+    void restartCalled(std::size_t place);                      // another life
+    void leaveCalled(std::size_t place, std::int64_t within, std::int64_t awayFor);
+    enum class Sickness : std::uint8_t { none, stalled, refusing, mute, failing };
+    void sickenCalled(std::size_t place, Sickness sickness);
+    void delayOrders(std::size_t place, bool delayed);          // calls get no answer and are carried out much later
+    std::size_t calledCount() const { return called.size(); }
     void cutAreas(std::size_t from, std::size_t to, bool cut);  // one way
     void healAll();
     // The keeper's word in the history that a fault begins or ends.
@@ -89,7 +103,8 @@
     std::uint64_t hash() const { return transcriptHash; }
     std::vector<Witness> history;
     std::map<std::string, JobSubmission> submissions;
-    std::map<std::string, std::uint32_t> retries;
+    std::map<std::string, std::uint32_t> retries, tries;
+    std::map<std::string, std::set<std::string>> poolsOf;  // by queue: those that any setup sent it to
     std::map<std::string, std::string> lastShown;
     std::vector<std::int64_t> acknowledgements;
     std::function<void(const std::string&)> say;  // each thing of note, for transcripts
@@ -101,8 +116,11 @@
 private:
     struct Node;
     struct ReservoirNode;
+    struct RoutedNode;
     struct SluiceNode;
     struct MinionNode;
+    struct PenstockNode;
+    struct CalledNode;
     struct Call;
     struct CallerState;
     void schedule(std::int64_t time, std::function<void()> work);
@@ -114,15 +132,25 @@
     void bootReservoir(ReservoirNode& node);
     void tickReservoir(ReservoirNode& node, std::uint64_t generation);
     void refreshSluice(SluiceNode& node, std::uint64_t generation);
-    void relay(SluiceNode& node, Exchange exchange, std::function<void(const Answer&)> reply);
-    void follow(SluiceNode& node, std::shared_ptr<RelayCourse> course, Exchange exchange, RelayCourse::Step step, std::function<void(const Answer&)> reply);
-    void askReservoir(SluiceNode& from, const Address& target, const Exchange& exchange, std::int64_t within, std::function<void(std::optional<Answer>, RelayCourse::Loss)> reply);
+    void relay(RoutedNode& node, Exchange exchange, std::function<void(const Answer&)> reply);
+    void follow(RoutedNode& node, std::shared_ptr<RelayCourse> course, Exchange exchange, RelayCourse::Step step, std::function<void(const Answer&)> reply);
+    void askReservoir(Node& from, const Address& target, const Exchange& exchange, std::int64_t within, std::function<void(std::optional<Answer>, RelayCourse::Loss)> reply);
     void askSluice(Node& from, std::size_t sluice, const std::string& method, const std::string& target, const std::string& body, std::int64_t within, Follower follower);
     void bootMinion(MinionNode& node);
     void tickMinion(MinionNode& node, std::uint64_t generation);
     void syncMinion(MinionNode& node, bool patient);
     void learnContacts(MinionNode& node, std::size_t place);
     void followEffects(MinionNode& node);
+    void bootPenstock(PenstockNode& node);
+    void tickPenstock(PenstockNode& node, std::uint64_t generation);
+    void learnRoute(PenstockNode& node, std::uint64_t generation);
+    void syncPenstock(PenstockNode& node, bool patient);
+    void perform(PenstockNode& node, const MinionCall& call);
+    void bootCalled(CalledNode& node);
+    void tickCalled(CalledNode& node, std::uint64_t generation);
+    void beat(CalledNode& node);
+    void endCalled(CalledNode& node);
+    void nextTo(Node& to, std::function<void()> work);
     void trySubmit(std::shared_ptr<CallerState> state);
     void tryCancel(std::shared_ptr<CallerState> state);
     void watch(std::shared_ptr<CallerState> state);
@@ -143,6 +171,10 @@
     std::vector<std::unique_ptr<ReservoirNode>> reservoirs;
     std::vector<std::unique_ptr<SluiceNode>> sluices;
     std::vector<std::unique_ptr<MinionNode>> minions;
+    std::vector<std::unique_ptr<PenstockNode>> penstocks;
+    std::vector<std::unique_ptr<CalledNode>> called;
+    struct Meetings;
+    std::unique_ptr<Meetings> meetings;
     std::unique_ptr<Node> outside;  // callers and operators
     std::set<std::pair<std::size_t, std::size_t>> cuts;
     std::vector<std::shared_ptr<CallerState>> callers;
--- a/source/simulator/world_callers.cpp
+++ b/source/simulator/world_callers.cpp
@@ -91,6 +91,8 @@
 }
 
 void World::applySetup(const std::string& text, std::uint64_t basedOn, Follower follower, std::size_t sluice) {
+    if (auto parsed = Setup::parse(text))
+        for (const auto& [name, queue] : parsed.value().queues) poolsOf[name.value].insert(queue.pool);
     askSluice(*outside, sluice, "PUT", "/v1/setup", "{\"based_on\":" + std::to_string(basedOn) + ",\"setup\":" + text + "}", 3000,
               [this, follower = std::move(follower), text](int status, const std::string& body) {
                   if (status == 200) {
@@ -101,7 +103,10 @@
                       witness(given);
                       auto parsed = Setup::parse(text);
                       if (parsed)
-                          for (const auto& [name, queue] : parsed.value().queues) retries[name.value] = std::max(retries[name.value], queue.retries);
+                          for (const auto& [name, queue] : parsed.value().queues) {
+                              auto& most = queue.tries ? tries[name.value] : retries[name.value];
+                              most = std::max(most, queue.tries ? queue.tries : queue.retries);
+                          }
                   }
                   if (follower) follower(status, body);
               });
@@ -143,7 +148,9 @@
 Findings World::findings() const {
     PromiseOptions promises;
     promises.slack = 50;
-    for (const auto& [queue, allowed] : retries) promises.retriesOf[queue] = allowed;
+    promises.retriesOf = retries;
+    promises.triesOf = tries;
+    promises.poolsOf = poolsOf;
     return checkPromises(history, submissions, promises);
 }
 
--- a/source/simulator/world_sluices.cpp
+++ b/source/simulator/world_sluices.cpp
@@ -18,7 +18,7 @@
     schedule(now + 200, [this, &node, generation] { refreshSluice(node, generation); });
 }
 
-void World::askReservoir(SluiceNode& from, const Address& target, const Exchange& exchange, std::int64_t within, std::function<void(std::optional<Answer>, RelayCourse::Loss)> reply) {
+void World::askReservoir(Node& from, const Address& target, const Exchange& exchange, std::int64_t within, std::function<void(std::optional<Answer>, RelayCourse::Loss)> reply) {
     const std::uint64_t generation = from.generation;
     auto told = std::make_shared<bool>(false);
     auto tell = [this, &from, generation, told, reply](std::optional<Answer> answer, RelayCourse::Loss loss) {
@@ -47,7 +47,7 @@
     });
 }
 
-void World::follow(SluiceNode& node, std::shared_ptr<RelayCourse> course, Exchange exchange, RelayCourse::Step step, std::function<void(const Answer&)> reply) {
+void World::follow(RoutedNode& node, std::shared_ptr<RelayCourse> course, Exchange exchange, RelayCourse::Step step, std::function<void(const Answer&)> reply) {
     if (step.kind == RelayCourse::Step::Kind::answer) return reply(step.answer);
     if (step.kind == RelayCourse::Step::Kind::wait) {
         const std::uint64_t generation = node.generation;
@@ -63,7 +63,7 @@
     });
 }
 
-void World::relay(SluiceNode& node, Exchange exchange, std::function<void(const Answer&)> reply) {
+void World::relay(RoutedNode& node, Exchange exchange, std::function<void(const Answer&)> reply) {
     auto course = std::make_shared<RelayCourse>(exchange, [&node] { return node.route; }, seeds, Instant{now});
     auto step = course->begin(Instant{now});
     follow(node, course, std::move(exchange), step, std::move(reply));
--- a/source/witness.cpp
+++ b/source/witness.cpp
@@ -6,7 +6,7 @@
 namespace {
 constexpr const char* kindNames[] = {"submitted", "accepted", "rejected", "unknown", "shown", "cancel_acknowledged", "started", "held", "resumed",
                                      "ended", "confirmed", "leaving", "capacity", "setup_acknowledged", "setup_seen", "whole", "served", "vanished",
-                                     "staying", "explained", "disturbed", "mended", "settled", "closed"};
+                                     "staying", "explained", "disturbed", "mended", "settled", "saved", "closed"};
 }
 const char* name(Witness::Kind kind) { return kindNames[std::size_t(kind)]; }
 
@@ -28,6 +28,16 @@
     addNumber("memory_mb", double(memory));
     if (trial) shown["trial"] = picojson::value(true);
     if (guards) shown["guards"] = picojson::value(true);
+    if (late) shown["late"] = picojson::value(true);
+    addNumber("accelerators", accelerators);
+    add("payload", payload);
+    add("saved", saved);
+    add("pool", pool);
+    if (!labels.empty()) {
+        picojson::array listed;
+        for (const auto& label : labels) listed.push_back(picojson::value(label));
+        shown["labels"] = picojson::value(listed);
+    }
     return picojson::value(shown).serialize();
 }
 
@@ -64,6 +74,13 @@
     witness.memory = std::uint64_t(number("memory_mb"));
     witness.trial = flag("trial");
     witness.guards = flag("guards");
+    witness.late = flag("late");
+    witness.accelerators = std::uint32_t(number("accelerators"));
+    witness.payload = words("payload");
+    witness.saved = words("saved");
+    witness.pool = words("pool");
+    if (auto found = object.find("labels"); found != object.end() && found->second.is<picojson::array>())
+        for (const auto& label : found->second.get<picojson::array>()) witness.labels.push_back(label.to_str());
     return witness;
 }
 
@@ -106,7 +123,9 @@
     given.job = "a";
     given.minion = "m";
     given.cores = 3;
-    given.trial = true;
+    given.trial = given.late = true;
+    given.payload = "run=5";
+    given.labels = {"a", "rack1"};
     STRCMP_EQUAL(given.line().c_str(), Witness::parse(given.line())->line().c_str());
     CHECK(!Witness::parse("{\"at\":1,\"kind\":\"sung\"}"));
 }
--- a/source/witness.hpp
+++ b/source/witness.hpp
@@ -16,6 +16,7 @@
         explained,                                                           // why an open job waits, as the centre says
         disturbed, mended,                                                   // the keeper: a fault begins, ends
         settled,                                                             // the keeper: time enough has passed for every job
+        saved,                                                               // a minion made a checkpoint
         closed                                                               // a writer's last line
     };
     Kind kind = Kind::submitted;
@@ -24,12 +25,17 @@
     std::uint32_t task = 0;
     std::string minion;
     std::string attempt;
-    std::string detail;  // a state shown, an ending's kind, a fault's name, a process; of a capacity "termless"
+    std::string detail;  // a state shown, an ending's kind, a fault's name, a process; of a capacity "termless" or "called"
     std::uint64_t version = 0;
     std::uint32_t cores = 0;
     std::uint64_t memory = 0;
     bool trial = false;
     bool guards = false;
+    bool late = false;                // of a start: its order was carried out seconds after it was given up
+    std::uint32_t accelerators = 0;
+    std::string payload, saved;       // of a start what it was given; `saved` also of a checkpoint made
+    std::string pool;                 // of a capacity
+    std::vector<std::string> labels;
     std::string line() const;
     static std::optional<Witness> parse(const std::string& line);
 };
