--- a/source/simulator/called_minion.cpp
+++ b/source/simulator/called_minion.cpp
@@ -208,7 +208,12 @@
             if (now - run.startedAt >= options.gangWait.milliseconds) over.emplace_back(name, "alone");
         } else if (run.done >= length) over.emplace_back(name, run.fails ? "failed" : "finished");
     }
-    for (const auto& [name, how] : over) end(name, how);
+    for (const auto& [name, how] : over) {
+        // Another member may have ended in this very tick: the first ending speaks for all.
+        const bool worked = how == "finished" || how == "failed";
+        const auto& run = runs.at(name);
+        end(name, worked && run.gang() && !meeting(name).over.empty() ? meeting(name).over : how);
+    }
 }
 
 void CalledMinion::vanish() {
