A penstock passes over no order: what an answer skips comes again

What: an answer says after which order its own begin; one that begins later than the penstock has got is not followed. CalledMinionTests noOrderIsPassedOver failed before.

--- a/source/exchange.hpp
+++ b/source/exchange.hpp
@@ -92,7 +92,8 @@
     Span term{3000};
     std::vector<Address> sluices;
     std::uint32_t closed = 0;  // so many of the report's named endings, from the first on, are final
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & orders & confirmed & term & closed; }
+    OrderNumber after;         // of a penstock's: the orders are all that are open past this one; earlier ones were in another answer
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & epoch & orders & confirmed & term & closed & after; }
     picojson::object render() const;
     static Result<SyncAnswer> parse(const std::string& body);
 };
--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -105,6 +105,7 @@
             }
     }
     if (now >= sentAt + term) return;  // too late to be followed, docs/design.md 5.3
+    if (answer.after > received) return;  // orders before these were in an answer that was not followed: all come again
     for (const auto& order : answer.orders)
         if (order.number > received) {
             received = order.number;
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -506,6 +506,7 @@
                 if (committedLedger.attemptNamed(report.id, ending.name).value) break;
                 ++answered.closed;
             }
+            answered.after = known;
             if (!answered.orders.empty()) ordersSent[report.id] = {answered.orders.back().number, now};
             Answer packedAnswer;
             packedAnswer.body = pack(answered);
