Of a gang that assembles itself a clean ending counts for members whose own was void

Cause: gangDone knew only members whose attempt of that run was still there. What: members that wait are done as well, and what took a member's place is stopped. Two CalledMinionTests failed before.

--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -162,12 +162,16 @@
     task.saved = saved;
     task.savedRun = attempt.run;
 }
-// The parts of a gang that assembles itself end well together: one such ending counts for all.
+// The parts of a gang that assembles itself end well together: one such ending counts for all, also where another's own was void,
+// and whatever took its place is stopped.
 void Ledger::gangDone(Job& job, const Attempt& attempt) {
     for (auto& task : job.tasks) {
         if (task.step != attempt.step || task.state == TaskState::done) continue;
         auto part = attempts.find(task.attempt);
-        if (part != attempts.end() && part->second.run == attempt.run) taskDone(job, task);
+        if (part != attempts.end() && part->second.run != attempt.run) {
+            task.finishedBefore = true;
+            forceStop(part->second, true);
+        } else if (part != attempts.end() || task.state == TaskState::waiting) taskDone(job, task);
     }
 }
 
@@ -256,6 +260,7 @@
         if (task.attempt != number && replacement != attempts.end()) {
             task.finishedBefore = true;
             forceStop(replacement->second, true);
+            if (attempt.assembles) gangDone(foundJob->second, attempt);
             return;
         }
     }
