--- a/programs/flume.cpp
+++ b/programs/flume.cpp
@@ -13,7 +13,11 @@
 
 void show(const CampaignResult& result) {
     for (const auto& fault : result.faults) std::cout << "  fault " << fault << "\n";
-    for (const auto& promise : result.broken) std::cout << "  broken rule " << promise.rule << " at " << promise.at - World::calendar << ": " << promise.text << "\n";
+    std::map<int, std::size_t> shown;  // the first few of each rule
+    for (const auto& promise : result.broken)
+        if (++shown[promise.rule] <= 8) std::cout << "  broken rule " << promise.rule << " at " << promise.at - World::calendar << ": " << promise.text << "\n";
+    for (const auto& [rule, count] : shown)
+        if (count > 8) std::cout << "  broken rule " << rule << ", " << count - 8 << " more\n";
     for (const auto& limit : result.limits) std::cout << "  limit of rule " << limit.rule << " at " << limit.at - World::calendar << ": " << limit.text << "\n";
     for (const auto& left : result.unfinished) std::cout << "  unfinished " << left << "\n";
 }
--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -66,7 +66,7 @@
         if (options.seed % 4 == 1 && options.faults > 0) lastFault();
         world.runUntilTrue([&] { return world.allOver(); }, 240'000);
         tell(Witness::Kind::settled);
-        if (world.say) world.sayReservoirs();
+        if (world.say) sayWhatIsLeft();
         report(faults);
         return std::move(result);
     }
@@ -236,8 +236,10 @@
         });
         every(3500, [=, this](const std::string& id) {
             auto job = oneStep(id, queue("prints", "sheets"), 2, 1, 256, 1000, draw.between(50, 600));
-            if (draw.chance(0.4)) job.steps[0].gang = true;
-            job.steps[0].tasks[draw.next() % 2].payload += " fail";
+            job.steps[0].gang = draw.chance(0.4);
+            const std::size_t poisoned = draw.next() % 2;
+            for (std::size_t place = 0; place < 2; ++place)
+                if (place == poisoned || job.steps[0].gang) job.steps[0].tasks[place].payload += " fail";
             world.submit(job);
         });
         every(8000, [=, this](const std::string& id) {
@@ -256,6 +258,19 @@
         }
     }
 
+    // For whoever looks into a run: what the leader thinks of jobs that are still open.
+    void sayWhatIsLeft() {
+        world.sayReservoirs();
+        if (world.allOver()) return;
+        for (const char* target : {"/v1/plan", "/v1/minions", "/v1/jobs?state=open", "/v1/jobs?state=cancelling"})
+            world.ask(0, "GET", target, "", [this, target](int, const std::string& body) { world.say(std::string("LEFT ") + target + " " + body); });
+        for (const auto& left : world.unfinished()) {
+            const std::string id = left.substr(0, left.find(' '));
+            world.ask(0, "GET", "/v1/jobs/" + id, "", [this, id](int, const std::string& body) { world.say("LEFT " + id + " " + body); });
+        }
+        world.runUntil(world.now + 1000);
+    }
+
     std::vector<Fault> planFaults() {
         std::vector<Fault> faults;
         std::int64_t at = 0;
--- a/tests/called_minions.cpp
+++ b/tests/called_minions.cpp
@@ -117,3 +117,174 @@
     given.end("v", 3, EndingKind::stopped);
     CHECK(given.state() == JobState::finished);
 }
+
+namespace {
+
+using K = Witness::Kind;
+Witness line(Witness::Kind kind, std::int64_t at, const std::string& job = "", std::uint32_t task = 0, const std::string& minion = "", const std::string& attempt = "1", const std::string& detail = "") {
+    Witness witness;
+    witness.kind = kind;
+    witness.at = at;
+    witness.job = job;
+    witness.task = task;
+    witness.minion = minion;
+    witness.attempt = attempt;
+    witness.detail = detail;
+    if (kind == K::started) witness.payload = "p";
+    witness.cores = witness.memory = kind == K::started ? 1 : 0;
+    return witness;
+}
+Witness minion(const std::string& life) {
+    auto witness = line(K::capacity, 1, "", 0, life, "", "called");
+    witness.cores = witness.memory = 2;
+    witness.pool = "pool";
+    witness.labels = {"fine", "shelf1"};
+    return witness;
+}
+// One task in a queue of two tries; `change` says what is special.
+JobSubmission oneTask(std::function<void(JobSubmission&)> change = {}) {
+    JobSubmission job;
+    job.id = JobId{"a"};
+    job.queue = QueueName{"q"};
+    job.payload = "p";
+    job.steps = {{"only", {}, false, {TaskRequest{1, 1, Span{100}, ""}}}};
+    if (change) change(job);
+    return job;
+}
+std::map<int, std::string> broken(std::vector<Witness> history, const JobSubmission& job = oneTask()) {
+    history.insert(history.begin(), {minion("v"), minion("w")});
+    PromiseOptions options;
+    options.slack = 0;
+    options.triesOf["q"] = 2;
+    options.poolsOf["q"] = {"pool"};
+    std::map<int, std::string> found;
+    for (const auto& promise : checkPromises(std::move(history), {{"a", job}}, options).broken) found[promise.rule] += promise.text + "\n";
+    return found;
+}
+std::vector<Witness> runOn(const std::string& life, std::int64_t from, std::int64_t to, const std::string& attempt, const std::string& how, std::int64_t noted = 0, std::uint32_t task = 0) {
+    std::vector<Witness> lines{line(K::started, from, "a", task, life, attempt), line(K::ended, to, "a", task, life, attempt, how)};
+    if (noted) lines.push_back(line(K::confirmed, noted, "a", task, life, attempt, how));
+    return lines;
+}
+std::vector<Witness> both(std::vector<Witness> first, const std::vector<Witness>& second) {
+    first.insert(first.end(), second.begin(), second.end());
+    return first;
+}
+
+}  // namespace
+
+TEST_GROUP(CalledPromiseTests){};
+
+TEST(CalledPromiseTests, aGoodRunBreaksNothing) {
+    auto history = both(runOn("v", 10, 20, "1", "failed", 25), runOn("w", 30, 40, "2", "finished", 45));
+    history.push_back(line(K::shown, 50, "a", 0, "", "", "finished"));
+    CHECK(broken(history).empty());
+}
+TEST(CalledPromiseTests, twice) {
+    CHECK(broken({line(K::started, 10, "a", 0, "v"), line(K::started, 11, "a", 0, "w", "2")}).count(1));
+    // After an ending that was taken note of, be it later; one that was void by a lapse is never taken note of.
+    CHECK(broken(both(runOn("v", 10, 20, "1", "finished", 25), runOn("w", 30, 40, "2", "finished"))).count(1));
+    CHECK(broken(both(runOn("v", 10, 20, "1", "finished", 35), runOn("w", 30, 40, "2", "finished"))).count(1));
+    CHECK(!broken(both(runOn("v", 10, 20, "1", "finished"), runOn("w", 30, 40, "2", "finished", 45))).count(1));
+    const auto redundant = oneTask([](auto& job) { job.steps[0].needs.redundant = true; });
+    CHECK(broken({line(K::started, 10, "a", 0, "v"), line(K::started, 11, "a", 0, "w", "2")}, redundant).empty());
+    CHECK(!broken(both(runOn("v", 10, 20, "1", "finished", 25), runOn("w", 30, 40, "2", "finished")), redundant).count(1));
+    CHECK(broken(both(runOn("v", 10, 20, "1", "finished", 25), runOn("w", 1030, 1040, "2", "finished")), redundant).count(1));
+    // Of a gang one member's ending is all members'.
+    const auto gang = oneTask([](auto& job) {
+        job.steps[0].gang = true;
+        job.steps[0].tasks.resize(2, job.steps[0].tasks[0]);
+    });
+    CHECK(broken(both(both(runOn("v", 10, 20, "1", "finished", 25), runOn("w", 10, 20, "1", "finished", 0, 1)), runOn("w", 30, 40, "2", "broken", 0, 1)), gang).count(1));
+}
+TEST(CalledPromiseTests, place) {
+    const auto start = {line(K::started, 10, "a", 0, "v")};
+    CHECK(broken(start, oneTask([](auto& job) { job.steps[0].needs.label = "plain"; })).count(13));
+    CHECK(broken(start, oneTask([](auto& job) { job.steps[0].needs.label = "fine"; })).empty());
+    PromiseOptions elsewhere;
+    elsewhere.poolsOf["q"] = {"other"};
+    LONGS_EQUAL(13, checkPromises({minion("v"), line(K::started, 10, "a", 0, "v")}, {{"a", oneTask()}}, elsewhere).broken.at(0).rule);
+    const auto apart = oneTask([](auto& job) {
+        job.steps[0].needs.apart = 1;
+        job.steps[0].tasks.resize(2, job.steps[0].tasks[0]);
+    });
+    CHECK(broken({line(K::started, 10, "a", 0, "v"), line(K::started, 11, "a", 1, "v")}, apart).count(13));
+    CHECK(broken({line(K::started, 10, "a", 0, "v"), line(K::started, 11, "a", 1, "w")}, apart).empty());
+}
+TEST(CalledPromiseTests, tries) {
+    const auto twoFailed = both(runOn("v", 10, 20, "1", "failed", 25), runOn("w", 30, 40, "2", "failed", 55));
+    CHECK(broken(twoFailed).empty());
+    CHECK(broken(both(twoFailed, runOn("v", 50, 60, "3", "finished"))).count(14));
+    CHECK(broken(both(both(runOn("v", 10, 20, "1", "stopped", 25), runOn("w", 30, 40, "2", "failed", 45)), runOn("v", 50, 60, "3", "finished"))).empty());
+    CHECK(broken(both(twoFailed, runOn("v", 50, 60, "3", "failed")), oneTask([](auto& job) { job.steps[0].needs.lasts = true; })).empty());
+}
+TEST(CalledPromiseTests, unasked) {
+    CHECK(broken({line(K::started, 10, "b", 0, "v")}).count(15));
+    CHECK(broken({line(K::started, 10, "a", 7, "v")}).count(15));
+    CHECK(broken({line(K::started, 10, "a@1", 0, "v")}).count(15));
+    auto other = line(K::started, 10, "a", 0, "v");
+    other.payload = "another";
+    CHECK(broken({other}).count(15));
+    auto made = line(K::saved, 15, "a", 0, "v");
+    made.saved = "of task 0";
+    auto from = line(K::started, 30, "a", 0, "w", "2");
+    from.saved = made.saved;
+    const auto first = line(K::started, 10, "a", 0, "v"), end = line(K::ended, 20, "a", 0, "v", "1", "stopped");
+    CHECK(broken({first, made, end, from}).empty());
+    made.task = 1;
+    const auto two = oneTask([](auto& job) { job.steps[0].tasks.resize(2, job.steps[0].tasks[0]); });
+    CHECK(broken({first, made, end, from}, two).count(15));
+    // A gang may go on from any member's, but all from the same.
+    auto gang = two;
+    gang.steps[0].gang = true;
+    auto beside = line(K::started, 31, "a", 1, "v", "2");
+    beside.saved = made.saved;
+    CHECK(broken({first, made, end, from, beside}, gang).empty());
+    beside.saved.clear();
+    CHECK(broken({first, made, end, from, beside}, gang).count(15));
+}
+TEST(CalledPromiseTests, gangAlone) {
+    const auto gang = oneTask([](auto& job) {
+        job.steps[0].gang = true;
+        job.steps[0].tasks.resize(2, job.steps[0].tasks[0]);
+    });
+    const auto alone = runOn("v", 10, 3010, "1", "alone");
+    CHECK(broken(alone, gang).count(16));
+    CHECK(broken(both({line(K::disturbed, 5, "", 0, "", "", "a fault")}, alone), gang).empty());
+    CHECK(broken(both({line(K::cancelAcknowledged, 8, "a")}, alone), gang).empty());
+}
+TEST(CalledPromiseTests, leaving) {
+    const auto leaving = line(K::leaving, 5, "", 0, "v");
+    auto start = line(K::started, 10, "a", 0, "v");
+    CHECK(broken({leaving, start}).count(17));
+    start.late = true;  // an order from before, carried out seconds after it was given up
+    CHECK(broken({leaving, start}).empty());
+}
+TEST(CalledPromiseTests, shownFinishedOrFailedTooSoon) {
+    const auto shown = line(K::shown, 50, "a", 0, "", "", "finished"), failed = line(K::shown, 50, "a", 0, "", "", "failed");
+    CHECK(broken(both(runOn("v", 10, 20, "1", "lapsed", 25), {shown})).count(4));
+    const auto timed = oneTask([](auto& job) {
+        job.timetable.first = ClusterTime{5};
+        job.timetable.every = Span{1};
+        job.timetable.count = 2;
+    });
+    auto first = runOn("v", 10, 20, "1", "finished", 25);
+    for (auto& witness : first) witness.job = "a@0";
+    CHECK(broken(both(first, {shown}), timed).count(4));
+    auto second = runOn("w", 10, 20, "1", "finished", 25);
+    for (auto& witness : second) witness.job = "a@1";
+    CHECK(broken(both(both(first, second), {shown}), timed).empty());
+    CHECK(broken(both(runOn("v", 10, 20, "1", "failed", 25), {failed})).count(18));
+    CHECK(broken(both(both(runOn("v", 10, 20, "1", "failed", 25), runOn("v", 30, 40, "2", "failed", 45)), {failed})).empty());
+    CHECK(broken({failed}, oneTask([](auto& job) { job.steps[0].tasks[0].cores = 9; })).empty());
+}
+TEST(CalledPromiseTests, room) {
+    const auto three = oneTask([](auto& job) { job.steps[0].tasks.resize(3, job.steps[0].tasks[0]); });
+    std::vector<Witness> starts;
+    for (std::uint32_t task = 0; task < 3; ++task) starts.push_back(line(K::started, 10, "a", task, "v"));
+    CHECK(broken(starts, three).count(10));
+    starts.pop_back();
+    CHECK(broken(starts, three).empty());
+    starts[0].accelerators = 1;
+    CHECK(broken(starts, three).count(10));
+}
