A penstock calls an ending void only when the hold has surely run out

What: between may and must nothing is called void, and no call carries a deadline, so that it either shows its clock or lapses. CalledMinionTests anEndingIsVoidOnlyWhenItsHoldHasSurelyRunOut failed before.

--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -38,11 +38,16 @@
     noteLapse(now);
 }
 
-// What had ended when the hold ran out, and was not confirmed, is void. docs/design.md 5.5.
+bool Penstock::mayHaveLapsed(Instant now) const { return granted && clock && *clock + (now - clockAt) >= *granted; }
+
+// What had ended when the hold ran out, and was not confirmed, is void. docs/design.md 5.5. Its clock may be slow: before the hold
+// has surely run out nothing is called void, and while it may have nothing renews it. docs/design.md 5.8.
 void Penstock::noteLapse(Instant now) {
-    if (lapsed || !granted || !clock || *clock + (now - clockAt) < *granted) return;
+    if (lapsed || !mayHaveLapsed(now)) return;
+    const bool idle = works.empty() && told.empty();
+    if (!idle && *clock + Span{std::int64_t(double((now - clockAt).milliseconds) * options.slowest)} <= *granted + Span{1}) return;
     granted.reset();
-    if (works.empty() && told.empty()) return;
+    if (idle) return;
     lapsed = true;
     for (auto& ending : told)
         if (ending.ending.kind == EndingKind::finished && ending.number) ending.ending.kind = EndingKind::stopped;
@@ -206,7 +211,7 @@
         call.number = nextCall++;
         call.life = account.life;
         call.fence = epoch;
-        call.deadline = deadline(now);
+        if (!mayHaveLapsed(now)) call.deadline = deadline(now);
         if (call.deadline && (!granted || *granted < *call.deadline)) granted = call.deadline;
         return call;
     };
@@ -220,7 +225,7 @@
             }
             if (account.leaving) work.failed = true;
             else {
-                if (lapsed || leaseUntil <= now || !clock) continue;
+                if (lapsed || mayHaveLapsed(now) || leaseUntil <= now || !clock) continue;
                 auto call = make(MinionCall::Kind::start);
                 call.name = name;
                 call.payload = work.order.payload;
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -108,6 +108,7 @@
     void lookAfter(Work& work);
     std::optional<MinionTime> deadline(Instant now) const;
     void hear(const std::optional<MinionTime>& clock, Instant now);
+    bool mayHaveLapsed(Instant now) const;
     void noteLapse(Instant now);
     void looked(const MinionCall& call, const MinionReply& reply, Instant now);
     OrderNumber applied() const;
--- a/tests/called_minions.cpp
+++ b/tests/called_minions.cpp
@@ -58,6 +58,38 @@
     LONGS_EQUAL(2, started(penstock, 4501).size());
 }
 
+// Its hold may have run out, by a clock that may be slow: until that is sure what ended well is not called void, and no call
+// renews the hold. docs/design.md 5.8.
+TEST(CalledMinionTests, anEndingIsVoidOnlyWhenItsHoldHasSurelyRunOut) {
+    Penstock penstock{PenstockOptions{}};
+    penstock.known(account("w", 0), Instant{0});
+    const auto report = penstock.report(Instant{0});
+    penstock.answered(report, answerWith({startOf(1, "a")}, 0), Instant{0}, Instant{0});
+    for (const auto& call : penstock.takeCalls(Instant{0})) {
+        MinionReply reply;
+        reply.kind = MinionReply::Kind::done;
+        reply.clock = MinionTime{98};
+        if (call.kind == MinionCall::Kind::look) reply.ended.push_back({1, RunName::of(startOf(1, "a")), EndingKind::finished, ""});
+        penstock.replied(call, reply, Instant{100});
+    }
+    LONGS_EQUAL(1, penstock.report(Instant{101}).namedEndings.size());
+    // It was held until 2940 by its own clock, which is between 2886 and 2943 by now.
+    penstock.answered(penstock.report(Instant{2900}), answerWith({}, 1), Instant{2900}, Instant{2940});
+    for (const auto& call : penstock.takeCalls(Instant{2945})) CHECK(!call.deadline);
+    CHECK(penstock.report(Instant{2946}).namedEndings.at(0).kind == EndingKind::finished);
+    // Its clock shows that it is held still.
+    Penstock heard = penstock;
+    heard.known(account("w", 2890), Instant{2950});
+    heard.answered(heard.report(Instant{2950}), answerWith({startOf(2, "b")}, 0), Instant{2950}, Instant{2950});
+    std::size_t renewed = 0;
+    for (const auto& call : heard.takeCalls(Instant{2950})) renewed += call.deadline.has_value();
+    CHECK(renewed > 0);
+    CHECK(heard.report(Instant{3100}).namedEndings.at(0).kind == EndingKind::finished);
+    // Or nothing more is heard.
+    penstock.takeCalls(Instant{3200});
+    CHECK(penstock.report(Instant{3201}).namedEndings.at(0).kind == EndingKind::stopped);
+}
+
 namespace {
 
 // A ledger with two minions at which gangs assemble themselves, and one job: a gang of two.
