--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -316,6 +316,19 @@
             result.counters = {{"trials", double(counters.trials)}, {"ranOut", double(counters.trialsRanOut)}, {"holds", double(counters.holds)},
                                {"retries", double(counters.retries)}, {"lost", double(counters.lost)}, {"failed", double(counters.failed)}, {"epoch", double(world.reservoir(*leader)->agreed().epoch().value)}};
         }
+        if (options.called) countCalled();
+    }
+    // What minions that are called went through, so that a run which tries none of it is seen.
+    void countCalled() {
+        for (const char* what : {"started late", "from a checkpoint", "ended lapsed", "ended alone", "ended broken", "ended stopped", "ended failed"}) result.counters[what] = 0;
+        for (const auto& given : world.history) {
+            if (given.kind == Witness::Kind::started) {
+                result.counters["started late"] += given.late;
+                result.counters["from a checkpoint"] += !given.saved.empty();
+            } else if (given.kind == Witness::Kind::ended && given.minion.starts_with("w")) {
+                if (auto known = result.counters.find("ended " + given.detail); known != result.counters.end()) ++known->second;
+            }
+        }
     }
     void operatorRace() {
         const std::uint64_t base = applied;
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -5,6 +5,8 @@
 build/aniseline_tests
 # Seeded faults on the whole cluster in virtual time; a fixed set of seeds, so the verdict is the same every time.
 build/flume --from 1 --seeds 96 --every-kind
+# The same with minions that are called, each with its penstock.
+build/flume --from 1 --seeds 60 --every-kind --called 8
 # Bad flags, options and setups are refused by file and field, before anything starts.
 bash tests/refusals.sh
 # Real processes on this machine, bounded, waiting on conditions: the leader is killed, then frozen and woken.
