--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -195,7 +195,7 @@
     const bool toFindOut = std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
     if (toFindOut) return now - lookedAt >= (told.empty() ? Span{20} : options.lookAgain);
     const bool running = std::any_of(works.begin(), works.end(), [](const auto& entry) { return entry.second.running; });
-    if (!running) return false;
+    if (!running && !moreEnded) return false;
     // While endings wait to be confirmed a look would only tell them again; it is due all the same to keep the hold up.
     const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
     return !unconfirmed || now - lookedAt >= std::max(lookWait(), Span{500});
@@ -255,7 +255,7 @@
         call.lastSeen = lastSeen;
         const bool toFindOut = !everLooked || lapsed || std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
         const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
-        call.wait = toFindOut || unconfirmed ? Span{0} : lookWait();
+        call.wait = toFindOut || unconfirmed || moreEnded ? Span{0} : lookWait();
         call.within = call.wait + Span{700};
         looking = true;
         ++looksBegun;
@@ -356,6 +356,7 @@
         finish(ended.name, lapsed && ended.kind == EndingKind::finished ? EndingKind::stopped : ended.kind, ended.number, ended.saved);
     }
     lapsed = false;
+    moreEnded = !reply.whole;
     // docs/design.md 5.8: what a look begun after the last call for it does not show was never begun.
     if (!reply.whole) return;
     std::vector<RunName> absent;
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -137,7 +137,7 @@
     std::map<RunName, std::string> saves;
     std::map<RunName, std::string> lastSaved;
     std::uint64_t lastSeen = 0, highestEnding = 0, nextCall = 1, callsUnderWay = 0;
-    bool looking = false, everLooked = false;
+    bool looking = false, everLooked = false, moreEnded = false;  // moreEnded: a look left endings out
     Instant lookedAt{-1'000'000};
     std::uint64_t looksBegun = 0;
 };
--- a/tests/called_minions.cpp
+++ b/tests/called_minions.cpp
@@ -90,6 +90,31 @@
     CHECK(penstock.report(Instant{3201}).namedEndings.at(0).kind == EndingKind::stopped);
 }
 
+// A minion lists so many endings at a time: the rest is asked for even where nothing runs any more.
+TEST(CalledMinionTests, theRestOfTheEndingsIsAskedFor) {
+    Penstock penstock{PenstockOptions{}};
+    penstock.known(account("w", 0), Instant{0});
+    penstock.answered(penstock.report(Instant{0}), answerWith({}, 0), Instant{0}, Instant{0});
+    auto looks = [&](std::int64_t now) {
+        std::vector<MinionCall> found;
+        for (const auto& call : penstock.takeCalls(Instant{now}))
+            if (call.kind == MinionCall::Kind::look) found.push_back(call);
+        return found;
+    };
+    MinionReply reply;
+    reply.kind = MinionReply::Kind::done;
+    reply.clock = MinionTime{10};
+    reply.ended.push_back({1, RunName::of(startOf(1, "a")), EndingKind::finished, ""});
+    reply.whole = false;
+    penstock.replied(looks(10).at(0), reply, Instant{11});
+    auto answer = answerWith({}, 0);
+    answer.closed = 1;
+    penstock.answered(penstock.report(Instant{12}), answer, Instant{12}, Instant{14});
+    const auto again = looks(20);
+    LONGS_EQUAL(1, again.size());
+    LONGS_EQUAL(1, again.at(0).lastSeen);
+}
+
 namespace {
 
 // A ledger with two minions at which gangs assemble themselves, and one job: a gang of two.
