--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -406,10 +406,12 @@
             reservation.job = unit.job;
             reservation.step = unit.step;
             reservation.start = time;
+            std::map<std::size_t, std::uint32_t> placed;
             for (auto part : parts) {
                 const TaskRequest& request = requestOf(unit, part);
                 std::size_t best = rooms.size();
                 for (std::size_t place = 0; place < rooms.size(); ++place) {
+                    if (unit.needs->apart && placed[place] >= unit.needs->apart) continue;
                     if (!rooms[place].minion->open() || free[place].first < request.cores || !suits(unit, rooms[place]) || rooms[place].accelerators < request.accelerators) continue;
                     if (!memoryFits(rooms[place], free[place].second, std::int64_t(request.memory), trialRoom)) continue;
                     if (best == rooms.size() || free[place].first < free[best].first) best = place;
@@ -417,6 +419,7 @@
                 if (best == rooms.size()) break;
                 free[best].first -= request.cores;
                 free[best].second -= std::int64_t(request.memory);
+                ++placed[best];
                 reservation.placements.push_back({part, rooms[best].minion->id});
             }
             if (reservation.placements.size() == parts.size()) return reservation;
--- a/tests/called_minions.cpp
+++ b/tests/called_minions.cpp
@@ -2,6 +2,7 @@
 // histories. docs/design.md 5.8, 11, 12.4.
 #include "ledger.hpp"
 #include "penstock.hpp"
+#include "planner.hpp"
 #include "promises.hpp"
 #include <CppUTest/TestHarness.h>
 
@@ -175,6 +176,27 @@
     CHECK(given.state() == JobState::finished);
 }
 
+// No start is reserved where too many of a step would be on one minion: it would never come, and hold others back.
+TEST(CalledMinionTests, noStartIsReservedPastApart) {
+    Ledger ledger;
+    std::int64_t now = 0;
+    auto fold = [&](Event event) { ledger.fold(Record{ClusterTime{++now}, std::move(event)}); };
+    auto setup = Setup::parse(R"({"queues":{"q":{"tries":2}}})");
+    setup.value().version = SetupVersion{1};
+    fold(SetupTaken{setup.value()});
+    fold(MinionSeen{MinionId{"v"}, Incarnation{1}, account("v", 0).capacity});
+    JobSubmission job;
+    job.id = JobId{"a"};
+    job.queue = QueueName{"q"};
+    job.steps = {{"only", {}, true, {TaskRequest{}, TaskRequest{}}}};
+    job.steps[0].needs.apart = 1;
+    fold(JobAllowed{job});
+    Planner planner;
+    CHECK(!planner.make(ledger, ClusterTime{now}, {{MinionId{"v"}, Span{0}}}).made.reservation.held());
+    fold(MinionSeen{MinionId{"w"}, Incarnation{1}, account("w", 0).capacity});
+    LONGS_EQUAL(2, planner.make(ledger, ClusterTime{now}, {{MinionId{"v"}, Span{0}}, {MinionId{"w"}, Span{0}}}).made.actions.size());
+}
+
 namespace {
 
 using K = Witness::Kind;
