--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -77,6 +77,7 @@
         const std::uint64_t seed = options.seed;
         WorldOptions world;
         world.called = options.called;
+        if (options.called && seed % 2) world.reservoir.margin = Span{350};  // a twentieth of the lease and 200 ms, as agents of called minions need no more
         world.seed = seed;
         // Minions without terms and minions that do not guard their room, in every mix.
         world.termless = std::array<std::size_t, 4>{0, seed / 4 % 4 == 3 ? 0u : 2u, 0, 11}[seed % 4];
@@ -217,7 +218,8 @@
             auto job = oneStep(id, queue("books", "maps"), std::size_t(draw.between(2, 4)), std::uint32_t(draw.between(1, 6)), 2048, 4000, draw.between(500, 6000), true);
             job.steps[0].needs.saves = draw.chance(0.6);
             job.steps[0].needs.sameRack = draw.chance(0.3);
-            if (draw.chance(0.3)) job.steps[0].needs.apart = std::uint32_t(draw.between(1, 2));
+            // Two minions of a pool are enough, so that one area may be away for good.
+            if (draw.chance(0.3)) job.steps[0].needs.apart = job.steps[0].tasks.size() > 2 ? 2 : 1;
             if (draw.chance(0.5)) job.steps.push_back({"after", {"only"}, false, {TaskRequest{2000, 1024, Span{1000}, "run=300"}, TaskRequest{500, 256, Span{1000}, "run=200"}}});
             world.submit(job, maybeCancel());
         });
