--- a/source/simulator/world_called.cpp
+++ b/source/simulator/world_called.cpp
@@ -102,7 +102,7 @@
     schedule(now + call.within.milliseconds, [tell] { tell({}); });
     if (to.ordersLate && draw.chance(0.6)) {
         // No answer: it is carried out now, or seconds later and after newer ones.
-        const std::int64_t delay = draw.chance(0.4) ? 0 : draw.between(2000, 12'000);
+        const std::int64_t delay = draw.chance(0.3) ? 0 : draw.between(2000, draw.chance(0.5) ? 3200 : 12'000);  // many within the lease
         return schedule(now + delay, [this, &to, call, delay, life = to.minion->life()] {
             if (to.up && to.minion->life() == life) to.minion->take(call, now, delay > 0);
         });
@@ -133,6 +133,7 @@
     given.capacity = node.capacity;
     given.clockRate = 0.98 + 0.02 * double(draw.between(0, 1000)) / 1000.0;
     given.clockBase = draw.between(1000, 1'000'000);
+    given.gangWait = Span{options.seed % 3 ? 3000 : 1500};
     given.endingsAtOnce = std::size_t(std::array<int, 3>{500, 3, 40}[node.place % 3]);
     node.minion = std::make_unique<CalledMinion>(given, meetings->gangs, draw.next(), [this](const JobId& id) {
         auto found = submissions.find(id.value);
