--- a/source/simulator/world_called.cpp
+++ b/source/simulator/world_called.cpp
@@ -100,7 +100,7 @@
     };
     if (!to.up) return schedule(now + 1, [tell] { tell({}); });
     schedule(now + call.within.milliseconds, [tell] { tell({}); });
-    if (to.ordersLate && draw.chance(0.6)) {
+    if (to.ordersLate && draw.chance(0.85)) {
         // No answer: it is carried out now, or seconds later and after newer ones.
         const std::int64_t delay = draw.chance(0.3) ? 0 : draw.between(2000, draw.chance(0.5) ? 3200 : 12'000);  // many within the lease
         return schedule(now + delay, [this, &to, call, delay, life = to.minion->life()] {
