--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -39,7 +39,8 @@
     noteLapse(now);
 }
 
-// What had ended when the hold ran out, and was not confirmed, is void. docs/design.md 5.5.
+// What had ended when the hold ran out, and was not confirmed, is void. docs/design.md 5.5. Its clock may be slow: before the hold
+// has surely run out nothing is called void, and while it may have nothing renews it. docs/design.md 5.8.
 void Penstock::noteLapse(Instant now) {
     if (!granted || !clock || overNoted || surelyRead(now) < *granted) return;
     overNoted = true;
@@ -52,7 +53,7 @@
 
 // What a clock that may be slow surely shows by now; and whether a true one may show the end of the hold already.
 MinionTime Penstock::surelyRead(Instant now) const { return *clock + Span{std::int64_t(double((now - clockAt).milliseconds) * options.slowest)}; }
-bool Penstock::mayLapse(Instant now) const { return granted && clock && !overNoted && *clock + (now - clockAt) + Span{50} >= *granted; }
+bool Penstock::mayLapse(Instant now) const { return granted && clock && !overNoted && *clock + (now - clockAt) + Span{50} > *granted; }
 
 // The lease as a time on the minion's clock. Counted as if that clock were slow, it is never later than the lease.
 std::optional<MinionTime> Penstock::deadline(Instant now) const {
@@ -142,7 +143,10 @@
     answeredOnce = true;
     if (answer.orders.empty()) return;
     const OrderNumber before{answer.orders.front().number.value - 1};
-    if (received == OrderNumber{}) received = before;
+    if (received == OrderNumber{}) {
+        if (answer.after > received) return;  // earlier ones were in an answer that did not come: all come again
+        received = before;
+    }
     for (const auto& order : answer.orders) {
         if (has(order.number)) continue;
         take(order, now);
@@ -255,7 +259,7 @@
     if (toFindOut) return now - lookedAt >= (told.empty() ? Span{20} : options.lookAgain);
     if (unanswered && now - lookedAt < Span{250}) return false;
     const bool running = unanswered || std::any_of(works.begin(), works.end(), [](const auto& entry) { return entry.second.running; });
-    if (!running) return false;
+    if (!running && !moreEnded) return false;
     // While endings wait to be confirmed a look would only tell them again; it is due all the same to keep the hold up.
     const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
     return !unconfirmed || now - lookedAt >= std::max(lookWait(), Span{500});
@@ -322,7 +326,7 @@
         call.lastSeen = lastSeen;
         const bool toFindOut = !everLooked || lapsed || std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
         const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
-        call.wait = toFindOut || unconfirmed ? Span{0} : lookWait();
+        call.wait = toFindOut || unconfirmed || moreEnded ? Span{0} : lookWait();
         call.within = call.wait + Span{400};
         looking = true;
         ++looksBegun;
@@ -426,6 +430,7 @@
         finish(ended.name, lapsed && ended.kind == EndingKind::finished ? EndingKind::stopped : ended.kind, ended.number, ended.saved);
     }
     if (lapsed && call.number >= lapseSeenFrom) lapsed = false;
+    moreEnded = !reply.whole;
     // docs/design.md 5.8: what a look begun after the last call for it does not show was never begun.
     if (!reply.whole) return;
     std::vector<RunName> absent;
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -153,7 +153,7 @@
     std::map<RunName, std::string> saves;
     std::map<RunName, std::string> lastSaved;
     std::uint64_t lastSeen = 0, highestEnding = 0, nextCall = 1, callsUnderWay = 0;
-    bool looking = false, everLooked = false, answeredOnce = false;
+    bool looking = false, everLooked = false, answeredOnce = false, moreEnded = false;  // moreEnded: a look left endings out
     Instant lookedAt{-1'000'000};
     std::uint64_t looksBegun = 0, lapseSeenFrom = 0;
 };
--- a/tests/called_minion_tests.cpp
+++ b/tests/called_hand_tests.cpp
@@ -50,9 +50,9 @@
 
 }  // namespace
 
-TEST_GROUP(CalledMinionTests){};
+TEST_GROUP(CalledHandTests){};
 
-TEST(CalledMinionTests, CallsAndRepliesSurviveTheWords) {
+TEST(CalledHandTests, CallsAndRepliesSurviveTheWords) {
     const auto words = minionWords();
     auto call = startCall("job@0", 7);
     call.order.task = 3;
@@ -92,7 +92,7 @@
     LONGS_EQUAL(int(K::lost), kindOf(words.read(look, HttpError{HttpError::Kind::late, "late"})));
 }
 
-TEST(CalledMinionTests, AnAccountSurvivesTheWordsAndOthersAreNotHeard) {
+TEST(CalledHandTests, AnAccountSurvivesTheWordsAndOthersAreNotHeard) {
     const auto words = minionWords();
     MinionAccount account{MinionId{"m.1"}, {}, true, Span{2000}, MinionTime{55}};
     account.capacity.cores = 1500;
@@ -111,7 +111,7 @@
         CHECK(!words.hear(other));
 }
 
-TEST(CalledMinionTests, WrongCallsAreNamedByPathAndUnreadableLooksTellNothing) {
+TEST(CalledHandTests, WrongCallsAreNamedByPathAndUnreadableLooksTellNothing) {
     const auto words = minionWords();
     struct Case {
         const char *target, *body, *path;
@@ -129,7 +129,7 @@
         LONGS_EQUAL_TEXT(int(K::lost), kindOf(words.read(lookCall(), HttpAnswer{200, body, Span{0}})), body);
 }
 
-TEST(CalledMinionTests, AStartIsCarriedOutOnceAndRefusedWithItsReason) {
+TEST(CalledHandTests, AStartIsCarriedOutOnceAndRefusedWithItsReason) {
     auto hand = handOf();
     LONGS_EQUAL(int(K::late), kindOf(hand.take(startCall("a", 1, 10), MinionTime{10})));
     LONGS_EQUAL(int(K::done), kindOf(hand.take(startCall("a"), MinionTime{10})));
@@ -151,7 +151,7 @@
     LONGS_EQUAL(int(K::room), kindOf(hand.take(startCall("a", 9), MinionTime{19})));
 }
 
-TEST(CalledMinionTests, EndingsAreNumberedToldAgainAndFinalWhenSeen) {
+TEST(CalledHandTests, EndingsAreNumberedToldAgainAndFinalWhenSeen) {
     auto hand = handOf();
     hand.take(startCall("a"), MinionTime{10});
     hand.take(startCall("bb"), MinionTime{10});
@@ -168,7 +168,7 @@
     CHECK(confirmed.size() == 1 && confirmed[0].second == EndingKind::finished);
 }
 
-TEST(CalledMinionTests, WhenTheHoldIsOverAllIsKilledAndUnconfirmedEndsAreVoid) {
+TEST(CalledHandTests, WhenTheHoldIsOverAllIsKilledAndUnconfirmedEndsAreVoid) {
     auto hand = handOf();
     hand.take(startCall("a", 1, 3000), MinionTime{10});
     hand.take(startCall("bb", 1, 3000), MinionTime{10});
@@ -192,7 +192,7 @@
     CHECK(hand.idle());
 }
 
-TEST(CalledMinionTests, ATrialEndsByItself) {
+TEST(CalledHandTests, ATrialEndsByItself) {
     auto hand = handOf();
     auto call = startCall("a");
     call.order.quantum = Span{100};
@@ -203,7 +203,7 @@
     CHECK(hand.take(lookCall(), MinionTime{111}).ended.at(0).kind == EndingKind::ranOut);
 }
 
-TEST(CalledMinionTests, AnotherLifeBeginsWithNothing) {
+TEST(CalledHandTests, AnotherLifeBeginsWithNothing) {
     auto hand = handOf();
     hand.take(startCall("a"), MinionTime{10});
     hand.takeEffects();
@@ -217,7 +217,7 @@
     LONGS_EQUAL(int(K::done), kindOf(hand.take(call, MinionTime{12})));
 }
 
-TEST(CalledMinionTests, AGangsPartIsStagedInThePenstockAndStartedWhenToldToGo) {
+TEST(CalledHandTests, AGangsPartIsStagedInThePenstockAndStartedWhenToldToGo) {
     Penstock penstock{PenstockOptions{}};
     MinionAccount account{MinionId{"m.1"}, {}, false, Span{0}, MinionTime{1000}};
     CHECK(penstock.known(account, Instant{0}));
