--- a/programs/millrace.cpp
+++ b/programs/millrace.cpp
@@ -318,6 +318,13 @@
         signal(*child, freeze ? SIGSTOP : verb == "stop" ? SIGTERM : SIGKILL);
         bool good = true;
         if (!freeze) good = until(child->name + " has ended", Span{8000}, [&] { return reap(*child); });
+        // A killed minion can't witness that its tasks are gone; who reaped its process can, before it is started again.
+        if (!freeze && good && child->name.starts_with("waterwheel")) {
+            Witness gone;
+            gone.kind = Witness::Kind::vanished;
+            gone.minion = "m" + child->name.substr(std::string("waterwheel").size());
+            keeper.write(gone);
+        }
         if (verb == "empty") std::filesystem::remove_all(settings.folder + "/data" + child->name.substr(9));
         good = until("service meanwhile", Span{12'000}, [&] { return show("/v1/counters").has_value(); }) && good;
         pause(Span{seconds * 1000});
