--- a/tests/ledger_tests.cpp
+++ b/tests/ledger_tests.cpp
@@ -589,93 +589,49 @@
         CHECK_TEXT(order.job.value != "second" || order.kind != OrderKind::start, "a start that was refused is still ordered there");
 }
 
-TEST_GROUP(LedgerCopies){};
-
-// docs/incidents.md 3: copies that fail use their task's tries, also while the first run stands still.
-TEST(LedgerCopies, copiesUseTheirTasksTries) {
-    Ledger ledger;
-    std::int64_t now = 1000;
-    auto fold = [&](Event event) { ledger.fold(Record{ClusterTime{now += 10}, std::move(event)}); };
-    auto setup = Setup::parse(R"({"queues":{"q":{"tries":3}}})");
-    CHECK(setup.has_value());
-    setup.value().version = SetupVersion{1};
-    fold(SetupTaken{setup.value()});
-    for (const char* id : {"hangs", "other"}) {
-        Capacity capacity;
-        capacity.cores = 8000;
-        capacity.memory = 1000;
-        capacity.lapses = capacity.assembles = true;
-        capacity.pauses = false;
-        fold(MinionSeen{MinionId{id}, Incarnation{1}, capacity});
+TEST_GROUP(LedgerCopies) {
+    LedgerBench bench;
+    void setup() override {
+        StepNeeds needs;
+        needs.redundant = true;
+        bench.minion("first", {.cores = 8000});
+        bench.minion("other", {.cores = 8000});
+        bench.submit("copied", {LedgerBench::step(1, 1000, needs, false, 100)});
     }
-    JobSubmission job;
-    job.id = JobId{"poison"};
-    job.queue = QueueName{"q"};
-    StepRequest step;
-    step.name = "0";
-    step.needs.redundant = true;
-    step.tasks = {TaskRequest{1000, 10, Span{100}, ""}};
-    job.steps = {step};
-    fold(JobAllowed{job});
-    auto start = [&](std::uint64_t attempt, const char* minion, bool twin) {
+    void start(std::uint64_t attempt, const char* minion, bool twin) {
         Action action;
         action.attempt = AttemptNumber{attempt};
-        action.job = job.id;
+        action.job = JobId{"copied"};
         action.minion = MinionId{minion};
-        action.memory = 10;
+        action.memory = 100;
         action.twin = twin;
-        fold(PlanMade{PlanNumber{attempt}, {action}, {}});
-    };
-    start(1, "hangs", false);
+        bench.now += 10;
+        bench.fold(PlanMade{PlanNumber{attempt}, {action}, {}});
+    }
+};
+
+// docs/incidents.md 3: copies that fail use their task's tries, also while the first run stands still.
+TEST(LedgerCopies, copiesUseTheirTasksTries) {
+    start(1, "first", false);
     for (std::uint64_t copy = 2; copy <= 4; ++copy) {
-        CHECK_TEXT(!ledger.jobs.at(job.id).ending, "failed before its tries were used up");
+        CHECK_TEXT(!bench.job("copied").ending, "failed before its tries were used up");
         start(copy, "other", true);
-        fold(MinionSynced{MinionId{"other"}, {}, {Ending{AttemptNumber{copy}, EndingKind::failed}}});
+        bench.end(AttemptNumber{copy}, EndingKind::failed);
     }
-    CHECK(ledger.jobs.at(job.id).ending);
-    CHECK(ledger.attempts.at(AttemptNumber{1}).state == AttemptState::stopping);
-    fold(MinionSynced{MinionId{"hangs"}, {}, {Ending{AttemptNumber{1}, EndingKind::stopped}}});
-    CHECK(ledger.jobs.at(job.id).state == JobState::failed);
+    CHECK(bench.job("copied").ending);
+    CHECK(bench.stopOrdered(AttemptNumber{1}));
+    bench.end(AttemptNumber{1}, EndingKind::stopped);
+    STRCMP_EQUAL("failed", bench.state("copied").c_str());
 }
 
 // Of two copies the first clean ending counts: the job is over at once, and the other keeps its room until it has stopped.
 TEST(LedgerCopies, theFirstCleanEndingCounts) {
-    Ledger ledger;
-    std::int64_t now = 1000;
-    auto fold = [&](Event event) { ledger.fold(Record{ClusterTime{now += 10}, std::move(event)}); };
-    auto setup = Setup::parse(R"({"queues":{"q":{"tries":3}}})");
-    setup.value().version = SetupVersion{1};
-    fold(SetupTaken{setup.value()});
-    for (const char* id : {"slow", "other"}) {
-        Capacity capacity;
-        capacity.cores = 8000;
-        capacity.memory = 1000;
-        capacity.lapses = true;
-        capacity.pauses = false;
-        fold(MinionSeen{MinionId{id}, Incarnation{1}, capacity});
-    }
-    JobSubmission job;
-    job.id = JobId{"copied"};
-    job.queue = QueueName{"q"};
-    StepRequest step;
-    step.name = "0";
-    step.needs.redundant = true;
-    step.tasks = {TaskRequest{1000, 10, Span{100}, ""}};
-    job.steps = {step};
-    fold(JobAllowed{job});
-    for (std::uint64_t attempt : {1, 2}) {
-        Action action;
-        action.attempt = AttemptNumber{attempt};
-        action.job = job.id;
-        action.minion = MinionId{attempt == 1 ? "slow" : "other"};
-        action.memory = 10;
-        action.twin = attempt == 2;
-        fold(PlanMade{PlanNumber{attempt}, {action}, {}});
-    }
-    fold(MinionSynced{MinionId{"other"}, {}, {Ending{AttemptNumber{2}, EndingKind::finished}}});
-    CHECK(ledger.jobs.at(job.id).state == JobState::finished);
-    CHECK(ledger.attempts.at(AttemptNumber{1}).state == AttemptState::stopping);
-    fold(MinionSynced{MinionId{"slow"}, {}, {Ending{AttemptNumber{1}, EndingKind::finished}}});
-    CHECK(ledger.attempts.empty());
-    CHECK(ledger.jobs.at(job.id).state == JobState::finished);
+    start(1, "first", false);
+    start(2, "other", true);
+    bench.end(AttemptNumber{2}, EndingKind::finished);
+    STRCMP_EQUAL("finished", bench.state("copied").c_str());
+    CHECK(bench.stopOrdered(AttemptNumber{1}));
+    bench.end(AttemptNumber{1}, EndingKind::finished);
+    CHECK(bench.ledger.attempts.empty());
+    STRCMP_EQUAL("finished", bench.state("copied").c_str());
 }
