Penstock and ledger: what was asked in several places is asked in one

Found on reading over: the same searches for told endings, runs to be seen and unconfirmed endings stood two or three times; two loops cancelled a timetable's occurrences.

--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -224,22 +224,22 @@
     if (job.state == JobState::failed) {
         whole.reason = "occurrence " + job.submission.id.value.substr(mark + 1) + ": " + job.reason;
         over(whole, JobState::failed);
-        for (std::uint32_t count = 0; count < whole.fired; ++count) {
-            auto other = jobs.find(JobId{whole.submission.id.value + "@" + std::to_string(count)});
-            if (other != jobs.end() && !other->second.over()) cancel(other->second, "another occurrence failed");
-        }
+        cancelOccurrences(whole, "another occurrence failed");
     } else if (whole.fired >= whole.submission.timetable.count && whole.occurrencesOpen == 0) over(whole, JobState::finished);
 }
 
+void Ledger::cancelOccurrences(const Job& whole, const std::string& reason) {
+    for (std::uint32_t count = 0; count < whole.fired; ++count) {
+        auto occurrence = jobs.find(JobId{whole.submission.id.value + "@" + std::to_string(count)});
+        if (occurrence != jobs.end()) cancel(occurrence->second, reason);
+    }
+}
+
 void Ledger::cancel(Job& job, const std::string& reason) {
     if (job.over()) return;
     if (job.state == JobState::timed) {
         over(job, JobState::cancelled);
-        for (std::uint32_t count = 0; count < job.fired; ++count) {
-            auto occurrence = jobs.find(JobId{job.submission.id.value + "@" + std::to_string(count)});
-            if (occurrence != jobs.end()) cancel(occurrence->second, reason);
-        }
-        return;
+        return cancelOccurrences(job, reason);
     }
     job.state = JobState::cancelling;
     if (!job.ending) failJob(job, reason);
--- a/source/ledger.hpp
+++ b/source/ledger.hpp
@@ -65,6 +65,7 @@
     void countFailure(Job& job, const Attempt& attempt);
     bool spent(const Job& job, const Task& task) const;
     void cancel(Job& job, const std::string& reason);
+    void cancelOccurrences(const Job& whole, const std::string& reason);
     void gangDone(Job& job, const Attempt& attempt);
     void stopCopies(const Task& task, AttemptNumber except);
     void resumeVictimsOf(AttemptNumber trial);
--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -179,7 +179,7 @@
     auto found = works.find(name);
     if (order.kind == OrderKind::start || order.kind == OrderKind::stage) {
         if (found != works.end()) return;
-        if (std::any_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; })) return;
+        if (hasTold(name)) return;
         Work work;
         work.order = order;
         work.notBefore = now;
@@ -194,7 +194,7 @@
     if (order.kind == OrderKind::go) return go(order, name, now);
     if (order.kind != OrderKind::stop) return;
     if (found == works.end()) {
-        if (std::any_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; })) return;
+        if (hasTold(name)) return;
         // Of a start that this process never saw: it is fenced all the same, and a look tells what became of it.
         Work work;
         work.order = order;
@@ -212,7 +212,7 @@
     auto found = works.find(name);
     if (found == works.end()) {
         // Staged by an earlier process of this agent: it was never begun.
-        if (std::none_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; })) finish(name, EndingKind::unstarted, 0, "");
+        if (!hasTold(name)) finish(name, EndingKind::unstarted, 0, "");
         return;
     }
     if (!found->second.staged) return;
@@ -252,17 +252,25 @@
     return std::clamp(Span{std::min(lease, options.hold).milliseconds / 4}, Span{100}, options.longestLook);
 }
 
+bool Penstock::toFindOut() const {
+    return std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
+}
+bool Penstock::unconfirmed() const {
+    return std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
+}
+bool Penstock::hasTold(const RunName& name) const {
+    return std::any_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; });
+}
+
 bool Penstock::wantsLook(Instant now) const {
     if (looking || account.life.value.empty() || over || now < retiredUntil || epoch == Epoch{} || leaseUntil <= now) return false;
     if (!everLooked || lapsed) return true;
-    const bool toFindOut = std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
-    if (toFindOut) return now - lookedAt >= (told.empty() ? Span{20} : options.lookAgain);
+    if (toFindOut()) return now - lookedAt >= (told.empty() ? Span{20} : options.lookAgain);
     if (unanswered && now - lookedAt < Span{250}) return false;
     const bool running = unanswered || std::any_of(works.begin(), works.end(), [](const auto& entry) { return entry.second.running; });
     if (!running && !moreEnded) return false;
     // While endings wait to be confirmed a look would only tell them again; it is due all the same to keep the hold up.
-    const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
-    return !unconfirmed || now - lookedAt >= std::max(lookWait(), Span{500});
+    return !unconfirmed() || now - lookedAt >= std::max(lookWait(), Span{500});
 }
 
 std::vector<MinionCall> Penstock::takeCalls(Instant now) {
@@ -324,9 +332,7 @@
     if (wantsLook(now) && !(mayLapse(now) && !told.empty())) {
         auto call = make(MinionCall::Kind::look);
         call.lastSeen = lastSeen;
-        const bool toFindOut = !everLooked || lapsed || std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
-        const bool unconfirmed = std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
-        call.wait = toFindOut || unconfirmed || moreEnded ? Span{0} : lookWait();
+        call.wait = !everLooked || lapsed || toFindOut() || unconfirmed() || moreEnded ? Span{0} : lookWait();
         call.within = call.wait + Span{400};
         looking = true;
         ++looksBegun;
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -121,6 +121,9 @@
     bool mayLapse(Instant now) const;
     void looked(const MinionCall& call, const MinionReply& reply, Instant now);
     OrderNumber applied() const;
+    bool toFindOut() const;                     // what became of some run is to be seen in a look
+    bool unconfirmed() const;                   // the minion's own endings that are not final yet
+    bool hasTold(const RunName& name) const;    // its ending waits to be confirmed
     bool wantsLook(Instant now) const;
     Span lookWait() const;
 
