A busy leader reads before it steps down; floods past all use are turned away at once

Ruled out: voters (five were there), disks, cuts (none near). Changed: after a pause of its own a leader reads for the shortest election time before it judges (never longer than five of the longest); a job that would begin past three times its aim gets 429 with a time to come back; a plan's rest grows with what waits; alarms of slow work come three at a time.

--- a/source/agreement.cpp
+++ b/source/agreement.cpp
@@ -167,9 +167,13 @@
     clockNow = now;
     wallNow = wall;
     wallAt = now;
+    // After a pause of our own the answers of others may lie unread: our lateness says nothing of them. docs/design.md 3.2.
+    if (now - tickedAt > Span{2 * options.heartbeat.milliseconds}) readingUntil = now + options.electionLow;
+    tickedAt = now;
     if (leads()) {
-        // A leader that has not heard from a majority for the shortest election time may have been replaced. docs/design.md 3.2.
-        if (currentMembers.size() > 1 && now - quorumContact() > options.electionHigh) {
+        // A leader that has not heard from a majority for the longest election time may have been replaced. docs/design.md 3.2.
+        const Span unheard = currentMembers.size() > 1 ? now - quorumContact() : Span{0};
+        if (unheard > options.electionHigh && (now >= readingUntil || unheard > Span{5 * options.electionHigh.milliseconds})) {
             knownLeader = ReservoirId{};
             become(Role::follower, now);
             return;
--- a/source/agreement.hpp
+++ b/source/agreement.hpp
@@ -232,6 +232,7 @@
     Instant electionAt;
     Instant heardLeader{-1'000'000};
     Instant nextHeartbeat;
+    Instant tickedAt, readingUntil;  // until then what lay unread through a pause of our own is still being read
     WallTime wallNow;
     Instant wallAt;
     RoundNumber round;
--- a/source/job.cpp
+++ b/source/job.cpp
@@ -11,6 +11,21 @@
     return names[std::size_t(state)];
 }
 
+Span JobSubmission::longestChain() const {
+    std::vector<std::int64_t> chains(steps.size());
+    std::int64_t longest = 0;
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        std::int64_t before = 0, own = 0;
+        for (const auto& name : steps[step].after)
+            for (std::size_t other = 0; other < step; ++other)
+                if (steps[other].name == name) before = std::max(before, chains[other]);
+        for (const auto& task : steps[step].tasks) own = std::max(own, task.runtime.milliseconds);
+        chains[step] = before + own;
+        longest = std::max(longest, chains[step]);
+    }
+    return Span{longest};
+}
+
 std::vector<ErrorDetail> JobSubmission::faults() const {
     std::vector<ErrorDetail> faults;
     auto fault = [&](std::string path, std::string text) { faults.push_back({std::move(path), std::move(text)}); };
--- a/source/job.hpp
+++ b/source/job.hpp
@@ -64,6 +64,7 @@
     Timetable timetable;
     std::string payload;  // for every task, where the task brings none of its own
     bool timed() const { return timetable.first.milliseconds > 0; }
+    Span longestChain() const;  // of requested run times, through steps that wait on each other
     std::uint32_t digest() const { return checksum(pack(*this)); }
     // The rules that need no state: shape, sizes, cycles, unknown steps.
     std::vector<ErrorDetail> faults() const;
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -65,6 +65,7 @@
         ordersSent.clear();
         deaf.clear();
         committedLately.clear();
+        backlog = Backlog{};
         paces.clear();
         urgentDemand.clear();
         shortenedTo = ClusterTime{};
@@ -255,11 +256,46 @@
     const auto limit = working().setup.planner.openLimit;
     const bool full = working().open.size() + heldBack >= limit || working().openByQueue[job.queue] >= queue->openLimit;
     if (full) return decide(record, Answer::error(429, "overloaded", "queue " + job.queue.value + " is full", Span{1000}), false);
+    if (const Span wait = hopelessWait(job, *queue); wait.milliseconds) return decide(record, Answer::error(429, "overloaded", "what waits before it would keep it past all use", wait), false);
     append(JobAllowed{job});
     if (queue->urgency > 0) planAtOnce = true;
     decide(record, accepted(), true);
 }
 
+// What waits in each pool, in core-milliseconds by urgency, and the cores there are for it. docs/design.md 10.
+void Reservoir::weighBacklog() {
+    if (now - backlog.at < Span{200}) return;
+    backlog = Backlog{};
+    backlog.at = now;
+    for (const auto& [id, minion] : working().minions)
+        if (minion.open()) backlog.cores[minion.capacity.pool] += minion.capacity.cores;
+    for (const auto& id : working().open) {
+        const Job& job = working().jobs.at(id);
+        const auto* queue = working().setup.queue(job.submission.queue);
+        if (!queue || job.state != JobState::open) continue;
+        double& waiting = backlog.waiting[{queue->pool, queue->urgency}];
+        for (const auto& task : job.tasks)
+            if (task.state == TaskState::waiting) waiting += double(job.request(task).cores) * double(job.request(task).runtime.milliseconds);
+    }
+}
+// Not 0: a job of this queue would begin so late that it is of no use any more; when to come back. Only where aims are known.
+Span Reservoir::hopelessWait(const JobSubmission& job, const QueueOptions& queue) {
+    if (queue.target.milliseconds <= 0 || job.timed()) return Span{0};
+    weighBacklog();
+    const auto cores = backlog.cores.find(queue.pool);
+    if (cores == backlog.cores.end()) return Span{0};
+    double before = 0, own = 0;
+    for (const auto& [key, waiting] : backlog.waiting)
+        if (key.first == queue.pool && key.second >= queue.urgency) before += waiting;
+    for (const auto& step : job.steps)
+        for (const auto& task : step.tasks) own += double(task.cores) * double(task.runtime.milliseconds);
+    const double delay = before / cores->second;
+    const double aim = queue.extend * double(job.longestChain().milliseconds) + double(queue.target.milliseconds);
+    if (delay > 3 * aim) return Span{std::clamp<std::int64_t>(std::int64_t(delay - 2 * aim), 500, 3000)};
+    backlog.waiting[{queue.pool, queue.urgency}] += own;
+    return Span{0};
+}
+
 void Reservoir::intakeCancel(ExchangeRecord& record) {
     const JobId id{record.exchange.id};
     auto found = working().jobs.find(id);
@@ -426,6 +462,7 @@
 void Reservoir::passHopeless() {
     if (now < nextHopeless) return;
     nextHopeless = now + Span{500};
+    slowSaid = 0;
     std::vector<JobFailed> hopeless;
     for (const auto& id : working().open) {
         const Job& job = working().jobs.at(id);
@@ -446,14 +483,16 @@
 // An alarm for operators: work whose turn has come and that has not begun for long, with what it waits for.
 void Reservoir::noteSlow(const Job& job) {
     constexpr Span slow{3000};
+    constexpr std::size_t atOnce = 3;  // a flood of them says no more, and each costs time when there is least of it
     const JobId& id = job.submission.id;
-    if (saidSlow.count(id)) return;
+    if (slowSaid >= atOnce || saidSlow.count(id)) return;
     for (const auto& task : job.tasks) {
         auto attempt = working().attempts.find(task.attempt);
         const bool waits = task.state == TaskState::waiting && clusterNow() - std::max(task.readyAt, task.notBefore) > slow;
         const bool ordered = attempt != working().attempts.end() && (attempt->second.state == AttemptState::ordered || attempt->second.state == AttemptState::stopping) && clusterNow() - attempt->second.orderedAt > slow + attempt->second.runtime;
         if (!waits && !ordered) continue;
         saidSlow.insert(id);
+        ++slowSaid;
         picojson::object fields{{"job", json(id.value)}, {"step", json(task.step)}, {"within", json(task.within)}, {"state", json(name(task.state))}, {"run", json(task.run)}};
         if (attempt != working().attempts.end()) {
             fields["attempt"] = json(name(attempt->second.state));
@@ -536,11 +575,14 @@
         if (due && now - lastPlan >= Span{500}) planWanted = true;
         if (!planWanted) return;
     }
-    if (!planAtOnce && now - lastPlan < working().setup.planner.period) return;
+    // What a plan costs grows with what waits, and so does the rest after it: there is a share of the time that it never takes.
+    const Span rest{std::int64_t(waitingAtPlan) / 100};
+    if (now - lastPlan < (planAtOnce ? rest : std::max(working().setup.planner.period, rest))) return;
     lastPlan = now;
     planAtOnce = false;
     Plan plan = planner.make(working(), clusterNow(), silence(), false, hints());
     noteDemand(plan);
+    waitingAtPlan = plan.waiting;
     planWanted = false;
     if (now >= nextOccupancy) {
         nextOccupancy = now + Span{1000};
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -147,7 +147,17 @@
     Instant nextHopeless, nextOccupancy, nextDueLook;
     std::deque<LogIndex> committedLately;  // the commit index a quarter of a second ago and, behind it, the last one noted
     Instant committedAt;
+    struct Backlog {
+        Instant at{-1'000'000};
+        std::map<std::string, double> cores;                              // by pool
+        std::map<std::pair<std::string, std::int64_t>, double> waiting;  // by pool and urgency
+    };
+    Backlog backlog;
+    void weighBacklog();
+    Span hopelessWait(const JobSubmission& job, const QueueOptions& queue);
     std::set<JobId> saidSlow;  // jobs whose long wait was told
+    std::size_t slowSaid = 0;  // in this look
+    std::size_t waitingAtPlan = 0;
     void noteSlow(const Job& job);
     struct SluiceSeen {
         AreaName area;
--- /dev/null
+++ b/tests/agreement_tests.cpp
@@ -0,0 +1,94 @@
+// When a leader steps down: by silence of the others, not by its own lateness. docs/design.md 3.2.
+#include "agreement.hpp"
+#include <CppUTest/TestHarness.h>
+
+using namespace aniseline;
+
+TEST_GROUP(LeaderTests) {
+    Members members{{ReservoirId{"a"}, Address{"a:1"}, AreaName{"x"}, true}, {ReservoirId{"b"}, Address{"b:1"}, AreaName{"y"}, true}, {ReservoirId{"c"}, Address{"c:1"}, AreaName{"z"}, true}};
+    std::int64_t now = 0;
+    std::map<std::string, std::unique_ptr<Agreement>> nodes;
+    std::vector<PeerMessage> unread;  // for the leader, while it is busy
+    std::string leader;
+
+    void setup() override {
+        DiskRecord record;
+        record.version = DiskVersion{1};
+        record.whole = true;
+        record.epoch = Epoch{1};
+        record.first = LogIndex{1};
+        record.entries.push_back({Epoch{1}, true, pack(members)});
+        std::uint64_t seed = 1;
+        for (const auto& member : members) nodes[member.id.value] = std::make_unique<Agreement>(member, AgreementOptions{}, seed++, std::vector<DiskRecord>{record}, Instant{0});
+        while (leader.empty() && now < 10'000) {
+            run(10);
+            for (const auto& [id, node] : nodes)
+                if (node->leads()) leader = id;
+        }
+        run(300);
+    }
+    // Everyone but `busy` lives on; what is sent to it lies unread. With `cut` nothing reaches it at all.
+    void run(std::int64_t span, const std::string& busy = "", bool cut = false) {
+        for (const std::int64_t end = now + span; now < end; now += 10) {
+            std::vector<PeerMessage> sent;
+            for (auto& [id, node] : nodes) {
+                if (id != busy) node->tick(Instant{now}, WallTime{now});
+                while (auto record = node->takeWrite()) node->synced(record->version, Instant{now});
+                for (auto& message : node->takeMessages()) sent.push_back(std::move(message));
+            }
+            for (auto& message : sent)
+                if (message.to.value != busy) nodes[message.to.value]->receive(message, Instant{now});
+                else if (!cut) unread.push_back(std::move(message));
+        }
+    }
+    void read() {
+        for (const auto& message : std::exchange(unread, {})) nodes[leader]->receive(message, Instant{now});
+    }
+};
+
+// Its own step took 1.2 s (longer than any election time), and the first thing it does is to tick; the answers are read next.
+TEST(LeaderTests, oneThatWasBusyReadsBeforeItStepsDown) {
+    nodes[leader]->tick(Instant{now}, WallTime{now});
+    const auto requests = nodes[leader]->takeMessages();
+    for (const auto& message : requests) nodes[message.to.value]->receive(message, Instant{now});
+    for (auto& [id, node] : nodes)
+        if (id != leader)
+            for (auto& message : node->takeMessages()) unread.push_back(std::move(message));
+    now += 1200;
+    nodes[leader]->tick(Instant{now}, WallTime{now});
+    CHECK(nodes[leader]->leads());
+    read();
+    nodes[leader]->tick(Instant{now + 10}, WallTime{now});
+    CHECK(nodes[leader]->leads());
+}
+
+// Cut off but not busy it steps down in time.
+TEST(LeaderTests, oneThatIsCutOffStepsDown) {
+    for (std::int64_t count = 0; count < 120 && nodes[leader]->leads(); ++count, now += 10) {
+        nodes[leader]->tick(Instant{now}, WallTime{now});
+        nodes[leader]->takeMessages();
+    }
+    CHECK(!nodes[leader]->leads());
+}
+
+// Busy again and again it can't put that off for ever.
+TEST(LeaderTests, oneThatIsCutOffAndBusyStepsDownToo) {
+    const std::int64_t begun = now;
+    while (nodes[leader]->leads() && now - begun < 20'000) {
+        now += 400;
+        nodes[leader]->tick(Instant{now}, WallTime{now});
+        nodes[leader]->takeMessages();
+    }
+    CHECK(now - begun <= 6000);
+}
+
+// One that was frozen meanwhile learns of its successor and leads no more.
+TEST(LeaderTests, oneThatWasFrozenGivesWay) {
+    run(3000, leader);
+    std::size_t others = 0;
+    for (const auto& [id, node] : nodes) others += id != leader && node->leads();
+    LONGS_EQUAL(1, others);
+    nodes[leader]->tick(Instant{now}, WallTime{now});
+    read();
+    CHECK(!nodes[leader]->leads());
+}
