A few rounds at a time: answers to rounds are not lost behind newer ones

Cause (test manyRoundsDoNotHideTheAnswers, failed first): a leader began a round at each step; with 1000 steps a second and answers after 400 ms more than 256 rounds were under way, the times of older ones were forgotten, and a leader that everyone answered stepped down for silence. Changed: three rounds unconfirmed at most, then one a heartbeat; what is wanted meanwhile goes together into the next.

--- a/source/agreement.cpp
+++ b/source/agreement.cpp
@@ -179,7 +179,9 @@
             return;
         }
         if (handingOver && now > handOverUntil) handingOver = false;
-        if (now >= nextHeartbeat) broadcast(now, true);
+        // A few rounds at a time: where the others are slow what is wanted meanwhile goes together into the next. docs/design.md 3.2.
+        const bool mayBegin = round.value - confirmedRound().value < options.roundsAtOnce || now - broadcastAt >= options.heartbeat;
+        if (now >= nextHeartbeat && mayBegin) broadcast(now, true);
         return;
     }
     if (now >= nextHeartbeat) askToJoin(now);
@@ -376,6 +378,7 @@
 }
 
 void Agreement::broadcast(Instant now, bool force) {
+    broadcastAt = now;
     round = round.next();
     roundTimes.emplace_back(round, now);
     if (roundTimes.size() > 256) roundTimes.pop_front();
--- a/source/agreement.hpp
+++ b/source/agreement.hpp
@@ -111,6 +111,7 @@
     Span electionLow{500};
     Span electionHigh{1000};
     std::size_t batchBytes = 512 * 1024;
+    std::uint64_t roundsAtOnce = 3;  // not yet confirmed by a majority
     std::size_t keepEntries = 2000;  // kept behind a view for followers that are a little late
 };
 
@@ -231,7 +232,7 @@
     bool trialElection = false;
     Instant electionAt;
     Instant heardLeader{-1'000'000};
-    Instant nextHeartbeat;
+    Instant nextHeartbeat, broadcastAt;
     Instant tickedAt, readingUntil;  // until then what lay unread through a pause of our own is still being read
     WallTime wallNow;
     Instant wallAt;
--- a/tests/agreement_tests.cpp
+++ b/tests/agreement_tests.cpp
@@ -92,3 +92,38 @@
     read();
     CHECK(!nodes[leader]->leads());
 }
+
+// Exchanges come a thousand a second and the others answer late, being busy too: what is under way stays bounded, and the leader leads.
+TEST(LeaderTests, manyRoundsDoNotHideTheAnswers) {
+    constexpr std::int64_t way = 200;
+    std::deque<std::pair<std::int64_t, PeerMessage>> underWay;
+    std::size_t requests = 0;
+    const std::int64_t begun = now;
+    for (; now - begun < 3000; ++now) {
+        nodes[leader]->startRound(Instant{now});
+        for (auto& [id, node] : nodes) {
+            node->tick(Instant{now}, WallTime{now});
+            while (auto record = node->takeWrite()) node->synced(record->version, Instant{now});
+            for (auto& message : node->takeMessages()) {
+                requests += id == leader;
+                underWay.emplace_back(now + way, std::move(message));
+            }
+        }
+        while (!underWay.empty() && underWay.front().first <= now) {
+            nodes[underWay.front().second.to.value]->receive(underWay.front().second, Instant{now});
+            underWay.pop_front();
+        }
+        CHECK(nodes[leader]->leads());
+        if (!nodes[leader]->leads()) return;
+    }
+    CHECK(requests < 2 * 3000 / 25);
+}
+
+// Where answers come at once nothing waits for the heartbeat.
+TEST(LeaderTests, aRoundIsConfirmedAsSoonAsTheOthersAnswer) {
+    for (std::size_t count = 0; count < 50; ++count) {
+        const RoundNumber wanted = nodes[leader]->startRound(Instant{now});
+        run(30);
+        CHECK(nodes[leader]->confirmedRound() >= wanted);
+    }
+}
