--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -1,105 +1,8 @@
-#include "planner.hpp"
+#include "planner_work.hpp"
 
 namespace aniseline {
 
-namespace {
-
-constexpr Span silentTooLong{2000};     // an unheard minion gets no new work, docs/design.md 5.6
-constexpr Span unappliedTooLong{1500};  // nor one that is slow to apply its orders
-constexpr Span stagingLimit{5000};
-constexpr Span goLimit{2500};           // told to go but not heard to have gone: the others run alone, docs/design.md 7.3
-constexpr Span trialGrace{2000};        // past its quantum a trial is stopped by order, docs/design.md 7.5
-constexpr std::int64_t blameLimit = 500;
-
-// One attempt as the plan sees it: what it takes and when it is expected to end.
-struct Projection {
-    AttemptNumber attempt;
-    std::int64_t cores = 0, memory = 0, accelerators = 0;
-    ClusterTime end;
-    bool held = false;
-    ClusterTime resumes;  // of a held one: when its trial is expected to end
-    bool trialWithVictims = false;
-    AttemptNumber heldFor;
-};
-
-struct Room {
-    const Minion* minion = nullptr;
-    std::int64_t cores = 0, memory = 0, accelerators = 0;
-    bool usable = true;
-    int penalty = 0;
-    std::set<JobId> overdue;  // jobs whose runs here stand still or go on far too long
-    std::vector<Projection> projections;
-    std::map<std::pair<JobId, std::uint32_t>, std::uint32_t> ofStep;  // tasks here of the steps that are kept apart
-    // Sums over the projections, kept as these come and go.
-    std::int64_t usedCores = 0, usedMemory = 0, usedAccelerators = 0, heldCores = 0, trialCores = 0;
-
-    void count(const Projection& projection, std::int64_t sign) {
-        usedCores += projection.held ? 0 : sign * projection.cores;
-        usedMemory += sign * projection.memory;
-        usedAccelerators += sign * projection.accelerators;
-        heldCores += projection.held ? sign * projection.cores : 0;
-        trialCores += projection.trialWithVictims ? sign * projection.cores : 0;
-    }
-    void add(const Projection& projection) {
-        projections.push_back(projection);
-        count(projection, 1);
-    }
-    void dropLast() {
-        count(projections.back(), -1);
-        projections.pop_back();
-    }
-    void hold(Projection& projection) {
-        count(projection, -1);
-        projection.held = true;
-        count(projection, 1);
-    }
-    std::int64_t freeCores() const { return cores - usedCores; }
-    std::int64_t freeMemory() const { return memory - usedMemory; }
-    std::int64_t freeAccelerators() const { return accelerators - usedAccelerators; }
-    std::int64_t acceleratorsFrom(ClusterTime time) const {
-        std::int64_t used = 0;
-        for (const auto& projection : projections) used += projection.end > time ? projection.accelerators : 0;
-        return accelerators - used;
-    }
-    // Cores that stay free when every held task is back, counting no expected ending. docs/design.md 7.4.
-    std::int64_t safeCores() const { return std::min(freeCores(), freeCores() + trialCores - heldCores); }
-    // Cores and memory free from the given time on, by expected endings; later resumptions are counted in.
-    std::pair<std::int64_t, std::int64_t> freeFrom(ClusterTime time) const {
-        std::int64_t usedCores = 0, usedMemory = 0;
-        for (const auto& projection : projections)
-            if (projection.end > time) {
-                usedCores += projection.cores;
-                usedMemory += projection.memory;
-            }
-        return {cores - usedCores, memory - usedMemory};
-    }
-};
-
-bool memoryFits(const Room& room, std::int64_t free, std::int64_t wanted, std::int64_t trialRoom) {
-    if (wanted <= free - trialRoom) return true;
-    return wanted > room.memory - trialRoom && wanted <= free;  // else it could never start
-}
-
-// Shapes that found no place in this plan; whatever needs at least as much need not be tried again.
-struct FailedShapes {
-    struct Shape {
-        std::int64_t cores, memory, span;
-    };
-    std::vector<Shape> shapes;
-    bool covers(const Shape& shape) const {
-        return std::any_of(shapes.begin(), shapes.end(), [&](const Shape& known) {
-            return shape.cores >= known.cores && shape.memory >= known.memory && shape.span >= known.span;
-        });
-    }
-    void add(const Shape& shape) {
-        std::erase_if(shapes, [&](const Shape& known) {
-            return known.cores >= shape.cores && known.memory >= shape.memory && known.span >= shape.span;
-        });
-        shapes.push_back(shape);
-    }
-};
-
-}  // namespace
+using namespace planning;
 
 bool Plan::empty(const Reservation& before) const {
     if (!made.actions.empty()) return false;
@@ -108,749 +11,65 @@
     return std::abs((made.reservation.start - before.start).milliseconds) < 1000;
 }
 
-struct Planner::Work {
-    Planner& planner;
-    const Ledger& ledger;
-    ClusterTime now;
-    const Silence& silence;
-    bool explain;
-    const Hints& hints;
-    Plan plan;
-    std::vector<Room> rooms;
-    std::map<MinionId, std::size_t> roomOf;
-    std::int64_t trialRoom;
-    AttemptNumber lastAttempt;
-    std::map<std::pair<std::string, std::string>, FailedShapes> noBackfill;  // by pool and label
-    FailedShapes noTrial;
-    std::map<std::pair<JobId, std::uint32_t>, std::string> racks;  // chosen for steps that want one rack
-
-    Work(Planner& planner, const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain, const Hints& hints)
-        : planner(planner), ledger(ledger), now(now), silence(silence), explain(explain), hints(hints),
-          trialRoom(std::int64_t(ledger.setup.planner.trialRoom)), lastAttempt(ledger.lastAttempt) {}
-
-    Programs& programsOf(const std::string& policy) {
-        auto found = planner.programs.find(policy);
-        return found != planner.programs.end() ? found->second : planner.programs.at("default");
-    }
-    const QueueOptions& queueOf(const JobId& job) const {
-        static const QueueOptions none;
-        const auto* queue = ledger.setup.queue(ledger.jobs.at(job).submission.queue);
-        return queue ? *queue : none;
-    }
-
-    // An overrunning task stays in place; it is expected to need half as long again as it has run. docs/design.md 7.6.
-    Span remaining(const Attempt& attempt) const {
-        const Span ran = attempt.ranBy(now);
-        const Span wanted = attempt.trial() ? attempt.quantum : attempt.runtime;
-        if (wanted > ran) return wanted - ran;
-        if (attempt.trial()) return Span{1000};
-        return Span{std::max<std::int64_t>(1000, ran.milliseconds / 2)};
-    }
-
-    void buildRooms() {
-        std::set<AttemptNumber> withVictims;
-        std::map<AttemptNumber, ClusterTime> trialEnds;
-        for (const auto& [number, attempt] : ledger.attempts) {
-            if (attempt.state == AttemptState::held) withVictims.insert(attempt.heldFor);
-            if (attempt.trial()) trialEnds[number] = now + remaining(attempt);
-        }
-        for (const auto& [id, minion] : ledger.minions) {
-            if (minion.state == MinionState::gone) continue;
-            Room room;
-            room.minion = &minion;
-            room.cores = minion.capacity.cores;
-            room.memory = std::int64_t(minion.capacity.memory);
-            room.accelerators = minion.capacity.accelerators;
-            auto quiet = silence.find(id);
-            room.usable = minion.open() && quiet != silence.end() && quiet->second < silentTooLong;
-            if (minion.blameAt(now) >= blameLimit) room.penalty = 2;
-            roomOf[id] = rooms.size();
-            rooms.push_back(std::move(room));
-        }
-        for (const auto& [number, attempt] : ledger.attempts) {
-            auto place = roomOf.find(attempt.minion);
-            if (place == roomOf.end()) continue;
-            Room& room = rooms[place->second];
-            Projection projection;
-            projection.attempt = number;
-            projection.cores = attempt.cores;
-            projection.memory = std::int64_t(attempt.memory);
-            projection.accelerators = attempt.accelerators;
-            projection.held = attempt.state == AttemptState::held;
-            projection.heldFor = attempt.heldFor;
-            projection.trialWithVictims = withVictims.count(number) > 0;
-            projection.end = attempt.state == AttemptState::stopping ? now + Span{500} : now + remaining(attempt);
-            if (projection.held) {
-                auto trial = trialEnds.find(attempt.heldFor);
-                projection.resumes = trial == trialEnds.end() ? now : trial->second;
-                projection.end = projection.resumes + remaining(attempt);
-            }
-            room.add(projection);
-            if (const auto* needs = needsOf(attempt.job, attempt.step); needs && needs->apart) ++room.ofStep[{attempt.job, attempt.step}];
-            // A penstock says itself when its minion does not answer; one late order holds up what it tells of the others.
-            if (!room.minion->capacity.lapses && attempt.state == AttemptState::ordered && now - attempt.orderedAt > unappliedTooLong) room.usable = false;
-            // A minion that fails work is tried with one task at a time. docs/design.md 5.6.
-            if (room.penalty > 0) room.usable = false;
-            if (!room.minion->capacity.pauses && overdue(attempt)) room.overdue.insert(attempt.job);  // jobs, not runs: a job's guess may be wrong for all of them
-        }
-        passOverSlow();
-    }
-
-    // Held against what was requested, its data's rack and a common overrun: does this run stand still, or on a slow minion?
-    bool overdue(const Attempt& attempt) const {
-        if (attempt.trial() || attempt.state == AttemptState::stopping || attempt.state == AttemptState::held) return false;
-        const auto* needs = needsOf(attempt.job, attempt.step);
-        if (!needs || needs->lasts) return false;
-        const bool far = !needs->near.empty() || needs->sameRack;
-        return double((now - attempt.orderedAt).milliseconds) > 2.2 * double(attempt.runtime.milliseconds) * (far ? ledger.setup.planner.far : 1.0) + 300;
-    }
-    // Minions on which work takes far longer than on their peers, or stands still, get none while others are sound; at most a
-    // third of a pool is passed over, and a hint is all this is. docs/design.md 5.6.
-    void passOverSlow() {
-        std::map<std::string, std::vector<double>> known;
-        for (const auto& room : rooms)
-            if (auto pace = hints.paces.find(room.minion->id); pace != hints.paces.end()) known[room.minion->capacity.pool].push_back(pace->second);
-        std::map<std::string, std::size_t> passedOver;
-        std::vector<std::pair<double, std::size_t>> slow;
-        for (std::size_t place = 0; place < rooms.size(); ++place) {
-            Room& room = rooms[place];
-            if (room.minion->capacity.pauses) continue;
-            auto& peers = known[room.minion->capacity.pool];
-            double ratio = 0;
-            if (auto pace = hints.paces.find(room.minion->id); pace != hints.paces.end() && peers.size() >= 3) {
-                auto middle = peers.begin() + std::ptrdiff_t(peers.size() / 2);
-                std::nth_element(peers.begin(), middle, peers.end());
-                ratio = pace->second / std::max(0.1, *middle);
-            }
-            if (room.overdue.size() >= 3) ratio = std::max(ratio, 2.5 + double(room.overdue.size()));
-            if (ratio > 1.9) slow.emplace_back(ratio, place);
-        }
-        std::sort(slow.rbegin(), slow.rend());
-        for (const auto& [ratio, place] : slow) {
-            const std::string& pool = rooms[place].minion->capacity.pool;
-            const auto size = std::size_t(std::count_if(rooms.begin(), rooms.end(), [&](const Room& room) { return room.minion->capacity.pool == pool; }));
-            if (3 * (passedOver[pool] + 1) > size) continue;
-            ++passedOver[pool];
-            if (ratio > 2.4) rooms[place].usable = false;
-            else rooms[place].penalty = std::max(rooms[place].penalty, 1);
-        }
-    }
-    // Of redundant steps a copy is begun elsewhere when a run is overdue or its minion is out of touch. docs/paper.md 5.
-    void startCopies() {
-        std::size_t begun = 0;
-        for (const auto& [number, attempt] : ledger.attempts) {
-            if (begun >= 8) return;
-            const auto* needs = needsOf(attempt.job, attempt.step);
-            if (!needs || !needs->redundant || attempt.lost || attempt.gang || attempt.state == AttemptState::stopping) continue;
-            const Job& job = ledger.jobs.at(attempt.job);
-            if (job.ending || job.over() || job.tasks.empty() || job.tasks[attempt.task].attempt != number || job.tasks[attempt.task].twin.value) continue;
-            const QueueOptions& queue = queueOf(attempt.job);
-            if (queue.tries && job.tasks[attempt.task].failures + 1 >= queue.tries) continue;  // the one that runs is the last try
-            auto quiet = silence.find(attempt.minion);
-            const bool outOfTouch = quiet == silence.end() || quiet->second > silentTooLong;
-            if (!outOfTouch && !overdue(attempt)) continue;
-            Unit unit;
-            unit.job = attempt.job;
-            unit.step = attempt.step;
-            unit.tasks = {attempt.task};
-            unit.needs = needs;
-            unit.pool = queueOf(attempt.job).pool;
-            const TaskRequest& request = job.request(job.tasks[attempt.task]);
-            std::size_t best = rooms.size();
-            for (std::size_t place = 0; place < rooms.size(); ++place) {
-                const Room& room = rooms[place];
-                if (!room.usable || room.penalty > 0 || room.minion->id == attempt.minion || room.safeCores() < request.cores || !suits(unit, room) || !hasRoom(unit, room, request)) continue;
-                if (!memoryFits(room, room.freeMemory(), std::int64_t(request.memory), trialRoom) || delays(place, request.cores, std::int64_t(request.memory), now + runtimeAt(unit, room, request))) continue;
-                if (best == rooms.size() || room.freeCores() < rooms[best].freeCores()) best = place;
-            }
-            if (best == rooms.size()) continue;
-            occupy(best, AttemptNumber{}, request, std::int64_t(request.memory), now + request.runtime, false);
-            Action action;
-            action.kind = ActionKind::start;
-            action.attempt = lastAttempt = lastAttempt.next();
-            action.job = attempt.job;
-            action.task = attempt.task;
-            action.minion = rooms[best].minion->id;
-            action.memory = request.memory;
-            action.twin = true;
-            ++plan.copies;
-            plan.made.actions.push_back(std::move(action));
-            ++begun;
-        }
-    }
-    const StepNeeds* needsOf(const JobId& job, std::uint32_t step) const {
-        auto found = ledger.jobs.find(job);
-        return found == ledger.jobs.end() || step >= found->second.submission.steps.size() ? nullptr : &found->second.submission.steps[step].needs;
-    }
-    // May a task of this step run there at all? Label, pool and accelerators are conditions. docs/paper.md 2.
-    bool suits(const Unit& unit, const Room& room) const {
-        return room.minion->capacity.pool == unit.pool && room.minion->capacity.has(unit.needs->label);
-    }
-    bool hasRoom(const Unit& unit, const Room& room, const TaskRequest& request) const {
-        if (room.freeAccelerators() < request.accelerators) return false;
-        if (!unit.needs->apart) return true;
-        auto found = room.ofStep.find({unit.job, unit.step});
-        return found == room.ofStep.end() || found->second < unit.needs->apart;
-    }
-    // The rack that a step which wants one rack is on, or had best go to: the one with the most idle cores that suit.
-    const std::string& rackFor(const Unit& unit) {
-        auto [found, isNew] = racks.try_emplace({unit.job, unit.step});
-        if (!isNew) return found->second;
-        for (const auto& [number, attempt] : ledger.attempts)
-            if (attempt.job == unit.job && attempt.step == unit.step && !attempt.lost) return found->second = rackOf(attempt.minion);
-        std::map<std::string, std::int64_t> idle;
-        for (const auto& room : rooms)
-            if (room.usable && suits(unit, room)) idle[room.minion->capacity.rack] += room.safeCores();
-        std::int64_t most = -1;
-        for (const auto& [rack, cores] : idle)
-            if (cores > most) most = cores, found->second = rack;
-        return found->second;
-    }
-    // Away from its data or from the rest of its step a task takes `far` times as long. docs/paper.md 2.
-    bool isFar(const Unit& unit, const Room& room) {
-        if (!unit.needs->near.empty() && !room.minion->capacity.has(unit.needs->near)) return true;
-        return unit.needs->sameRack && room.minion->capacity.rack != rackFor(unit);
-    }
-    Span runtimeAt(const Unit& unit, const Room& room, const TaskRequest& request) {
-        return isFar(unit, room) ? Span{std::int64_t(double(request.runtime.milliseconds) * ledger.setup.planner.far)} : request.runtime;
-    }
-
-    // Can the job's aim still be met, by requested runtimes? Under a flood the paper's order makes all work a little late;
-    // what can be in time goes before what can't. docs/paper.md 5.
-    struct Aim {
-        int standing = 0;
-        bool pressed = true;
-    };
-    std::map<JobId, Aim> aims;
-    Aim aimOf(const Job& job, const QueueOptions& queue) {
-        if (queue.target.milliseconds <= 0) return {};
-        auto [found, isNew] = aims.try_emplace(job.submission.id);
-        if (!isNew) return found->second;
-        const auto& steps = job.submission.steps;
-        std::vector<std::int64_t> whole(steps.size()), left(steps.size());
-        std::vector<char> open(steps.size());
-        for (const auto& task : job.tasks) open[task.step] = open[task.step] || task.state != TaskState::done;
-        std::int64_t longest = 0, longestLeft = 0;
-        for (std::size_t step = 0; step < steps.size(); ++step) {
-            std::int64_t before = 0, beforeLeft = 0, own = 0;
-            for (const auto& name : steps[step].after)
-                for (std::size_t other = 0; other < step; ++other)
-                    if (steps[other].name == name) before = std::max(before, whole[other]), beforeLeft = std::max(beforeLeft, left[other]);
-            for (const auto& task : steps[step].tasks) own = std::max(own, task.runtime.milliseconds);
-            whole[step] = before + own;
-            left[step] = open[step] ? beforeLeft + own : 0;
-            longest = std::max(longest, whole[step]);
-            longestLeft = std::max(longestLeft, left[step]);
-        }
-        const double aim = queue.extend * double(longest) + double(queue.target.milliseconds);
-        const double done = double((now - job.allowedAt).milliseconds + longestLeft);
-        found->second.standing = done <= aim ? 0 : done <= 3 * aim ? 1 : 2;
-        found->second.pressed = aim - done < std::max(1500.0, 0.4 * (aim - double(longest)));
-        return found->second;
-    }
-
-    std::vector<Unit> waitingUnits() {
-        std::vector<Unit> units;
-        for (const auto& id : ledger.open) {
-            const Job& job = ledger.jobs.at(id);
-            if (job.state != JobState::open || job.ending) continue;
-            std::map<std::uint32_t, Unit> gangs;
-            std::set<std::uint32_t> unready;
-            for (std::uint32_t place = 0; place < job.tasks.size(); ++place) {
-                const Task& task = job.tasks[place];
-                if (task.state == TaskState::done) continue;
-                const bool gang = job.submission.steps[task.step].gang;
-                const bool ready = task.state == TaskState::waiting && task.notBefore <= now;
-                if (gang && !ready) unready.insert(task.step);
-                if (!ready) continue;
-                if (!gang) {
-                    Unit& unit = units.emplace_back();
-                    unit.job = id;
-                    unit.step = task.step;
-                    unit.tasks = {place};
-                    unit.runtime = job.request(task).runtime;
-                    unit.readyAt = task.readyAt;
-                    continue;
-                }
-                Unit& unit = gangs[task.step];
-                unit.job = id;
-                unit.step = task.step;
-                unit.gang = true;
-                unit.tasks.push_back(place);
-                unit.runtime = std::max(unit.runtime, job.request(task).runtime);
-                unit.readyAt = task.readyAt;
-            }
-            for (auto& [step, unit] : gangs)
-                if (!unready.count(step)) units.push_back(std::move(unit));
-        }
-        // Paper 2.2 and table 3: priority is computed anew as units wait.
-        for (auto& unit : units) {
-            const QueueOptions& queue = queueOf(unit.job);
-            PolicyProgram::Inputs inputs;
-            inputs.wait = std::max(0.0, (now - unit.readyAt).hours());
-            inputs.runtime = unit.runtime.hours();
-            inputs.expansion = (inputs.wait + inputs.runtime) / inputs.runtime;
-            const Job& job = ledger.jobs.at(unit.job);
-            unit.needs = &job.submission.steps[unit.step].needs;
-            unit.pool = queue.pool;
-            unit.urgency = ledger.setup.planner.urgencyFirst ? queue.urgency : 0;
-            const Aim aim = aimOf(job, queue);
-            unit.standing = aim.standing;
-            unit.pressed = aim.pressed;
-            for (auto task : unit.tasks) {
-                inputs.cores += job.request(job.tasks[task]).cores / 1000.0;
-                inputs.memory += double(job.request(job.tasks[task]).memory);
-            }
-            inputs.urgency = double(queue.urgency);
-            inputs.weightWait = ledger.setup.planner.weightWait;
-            inputs.weightExpansion = ledger.setup.planner.weightExpansion;
-            unit.priority = programsOf(queue.policy).rank.evaluate(inputs);
-        }
-        std::sort(units.begin(), units.end(), [](const Unit& left, const Unit& right) {
-            if ((left.standing == 2) != (right.standing == 2)) return right.standing == 2;
-            if (left.urgency != right.urgency) return left.urgency > right.urgency;
-            if (left.standing != right.standing) return left.standing < right.standing;
-            if (left.priority != right.priority) return left.priority > right.priority;
-            return std::tie(left.readyAt, left.job, left.step, left.tasks) < std::tie(right.readyAt, right.job, right.step, right.tasks);
-        });
-        return units;
-    }
-
-    void leave(const Unit& unit, std::size_t place) {
-        rooms[place].dropLast();
-        if (unit.needs->apart) --rooms[place].ofStep[{unit.job, unit.step}];
-    }
-    const Task& taskOf(const Unit& unit, std::uint32_t task) const { return ledger.jobs.at(unit.job).tasks[task]; }
-    const TaskRequest& requestOf(const Unit& unit, std::uint32_t task) const {
-        const Job& job = ledger.jobs.at(unit.job);
-        return job.request(job.tasks[task]);
-    }
-    // Largest part first, so that a gang is not blocked by its own small parts.
-    std::vector<std::uint32_t> partsBySize(const Unit& unit) const {
-        auto parts = unit.tasks;
-        std::stable_sort(parts.begin(), parts.end(), [&](auto left, auto right) {
-            return requestOf(unit, left).cores > requestOf(unit, right).cores;
-        });
-        return parts;
-    }
-
-    // The one reserved start: would these additions on the room delay it? docs/paper.md 3.
-    bool delays(std::size_t place, std::int64_t cores, std::int64_t memory, ClusterTime end) const {
-        const Reservation& reservation = plan.made.reservation;
-        if (!reservation.held() || end <= reservation.start) return false;
-        return !reservedStillFits(place, rooms[place], cores, memory);
-    }
-    bool reservedStillFits(std::size_t place, const Room& room, std::int64_t cores, std::int64_t memory) const {
-        const Reservation& reservation = plan.made.reservation;
-        if (!reservation.held()) return true;
-        const Job& job = ledger.jobs.at(reservation.job);
-        std::int64_t wantedCores = 0, wantedMemory = 0;
-        for (const auto& placement : reservation.placements)
-            if (roomOf.at(placement.minion) == place) {
-                wantedCores += job.request(job.tasks[placement.task]).cores;
-                wantedMemory += std::int64_t(job.request(job.tasks[placement.task]).memory);
-            }
-        if (wantedCores == 0) return true;
-        auto [freeCores, freeMemory] = room.freeFrom(reservation.start);
-        return freeCores - cores >= wantedCores && freeMemory - memory >= wantedMemory;
-    }
-
-    void occupy(std::size_t place, AttemptNumber attempt, const TaskRequest& request, std::int64_t memory, ClusterTime end, bool withVictims) {
-        Projection projection;
-        projection.attempt = attempt;
-        projection.cores = request.cores;
-        projection.memory = memory;
-        projection.accelerators = request.accelerators;
-        projection.end = end;
-        projection.trialWithVictims = withVictims;
-        rooms[place].add(projection);
-    }
-
-    std::string rackOf(const MinionId& id) const {
-        auto found = ledger.minions.find(id);
-        return found == ledger.minions.end() ? std::string() : found->second.capacity.rack;
-    }
-    // Among fitting minions the one with the fewest unallocated cores; ties by rack, then by name. Paper 2.2.
-    bool startNow(const Unit& unit) {
-        std::vector<std::pair<std::uint32_t, std::size_t>> placed;
-        for (auto part : partsBySize(unit)) {
-            const TaskRequest& request = requestOf(unit, part);
-            const MinionId& avoid = taskOf(unit, part).avoid;
-            const std::string rackToAvoid = rackOf(avoid);
-            std::size_t best = rooms.size();
-            std::tuple<int, int, std::int64_t, int> bestKey{};
-            for (std::size_t place = 0; place < rooms.size(); ++place) {
-                Room& room = rooms[place];
-                if (!room.usable || room.safeCores() < request.cores || !suits(unit, room) || !hasRoom(unit, room, request)) continue;
-                if (!memoryFits(room, room.freeMemory(), std::int64_t(request.memory), trialRoom)) continue;
-                if (delays(place, request.cores, std::int64_t(request.memory), now + runtimeAt(unit, room, request))) continue;
-                // Where the paper's fit leaves a choice: a retry leaves the rack it failed on, a gang keeps to few. docs/paper.md 2.
-                const std::string& rack = room.minion->capacity.rack;
-                const bool sameGang = std::any_of(placed.begin(), placed.end(), [&](const auto& other) { return rooms[other.second].minion->capacity.rack == rack; });
-                const int rackChoice = !rack.empty() && rack == rackToAvoid ? 2 : unit.gang && !placed.empty() && !sameGang ? 1 : 0;
-                const std::tuple<int, int, std::int64_t, int> key{room.penalty + (room.minion->id == avoid ? 1 : 0), isFar(unit, room), room.freeCores(), rackChoice};
-                if (best == rooms.size() || key < bestKey) {
-                    best = place;
-                    bestKey = key;
-                }
-            }
-            if (best == rooms.size()) {
-                for (auto& [task, place] : placed) leave(unit, place);
-                return false;
-            }
-            occupy(best, AttemptNumber{}, request, std::int64_t(request.memory), now + runtimeAt(unit, rooms[best], request), false);
-            if (unit.needs->apart) ++rooms[best].ofStep[{unit.job, unit.step}];
-            placed.emplace_back(part, best);
-        }
-        // Parts that find each other at the minions are started, with one number; others are staged. docs/design.md 7.3.
-        const bool assembles = unit.gang && std::all_of(placed.begin(), placed.end(), [&](const auto& part) { return rooms[part.second].minion->capacity.assembles; });
-        std::uint32_t run = 0;
-        if (unit.gang)
-            for (auto part : unit.tasks) run = std::max(run, taskOf(unit, part).run + 1);
-        for (auto& [task, place] : placed) {
-            Action action;
-            action.kind = unit.gang && !assembles ? ActionKind::stage : ActionKind::start;
-            action.run = run;
-            action.attempt = lastAttempt = lastAttempt.next();
-            action.job = unit.job;
-            action.task = task;
-            action.minion = rooms[place].minion->id;
-            action.memory = requestOf(unit, task).memory;
-            if (rooms[place].penalty > 0) rooms[place].usable = false;
-            plan.made.actions.push_back(std::move(action));
-        }
-        return true;
-    }
-
-    // Paper 2.2: the earliest guaranteed start, by requested runtimes; for a gang the earliest at which all parts fit.
-    std::optional<Reservation> reserve(const Unit& unit) const {
-        std::vector<ClusterTime> times{now};
-        for (const auto& room : rooms)
-            for (const auto& projection : room.projections) times.push_back(projection.end);
-        std::sort(times.begin(), times.end());
-        times.erase(std::unique(times.begin(), times.end()), times.end());
-        const auto parts = partsBySize(unit);
-        for (auto time : times) {
-            std::vector<std::pair<std::int64_t, std::int64_t>> free(rooms.size());
-            std::vector<std::int64_t> accelerators(rooms.size());
-            std::vector<std::uint32_t> together(rooms.size());
-            for (std::size_t place = 0; place < rooms.size(); ++place) {
-                free[place] = rooms[place].freeFrom(time);
-                accelerators[place] = rooms[place].acceleratorsFrom(time);
-                // Tasks to be kept apart are counted as if none of them ended: what waits for that holds no reservation.
-                if (auto found = rooms[place].ofStep.find({unit.job, unit.step}); found != rooms[place].ofStep.end()) together[place] = found->second;
-            }
-            Reservation reservation;
-            reservation.job = unit.job;
-            reservation.step = unit.step;
-            reservation.start = time;
-            for (auto part : parts) {
-                const TaskRequest& request = requestOf(unit, part);
-                std::size_t best = rooms.size();
-                for (std::size_t place = 0; place < rooms.size(); ++place) {
-                    if (!rooms[place].minion->open() || free[place].first < request.cores || !suits(unit, rooms[place]) || accelerators[place] < request.accelerators) continue;
-                    if (unit.needs->apart && together[place] >= unit.needs->apart) continue;
-                    if (!memoryFits(rooms[place], free[place].second, std::int64_t(request.memory), trialRoom)) continue;
-                    if (best == rooms.size() || free[place].first < free[best].first) best = place;
-                }
-                if (best == rooms.size()) break;
-                free[best].first -= request.cores;
-                free[best].second -= std::int64_t(request.memory);
-                accelerators[best] -= request.accelerators;
-                ++together[best];
-                reservation.placements.push_back({part, rooms[best].minion->id});
-            }
-            if (reservation.placements.size() == parts.size()) return reservation;
-        }
-        return std::nullopt;
-    }
-
-    double slowdown(const Attempt& attempt) const {
-        const Task& task = ledger.jobs.at(attempt.job).tasks[attempt.task];
-        const double ran = std::max(1.0, double(attempt.ranBy(now).milliseconds));
-        return double((now - task.readyAt).milliseconds) / ran;
-    }
-    bool mayHold(const Attempt& attempt) {
-        const QueueOptions& queue = queueOf(attempt.job);
-        PolicyProgram::Inputs inputs;
-        inputs.runtime = attempt.runtime.hours();
-        inputs.running = (now - attempt.runningSince).hours();
-        inputs.slowdown = slowdown(attempt);
-        inputs.cores = attempt.cores / 1000.0;
-        inputs.memory = double(attempt.memory);
-        inputs.urgency = double(queue.urgency);
-        return programsOf(queue.policy).mayHold.evaluate(inputs) != 0.0;
-    }
-
-    struct TrialPlace {
-        std::size_t place = 0;
-        std::int64_t idleAfter = 0;
-        std::vector<AttemptNumber> victims;
-    };
-    // A trial may not delay the reserved start, but for the reserved unit's own, which gains by it. docs/paper.md 4.
-    // Paper 2.4: idle cores first, else holds of those with the least slowdown among the long uninterrupted.
-    std::optional<TrialPlace> trialPlace(const Unit& unit, const TaskRequest& request, const MinionId& avoid, std::int64_t memory, const TrialOptions& options, bool holds, bool own) {
-        std::optional<TrialPlace> best;
-        for (std::size_t place = 0; place < rooms.size(); ++place) {
-            Room& room = rooms[place];
-            if (!room.usable || room.penalty > 0 || room.minion->id == avoid || !room.minion->capacity.pauses || !suits(unit, room) || !hasRoom(unit, room, request)) continue;
-            if (room.cores < request.cores || room.freeMemory() < memory) continue;
-            TrialPlace candidate;
-            candidate.place = place;
-            std::int64_t free = room.safeCores();
-            if (free < request.cores) {
-                if (!holds) continue;
-                std::vector<std::pair<double, const Attempt*>> eligible;
-                for (const auto& projection : room.projections) {
-                    auto found = ledger.attempts.find(projection.attempt);
-                    if (found == ledger.attempts.end() || projection.held) continue;
-                    const Attempt& attempt = found->second;
-                    // A gang's parts are never held: the others would run on alone. docs/paper.md 5.
-                    if (attempt.state != AttemptState::running || attempt.trial() || attempt.gang || attempt.lost) continue;
-                    if (now - attempt.runningSince < options.minimumRun || !mayHold(attempt)) continue;
-                    eligible.emplace_back(slowdown(attempt), &attempt);
-                }
-                std::sort(eligible.begin(), eligible.end(), [](auto& left, auto& right) {
-                    return std::tie(left.first, left.second->number) < std::tie(right.first, right.second->number);
-                });
-                for (auto& [least, victim] : eligible) {
-                    if (free >= request.cores) break;
-                    free += victim->cores;
-                    candidate.victims.push_back(victim->number);
-                }
-                if (free < request.cores) continue;
-            }
-            candidate.idleAfter = free - request.cores;
-            const ClusterTime end = now + options.quantum;
-            if (candidate.victims.empty()) {
-                if (!own && delays(place, request.cores, memory, end)) continue;
-            } else if (!own) {
-                Room changed = room;
-                for (auto& projection : changed.projections)
-                    if (std::count(candidate.victims.begin(), candidate.victims.end(), projection.attempt)) projection.end = projection.end + options.quantum;
-                const bool overlaps = end > plan.made.reservation.start;
-                if (!reservedStillFits(place, changed, overlaps ? request.cores : 0, overlaps ? memory : 0)) continue;
-            }
-            if (!best || candidate.idleAfter < best->idleAfter) best = std::move(candidate);
-        }
-        return best;
-    }
-
-    bool tryTrial(const Unit& unit) {
-        const QueueOptions& queue = queueOf(unit.job);
-        std::vector<Room> before;
-        if (unit.gang) before = rooms;
-        const auto actionsBefore = plan.made.actions.size();
-        const AttemptNumber attemptBefore = lastAttempt;
-        const Reservation& reservation = plan.made.reservation;
-        const bool own = reservation.job == unit.job && reservation.step == unit.step;
-        for (auto part : partsBySize(unit)) {
-            const TaskRequest& request = requestOf(unit, part);
-            const auto memory = std::int64_t(std::min<std::uint64_t>(request.memory, queue.trial.memory));
-            const MinionId& avoid = taskOf(unit, part).avoid;
-            auto found = trialPlace(unit, request, avoid, memory, queue.trial, false, own);
-            if (!found) found = trialPlace(unit, request, avoid, memory, queue.trial, true, own);
-            if (!found) {
-                if (unit.gang) rooms = std::move(before);
-                plan.made.actions.resize(actionsBefore);
-                lastAttempt = attemptBefore;
-                return false;
-            }
-            lastAttempt = lastAttempt.next();
-            for (auto victim : found->victims) {
-                Action hold;
-                hold.kind = ActionKind::hold;
-                hold.attempt = victim;
-                hold.minion = rooms[found->place].minion->id;
-                hold.heldFor = lastAttempt;
-                plan.made.actions.push_back(hold);
-                for (auto& projection : rooms[found->place].projections)
-                    if (projection.attempt == victim) {
-                        rooms[found->place].hold(projection);
-                        projection.end = projection.end + queue.trial.quantum;
-                    }
-            }
-            Action action;
-            action.kind = unit.gang ? ActionKind::stage : ActionKind::start;
-            action.attempt = lastAttempt;
-            action.job = unit.job;
-            action.task = part;
-            action.minion = rooms[found->place].minion->id;
-            action.trial = true;
-            action.quantum = queue.trial.quantum;
-            action.memory = std::uint64_t(memory);
-            occupy(found->place, lastAttempt, request, memory, now + queue.trial.quantum, !found->victims.empty());
-            plan.made.actions.push_back(std::move(action));
-        }
-        return true;
-    }
-
-    // Gangs that are wholly staged go; those that cannot be are taken back. docs/design.md 7.3.
-    void moveGangs() {
-        std::map<std::pair<JobId, std::uint32_t>, std::vector<const Attempt*>> gangs;
-        for (const auto& [number, attempt] : ledger.attempts)
-            if (attempt.gang && !attempt.lost && !ledger.jobs.at(attempt.job).tasks.empty()) gangs[{attempt.job, attempt.step}].push_back(&attempt);
-        for (const auto& [key, parts] : gangs) {
-            const Job& job = ledger.jobs.at(key.first);
-            std::size_t openParts = 0;
-            for (const auto& task : job.tasks) openParts += task.step == key.second && task.state != TaskState::done;
-            bool allStaged = parts.size() == openParts, staging = false, late = false, alone = false;
-            for (const auto* part : parts) {
-                const bool unheard = part->state == AttemptState::going || (part->assembles && part->state == AttemptState::ordered);
-                alone = alone || (unheard && now - part->runningSince > goLimit);
-                if (part->assembles) continue;
-                if (part->state == AttemptState::staged || part->state == AttemptState::ordered) {
-                    staging = true;
-                    late = late || now - part->orderedAt > stagingLimit;
-                }
-                auto quiet = silence.find(part->minion);
-                const bool heard = quiet != silence.end() && quiet->second < Span{1500};
-                allStaged = allStaged && part->state == AttemptState::staged && heard && ledger.minions.at(part->minion).open();
-            }
-            for (const auto* part : parts) {
-                Action action;
-                action.attempt = part->number;
-                action.minion = part->minion;
-                if (allStaged && !part->assembles) action.kind = ActionKind::go;
-                else if (alone && part->state != AttemptState::stopping) {
-                    action.kind = ActionKind::stop;
-                    action.reason = "alone";
-                }
-                else if (staging && late && part->state != AttemptState::stopping) {
-                    action.kind = ActionKind::stop;
-                    action.reason = "staging";
-                } else continue;
-                plan.made.actions.push_back(std::move(action));
-            }
+Plan Planner::Work::run() {
+    buildRooms();
+    moveGangs();
+    std::move(overdueStops.begin(), overdueStops.end(), std::back_inserter(plan.made.actions));
+    collectUnits();
+    plan.waiting = units.size();
+    for (const auto& unit : units) ++plan.standings[std::size_t(unit.batch->standing())];
+    for (const auto& room : rooms) {
+        ++(room.usable ? plan.usable : plan.passedOver);
+        plan.cores += room.usable ? room.cores : 0;
+        plan.coresUsed += room.usable ? room.usedCores : 0;
+    }
+    if (ledger.setup.planner.urgencyFirst) weighPools();
+    std::vector<const Unit*> notStarted;
+    for (const auto& unit : units) {
+        Batch& batch = *unit.batch;
+        FailedShapes& noBackfill = batch.step->suiting->noBackfill;
+        const bool reserved = plan.made.reservation.held();
+        const auto shape = unit.shape(std::numeric_limits<std::int64_t>::max(), batch.runtime);
+        if (!unit.gang() && reserved && !unit.needs().apart) batch.noBackfill = batch.noBackfill || noBackfill.covers(shape);
+        if (batch.noBackfill) {
+            note(unit, "would delay the reserved start, or no minion has room");
+            notStarted.push_back(&unit);
+            continue;
         }
-    }
-
-    void stopOverdue() {
-        for (const auto& [number, attempt] : ledger.attempts) {
-            if (attempt.lost || attempt.state != AttemptState::running) continue;
-            const Span limit = queueOf(attempt.job).hardLimit;
-            Action action;
-            action.kind = ActionKind::stop;
-            action.attempt = number;
-            action.minion = attempt.minion;
-            if (attempt.trial() && attempt.ranBy(now) > attempt.quantum + trialGrace) action.reason = "trial";
-            else if (!attempt.trial() && limit.milliseconds > 0 && attempt.ranBy(now) > limit) action.reason = "hard limit";
-            else continue;
-            plan.made.actions.push_back(std::move(action));
+        if (!leavesUrgentRoom(unit)) {
+            note(unit, "leaves room that urgent work has wanted lately");
+            continue;
         }
-    }
-
-    // Where urgency goes first, long work that has time leaves free what the most urgent queues have wanted lately: on minions
-    // that can't pause, the paper's immediate service has no victims that cost nothing. docs/paper.md 5.
-    struct PoolRoom {
-        std::int64_t cores = 0, free = 0, urgentUsed = 0, urgentWanted = 0;
-    };
-    std::map<std::string, PoolRoom> poolRooms;
-    std::int64_t mostUrgent = 0;
-    void weighPools(const std::vector<Unit>& units) {
-        for (const auto& [name, queue] : ledger.setup.queues) mostUrgent = std::max(mostUrgent, queue.urgency);
-        for (const auto& room : rooms)
-            if (room.usable) {
-                PoolRoom& pool = poolRooms[room.minion->capacity.pool];
-                pool.cores += room.cores;
-                pool.free += std::max<std::int64_t>(0, room.safeCores());
-            }
-        for (const auto& [number, attempt] : ledger.attempts)
-            if (!attempt.lost && queueOf(attempt.job).urgency == mostUrgent) poolRooms[queueOf(attempt.job).pool].urgentUsed += attempt.cores;
-        for (const auto& unit : units)
-            if (unit.urgency == mostUrgent && unit.standing < 2)
-                for (auto part : unit.tasks) poolRooms[unit.pool].urgentWanted += requestOf(unit, part).cores;
-        for (const auto& [name, pool] : poolRooms) plan.urgentDemand[name] = pool.urgentUsed + pool.urgentWanted;
-    }
-    bool leavesUrgentRoom(const Unit& unit) {
-        if (!ledger.setup.planner.urgencyFirst || unit.urgency == mostUrgent || (unit.pressed && unit.standing < 2)) return true;
-        auto demand = hints.urgentDemand.find(unit.pool);
-        const PoolRoom& pool = poolRooms[unit.pool];
-        // Never so that work stands while half of the pool is idle.
-        if (demand == hints.urgentDemand.end() || 5 * pool.free > 2 * pool.cores) return true;
-        std::int64_t cores = 0;
-        for (auto part : unit.tasks) cores += requestOf(unit, part).cores;
-        return pool.free - cores >= demand->second - pool.urgentUsed;
-    }
-
-    void note(const Unit& unit, std::string text) {
-        if (explain) plan.reasons.push_back({unit.job, unit.step, unit.priority, std::move(text)});
-    }
-
-    Plan run() {
-        buildRooms();
-        moveGangs();
-        stopOverdue();
-        auto units = waitingUnits();
-        plan.waiting = units.size();
-        for (const auto& unit : units) ++plan.standings[std::size_t(unit.standing)];
-        for (const auto& room : rooms) {
-            ++(room.usable ? plan.usable : plan.passedOver);
-            plan.cores += room.usable ? room.cores : 0;
-            plan.coresUsed += room.usable ? room.usedCores : 0;
+        if (!batch.noRoom && startNow(unit)) {
+            unit.queue().pool->free -= batch.cores;
+            note(unit, "starts in this plan");
+            continue;
         }
-        if (ledger.setup.planner.urgencyFirst) weighPools(units);
-        std::vector<const Unit*> notStarted;
-        for (const auto& unit : units) {
-            const bool reserved = plan.made.reservation.held();
-            FailedShapes::Shape shape{0, 0, unit.runtime.milliseconds};
-            if (!unit.gang) {
-                shape.cores = requestOf(unit, unit.tasks[0]).cores;
-                shape.memory = std::int64_t(requestOf(unit, unit.tasks[0]).memory);
-                if (reserved && !unit.needs->apart && noBackfill[{unit.pool, unit.needs->label}].covers(shape)) {
-                    note(unit, "would delay the reserved start, or no minion has room");
-                    notStarted.push_back(&unit);
-                    continue;
-                }
-            }
-            if (!leavesUrgentRoom(unit)) {
-                note(unit, "leaves room that urgent work has wanted lately");
-                continue;
-            }
-            if (startNow(unit)) {
-                for (auto part : unit.tasks) poolRooms[unit.pool].free -= requestOf(unit, part).cores;
-                note(unit, "starts in this plan");
-                continue;
-            }
-            notStarted.push_back(&unit);
-            if (!reserved) {
-                if (auto reservation = reserve(unit)) {
-                    const Reservation& before = ledger.reservation;
-                    const bool same = before.job == unit.job && before.step == unit.step;
-                    reservation->moved = same ? before.moved : 0;
-                    if (same && reservation->start > before.start + Span{1000}) ++reservation->moved;
-                    plan.made.reservation = *reservation;
-                    note(unit, "holds the reserved start on " + reservation->placements.front().minion.value + " in " +
-                                   std::to_string((reservation->start - now).milliseconds) + " ms");
-                    continue;
-                }
-                note(unit, "no minion that is here now could ever hold it");
-                continue;
-            }
-            if (!unit.gang && !unit.needs->apart && !unit.needs->sameRack && unit.needs->near.empty() && !requestOf(unit, unit.tasks[0]).accelerators) noBackfill[{unit.pool, unit.needs->label}].add(shape);
-            note(unit, "would delay the reserved start, or no minion has room");
+        batch.noRoom = true;
+        notStarted.push_back(&unit);
+        if (!reserved) {
+            auto reservation = batch.noReservation ? std::nullopt : reserve(unit);
+            batch.noReservation = !reservation;
+            if (reservation) {
+                keepReservation(unit, std::move(*reservation));
+                const Reservation& kept = plan.made.reservation;
+                note(unit, "holds the reserved start on " + kept.placements.front().minion.value + " in " + std::to_string((kept.start - now).milliseconds) + " ms");
+            } else note(unit, "no minion that is here now could ever hold it");
+            continue;
         }
-        if (ledger.setup.planner.trials)
-            for (const auto* unit : notStarted) {
-                const Task& first = taskOf(*unit, unit->tasks[0]);
-                if (first.trialled || first.tried || first.starts > 0) continue;
-                const QueueOptions& queue = queueOf(unit->job);
-                FailedShapes::Shape shape{0, 0, queue.trial.minimumRun.milliseconds};
-                if (!unit->gang) {
-                    const TaskRequest& request = requestOf(*unit, unit->tasks[0]);
-                    shape.cores = request.cores;
-                    shape.memory = std::int64_t(std::min<std::uint64_t>(request.memory, queue.trial.memory));
-                    if (noTrial.covers(shape) || !unit->needs->label.empty() || !unit->pool.empty()) continue;
-                }
-                if (!tryTrial(*unit)) {
-                    if (!unit->gang && unit->needs->label.empty() && unit->pool.empty() && queue.trial.quantum >= Span{1000}) noTrial.add(shape);
-                } else note(*unit, "gets its trial in this plan");
-            }
-        startCopies();
-        plan.made.number = ledger.plan.next();
-        return std::move(plan);
-    }
-};
+        const StepNeeds& needs = unit.needs();
+        if (!unit.gang() && !needs.apart && !needs.sameRack && needs.near.empty() && !unit.request(unit.tasks[0]).accelerators) noBackfill.add(shape);
+        note(unit, "would delay the reserved start, or no minion has room");
+    }
+    if (ledger.setup.planner.trials) startTrials(notStarted);
+    startCopies();
+    plan.made.number = ledger.plan.next();
+    for (auto& room : rooms) {
+        room.projections.clear();
+        planner.spare.push_back(std::move(room.projections));
+    }
+    return std::move(plan);
+}
 
 Planner::Planner() = default;
 Planner::~Planner() = default;
@@ -873,23 +92,26 @@
         if (time <= now) time = now + Span{1};
         if (!due || time < *due) due = time;
     };
+    const bool limits = std::any_of(ledger.setup.queues.begin(), ledger.setup.queues.end(), [](const auto& queue) { return queue.second.hardLimit.milliseconds > 0; });
     for (const auto& [number, attempt] : ledger.attempts) {
         if (attempt.lost) continue;
         if (attempt.trial() && attempt.state == AttemptState::running) consider(now + (attempt.quantum + trialGrace - attempt.ranBy(now)) + Span{1});
         if (attempt.gang && !attempt.assembles && (attempt.state == AttemptState::ordered || attempt.state == AttemptState::staged)) consider(now + Span{200});
         if (attempt.gang && (attempt.state == AttemptState::going || (attempt.assembles && attempt.state == AttemptState::ordered))) consider(attempt.runningSince + goLimit + Span{1});
-        if (!attempt.trial() && attempt.state == AttemptState::running) {
+        if (limits && !attempt.trial() && attempt.state == AttemptState::running) {
             const auto found = ledger.jobs.find(attempt.job);
             const auto* queue = found == ledger.jobs.end() ? nullptr : ledger.setup.queue(found->second.submission.queue);
             if (queue && queue->hardLimit.milliseconds > 0) consider(now + (queue->hardLimit - attempt.ranBy(now)) + Span{1});
         }
     }
+    const ClusterTime soonest = now + Span{500};  // for what waits
     for (const auto& id : ledger.open) {
+        if (due && *due <= soonest) break;
         const Job& job = ledger.jobs.at(id);
         if (job.state != JobState::open) continue;
         for (const auto& task : job.tasks)
             if (task.state == TaskState::waiting) {
-                consider(std::max(task.notBefore, now + Span{500}));
+                consider(std::max(task.notBefore, soonest));
                 break;
             }
     }
--- a/source/planner.hpp
+++ b/source/planner.hpp
@@ -4,22 +4,6 @@
 
 namespace aniseline {
 
-// What waits for a start: one ready task, or a whole gang. docs/design.md 7.1.
-struct Unit {
-    JobId job;
-    std::uint32_t step = 0;
-    std::vector<std::uint32_t> tasks;
-    bool gang = false;
-    Span runtime;  // the longest of its parts
-    ClusterTime readyAt;
-    double priority = 0;
-    bool pressed = false;      // what is left of its aim's slack is little
-    int standing = 0;          // 0: its job's aim can be met; 1: late, but of use; 2: past that. docs/paper.md 5
-    std::int64_t urgency = 0;  // where urgency goes before all
-    std::string pool;
-    const StepNeeds* needs = nullptr;
-};
-
 struct Reason {
     JobId job;
     std::uint32_t step = 0;
@@ -49,6 +33,10 @@
     std::map<std::string, std::int64_t> urgentDemand;  // by pool: the cores that its most urgent queues have wanted at once
 };
 
+namespace planning {
+struct Projection;
+}
+
 class Planner {
 public:
     Planner();
@@ -66,6 +54,7 @@
     std::map<std::string, Programs> programs;
     SetupVersion compiled;
     bool any = false;
+    std::vector<std::vector<planning::Projection>> spare;  // memory of the last plan's rooms, for the next one
 };
 
 }  // namespace aniseline
