--- a/source/planner.cpp
+++ b/source/planner.cpp
@@ -17,7 +17,7 @@
     std::move(overdueStops.begin(), overdueStops.end(), std::back_inserter(plan.made.actions));
     collectUnits();
     plan.waiting = units.size();
-    for (const auto& unit : units) ++plan.standings[std::size_t(unit.batch->standing())];
+    for (const auto& unit : units) ++plan.standings[std::size_t(unit.batch->standing)];
     for (const auto& room : rooms) {
         ++(room.usable ? plan.usable : plan.passedOver);
         plan.cores += room.usable ? room.cores : 0;
@@ -29,8 +29,8 @@
         Batch& batch = *unit.batch;
         FailedShapes& noBackfill = batch.step->suiting->noBackfill;
         const bool reserved = plan.made.reservation.held();
-        const auto shape = unit.shape(std::numeric_limits<std::int64_t>::max(), batch.runtime);
-        if (!unit.gang() && reserved && !unit.needs().apart) batch.noBackfill = batch.noBackfill || noBackfill.covers(shape);
+        auto shape = [&] { return unit.shape(std::numeric_limits<std::int64_t>::max(), batch.runtime); };
+        if (!batch.noBackfill && !unit.gang() && reserved && !unit.needs().apart) batch.noBackfill = noBackfill.covers(shape());
         if (batch.noBackfill) {
             note(unit, "would delay the reserved start, or no minion has room");
             notStarted.push_back(&unit);
@@ -58,7 +58,7 @@
             continue;
         }
         const StepNeeds& needs = unit.needs();
-        if (!unit.gang() && !needs.apart && !needs.sameRack && needs.near.empty() && !unit.request(unit.tasks[0]).accelerators) noBackfill.add(shape);
+        if (!unit.gang() && !needs.apart && !needs.sameRack && needs.near.empty() && !unit.request(unit.tasks[0]).accelerators) noBackfill.add(shape());
         note(unit, "would delay the reserved start, or no minion has room");
     }
     if (ledger.setup.planner.trials) startTrials(notStarted);
--- a/source/planner_order.cpp
+++ b/source/planner_order.cpp
@@ -95,6 +95,8 @@
     inputs.urgency = double(queue.urgency);
     inputs.weightWait = ledger.setup.planner.weightWait;
     inputs.weightExpansion = ledger.setup.planner.weightExpansion;
+    batch.standing = batch.step->of->standing;
+    batch.pressed = batch.step->of->pressed;
     batch.urgency = ledger.setup.planner.urgencyFirst ? queue.urgency : 0;
     batch.priority = programsOf(queue.policy).rank.evaluate(inputs);
     suitingOf(*batch.step);
@@ -103,9 +105,9 @@
 namespace {
 
 bool goesBefore(const Batch* left, const Batch* right) {
-    if ((left->standing() == 2) != (right->standing() == 2)) return right->standing() == 2;
+    if ((left->standing == 2) != (right->standing == 2)) return right->standing == 2;
     if (left->urgency != right->urgency) return left->urgency > right->urgency;
-    if (left->standing() != right->standing()) return left->standing() < right->standing();
+    if (left->standing != right->standing) return left->standing < right->standing;
     if (left->priority != right->priority) return left->priority > right->priority;
     if (left->readyAt != right->readyAt) return left->readyAt < right->readyAt;
     if (left->step->of != right->step->of) return left->step->id() < right->step->id();
@@ -146,7 +148,7 @@
             room.pool->free += std::max<std::int64_t>(0, room.safeCores());
         }
     for (const auto& unit : units)
-        if (unit.batch->urgency == mostUrgent && unit.batch->standing() < 2) {
+        if (unit.batch->urgency == mostUrgent && unit.batch->standing < 2) {
             unit.queue().pool->weighed = true;
             unit.queue().pool->urgentWanted += unit.batch->cores;
         }
@@ -156,7 +158,7 @@
 
 bool Planner::Work::leavesUrgentRoom(const Unit& unit) const {
     const Batch& batch = *unit.batch;
-    if (!ledger.setup.planner.urgencyFirst || batch.urgency == mostUrgent || (batch.pressed() && batch.standing() < 2)) return true;
+    if (!ledger.setup.planner.urgencyFirst || batch.urgency == mostUrgent || (batch.pressed && batch.standing < 2)) return true;
     const PoolInPlan& pool = *unit.queue().pool;
     // Never so that work stands while half of the pool is idle.
     if (!pool.demand || 5 * pool.free > 2 * pool.cores) return true;
--- a/source/planner_work.hpp
+++ b/source/planner_work.hpp
@@ -155,13 +155,13 @@
     Span runtime;  // the longest of its parts
     ClusterTime readyAt;
     double priority = 0;
+    int standing = 0;          // 0: its job's aim can be met; 1: late, but of use; 2: past that. docs/paper.md 5
+    bool pressed = false;      // what is left of its aim's slack is little
     std::int64_t urgency = 0;  // where urgency goes before all
     std::int64_t cores = 0;    // of one unit
     bool noRoom = false;       // one of it found no room in this plan; what is begun since leaves no more
     bool noReservation = false;
     bool noBackfill = false;   // one of it was among the failed shapes; these grow only
-    int standing() const { return step->of->standing; }
-    bool pressed() const { return step->of->pressed; }
 };
 
 // What waits for a start: one ready task, or a whole gang. docs/design.md 7.1.
