Reservoir: passes look at what changed or is due, not at everything at every step

Cause: at each wake-up passPolls looked up every waiting sync's minion and orders, passMinions every minion's contact, passTimetables every open job; exchanges of about a kilobyte stood in one vector that each answer moved together, and each sync walked it for an older one of its minion. Now: exchanges by their order of arrival (the order of answers stays), polls by minion; a poll is looked at while not confirmed, when its time comes (its own, or the end of the 500 ms after its penstock's other answer), when a newer sync takes its place, or when the committed fold gave its minion an order or saw it anew (Ledger::addressed, not kept). Minions are walked when the earliest lapse or leaving is reached or an event or a deaf word changed one; in between only those that were overdue at the last walk. Timetables: at the earliest firing, or when one came or fired. Ruled out: the round that is confirmed can fall when members change, so a poll that was confirmed is weighed anew.

--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -120,6 +120,11 @@
     jobs.emplace(submission.id, std::move(job));
 }
 
+Order& Ledger::give(OrderKind kind, const Attempt& attempt) {
+    addressed.insert(attempt.minion);
+    return minions[attempt.minion].give(kind, attempt);
+}
+
 void Ledger::forceStop(Attempt& attempt, bool tryless) {
     if (attempt.state == AttemptState::stopping) return;
     attempt.runBefore = attempt.ranBy(now);
@@ -127,10 +132,9 @@
     attempt.heldFor = AttemptNumber{};
     attempt.tryless = tryless;
     // docs/design.md 5.3: what was ordered but may not have reached the minion must not begin when it at last does.
-    Minion& minion = minions[attempt.minion];
-    for (auto& order : minion.orders)
+    for (auto& order : minions[attempt.minion].orders)
         if (order.attempt == attempt.number) order.kind = OrderKind::stop;
-    minion.give(OrderKind::stop, attempt);
+    give(OrderKind::stop, attempt);
 }
 
 void Ledger::resumeVictimsOf(AttemptNumber trial) {
@@ -140,7 +144,7 @@
         attempt.state = AttemptState::running;
         attempt.runningSince = now;
         attempt.heldFor = AttemptNumber{};
-        minions[attempt.minion].give(OrderKind::resume, attempt);
+        give(OrderKind::resume, attempt);
     }
 }
 
@@ -457,7 +461,9 @@
         }
         for (const auto& id : event.minions) {
             auto found = ledger.minions.find(id);
-            if (found != ledger.minions.end() && found->second.state == MinionState::gone) ledger.minions.erase(found);
+            if (found == ledger.minions.end() || found->second.state != MinionState::gone) continue;
+            ledger.addressed.erase(id);
+            ledger.minions.erase(found);
         }
     }
     void operator()(const MinionSeen& event) {
@@ -470,6 +476,7 @@
             return known.cores >= event.capacity.cores && known.memory >= event.capacity.memory && known.accelerators >= event.capacity.accelerators && known.pool == event.capacity.pool &&
                    std::all_of(event.capacity.labels.begin(), event.capacity.labels.end(), [&](const auto& label) { return known.has(label); });
         });
+        ledger.addressed.insert(event.minion);
         Minion& minion = ledger.minions[event.minion];
         minion.id = event.minion;
         minion.seenAt = ledger.now;
@@ -608,8 +615,7 @@
             attempt.assembles = attempt.gang && action.kind == ActionKind::start;
             attempt.counted = action.kind == ActionKind::start;
             attempt.orderedAt = attempt.runningSince = ledger.now;
-            Minion& minion = ledger.minions[action.minion];
-            Order& order = minion.give(action.kind == ActionKind::start ? OrderKind::start : OrderKind::stage, attempt);
+            Order& order = ledger.give(action.kind == ActionKind::start ? OrderKind::start : OrderKind::stage, attempt);
             order.payload = job.payload(task);
             order.saved = job.tasks[attempt.gang ? job.place(task.step, 0) : action.task].saved;
             attempt.order = order.number;
@@ -632,13 +638,13 @@
             attempt.counted = true;
             attempt.runningSince = ledger.now;
             countStart(ledger.jobs[attempt.job].tasks[attempt.task]);
-            attempt.order = ledger.minions[attempt.minion].give(OrderKind::go, attempt).number;
+            attempt.order = ledger.give(OrderKind::go, attempt).number;
         } else if (action.kind == ActionKind::hold && attempt.state == AttemptState::running) {
             attempt.runBefore = attempt.ranBy(ledger.now);
             attempt.state = AttemptState::held;
             attempt.heldFor = action.heldFor;
             ledger.onceHeld.insert(attempt.number);
-            ledger.minions[attempt.minion].give(OrderKind::hold, attempt);
+            ledger.give(OrderKind::hold, attempt);
             ++counters().holds;
         } else if (action.kind == ActionKind::stop) {
             ledger.forceStop(attempt, action.reason == "staging");
--- a/source/ledger.hpp
+++ b/source/ledger.hpp
@@ -29,6 +29,7 @@
     std::set<ReservoirId> toReplace;                 // by an operator's word
     ClusterTime capacityChangedAt;                   // when a minion was last seen for the first time, or with another room
     std::set<std::pair<ClusterTime, JobId>> ended;   // jobs that are over, the earliest first; derived
+    std::set<MinionId> addressed;                    // given an order, or seen, since whoever reads this emptied it; not kept
 
     void fold(const Record& record);
 
@@ -57,6 +58,7 @@
     void unindex(const Attempt& attempt);
     void addAttempt(const Attempt& attempt);
     void allow(const JobSubmission& submission);
+    Order& give(OrderKind kind, const Attempt& attempt);
     void forceStop(Attempt& attempt, bool tryless);
     void endAttempt(AttemptNumber number, EndingKind kind);
     void giveUpAttempt(AttemptNumber number);
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -25,9 +25,19 @@
     const LogIndex index = agreement.propose(pack(record), now);
     working().fold(record);
     planWanted = true;
+    expect(record.event);
     return index;
 }
 
+// What may bring a lapse, a leaving's end or an occurrence nearer than was reckoned.
+void Reservoir::expect(const Event& event) {
+    const auto& kind = event.type();
+    if (kind == typeid(MinionSeen) || kind == typeid(MinionLeaves) || kind == typeid(MinionLeaveOver) || kind == typeid(MinionAllowed) ||
+        kind == typeid(MinionSilent) || kind == typeid(MinionGone)) minionsChanged = true;
+    const auto* allowed = boost::get<JobAllowed>(&event);
+    if (kind == typeid(OccurrenceFired) || (allowed && allowed->submission.timed())) nextFiring = ClusterTime{};
+}
+
 void Reservoir::followLog() {
     if (agreement.takeInstalled()) {
         takeView(agreement.view());
@@ -67,15 +77,24 @@
         paces.clear();
         urgentDemand.clear();
         shortenedTo = ClusterTime{};
+        minionsChanged = true;
+        nextFiring = ClusterTime{};
+        committedLedger.addressed.clear();
+        for (const auto& [minion, places] : polls) pollsToLook.insert(places.begin(), places.end());
         append(Opened{});
         note("leads", {{"epoch", json(ledEpoch.value)}, {"last", json(agreement.last().value)}});
     } else if (!agreement.leads() && workingLedger) {
         workingLedger.reset();
         wasServing = false;
         note("leads no more", {{"epoch", json(agreement.epoch().value)}});
-        for (const auto& record : exchanges)
+        for (const auto& [place, record] : exchanges)
             answer(record, record.logged && record.exchange.ask != Ask::sync ? Answer::unknown("the leader changed while this was under way; ask again") : notLeader());
         exchanges.clear();
+        taken.clear();
+        unanswered.clear();
+        polls.clear();
+        pollsToLook.clear();
+        pollsDue.clear();
     }
 }
 
@@ -97,7 +116,10 @@
     if (!workingLedger || !agreement.leads()) return answer(record, notLeader());
     if (!mayTake(record.exchange))
         return answer(record, Answer::error(429, "overloaded", "too many exchanges are under way", Span{1000}));
-    exchanges.push_back(std::move(record));
+    record.place = ++lastPlace;
+    taken.push_back(record.place);
+    unanswered.insert(record.place);
+    exchanges.emplace(record.place, std::move(record));
 }
 // docs/design.md 10: the setup in force says which queues are urgent.
 bool Reservoir::mayTake(const Exchange& exchange) const {
@@ -150,8 +172,8 @@
 }
 
 void Reservoir::passIntake() {
-    for (auto& record : exchanges)
-        if (record.stage == Stage::taken) intake(record);
+    for (auto place : std::exchange(taken, {}))
+        if (auto found = exchanges.find(place); found != exchanges.end()) intake(found->second);
 }
 
 // docs/design.md 6.6: the leader's setup is the newest there is, so what comes by an entrance is never judged by an older one.
@@ -305,13 +327,18 @@
         prompt = true;
     }
     const Minion& minion = working().minions.at(report.id);
-    for (auto& other : exchanges)  // a newer sync that waits takes the place of one that still does
-        if ((!report.packed || report.wait.milliseconds) && other.stage == Stage::polling && other.exchange.report.id == report.id) other.pollUntil = now;
+    auto& waiting = polls[report.id];
+    if (!report.packed || report.wait.milliseconds)  // a newer sync that waits takes the place of one that still does
+        for (auto other : waiting) {
+            exchanges.at(other).pollUntil = now;
+            pollsToLook.insert(other);
+        }
     // A deaf minion is not in touch, whoever speaks for it: no lease is granted, and it is given up when the last one is over.
     if (report.deaf) {
         const Instant over = now + report.heldFor + options.deafMargin;
         auto [known, isNew] = deaf.try_emplace(report.id, over);
         if (!isNew) known->second = std::min(known->second, over);
+        minionsChanged = true;
     }
     else {
         if (deaf.erase(report.id)) planWanted = true;
@@ -334,6 +361,9 @@
         if (auto number = working().attemptNamed(report.id, save.name); number.value) synced.saves.emplace_back(number, save.saved);
     if (synced.applied > minion.applied || !synced.endings.empty() || !synced.saves.empty()) append(std::move(synced));
     record.stage = Stage::polling;
+    unanswered.erase(record.place);
+    waiting.insert(record.place);
+    pollsToLook.insert(record.place);
     record.logged = false;
     record.barrier = agreement.last();
     record.round = agreement.startRound(now);
@@ -388,11 +418,33 @@
     return silent;
 }
 
+void Reservoir::findOverdue() {
+    minionsChanged = false;
+    overdue.clear();
+    nextLapse = Instant{std::numeric_limits<std::int64_t>::max()};
+    nextLeaveOver = ClusterTime{std::numeric_limits<std::int64_t>::max()};
+    for (const auto& [id, minion] : working().minions) {
+        if (minion.state == MinionState::gone) continue;
+        Instant lapse = heardFrom(id) + options.term + options.margin + Span{1};
+        if (auto unheard = deaf.find(id); unheard != deaf.end()) lapse = std::min(lapse, unheard->second + Span{1});
+        const bool leaves = (minion.state == MinionState::leaving || minion.state == MinionState::drained) && !minion.leaveStopped;
+        if (now >= lapse || (leaves && clusterNow() >= minion.leaveBy)) {
+            overdue.insert(id);
+            continue;
+        }
+        nextLapse = std::min(nextLapse, lapse);
+        if (leaves) nextLeaveOver = std::min(nextLeaveOver, minion.leaveBy);
+    }
+}
+
 // Terms, leavings, and their ends. docs/design.md 5.4 to 5.7.
 void Reservoir::passMinions() {
+    if (minionsChanged || now >= nextLapse || clusterNow() >= nextLeaveOver) findOverdue();
     std::vector<Event> events;
-    for (const auto& [id, minion] : working().minions) {
-        if (minion.state == MinionState::gone) continue;
+    for (const auto& id : overdue) {
+        auto found = working().minions.find(id);
+        if (found == working().minions.end() || found->second.state == MinionState::gone) continue;
+        const Minion& minion = found->second;
         const Instant heard = heardFrom(id);
         auto unheard = deaf.find(id);
         if (now - heard > options.term + options.margin || (unheard != deaf.end() && now > unheard->second)) {
@@ -410,13 +462,17 @@
 }
 
 void Reservoir::passTimetables() {
+    if (clusterNow() < nextFiring) return;
+    nextFiring = ClusterTime{std::numeric_limits<std::int64_t>::max()};
+    const bool wallKnown = agreement.agreedWall(now).has_value();
     std::vector<JobId> due;
     for (const auto& id : working().open) {
         const Job& job = working().jobs.at(id);
         if (job.state != JobState::timed || job.fired >= job.submission.timetable.count) continue;
         const Timetable& timetable = job.submission.timetable;
         const auto next = timetable.first.milliseconds + std::int64_t(job.fired) * timetable.every.milliseconds;
-        if (agreement.agreedWall(now) && clusterNow().milliseconds >= next) due.push_back(id);
+        nextFiring = std::min(nextFiring, ClusterTime{next});
+        if (wallKnown && clusterNow().milliseconds >= next) due.push_back(id);
     }
     for (auto& id : due) append(OccurrenceFired{id});
 }
@@ -552,64 +608,89 @@
     planWanted = false;
 }
 
+// Looks at the polls of which something may have changed: not yet confirmed, their time come, or their minion given orders.
 void Reservoir::passPolls() {
     const RoundNumber confirmed = agreement.confirmedRound();
-    std::erase_if(exchanges, [&](const ExchangeRecord& record) {
-        if (record.stage != Stage::polling) return false;
-        if (now >= record.deadline) {
-            answer(record, Answer::unknown("no majority of the reservoirs answers"));
-            return true;
-        }
-        if (record.barrier > agreement.commitIndex() || record.round > confirmed) return false;
-        const auto& report = record.exchange.report;
-        auto found = committedLedger.minions.find(report.id);
-        if (found == committedLedger.minions.end()) return false;
-        if (found->second.incarnation != report.incarnation) {
-            answer(record, Answer::error(410, "gone", "this incarnation is replaced: stop all tasks and begin anew"));
-            return true;
-        }
-        SyncAnswer answered;
-        OrderNumber known = report.packed ? std::max(report.lastOrder, report.received) : report.lastOrder;
-        if (auto sent = ordersSent.find(report.id); report.packed && report.received.value && sent != ordersSent.end() && now - sent->second.at < Span{500}) known = std::max(known, sent->second.through);
-        for (const auto& order : found->second.orders)
-            if (order.number > known) answered.orders.push_back(order);
-        if (answered.orders.empty() && now < record.pollUntil) return false;
-        answered.epoch = agreement.epoch();
-        answered.term = report.deaf ? Span{0} : options.term;
-        for (const auto& ending : report.endings) {
-            auto open = committedLedger.attempts.find(ending.attempt);
-            if (open == committedLedger.attempts.end() || open->second.minion != report.id) answered.confirmed.push_back(ending.attempt);
-        }
-        if (report.packed) {
-            for (const auto& ending : report.namedEndings) {
-                if (committedLedger.attemptNamed(report.id, ending.name).value) break;
-                ++answered.closed;
-            }
-            answered.after = known;
-            if (!answered.orders.empty()) ordersSent[report.id] = {answered.orders.back().number, now};
-            Answer packedAnswer;
-            packedAnswer.body = pack(answered);
-            answer(record, std::move(packedAnswer));
-            return true;
+    for (const auto& id : std::exchange(committedLedger.addressed, {}))
+        if (auto found = polls.find(id); found != polls.end()) pollsToLook.insert(found->second.begin(), found->second.end());
+    for (; !pollsDue.empty() && pollsDue.begin()->first <= now; pollsDue.erase(pollsDue.begin()))
+        if (exchanges.count(pollsDue.begin()->second)) pollsToLook.insert(pollsDue.begin()->second);
+    for (auto place = pollsToLook.begin(); place != pollsToLook.end();) {
+        const auto looked = *place++;
+        if (answerPoll(exchanges.at(looked), confirmed)) dropExchange(looked);
+    }
+}
+
+// Answers a waiting sync, or notes when it is to be looked at again.
+bool Reservoir::answerPoll(const ExchangeRecord& record, RoundNumber confirmed) {
+    if (now >= record.deadline) {
+        answer(record, Answer::unknown("no majority of the reservoirs answers"));
+        return true;
+    }
+    if (record.barrier > agreement.commitIndex() || record.round > confirmed) return false;
+    auto lookAgain = [&](Instant at) {
+        pollsDue.emplace(std::min(at, record.deadline), record.place);
+        pollsToLook.erase(record.place);
+        return false;
+    };
+    const auto& report = record.exchange.report;
+    auto found = committedLedger.minions.find(report.id);
+    if (found == committedLedger.minions.end()) return lookAgain(record.deadline);
+    if (found->second.incarnation != report.incarnation) {
+        answer(record, Answer::error(410, "gone", "this incarnation is replaced: stop all tasks and begin anew"));
+        return true;
+    }
+    SyncAnswer answered;
+    OrderNumber known = report.packed ? std::max(report.lastOrder, report.received) : report.lastOrder;
+    Instant sentAgain = record.deadline;
+    if (auto sent = ordersSent.find(report.id); report.packed && report.received.value && sent != ordersSent.end() && now - sent->second.at < Span{500}) {
+        known = std::max(known, sent->second.through);
+        sentAgain = sent->second.at + Span{500};
+    }
+    for (const auto& order : found->second.orders)
+        if (order.number > known) answered.orders.push_back(order);
+    if (answered.orders.empty() && now < record.pollUntil) return lookAgain(std::min(sentAgain, record.pollUntil));
+    answered.epoch = agreement.epoch();
+    answered.term = report.deaf ? Span{0} : options.term;
+    for (const auto& ending : report.endings) {
+        auto open = committedLedger.attempts.find(ending.attempt);
+        if (open == committedLedger.attempts.end() || open->second.minion != report.id) answered.confirmed.push_back(ending.attempt);
+    }
+    if (report.packed) {
+        for (const auto& ending : report.namedEndings) {
+            if (committedLedger.attemptNamed(report.id, ending.name).value) break;
+            ++answered.closed;
         }
-        answered.sluices = preferred(sluicesHeard(now), report.capacity.area, checksum(report.id.value));
-        answer(record, Answer::of(200, answered.render()));
+        answered.after = known;
+        if (!answered.orders.empty()) ordersSent[report.id] = {answered.orders.back().number, now};
+        Answer packedAnswer;
+        packedAnswer.body = pack(answered);
+        answer(record, std::move(packedAnswer));
         return true;
-    });
+    }
+    answered.sluices = preferred(sluicesHeard(now), report.capacity.area, checksum(report.id.value));
+    answer(record, Answer::of(200, answered.render()));
+    return true;
+}
+
+void Reservoir::dropExchange(std::uint64_t place) {
+    auto found = exchanges.find(place);
+    if (auto waiting = polls.find(found->second.exchange.report.id); waiting != polls.end() && waiting->second.erase(place) && waiting->second.empty()) polls.erase(waiting);
+    pollsToLook.erase(place);
+    unanswered.erase(place);
+    exchanges.erase(found);
 }
 
 void Reservoir::passAnswers() {
     const RoundNumber confirmed = agreement.confirmedRound();
-    std::erase_if(exchanges, [&](const ExchangeRecord& record) {
-        if (record.stage == Stage::polling) return false;
-        if (record.stage == Stage::decided && record.barrier <= agreement.commitIndex() && record.round <= confirmed) {
-            answer(record, record.answer);
-            return true;
-        }
-        if (now < record.deadline) return false;
-        answer(record, record.stage == Stage::taken ? Answer::notTaken("the leader can't serve yet") : Answer::unknown("no majority of the reservoirs answers; ask again"));
-        return true;
-    });
+    for (auto next = unanswered.begin(); next != unanswered.end();) {
+        const auto place = *next++;
+        const ExchangeRecord& record = exchanges.at(place);
+        const bool ready = record.stage == Stage::decided && record.barrier <= agreement.commitIndex() && record.round <= confirmed;
+        if (!ready && now < record.deadline) continue;
+        answer(record, ready ? record.answer : record.stage == Stage::taken ? Answer::notTaken("the leader can't serve yet") : Answer::unknown("no majority of the reservoirs answers; ask again"));
+        dropExchange(place);
+    }
 }
 
 // One change at a time, each logged; a learner is promoted when it has caught up. docs/design.md 3.5.
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -57,6 +57,7 @@
 private:
     enum class Stage : std::uint8_t { taken, decided, polling };
     struct ExchangeRecord {
+        std::uint64_t place = 0;  // in the order in which they came
         ExchangeNumber number;
         Exchange exchange;
         Stage stage = Stage::taken;
@@ -70,11 +71,13 @@
     Ledger& working() { return *workingLedger; }
     ClusterTime clusterNow() const;
     LogIndex append(Event event);
+    void expect(const Event& event);
     void followLog();
     void takeView(const LogView& view);
     void followRole();
     bool mayTake(const Exchange& exchange) const;
     void passIntake();
+    void findOverdue();
     void passMinions();
     void passTimetables();
     void passForget();
@@ -83,6 +86,8 @@
     void passAnswers();
     void passMembers();
     void passCheckpoint();
+    bool answerPoll(const ExchangeRecord& record, RoundNumber confirmed);
+    void dropExchange(std::uint64_t place);
     void decide(ExchangeRecord& record, Answer answer, bool logged);
     void answer(const ExchangeRecord& record, Answer answer);
     Answer notLeader() const;
@@ -152,7 +157,20 @@
     };
     std::map<Address, SluiceSeen> sluices;
     std::vector<Contact> sluicesHeard(Instant at) const;
-    std::vector<ExchangeRecord> exchanges;
+    // By the order in which they came, which is also that of their answers. Each pass looks only at what it may change: those just
+    // taken, those that are decided, and of the polls those of which anything could have changed. docs/design.md 8.1.
+    std::map<std::uint64_t, ExchangeRecord> exchanges;
+    std::uint64_t lastPlace = 0;
+    std::vector<std::uint64_t> taken;
+    std::set<std::uint64_t> unanswered;                        // taken or decided
+    std::map<MinionId, std::set<std::uint64_t>> polls;
+    std::set<std::uint64_t> pollsToLook;                       // unconfirmed, due, or their minion was given something
+    std::set<std::pair<Instant, std::uint64_t>> pollsDue;      // some of them long answered
+    // Minions whose terms or leavings may be over; the others need no look before these times, or a change. docs/design.md 5.4.
+    std::set<MinionId> overdue;
+    bool minionsChanged = true;
+    Instant nextLapse;
+    ClusterTime nextLeaveOver, nextFiring;
     std::vector<std::pair<ExchangeNumber, Answer>> answers;
     bool unreadable = false;
     ViewWork viewWork;
