--- a/source/ledger.cpp
+++ b/source/ledger.cpp
@@ -4,16 +4,52 @@
 
 std::vector<AttemptNumber> Ledger::attemptsOf(const JobId& job, bool withLost) const {
     std::vector<AttemptNumber> found;
-    for (const auto& [number, attempt] : attempts)
-        if (attempt.job == job && (withLost || !attempt.lost)) found.push_back(number);
+    for (auto number : numbersOf(job))
+        if (withLost || !attempts.at(number).lost) found.push_back(number);
     return found;
 }
 
 std::vector<AttemptNumber> Ledger::attemptsOn(const MinionId& minion) const {
-    std::vector<AttemptNumber> found;
-    for (const auto& [number, attempt] : attempts)
-        if (attempt.minion == minion) found.push_back(number);
-    return found;
+    auto found = byMinion.find(minion);
+    return found == byMinion.end() ? std::vector<AttemptNumber>{} : std::vector<AttemptNumber>(found->second.begin(), found->second.end());
+}
+
+const std::set<AttemptNumber>& Ledger::numbersOf(const JobId& job) const {
+    static const std::set<AttemptNumber> none;
+    auto found = byJob.find(job);
+    return found == byJob.end() ? none : found->second;
+}
+
+void Ledger::derive() {
+    for (const auto& [id, job] : jobs)
+        if (job.over()) ended.emplace(job.endedAt, id);
+    for (const auto& [number, attempt] : attempts) index(attempt);
+}
+
+void Ledger::index(const Attempt& attempt) {
+    byJob[attempt.job].insert(attempt.number);
+    byMinion[attempt.minion].insert(attempt.number);
+    if (attempt.state == AttemptState::held) onceHeld.insert(attempt.number);
+}
+
+void Ledger::unindex(const Attempt& attempt) {
+    auto erase = [&](auto& numbers, const auto& key) {
+        auto found = numbers.find(key);
+        found->second.erase(attempt.number);
+        if (found->second.empty()) numbers.erase(found);
+    };
+    erase(byJob, attempt.job);
+    erase(byMinion, attempt.minion);
+    onceHeld.erase(attempt.number);
+}
+
+void Ledger::addAttempt(const Attempt& attempt) {
+    auto [place, added] = attempts.try_emplace(attempt.number, attempt);
+    if (!added) {
+        unindex(place->second);
+        place->second = attempt;
+    }
+    index(attempt);
 }
 
 AttemptNumber Ledger::attemptNamed(const MinionId& minion, const RunName& name) const {
@@ -23,10 +59,10 @@
     const std::size_t place = job->second.place(name.step, name.within);
     if (place >= job->second.tasks.size()) return AttemptNumber{};
     const Task& task = job->second.tasks[place];
-    auto fits = [&](const Attempt& attempt) { return attempt.run == name.run && attempt.minion == minion && attempt.job == job->first && attempt.task == place; };
+    auto fits = [&](const Attempt& attempt) { return attempt.run == name.run && attempt.task == place && attempt.minion == minion && attempt.job == job->first; };
     if (auto current = attempts.find(task.attempt); current != attempts.end() && fits(current->second)) return task.attempt;
-    for (const auto& [number, attempt] : attempts)  // given up, or of a gang that is done
-        if (fits(attempt)) return number;
+    for (auto number : numbersOf(job->first))  // given up, or of a gang that is done
+        if (fits(attempts.at(number))) return number;
     return AttemptNumber{};
 }
 
@@ -84,6 +120,11 @@
     jobs.emplace(submission.id, std::move(job));
 }
 
+Order& Ledger::give(OrderKind kind, const Attempt& attempt) {
+    addressed.insert(attempt.minion);
+    return minions[attempt.minion].give(kind, attempt);
+}
+
 void Ledger::forceStop(Attempt& attempt, bool tryless) {
     if (attempt.state == AttemptState::stopping) return;
     attempt.runBefore = attempt.ranBy(now);
@@ -91,20 +132,20 @@
     attempt.heldFor = AttemptNumber{};
     attempt.tryless = tryless;
     // docs/design.md 5.3: what was ordered but may not have reached the minion must not begin when it at last does.
-    Minion& minion = minions[attempt.minion];
-    for (auto& order : minion.orders)
+    for (auto& order : minions[attempt.minion].orders)
         if (order.attempt == attempt.number) order.kind = OrderKind::stop;
-    minion.give(OrderKind::stop, attempt);
+    give(OrderKind::stop, attempt);
 }
 
 void Ledger::resumeVictimsOf(AttemptNumber trial) {
-    for (auto& [number, attempt] : attempts)
-        if (attempt.heldFor == trial && attempt.state == AttemptState::held) {
-            attempt.state = AttemptState::running;
-            attempt.runningSince = now;
-            attempt.heldFor = AttemptNumber{};
-            minions[attempt.minion].give(OrderKind::resume, attempt);
-        }
+    for (auto number : onceHeld) {
+        Attempt& attempt = attempts.at(number);
+        if (attempt.heldFor != trial || attempt.state != AttemptState::held) continue;
+        attempt.state = AttemptState::running;
+        attempt.runningSince = now;
+        attempt.heldFor = AttemptNumber{};
+        give(OrderKind::resume, attempt);
+    }
 }
 
 void Ledger::removeAttempt(AttemptNumber number) {
@@ -115,6 +156,7 @@
     if (auto minion = minions.find(found->second.minion); minion != minions.end())
         for (auto& order : minion->second.orders)
             if (order.attempt == number) order.kind = OrderKind::stop;
+    unindex(found->second);
     attempts.erase(found);
     if (trial) resumeVictimsOf(number);
 }
@@ -185,8 +227,10 @@
 }
 
 void Ledger::abortGang(Job& job, std::uint32_t step, AttemptNumber except) {
-    for (auto& [number, attempt] : attempts)
-        if (attempt.job == job.submission.id && attempt.step == step && number != except && !attempt.lost) forceStop(attempt, false);
+    for (auto number : numbersOf(job.submission.id)) {
+        Attempt& attempt = attempts.at(number);
+        if (attempt.step == step && number != except && !attempt.lost) forceStop(attempt, false);
+    }
 }
 
 void Ledger::failJob(Job& job, const std::string& reason) {
@@ -195,8 +239,8 @@
     job.reason = reason;
     for (auto& task : job.tasks)
         if (task.state == TaskState::waiting || task.state == TaskState::blocked) task.state = TaskState::stopped;
-    for (auto& [number, attempt] : attempts)
-        if (attempt.job == job.submission.id && !attempt.lost) forceStop(attempt, false);
+    for (auto number : numbersOf(job.submission.id))
+        if (Attempt& attempt = attempts.at(number); !attempt.lost) forceStop(attempt, false);
 }
 
 // docs/design.md 4.2: a job is over only when no task of it is open anywhere.
@@ -204,10 +248,10 @@
     if (job.over() || job.state == JobState::timed) return;
     const bool allDone = std::all_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) { return task.state == TaskState::done; });
     if (!job.ending && !allDone) return;
-    for (auto number : attemptsOf(job.submission.id, false)) {
+    for (auto number : numbersOf(job.submission.id)) {
         // A copy that is being stopped after another ended well keeps its room, not its job.
         const Attempt& attempt = attempts.at(number);
-        if (!(allDone && attempt.state == AttemptState::stopping && job.submission.steps[attempt.step].needs.redundant)) return;
+        if (!attempt.lost && !(allDone && attempt.state == AttemptState::stopping && job.submission.steps[attempt.step].needs.redundant)) return;
     }
     over(job, job.state == JobState::cancelling ? JobState::cancelled : allDone ? JobState::finished : JobState::failed);
 }
@@ -343,7 +387,7 @@
 
 // The minion is taken to have lost this attempt, or to hold it in place for good. docs/design.md 5.5.
 void Ledger::giveUpAttempt(AttemptNumber number) {
-    Attempt& attempt = attempts[number];
+    Attempt& attempt = attempts.at(number);
     if (attempt.lost) return;
     attempt.lost = true;
     ++counters.lost;
@@ -409,7 +453,7 @@
         }
         for (const auto& id : event.shortened) {
             auto found = ledger.jobs.find(id);
-            if (found == ledger.jobs.end() || !found->second.over() || !ledger.attemptsOf(id, true).empty()) continue;
+            if (found == ledger.jobs.end() || !found->second.over() || !ledger.numbersOf(id).empty()) continue;
             Job& job = found->second;
             job.shortenedTasks = std::max<std::uint32_t>(1, std::uint32_t(job.tasks.size()));
             std::vector<StepRequest>().swap(job.submission.steps);
@@ -417,7 +461,9 @@
         }
         for (const auto& id : event.minions) {
             auto found = ledger.minions.find(id);
-            if (found != ledger.minions.end() && found->second.state == MinionState::gone) ledger.minions.erase(found);
+            if (found == ledger.minions.end() || found->second.state != MinionState::gone) continue;
+            ledger.addressed.erase(id);
+            ledger.minions.erase(found);
         }
     }
     void operator()(const MinionSeen& event) {
@@ -430,6 +476,7 @@
             return known.cores >= event.capacity.cores && known.memory >= event.capacity.memory && known.accelerators >= event.capacity.accelerators && known.pool == event.capacity.pool &&
                    std::all_of(event.capacity.labels.begin(), event.capacity.labels.end(), [&](const auto& label) { return known.has(label); });
         });
+        ledger.addressed.insert(event.minion);
         Minion& minion = ledger.minions[event.minion];
         minion.id = event.minion;
         minion.seenAt = ledger.now;
@@ -490,7 +537,7 @@
         minion.leaveStopped = false;
         // docs/design.md 5.7: what it has not yet said it started is taken back at once.
         for (auto number : ledger.attemptsOn(event.minion)) {
-            Attempt& attempt = ledger.attempts[number];
+            Attempt& attempt = ledger.attempts.at(number);
             if (attempt.state == AttemptState::ordered || attempt.state == AttemptState::staged || attempt.state == AttemptState::going) {
                 if (attempt.gang) ledger.abortGang(ledger.jobs[attempt.job], attempt.step, number);
                 ledger.forceStop(attempt, true);
@@ -502,7 +549,7 @@
         if (found == ledger.minions.end()) return;
         found->second.leaveStopped = true;
         for (auto number : ledger.attemptsOn(event.minion)) {
-            Attempt& attempt = ledger.attempts[number];
+            Attempt& attempt = ledger.attempts.at(number);
             if (attempt.lost) continue;
             if (attempt.gang) ledger.abortGang(ledger.jobs[attempt.job], attempt.step, number);
             ledger.forceStop(attempt, false);
@@ -568,13 +615,12 @@
             attempt.assembles = attempt.gang && action.kind == ActionKind::start;
             attempt.counted = action.kind == ActionKind::start;
             attempt.orderedAt = attempt.runningSince = ledger.now;
-            Minion& minion = ledger.minions[action.minion];
-            Order& order = minion.give(action.kind == ActionKind::start ? OrderKind::start : OrderKind::stage, attempt);
+            Order& order = ledger.give(action.kind == ActionKind::start ? OrderKind::start : OrderKind::stage, attempt);
             order.payload = job.payload(task);
             order.saved = job.tasks[attempt.gang ? job.place(task.step, 0) : action.task].saved;
             attempt.order = order.number;
             ledger.lastAttempt = std::max(ledger.lastAttempt, action.attempt);
-            ledger.attempts[action.attempt] = attempt;
+            ledger.addAttempt(attempt);
             task.state = TaskState::placed;
             (action.twin ? task.twin : task.attempt) = action.attempt;
             if (action.trial) {
@@ -592,12 +638,13 @@
             attempt.counted = true;
             attempt.runningSince = ledger.now;
             countStart(ledger.jobs[attempt.job].tasks[attempt.task]);
-            attempt.order = ledger.minions[attempt.minion].give(OrderKind::go, attempt).number;
+            attempt.order = ledger.give(OrderKind::go, attempt).number;
         } else if (action.kind == ActionKind::hold && attempt.state == AttemptState::running) {
             attempt.runBefore = attempt.ranBy(ledger.now);
             attempt.state = AttemptState::held;
             attempt.heldFor = action.heldFor;
-            ledger.minions[attempt.minion].give(OrderKind::hold, attempt);
+            ledger.onceHeld.insert(attempt.number);
+            ledger.give(OrderKind::hold, attempt);
             ++counters().holds;
         } else if (action.kind == ActionKind::stop) {
             ledger.forceStop(attempt, action.reason == "staging");
--- a/source/ledger.hpp
+++ b/source/ledger.hpp
@@ -29,6 +29,7 @@
     std::set<ReservoirId> toReplace;                 // by an operator's word
     ClusterTime capacityChangedAt;                   // when a minion was last seen for the first time, or with another room
     std::set<std::pair<ClusterTime, JobId>> ended;   // jobs that are over, the earliest first; derived
+    std::set<MinionId> addressed;                    // given an order, or seen, since whoever reads this emptied it; not kept
 
     void fold(const Record& record);
 
@@ -42,14 +43,22 @@
 
     template <class Archive> void serialize(Archive& archive, unsigned) {
         archive & now & setup & jobs & open & openByQueue & minions & attempts & lastAttempt & plan & reservation & counters & toReplace & capacityChangedAt;
-        if constexpr (Archive::is_loading::value)
-            for (const auto& [id, job] : jobs)
-                if (job.over()) ended.emplace(job.endedAt, id);
+        if constexpr (Archive::is_loading::value) derive();
     }
 
 private:
     struct Folder;
+    // Derived from the attempts, added to by addAttempt, taken from by removeAttempt; an attempt's job and minion never change.
+    std::map<JobId, std::set<AttemptNumber>> byJob;
+    std::map<MinionId, std::set<AttemptNumber>> byMinion;
+    std::set<AttemptNumber> onceHeld;  // attempts that are held or were
+    const std::set<AttemptNumber>& numbersOf(const JobId& job) const;
+    void derive();
+    void index(const Attempt& attempt);
+    void unindex(const Attempt& attempt);
+    void addAttempt(const Attempt& attempt);
     void allow(const JobSubmission& submission);
+    Order& give(OrderKind kind, const Attempt& attempt);
     void forceStop(Attempt& attempt, bool tryless);
     void endAttempt(AttemptNumber number, EndingKind kind);
     void giveUpAttempt(AttemptNumber number);
