Penstock: a stop's ending is waited for by the look that waits, not asked for every 25 ms

A run that surely is there needs none: the waiting look returns when its end is listed. Runs of which nothing is sure are looked for at once as before.

--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -252,8 +252,9 @@
     return std::clamp(Span{std::min(lease, options.hold).milliseconds / 4}, Span{100}, options.longestLook);
 }
 
+// What surely runs is not among it: when a stop of it has done its work a look that waits comes back with the ending.
 bool Penstock::toFindOut() const {
-    return std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked; });
+    return std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked && !entry.second.running; });
 }
 bool Penstock::unconfirmed() const {
     return std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -418,6 +418,25 @@
     LONGS_EQUAL(2, stand.applied());
 }
 
+// Each look costs its minion: one that waits comes back with the ending, so nothing asks again and again while a stop takes its time.
+TEST(PenstockStops, ofARunThatIsThereAreSeenByTheLookThatWaits) {
+    Stand stand;
+    stand.begin();
+    stand.beginWith("a");
+    STRCMP_EQUAL("look", stand.calls().c_str());
+    stand.sync({stop(2, "a")});
+    STRCMP_EQUAL("stop a/1", stand.calls().c_str());
+    stand.reply(CallKind::stop, ReplyKind::done);
+    STRCMP_EQUAL("", stand.callsIn(30).c_str());
+    stand.looked({active("a")});
+    STRCMP_EQUAL("look", stand.callsIn(30).c_str());
+    STRCMP_EQUAL("", stand.callsIn(300).c_str());
+    const auto waited = stand.looked({}, {ended(1, "a", EndingKind::stopped)});
+    CHECK_TEXT(waited.wait.milliseconds > 0, "the look does not wait for the ending");
+    STRCMP_EQUAL("a/1 stopped", stand.endings().c_str());
+    LONGS_EQUAL(2, stand.applied());
+}
+
 TEST_GROUP(PenstockEndings){};
 
 // docs/design.md 5.5: a look passes an ending only when the leader's log holds it.
