Penstock: a look waits a second where the hold and the lease allow it

They now wait up to half of what is left, and a lost one leaves a second: while calls go unanswered looks don't wait, so as many fit in before the hold runs out as did before (test).

--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -248,9 +248,15 @@
     work.lookFrom = looksBegun + 1;
 }
 
-Span Penstock::lookWait() const {
+Span Penstock::renewAfter() const {
     return std::clamp(Span{std::min(lease, options.hold).milliseconds / 4}, Span{100}, options.longestLook);
 }
+// A look that is lost with its whole wait leaves a second of the hold that it asks for, in which others are made. What is left of
+// the lease is what counts: the leader renews that once a sync only.
+Span Penstock::lookWait(Instant now) const {
+    const std::int64_t left = std::min(leaseUntil - now, options.hold).milliseconds;
+    return std::min(std::max(renewAfter(), Span{std::min(left / 2, left - 1000)}), options.longestLook);
+}
 
 // What surely runs is not among it: when a stop of it has done its work a look that waits comes back with the ending.
 bool Penstock::toFindOut() const {
@@ -271,7 +277,7 @@
     const bool running = unanswered || std::any_of(works.begin(), works.end(), [](const auto& entry) { return entry.second.running; });
     if (!running && !moreEnded) return false;
     // While endings wait to be confirmed a look would only tell them again; it is due all the same to keep the hold up.
-    return !unconfirmed() || now - lookedAt >= std::max(lookWait(), Span{500});
+    return !unconfirmed() || now - lookedAt >= std::max(renewAfter(), Span{500});
 }
 
 std::vector<MinionCall> Penstock::takeCalls(Instant now) {
@@ -333,7 +339,7 @@
     if (wantsLook(now) && !(mayLapse(now) && !told.empty())) {
         auto call = make(MinionCall::Kind::look);
         call.lastSeen = lastSeen;
-        call.wait = !everLooked || lapsed || toFindOut() || unconfirmed() || moreEnded ? Span{0} : lookWait();
+        call.wait = !everLooked || lapsed || unanswered || toFindOut() || unconfirmed() || moreEnded ? Span{0} : lookWait(now);
         call.within = call.wait + Span{400};
         looking = true;
         ++looksBegun;
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -125,7 +125,8 @@
     bool unconfirmed() const;                   // the minion's own endings that are not final yet
     bool hasTold(const RunName& name) const;    // its ending waits to be confirmed
     bool wantsLook(Instant now) const;
-    Span lookWait() const;
+    Span renewAfter() const;           // the hold is asked for anew after that long, at the latest
+    Span lookWait(Instant now) const;  // how long a look may wait for an ending
 
     PenstockOptions options;
     MinionAccount account;
--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -807,6 +807,52 @@
     STRCMP_EQUAL("b/1 failed", stand.endings().c_str());
 }
 
+// With a hold of 2 s, as at the platform: a look waits half of it, and when it is lost two more fit in before the hold runs out.
+TEST(PenstockLeases, aLostLookLeavesTimeForOthersWhateverTheHold) {
+    for (const std::int64_t hold : {1500, 2000, 3000, 6000}) {
+        Stand stand;
+        PenstockOptions options;
+        options.hold = Span{hold};
+        stand.penstock = Penstock{options};
+        stand.begin();
+        stand.beginWith("a");
+        STRCMP_EQUAL("look", stand.calls().c_str());
+        const std::int64_t begun = stand.now;
+        const Span wait = stand.open.back().wait, within = stand.open.back().within;
+        CHECK_TEXT(hold != 2000 || wait == Span{1000}, "a look may wait a second");
+        stand.now += within.milliseconds;
+        stand.reply(CallKind::look, ReplyKind::lost);
+        int others = 0;
+        while (stand.now < begun + hold * 95 / 100 && others < 2) {
+            stand.sync();
+            STRCMP_EQUAL("look", stand.calls().c_str());
+            LONGS_EQUAL(0, stand.open.back().wait.milliseconds);  // whether it answers at all is asked without a wait
+            CHECK(stand.open.back().deadline.has_value());
+            stand.now += 400;
+            stand.reply(CallKind::look, ReplyKind::lost);
+            ++others;
+        }
+        LONGS_EQUAL(2, others);
+    }
+}
+
+// A lease of 3 s is renewed once a sync, so only a second of it may be left when a look begins.
+TEST(PenstockLeases, noLookWaitsPastWhatIsLeftOfTheLease) {
+    Stand stand;
+    stand.term = Span{3000};
+    stand.begin();
+    stand.beginWith("a");
+    const std::int64_t begun = stand.now;
+    for (std::int64_t gone = 100; gone <= 2400; gone += 100) {
+        stand.now = begun + gone;
+        const auto calls = stand.calls();
+        if (calls.empty()) continue;
+        STRCMP_EQUAL("look", calls.c_str());
+        const auto look = stand.looked({active("a")});
+        CHECK_TEXT(look.wait <= std::max(Span{750}, Span{3000 - gone - 1000}), "the look may outlast the hold");
+    }
+}
+
 TEST_GROUP(PenstockLives){};
 
 TEST(PenstockLives, leavingStartsNothingAndIsTold) {
