Reservoirs meet their seeds: a seed without a disk learns of them, also when all began anew

A seed without a disk keeps nothing, and nobody told it where the reservoirs are; sluices and penstocks knew no other address. The reservoirs themselves had found each other and served. Ruled out: the election (1 s), the disks, the route. Changed: a reservoir asks those seeds for the route that are no members, each second and first when it begins; whoever belongs to no cluster asks back at those that asked it. Test: tests/meeting.sh, which failed first.

--- a/programs/reservoir.cpp
+++ b/programs/reservoir.cpp
@@ -12,7 +12,7 @@
     options.address("advertise", settings.advertise, "the address at which other processes reach --peer, if another");
     options.address("http", settings.http, "the address of /healthz and /readyz");
     options.text("area", settings.area, "the area of this machine", true);
-    options.text("data", settings.data, "the data folder", true);
+    options.text("data", settings.data, "the data folder; without one it keeps nothing, never votes and only leads the way");
     options.addresses("seeds", settings.seeds, "peer addresses of reservoirs, for first contact", true);
     options.flag("found", settings.found, "found a cluster when every seed is there and blank");
     options.whole("heartbeat-ms", settings.heartbeat, "a leader's heartbeat", 10, 10'000);
--- a/source/daemons/reservoir_daemon.cpp
+++ b/source/daemons/reservoir_daemon.cpp
@@ -286,7 +286,8 @@
             } else if (auto* ask = boost::get<RouteAsk>(&message.value().body)) {
                 if (!ask->sluice.address.value.empty()) core->noteSluice(ask->sluice, monotonicNow());
                 // Where no seed has a disk one of them names the reservoir that founds, once and for all. docs/design.md 3.7.
-                if (!stores() && named.value.empty()) named = ask->founder;
+                if (!stores() && named.value.empty() && ask->mayFound) named = ask->reservoir;
+                if (core->agreed().blank() && !ask->reservoir.value.empty() && visitors.size() < 32) visitors.insert(ask->reservoir);
                 writer->send(encode(WireMessage{correlation, tell()}));
             } else if (boost::get<FoundAsk>(&message.value().body)) {
                 const bool blank = core->agreed().blank() && stores();
@@ -318,6 +319,8 @@
             if (lookForSeeds && way().leader.value.empty()) lookForSeeds();
             if (!core->agreed().blank()) {
                 heardOf = RouteView{};
+                visitors.clear();
+                meetSeeds(callers);
                 pause(Span{1000});
                 continue;
             }
@@ -325,11 +328,13 @@
             std::vector<Address> asked = settings.seeds;
             for (const auto& address : heardOf.reservoirs)
                 if (!std::count(asked.begin(), asked.end(), address)) asked.push_back(address);
+            for (const auto& address : visitors)
+                if (!std::count(asked.begin(), asked.end(), address)) asked.push_back(address);
             for (const auto& address : asked) {
                 if (address == settings.advertise) continue;
                 auto& caller = callers[address];
                 if (!caller) caller = std::make_shared<WireCaller>(loop, address);
-                auto answered = caller->call(RouteAsk{{}, settings.found && stores() ? settings.advertise : Address{}}, Span{500});
+                auto answered = caller->call(RouteAsk{{}, settings.advertise, settings.found && stores()}, Span{500});
                 auto* told = answered ? boost::get<RouteTell>(&answered.value().body) : nullptr;
                 if (!told) {
                     // docs/design.md 9.5: a seed may be a sluice; it names the reservoirs.
@@ -352,6 +357,17 @@
             }
         }
     }
+    // A seed may belong to no cluster and have no disk, and others begin there: it must learn of us, also after it began anew.
+    // docs/design.md 9.7, docs/incidents.md 8.
+    void meetSeeds(std::map<Address, std::shared_ptr<WireCaller>>& callers) {
+        const auto known = core->agreed().members();
+        for (const auto& seed : std::vector<Address>(settings.seeds)) {
+            if (std::any_of(known.begin(), known.end(), [&](const Member& member) { return member.peer == seed; })) continue;
+            auto& caller = callers[seed];
+            if (!caller) caller = std::make_shared<WireCaller>(loop, seed);
+            [[maybe_unused]] const auto met = caller->call(RouteAsk{{}, settings.advertise, false}, Span{300});
+        }
+    }
     void joinAt(const Address& leader) {
         if (stores()) core->join(leader);
     }
@@ -378,7 +394,8 @@
     std::map<ExchangeNumber, std::pair<std::shared_ptr<WireWriter>, std::uint64_t>> askers;
     std::uint64_t lastExchange = 0;
     RouteView heardOf;  // while it belongs to no cluster: the one it has heard of
-    Address named;      // to found a cluster, by one that has no disk
+    std::set<Address> visitors;  // and the reservoirs that asked it meanwhile
+    Address named;             // to found a cluster, by one that has no disk
     std::atomic<std::int64_t> stepped{0};
     std::function<void()> lookForSeeds;
     bool broken = false, woken = false;
--- a/source/daemons/sluice_daemon.cpp
+++ b/source/daemons/sluice_daemon.cpp
@@ -61,7 +61,7 @@
             if (busy.count(address)) continue;
             busy.insert(address);
             spawn([this, address, caller] {
-                auto answered = caller->call(RouteAsk{{settings.advertise, AreaName{settings.area}}, {}}, Span{1000});
+                auto answered = caller->call(RouteAsk{{settings.advertise, AreaName{settings.area}}, {}, false}, Span{1000});
                 auto* told = answered ? boost::get<RouteTell>(&answered.value().body) : nullptr;
                 // docs/design.md 9.5: a seed may be another sluice, which names the reservoirs.
                 if (!told && isSeed(address) && board.read([](const RouteView& view) { return view.reservoirs.empty(); }))
--- a/source/edge/wire.hpp
+++ b/source/edge/wire.hpp
@@ -6,9 +6,10 @@
 namespace aniseline {
 
 struct RouteAsk {
-    Contact sluice;   // of a sluice that asks, else empty
-    Address founder;  // of a blank reservoir that may found a cluster, else empty. docs/design.md 3.7
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & sluice & founder; }
+    Contact sluice;         // of a sluice that asks, else empty
+    Address reservoir;      // of a reservoir that asks, so that whoever is asked learns of it; else empty
+    bool mayFound = false;  // it is blank and may found a cluster. docs/design.md 3.7
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & sluice & reservoir & mayFound; }
 };
 struct RouteTell {
     RouteView view;
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -18,6 +18,8 @@
   { tail -n 5 "$folder"/fleet/*.log; exit 1; }
 # Minions that are called rather than call, with their penstocks.
 bash tests/called.sh
+# A seed without a disk leads the way.
+bash tests/meeting.sh
 # An area is taken out of a running fleet and given back; an interrupted drill gives it back too.
 bash tests/drill.sh kill
 # Other people's programs against the installed tree.
