Simulated centres of any size: five voters of seven, two lost at a time

Cause: the simulator had three reservoirs written in it (World, copiesWhole, the deck of faults, the last fault, a script's start), so ReservoirOptions.voters was tried with 3 only. Areas hold several reservoirs. Ruled out: a second lying clock of five, since three voters are enough to tell the time; two that move while two others lose their disks, as nobody knows the way then.

--- a/programs/flume.cpp
+++ b/programs/flume.cpp
@@ -45,7 +45,7 @@
 }  // namespace
 
 int main(int count, char** values) {
-    std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, called = 0, threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
+    std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, called = 0, voters = 3, reservoirs = 3, threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
     bool verbose = false, shrinks = false, cost = false, failovers = false, views = false, everyKind = false;
     std::string only;
     OptionSet options("flume", "seeded runs of the whole cluster in virtual time, with faults");
@@ -54,6 +54,8 @@
     options.whole("length-ms", length, "virtual time before all is healed", 20'000, 86'400'000);
     options.whole("faults", faults, "faults a run", 0, 1000);
     options.whole("called", called, "minions that are called, each with its penstock, beside the others", 0, 100);
+    options.whole("voters", voters, "reservoirs that vote: two for each that may be lost at once, and one", 3, 9);
+    options.whole("reservoirs", reservoirs, "reservoirs in all, by turns in the areas; no fewer than vote", 3, 15);
     options.whole("threads", threads, "runs at the same time", 1, 256);
     options.text("only", only, "keep only these faults of the schedule, by number, with commas");
     options.flag("verbose", verbose, "tell all that happens");
@@ -63,6 +65,10 @@
     options.flag("view-cost", views, "measure the writing of a whole view instead, by jobs kept");
     options.flag("failover", failovers, "measure the loss of a leader instead");
     options.read(count, values);
+    if (voters % 2 == 0 || reservoirs < voters) {
+        std::cerr << "flume: --voters: must be odd and no more than --reservoirs\n";
+        return 2;
+    }
     if (failovers || cost || views) {
         if (failovers)
             for (const bool freezes : {false, true}) std::cout << json(measureFailover(from, seeds, freezes)).serialize() << std::endl;
@@ -80,6 +86,8 @@
     base.length = length;
     base.faults = std::size_t(faults);
     base.called = std::size_t(called);
+    base.voters = std::size_t(voters);
+    base.reservoirs = std::size_t(reservoirs);
     base.verbose = verbose;
     std::istringstream numbers(only);
     for (std::string number; std::getline(numbers, number, ',');) base.only.push_back(std::strtoull(number.c_str(), nullptr, 10));
@@ -101,7 +109,7 @@
     std::vector<std::int64_t> recoveries;
     std::map<std::string, double> counters;
     std::map<std::string, std::size_t> effects, limits;
-    for (const auto& kind : FaultDeck::kinds(called > 0)) effects[kind] = 0;
+    for (const auto& kind : FaultDeck::kinds(called > 0, voters > 4)) effects[kind] = 0;
     std::uint64_t hash = 0;
     std::optional<std::uint64_t> firstFailed;
     for (std::size_t place = 0; place < results.size(); ++place) {
--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -45,7 +45,7 @@
 
     CampaignResult run() {
         // The centre forms, and the first setup is taken.
-        world.runUntilTrue([&] { return world.voterCount() == 3; }, 20'000);
+        world.runUntilTrue([&] { return world.voterCount() == options.voters; }, 20'000);
         applyUntilTaken(setupText(), 0);
         world.runUntilTrue([&] { return applied >= 1; }, 10'000);
         planWorkload();
@@ -77,6 +77,8 @@
         const std::uint64_t seed = options.seed;
         WorldOptions world;
         world.called = options.called;
+        world.reservoirs = options.reservoirs;
+        world.reservoir.voters = options.voters;
         if (options.called && seed % 2) world.reservoir.margin = Span{350};  // a twentieth of the lease and 200 ms, as agents of called minions need no more
         world.seed = seed;
         // Minions without terms and minions that do not guard their room, in every mix.
@@ -133,19 +135,24 @@
         return world.now - wholeAt;
     }
     void lastFault() {
-        // Any one of three may be lost, so the three are there first.
-        world.runUntilTrue([&] { return world.copiesWhole() && world.voterCount() == 3; }, 40'000);
-        const std::size_t place = world.leader().value_or(0);
+        // Any one of three or two of five may be lost, so all are there first.
+        world.runUntilTrue([&] { return world.copiesWhole() && world.voterCount() == options.voters; }, 40'000);
+        const std::size_t leader = world.leader().value_or(0);
+        std::vector<std::size_t> lost{leader};
+        for (std::size_t place = 0; place < world.reservoirCount() && lost.size() < world.bearable(); ++place)
+            if (place != leader && world.isVoter(place)) lost.push_back(place);
         world.disturb("the last fault", false);
         switch (options.seed / 4 % 4) {
-            case 0: world.killReservoir(place, true); break;
-            case 1: world.freezeReservoir(place, true); break;
+            case 0: for (const auto place : lost) world.killReservoir(place, true); break;
+            case 1: for (const auto place : lost) world.freezeReservoir(place, true); break;
             case 2:
-                if (world.copiesWhole()) world.loseDisk(place);
+                if (world.copiesWhole()) for (const auto place : lost) world.loseDisk(place);
                 break;
             default:
-                world.cutAreas(place, (place + 1) % 3, true);
-                world.cutAreas(place, (place + 2) % 3, true);
+                if (options.voters == 3) {  // one of three in each area
+                    world.cutAreas(leader % 3, (leader + 1) % 3, true);
+                    world.cutAreas(leader % 3, (leader + 2) % 3, true);
+                } else for (const auto place : lost) world.cutReservoir(place, true);
         }
         world.disturb("the last fault", true);
         ++result.effects["one last fault"];
--- a/source/simulator/campaign.hpp
+++ b/source/simulator/campaign.hpp
@@ -9,6 +9,7 @@
     std::int64_t length = 60'000;
     std::size_t faults = 12;
     std::size_t called = 0;  // minions that are called, beside the others
+    std::size_t voters = 3, reservoirs = 3;
     std::vector<std::size_t> only;  // the places of the faults to keep; empty: all
     bool verbose = false;
 };
--- a/source/simulator/faults.cpp
+++ b/source/simulator/faults.cpp
@@ -4,6 +4,7 @@
 
 struct FaultDeck::Victims {
     std::size_t reservoir, sluice, minion, from, to, called = 0;
+    std::size_t count = 1, other = 0;  // reservoirs at once, and where to look for those beside the first
     bool leader, coin;
     std::int64_t jump, length;
 };
@@ -13,7 +14,7 @@
 };
 
 namespace {
-constexpr std::size_t areas = 3, reservoirs = 3, sluices = 7, minions = 11, perRack = 3;
+constexpr std::size_t areas = 3, sluices = 7, minions = 11, perRack = 3;
 
 void cutPair(World& world, std::size_t from, std::size_t to, bool cut) {
     world.cutAreas(from, to, cut);
@@ -33,8 +34,14 @@
     const std::size_t first = minion / perRack * perRack;
     for (std::size_t place = first; place < std::min(first + perRack, minions); ++place) use(place);
 }
+void powerOff(World& world) {
+    for (std::size_t place = 0; place < world.reservoirCount(); ++place) world.killReservoir(place, true);
+}
+void powerOn(World& world) {
+    for (std::size_t place = 0; place < world.reservoirCount(); ++place) world.restartReservoir(place);
+}
 void areaDies(World& world, std::size_t area) {
-    world.killReservoir(area, true);
+    eachOf(world.reservoirCount(), area, [&](auto place) { world.killReservoir(place, true); });
     eachOf(sluices, area, [&](auto place) { world.killSluice(place); });
     eachOf(minions, area, [&](auto place) { world.killMinion(place, false); });
     eachOf(world.calledCount(), area, [&](auto place) {
@@ -43,7 +50,7 @@
     });
 }
 void areaReturns(World& world, std::size_t area) {
-    world.restartReservoir(area);
+    eachOf(world.reservoirCount(), area, [&](auto place) { world.restartReservoir(place); });
     eachOf(sluices, area, [&](auto place) { world.restartSluice(place); });
     eachOf(minions, area, [&](auto place) { world.restartMinion(place); });
     eachOf(world.calledCount(), area, [&](auto place) {
@@ -52,7 +59,7 @@
     });
 }
 void freezeArea(World& world, std::size_t area, bool frozen) {
-    world.freezeReservoir(area, frozen);
+    eachOf(world.reservoirCount(), area, [&](auto place) { world.freezeReservoir(place, frozen); });
     eachOf(sluices, area, [&](auto place) { world.freezeSluice(place, frozen); });
     eachOf(minions, area, [&](auto place) { world.freezeMinion(place, frozen); });
     eachOf(world.calledCount(), area, [&](auto place) { world.freezePenstock(place, frozen); });
@@ -76,13 +83,27 @@
     };
 }
 
-std::size_t FaultDeck::someReservoir(const Victims& victims) const {
-    return victims.leader ? world.leader().value_or(victims.reservoir) : victims.reservoir;
+// The leader is as likely as any.
+std::vector<std::size_t> FaultDeck::someReservoirs(const Victims& victims) const {
+    return withOthers(victims.leader ? world.leader().value_or(victims.reservoir) : victims.reservoir, victims);
+}
+// Those beside the first are voters while there are any: there lies what can be lost.
+std::vector<std::size_t> FaultDeck::withOthers(std::size_t first, const Victims& victims) const {
+    std::vector<std::size_t> chosen{first};
+    for (const bool voters : {true, false})
+        for (std::size_t count = 0; count < world.reservoirCount() && chosen.size() < victims.count; ++count) {
+            const std::size_t place = (victims.other + count) % world.reservoirCount();
+            if (!std::count(chosen.begin(), chosen.end(), place) && world.isVoter(place) == voters) chosen.push_back(place);
+        }
+    return chosen;
 }
 
-// Two of three copies may never be lost before the first is replaced: that is beyond what three can bear.
+// Two of three copies, or three of five, may never be lost before the first are replaced: that is beyond what they can bear. Two
+// that moved know only each other's old address, so without the others they count as lost.
 bool FaultDeck::loseDisk(std::size_t place, bool moves) {
-    if (!world.copiesWhole()) return false;
+    const auto lost = world.copiesLost();
+    const std::size_t unknown = moving > 1 && world.now < moveFreeAt ? moving : 0;
+    if (!lost || *lost + unknown >= world.bearable()) return false;
     world.loseDisk(place);
     if (moves) world.moveReservoir(place);
     return true;
@@ -119,22 +140,26 @@
         fault.begin = std::move(begin);
         fault.end = std::move(end);
     };
-    // A fault of one reservoir: the victim is chosen when the fault begins, since the leader is as likely as any.
-    static const auto ofOne = [](FaultDeck& deck, V victims, Fault& fault, std::function<bool(std::size_t)> begin, std::function<void(std::size_t)> end) {
-        auto chosen = std::make_shared<std::size_t>(0);
-        set(fault, [&deck, victims, chosen, begin] { return begin(*chosen = deck.someReservoir(victims)); }, [chosen, end] { end(*chosen); });
+    // A fault of one reservoir, or of as many as may be lost at once: the victims are chosen when the fault begins.
+    static const auto ofSome = [](FaultDeck& deck, V victims, Fault& fault, std::function<bool(std::size_t)> begin, std::function<void(std::size_t)> end) {
+        auto chosen = std::make_shared<std::vector<std::size_t>>();
+        set(fault, [&deck, victims, chosen, begin] {
+            *chosen = deck.someReservoirs(victims);
+            return std::count_if(chosen->begin(), chosen->end(), begin) > 0;
+        }, [chosen, end] { std::for_each(chosen->begin(), chosen->end(), end); });
     };
     static const auto strikes = [](FaultDeck& deck, V victims, Fault& fault, std::function<bool(const Exchange&, const Answer&)> matches) {
         auto* world = &deck.world;
-        const std::size_t way = victims.reservoir;
+        const std::size_t way = victims.reservoir % 3;
         const std::string name = fault.name;
         const std::int64_t at = fault.at, length = fault.length;
-        fault = deck.aimed(victims, std::move(matches), [&deck, world, way, moves = victims.coin](std::size_t place) {
-            if (way == 0 && deck.loseDisk(place, moves)) {
-            } else if (way == 1) {
-                for (std::size_t other = 0; other < reservoirs; ++other) world->killReservoir(other, true);
-            } else world->killReservoir(place, true);
-            world->after(1500, [world] { for (std::size_t other = 0; other < reservoirs; ++other) world->restartReservoir(other); });
+        fault = deck.aimed(victims, std::move(matches), [&deck, world, way, victims](std::size_t first) {
+            for (const std::size_t place : deck.withOthers(first, victims)) {
+                if (way == 0 && deck.loseDisk(place, victims.coin)) continue;
+                if (way == 1) powerOff(*world);
+                else world->killReservoir(place, true);
+            }
+            world->after(1500, [world] { powerOn(*world); });
         });
         fault.name = name;
         fault.at = at;
@@ -143,33 +168,37 @@
     static const auto good = [](const Answer& answer) { return answer.status < 300; };
     static const std::vector<Kind> kinds = {
         {"kill a reservoir", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
-             ofOne(deck, victims, fault, [&](std::size_t place) { world.killReservoir(place, false); return true; }, [&](std::size_t place) { world.restartReservoir(place); });
+             ofSome(deck, victims, fault, [&](std::size_t place) { world.killReservoir(place, false); return true; }, [&](std::size_t place) { world.restartReservoir(place); });
          }},
         {"power loss of a reservoir", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
-             ofOne(deck, victims, fault, [&](std::size_t place) { world.killReservoir(place, true); return true; }, [&](std::size_t place) { world.restartReservoir(place); });
+             ofSome(deck, victims, fault, [&](std::size_t place) { world.killReservoir(place, true); return true; }, [&](std::size_t place) { world.restartReservoir(place); });
          }},
         {"power loss of all reservoirs", [](FaultDeck&, World& world, V, Fault& fault) {
-             set(fault, [&] { for (std::size_t place = 0; place < reservoirs; ++place) world.killReservoir(place, true); return true; },
-                 [&] { for (std::size_t place = 0; place < reservoirs; ++place) world.restartReservoir(place); });
+             set(fault, [&] { powerOff(world); return true; }, [&] { powerOn(world); });
          }},
         {"disk lost", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
-             ofOne(deck, victims, fault, [&](std::size_t place) { return deck.loseDisk(place, false); }, [&](std::size_t place) { world.restartReservoir(place); });
+             ofSome(deck, victims, fault, [&](std::size_t place) { return deck.loseDisk(place, false); }, [&](std::size_t place) { world.restartReservoir(place); });
          }},
         {"reservoir replaced at a new address", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
-             ofOne(deck, victims, fault, [&](std::size_t place) { return deck.loseDisk(place, true); }, [&](std::size_t place) { world.restartReservoir(place); });
+             ofSome(deck, victims, fault, [&](std::size_t place) { return deck.loseDisk(place, true); }, [&](std::size_t place) { world.restartReservoir(place); });
          }},
         {"reservoir moved with its disk", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
-             // One at a time: two that move while both are down know only each other's old address. docs/design.md 3.5.
-             ofOne(deck, victims, fault, [&deck, &world, victims](std::size_t place) {
-                 if (world.now < deck.moveFreeAt || world.voterCount() != 3) return false;
+             // No more than may be lost, as two that move while both are down know only each other's old address. docs/design.md 3.5.
+             auto moved = std::make_shared<std::vector<std::size_t>>();
+             set(fault, [&deck, &world, victims, moved] {
+                 *moved = deck.someReservoirs(victims);
+                 if (world.now < deck.moveFreeAt || world.voterCount() != world.votersWanted()) return false;
                  deck.moveFreeAt = world.now + victims.length + 5000;
-                 world.killReservoir(place, true);
-                 world.moveReservoir(place);
+                 deck.moving = moved->size();
+                 for (const std::size_t place : *moved) {
+                     world.killReservoir(place, true);
+                     world.moveReservoir(place);
+                 }
                  return true;
-             }, [&world](std::size_t place) { world.restartReservoir(place); });
+             }, [&world, moved] { for (const std::size_t place : *moved) world.restartReservoir(place); });
          }},
         {"freeze a reservoir", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
-             ofOne(deck, victims, fault, [&](std::size_t place) { world.freezeReservoir(place, true); return true; }, [&](std::size_t place) { world.freezeReservoir(place, false); });
+             ofSome(deck, victims, fault, [&](std::size_t place) { world.freezeReservoir(place, true); return true; }, [&](std::size_t place) { world.freezeReservoir(place, false); });
          }},
         {"cut areas both ways", [](FaultDeck&, World& world, V victims, Fault& fault) {
              set(fault, [&world, victims] { cutPair(world, victims.from, victims.to, true); return true; }, [&world, victims] { cutPair(world, victims.from, victims.to, false); });
@@ -185,20 +214,23 @@
                  [&world] { for (std::size_t area = 0; area < areas; ++area) cutOff(world, area, false); });
          }},
         {"stall a disk", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
-             set(fault, [&deck, &world, victims] { world.stallDisk(deck.someReservoir(victims), victims.length); return true; });
+             set(fault, [&deck, &world, victims] {
+                 for (const std::size_t place : deck.someReservoirs(victims)) world.stallDisk(place, victims.length);
+                 return true;
+             });
          }},
         {"stall two disks", [](FaultDeck&, World& world, V victims, Fault& fault) {
              set(fault, [&world, victims] {
-                 world.stallDisk(victims.from, victims.length);
-                 world.stallDisk(victims.to, victims.length);
+                 for (const std::size_t area : {victims.from, victims.to})
+                     eachOf(world.reservoirCount(), area, [&](auto place) { world.stallDisk(place, victims.length); });
                  return true;
              });
          }},
         {"slow a disk", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
-             ofOne(deck, victims, fault, [&](std::size_t place) { world.slowDisk(place, 80); return true; }, [&](std::size_t place) { world.slowDisk(place, 0); });
+             ofSome(deck, victims, fault, [&](std::size_t place) { world.slowDisk(place, 80); return true; }, [&](std::size_t place) { world.slowDisk(place, 0); });
          }},
         {"disk full", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
-             ofOne(deck, victims, fault, [&](std::size_t place) { world.fillDisk(place, true); return true; }, [&](std::size_t place) {
+             ofSome(deck, victims, fault, [&](std::size_t place) { world.fillDisk(place, true); return true; }, [&](std::size_t place) {
                  world.fillDisk(place, false);
                  world.restartReservoir(place);
              });
@@ -206,7 +238,7 @@
         {"jump a clock", [](FaultDeck& deck, World& world, V victims, Fault& fault) {
              // One clock may lie at a time: two of three that lie alike outvote the truth.
              auto lying = std::make_shared<bool>(false);
-             ofOne(deck, victims, fault, [&deck, &world, victims, lying](std::size_t place) {
+             ofSome(deck, victims, fault, [&deck, &world, victims, lying](std::size_t place) {
                  if (world.now < deck.clockFreeAt) return false;
                  deck.clockFreeAt = world.now + victims.length + 1000;
                  world.setClock(place, victims.jump);
@@ -262,7 +294,7 @@
              set(fault, [&world, victims] {
                  eachOf(minions, victims.from, [&](auto place) { world.leaveMinion(place, 2000); });
                  world.after(4500, [&world, victims] {
-                     world.killReservoir(victims.from, true);
+                     eachOf(world.reservoirCount(), victims.from, [&](auto place) { world.killReservoir(place, true); });
                      eachOf(sluices, victims.from, [&](auto place) { world.killSluice(place); });
                  });
                  return true;
@@ -319,9 +351,10 @@
              auto took = std::make_shared<bool>(false);
              fault.took = took;
              set(fault, [&deck, &world, victims, took] {
-                 const std::size_t lost = deck.someReservoir(victims);
-                 if (!deck.loseDisk(lost, victims.coin)) return false;
-                 world.after(500, [&world, lost] { world.restartReservoir(lost); });
+                 std::vector<std::size_t> lost = deck.someReservoirs(victims);
+                 std::erase_if(lost, [&](std::size_t place) { return !deck.loseDisk(place, victims.coin); });
+                 if (lost.empty()) return false;
+                 world.after(500, [&world, lost] { for (const std::size_t place : lost) world.restartReservoir(place); });
                  deck.memberAims.push_back([&world, took](std::size_t place) {
                      *took = true;
                      world.disturb("struck while members change", false);
@@ -428,9 +461,26 @@
     return kinds;
 }
 
-std::vector<std::string> FaultDeck::kinds(bool called) {
+const std::vector<FaultDeck::Kind>& FaultDeck::severalTable() {
+    static const std::vector<Kind> kinds = [] {
+        auto all = table();
+        all.push_back({"reservoirs cut off", [](FaultDeck& deck, World& world, const Victims& victims, Fault& fault) {
+            auto chosen = std::make_shared<std::vector<std::size_t>>();
+            fault.begin = [&deck, &world, victims, chosen] {
+                *chosen = deck.someReservoirs(victims);
+                for (const std::size_t place : *chosen) world.cutReservoir(place, true);
+                return true;
+            };
+            fault.end = [&world, chosen] { for (const std::size_t place : *chosen) world.cutReservoir(place, false); };
+        }});
+        return all;
+    }();
+    return kinds;
+}
+
+std::vector<std::string> FaultDeck::kinds(bool called, bool several) {
     std::vector<std::string> names;
-    for (const auto& kind : table()) names.push_back(kind.name);
+    for (const auto& kind : several ? severalTable() : table()) names.push_back(kind.name);
     if (called)
         for (const auto& kind : calledTable()) names.push_back(kind.name);
     return names;
@@ -439,14 +489,15 @@
 Fault FaultDeck::draw(std::int64_t at) {
     // Where there are minions that are called, half of the faults are theirs.
     const bool called = world.calledCount() > 0;
-    const auto& kinds = called && source.chance(0.5) ? calledTable() : table();
+    const bool several = world.bearable() > 1;
+    const auto& kinds = called && source.chance(0.5) ? calledTable() : several ? severalTable() : table();
     const auto& kind = kinds[source.next() % kinds.size()];
     Fault fault;
     fault.at = at;
     fault.length = source.between(300, 9000);
     fault.name = kind.name;
     Victims victims;
-    victims.reservoir = source.next() % reservoirs;
+    victims.reservoir = source.next() % world.reservoirCount();
     victims.sluice = source.next() % sluices;
     victims.minion = source.next() % minions;
     victims.from = source.next() % areas;
@@ -456,6 +507,10 @@
     victims.jump = source.between(-600'000, 600'000);
     victims.length = fault.length;
     if (called) victims.called = source.next() % world.calledCount();
+    if (several) {
+        victims.count = 1 + source.next() % world.bearable();
+        victims.other = source.next() % world.reservoirCount();
+    }
     kind.plan(*this, world, victims, fault);
     return fault;
 }
--- a/source/simulator/measures.cpp
+++ b/source/simulator/measures.cpp
@@ -51,7 +51,7 @@
         options.seed = std::uint64_t(seed);
         options.sluices = options.minions = 1;
         World world(options);
-        if (!world.runUntilTrue([&] { return world.voterCount() == 3; }, 20'000)) continue;
+        if (!world.runUntilTrue([&] { return world.voterCount() == world.votersWanted(); }, 20'000)) continue;
         world.runUntil(world.now + seed % 997);
         const std::size_t lost = *world.leader();
         const std::int64_t begun = world.now;
--- a/source/simulator/world.cpp
+++ b/source/simulator/world.cpp
@@ -4,7 +4,7 @@
 
 World::World(WorldOptions given) : options(given), draw(given.seed * 7919 + 13) {
     outside = std::make_unique<Node>();
-    for (std::size_t place = 0; place < 3; ++place) {
+    for (std::size_t place = 0; place < options.reservoirs; ++place) {
         auto node = std::make_unique<ReservoirNode>();
         node->place = place;
         node->area = place % options.areas;
@@ -131,6 +131,7 @@
     for (std::size_t place = 0; place < reservoirs.size(); ++place) {
         restartReservoir(place);
         freezeReservoir(place, false);
+        cutReservoir(place, false);
         reservoirs[place]->stalledUntil = now;
         reservoirs[place]->slow = 0;
         reservoirs[place]->full = false;
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -13,7 +13,7 @@
 
 struct WorldOptions {
     std::uint64_t seed = 1;
-    std::size_t areas = 3, sluices = 7, minions = 11;
+    std::size_t areas = 3, reservoirs = 3, sluices = 7, minions = 11;
     std::uint32_t cores = 16'000;  // thousandths
     std::uint64_t memory = 32 * 1024;
     std::size_t termless = 0;     // minions, from the last on, that do not honour terms
@@ -42,6 +42,7 @@
     void loseDisk(std::size_t place);                           // with the kill; the restart is a new identity
     void moveReservoir(std::size_t place);                      // its next start is at a new address
     void freezeReservoir(std::size_t place, bool frozen);
+    void cutReservoir(std::size_t place, bool cut);             // from everyone, both ways
     void stallDisk(std::size_t place, std::int64_t milliseconds);
     void slowDisk(std::size_t place, std::int64_t extra);
     std::vector<DiskRecord> copyDisk(std::size_t place) const;
@@ -96,7 +97,11 @@
     bool isVoter(std::size_t place) const;
     bool isMinionUp(const std::string& id) const;
     std::size_t voterCount() const;
-    bool copiesWhole() const;  // three voters, each with its disk, and no change of members under way
+    std::size_t votersWanted() const { return options.reservoir.voters; }
+    std::size_t bearable() const { return (votersWanted() - 1) / 2; }  // voters that may be lost at once
+    // Voters whose disk is gone; nothing while their number is not the wanted one or a change of members is under way.
+    std::optional<std::size_t> copiesLost() const;
+    bool copiesWhole() const { return copiesLost() == std::size_t(0); }
     bool allOver() const;  // every job that was accepted has been shown as over
     std::vector<std::string> unfinished() const;
     Findings findings() const;
--- a/source/simulator/world_reservoirs.cpp
+++ b/source/simulator/world_reservoirs.cpp
@@ -135,6 +135,7 @@
     freeze(*reservoirs[place], frozen);
     if (!frozen) reservoirs[place]->stepping = false, stepSoon(*reservoirs[place]);
 }
+void World::cutReservoir(std::size_t place, bool cut) { reservoirs[place]->cut = cut; }
 void World::stallDisk(std::size_t place, std::int64_t milliseconds) { reservoirs[place]->stalledUntil = now + milliseconds; }
 void World::slowDisk(std::size_t place, std::int64_t extra) { reservoirs[place]->slow = extra; }
 std::vector<DiskRecord> World::copyDisk(std::size_t place) const { return reservoirs[place]->disk; }
@@ -151,20 +152,20 @@
         say(text);
     }
 }
-bool World::copiesWhole() const {
+std::optional<std::size_t> World::copiesLost() const {
     const Agreement* latest = nullptr;
     for (const auto& node : reservoirs) {
         const auto& agreed = node->core->agreed();
-        if (!agreed.membersSettled()) return false;
+        if (!agreed.membersSettled()) return std::nullopt;
         if (!latest || agreed.commitIndex() > latest->commitIndex()) latest = &agreed;
     }
-    std::size_t voters = 0;
+    std::size_t voters = 0, lost = 0;
     for (const auto& member : latest->members()) {
         if (!member.voter) continue;
         ++voters;
-        if (std::none_of(reservoirs.begin(), reservoirs.end(), [&](const auto& node) { return node->identity == member.id && !node->disk.empty(); })) return false;
+        lost += std::none_of(reservoirs.begin(), reservoirs.end(), [&](const auto& node) { return node->identity == member.id && !node->disk.empty(); });
     }
-    return voters == 3;
+    return voters == votersWanted() ? std::optional(lost) : std::nullopt;
 }
 void World::handOver(std::size_t place) { reservoirs[place]->core->handOver(Instant{now + reservoirs[place]->monotonicBase}); }
 
