A living voter that an operator names is replaced once, not by an endless change of members

Cause (test aLivingVoterThatIsNamedIsReplacedOnce, failed first): a named voter counts as dead, so a learner became a sixth voter; the surplus was then the latest of the fullest area, which was the newcomer, never the named one, and all began again: over 60 changes of members in 15 s, each newcomer that was put out beginning anew. By reading, three voters of four do the same; not run. Changed: where all are heard the named one is the surplus. Ruled out: taking the named one before one that is unheard for 2 s: with two away the majority of six needs all that are left.

--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -686,8 +686,9 @@
     }
     // One learner stands ready for the next voter that is lost, and one for each place that is open now.
     agreement.wantLearners(1 + options.voters - std::min(options.voters, voters - dead));
+    auto votersIn = [&](const AreaName& area) { return std::count_if(members.begin(), members.end(), [&](const Member& other) { return other.voter && other.area == area; }); };
     // One voter more than wanted may make a majority larger, so that stage is left at once: the one unheard for longest goes, or,
-    // where the old one came back meanwhile, the latest of the area that has the most.
+    // where the old one came back meanwhile, one that an operator named or else the latest of the area that has the most.
     ReservoirId surplus;
     if (voters > options.voters) {
         Span longest{2000};
@@ -700,7 +701,8 @@
         std::ptrdiff_t most = 0;
         for (const auto& member : members) {
             if (longest > Span{2000} || now - leaderSince <= Span{4000} || !member.voter || member.id == agreement.self().id) continue;
-            const auto together = std::count_if(members.begin(), members.end(), [&](const Member& other) { return other.voter && other.area == member.area; });
+            const bool named = working().toReplace.count(member.id);
+            const auto together = named ? std::ptrdiff_t(members.size()) + 1 : votersIn(member.area);
             if (together < most) continue;
             most = together;
             surplus = member.id;
--- a/tests/voters_tests.cpp
+++ b/tests/voters_tests.cpp
@@ -194,3 +194,18 @@
         centre.nothingBroken();
     }
 }
+
+// An operator names one that lives: it goes, not the one that came for it.
+TEST(Voters, aLivingVoterThatIsNamedIsReplacedOnce) {
+    Centre centre;
+    const auto victim = centre.voters()[2];
+    const std::string named = centre.identity(victim);
+    int status = 0;
+    centre.askQuietly("POST", "/v1/reservoirs/" + named + "/replace", "", [&](int given) { status = given; });
+    centre.run(15'000);
+    LONGS_EQUAL(202, status);
+    LONGS_EQUAL(1, std::count(centre.changes.begin(), centre.changes.end(), "removed " + named));
+    LONGS_EQUAL(2, centre.changes.size());
+    CHECK(centre.whole());
+    CHECK(centre.identity(victim) != named);
+}
