Voters spread over the areas again while nobody is missing

Cause (test fiveVoteOneStandsReadyTheOthersStayBlank, failed first): the one of the fewest voters is chosen among the learners that are ready, and near ones are ready first, so five voters formed as three in the founder's area, whose loss then stops all; what an area's loss moved stayed moved, too. Nothing ever evened it out. Changed: with all voters there and heard, a learner whose area has two voters fewer than another's is made a voter, and the surplus goes from the fullest area as it did. Each such change makes it more even, so they end (votersSpreadAgainWhenAnAreaIsBack). Ruled out: waiting for farther learners while the centre forms: it says nothing of areas that come back. Changing while one is unheard: it would go in place of the surplus.

--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -718,7 +718,7 @@
         if (working().toReplace.count(member.id)) append(ReservoirNamed{member.id, true});
         return change(forgetful ? "forgetful" : "removed", member);
     }
-    if (voters > options.voters || (voters == options.voters && dead == 0)) return;
+    if (voters > options.voters) return;
     // The learner that has caught up and whose area has the fewest voters that live.
     Member* best = nullptr;
     std::ptrdiff_t fewest = 0;
@@ -731,6 +731,12 @@
         fewest = inArea;
     }
     if (!best) return;
+    // Nobody is missing: only an area's surplus goes, and only while all are heard, since who is not would go in its place.
+    if (voters == options.voters && dead == 0) {
+        const bool allHeard = std::all_of(members.begin(), members.end(), [&](const Member& member) { return !member.voter || now - agreement.heardFrom(member.id) <= Span{1000}; });
+        const bool better = std::any_of(members.begin(), members.end(), [&](const Member& member) { return member.voter && votersIn(member.area) >= fewest + 2; });
+        if (!better || !allHeard || now - leaderSince <= Span{4000}) return;
+    }
     best->voter = true;
     change("voter", *best);
 }
--- a/tests/voters_tests.cpp
+++ b/tests/voters_tests.cpp
@@ -31,6 +31,11 @@
         for (std::size_t place = 0; place < world->reservoirCount(); ++place) count += world->reservoir(place) && world->reservoir(place)->agreed().blank();
         return count;
     }
+    std::size_t mostInAnArea() const {
+        std::map<AreaName, std::size_t> areas;
+        for (const auto& member : agreed().members()) areas[member.area] += member.voter;
+        return std::max_element(areas.begin(), areas.end(), [](const auto& left, const auto& right) { return left.second < right.second; })->second;
+    }
     // Voters, the leader first.
     std::vector<std::size_t> voters() const {
         std::vector<std::size_t> found{*world->leader()};
@@ -62,6 +67,7 @@
     CHECK(centre.whole());
     LONGS_EQUAL(1, centre.blanks());
     LONGS_EQUAL(0, centre.changes.size());
+    CHECK(centre.mostInAnArea() <= 2);
 }
 
 TEST(Voters, twoKilledAtOnceAreReplacedAndStandByWhenBack) {
@@ -195,6 +201,23 @@
     }
 }
 
+// What was lost with an area is replaced from the others; when it is back no area keeps so many that its loss stops all.
+TEST(Voters, votersSpreadAgainWhenAnAreaIsBack) {
+    for (std::size_t area = 0; area < 3; ++area) {
+        Centre centre;
+        for (std::size_t place = area; place < centre.world->reservoirCount(); place += 3) centre.world->killReservoir(place, true);
+        CHECK(centre.world->runUntilTrue([&] { return centre.membersThat(true) == 5 && !centre.changes.empty(); }, 12'000));
+        centre.run(8000);
+        for (std::size_t place = area; place < centre.world->reservoirCount(); place += 3) centre.world->restartReservoir(place);
+        centre.run(15'000);
+        CHECK(centre.whole());
+        CHECK(centre.mostInAnArea() <= 2);
+        const auto changes = centre.changes.size();
+        centre.run(20'000);
+        LONGS_EQUAL(changes, centre.changes.size());
+    }
+}
+
 // An operator names one that lives: it goes, not the one that came for it.
 TEST(Voters, aLivingVoterThatIsNamedIsReplacedOnce) {
     Centre centre;
