--- a/tests/run.sh
+++ b/tests/run.sh
@@ -9,6 +9,8 @@
 build/flume --from 1 --seeds 96 --every-kind
 # The same with minions that are called, each with its penstock.
 build/flume --from 1 --seeds 60 --every-kind --called 8
+# Five voters of seven reservoirs, of which two may be lost at a time.
+build/flume --from 1 --seeds 24 --every-kind --voters 5 --reservoirs 7
 # Bad flags, options and setups are refused by file and field, before anything starts.
 bash tests/refusals.sh
 # Real processes on this machine, bounded, waiting on conditions: the leader is killed, then frozen and woken.
