--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -767,8 +767,9 @@
     }
     // One learner stands ready for the next voter that is lost, and one for each place that is open now.
     agreement.wantLearners(1 + options.voters - std::min(options.voters, voters - dead));
+    auto votersIn = [&](const AreaName& area) { return std::count_if(members.begin(), members.end(), [&](const Member& other) { return other.voter && other.area == area; }); };
     // One voter more than wanted may make a majority larger, so that stage is left at once: the one unheard for longest goes, or,
-    // where the old one came back meanwhile, the latest of the area that has the most.
+    // where the old one came back meanwhile, one that an operator named or else the latest of the area that has the most.
     ReservoirId surplus;
     if (voters > options.voters) {
         Span longest{2000};
@@ -781,7 +782,8 @@
         std::ptrdiff_t most = 0;
         for (const auto& member : members) {
             if (longest > Span{2000} || now - leaderSince <= Span{4000} || !member.voter || member.id == agreement.self().id) continue;
-            const auto together = std::count_if(members.begin(), members.end(), [&](const Member& other) { return other.voter && other.area == member.area; });
+            const bool named = working().toReplace.count(member.id);
+            const auto together = named ? std::ptrdiff_t(members.size()) + 1 : votersIn(member.area);
             if (together < most) continue;
             most = together;
             surplus = member.id;
@@ -797,7 +799,7 @@
         if (working().toReplace.count(member.id)) append(ReservoirNamed{member.id, true});
         return change(forgetful ? "forgetful" : "removed", member);
     }
-    if (voters > options.voters || (voters == options.voters && dead == 0)) return;
+    if (voters > options.voters) return;
     // The learner that has caught up and whose area has the fewest voters that live.
     Member* best = nullptr;
     std::ptrdiff_t fewest = 0;
@@ -810,6 +812,12 @@
         fewest = inArea;
     }
     if (!best) return;
+    // Nobody is missing: only an area's surplus goes, and only while all are heard, since who is not would go in its place.
+    if (voters == options.voters && dead == 0) {
+        const bool allHeard = std::all_of(members.begin(), members.end(), [&](const Member& member) { return !member.voter || now - agreement.heardFrom(member.id) <= Span{1000}; });
+        const bool better = std::any_of(members.begin(), members.end(), [&](const Member& member) { return member.voter && votersIn(member.area) >= fewest + 2; });
+        if (!better || !allHeard || now - leaderSince <= Span{4000}) return;
+    }
     best->voter = true;
     change("voter", *best);
 }
