Reservoir: a leader folds the records it proposed, and does not read them again

Cause: the leader packed each record into its log and unpacked it again once committed, though it had made it itself. It now keeps what it proposed by index and epoch until committed. An entry of another epoch is read as before: index and epoch name one entry, so an old one is never folded for it; when it stops to lead, or leads anew, what it kept is dropped.

Ruled out: that kept and read records differ.

--- a/programs/gauge.cpp
+++ b/programs/gauge.cpp
@@ -490,7 +490,7 @@
         for (const auto& [name, cost] : leaderCosts) all += cost;
         double followers = 0;
         for (const auto& [name, cost] : followerCosts) followers += cost / 2;
-        const double other = leaderCosts["step"] - planning - 2 * fold - unpacking - packing;
+        const double other = leaderCosts["step"] - planning - 2 * fold - packing;
         auto share = [&](const std::string& name, double cost) {
             if (tasks > 0) values[name + "_us_per_task"] = cost * perTask;
             values[name + "_percent"] = cost / seconds / 1e4;
@@ -500,7 +500,7 @@
         share("leader.plan", planning);
         share("leader.fold_working", fold);
         share("leader.fold_committed", fold);
-        share("leader.read_own_records", unpacking);
+        share("follower.read_records", unpacking);
         share("leader.pack_records", packing);
         share("leader.passes", other);
         for (const auto& [name, cost] : leaderCosts)
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -26,6 +26,7 @@
     working().fold(record);
     planWanted = true;
     expect(record.event);
+    proposals.push_back({index, agreement.epoch(), std::move(record)});
     return index;
 }
 
@@ -47,17 +48,26 @@
         foldedTo = foldedTo.next();
         const LogEntry& entry = agreement.entry(foldedTo);
         if (entry.members) continue;
-        auto record = unpack<Record>(entry.payload);
-        if (record) {
-            committedLedger.fold(record.value());
-            viewWork.records.push_back(entry.payload);
-        } else {
+        if (foldCommitted(entry)) viewWork.records.push_back(entry.payload);
+        else {
             unreadable = true;
             note("unreadable record", {{"index", json(foldedTo.value)}});
         }
     }
 }
 
+bool Reservoir::foldCommitted(const LogEntry& entry) {
+    while (!proposals.empty() && proposals.front().index < foldedTo) proposals.pop_front();
+    if (!proposals.empty() && proposals.front().index == foldedTo && proposals.front().epoch == entry.epoch) {
+        committedLedger.fold(proposals.front().record);
+        proposals.pop_front();
+        return true;
+    }
+    auto record = unpack<Record>(entry.payload);
+    if (record) committedLedger.fold(record.value());
+    return record.has_value();
+}
+
 void Reservoir::followRole() {
     if (agreement.leads() && (!workingLedger || ledEpoch != agreement.epoch())) {
         ledEpoch = agreement.epoch();
@@ -81,6 +91,7 @@
         shortenedTo = ClusterTime{};
         minionsChanged = true;
         nextFiring = ClusterTime{};
+        proposals.clear();
         committedLedger.addressed.clear();
         for (const auto& [minion, places] : polls) pollsToLook.insert(places.begin(), places.end());
         append(Opened{});
@@ -91,6 +102,7 @@
         note("leads no more", {{"epoch", json(agreement.epoch().value)}});
         for (const auto& [place, record] : exchanges)
             answer(record, record.logged && record.exchange.ask != Ask::sync ? Answer::unknown("the leader changed while this was under way; ask again") : notLeader());
+        proposals.clear();
         exchanges.clear();
         taken.clear();
         unanswered.clear();
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -74,6 +74,7 @@
     LogIndex append(Event event);
     void expect(const Event& event);
     void followLog();
+    bool foldCommitted(const LogEntry& entry);
     void takeView(const LogView& view);
     void followRole();
     bool mayTake(const Exchange& exchange) const;
@@ -117,6 +118,13 @@
     Planner planner;
     Ledger committedLedger;
     LogIndex foldedTo;
+    // What this leader proposed and is not committed yet, so that it need not be read again; the epoch tells whose entry it is.
+    struct Proposal {
+        LogIndex index;
+        Epoch epoch;
+        Record record;
+    };
+    std::deque<Proposal> proposals;
     std::optional<Ledger> workingLedger;
     Epoch ledEpoch;
     Instant now;
