--- a/source/aniseline.hpp
+++ b/source/aniseline.hpp
@@ -21,8 +21,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/archive/binary_iarchive.hpp>
-#include <boost/archive/binary_oarchive.hpp>
 #include <boost/crc.hpp>
 #include <boost/outcome.hpp>
 #include <boost/serialization/deque.hpp>
@@ -30,11 +28,12 @@
 #include <boost/serialization/set.hpp>
 #include <boost/serialization/string.hpp>
 #include <boost/serialization/utility.hpp>
-#include <boost/serialization/variant.hpp>
 #include <boost/serialization/vector.hpp>
 #include <boost/signals2/signal.hpp>
 #include <boost/variant.hpp>
 
+#include "archive.hpp"
+
 namespace aniseline {
 
 namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
@@ -122,42 +121,25 @@
 template <class Value, class Error = CoreError>
 using Result = outcome::unchecked<Value, Error>;
 
-// What goes into archives is plain: no class ids, versions or tracking of objects, which cost half of the leader's time a task.
-// The whole's format is checked instead, once a file and once a frame. docs/design.md 9.3.
-template <class Value> struct PlainArchive : std::false_type {};
-template <class Value> requires requires(Value& value, boost::archive::binary_oarchive& archive) { value.serialize(archive, 0u); }
-struct PlainArchive<Value> : std::true_type {};
-template <class Value> struct PlainArchive<std::vector<Value>> : std::true_type {};
-template <class Value> struct PlainArchive<std::deque<Value>> : std::true_type {};
-template <class Value> struct PlainArchive<std::set<Value>> : std::true_type {};
-template <class Key, class Value> struct PlainArchive<std::map<Key, Value>> : std::true_type {};
-template <class First, class Second> struct PlainArchive<std::pair<First, Second>> : std::true_type {};
-template <class... Kinds> struct PlainArchive<boost::variant<Kinds...>> : std::true_type {};
-
 inline std::uint32_t checksum(std::string_view bytes) {
     boost::crc_32_type sum;
     sum.process_bytes(bytes.data(), bytes.size());
     return sum.checksum();
 }
 
-constexpr auto archiveFlags = boost::archive::no_header | boost::archive::no_codecvt;
-
+// The whole's format is checked once a file and once a frame, not in each record. docs/design.md 9.3.
 template <class Value>
 std::string pack(const Value& value) {
-    std::ostringstream stream;
-    {
-        boost::archive::binary_oarchive archive(stream, archiveFlags);
-        archive << value;
-    }
-    return std::move(stream).str();
+    OutputArchive archive;
+    archive << value;
+    return std::move(archive.bytes);
 }
 
 // Unpacks bytes that a checksum has already vouched for; a mismatch in shape is an error, not a crash.
 template <class Value>
-Result<Value> unpack(const std::string& bytes) {
+Result<Value> unpack(std::string_view bytes) {
     try {
-        std::istringstream stream(bytes);
-        boost::archive::binary_iarchive archive(stream, archiveFlags);
+        InputArchive archive(bytes);
         Value value;
         archive >> value;
         return value;
@@ -200,18 +182,3 @@
 };
 
 }  // namespace aniseline
-
-namespace boost::serialization {
-template <class Value> requires aniseline::PlainArchive<Value>::value
-struct implementation_level_impl<const Value> {
-    typedef mpl::integral_c_tag tag;
-    typedef mpl::int_<object_serializable> type;
-    BOOST_STATIC_CONSTANT(int, value = object_serializable);
-};
-template <class Value> requires aniseline::PlainArchive<Value>::value
-struct tracking_level_impl<const Value> {
-    typedef mpl::integral_c_tag tag;
-    typedef mpl::int_<track_never> type;
-    BOOST_STATIC_CONSTANT(int, value = track_never);
-};
-}  // namespace boost::serialization
--- a/source/edge/disk.cpp
+++ b/source/edge/disk.cpp
@@ -11,7 +11,7 @@
 namespace fs = std::filesystem;
 
 namespace {
-constexpr char frameMark[8] = {'A', 'N', 'I', 'S', 'E', '0', '0', '3'};  // the last three are the format's number
+constexpr char frameMark[8] = {'A', 'N', 'I', 'S', 'E', '0', '0', '4'};  // the last three are the format's number
 
 std::string nameOf(const DiskRecord& record) {
     char name[64];
