A start waits for orders known to be missing; a word of deafness stands until a later one is heard

Changed: while orders are known to be missing nothing is started; reports carry the agent's time, a leader heeds no overtaken one, an agent counts only answers to later ones.

--- a/source/minion.hpp
+++ b/source/minion.hpp
@@ -169,11 +169,12 @@
     OrderNumber received;  // of a penstock: what it has got, while lastOrder is what it has carried out
     bool deaf = false;     // of a penstock: its minion does not answer; no lease is wanted, for it could not be passed on
     Span heldFor{0};       // of a deaf minion: its tasks are held no longer than this from now on
+    Instant reportedAt;    // of a penstock, by its own clock: reports may overtake each other
     bool packed = false;   // of a penstock: the answer's body is a packed SyncAnswer, endings and checkpoints go by name
     std::vector<NamedEnding> namedEndings;
     std::vector<NamedSave> saves;
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & id & incarnation & capacity & lastOrder & endings & leaving & leaveWithin & wait & received & deaf & heldFor & packed & namedEndings & saves;
+        archive & id & incarnation & capacity & lastOrder & endings & leaving & leaveWithin & wait & received & deaf & heldFor & reportedAt & packed & namedEndings & saves;
     }
 };
 
--- a/source/penstock.cpp
+++ b/source/penstock.cpp
@@ -87,10 +87,12 @@
         if (report.namedEndings.size() >= 500) break;
     }
     for (const auto& [name, saved] : saves) report.saves.push_back({name, saved});
+    report.reportedAt = now;
     report.deaf = toldDeaf = deaf(now);
     if (report.deaf) {
         report.heldFor = heldFor(now);
         outOfTouch = true;
+        deafToldAt = now;
     }
     report.leaving = account.leaving;
     report.leaveWithin = account.leaveWithin;
@@ -111,7 +113,9 @@
     epoch = answer.epoch;
     const Span term = std::min(answer.term, options.longestHold);
     if (!asked.deaf) {
-        if (!deaf(now)) outOfTouch = false;
+        // Only a word given after the last one of its deafness: until a leader has heard that, what it was told still stands.
+        if (!deaf(now) && asked.reportedAt > deafToldAt) outOfTouch = false;
+        knownTo = std::max(knownTo, answer.after);
         lease = term;
         leaseUntil = std::max(leaseUntil, sentAt + term);
     }
@@ -167,7 +171,7 @@
     saves.clear();
     openOrders.clear();
     ahead.clear();
-    received = toldApplied = OrderNumber{};
+    received = toldApplied = knownTo = OrderNumber{};
     incarnation = incarnation.next();
     leaseUntil = Instant{0};
     retired = true;
@@ -310,7 +314,7 @@
             }
             if (account.leaving) work.failed = true;
             else {
-                if (lapsed || outOfTouch || deaf(now) || leaseUntil <= now || !clock || (mayLapse(now) && !told.empty())) continue;
+                if (lapsed || outOfTouch || knownTo > received || deaf(now) || leaseUntil <= now || !clock || (mayLapse(now) && !told.empty())) continue;
                 auto call = make(MinionCall::Kind::start);
                 call.name = name;
                 call.payload = work.order.payload;
--- a/source/penstock.hpp
+++ b/source/penstock.hpp
@@ -143,10 +143,12 @@
     Instant heardAt{0};
     bool unanswered = false;  // a call since then got no answer
     bool toldDeaf = false;
+    Instant deafToldAt{-1'000'000};
     bool outOfTouch = false;  // it was deaf: nothing is started before a leader has heard that it is not
     bool overNoted = false;  // that the hold has run out is known
     bool lapsed = false;  // the hold may have run out: nothing is started before a look tells
     OrderNumber received;                        // all up to here have come
+    OrderNumber knownTo;                         // there are orders up to here; while some are missing nothing is started: a stop may be among them
     std::map<OrderNumber, OrderNumber> ahead;    // spans beyond that have come too: after, up to
     std::set<OrderNumber> openOrders;
     OrderNumber toldApplied;
--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -84,6 +84,7 @@
         contacts.clear();
         ordersSent.clear();
         deaf.clear();
+        reported.clear();
         committedLately.clear();
         backlog = Backlog{};
         paces.clear();
@@ -382,8 +383,13 @@
             exchanges.at(other).pollUntil = now;
             pollsToLook.insert(other);
         }
-    // A deaf minion is not in touch, whoever speaks for it: no lease is granted, and it is given up when the last one is over.
-    if (report.deaf) {
+    // A deaf minion is not in touch, whoever speaks for it: no lease is granted, and it is given up when the last one is over. A report
+    // that a later one has overtaken says nothing of that any more. docs/design.md 5.8.
+    Instant& latest = reported[report.id];
+    const bool overtaken = report.packed && report.reportedAt < latest;
+    latest = std::max(latest, report.reportedAt);
+    if (overtaken) {}
+    else if (report.deaf) {
         const Instant over = now + report.heldFor + options.deafMargin;
         auto [known, isNew] = deaf.try_emplace(report.id, over);
         if (!isNew) known->second = std::min(known->second, over);
@@ -393,7 +399,7 @@
         if (deaf.erase(report.id)) planWanted = true;
         contacts[report.id] = now;
     }
-    if (minion.state == MinionState::silent && !report.deaf) append(MinionAllowed{report.id});
+    if (minion.state == MinionState::silent && !report.deaf && !overtaken) append(MinionAllowed{report.id});
     if (report.leaving && minion.state == MinionState::present) {
         append(MinionLeaves{report.id, report.leaveWithin, false});
         note("minion leaves", {{"minion", json(report.id.value)}});
--- a/source/reservoir.hpp
+++ b/source/reservoir.hpp
@@ -137,6 +137,7 @@
     Instant nextForget;
     ClusterTime shortenedTo;
     std::map<MinionId, Instant> contacts;
+    std::map<MinionId, Instant> reported;  // by the clocks of their penstocks: the latest report
     std::map<MinionId, Instant> deaf;  // their penstocks say that they do not answer; by then what they held is over
     struct OrdersSent {
         OrderNumber through;
--- a/tests/admission_tests.cpp
+++ b/tests/admission_tests.cpp
@@ -84,3 +84,27 @@
     run(300);
     LONGS_EQUAL(202, submit("proofs", 200, 40).status);
 }
+
+// A report of deafness that a later word has overtaken gives up nothing. docs/design.md 5.8.
+TEST(AdmissionTests, anOvertakenWordOfDeafnessIsNotHeeded) {
+    Exchange word;
+    word.ask = Ask::sync;
+    word.id = "p";
+    word.report.id = MinionId{"p"};
+    word.report.incarnation = Incarnation{1};
+    word.report.capacity.cores = 4000;
+    word.report.capacity.memory = 100'000;
+    word.report.capacity.honoursTerms = word.report.capacity.lapses = true;
+    word.report.packed = true;
+    word.report.reportedAt = Instant{200};
+    LONGS_EQUAL(200, ask(word).status);
+    word.report.deaf = true;
+    word.report.reportedAt = Instant{100};
+    LONGS_EQUAL(200, ask(word).status);
+    run(1000);
+    CHECK(reservoir.committed().minions.at(MinionId{"p"}).state == MinionState::present);
+    word.report.reportedAt = Instant{300};
+    LONGS_EQUAL(200, ask(word).status);
+    run(1000);
+    CHECK(reservoir.committed().minions.at(MinionId{"p"}).state == MinionState::silent);
+}
--- a/tests/penstock_tests.cpp
+++ b/tests/penstock_tests.cpp
@@ -1125,3 +1125,55 @@
     stand.reply(CallKind::stop, ReplyKind::done);
     LONGS_EQUAL(0, stand.applied());
 }
+
+// What a leader gave up comes as a stop; while that is in an answer yet to come the start it takes back is not begun. docs/incidents.md 12.
+TEST(PenstockOrders, nothingIsStartedWhileOrdersAreKnownToBeMissing) {
+    Stand stand;
+    stand.beat();
+    stand.sync({start(1, "a")});
+    stand.now += 20'000;  // cut off before the start was sent; the lease is long over and the leader has begun the work elsewhere
+    stand.beat();
+    auto first = stand.penstock.report(stand.at());
+    stand.now += 5;
+    auto second = stand.penstock.report(stand.at());
+    auto later = stand.answer({});
+    later.after = OrderNumber{2};
+    stand.penstock.answered(second, later, stand.at(), stand.at());
+    for (const auto& call : stand.penstock.takeCalls(stand.at())) CHECK(call.kind != CallKind::start);
+    auto earlier = stand.answer({stop(2, "a")});
+    earlier.after = OrderNumber{1};
+    stand.penstock.answered(first, earlier, stand.at(), stand.at());
+    for (const auto& call : stand.penstock.takeCalls(stand.at())) CHECK(call.kind != CallKind::start);
+}
+
+// The word that the minion is deaf stands until a leader has heard one that was given after it.
+TEST(PenstockOrders, anEarlierWordDoesNotTakeBackThatTheMinionIsDeaf) {
+    Stand stand;
+    stand.beat();
+    stand.sync();
+    const auto before = stand.penstock.report(stand.at());  // its answer is long in coming
+    const Instant sentAt = stand.at();
+    stand.now += 10;
+    for (const auto& call : stand.penstock.takeCalls(stand.at())) stand.penstock.replied(call, MinionReply{}, stand.at());
+    stand.now += 800;
+    const auto deaf = stand.penstock.report(stand.at());
+    CHECK(deaf.deaf);
+    CHECK(before.reportedAt < deaf.reportedAt);
+    stand.now += 5;
+    stand.beat();  // it answers again
+    for (const auto& call : stand.penstock.takeCalls(stand.at())) {
+        MinionReply heard;
+        heard.kind = ReplyKind::done;
+        heard.clock = stand.minionClock(stand.now);
+        stand.penstock.replied(call, heard, stand.at());
+    }
+    stand.penstock.answered(before, stand.answer({start(1, "a")}), sentAt, stand.at());
+    for (const auto& call : stand.penstock.takeCalls(stand.at())) CHECK(call.kind != CallKind::start);
+    stand.now += 5;
+    const auto after = stand.penstock.report(stand.at());
+    CHECK(!after.deaf);
+    stand.penstock.answered(after, stand.answer({}), stand.at(), stand.at());
+    std::size_t starts = 0;
+    for (const auto& call : stand.penstock.takeCalls(stand.at())) starts += call.kind == CallKind::start;
+    LONGS_EQUAL(1, starts);
+}
