--- a/source/daemons/reservoir_daemon.cpp
+++ b/source/daemons/reservoir_daemon.cpp
@@ -71,7 +71,7 @@
         disk = std::make_unique<WorkThread>();
         views = std::make_unique<WorkThread>();
         spawn([this] { seekCluster(); });
-        log(LogLevel::info, "started", {{"identity", json(identity.value)}, {"peer", json(settings.peer.value)}, {"area", json(settings.area)}});
+        log(LogLevel::info, "started", {{"identity", json(identity.value)}, {"peer", json(settings.peer.value)}, {"area", json(settings.area)}, {"seeds", json(joined(settings.seeds))}});
         StopSignal stop(loop);
         ReloadSignal reload(loop, [&] { renewSeeds(relay); });
         lookForSeeds = [&] { renewSeeds(relay); };
@@ -112,6 +112,11 @@
 
 private:
     bool stores() const { return !settings.data.empty(); }
+    static std::string joined(const std::vector<Address>& addresses) {
+        std::string text;
+        for (const auto& address : addresses) text += (text.empty() ? "" : ",") + address.value;
+        return text;
+    }
     bool openCore() {
         if (!stores()) {
             std::random_device device;
