--- a/tests/ledger_bench.hpp
+++ b/tests/ledger_bench.hpp
@@ -20,7 +20,12 @@
         parsed.value().version = SetupVersion{1};
         fold(SetupTaken{parsed.value()});
     }
-    void fold(Event event) { ledger.fold(Record{ClusterTime{now}, std::move(event)}); }
+    std::function<void(const Record&)> folded;  // whoever keeps a copy
+    void fold(Event event) {
+        const Record record{ClusterTime{now}, std::move(event)};
+        ledger.fold(record);
+        if (folded) folded(record);
+    }
 
     struct Place {
         std::uint32_t cores = 4000;
--- a/tests/ledger_index_tests.cpp
+++ b/tests/ledger_index_tests.cpp
@@ -191,3 +191,20 @@
         }
     }
 }
+
+// A follower folds what it reads, and begins from a view now and then; it comes to the very state of the leader, who folds what it made.
+TEST(LedgerIndices, aFollowerThatReadsAndBeginsFromViewsIsNoOther) {
+    for (std::uint64_t seed = 40; seed <= 60; ++seed) {
+        Wanderer wanderer(seed);
+        Ledger follower = unpack<Ledger>(pack(wanderer.bench.ledger)).value();
+        std::uint64_t folds = 0;
+        wanderer.bench.folded = [&](const Record& record) {
+            follower.fold(unpack<Record>(pack(record)).value());
+            if (++folds % 17 == 0) follower = unpack<Ledger>(pack(follower)).value();
+        };
+        for (int turn = 0; turn < 200; ++turn) {
+            wanderer.turn();
+            CHECK(pack(follower) == pack(wanderer.bench.ledger));
+        }
+    }
+}
