--- a/source/reservoir.cpp
+++ b/source/reservoir.cpp
@@ -388,14 +388,12 @@
     Instant& latest = reported[report.id];
     const bool overtaken = report.packed && report.reportedAt < latest;
     latest = std::max(latest, report.reportedAt);
-    if (overtaken) {}
-    else if (report.deaf) {
+    if (report.deaf && !overtaken) {
         const Instant over = now + report.heldFor + options.deafMargin;
         auto [known, isNew] = deaf.try_emplace(report.id, over);
         if (!isNew) known->second = std::min(known->second, over);
         minionsChanged = true;
-    }
-    else {
+    } else if (!overtaken) {
         if (deaf.erase(report.id)) planWanted = true;
         contacts[report.id] = now;
     }
