--- a/examples/programs/origin.cpp
+++ b/examples/programs/client.cpp
@@ -10,7 +10,7 @@
         std::cerr << "usage: example_origin CONTACT [CONTACT...]\n";
         return 2;
     }
-    Origin origin(std::vector<std::string>(values + 1, values + count), "area1");
+    Origin origin(std::vector<std::string>(values + 1, values + count), "zone1");
     const std::string stamp = std::to_string(std::chrono::system_clock::now().time_since_epoch().count());
     Job job{"example-" + stamp, "proofs", {{"proof", {}, false, {{1, 256, 500ms, "run=100", 2}}}}};
     auto submitted = origin.submit(job, 10s);
--- a/library/aniseline/library.hpp
+++ b/library/aniseline/library.hpp
@@ -1,4 +1,4 @@
-// libaniseline: for programs that submit jobs, and for programs that are minions. Only the standard library is needed to
+// libaniseline: for programs that submit jobs, and for programs that are workers. Only the standard library is needed to
 // read this. docs/api.md 4.
 #pragma once
 #include <chrono>
@@ -12,14 +12,14 @@
 
 namespace aniseline::library {
 
-using Span = std::chrono::milliseconds;
+using Duration = std::chrono::milliseconds;
 
 // What went wrong, in words for an operator. `unknown`: it may have been done; asking again with the same id is safe.
 struct Error {
     enum class Kind { invalid, rejected, conflict, missing, overloaded, unknown } kind = Kind::unknown;
     int status = 0;
     std::string text;
-    Span retryAfter{0};
+    Duration retryAfter{0};
 };
 template <class Value>
 class Result {
@@ -38,8 +38,8 @@
 struct Task {
     unsigned cores = 1;
     std::uint64_t memoryMb = 1;
-    Span runtime{1000};   // requested
-    std::string payload;  // handed to the minion as it is
+    Duration runtime{1000};   // requested
+    std::string payload;  // handed to the worker as it is
     unsigned count = 1;
 };
 struct Step {
@@ -53,7 +53,7 @@
     std::string queue;
     std::vector<Step> steps;
     std::int64_t firstAt = 0;  // of a timed job: milliseconds of calendar time
-    Span every{0};
+    Duration every{0};
     unsigned count = 1;
 };
 struct JobView {
@@ -63,16 +63,16 @@
 };
 
 // Submits, follows and cancels. Calls block the calling thread, never longer than the time given; any number of threads may
-// call at once. It goes on to the next sluice by itself and learns those in force, its own area's first.
+// call at once. It goes on to the next gateway by itself and learns those in force, its own zone's first.
 class Origin {
 public:
     // IP numbers with ports, of any processes of the cluster.
-    explicit Origin(std::vector<std::string> contacts, std::string area = {});
+    explicit Origin(std::vector<std::string> contacts, std::string zone = {});
     ~Origin();
-    Result<std::string> submit(const Job& job, Span within);  // the job's id, once a majority has it on disk
-    Result<JobView> show(const std::string& job, Span within);
-    Result<JobView> cancel(const std::string& job, Span within);
-    Result<JobView> follow(const std::string& job, Span within);  // until it is over
+    Result<std::string> submit(const Job& job, Duration within);  // the job's id, once a majority has it on disk
+    Result<JobView> show(const std::string& job, Duration within);
+    Result<JobView> cancel(const std::string& job, Duration within);
+    Result<JobView> follow(const std::string& job, Duration within);  // until it is over
 
 private:
     struct Parts;
@@ -84,31 +84,31 @@
     std::string job;
     unsigned task = 0, cores = 0;
     std::uint64_t memoryMb = 0;
-    Span runtime{0};
+    Duration runtime{0};
     bool trial = false;
     std::string payload;
 };
-struct MinionOptions {
-    std::string id, area, rack;
+struct WorkerOptions {
+    std::string id, zone, rack;
     unsigned cores = 1;
     std::uint64_t memoryMb = 1024;
     std::vector<std::string> contacts;
-    bool honoursTerms = true;  // hold() really holds: only then are its tasks started elsewhere after a silence
+    bool honoursLeases = true;  // hold() really holds: only then are its tasks started elsewhere after a silence
     bool guardsRoom = false;
 };
-// What a minion does when told. Called on the library's own thread, one at a time: return soon.
-struct MinionSlots {
+// What a worker does when told. Called on the library's own thread, one at a time: return soon.
+struct WorkerSlots {
     std::function<void(const Work&)> start;
     std::function<void(std::uint64_t attempt)> hold, resume, stop;
     std::function<void(std::uint64_t attempt, bool finished)> final;  // the centre knows of the ending: hand out the result now
     std::function<void(const std::string&)> rejected;                 // say, another process has this id
 };
-class Minion {
+class Worker {
 public:
-    Minion(MinionOptions options, MinionSlots slots);
-    ~Minion();  // out of touch from then on: leave() first
+    Worker(WorkerOptions options, WorkerSlots slots);
+    ~Worker();  // out of touch from then on: leave() first
     void ended(std::uint64_t attempt, bool well);  // from any thread
-    void leave(Span within);                       // nothing new starts; what runs may go on that long
+    void leave(Duration within);                       // nothing new starts; what runs may go on that long
     bool idle() const;                             // nothing runs and every ending is confirmed
 
 private:
--- a/library/library.cpp
+++ b/library/library.cpp
@@ -1,5 +1,5 @@
 #include "aniseline/library.hpp"
-#include "client.hpp"
+#include "net/client.hpp"
 #include <future>
 #include <stdexcept>
 #include <thread>
@@ -28,7 +28,7 @@
             held = std::make_unique<Loop>();
             loop = held.get();
             ready.set_value();
-            while (!over || under > 0) pause(aniseline::Span{10});
+            while (!over || under > 0) pause(aniseline::Duration{10});
         });
         ready.get_future().wait();
     }
@@ -64,7 +64,7 @@
     Error error;
     error.status = given.status;
     error.text = given.text;
-    error.retryAfter = Span{given.retryAfter.milliseconds};
+    error.retryAfter = Duration{given.retryAfter.milliseconds};
     switch (given.status) {
         case 400: error.kind = Error::Kind::invalid; break;
         case 404: error.kind = Error::Kind::missing; break;
@@ -77,10 +77,10 @@
     return error;
 }
 
-Result<JobView> viewOf(const std::string& id, const aniseline::Result<HttpAnswer, ClientError>& answer) {
+Result<JobView> viewOf(const std::string& id, const aniseline::Result<HttpResponse, ClientError>& answer) {
     if (!answer) return errorOf(answer.error());
     picojson::value root;
-    if (!picojson::parse(root, answer.value().body).empty() || !root.is<picojson::object>()) return Error{Error::Kind::unknown, answer.value().status, "the answer is no JSON object", Span{0}};
+    if (!picojson::parse(root, answer.value().body).empty() || !root.is<picojson::object>()) return Error{Error::Kind::unknown, answer.value().status, "the answer is no JSON object", Duration{0}};
     JobView view;
     view.id = id;
     view.state = root.get("state").to_str();
@@ -99,11 +99,11 @@
         StepRequest request{step.name, step.after, step.gang, {}};
         for (const auto& task : step.tasks)
             for (unsigned count = 0; count < task.count; ++count)
-                request.tasks.push_back(TaskRequest{task.cores * 1000, task.memoryMb, aniseline::Span{task.runtime.count()}, task.payload});
+                request.tasks.push_back(TaskRequest{task.cores * 1000, task.memoryMb, aniseline::Duration{task.runtime.count()}, task.payload});
         submission.steps.push_back(std::move(request));
     }
     submission.timetable.first = ClusterTime{job.firstAt};
-    submission.timetable.every = aniseline::Span{job.every.count()};
+    submission.timetable.every = aniseline::Duration{job.every.count()};
     submission.timetable.count = job.count;
     return submission;
 }
@@ -112,41 +112,41 @@
 
 struct Origin::Parts {
     std::vector<Address> contacts;
-    AreaName area;
+    ZoneName zone;
     Engine engine;
     template <class Value>
     Value with(std::function<Value(Caller&)> use) {
         return engine.run<Value>([&](Loop& loop) {
-            Caller caller(loop, contacts, area);
+            Caller caller(loop, contacts, zone);
             return use(caller);
         });
     }
 };
 
-Origin::Origin(std::vector<std::string> contacts, std::string area) : parts(new Parts{addresses(contacts), AreaName{std::move(area)}, {}}) {}
+Origin::Origin(std::vector<std::string> contacts, std::string zone) : parts(new Parts{addresses(contacts), ZoneName{std::move(zone)}, {}}) {}
 Origin::~Origin() = default;
 
-Result<std::string> Origin::submit(const Job& job, Span within) {
+Result<std::string> Origin::submit(const Job& job, Duration within) {
     const auto submission = submissionOf(job);
-    if (auto faults = submission.faults(); !faults.empty()) return Error{Error::Kind::invalid, 400, CoreError{CoreError::Kind::invalid, std::move(faults)}.text(), Span{0}};
+    if (auto faults = submission.faults(); !faults.empty()) return Error{Error::Kind::invalid, 400, CoreError{CoreError::Kind::invalid, std::move(faults)}.text(), Duration{0}};
     return parts->with<Result<std::string>>([&](Caller& caller) -> Result<std::string> {
-        auto answer = caller.submit(submission, aniseline::Span{within.count()});
+        auto answer = caller.submit(submission, aniseline::Duration{within.count()});
         if (!answer) return errorOf(answer.error());
         return job.id;
     });
 }
-Result<JobView> Origin::show(const std::string& job, Span within) {
-    return parts->with<Result<JobView>>([&](Caller& caller) { return viewOf(job, caller.show(JobId{job}, aniseline::Span{within.count()})); });
+Result<JobView> Origin::show(const std::string& job, Duration within) {
+    return parts->with<Result<JobView>>([&](Caller& caller) { return viewOf(job, caller.show(JobId{job}, aniseline::Duration{within.count()})); });
 }
-Result<JobView> Origin::cancel(const std::string& job, Span within) {
-    return parts->with<Result<JobView>>([&](Caller& caller) { return viewOf(job, caller.cancel(JobId{job}, aniseline::Span{within.count()})); });
+Result<JobView> Origin::cancel(const std::string& job, Duration within) {
+    return parts->with<Result<JobView>>([&](Caller& caller) { return viewOf(job, caller.cancel(JobId{job}, aniseline::Duration{within.count()})); });
 }
-Result<JobView> Origin::follow(const std::string& job, Span within) {
+Result<JobView> Origin::follow(const std::string& job, Duration within) {
     return parts->with<Result<JobView>>([&](Caller& caller) -> Result<JobView> {
-        const Instant until = monotonicNow() + aniseline::Span{within.count()};
-        for (aniseline::Span gap{25};; gap = aniseline::Span{std::min<std::int64_t>(500, gap.milliseconds * 5 / 4)}) {
+        const MonotonicTime until = monotonicNow() + aniseline::Duration{within.count()};
+        for (aniseline::Duration gap{25};; gap = aniseline::Duration{std::min<std::int64_t>(500, gap.milliseconds * 5 / 4)}) {
             const auto left = until - monotonicNow();
-            if (left.milliseconds <= 0) return Error{Error::Kind::unknown, 0, "job " + job + " was not seen to end in time", Span{0}};
+            if (left.milliseconds <= 0) return Error{Error::Kind::unknown, 0, "job " + job + " was not seen to end in time", Duration{0}};
             auto view = viewOf(job, caller.show(JobId{job}, left));
             if ((view && view->over) || (!view && view.error().kind == Error::Kind::missing)) return view;
             pause(gap);
@@ -154,28 +154,28 @@
     });
 }
 
-struct Minion::Parts {
-    MinionSlots slots;
-    std::unique_ptr<MinionClient> client;
+struct Worker::Parts {
+    WorkerSlots slots;
+    std::unique_ptr<WorkerClient> client;
     std::atomic<bool> stop{false}, quiet{true};
     Engine engine;  // the last: its thread ends before what it uses
 };
 
-Minion::Minion(MinionOptions options, MinionSlots slots) : parts(new Parts) {
+Worker::Worker(WorkerOptions options, WorkerSlots slots) : parts(new Parts) {
     parts->slots = std::move(slots);
-    MinionHand::Options hand;
-    hand.id = MinionId{options.id};
-    hand.capacity = Capacity{options.cores * 1000, options.memoryMb, AreaName{options.area}, options.rack, options.honoursTerms, options.guardsRoom};
+    WorkerSession::Options hand;
+    hand.id = WorkerId{options.id};
+    hand.capacity = Capacity{options.cores * 1000, options.memoryMb, ZoneName{options.zone}, options.rack, options.honoursLeases, options.guardsRoom};
     const auto contacts = addresses(options.contacts);
     parts->engine.run<bool>([&](Loop& loop) {
         std::random_device device;
         auto& own = *parts;
-        own.client = std::make_unique<MinionClient>(loop, hand, Incarnation{((std::uint64_t(device()) << 32) | device()) | 1}, contacts);
+        own.client = std::make_unique<WorkerClient>(loop, hand, Incarnation{((std::uint64_t(device()) << 32) | device()) | 1}, contacts);
         own.client->effect.connect([&own](const HandEffect& effect) {
             const auto attempt = effect.attempt.value;
             const Order& order = effect.order;
             if (effect.kind == HandEffect::Kind::start && own.slots.start)
-                own.slots.start(Work{attempt, order.job.value, order.task, order.cores / 1000, order.memory, Span{order.runtime.milliseconds}, order.quantum.milliseconds > 0, order.payload});
+                own.slots.start(Work{attempt, order.job.value, order.task, order.cores / 1000, order.memory, Duration{order.runtime.milliseconds}, order.quantum.milliseconds > 0, order.payload});
             else if (effect.kind == HandEffect::Kind::hold && own.slots.hold) own.slots.hold(attempt);
             else if (effect.kind == HandEffect::Kind::resume && own.slots.resume) own.slots.resume(attempt);
             else if (effect.kind == HandEffect::Kind::stop && own.slots.stop) own.slots.stop(attempt);
@@ -192,18 +192,18 @@
     parts->engine.post([&own = *parts] {
         while (!own.stop) {
             own.quiet = own.client->hand().empty();
-            pause(aniseline::Span{5});
+            pause(aniseline::Duration{5});
         }
     });
 }
-Minion::~Minion() { parts->stop = true; }
-void Minion::ended(std::uint64_t attempt, bool well) {
+Worker::~Worker() { parts->stop = true; }
+void Worker::ended(std::uint64_t attempt, bool well) {
     parts->quiet = false;
     parts->engine.post([&own = *parts, attempt, well] { own.client->ended(AttemptNumber{attempt}, well); });
 }
-void Minion::leave(Span within) {
-    parts->engine.post([&own = *parts, within] { own.client->leave(aniseline::Span{within.count()}); });
+void Worker::leave(Duration within) {
+    parts->engine.post([&own = *parts, within] { own.client->leave(aniseline::Duration{within.count()}); });
 }
-bool Minion::idle() const { return parts->quiet; }
+bool Worker::idle() const { return parts->quiet; }
 
 }  // namespace aniseline::library
--- a/programs/dipper.cpp
+++ b/programs/loadgen.cpp
@@ -1,9 +1,9 @@
-// dipper: stand-in callers of the two deployments, open loop. docs/operations.md 7.
-#include "client.hpp"
-#include "edge/history.hpp"
-#include "edge/log.hpp"
-#include "edge/options.hpp"
-#include "edge/stopping.hpp"
+// loadgen: stand-in callers of the two deployments, open loop. docs/operations.md 7.
+#include "net/client.hpp"
+#include "net/history_file.hpp"
+#include "net/log.hpp"
+#include "net/options.hpp"
+#include "net/signals.hpp"
 #include <fstream>
 #include <iostream>
 
@@ -13,7 +13,7 @@
 
 struct Settings {
     std::string deployment = "cedarmark", witness, submissions, name = "d", report;
-    std::vector<Address> sluices;
+    std::vector<Address> gateways;
     std::int64_t seconds = 30, seed = 1, fill = 0, settle = 60;
     double rate = 1, cancels = 0.02;
     bool quiet = false;
@@ -26,7 +26,7 @@
 };
 
 TaskRequest task(std::uint32_t cores, std::uint64_t memory, std::int64_t requested, std::int64_t really) {
-    return TaskRequest{cores * 1000, memory, Span{requested}, "run=" + std::to_string(really)};
+    return TaskRequest{cores * 1000, memory, Duration{requested}, "run=" + std::to_string(really)};
 }
 std::vector<TaskRequest> many(std::size_t count, const TaskRequest& one) { return std::vector<TaskRequest>(count, one); }
 
@@ -51,28 +51,28 @@
 
 class Program {
 public:
-    explicit Program(Settings given) : settings(std::move(given)), draw(std::uint64_t(settings.seed)), history(settings.witness) {
+    explicit Program(Settings given) : settings(std::move(given)), random(std::uint64_t(settings.seed)), history(settings.witness) {
         if (!settings.submissions.empty()) jobsOut.open(settings.submissions, std::ios::app);
     }
     int run() {
         StopSignal stop(loop);
-        const Instant begun = monotonicNow();
+        const MonotonicTime begun = monotonicNow();
         for (std::int64_t count = 0; count < settings.fill; ++count) begin(Kind{"long", 0, {{"long", {}, false, {task(4, 1024, 600'000, settings.seconds * 1000)}}}});
         const auto kinds = kindsOf(settings.deployment);
         std::vector<double> next(kinds.size());
-        for (std::size_t place = 0; place < kinds.size(); ++place) next[place] = double(draw.between(0, std::int64_t(kinds[place].everyMilliseconds / settings.rate)));
-        while (!stop.requested() && monotonicNow() - begun < Span{settings.seconds * 1000}) {
+        for (std::size_t place = 0; place < kinds.size(); ++place) next[place] = double(random.between(0, std::int64_t(kinds[place].everyMilliseconds / settings.rate)));
+        while (!stop.requested() && monotonicNow() - begun < Duration{settings.seconds * 1000}) {
             const double elapsed = double((monotonicNow() - begun).milliseconds);
             for (std::size_t place = 0; place < kinds.size(); ++place)
                 while (next[place] <= elapsed) {
                     begin(kinds[place]);
                     // Exponential gaps: callers know nothing of each other.
-                    next[place] += -std::log(1.0 - double(draw.next() >> 11) / 9007199254740992.0) * kinds[place].everyMilliseconds / settings.rate;
+                    next[place] += -std::log(1.0 - double(random.next() >> 11) / 9007199254740992.0) * kinds[place].everyMilliseconds / settings.rate;
                 }
-            pause(Span{2});
+            pause(Duration{2});
         }
-        const Instant until = monotonicNow() + Span{settings.settle * 1000};
-        while (open > 0 && monotonicNow() < until) pause(Span{50});
+        const MonotonicTime until = monotonicNow() + Duration{settings.settle * 1000};
+        while (open > 0 && monotonicNow() < until) pause(Duration{50});
         picojson::object shown, byQueue;
         for (auto& [queue, latencies] : finished) byQueue[queue] = json(latencies.show());
         shown = {{"submitted", json(submitted)}, {"accepted", json(accepted)}, {"rejected", json(rejected)}, {"unanswered", json(unanswered)}, {"tries_unknown", json(unknowns)},
@@ -85,8 +85,8 @@
     }
 
 private:
-    void write(Witness::Kind kind, const JobId& job, std::string detail = {}) {
-        Witness witness;
+    void write(HistoryEvent::Kind kind, const JobId& job, std::string detail = {}) {
+        HistoryEvent witness;
         witness.kind = kind;
         witness.job = job.value;
         witness.detail = std::move(detail);
@@ -99,26 +99,26 @@
         job.steps = kind.steps;
         if (jobsOut.is_open()) jobsOut << renderJob(job) << "\n" << std::flush;
         ++open;
-        const bool cancel = draw.chance(settings.cancels);
-        std::vector<Address> sluices = settings.sluices;
-        std::rotate(sluices.begin(), sluices.begin() + std::ptrdiff_t(draw.next() % sluices.size()), sluices.end());
-        spawn([this, job, cancel, sluices] {
-            follow(job, cancel, sluices);
+        const bool cancel = random.chance(settings.cancels);
+        std::vector<Address> gateways = settings.gateways;
+        std::rotate(gateways.begin(), gateways.begin() + std::ptrdiff_t(random.next() % gateways.size()), gateways.end());
+        spawn([this, job, cancel, gateways] {
+            follow(job, cancel, gateways);
             --open;
         });
     }
-    void follow(const JobSubmission& job, bool cancel, const std::vector<Address>& sluices) {
-        Caller caller(loop, sluices);
-        caller.witness = [this, &job](const HttpRequest& request, const Result<HttpAnswer, HttpError>& result) {
+    void follow(const JobSubmission& job, bool cancel, const std::vector<Address>& gateways) {
+        Caller caller(loop, gateways);
+        caller.witness = [this, &job](const HttpRequest& request, const Result<HttpResponse, HttpError>& result) {
             if (request.method != "POST") return;
-            write(Witness::Kind::submitted, job.id);
+            write(HistoryEvent::Kind::submitted, job.id);
             if (!result || result.value().status == 503) {
                 ++unknowns;
-                write(Witness::Kind::unknown, job.id);
-            } else write(result.value().status == 202 ? Witness::Kind::accepted : Witness::Kind::rejected, job.id, std::to_string(result.value().status));
+                write(HistoryEvent::Kind::unknown, job.id);
+            } else write(result.value().status == 202 ? HistoryEvent::Kind::accepted : HistoryEvent::Kind::rejected, job.id, std::to_string(result.value().status));
         };
-        const Instant begun = monotonicNow();
-        auto answer = caller.submit(job, Span{30'000});
+        const MonotonicTime begun = monotonicNow();
+        auto answer = caller.submit(job, Duration{30'000});
         if (!answer) {
             if (answer.error().kind == ClientError::Kind::unknown) ++unanswered;
             else ++rejected;
@@ -127,23 +127,23 @@
         ++accepted;
         acknowledged.values.push_back((monotonicNow() - begun).milliseconds);
         if (cancel) {
-            pause(Span{100});
-            if (caller.cancel(job.id, Span{30'000})) write(Witness::Kind::cancelAcknowledged, job.id);
+            pause(Duration{100});
+            if (caller.cancel(job.id, Duration{30'000})) write(HistoryEvent::Kind::cancelAcknowledged, job.id);
         }
-        const Instant until = monotonicNow() + Span{(settings.seconds + settings.settle) * 1000};
-        Span gap{25};
+        const MonotonicTime until = monotonicNow() + Duration{(settings.seconds + settings.settle) * 1000};
+        Duration gap{25};
         while (monotonicNow() < until) {
             pause(gap);
-            gap = Span{std::min<std::int64_t>(500, gap.milliseconds * 5 / 4)};
-            auto shown = caller.show(job.id, Span{10'000});
+            gap = Duration{std::min<std::int64_t>(500, gap.milliseconds * 5 / 4)};
+            auto shown = caller.show(job.id, Duration{10'000});
             if (!shown) {
-                if (shown.error().kind == ClientError::Kind::missing) write(Witness::Kind::shown, job.id, "missing");
+                if (shown.error().kind == ClientError::Kind::missing) write(HistoryEvent::Kind::shown, job.id, "missing");
                 continue;
             }
             picojson::value root;
             if (!picojson::parse(root, shown.value().body).empty() || !root.is<picojson::object>()) continue;
             const std::string state = root.get("state").to_str();
-            if (state != lastShown[job.id]) write(Witness::Kind::shown, job.id, state);
+            if (state != lastShown[job.id]) write(HistoryEvent::Kind::shown, job.id, state);
             lastShown[job.id] = state;
             if (state == "finished") {
                 ++finishedCount;
@@ -157,7 +157,7 @@
     }
 
     Settings settings;
-    Draw draw;
+    Random random;
     Loop loop;
     HistoryFile history;
     std::ofstream jobsOut;
@@ -172,14 +172,14 @@
 
 int main(int count, char** values) {
     Settings settings;
-    OptionSet options("dipper", "stand-in callers for aniseline");
+    OptionSet options("loadgen", "stand-in callers for aniseline");
     options.text("deployment", settings.deployment, "cedarmark or cooperative");
-    options.addresses("sluices", settings.sluices, "outer addresses of sluices", true);
+    options.addresses("gateways", settings.gateways, "outer addresses of gateways", true);
     options.text("name", settings.name, "the beginning of the jobs' ids");
     options.whole("seconds", settings.seconds, "how long to submit", 1, 86'400);
     options.whole("settle", settings.settle, "seconds to wait for what is open then", 0, 86'400);
     options.whole("seed", settings.seed, "of the draws", 0, 1'000'000'000);
-    options.whole("fill", settings.fill, "long jobs of 4 cores to fill the minions with first", 0, 10'000);
+    options.whole("fill", settings.fill, "long jobs of 4 cores to fill the workers with first", 0, 10'000);
     options.real("rate", settings.rate, "times the deployment's load", 0.01, 1000);
     options.real("cancels", settings.cancels, "this part is cancelled", 0, 1);
     options.text("witness", settings.witness, "a file for the history of what was asked and answered");
@@ -188,9 +188,9 @@
     options.flag("quiet", settings.quiet, "no logs");
     options.read(count, values);
     if (settings.deployment != "cedarmark" && settings.deployment != "cooperative") {
-        std::cerr << "dipper: --deployment: must be cedarmark or cooperative\n";
+        std::cerr << "loadgen: --deployment: must be cedarmark or cooperative\n";
         return 2;
     }
-    startLog("dipper", settings.name, settings.quiet);
+    startLog("loadgen", settings.name, settings.quiet);
     return Program(settings).run();
 }
--- a/programs/millrace.cpp
+++ b/programs/local_cluster.cpp
@@ -1,11 +1,11 @@
-// millrace: a whole fleet of real processes on one machine, with load and faults, checked at its end.
+// local_cluster: a whole fleet of real processes on one machine, with load and faults, checked at its end.
 // The only program that starts processes. docs/operations.md 6.
-#include "client.hpp"
-#include "edge/history.hpp"
-#include "edge/log.hpp"
-#include "edge/options.hpp"
-#include "edge/stopping.hpp"
-#include "edge/weir.hpp"
+#include "net/client.hpp"
+#include "net/history_file.hpp"
+#include "net/log.hpp"
+#include "net/options.hpp"
+#include "net/signals.hpp"
+#include "net/link_proxy.hpp"
 #include <fcntl.h>
 #include <filesystem>
 #include <iostream>
@@ -20,10 +20,10 @@
 namespace {
 
 struct Settings {
-    std::string folder, programs, deployment = "cedarmark", setup;
-    std::int64_t seconds = 20, port = 21'000, fill = 0, sluices = 7, minions = 11, keep = 0;
+    std::string folder, programs, deployment = "cedarmark", config;
+    std::int64_t seconds = 20, port = 21'000, fill = 0, gateways = 7, workers = 11, keep = 0;
     double rate = 1;
-    bool called = false;  // minions are called by penstocks rather than call sluices
+    bool called = false;  // workers are called by agents rather than call gateways
     std::vector<std::string> steps;
 };
 
@@ -31,17 +31,17 @@
     std::string name;
     std::vector<std::string> words;
     pid_t process = 0;
-    std::string area;
+    std::string zone;
 };
 
 class Fleet {
 public:
-    explicit Fleet(Settings given) : settings(std::move(given)), weir(loop, areaOfIp), control(loop, HttpLimits{}, [this](const HttpRequest& request) { return controlled(request); }) {}
+    explicit Fleet(Settings given) : settings(std::move(given)), linkProxy(loop, zoneOfIp), control(loop, HttpLimits{}, [this](const HttpRequest& request) { return controlled(request); }) {}
     ~Fleet() { end(); }
     void end() {
         // Only what was started here is ended here, by its number.
         for (auto& child : children) signal(child, SIGCONT), signal(child, SIGTERM);
-        const Instant until = monotonicNow() + Span{5000};
+        const MonotonicTime until = monotonicNow() + Duration{5000};
         for (auto& child : children)
             while (child.process && monotonicNow() < until && !reap(child)) usleep(10'000);
         for (auto& child : children) signal(child, SIGKILL), reap(child);
@@ -51,80 +51,80 @@
         std::filesystem::create_directories(settings.folder);
         // Told to stop, it takes along what it started.
         spawn([this] {
-            while (!stop.requested()) pause(Span{50});
+            while (!stop.requested()) pause(Duration{50});
             end();
             std::_Exit(4);
         });
         for (int place = 1; place <= 3; ++place)
-            add("reservoir" + std::to_string(place), {"reservoir", "--peer", real(place, place), "--advertise", peer(place), "--http", real(place, 10 + place), "--area", "area" + std::to_string(place), "--data", settings.folder + "/data" + std::to_string(place), "--found"}, area(place), true);
-        for (int place = 1; place <= settings.sluices; ++place)
-            add("sluice" + std::to_string(place), {"sluice", "--http", real(place, 20 + place), "--advertise", outer(place), "--area", area(place)}, area(place), true);
+            add("controller" + std::to_string(place), {"controller", "--peer", real(place, place), "--advertise", peer(place), "--http", real(place, 10 + place), "--zone", "zone" + std::to_string(place), "--data", settings.folder + "/data" + std::to_string(place), "--found"}, zone(place), true);
+        for (int place = 1; place <= settings.gateways; ++place)
+            add("gateway" + std::to_string(place), {"gateway", "--http", real(place, 20 + place), "--advertise", outer(place), "--zone", zone(place)}, zone(place), true);
         if (!openRelays()) return 1;
         const bool cedarmark = settings.deployment == "cedarmark";
-        for (int place = 1; place <= settings.minions; ++place) {
-            std::vector<std::string> words{"waterwheel", "--id", "m" + std::to_string(place), "--area", area(place), "--from", ipOf(Address{real(place, 0)}), "--rack", "rack" + std::to_string((place + 2) / 3),
+        for (int place = 1; place <= settings.workers; ++place) {
+            std::vector<std::string> words{"worker_stub", "--id", "m" + std::to_string(place), "--zone", zone(place), "--from", ipOf(Address{real(place, 0)}), "--rack", "rack" + std::to_string((place + 2) / 3),
                                            "--cores", cedarmark ? "16" : "64", "--memory-mb", cedarmark ? "32768" : "131072",
                                            "--witness", settings.folder + "/m" + std::to_string(place) + ".witness"};
             if (settings.called) {
-                words.insert(words.end(), {"--called", "--listen", real(place, calledOffset(place)), "--penstock", real(place, penstockOffset(place))});
-                add("penstock" + std::to_string(place), {"penstock", "--listen", real(place, penstockOffset(place)), "--minion", real(place, calledOffset(place)), "--area", area(place)}, area(place), true);
+                words.insert(words.end(), {"--called", "--listen", real(place, calledOffset(place)), "--agent", real(place, agentOffset(place))});
+                add("agent" + std::to_string(place), {"agent", "--listen", real(place, agentOffset(place)), "--worker", real(place, calledOffset(place)), "--zone", zone(place)}, zone(place), true);
             }
-            for (int sluice = 0; !settings.called && sluice < 3; ++sluice) words.insert(words.end(), {"--sluices", outer((place + sluice) % int(settings.sluices) + 1)});
+            for (int gateway = 0; !settings.called && gateway < 3; ++gateway) words.insert(words.end(), {"--gateways", outer((place + gateway) % int(settings.gateways) + 1)});
             if (place <= 4) words.push_back("--unguarded");
-            add("waterwheel" + std::to_string(place), words, area(place), false);
+            add("worker_stub" + std::to_string(place), words, zone(place), false);
         }
         for (auto& child : children)
             if (!start(child)) return 1;
-        const auto sluices = sluiceAddresses();
-        caller = std::make_unique<Caller>(loop, sluices);
+        const auto gateways = gatewayAddresses();
+        caller = std::make_unique<Caller>(loop, gateways);
         keeper = HistoryFile(settings.folder + "/keeper.witness");
-        if (!until("three voters and every minion", Span{30'000}, [this] { return whole(); })) return 1;
-        std::ifstream stream(settings.setup);
-        const std::string setup((std::istreambuf_iterator<char>(stream)), {});
-        auto applied = caller->ask({"PUT", "/v1/setup", "{\"based_on\":0,\"setup\":" + setup + "}"}, Span{10'000});
+        if (!until("three voters and every worker", Duration{30'000}, [this] { return whole(); })) return 1;
+        std::ifstream stream(settings.config);
+        const std::string config((std::istreambuf_iterator<char>(stream)), {});
+        auto applied = caller->ask({"PUT", "/v1/config", "{\"based_on\":0,\"config\":" + config + "}"}, Duration{10'000});
         if (!applied) {
-            say("the setup was not taken: " + applied.error().text);
+            say("the config was not taken: " + applied.error().text);
             return 1;
         }
         say("the fleet is whole");
         std::ofstream(settings.folder + "/control") << at(0) << "\n";
-        Child dipper{"dipper", {"dipper", "--deployment", settings.deployment, "--seconds", std::to_string(settings.seconds), "--rate", std::to_string(settings.rate), "--fill", std::to_string(settings.fill),
-                                "--witness", settings.folder + "/dipper.witness", "--submissions", settings.folder + "/dipper.submissions", "--report", settings.folder + "/dipper.report"}, 0, {}};
-        for (const auto& sluice : sluices) dipper.words.insert(dipper.words.end(), {"--sluices", sluice.value});
-        children.push_back(dipper);
+        Child loadgen{"loadgen", {"loadgen", "--deployment", settings.deployment, "--seconds", std::to_string(settings.seconds), "--rate", std::to_string(settings.rate), "--fill", std::to_string(settings.fill),
+                                "--witness", settings.folder + "/loadgen.witness", "--submissions", settings.folder + "/loadgen.submissions", "--report", settings.folder + "/loadgen.report"}, 0, {}};
+        for (const auto& gateway : gateways) loadgen.words.insert(loadgen.words.end(), {"--gateways", gateway.value});
+        children.push_back(loadgen);
         if (!start(children.back())) return 1;
-        pause(Span{2000});
+        pause(Duration{2000});
         bool good = true;
         for (const auto& step : settings.steps) good = take(step) && good;
         if (settings.keep) {
-            say("kept running; control at " + at(0) + ", the first sluice at " + outer(1));
-            const Instant until = monotonicNow() + Span{settings.keep * 1000};
-            while (!released && monotonicNow() < until) pause(Span{50});
+            say("kept running; control at " + at(0) + ", the first gateway at " + outer(1));
+            const MonotonicTime until = monotonicNow() + Duration{settings.keep * 1000};
+            while (!released && monotonicNow() < until) pause(Duration{50});
         }
-        while (busy) pause(Span{50});
+        while (busy) pause(Duration{50});
         Child& load = children.back();
-        const Instant end = monotonicNow() + Span{(settings.seconds + 75) * 1000};
-        while (load.process && monotonicNow() < end && !reap(load)) pause(Span{50});
+        const MonotonicTime end = monotonicNow() + Duration{(settings.seconds + 75) * 1000};
+        while (load.process && monotonicNow() < end && !reap(load)) pause(Duration{50});
         if (load.process || lastStatus != 0) {
             say("not every job that was accepted was seen to end");
             good = false;
         }
-        std::ifstream report(settings.folder + "/dipper.report");
+        std::ifstream report(settings.folder + "/loadgen.report");
         std::cout << std::string((std::istreambuf_iterator<char>(report)), {});
         // Every writer closes its history before it is read.
-        keeper.write(Witness::Kind::settled);
+        keeper.write(HistoryEvent::Kind::settled);
         keeper.close();
         for (auto& child : children)
-            if (child.name.starts_with("waterwheel")) signal(child, SIGCONT), signal(child, SIGTERM);
+            if (child.name.starts_with("worker_stub")) signal(child, SIGCONT), signal(child, SIGTERM);
         for (auto& child : children)
-            if (child.name.starts_with("waterwheel"))
-                good = until(child.name + " has ended", Span{8000}, [&] { return reap(child); }, true) && good;
-        Child checker{"tailrace", {"tailrace", "--folder", settings.folder, "--setup", settings.setup}, 0, {}};
+            if (child.name.starts_with("worker_stub"))
+                good = until(child.name + " has ended", Duration{8000}, [&] { return reap(child); }, true) && good;
+        Child checker{"history_check", {"history_check", "--folder", settings.folder, "--config", settings.config}, 0, {}};
         children.push_back(checker);
         if (!start(children.back(), true)) return 1;
-        while (!reap(children.back())) pause(Span{20});
+        while (!reap(children.back())) pause(Duration{20});
         if (lastStatus != 0) {
-            say("tailrace found broken promises");
+            say("history_check found broken promises");
             good = false;
         }
         std::cout << (good ? "1 passed, 0 failed" : "0 passed, 1 failed") << std::endl;
@@ -132,24 +132,24 @@
     }
 
 private:
-    // Each area has an IP number at which its processes really are, and one at which the others find them, through relays.
+    // Each zone has an IP number at which its processes really are, and one at which the others find them, through relays.
     std::string at(std::int64_t offset) const { return "127.0.0.1:" + std::to_string(settings.port + offset); }
-    std::string real(int place, std::int64_t offset) const { return "127.1." + area(place).substr(4) + ".1:" + std::to_string(settings.port + offset); }
-    std::string shown(int place, std::int64_t offset) const { return "127.2." + area(place).substr(4) + ".1:" + std::to_string(settings.port + offset); }
+    std::string real(int place, std::int64_t offset) const { return "127.1." + zone(place).substr(4) + ".1:" + std::to_string(settings.port + offset); }
+    std::string shown(int place, std::int64_t offset) const { return "127.2." + zone(place).substr(4) + ".1:" + std::to_string(settings.port + offset); }
     std::string peer(int place) const { return shown(place, place); }
-    static std::int64_t penstockOffset(int place) { return 100 + place; }
+    static std::int64_t agentOffset(int place) { return 100 + place; }
     static std::int64_t calledOffset(int place) { return 300 + place; }
     std::string outer(int place) const { return shown(place, 20 + place); }
-    static std::string areaOfIp(const std::string& ip) { return ip.starts_with("127.1.") ? "area" + ip.substr(6, ip.find('.', 6) - 6) : std::string(); }
+    static std::string zoneOfIp(const std::string& ip) { return ip.starts_with("127.1.") ? "zone" + ip.substr(6, ip.find('.', 6) - 6) : std::string(); }
     bool openRelays() {
         auto open = [this](int place, std::int64_t offset) {
-            auto opened = weir.open(Address{shown(place, offset)}, Address{real(place, offset)}, area(place));
+            auto opened = linkProxy.open(Address{shown(place, offset)}, Address{real(place, offset)}, zone(place));
             if (!opened) say(opened.error().text());
             return opened.has_value();
         };
         for (int place = 1; place <= 3; ++place)
             if (!open(place, place)) return false;
-        for (int place = 1; place <= settings.sluices; ++place)
+        for (int place = 1; place <= settings.gateways; ++place)
             if (!open(place, 20 + place)) return false;
         if (auto listening = control.listen(Address{at(0)}, false); !listening) {
             say(listening.error().text);
@@ -157,13 +157,13 @@
         }
         return true;
     }
-    static std::string area(int place) { return "area" + std::to_string((place - 1) % 3 + 1); }
-    void say(const std::string& text) { std::cout << "millrace: " << text << std::endl; }
+    static std::string zone(int place) { return "zone" + std::to_string((place - 1) % 3 + 1); }
+    void say(const std::string& text) { std::cout << "local_cluster: " << text << std::endl; }
 
-    void add(std::string name, std::vector<std::string> words, std::string area, bool seeded) {
+    void add(std::string name, std::vector<std::string> words, std::string zone, bool seeded) {
         if (seeded)
             for (int place = 1; place <= 3; ++place) words.insert(words.end(), {"--seeds", peer(place)});
-        children.push_back(Child{std::move(name), std::move(words), 0, std::move(area)});
+        children.push_back(Child{std::move(name), std::move(words), 0, std::move(zone)});
     }
     bool start(Child& child, bool outputHere = false) {
         std::vector<std::string> words = child.words;
@@ -204,21 +204,21 @@
             if (child.name == name) return &child;
         return nullptr;
     }
-    bool until(const std::string& what, Span within, const std::function<bool()>& condition, bool quiet = false) {
-        const Instant begun = monotonicNow(), end = begun + within;
+    bool until(const std::string& what, Duration within, const std::function<bool()>& condition, bool quiet = false) {
+        const MonotonicTime begun = monotonicNow(), end = begun + within;
         while (monotonicNow() < end) {
             if (condition()) {
                 if (!quiet) say(what + ": after " + std::to_string((monotonicNow() - begun).milliseconds) + " ms");
                 return true;
             }
-            pause(Span{50});
+            pause(Duration{50});
         }
         say(what + ": not within " + std::to_string(within.milliseconds) + " ms");
         return false;
     }
     std::optional<picojson::value> show(const std::string& target) {
-        Caller own(loop, sluiceAddresses());
-        auto answer = own.ask({"GET", target, ""}, Span{3000});
+        Caller own(loop, gatewayAddresses());
+        auto answer = own.ask({"GET", target, ""}, Duration{3000});
         picojson::value root;
         if (!answer || !picojson::parse(root, answer.value().body).empty()) return std::nullopt;
         return root;
@@ -227,78 +227,78 @@
         auto cluster = show("/v1/cluster");
         if (!cluster) return false;
         int voters = 0;
-        for (const auto& member : cluster->get("reservoirs").get<picojson::array>())
+        for (const auto& member : cluster->get("controllers").get<picojson::array>())
             voters += member.get("voter").get<bool>() && member.get("unheard_ms").get<double>() < 1000;
-        auto minions = show("/v1/minions");
-        if (!minions) return false;
+        auto workers = show("/v1/workers");
+        if (!workers) return false;
         std::int64_t present = 0;
-        for (const auto& minion : minions->get("minions").get<picojson::array>()) present += minion.get("state").to_str() == "present" && minion.get("unheard_ms").get<double>() < 2000;
-        return voters == 3 && present == settings.minions;
+        for (const auto& worker : workers->get("workers").get<picojson::array>()) present += worker.get("state").to_str() == "present" && worker.get("unheard_ms").get<double>() < 2000;
+        return voters == 3 && present == settings.workers;
     }
-    std::vector<Address> sluiceAddresses() const {
+    std::vector<Address> gatewayAddresses() const {
         std::vector<Address> addresses;
-        for (int place = 1; place <= settings.sluices; ++place) addresses.push_back(Address{outer(place)});
+        for (int place = 1; place <= settings.gateways; ++place) addresses.push_back(Address{outer(place)});
         return addresses;
     }
 
-    // --- control: what drawdown asks for. docs/operations.md 9 ---
-    Answer controlled(const HttpRequest& request) {
-        if (request.method == "GET" && request.target == "/fleet") return Answer::of(200, showFleet());
+    // --- control: what zone_drill asks for. docs/operations.md 9 ---
+    ApiResponse controlled(const HttpRequest& request) {
+        if (request.method == "GET" && request.target == "/fleet") return ApiResponse::of(200, showFleet());
         if (request.method == "POST" && request.target == "/release") {
             released = true;
-            return Answer::of(200, {{"released", json(true)}});
+            return ApiResponse::of(200, {{"released", json(true)}});
         }
         std::vector<std::string> parts;
         std::istringstream stream(request.target);
         for (std::string part; std::getline(stream, part, '/');)
             if (!part.empty()) parts.push_back(part);
-        if (request.method != "POST" || parts.size() != 4 || parts[0] != "fleet" || (parts[2] != "out" && parts[2] != "back")) return Answer::error(404, "missing", "there is no " + request.method + " " + request.target);
+        if (request.method != "POST" || parts.size() != 4 || parts[0] != "fleet" || (parts[2] != "out" && parts[2] != "back")) return ApiResponse::error(404, "missing", "there is no " + request.method + " " + request.target);
         const std::string& name = parts[1];
         const std::string& by = parts[3];
-        if (std::none_of(children.begin(), children.end(), [&](const Child& child) { return child.area == name; })) return Answer::error(404, "missing", "there is no area " + name);
-        if (by != "kill" && by != "freeze" && by != "cut") return Answer::error(400, "invalid", "an area goes by kill, freeze or cut");
-        if (busy) return Answer::error(409, "conflict", "the fleet is at work on an area");
+        if (std::none_of(children.begin(), children.end(), [&](const Child& child) { return child.zone == name; })) return ApiResponse::error(404, "missing", "there is no zone " + name);
+        if (by != "kill" && by != "freeze" && by != "cut") return ApiResponse::error(400, "invalid", "a zone goes by kill, freeze or cut");
+        if (busy) return ApiResponse::error(409, "conflict", "the fleet is at work on a zone");
         busy = true;
         const bool goesOut = parts[2] == "out";
-        if (goesOut) mark(Witness::Kind::disturbed, name + " by " + by);
-        moveArea(name, by, goesOut);
-        if (!goesOut) mark(Witness::Kind::mended, name + " by " + by);
+        if (goesOut) mark(HistoryEvent::Kind::disturbed, name + " by " + by);
+        moveZone(name, by, goesOut);
+        if (!goesOut) mark(HistoryEvent::Kind::mended, name + " by " + by);
         busy = false;
-        return Answer::of(200, {{"area", json(name)}, {"out", json(goesOut)}});
+        return ApiResponse::of(200, {{"zone", json(name)}, {"out", json(goesOut)}});
     }
-    void moveArea(const std::string& name, const std::string& by, bool goesOut) {
-        if (by == "cut") return weir.cut(name, goesOut);
+    void moveZone(const std::string& name, const std::string& by, bool goesOut) {
+        if (by == "cut") return linkProxy.cut(name, goesOut);
         for (auto& child : children) {
-            if (child.area != name) continue;
+            if (child.zone != name) continue;
             if (by == "freeze") signal(child, goesOut ? SIGSTOP : SIGCONT);
             else if (goesOut) {
                 signal(child, SIGKILL);
-                while (!reap(child)) pause(Span{5});
+                while (!reap(child)) pause(Duration{5});
             } else if (!child.process) start(child);
         }
     }
     picojson::object showFleet() {
-        std::map<std::string, picojson::array> areas;
+        std::map<std::string, picojson::array> zones;
         for (const auto& child : children)
-            if (!child.area.empty()) areas[child.area].push_back(json(picojson::object{{"name", json(child.name)}, {"up", json(child.process != 0)}}));
-        picojson::object byArea;
-        for (auto& [name, list] : areas) {
+            if (!child.zone.empty()) zones[child.zone].push_back(json(picojson::object{{"name", json(child.name)}, {"up", json(child.process != 0)}}));
+        picojson::object byZone;
+        for (auto& [name, list] : zones) {
             picojson::array outers;
-            for (int place = 1; place <= settings.sluices; ++place)
-                if (area(place) == name) outers.push_back(json(outer(place)));
-            byArea[name] = json(picojson::object{{"processes", json(list)}, {"sluices", json(outers)}});
+            for (int place = 1; place <= settings.gateways; ++place)
+                if (zone(place) == name) outers.push_back(json(outer(place)));
+            byZone[name] = json(picojson::object{{"processes", json(list)}, {"gateways", json(outers)}});
         }
-        return {{"whole", json(whole())}, {"folder", json(settings.folder)}, {"areas", json(byArea)}};
+        return {{"whole", json(whole())}, {"folder", json(settings.folder)}, {"zones", json(byZone)}};
     }
-    void mark(Witness::Kind kind, const std::string& detail = {}) { keeper.write(kind, detail); }
+    void mark(HistoryEvent::Kind kind, const std::string& detail = {}) { keeper.write(kind, detail); }
 
     Child* leader() {
         auto cluster = show("/v1/cluster");
         if (!cluster) return nullptr;
-        for (const auto& member : cluster->get("reservoirs").get<picojson::array>())
+        for (const auto& member : cluster->get("controllers").get<picojson::array>())
             if (member.get("leads").get<bool>())
                 for (int place = 1; place <= 3; ++place)
-                    if (member.get("address").to_str() == peer(place)) return named("reservoir" + std::to_string(place));
+                    if (member.get("address").to_str() == peer(place)) return named("controller" + std::to_string(place));
         return nullptr;
     }
     // A step: VERB:NAME[:SECONDS]; the name may be "leader". Verbs: kill, freeze, stop, empty.
@@ -314,26 +314,26 @@
         }
         say(step + ": " + child->name);
         const bool freeze = verb == "freeze";
-        mark(Witness::Kind::disturbed, step);
+        mark(HistoryEvent::Kind::disturbed, step);
         signal(*child, freeze ? SIGSTOP : verb == "stop" ? SIGTERM : SIGKILL);
         bool good = true;
-        if (!freeze) good = until(child->name + " has ended", Span{8000}, [&] { return reap(*child); });
-        // A killed minion can't witness that its tasks are gone; who reaped its process can, before it is started again.
-        if (!freeze && good && child->name.starts_with("waterwheel")) {
-            Witness gone;
-            gone.kind = Witness::Kind::vanished;
-            gone.minion = "m" + child->name.substr(std::string("waterwheel").size());
+        if (!freeze) good = until(child->name + " has ended", Duration{8000}, [&] { return reap(*child); });
+        // A killed worker can't witness that its tasks are gone; who reaped its process can, before it is started again.
+        if (!freeze && good && child->name.starts_with("worker_stub")) {
+            HistoryEvent gone;
+            gone.kind = HistoryEvent::Kind::vanished;
+            gone.worker = "m" + child->name.substr(std::string("worker_stub").size());
             keeper.write(gone);
         }
         if (verb == "empty") std::filesystem::remove_all(settings.folder + "/data" + child->name.substr(9));
-        good = until("service meanwhile", Span{12'000}, [&] { return show("/v1/counters").has_value(); }) && good;
-        pause(Span{seconds * 1000});
+        good = until("service meanwhile", Duration{12'000}, [&] { return show("/v1/counters").has_value(); }) && good;
+        pause(Duration{seconds * 1000});
         if (freeze) signal(*child, SIGCONT);
         else good = start(*child) && good;
-        mark(Witness::Kind::mended, step);
-        mark(Witness::Kind::whole);
-        good = until("whole again", Span{verb == "empty" ? 60'000 : 12'000}, [this] { return whole(); }) && good;
-        if (show("/v1/counters")) mark(Witness::Kind::served);
+        mark(HistoryEvent::Kind::mended, step);
+        mark(HistoryEvent::Kind::whole);
+        good = until("whole again", Duration{verb == "empty" ? 60'000 : 12'000}, [this] { return whole(); }) && good;
+        if (show("/v1/counters")) mark(HistoryEvent::Kind::served);
         return good;
     }
 
@@ -343,7 +343,7 @@
     std::deque<Child> children;
     int lastStatus = 0;
     StopSignal stop{loop};
-    Weir weir;
+    LinkProxy linkProxy;
     HttpServer control;
     HistoryFile keeper;
     bool busy = false, released = false;
@@ -354,26 +354,26 @@
 int main(int count, char** values) {
     Settings settings;
     settings.programs = std::filesystem::path(values[0]).parent_path().string();
-    OptionSet options("millrace", "a whole fleet of aniseline on this machine; steps are VERB:NAME[:SECONDS], with kill, freeze, stop or empty and a process' name or 'leader'");
+    OptionSet options("local_cluster", "a whole fleet of aniseline on this machine; steps are VERB:NAME[:SECONDS], with kill, freeze, stop or empty and a process' name or 'leader'");
     options.text("folder", settings.folder, "a folder for data, logs and histories; must be new", true);
-    options.text("setup", settings.setup, "the setup to apply", true);
+    options.text("config", settings.config, "the config to apply", true);
     options.text("deployment", settings.deployment, "cedarmark or cooperative");
     options.text("programs", settings.programs, "the folder with the programs");
     options.whole("seconds", settings.seconds, "how long to submit", 5, 86'400);
     options.whole("keep", settings.keep, "seconds to stay up for a look", 0, 86'400);
     options.whole("port", settings.port, "the first port", 1024, 65'000);
-    options.whole("fill", settings.fill, "long jobs to fill the minions with", 0, 10'000);
-    options.whole("sluices", settings.sluices, "sluices", 1, 50);
-    options.whole("minions", settings.minions, "minions", 1, 200);
+    options.whole("fill", settings.fill, "long jobs to fill the workers with", 0, 10'000);
+    options.whole("gateways", settings.gateways, "gateways", 1, 50);
+    options.whole("workers", settings.workers, "workers", 1, 200);
     options.real("rate", settings.rate, "times the deployment's load", 0.01, 1000);
-    options.flag("called", settings.called, "minions are called by penstocks, one beside each");
+    options.flag("called", settings.called, "workers are called by agents, one beside each");
     options.words(settings.steps, "steps, one after the other");
     options.read(count, values);
     if (std::filesystem::exists(settings.folder) && !std::filesystem::is_empty(settings.folder)) {
-        std::cerr << "millrace: --folder: " << settings.folder << " is not empty\n";
+        std::cerr << "local_cluster: --folder: " << settings.folder << " is not empty\n";
         return 2;
     }
-    startLog("millrace", "", true);
+    startLog("local_cluster", "", true);
     int status = 1;
     {
         Fleet fleet(settings);
--- a/programs/flume.cpp
+++ b/programs/simulate.cpp
@@ -1,5 +1,5 @@
-// flume: seeded runs of the whole cluster in virtual time, with faults; shrinks what fails. docs/operations.md 8.
-#include "edge/options.hpp"
+// simulate: seeded runs of the whole cluster in virtual time, with faults; shrinks what fails. docs/operations.md 8.
+#include "net/options.hpp"
 #include "simulator/campaign.hpp"
 #include "simulator/faults.hpp"
 #include "simulator/measures.hpp"
@@ -45,28 +45,28 @@
 }  // namespace
 
 int main(int count, char** values) {
-    std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, called = 0, voters = 3, reservoirs = 3, threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
+    std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, called = 0, voters = 3, controllers = 3, threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
     bool verbose = false, shrinks = false, cost = false, failovers = false, views = false, everyKind = false;
     std::string only;
-    OptionSet options("flume", "seeded runs of the whole cluster in virtual time, with faults");
+    OptionSet options("simulate", "seeded runs of the whole cluster in virtual time, with faults");
     options.whole("from", from, "the first seed", 0, 1'000'000'000);
     options.whole("seeds", seeds, "how many seeds", 1, 10'000'000);
     options.whole("length-ms", length, "virtual time before all is healed", 20'000, 86'400'000);
     options.whole("faults", faults, "faults a run", 0, 1000);
-    options.whole("called", called, "minions that are called, each with its penstock, beside the others", 0, 100);
-    options.whole("voters", voters, "reservoirs that vote: two for each that may be lost at once, and one", 3, 9);
-    options.whole("reservoirs", reservoirs, "reservoirs in all, by turns in the areas; no fewer than vote", 3, 15);
+    options.whole("called", called, "workers that are called, each with its agent, beside the others", 0, 100);
+    options.whole("voters", voters, "controllers that vote: two for each that may be lost at once, and one", 3, 9);
+    options.whole("controllers", controllers, "controllers in all, by turns in the zones; no fewer than vote", 3, 15);
     options.whole("threads", threads, "runs at the same time", 1, 256);
     options.text("only", only, "keep only these faults of the schedule, by number, with commas");
     options.flag("verbose", verbose, "tell all that happens");
     options.flag("shrink", shrinks, "shorten the schedule of the first seed that fails");
     options.flag("every-kind", everyKind, "a kind of fault that never took effect is a failure");
-    options.flag("plan-cost", cost, "measure plans instead, by tasks waiting and by minions");
+    options.flag("plan-cost", cost, "measure plans instead, by tasks waiting and by workers");
     options.flag("view-cost", views, "measure the writing of a whole view instead, by jobs kept");
     options.flag("failover", failovers, "measure the loss of a leader instead");
     options.read(count, values);
-    if (voters % 2 == 0 || reservoirs < voters) {
-        std::cerr << "flume: --voters: must be odd and no more than --reservoirs\n";
+    if (voters % 2 == 0 || controllers < voters) {
+        std::cerr << "simulate: --voters: must be odd and no more than --controllers\n";
         return 2;
     }
     if (failovers || cost || views) {
@@ -74,7 +74,7 @@
             for (const bool freezes : {false, true}) std::cout << json(measureFailover(from, seeds, freezes)).serialize() << std::endl;
         if (cost) {
             for (std::size_t waiting : {100, 1000, 5000, 10'000}) std::cout << json(measurePlan(waiting, 11)).serialize() << std::endl;
-            for (std::size_t minions : {50, 200}) std::cout << json(measurePlan(1000, minions)).serialize() << std::endl;
+            for (std::size_t workers : {50, 200}) std::cout << json(measurePlan(1000, workers)).serialize() << std::endl;
         }
         if (views)
             for (std::size_t kept : {1000, 10'000, 50'000, 300'000})
@@ -87,7 +87,7 @@
     base.faults = std::size_t(faults);
     base.called = std::size_t(called);
     base.voters = std::size_t(voters);
-    base.reservoirs = std::size_t(reservoirs);
+    base.controllers = std::size_t(controllers);
     base.verbose = verbose;
     std::istringstream numbers(only);
     for (std::string number; std::getline(numbers, number, ',');) base.only.push_back(std::strtoull(number.c_str(), nullptr, 10));
--- a/programs/drawdown.cpp
+++ b/programs/zone_drill.cpp
@@ -1,10 +1,10 @@
-// drawdown: takes an area out of a running fleet under load, gives it back, and checks the promises. docs/operations.md 9.
-#include "client.hpp"
-#include "edge/history.hpp"
-#include "edge/log.hpp"
-#include "edge/options.hpp"
-#include "edge/stopping.hpp"
-#include "promises.hpp"
+// zone_drill: takes a zone out of a running fleet under load, gives it back, and checks the promises. docs/operations.md 9.
+#include "net/client.hpp"
+#include "net/history_file.hpp"
+#include "net/log.hpp"
+#include "net/options.hpp"
+#include "net/signals.hpp"
+#include "checker/invariants.hpp"
 #include <iostream>
 
 using namespace aniseline;
@@ -13,7 +13,7 @@
 
 struct Settings {
     Address control;
-    std::string area, by = "kill", queue = "proofs", setup, report;
+    std::string zone, by = "kill", queue = "proofs", config, report;
     std::int64_t outSeconds = 10, everyMilliseconds = 200, urgentMilliseconds = 250, failoverMilliseconds = 6000, backMilliseconds = 12'000;
     bool dryRun = false;
 };
@@ -30,42 +30,42 @@
     int run() {
         auto fleet = look();
         if (!fleet) return refuse("the fleet at " + settings.control.value + " can't be asked");
-        const auto& areas = fleet->get("areas").get<picojson::object>();
-        auto chosen = areas.find(settings.area);
-        if (chosen == areas.end()) return refuse("the fleet has no area " + settings.area);
+        const auto& zones = fleet->get("zones").get<picojson::object>();
+        auto chosen = zones.find(settings.zone);
+        if (chosen == zones.end()) return refuse("the fleet has no zone " + settings.zone);
         if (!fleet->get("whole").get<bool>()) return refuse("the fleet is not whole; a drill would take out what is left");
         folder = fleet->get("folder").to_str();
         std::vector<Address> others, own;
-        for (const auto& [name, area] : areas)
-            for (const auto& sluice : area.get("sluices").get<picojson::array>()) (name == settings.area ? own : others).push_back(Address{sluice.to_str()});
-        if (others.empty()) return refuse("no sluice is left outside of " + settings.area);
+        for (const auto& [name, zone] : zones)
+            for (const auto& gateway : zone.get("gateways").get<picojson::array>()) (name == settings.zone ? own : others).push_back(Address{gateway.to_str()});
+        if (others.empty()) return refuse("no gateway is left outside of " + settings.zone);
         if (settings.dryRun) return plan(chosen->second, others);
-        history = HistoryFile(folder + "/drawdown.witness");
-        jobs.open(folder + "/drawdown.submissions", std::ios::app);
+        history = HistoryFile(folder + "/zone_drill.witness");
+        jobs.open(folder + "/zone_drill.submissions", std::ios::app);
 
         spawn([this, others] { probeOn(others); });
-        wait(Span{2000});
-        if (!order("out")) return refuse("the area could not be taken out");
+        wait(Duration{2000});
+        if (!order("out")) return refuse("the zone could not be taken out");
         const std::int64_t outAt = now();
-        wait(Span{settings.outSeconds * 1000});
+        wait(Duration{settings.outSeconds * 1000});
         const std::int64_t backAt = now();
         const bool returned = order("back");
         bool back = false;
         while (returned && !back && now() - backAt < settings.backMilliseconds * 3) {
             auto seen = look();
             back = seen && seen->get("whole").get<bool>() && served(own);
-            if (!back) pause(Span{100});
+            if (!back) pause(Duration{100});
         }
         const std::int64_t wholeAfter = now() - backAt;
-        wait(Span{1500});
+        wait(Duration{1500});
         probing = false;
-        while (under) pause(Span{20});
+        while (under) pause(Duration{20});
         history.close();
 
         report["before"] = json(judge(0, outAt));
         report["out"] = json(judge(outAt + settings.failoverMilliseconds, backAt));
         report["back_after_ms"] = json(back ? wholeAfter : -1);
-        hold("the area is back within " + std::to_string(settings.backMilliseconds) + " ms", back && wholeAfter <= settings.backMilliseconds);
+        hold("the zone is back within " + std::to_string(settings.backMilliseconds) + " ms", back && wholeAfter <= settings.backMilliseconds);
         std::size_t lost = 0;
         for (const auto& probe : probes) lost += probe.finishedAfter < 0;
         hold("every probe that was begun was seen finished", lost == 0 && !probes.empty());
@@ -76,47 +76,47 @@
 
 private:
     static std::int64_t now() { return monotonicNow().milliseconds; }
-    void wait(Span span) {
-        const Instant until = monotonicNow() + span;
-        while (monotonicNow() < until && !stop.requested()) pause(Span{20});
+    void wait(Duration span) {
+        const MonotonicTime until = monotonicNow() + span;
+        while (monotonicNow() < until && !stop.requested()) pause(Duration{20});
     }
     int refuse(const std::string& why) {
-        std::cerr << "drawdown: " << why << "\n";
+        std::cerr << "zone_drill: " << why << "\n";
         return 3;
     }
     std::optional<picojson::value> look() {
-        auto answer = client.ask(settings.control, {"GET", "/fleet", ""}, Span{8000});
+        auto answer = client.ask(settings.control, {"GET", "/fleet", ""}, Duration{8000});
         picojson::value root;
         if (!answer || answer.value().status != 200 || !picojson::parse(root, answer.value().body).empty()) return std::nullopt;
         return root;
     }
     bool order(const std::string& verb) {
-        auto answer = client.ask(settings.control, {"POST", "/fleet/" + settings.area + "/" + verb + "/" + settings.by, ""}, Span{8000});
+        auto answer = client.ask(settings.control, {"POST", "/fleet/" + settings.zone + "/" + verb + "/" + settings.by, ""}, Duration{8000});
         return answer && answer.value().status == 200;
     }
-    int plan(const picojson::value& area, const std::vector<Address>& others) {
-        std::cout << "would take out " << settings.area << " by " << settings.by << " for " << settings.outSeconds << " s:";
-        for (const auto& process : area.get("processes").get<picojson::array>()) std::cout << " " << process.get("name").to_str();
+    int plan(const picojson::value& zone, const std::vector<Address>& others) {
+        std::cout << "would take out " << settings.zone << " by " << settings.by << " for " << settings.outSeconds << " s:";
+        for (const auto& process : zone.get("processes").get<picojson::array>()) std::cout << " " << process.get("name").to_str();
         std::cout << "\nand probe queue " << settings.queue << " every " << settings.everyMilliseconds << " ms through";
         for (const auto& address : others) std::cout << " " << address.value;
         std::cout << "\nnothing was done" << std::endl;
         return 0;
     }
-    bool served(const std::vector<Address>& sluices) {
-        Caller caller(loop, sluices);
-        return caller.ask({"GET", "/v1/counters", ""}, Span{1500}).has_value();
+    bool served(const std::vector<Address>& gateways) {
+        Caller caller(loop, gateways);
+        return caller.ask({"GET", "/v1/counters", ""}, Duration{1500}).has_value();
     }
 
-    void note(Witness::Kind kind, const JobId& job, std::string detail = {}) {
-        Witness witness;
+    void note(HistoryEvent::Kind kind, const JobId& job, std::string detail = {}) {
+        HistoryEvent witness;
         witness.kind = kind;
         witness.job = job.value;
         witness.detail = std::move(detail);
         history.write(std::move(witness));
     }
-    void probeOn(const std::vector<Address>& sluices) {
+    void probeOn(const std::vector<Address>& gateways) {
         for (std::size_t count = 0; probing; ++count) {
-            auto turned = sluices;
+            auto turned = gateways;
             std::rotate(turned.begin(), turned.begin() + std::ptrdiff_t(count % turned.size()), turned.end());
             const std::size_t place = probes.size();
             probes.push_back(Probe{now(), -1, -1});
@@ -125,29 +125,29 @@
                 follow(place, turned);
                 --under;
             });
-            pause(Span{settings.everyMilliseconds});
+            pause(Duration{settings.everyMilliseconds});
         }
     }
-    void follow(std::size_t place, const std::vector<Address>& sluices) {
+    void follow(std::size_t place, const std::vector<Address>& gateways) {
         JobSubmission job;
         job.id = JobId{"drill-" + std::to_string(wallNow().milliseconds) + "-" + std::to_string(place)};
         job.queue = QueueName{settings.queue};
-        job.steps = {{"probe", {}, false, {TaskRequest{1000, 128, Span{500}, "run=60"}}}};
+        job.steps = {{"probe", {}, false, {TaskRequest{1000, 128, Duration{500}, "run=60"}}}};
         jobs << renderJob(job) << "\n" << std::flush;
-        Caller caller(loop, sluices);
-        caller.witness = [&](const HttpRequest& request, const Result<HttpAnswer, HttpError>& result) {
+        Caller caller(loop, gateways);
+        caller.witness = [&](const HttpRequest& request, const Result<HttpResponse, HttpError>& result) {
             if (request.method != "POST") return;
-            note(Witness::Kind::submitted, job.id);
+            note(HistoryEvent::Kind::submitted, job.id);
             const int status = result ? result.value().status : 503;
-            note(status == 202 ? Witness::Kind::accepted : status == 503 ? Witness::Kind::unknown : Witness::Kind::rejected, job.id, std::to_string(status));
+            note(status == 202 ? HistoryEvent::Kind::accepted : status == 503 ? HistoryEvent::Kind::unknown : HistoryEvent::Kind::rejected, job.id, std::to_string(status));
         };
-        if (!caller.submit(job, Span{20'000})) return;
+        if (!caller.submit(job, Duration{20'000})) return;
         probes[place].acceptedAfter = now() - probes[place].begunAt;
-        for (const Instant until = monotonicNow() + Span{30'000}; monotonicNow() < until; pause(Span{20})) {
-            auto shown = caller.show(job.id, Span{5000});
+        for (const MonotonicTime until = monotonicNow() + Duration{30'000}; monotonicNow() < until; pause(Duration{20})) {
+            auto shown = caller.show(job.id, Duration{5000});
             picojson::value root;
             if (!shown || !picojson::parse(root, shown.value().body).empty() || root.get("state").to_str() != "finished") continue;
-            note(Witness::Kind::shown, job.id, "finished");
+            note(HistoryEvent::Kind::shown, job.id, "finished");
             probes[place].finishedAfter = now() - probes[place].begunAt;
             return;
         }
@@ -169,15 +169,15 @@
         const auto spans = spansOf(from, to);
         hold("after failover 95 of 100 urgent jobs took at most " + std::to_string(settings.urgentMilliseconds) + " ms", !spans.empty() && spans[spans.size() * 95 / 100] <= settings.urgentMilliseconds);
     }
-    // The never-rules over what callers and minions have witnessed so far; the writers are still at work.
+    // The never-rules over what callers and workers have witnessed so far; the writers are still at work.
     void judgeHistories() {
         auto read = readFolder(folder, true);
         if (!read) return hold(read.error().message(), false);
-        PromiseOptions options;
-        std::ifstream stream(settings.setup);
-        if (auto setup = Setup::parse(std::string((std::istreambuf_iterator<char>(stream)), {})))
-            for (const auto& [name, queue] : setup.value().queues) options.retriesOf[name.value] = queue.retries;
-        const auto findings = checkPromises(std::move(read.value().witnessed), read.value().submissions, options);
+        InvariantOptions options;
+        std::ifstream stream(settings.config);
+        if (auto config = ClusterConfig::parse(std::string((std::istreambuf_iterator<char>(stream)), {})))
+            for (const auto& [name, queue] : config.value().queues) options.retriesOf[name.value] = queue.retries;
+        const auto findings = checkInvariants(std::move(read.value().witnessed), read.value().submissions, options);
         picojson::array limits;
         for (const auto& limit : findings.limits) limits.push_back(json("rule " + std::to_string(limit.rule) + ": " + limit.text));
         report["limits"] = json(limits);
@@ -189,7 +189,7 @@
         good = good && holds;
     }
     int close() {
-        report["area"] = json(settings.area);
+        report["zone"] = json(settings.zone);
         report["by"] = json(settings.by);
         report["interrupted"] = json(stop.requested());
         report["checks"] = json(checks);
@@ -218,14 +218,14 @@
 
 int main(int count, char** values) {
     Settings settings;
-    OptionSet options("drawdown", "takes an area out of a running fleet under load, gives it back, and checks the promises");
-    options.address("control", settings.control, "where the fleet's keeper takes orders (millrace says it)", true);
-    options.text("area", settings.area, "the area to take out", true);
+    OptionSet options("zone_drill", "takes a zone out of a running fleet under load, gives it back, and checks the promises");
+    options.address("control", settings.control, "where the fleet's keeper takes orders (local_cluster says it)", true);
+    options.text("zone", settings.zone, "the zone to take out", true);
     options.text("by", settings.by, "kill, freeze or cut");
     options.text("queue", settings.queue, "the urgent queue to probe");
-    options.text("setup", settings.setup, "the setup in force, for the queues' retries");
+    options.text("config", settings.config, "the config in force, for the queues' retries");
     options.text("report", settings.report, "a file for the report");
-    options.whole("out-seconds", settings.outSeconds, "how long the area stays out", 1, 3600);
+    options.whole("out-seconds", settings.outSeconds, "how long the zone stays out", 1, 3600);
     options.whole("every-ms", settings.everyMilliseconds, "between probes", 20, 60'000);
     options.whole("urgent-ms", settings.urgentMilliseconds, "the bound of urgent work after failover, polling included", 1, 60'000);
     options.whole("failover-ms", settings.failoverMilliseconds, "given for failover before urgent work is judged", 0, 60'000);
@@ -233,10 +233,10 @@
     options.flag("dry-run", settings.dryRun, "say what would be done, do nothing");
     options.read(count, values);
     if (settings.by != "kill" && settings.by != "freeze" && settings.by != "cut") {
-        std::cerr << "drawdown: --by: must be kill, freeze or cut\n";
+        std::cerr << "zone_drill: --by: must be kill, freeze or cut\n";
         return 2;
     }
-    startLog("drawdown", settings.area, true);
+    startLog("zone_drill", settings.zone, true);
     const int status = Drill(settings).run();
     std::cout.flush();
     std::_Exit(status);
--- a/source/called_hand.hpp
+++ b/source/agent/called_worker_session.hpp
@@ -1,41 +1,41 @@
-// The core of a minion that is called rather than calls: starts, stops, looks, its hold, numbered endings. Sans-IO.
-// docs/api.md 5. MinionHand is its fellow for minions that call.
+// The core of a worker that is called rather than calls: starts, stops, looks, its hold, numbered endings. Sans-IO.
+// docs/api.md 5. WorkerSession is its fellow for workers that call.
 #pragma once
-#include "minion_hand.hpp"
-#include "penstock.hpp"
+#include "agent/worker_session.hpp"
+#include "agent/node_agent.hpp"
 
 namespace aniseline {
 
-class CalledHand {
+class CalledWorkerSession {
 public:
     struct Options {
         Capacity capacity;
-        Span longestHold{6000};
+        Duration longestHold{6000};
         std::size_t endingsAtOnce = 500;  // of one look
         std::size_t remembered = 100'000; // tasks whose latest run is remembered against starts that come late
     };
-    CalledHand(Options options, MinionId life) : options(std::move(options)), life(std::move(life)) {}
+    CalledWorkerSession(Options options, WorkerId life) : options(std::move(options)), life(std::move(life)) {}
 
     // Carries a call out; the answer of a look may be asked for again by the same call while its wait lasts.
-    MinionReply take(const MinionCall& call, MinionTime now);
+    WorkerReply take(const WorkerCall& call, WorkerTime now);
     // Kills all when the hold is over, and ends trials that have used their time.
-    void tick(MinionTime now);
-    void ended(AttemptNumber attempt, bool well, MinionTime now);
+    void tick(WorkerTime now);
+    void ended(AttemptNumber attempt, bool well, WorkerTime now);
     void leave() { leaving = true; }
     // Another life begins: nothing of this one runs on.
-    void replaced(MinionId next);
+    void replaced(WorkerId next);
 
     std::vector<HandEffect> takeEffects() { return std::exchange(effects, {}); }
     std::vector<std::pair<Order, EndingKind>> takeConfirmed() { return std::exchange(confirmed, {}); }
     bool idle() const { return running.empty(); }
     bool empty() const { return running.empty() && endings.empty(); }
-    const MinionId& currentLife() const { return life; }
+    const WorkerId& currentLife() const { return life; }
 
 private:
     struct Running {
         RunName name;
         Order order;
-        MinionTime since;
+        WorkerTime since;
     };
     struct Ended {
         std::uint64_t number;
@@ -43,18 +43,18 @@
         Order order;
         EndingKind kind;
     };
-    MinionReply start(const MinionCall& call, MinionTime now);
-    MinionReply stop(const MinionCall& call);
-    MinionReply look(const MinionCall& call, MinionTime now);
-    void extend(const std::optional<MinionTime>& deadline, MinionTime now);
+    WorkerReply start(const WorkerCall& call, WorkerTime now);
+    WorkerReply stop(const WorkerCall& call);
+    WorkerReply look(const WorkerCall& call, WorkerTime now);
+    void extend(const std::optional<WorkerTime>& deadline, WorkerTime now);
     void end(std::map<AttemptNumber, Running>::iterator task, EndingKind kind, bool byItself);
     bool fits(const Order& order) const;
     bool remember(const RunName& name);  // false: this run or a later one of the task is known already
 
     Options options;
-    MinionId life;
-    Epoch fence;
-    MinionTime hold{0};
+    WorkerId life;
+    Term fence;
+    WorkerTime hold{0};
     bool leaving = false;
     std::map<AttemptNumber, Running> running;
     std::deque<Ended> endings;
--- a/source/penstock.cpp
+++ b/source/agent/node_agent.cpp
@@ -1,18 +1,18 @@
-#include "penstock.hpp"
+#include "agent/node_agent.hpp"
 
 namespace aniseline {
 
-bool Penstock::known(const MinionAccount& given, Instant now) {
+bool NodeAgent::known(const WorkerAccount& given, MonotonicTime now) {
     if (formerLives.count(given.life)) return false;
     if (given.life != account.life) {
         // Another life: nothing of the former one runs or will. docs/design.md 5.8.
         if (!account.life.value.empty()) formerLives.insert(account.life);
-        const PenstockOptions kept = options;
+        const NodeAgentOptions kept = options;
         auto lives = std::move(formerLives);
-        const Epoch seen = epoch;
-        *this = Penstock(kept);
+        const Term seen = term;
+        *this = NodeAgent(kept);
         formerLives = std::move(lives);
-        epoch = seen;
+        term = seen;
     }
     heardAt = now;
     const bool leaving = account.leaving || given.leaving;
@@ -24,24 +24,24 @@
     return true;
 }
 
-void Penstock::left(const MinionId& life) {
+void NodeAgent::left(const WorkerId& life) {
     if (life != account.life) return;
     over = true;
     works.clear();
     told.clear();
 }
 
-void Penstock::hear(const std::optional<MinionTime>& told, Instant now) {
+void NodeAgent::hear(const std::optional<WorkerTime>& told, MonotonicTime now) {
     if (!told) return;
     if (clock && *told <= *clock) return;
     clock = told;
     clockAt = now;
-    noteLapse(now);
+    recordLapse(now);
 }
 
 // What had ended when the hold ran out, and was not confirmed, is void. docs/design.md 5.5. Its clock may be slow: before the hold
 // has surely run out nothing is called void, and while it may have nothing renews it. docs/design.md 5.8.
-void Penstock::noteLapse(Instant now) {
+void NodeAgent::recordLapse(MonotonicTime now) {
     if (!granted || !clock || overNoted || surelyRead(now) < *granted) return;
     overNoted = true;
     if (works.empty() && told.empty()) return;
@@ -52,27 +52,27 @@
 }
 
 // What a clock that may be slow surely shows by now; and whether a true one may show the end of the hold already.
-MinionTime Penstock::surelyRead(Instant now) const { return *clock + Span{std::int64_t(double((now - clockAt).milliseconds) * options.slowest)}; }
-bool Penstock::mayLapse(Instant now) const { return granted && clock && !overNoted && *clock + (now - clockAt) + Span{50} > *granted; }
+WorkerTime NodeAgent::surelyRead(MonotonicTime now) const { return *clock + Duration{std::int64_t(double((now - clockAt).milliseconds) * options.slowest)}; }
+bool NodeAgent::mayLapse(MonotonicTime now) const { return granted && clock && !overNoted && *clock + (now - clockAt) + Duration{50} > *granted; }
 
-// The lease as a time on the minion's clock. Counted as if that clock were slow, it is never later than the lease.
-std::optional<MinionTime> Penstock::deadline(Instant now) const {
+// The lease as a time on the worker's clock. Counted as if that clock were slow, it is never later than the lease.
+std::optional<WorkerTime> NodeAgent::deadline(MonotonicTime now) const {
     if (!clock || leaseUntil <= now) return std::nullopt;
-    const Span left = std::min({leaseUntil - now, options.longestHold, options.hold});
-    return *clock + Span{std::int64_t(double((now - clockAt).milliseconds + left.milliseconds) * options.slowest)};
+    const Duration left = std::min({leaseUntil - now, options.longestHold, options.hold});
+    return *clock + Duration{std::int64_t(double((now - clockAt).milliseconds + left.milliseconds) * options.slowest)};
 }
 
 // How long its tasks may yet run if it can't be reached, on a true clock.
-Span Penstock::heldFor(Instant now) const {
+Duration NodeAgent::heldFor(MonotonicTime now) const {
     if (!granted || !clock) return options.longestHold;
     const double read = double(clock->milliseconds) + double((now - clockAt).milliseconds) * options.slowest;
-    return Span{std::max<std::int64_t>(0, std::int64_t((double(granted->milliseconds) - read) / options.slowest) + 1)};
+    return Duration{std::max<std::int64_t>(0, std::int64_t((double(granted->milliseconds) - read) / options.slowest) + 1)};
 }
 
-OrderNumber Penstock::applied() const { return openOrders.empty() ? received : std::min(received, OrderNumber{openOrders.begin()->value - 1}); }
+OrderNumber NodeAgent::applied() const { return openOrders.empty() ? received : std::min(received, OrderNumber{openOrders.begin()->value - 1}); }
 
-SyncReport Penstock::report(Instant now) {
-    noteLapse(now);
+SyncReport NodeAgent::report(MonotonicTime now) {
+    recordLapse(now);
     SyncReport report;
     report.id = account.life;
     report.incarnation = incarnation;
@@ -88,36 +88,36 @@
     }
     for (const auto& [name, saved] : saves) report.saves.push_back({name, saved});
     report.reportedAt = now;
-    report.deaf = toldDeaf = deaf(now);
-    if (report.deaf) {
+    report.unresponsive = toldUnresponsive = unresponsive(now);
+    if (report.unresponsive) {
         report.heldFor = heldFor(now);
         outOfTouch = true;
-        deafToldAt = now;
+        unresponsiveToldAt = now;
     }
     report.leaving = account.leaving;
     report.leaveWithin = account.leaveWithin;
     return report;
 }
 
-bool Penstock::deaf(Instant now) const { return unanswered && now - heardAt > options.deafAfter; }
+bool NodeAgent::unresponsive(MonotonicTime now) const { return unanswered && now - heardAt > options.unresponsiveAfter; }
 
-bool Penstock::urgent(Instant now) const {
+bool NodeAgent::urgent(MonotonicTime now) const {
     if (!mayReport() || now < retiredUntil) return false;
-    if ((account.leaving && !toldLeaving) || deaf(now) != toldDeaf) return true;
+    if ((account.leaving && !toldLeaving) || unresponsive(now) != toldUnresponsive) return true;
     if (std::any_of(told.begin(), told.end(), [](const Told& ending) { return !ending.told; })) return true;
-    return applied() != toldApplied && now - appliedAt > Span{400};
+    return applied() != toldApplied && now - appliedAt > Duration{400};
 }
 
-void Penstock::answered(const SyncReport& asked, const SyncAnswer& answer, Instant sentAt, Instant now) {
-    if (asked.id != account.life || asked.incarnation != incarnation || answer.epoch < epoch) return;
-    epoch = answer.epoch;
-    const Span term = std::min(answer.term, options.longestHold);
-    if (!asked.deaf) {
-        // Only a word given after the last one of its deafness: until a leader has heard that, what it was told still stands.
-        if (!deaf(now) && asked.reportedAt > deafToldAt) outOfTouch = false;
+void NodeAgent::answered(const SyncReport& asked, const SyncResponse& answer, MonotonicTime sentAt, MonotonicTime now) {
+    if (asked.id != account.life || asked.incarnation != incarnation || answer.term < term) return;
+    term = answer.term;
+    const Duration leaseGranted = std::min(answer.lease, options.longestHold);
+    if (!asked.unresponsive) {
+        // Only a word given after the last one of its unresponsiveness: until a leader has heard that, what it was told still stands.
+        if (!unresponsive(now) && asked.reportedAt > unresponsiveToldAt) outOfTouch = false;
         knownTo = std::max(knownTo, answer.after);
-        lease = term;
-        leaseUntil = std::max(leaseUntil, sentAt + term);
+        lease = leaseGranted;
+        leaseUntil = std::max(leaseUntil, sentAt + leaseGranted);
     }
     if (asked.leaving) toldLeaving = true;
     for (const auto& save : asked.saves)
@@ -126,7 +126,7 @@
         const auto& name = asked.namedEndings[place].name;
         for (auto ending = told.begin(); ending != told.end(); ++ending)
             if (ending->ending.name == name) {
-                // Endings are final in the order of their numbers only: the minion forgets all up to one.
+                // Endings are final in the order of their numbers only: the worker forgets all up to one.
                 if (ending->number && ending != told.begin()) break;
                 lastSeen = std::max(lastSeen, ending->number);
                 told.erase(ending);
@@ -139,7 +139,7 @@
 
 // Answers overtake each other, so orders may come with a gap before them; each is carried out when it comes. A new process
 // begins where the leader does, and an earlier one may have begun to carry out what comes first. docs/design.md 5.8.
-void Penstock::takeOrders(const SyncAnswer& answer, Instant now) {
+void NodeAgent::takeOrders(const SyncResponse& answer, MonotonicTime now) {
     auto has = [&](OrderNumber number) {
         return number <= received || std::any_of(ahead.begin(), ahead.end(), [&](const auto& span) { return number > span.first && number <= span.second; });
     };
@@ -164,8 +164,8 @@
     }
 }
 
-void Penstock::replaced(Instant now) {
-    // Whatever still runs there dies with its hold; only then may this minion be used under another incarnation.
+void NodeAgent::replaced(MonotonicTime now) {
+    // Whatever still runs there dies with its hold; only then may this worker be used under another incarnation.
     works.clear();
     told.clear();
     saves.clear();
@@ -173,12 +173,12 @@
     ahead.clear();
     received = toldApplied = knownTo = OrderNumber{};
     incarnation = incarnation.next();
-    leaseUntil = Instant{0};
+    leaseUntil = MonotonicTime{0};
     retired = true;
-    retiredUntil = now + Span{options.longestHold.milliseconds * 11 / 10 + 500};
+    retiredUntil = now + Duration{options.longestHold.milliseconds * 11 / 10 + 500};
 }
 
-void Penstock::take(const Order& order, Instant now) {
+void NodeAgent::take(const Order& order, MonotonicTime now) {
     const RunName name = RunName::of(order);
     auto found = works.find(name);
     if (order.kind == OrderKind::start || order.kind == OrderKind::stage) {
@@ -211,8 +211,8 @@
     found->second.notBefore = now;
 }
 
-// A gang's part is staged here, not at the minion, which knows starts only. docs/design.md 7.3.
-void Penstock::go(const Order& order, const RunName& name, Instant now) {
+// A gang's part is staged here, not at the worker, which knows starts only. docs/design.md 7.3.
+void NodeAgent::go(const Order& order, const RunName& name, MonotonicTime now) {
     auto found = works.find(name);
     if (found == works.end()) {
         // Staged by an earlier process of this agent: it was never begun.
@@ -226,12 +226,12 @@
     openOrders.insert(order.number);
 }
 
-void Penstock::settleOrders(Work& work) {
+void NodeAgent::settleOrders(Work& work) {
     for (auto number : work.orders) openOrders.erase(number);
     work.orders.clear();
 }
 
-void Penstock::finish(const RunName& name, EndingKind kind, std::uint64_t number, std::string saved) {
+void NodeAgent::finish(const RunName& name, EndingKind kind, std::uint64_t number, std::string saved) {
     auto found = works.find(name);
     if (found != works.end()) {
         settleOrders(found->second);
@@ -247,56 +247,56 @@
     }
 }
 
-void Penstock::lookAfter(Work& work) {
+void NodeAgent::lookAfter(Work& work) {
     work.looked = false;
     work.lookFrom = looksBegun + 1;
 }
 
-Span Penstock::renewAfter() const {
-    return std::clamp(Span{std::min(lease, options.hold).milliseconds / 4}, Span{100}, options.longestLook);
+Duration NodeAgent::renewAfter() const {
+    return std::clamp(Duration{std::min(lease, options.hold).milliseconds / 4}, Duration{100}, options.longestLook);
 }
 // A look that is lost with its whole wait leaves a second of the hold that it asks for, in which others are made. What is left of
 // the lease is what counts: the leader renews that once a sync only.
-Span Penstock::lookWait(Instant now) const {
+Duration NodeAgent::lookWait(MonotonicTime now) const {
     const std::int64_t left = std::min(leaseUntil - now, options.hold).milliseconds;
-    return std::min(std::max(renewAfter(), Span{std::min(left / 2, left - 1000)}), options.longestLook);
+    return std::min(std::max(renewAfter(), Duration{std::min(left / 2, left - 1000)}), options.longestLook);
 }
 
 // What surely runs is not among it: when a stop of it has done its work a look that waits comes back with the ending.
-bool Penstock::toFindOut() const {
+bool NodeAgent::toFindOut() const {
     return std::any_of(works.begin(), works.end(), [](const auto& entry) { return !entry.second.looked && !entry.second.running; });
 }
-bool Penstock::unconfirmed() const {
+bool NodeAgent::unconfirmed() const {
     return std::any_of(told.begin(), told.end(), [](const Told& ending) { return ending.number != 0; });
 }
-bool Penstock::hasTold(const RunName& name) const {
+bool NodeAgent::hasTold(const RunName& name) const {
     return std::any_of(told.begin(), told.end(), [&](const Told& ending) { return ending.ending.name == name; });
 }
 
-bool Penstock::wantsLook(Instant now) const {
-    if (looking || account.life.value.empty() || over || now < retiredUntil || epoch == Epoch{} || leaseUntil <= now) return false;
+bool NodeAgent::wantsLook(MonotonicTime now) const {
+    if (looking || account.life.value.empty() || over || now < retiredUntil || term == Term{} || leaseUntil <= now) return false;
     if (!everLooked || lapsed) return true;
-    if (toFindOut()) return now - lookedAt >= (told.empty() ? Span{20} : options.lookAgain);
-    if (unanswered && now - lookedAt < Span{250}) return false;
+    if (toFindOut()) return now - lookedAt >= (told.empty() ? Duration{20} : options.lookAgain);
+    if (unanswered && now - lookedAt < Duration{250}) return false;
     const bool running = unanswered || std::any_of(works.begin(), works.end(), [](const auto& entry) { return entry.second.running; });
     if (!running && !moreEnded) return false;
     // While endings wait to be confirmed a look would only tell them again; it is due all the same to keep the hold up.
-    return !unconfirmed() || now - lookedAt >= std::max(renewAfter(), Span{500});
+    return !unconfirmed() || now - lookedAt >= std::max(renewAfter(), Duration{500});
 }
 
-std::vector<MinionCall> Penstock::takeCalls(Instant now) {
-    std::vector<MinionCall> calls;
-    noteLapse(now);
+std::vector<WorkerCall> NodeAgent::takeCalls(MonotonicTime now) {
+    std::vector<WorkerCall> calls;
+    recordLapse(now);
     retired = retired && now < retiredUntil;
     if (account.life.value.empty() || over || now < retiredUntil) return calls;
-    auto make = [&](MinionCall::Kind kind) {
-        MinionCall call;
+    auto make = [&](WorkerCall::Kind kind) {
+        WorkerCall call;
         call.kind = kind;
         call.number = nextCall++;
         call.life = account.life;
-        call.fence = epoch;
-        // A stop extends no hold; and what the leader was told of a deaf minion stays true.
-        if (kind != MinionCall::Kind::stop) call.deadline = deaf(now) || outOfTouch ? granted : deadline(now);
+        call.fence = term;
+        // A stop extends no hold; and what the leader was told of a unresponsive worker stays true.
+        if (kind != WorkerCall::Kind::stop) call.deadline = unresponsive(now) || outOfTouch ? granted : deadline(now);
         if (call.deadline && (!granted || *granted < *call.deadline)) {
             granted = call.deadline;
             overNoted = false;
@@ -314,8 +314,8 @@
             }
             if (account.leaving) work.failed = true;
             else {
-                if (lapsed || outOfTouch || knownTo > received || deaf(now) || leaseUntil <= now || !clock || (mayLapse(now) && !told.empty())) continue;
-                auto call = make(MinionCall::Kind::start);
+                if (lapsed || outOfTouch || knownTo > received || unresponsive(now) || leaseUntil <= now || !clock || (mayLapse(now) && !told.empty())) continue;
+                auto call = make(WorkerCall::Kind::start);
                 call.name = name;
                 call.payload = work.order.payload;
                 call.saved = work.order.saved;
@@ -332,7 +332,7 @@
                 never.push_back(name);
                 continue;
             }
-            auto call = make(MinionCall::Kind::stop);
+            auto call = make(WorkerCall::Kind::stop);
             call.name = name;
             calls.push_back(std::move(call));
             work.calling = true;
@@ -341,10 +341,10 @@
     }
     for (const auto& name : never) finish(name, works[name].refused ? EndingKind::refused : EndingKind::unstarted, 0, "");
     if (wantsLook(now) && !(mayLapse(now) && !told.empty())) {
-        auto call = make(MinionCall::Kind::look);
+        auto call = make(WorkerCall::Kind::look);
         call.lastSeen = lastSeen;
-        call.wait = !everLooked || lapsed || unanswered || toFindOut() || unconfirmed() || moreEnded ? Span{0} : lookWait(now);
-        call.within = call.wait + Span{400};
+        call.wait = !everLooked || lapsed || unanswered || toFindOut() || unconfirmed() || moreEnded ? Duration{0} : lookWait(now);
+        call.within = call.wait + Duration{400};
         looking = true;
         ++looksBegun;
         call.number = looksBegun;
@@ -354,27 +354,27 @@
     return calls;
 }
 
-void Penstock::replied(const MinionCall& call, const MinionReply& reply, Instant now) {
+void NodeAgent::replied(const WorkerCall& call, const WorkerReply& reply, MonotonicTime now) {
     if (call.life != account.life) return;
-    if (call.kind == MinionCall::Kind::look) looking = false;
+    if (call.kind == WorkerCall::Kind::look) looking = false;
     else if (callsUnderWay > 0) --callsUnderWay;
     hear(reply.clock, now);
-    if (reply.kind == MinionReply::Kind::lost) unanswered = true;
+    if (reply.kind == WorkerReply::Kind::lost) unanswered = true;
     else {
         unanswered = false;
         heardAt = now;
     }
-    if (call.kind == MinionCall::Kind::look) {
-        if (reply.kind == MinionReply::Kind::done) looked(call, reply, now);
+    if (call.kind == WorkerCall::Kind::look) {
+        if (reply.kind == WorkerReply::Kind::done) looked(call, reply, now);
         return;
     }
     auto found = works.find(call.name);
     if (found == works.end()) return;  // its ending was seen meanwhile
     Work& work = found->second;
     work.calling = false;
-    const bool start = call.kind == MinionCall::Kind::start;
+    const bool start = call.kind == WorkerCall::Kind::start;
     switch (reply.kind) {
-        case MinionReply::Kind::done:
+        case WorkerReply::Kind::done:
             if (start) {
                 work.running = true;
                 if (work.wanted) settleOrders(work);
@@ -383,45 +383,45 @@
                 lookAfter(work);
             }
             return;
-        case MinionReply::Kind::lost:
+        case WorkerReply::Kind::lost:
             work.unsure = true;
-            work.notBefore = now + Span{20};
+            work.notBefore = now + Duration{20};
             return;
-        case MinionReply::Kind::old:
+        case WorkerReply::Kind::old:
             work.unsure = true;  // it was there before, or a later one is: a look tells
             if (start) lookAfter(work);
-            else work.notBefore = now + Span{100};
+            else work.notBefore = now + Duration{100};
             return;
-        case MinionReply::Kind::late:
-            work.notBefore = now + Span{50};  // with the next lease
+        case WorkerReply::Kind::late:
+            work.notBefore = now + Duration{50};  // with the next lease
             return;
-        case MinionReply::Kind::sick:
+        case WorkerReply::Kind::sick:
             if (++work.sick < 3 || !start) {
-                work.notBefore = now + Span{std::int64_t(50) << std::min(work.sick, 4u)};
+                work.notBefore = now + Duration{std::int64_t(50) << std::min(work.sick, 4u)};
                 return;
             }
             [[fallthrough]];
-        case MinionReply::Kind::room:
+        case WorkerReply::Kind::room:
             if (start) work.failed = work.refused = true;
-            else work.notBefore = now + Span{100};
+            else work.notBefore = now + Duration{100};
             return;
-        case MinionReply::Kind::fenced:
-            work.notBefore = now + Span{200};  // a newer leader has been here: its sync tells
+        case WorkerReply::Kind::fenced:
+            work.notBefore = now + Duration{200};  // a newer leader has been here: its sync tells
             return;
-        case MinionReply::Kind::invalid:
+        case WorkerReply::Kind::invalid:
             if (start) work.failed = true;
             else {
                 work.stopped = true;
                 lookAfter(work);
             }
             return;
-        case MinionReply::Kind::otherLife:
-            work.notBefore = now + Span{300};  // the next account of itself will tell
+        case WorkerReply::Kind::otherLife:
+            work.notBefore = now + Duration{300};  // the next account of itself will tell
             return;
     }
 }
 
-void Penstock::looked(const MinionCall& call, const MinionReply& reply, Instant now) {
+void NodeAgent::looked(const WorkerCall& call, const WorkerReply& reply, MonotonicTime now) {
     everLooked = true;
     lookedAt = now;
     std::set<RunName> seen;
@@ -467,14 +467,14 @@
     }
 }
 
-Instant Penstock::nextDue(Instant now) const {
-    Instant due = now + Span{60'000};
+MonotonicTime NodeAgent::nextDue(MonotonicTime now) const {
+    MonotonicTime due = now + Duration{60'000};
     if (account.life.value.empty() || over) return due;
-    if (unanswered && !toldDeaf) due = std::min(due, std::max(heardAt + options.deafAfter + Span{1}, now + Span{5}));
+    if (unanswered && !toldUnresponsive) due = std::min(due, std::max(heardAt + options.unresponsiveAfter + Duration{1}, now + Duration{5}));
     for (const auto& [name, work] : works)
-        if (!work.calling && (!work.running || !work.wanted) && !work.stopped && !(work.staged && work.wanted)) due = std::min(due, std::max(work.notBefore, now + Span{5}));
-    if (!looking && (!works.empty() || !everLooked || unanswered)) due = std::min(due, now + Span{25});
-    if (applied() != toldApplied) due = std::min(due, std::max(appliedAt + Span{401}, now + Span{5}));
+        if (!work.calling && (!work.running || !work.wanted) && !work.stopped && !(work.staged && work.wanted)) due = std::min(due, std::max(work.notBefore, now + Duration{5}));
+    if (!looking && (!works.empty() || !everLooked || unanswered)) due = std::min(due, now + Duration{25});
+    if (applied() != toldApplied) due = std::min(due, std::max(appliedAt + Duration{401}, now + Duration{5}));
     return due;
 }
 
--- a/source/minion_hand.cpp
+++ b/source/agent/worker_session.cpp
@@ -1,8 +1,8 @@
-#include "minion_hand.hpp"
+#include "agent/worker_session.hpp"
 
 namespace aniseline {
 
-SyncReport MinionHand::report(Instant now) {
+SyncReport WorkerSession::report(MonotonicTime now) {
     tick(now);
     SyncReport report;
     report.id = options.id;
@@ -12,7 +12,7 @@
     for (const auto& [attempt, ended] : endings) report.endings.push_back({attempt, ended.kind});
     report.leaving = leaving;
     report.leaveWithin = leaveWithin;
-    report.wait = urgent() ? Span{0} : options.wait;
+    report.wait = urgent() ? Duration{0} : options.wait;
     // Applied orders are told at once, but such a sync may then wait for new ones.
     if (endings.empty() && leaving == toldLeaving) report.wait = options.wait;
     toldApplied = applied;
@@ -20,18 +20,18 @@
     return report;
 }
 
-bool MinionHand::answered(const SyncAnswer& answer, Instant sentAt, Instant now) {
+bool WorkerSession::answered(const SyncResponse& answer, MonotonicTime sentAt, MonotonicTime now) {
     tick(now);
-    // docs/design.md 5.3: an order from a superseded leader, or under a term that is over, is not followed.
-    if (answer.epoch < seenEpoch || now >= sentAt + answer.term) return false;
-    seenEpoch = answer.epoch;
+    // docs/design.md 5.3: an order from a superseded leader, or under a lease that is over, is not followed.
+    if (answer.term < seenTerm || now >= sentAt + answer.lease) return false;
+    seenTerm = answer.term;
     for (const auto& attempt : answer.confirmed)
         if (auto found = endings.find(attempt); found != endings.end()) {
             if (found->second.order.attempt.value) confirmed.emplace_back(found->second.order, found->second.kind);
             endings.erase(found);
         }
-    if (!answer.sluices.empty()) knownSluices = answer.sluices;
-    termEnds = std::max(termEnds, sentAt + answer.term);
+    if (!answer.gateways.empty()) knownGateways = answer.gateways;
+    leaseEnds = std::max(leaseEnds, sentAt + answer.lease);
     const bool wasHolding = std::exchange(holding, false);
     for (const auto& order : answer.orders)
         if (order.number == applied.next()) {
@@ -43,7 +43,7 @@
     return true;
 }
 
-void MinionHand::replaced(Incarnation next) {
+void WorkerSession::replaced(Incarnation next) {
     for (auto& [attempt, task] : tasks)
         if (task.started) effects.push_back({HandEffect::Kind::stop, attempt, {}});
     tasks.clear();
@@ -53,7 +53,7 @@
     holding = true;
 }
 
-void MinionHand::setPaused(Running& task, bool pause, Instant now) {
+void WorkerSession::setPaused(Running& task, bool pause, MonotonicTime now) {
     if (task.paused == pause) return;
     const bool before = active(task);
     task.paused = pause;
@@ -67,8 +67,8 @@
     }
 }
 
-void MinionHand::tick(Instant now) {
-    if (!holding && now >= termEnds && options.capacity.honoursTerms) {
+void WorkerSession::tick(MonotonicTime now) {
+    if (!holding && now >= leaseEnds && options.capacity.honoursLeases) {
         holding = true;
         for (auto& [attempt, task] : tasks) setPaused(task, true, now);
     }
@@ -81,29 +81,29 @@
     }
 }
 
-Instant MinionHand::nextDue() const {
-    Instant due{std::numeric_limits<std::int64_t>::max()};
-    if (!holding && options.capacity.honoursTerms) due = termEnds;
+MonotonicTime WorkerSession::nextDue() const {
+    MonotonicTime due{std::numeric_limits<std::int64_t>::max()};
+    if (!holding && options.capacity.honoursLeases) due = leaseEnds;
     for (const auto& [attempt, task] : tasks)
         if (task.order.quantum.milliseconds > 0 && active(task)) due = std::min(due, task.since + (task.order.quantum - task.ran));
     return due;
 }
 
-void MinionHand::end(AttemptNumber attempt, EndingKind kind) {
+void WorkerSession::end(AttemptNumber attempt, EndingKind kind) {
     endings[attempt] = Ended{tasks[attempt].order, kind};
     tasks.erase(attempt);
 }
 
-void MinionHand::ended(AttemptNumber attempt, bool well, Instant) {
+void WorkerSession::ended(AttemptNumber attempt, bool well, MonotonicTime) {
     if (tasks.count(attempt)) end(attempt, well ? EndingKind::finished : EndingKind::failed);
 }
 
-void MinionHand::leave(Span within) {
+void WorkerSession::leave(Duration within) {
     leaving = true;
     leaveWithin = within;
 }
 
-void MinionHand::apply(const Order& order, Instant now) {
+void WorkerSession::apply(const Order& order, MonotonicTime now) {
     auto found = tasks.find(order.attempt);
     switch (order.kind) {
         case OrderKind::start:
@@ -171,86 +171,86 @@
     order.number = OrderNumber{number};
     order.kind = kind;
     order.attempt = AttemptNumber{attempt};
-    order.quantum = Span{quantum};
+    order.quantum = Duration{quantum};
     return order;
 }
-SyncAnswer answerOf(std::uint64_t epoch, std::vector<Order> orders, std::vector<AttemptNumber> confirmed = {}) {
-    SyncAnswer answer;
-    answer.epoch = Epoch{epoch};
+SyncResponse answerOf(std::uint64_t term, std::vector<Order> orders, std::vector<AttemptNumber> confirmed = {}) {
+    SyncResponse answer;
+    answer.term = Term{term};
     answer.orders = std::move(orders);
     answer.confirmed = std::move(confirmed);
     return answer;
 }
-std::string effectsOf(MinionHand& hand) {
+std::string effectsOf(WorkerSession& hand) {
     static const char* const names[] = {"start", "hold", "resume", "stop"};
     std::string text;
     for (const auto& effect : hand.takeEffects()) text += std::string(text.empty() ? "" : ", ") + names[int(effect.kind)] + " " + std::to_string(effect.attempt.value);
     return text;
 }
-std::string endingsOf(MinionHand& hand, std::int64_t now) {
+std::string endingsOf(WorkerSession& hand, std::int64_t now) {
     std::string text;
-    for (const auto& ending : hand.report(Instant{now}).endings) text += std::string(text.empty() ? "" : ", ") + name(ending.kind) + " " + std::to_string(ending.attempt.value);
+    for (const auto& ending : hand.report(MonotonicTime{now}).endings) text += std::string(text.empty() ? "" : ", ") + name(ending.kind) + " " + std::to_string(ending.attempt.value);
     return text;
 }
 }  // namespace
 
-TEST_GROUP(MinionHandTests) {
-    MinionHand hand{[] {
-        MinionHand::Options options;
-        options.id = MinionId{"m"};
-        options.capacity.honoursTerms = true;
+TEST_GROUP(WorkerHandTests) {
+    WorkerSession hand{[] {
+        WorkerSession::Options options;
+        options.id = WorkerId{"m"};
+        options.capacity.honoursLeases = true;
         return options;
     }(), Incarnation{1}};
 };
 
-// docs/design.md 5.3: neither a superseded leader nor an answer past its term moves a minion.
-TEST(MinionHandTests, staleAnswersAreNotFollowed) {
-    CHECK(hand.answered(answerOf(5, {orderOf(1, OrderKind::start, 1)}), Instant{0}, Instant{10}));
+// docs/design.md 5.3: neither a superseded leader nor an answer past its lease moves a worker.
+TEST(WorkerHandTests, staleAnswersAreNotFollowed) {
+    CHECK(hand.answered(answerOf(5, {orderOf(1, OrderKind::start, 1)}), MonotonicTime{0}, MonotonicTime{10}));
     STRCMP_EQUAL("start 1", effectsOf(hand).c_str());
-    CHECK(!hand.answered(answerOf(4, {orderOf(2, OrderKind::start, 2)}), Instant{20}, Instant{30}));
-    CHECK(!hand.answered(answerOf(6, {orderOf(2, OrderKind::start, 3)}), Instant{40}, Instant{3040}));
+    CHECK(!hand.answered(answerOf(4, {orderOf(2, OrderKind::start, 2)}), MonotonicTime{20}, MonotonicTime{30}));
+    CHECK(!hand.answered(answerOf(6, {orderOf(2, OrderKind::start, 3)}), MonotonicTime{40}, MonotonicTime{3040}));
     CHECK(hand.takeEffects().empty() || effectsOf(hand).find("start") == std::string::npos);
-    LONGS_EQUAL(1, hand.report(Instant{3050}).lastOrder.value);
+    LONGS_EQUAL(1, hand.report(MonotonicTime{3050}).lastOrder.value);
 }
 
-// docs/design.md 5.4: the term counts from the send; when it lapses all holds in place, and goes on only when told nothing else.
-TEST(MinionHandTests, aLapsedTermHoldsAndATermAnewResumesOrStops) {
-    hand.answered(answerOf(1, {orderOf(1, OrderKind::start, 1), orderOf(2, OrderKind::start, 2)}), Instant{0}, Instant{500});
+// docs/design.md 5.4: the lease counts from the send; when it lapses all holds in place, and goes on only when told nothing else.
+TEST(WorkerHandTests, aLapsedLeaseHoldsAndATermAnewResumesOrStops) {
+    hand.answered(answerOf(1, {orderOf(1, OrderKind::start, 1), orderOf(2, OrderKind::start, 2)}), MonotonicTime{0}, MonotonicTime{500});
     effectsOf(hand);
-    hand.tick(Instant{2999});
+    hand.tick(MonotonicTime{2999});
     STRCMP_EQUAL("", effectsOf(hand).c_str());
-    hand.tick(Instant{3000});
+    hand.tick(MonotonicTime{3000});
     STRCMP_EQUAL("hold 1, hold 2", effectsOf(hand).c_str());
-    hand.answered(answerOf(1, {orderOf(3, OrderKind::stop, 1)}), Instant{9000}, Instant{9010});
+    hand.answered(answerOf(1, {orderOf(3, OrderKind::stop, 1)}), MonotonicTime{9000}, MonotonicTime{9010});
     STRCMP_EQUAL("stop 1, resume 2", effectsOf(hand).c_str());
 }
 
 // Orders apply once each and in order, however often they come; endings are told until confirmed.
-TEST(MinionHandTests, ordersApplyOnceAndEndingsAreToldUntilConfirmed) {
-    for (int again = 0; again < 2; ++again) hand.answered(answerOf(1, {orderOf(1, OrderKind::start, 1)}), Instant{0}, Instant{1});
+TEST(WorkerHandTests, ordersApplyOnceAndEndingsAreToldUntilConfirmed) {
+    for (int again = 0; again < 2; ++again) hand.answered(answerOf(1, {orderOf(1, OrderKind::start, 1)}), MonotonicTime{0}, MonotonicTime{1});
     STRCMP_EQUAL("start 1", effectsOf(hand).c_str());
-    hand.answered(answerOf(1, {orderOf(3, OrderKind::start, 3)}), Instant{0}, Instant{2});  // 2 is missing
+    hand.answered(answerOf(1, {orderOf(3, OrderKind::start, 3)}), MonotonicTime{0}, MonotonicTime{2});  // 2 is missing
     STRCMP_EQUAL("", effectsOf(hand).c_str());
-    hand.ended(AttemptNumber{1}, true, Instant{5});
+    hand.ended(AttemptNumber{1}, true, MonotonicTime{5});
     STRCMP_EQUAL("finished 1", endingsOf(hand, 6).c_str());
     STRCMP_EQUAL("finished 1", endingsOf(hand, 7).c_str());
-    hand.answered(answerOf(1, {}, {AttemptNumber{1}}), Instant{7}, Instant{8});
+    hand.answered(answerOf(1, {}, {AttemptNumber{1}}), MonotonicTime{7}, MonotonicTime{8});
     STRCMP_EQUAL("", endingsOf(hand, 9).c_str());
     LONGS_EQUAL(1, hand.takeConfirmed().size());
 }
 
 // A trial ends itself after its run time, which a hold does not use up; nothing starts once it is leaving.
-TEST(MinionHandTests, trialsEndThemselvesAndLeavingStartsNothing) {
-    hand.answered(answerOf(1, {orderOf(1, OrderKind::start, 1, 1000)}), Instant{0}, Instant{0});
-    hand.answered(answerOf(1, {orderOf(2, OrderKind::hold, 1)}), Instant{400}, Instant{400});
-    hand.answered(answerOf(1, {orderOf(3, OrderKind::resume, 1)}), Instant{2000}, Instant{2000});
-    hand.tick(Instant{2599});
+TEST(WorkerHandTests, trialsEndThemselvesAndLeavingStartsNothing) {
+    hand.answered(answerOf(1, {orderOf(1, OrderKind::start, 1, 1000)}), MonotonicTime{0}, MonotonicTime{0});
+    hand.answered(answerOf(1, {orderOf(2, OrderKind::hold, 1)}), MonotonicTime{400}, MonotonicTime{400});
+    hand.answered(answerOf(1, {orderOf(3, OrderKind::resume, 1)}), MonotonicTime{2000}, MonotonicTime{2000});
+    hand.tick(MonotonicTime{2599});
     STRCMP_EQUAL("start 1, hold 1, resume 1", effectsOf(hand).c_str());
-    hand.tick(Instant{2600});
+    hand.tick(MonotonicTime{2600});
     STRCMP_EQUAL("stop 1", effectsOf(hand).c_str());
     STRCMP_EQUAL("ran_out 1", endingsOf(hand, 2601).c_str());
-    hand.leave(Span{1000});
-    hand.answered(answerOf(1, {orderOf(4, OrderKind::start, 4), orderOf(5, OrderKind::stop, 5)}), Instant{2700}, Instant{2700});
+    hand.leave(Duration{1000});
+    hand.answered(answerOf(1, {orderOf(4, OrderKind::start, 4), orderOf(5, OrderKind::stop, 5)}), MonotonicTime{2700}, MonotonicTime{2700});
     STRCMP_EQUAL("", effectsOf(hand).c_str());
     STRCMP_EQUAL("ran_out 1, unstarted 4, unstarted 5", endingsOf(hand, 2701).c_str());
 }
--- a/source/minion_hand.hpp
+++ b/source/agent/worker_session.hpp
@@ -1,6 +1,6 @@
-// The minion library's core: orders, terms, holds and endings, for anything that can run tasks. Sans-IO. docs/design.md 5, docs/api.md 3.
+// The worker library's core: orders, leases, holds and endings, for anything that can run tasks. Sans-IO. docs/design.md 5, docs/api.md 3.
 #pragma once
-#include "exchange.hpp"
+#include "state/api_request.hpp"
 
 namespace aniseline {
 
@@ -11,25 +11,25 @@
     Order order;  // of a start
 };
 
-class MinionHand {
+class WorkerSession {
 public:
     struct Options {
-        MinionId id;
+        WorkerId id;
         Capacity capacity;
-        Span wait{1000};
+        Duration wait{1000};
     };
-    MinionHand(Options options, Incarnation incarnation) : options(std::move(options)), incarnation(incarnation) {}
+    WorkerSession(Options options, Incarnation incarnation) : options(std::move(options)), incarnation(incarnation) {}
 
-    // The next sync's report; a term granted in its answer counts from this moment.
-    SyncReport report(Instant now);
+    // The next sync's report; a lease granted in its answer counts from this moment.
+    SyncReport report(MonotonicTime now);
     // False: the answer came too late or from a leader that is superseded, and was not followed.
-    bool answered(const SyncAnswer& answer, Instant sentAt, Instant now);
+    bool answered(const SyncResponse& answer, MonotonicTime sentAt, MonotonicTime now);
     // The centre says this incarnation is replaced: all stops, and a new one begins.
     void replaced(Incarnation next);
-    // Lapses the term when it is due: every running task is held in place.
-    void tick(Instant now);
-    void ended(AttemptNumber attempt, bool well, Instant now);
-    void leave(Span within);
+    // Lapses the lease when it is due: every running task is held in place.
+    void tick(MonotonicTime now);
+    void ended(AttemptNumber attempt, bool well, MonotonicTime now);
+    void leave(Duration within);
 
     // Endings that the centre has confirmed: from then on they are final. docs/design.md 5.5.
     std::vector<std::pair<Order, EndingKind>> takeConfirmed() { return std::exchange(confirmed, {}); }
@@ -37,10 +37,10 @@
     bool urgent() const { return !endings.empty() || applied != toldApplied || leaving != toldLeaving; }
     bool lapsed() const { return holding; }
     bool empty() const { return tasks.empty() && endings.empty(); }
-    Epoch epoch() const { return seenEpoch; }
+    Term term() const { return seenTerm; }
     Incarnation currentIncarnation() const { return incarnation; }
-    Instant nextDue() const;
-    const std::vector<Address>& sluices() const { return knownSluices; }
+    MonotonicTime nextDue() const;
+    const std::vector<Address>& gateways() const { return knownGateways; }
     std::size_t running() const { return tasks.size(); }
 
 private:
@@ -48,24 +48,24 @@
         Order order;
         bool staged = false;   // a gang's part that has not been told to go
         bool held = false;     // by order
-        bool paused = false;   // by a lapsed term
+        bool paused = false;   // by a lapsed lease
         bool started = false;
-        Instant since;
-        Span ran;
+        MonotonicTime since;
+        Duration ran;
     };
-    void apply(const Order& order, Instant now);
-    void setPaused(Running& task, bool pause, Instant now);
+    void apply(const Order& order, MonotonicTime now);
+    void setPaused(Running& task, bool pause, MonotonicTime now);
     void end(AttemptNumber attempt, EndingKind kind);
     bool active(const Running& task) const { return task.started && !task.held && !task.paused; }
 
     Options options;
     Incarnation incarnation;
     OrderNumber applied, toldApplied;
-    Epoch seenEpoch;
-    Instant termEnds{0};
-    bool holding = true;  // until the first term is granted
+    Term seenTerm;
+    MonotonicTime leaseEnds{0};
+    bool holding = true;  // until the first lease is granted
     bool leaving = false, toldLeaving = false;
-    Span leaveWithin{0};
+    Duration leaveWithin{0};
     std::map<AttemptNumber, Running> tasks;
     struct Ended {
         Order order;
@@ -74,7 +74,7 @@
     std::map<AttemptNumber, Ended> endings;  // said until confirmed
     std::vector<std::pair<Order, EndingKind>> confirmed;
     std::vector<HandEffect> effects;
-    std::vector<Address> knownSluices;
+    std::vector<Address> knownGateways;
 };
 
 }  // namespace aniseline
--- a/source/aniseline.hpp
+++ b/source/base/types.hpp
@@ -32,70 +32,70 @@
 #include <boost/signals2/signal.hpp>
 #include <boost/variant.hpp>
 
-#include "archive.hpp"
+#include "base/archive.hpp"
 
 namespace aniseline {
 
 namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
 
-// Small types (docs/design.md 2.1): each id, version and time is its own type.
+// StrongId types (docs/design.md 2.1): each id, version and time is its own type.
 template <class Tag, class Value = std::uint64_t>
-struct Small {
+struct StrongId {
     Value value{};
-    Small() = default;
-    explicit Small(Value given) : value(std::move(given)) {}
-    auto operator<=>(const Small&) const = default;
-    bool operator==(const Small&) const = default;
-    Small next() const requires std::is_integral_v<Value> { return Small{value + 1}; }
+    StrongId() = default;
+    explicit StrongId(Value given) : value(std::move(given)) {}
+    auto operator<=>(const StrongId&) const = default;
+    bool operator==(const StrongId&) const = default;
+    StrongId next() const requires std::is_integral_v<Value> { return StrongId{value + 1}; }
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & value; }
 };
 
-using Epoch = Small<struct EpochTag>;
-using LogIndex = Small<struct LogIndexTag>;
-using DiskVersion = Small<struct DiskVersionTag>;
-using SetupVersion = Small<struct SetupVersionTag>;
-using OrderNumber = Small<struct OrderNumberTag>;
-using AttemptNumber = Small<struct AttemptNumberTag>;
-using PlanNumber = Small<struct PlanNumberTag>;
-using RoundNumber = Small<struct RoundNumberTag>;
-using ExchangeNumber = Small<struct ExchangeNumberTag>;
-using Incarnation = Small<struct IncarnationTag>;
-using JobId = Small<struct JobIdTag, std::string>;
-using QueueName = Small<struct QueueNameTag, std::string>;
-using MinionId = Small<struct MinionIdTag, std::string>;
-using ReservoirId = Small<struct ReservoirIdTag, std::string>;
-using AreaName = Small<struct AreaNameTag, std::string>;
-using Address = Small<struct AddressTag, std::string>;
+using Term = StrongId<struct TermTag>;
+using LogIndex = StrongId<struct LogIndexTag>;
+using DiskVersion = StrongId<struct DiskVersionTag>;
+using ConfigVersion = StrongId<struct ConfigVersionTag>;
+using OrderNumber = StrongId<struct OrderNumberTag>;
+using AttemptNumber = StrongId<struct AttemptNumberTag>;
+using PlanNumber = StrongId<struct PlanNumberTag>;
+using RoundNumber = StrongId<struct RoundNumberTag>;
+using RequestNumber = StrongId<struct RequestNumberTag>;
+using Incarnation = StrongId<struct IncarnationTag>;
+using JobId = StrongId<struct JobIdTag, std::string>;
+using QueueName = StrongId<struct QueueNameTag, std::string>;
+using WorkerId = StrongId<struct WorkerIdTag, std::string>;
+using ControllerId = StrongId<struct ControllerIdTag, std::string>;
+using ZoneName = StrongId<struct ZoneNameTag, std::string>;
+using Address = StrongId<struct AddressTag, std::string>;
 
 // A length of time in milliseconds.
-struct Span {
+struct Duration {
     std::int64_t milliseconds = 0;
-    Span() = default;
-    explicit constexpr Span(std::int64_t given) : milliseconds(given) {}
-    auto operator<=>(const Span&) const = default;
-    bool operator==(const Span&) const = default;
-    Span operator+(Span other) const { return Span{milliseconds + other.milliseconds}; }
-    Span operator-(Span other) const { return Span{milliseconds - other.milliseconds}; }
+    Duration() = default;
+    explicit constexpr Duration(std::int64_t given) : milliseconds(given) {}
+    auto operator<=>(const Duration&) const = default;
+    bool operator==(const Duration&) const = default;
+    Duration operator+(Duration other) const { return Duration{milliseconds + other.milliseconds}; }
+    Duration operator-(Duration other) const { return Duration{milliseconds - other.milliseconds}; }
     double hours() const { return double(milliseconds) / 3'600'000.0; }
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & milliseconds; }
 };
 
 // A point on some clock; the tag keeps the clocks apart.
 template <class Clock>
-struct Point {
+struct TimePoint {
     std::int64_t milliseconds = 0;
-    Point() = default;
-    explicit constexpr Point(std::int64_t given) : milliseconds(given) {}
-    auto operator<=>(const Point&) const = default;
-    bool operator==(const Point&) const = default;
-    Point operator+(Span span) const { return Point{milliseconds + span.milliseconds}; }
-    Point operator-(Span span) const { return Point{milliseconds - span.milliseconds}; }
-    Span operator-(Point other) const { return Span{milliseconds - other.milliseconds}; }
+    TimePoint() = default;
+    explicit constexpr TimePoint(std::int64_t given) : milliseconds(given) {}
+    auto operator<=>(const TimePoint&) const = default;
+    bool operator==(const TimePoint&) const = default;
+    TimePoint operator+(Duration span) const { return TimePoint{milliseconds + span.milliseconds}; }
+    TimePoint operator-(Duration span) const { return TimePoint{milliseconds - span.milliseconds}; }
+    Duration operator-(TimePoint other) const { return Duration{milliseconds - other.milliseconds}; }
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & milliseconds; }
 };
-using Instant = Point<struct MonotonicClock>;    // one process' monotonic clock
-using WallTime = Point<struct WallClock>;        // one machine's calendar clock, never trusted alone
-using ClusterTime = Point<struct ClusterClock>;  // agreed by the reservoirs, docs/design.md 3.6
+using MonotonicTime = TimePoint<struct MonotonicClock>;    // one process' monotonic clock
+using WallTime = TimePoint<struct WallClock>;        // one machine's calendar clock, never trusted alone
+using ClusterTime = TimePoint<struct ClusterClock>;  // agreed by the controllers, docs/design.md 3.6
 
 // Errors of the core layer; the edges turn theirs into these (docs/design.md 2.3).
 struct ErrorDetail {
@@ -166,9 +166,9 @@
 }
 
 // splitmix64: seeded draws that are the same on every machine.
-struct Draw {
+struct Random {
     std::uint64_t state;
-    explicit Draw(std::uint64_t seed) : state(seed) {}
+    explicit Random(std::uint64_t seed) : state(seed) {}
     std::uint64_t next() {
         std::uint64_t mixed = (state += 0x9e3779b97f4a7c15ull);
         mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ull;
--- a/source/witness.cpp
+++ b/source/checker/history.cpp
@@ -1,16 +1,16 @@
-#include "witness.hpp"
+#include "checker/history.hpp"
 #include <picojson.h>
 
 namespace aniseline {
 
 namespace {
 constexpr const char* kindNames[] = {"submitted", "accepted", "rejected", "unknown", "shown", "cancel_acknowledged", "started", "held", "resumed",
-                                     "ended", "confirmed", "leaving", "capacity", "setup_acknowledged", "setup_seen", "whole", "served", "vanished",
+                                     "ended", "confirmed", "leaving", "capacity", "config_acknowledged", "config_seen", "whole", "served", "vanished",
                                      "staying", "explained", "disturbed", "mended", "settled", "saved", "closed"};
 }
-const char* name(Witness::Kind kind) { return kindNames[std::size_t(kind)]; }
+const char* name(HistoryEvent::Kind kind) { return kindNames[std::size_t(kind)]; }
 
-std::string Witness::line() const {
+std::string HistoryEvent::line() const {
     picojson::object shown{{"at", picojson::value(double(at))}, {"kind", picojson::value(name(kind))}};
     auto add = [&](const char* field, const std::string& text) {
         if (!text.empty()) shown[field] = picojson::value(text);
@@ -19,7 +19,7 @@
         if (number != 0) shown[field] = picojson::value(number);
     };
     add("job", job);
-    add("minion", minion);
+    add("worker", worker);
     add("attempt", attempt);
     add("detail", detail);
     addNumber("task", task);
@@ -41,7 +41,7 @@
     return picojson::value(shown).serialize();
 }
 
-std::optional<Witness> Witness::parse(const std::string& line) {
+std::optional<HistoryEvent> HistoryEvent::parse(const std::string& line) {
     picojson::value root;
     if (!picojson::parse(root, line).empty() || !root.is<picojson::object>()) return std::nullopt;
     const auto& object = root.get<picojson::object>();
@@ -57,7 +57,7 @@
         auto found = object.find(field);
         return found != object.end() && found->second.is<bool>() && found->second.get<bool>();
     };
-    Witness witness;
+    HistoryEvent witness;
     const std::string kind = words("kind");
     std::size_t place = 0;
     while (place < std::size(kindNames) && kind != kindNames[place]) ++place;
@@ -66,7 +66,7 @@
     witness.at = std::int64_t(number("at"));
     witness.job = words("job");
     witness.task = std::uint32_t(number("task"));
-    witness.minion = words("minion");
+    witness.worker = words("worker");
     witness.attempt = words("attempt");
     witness.detail = words("detail");
     witness.version = std::uint64_t(number("version"));
@@ -84,15 +84,15 @@
     return witness;
 }
 
-Result<std::vector<Witness>, HistoryError> readHistory(const std::string& file, const std::string& text, bool atWork) {
-    std::vector<Witness> history;
+Result<std::vector<HistoryEvent>, HistoryError> readHistory(const std::string& file, const std::string& text, bool atWork) {
+    std::vector<HistoryEvent> history;
     std::istringstream stream(text);
     std::size_t number = 0, torn = 0;
     for (std::string line; std::getline(stream, line);) {
         ++number;
         if (line.empty()) continue;
-        auto witness = Witness::parse(line);
-        if (torn && (!witness || witness->kind != Witness::Kind::vanished)) return HistoryError{file, torn, "is no witness' line"};
+        auto witness = HistoryEvent::parse(line);
+        if (torn && (!witness || witness->kind != HistoryEvent::Kind::vanished)) return HistoryError{file, torn, "is no witness' line"};
         if (!witness) {
             torn = number;
             continue;
@@ -104,7 +104,7 @@
     }
     if (torn && !atWork) return HistoryError{file, torn, "is no witness' line"};
     if (history.empty()) return HistoryError{file, 0, "holds no history"};
-    if (!atWork && history.back().kind != Witness::Kind::closed) return HistoryError{file, number, "is cut off: the writer's closing line is missing"};
+    if (!atWork && history.back().kind != HistoryEvent::Kind::closed) return HistoryError{file, number, "is cut off: the writer's closing line is missing"};
     return history;
 }
 
@@ -114,30 +114,30 @@
 #include <CppUTest/TestHarness.h>
 using namespace aniseline;
 
-TEST_GROUP(WitnessTests){};
+TEST_GROUP(HistoryTests){};
 
-TEST(WitnessTests, aLineSurvivesItsWriting) {
-    Witness given;
-    given.kind = Witness::Kind::started;
+TEST(HistoryTests, aLineSurvivesItsWriting) {
+    HistoryEvent given;
+    given.kind = HistoryEvent::Kind::started;
     given.at = 20;
     given.job = "a";
-    given.minion = "m";
+    given.worker = "m";
     given.cores = 3;
     given.trial = given.late = true;
     given.payload = "run=5";
     given.labels = {"a", "rack1"};
-    STRCMP_EQUAL(given.line().c_str(), Witness::parse(given.line())->line().c_str());
-    CHECK(!Witness::parse("{\"at\":1,\"kind\":\"sung\"}"));
+    STRCMP_EQUAL(given.line().c_str(), HistoryEvent::parse(given.line())->line().c_str());
+    CHECK(!HistoryEvent::parse("{\"at\":1,\"kind\":\"sung\"}"));
 }
 
-TEST(WitnessTests, whatIsNoWholeHistoryIsAnErrorByLine) {
-    auto at = [](std::int64_t time, Witness::Kind kind) {
-        Witness given;
+TEST(HistoryTests, whatIsNoWholeHistoryIsAnErrorByLine) {
+    auto at = [](std::int64_t time, HistoryEvent::Kind kind) {
+        HistoryEvent given;
         given.at = time;
         given.kind = kind;
         return given.line() + "\n";
     };
-    using K = Witness::Kind;
+    using K = HistoryEvent::Kind;
     auto fault = [](const std::string& text) {
         auto read = readHistory("f", text);
         return read ? std::string("good") : read.error().message();
--- a/source/promises.cpp
+++ b/source/checker/invariants.cpp
@@ -1,11 +1,11 @@
-#include "promises.hpp"
+#include "checker/invariants.hpp"
 
 namespace aniseline {
 
 namespace {
 
 struct Run {
-    std::string minion, attempt;
+    std::string worker, attempt;
     std::int64_t startedAt = 0;
     std::optional<std::int64_t> endedAt;
     bool active = false;  // neither held nor ended
@@ -30,7 +30,7 @@
     }
     std::string ending;
     bool trial = false;
-    bool called = false, late = false;      // on a minion that is called; begun by an order carried out late
+    bool called = false, late = false;      // on a worker that is called; begun by an order carried out late
     std::optional<std::int64_t> notedAt;    // its ending was taken note of, with no lapse before that
     std::uint32_t cores = 0, accelerators = 0;
     std::uint64_t memory = 0;
@@ -38,7 +38,7 @@
 struct TaskHistory {
     std::vector<Run> runs;
     std::optional<std::int64_t> finishedAt;   // the work ended well
-    std::optional<std::int64_t> confirmedAt;  // and its minion knows that the centre knows
+    std::optional<std::int64_t> confirmedAt;  // and its worker knows that the centre knows
 };
 struct JobHistory {
     std::optional<std::int64_t> acceptedAt, cancelledAt;
@@ -50,11 +50,11 @@
 
 class Checker {
 public:
-    Checker(std::vector<Witness> given, const std::map<std::string, JobSubmission>& submissions, const PromiseOptions& options)
+    Checker(std::vector<HistoryEvent> given, const std::map<std::string, JobSubmission>& submissions, const InvariantOptions& options)
         : history(std::move(given)), submissions(submissions), options(options) {
         std::stable_sort(history.begin(), history.end(), [](auto& left, auto& right) { return left.at < right.at; });
     }
-    Findings check() {
+    CheckReport check() {
         findDisturbances();
         for (const auto& witness : history) see(witness);
         if (!history.empty()) judgeSilence(history.back().at);
@@ -62,10 +62,10 @@
     }
 
 private:
-    // Without a fault a gang's parts begin within little more than a round of syncs, with one within term, margin and a round trip.
+    // Without a fault a gang's parts begin within little more than a round of syncs, with one within lease, margin and a round trip.
     static constexpr std::int64_t calmGang = 700, disturbedGang = 5000;
     static constexpr std::int64_t calledHold = 12'000;       // the longest hold, an order on its way, and the stop itself
-    static constexpr std::int64_t aftermath = 6000;  // a fault's consequences: term, margin and a change of leader
+    static constexpr std::int64_t aftermath = 6000;  // a fault's consequences: lease, margin and a change of leader
 
     void broken(int rule, std::int64_t at, std::string text) { found.broken.push_back({rule, at, std::move(text)}); }
     void limit(int rule, std::int64_t at, std::string text) { found.limits.push_back({rule, at, std::move(text)}); }
@@ -73,13 +73,13 @@
     void findDisturbances() {
         std::map<std::string, std::int64_t> open;
         for (const auto& witness : history)
-            if (witness.kind == Witness::Kind::disturbed) open.emplace(witness.detail, witness.at);
-            else if (witness.kind == Witness::Kind::mended) {
+            if (witness.kind == HistoryEvent::Kind::disturbed) open.emplace(witness.detail, witness.at);
+            else if (witness.kind == HistoryEvent::Kind::mended) {
                 if (auto begun = open.find(witness.detail); begun != open.end()) {
                     disturbances.emplace_back(begun->second, witness.at + aftermath);
                     open.erase(begun);
                 }
-            } else if (witness.kind == Witness::Kind::whole) {
+            } else if (witness.kind == HistoryEvent::Kind::whole) {
                 for (const auto& [name, begun] : open) disturbances.emplace_back(begun, witness.at + aftermath);
                 open.clear();
             }
@@ -88,9 +88,9 @@
     bool disturbedWithin(std::int64_t from, std::int64_t to) const {
         return std::any_of(disturbances.begin(), disturbances.end(), [&](const auto& span) { return span.first <= to && from <= span.second; });
     }
-    bool termless(const std::string& minion) const {
-        auto known = capacities.find(minion);
-        return known != capacities.end() && known->second.detail == "termless";
+    bool leaseless(const std::string& worker) const {
+        auto known = capacities.find(worker);
+        return known != capacities.end() && known->second.detail == "leaseless";
     }
 
     // What no later line can show: things that never came. docs/design.md 11.
@@ -113,10 +113,10 @@
     void keptRunning(const JobHistory& job, const std::string& what, const Run& run, std::int64_t at) {
         if (!job.cancelledAt || at <= *job.cancelledAt + 4000 + options.slack) return;
         const std::string text = what + " kept running " + std::to_string(at - *job.cancelledAt) + " ms after its cancel";
-        // With a fault about, the hold of a minion that is called ends it: docs/design.md 5.8.
+        // With a fault about, the hold of a worker that is called ends it: docs/design.md 5.8.
         if (run.called && disturbedWithin(*job.cancelledAt, at) && at <= *job.cancelledAt + calledHold + options.slack) return;
-        // A cut-off minion that honours no terms can't be told and does not hold: docs/operations.md 8.
-        if (termless(run.minion) && disturbedWithin(*job.cancelledAt, *job.cancelledAt + 4000)) limit(5, at, text + ", on a minion without terms");
+        // A cut-off worker that honours no leases can't be told and does not hold: docs/operations.md 8.
+        if (leaseless(run.worker) && disturbedWithin(*job.cancelledAt, *job.cancelledAt + 4000)) limit(5, at, text + ", on a worker without leases");
         else broken(5, at, text);
     }
     const StepRequest* stepOf(const std::string& id, std::uint32_t task) const {
@@ -125,8 +125,8 @@
         const auto step = placeOf(*submission, task).first;
         return step < submission->steps.size() ? &submission->steps[step] : nullptr;
     }
-    bool isCalled(const std::string& minion) const {
-        auto known = capacities.find(minion);
+    bool isCalled(const std::string& worker) const {
+        auto known = capacities.find(worker);
         return known != capacities.end() && known->second.detail == "called";
     }
     // Of a gang that assembles itself one member's ending counts for all of its run.
@@ -161,7 +161,7 @@
                 if (!noted) continue;
                 for (const auto& run : task.runs) {
                     if (&run == &done || run.startedAt < *done.endedAt) continue;
-                    const std::string text = nameOf(id, place) + " starts on " + run.minion + " though its run " + done.attempt + " had ended well on " + done.minion;
+                    const std::string text = nameOf(id, place) + " starts on " + run.worker + " though its run " + done.attempt + " had ended well on " + done.worker;
                     if (!step->needs.redundant) broken(1, run.startedAt, text);
                     else if (!run.late && run.startedAt > *noted + 1000 + options.slack && !disturbedWithin(*noted, run.startedAt)) broken(1, run.startedAt, text + ", which was long known");
                 }
@@ -181,8 +181,8 @@
             }
         }
     }
-    // A job with tries fails by these, or because no minion that was ever there could hold it.
-    void judgeFailed(const Witness& witness, const JobSubmission& submission) {
+    // A job with tries fails by these, or because no worker that was ever there could hold it.
+    void judgeFailed(const HistoryEvent& witness, const JobSubmission& submission) {
         auto tries = options.triesOf.find(submission.queue.value);
         if (tries == options.triesOf.end()) return;
         for (auto& [id, job] : jobs) {
@@ -202,7 +202,7 @@
             if (step.gang) {  // together they may not fit though one by one they do
                 std::uint64_t wanted = 0, known = 0;
                 for (const auto& task : step.tasks) wanted += task.cores;
-                for (const auto& [minion, capacity] : capacities)
+                for (const auto& [worker, capacity] : capacities)
                     if (holds(submission, step, capacity)) known += capacity.cores;
                 if (wanted > known) return;
             }
@@ -214,31 +214,31 @@
         }
         broken(18, witness.at, "job " + witness.job + " is shown as failed with no cause");
     }
-    bool holds(const JobSubmission& submission, const StepRequest& step, const Witness& capacity) const {
+    bool holds(const JobSubmission& submission, const StepRequest& step, const HistoryEvent& capacity) const {
         auto pools = options.poolsOf.find(submission.queue.value);
         if (pools != options.poolsOf.end() && !pools->second.count(capacity.pool)) return false;
         return step.needs.label.empty() || std::count(capacity.labels.begin(), capacity.labels.end(), step.needs.label);
     }
-    // Of a start on a minion that is called: where it is, what it was given, when. docs/design.md 11.
-    void startedOnCalled(const Witness& witness, JobHistory& job, const std::string& what) {
+    // Of a start on a worker that is called: where it is, what it was given, when. docs/design.md 11.
+    void startedOnCalled(const HistoryEvent& witness, JobHistory& job, const std::string& what) {
         const auto* submission = submissionOf(witness.job);
-        if (!submission) return broken(15, witness.at, what + " starts on " + witness.minion + ", yet nobody asked for that job");
+        if (!submission) return broken(15, witness.at, what + " starts on " + witness.worker + ", yet nobody asked for that job");
         const auto [step, within] = placeOf(*submission, witness.task);
         const bool ofOccurrence = witness.job != submission->id.value;
-        if (step >= submission->steps.size() || ofOccurrence != submission->timed()) return broken(15, witness.at, what + " starts on " + witness.minion + ", yet nobody asked for that task");
+        if (step >= submission->steps.size() || ofOccurrence != submission->timed()) return broken(15, witness.at, what + " starts on " + witness.worker + ", yet nobody asked for that task");
         const auto& request = submission->steps[step];
         const auto& needs = request.needs;
-        const auto& capacity = capacities.at(witness.minion);
+        const auto& capacity = capacities.at(witness.worker);
         auto pools = options.poolsOf.find(submission->queue.value);
-        if (pools != options.poolsOf.end() && !pools->second.count(capacity.pool)) broken(13, witness.at, what + " starts on " + witness.minion + " of pool " + capacity.pool + ", to which no setup sends its queue");
-        if (!needs.label.empty() && !std::count(capacity.labels.begin(), capacity.labels.end(), needs.label)) broken(13, witness.at, what + " starts on " + witness.minion + ", which lacks the label " + needs.label);
+        if (pools != options.poolsOf.end() && !pools->second.count(capacity.pool)) broken(13, witness.at, what + " starts on " + witness.worker + " of pool " + capacity.pool + ", to which no config sends its queue");
+        if (!needs.label.empty() && !std::count(capacity.labels.begin(), capacity.labels.end(), needs.label)) broken(13, witness.at, what + " starts on " + witness.worker + ", which lacks the label " + needs.label);
         if (needs.apart) {
             std::size_t there = 1;
             const auto first = firstTask(*submission, step);
             for (auto other = first; other < first + request.tasks.size(); ++other)
                 if (auto known = job.tasks.find(other); known != job.tasks.end())
-                    for (const auto& run : known->second.runs) there += !run.endedAt && run.minion == witness.minion;
-            if (there > needs.apart) broken(13, witness.at, what + " is the " + std::to_string(there) + "th of its step on " + witness.minion + ", of at most " + std::to_string(needs.apart));
+                    for (const auto& run : known->second.runs) there += !run.endedAt && run.worker == witness.worker;
+            if (there > needs.apart) broken(13, witness.at, what + " is the " + std::to_string(there) + "th of its step on " + witness.worker + ", of at most " + std::to_string(needs.apart));
         }
         const auto& own = request.tasks[within].payload;
         if (witness.payload != (own.empty() ? submission->payload : own)) broken(15, witness.at, what + " starts with another payload");
@@ -251,14 +251,14 @@
             auto [brought, isNew] = broughtBy.try_emplace({owner, witness.attempt}, witness.saved);
             if (!isNew && brought->second != witness.saved) broken(15, witness.at, what + " starts from another checkpoint than the rest of its gang");
         }
-        if (auto left = leavingSince.find(witness.minion); left != leavingSince.end() && !witness.late && witness.at > left->second + options.slack)
-            broken(17, witness.at, what + " starts on " + witness.minion + " " + std::to_string(witness.at - left->second) + " ms after its leaving was acknowledged");
+        if (auto left = leavingSince.find(witness.worker); left != leavingSince.end() && !witness.late && witness.at > left->second + options.slack)
+            broken(17, witness.at, what + " starts on " + witness.worker + " " + std::to_string(witness.at - left->second) + " ms after its leaving was acknowledged");
         if (job.finishedShownAt && !witness.late && witness.at > *job.finishedShownAt + 1000 + options.slack) broken(1, witness.at, what + " starts though its job was shown as finished");
     }
     static std::string ownerOf(const std::string& job, std::uint32_t task, const StepRequest& request, std::uint32_t step) {
         return job + (request.gang ? "/gang" + std::to_string(step) : "/" + std::to_string(task));
     }
-    void saved(const Witness& witness) {
+    void saved(const HistoryEvent& witness) {
         if (const auto* step = stepOf(witness.job, witness.task))
             savedBy[witness.saved] = ownerOf(witness.job, witness.task, *step, placeOf(*submissionOf(witness.job), witness.task).first);
     }
@@ -289,9 +289,9 @@
         return exact == submissions.end() ? nullptr : &exact->second;
     }
     static std::string nameOf(const std::string& job, std::uint32_t task) { return "task " + std::to_string(task) + " of " + job; }
-    Run* runOf(const Witness& witness) {
+    Run* runOf(const HistoryEvent& witness) {
         for (auto& run : jobs[witness.job].tasks[witness.task].runs)
-            if (run.attempt == witness.attempt && run.minion == witness.minion && !run.endedAt) return &run;
+            if (run.attempt == witness.attempt && run.worker == witness.worker && !run.endedAt) return &run;
         return nullptr;
     }
     std::pair<std::uint32_t, std::uint32_t> placeOf(const JobSubmission& job, std::uint32_t task) const {
@@ -305,64 +305,64 @@
         return first;
     }
 
-    void see(const Witness& witness) {
+    void see(const HistoryEvent& witness) {
         switch (witness.kind) {
-            case Witness::Kind::submitted: {
+            case HistoryEvent::Kind::submitted: {
                 auto& job = jobs[witness.job];
                 ++job.submissions;
                 break;
             }
-            case Witness::Kind::accepted:
+            case HistoryEvent::Kind::accepted:
                 if (auto& job = jobs[witness.job]; !job.acceptedAt) job.acceptedAt = witness.at;
                 break;
-            case Witness::Kind::rejected: ++jobs[witness.job].rejections; break;
-            case Witness::Kind::unknown: break;
-            case Witness::Kind::cancelAcknowledged:
+            case HistoryEvent::Kind::rejected: ++jobs[witness.job].rejections; break;
+            case HistoryEvent::Kind::unknown: break;
+            case HistoryEvent::Kind::cancelAcknowledged:
                 if (auto& job = jobs[witness.job]; !job.cancelledAt) job.cancelledAt = witness.at;
                 break;
-            case Witness::Kind::shown: shown(witness); break;
-            case Witness::Kind::started: started(witness); break;
-            case Witness::Kind::held:
+            case HistoryEvent::Kind::shown: shown(witness); break;
+            case HistoryEvent::Kind::started: started(witness); break;
+            case HistoryEvent::Kind::held:
                 if (auto* run = runOf(witness)) run->pause(witness.at);
                 break;
-            case Witness::Kind::resumed: resumed(witness); break;
-            case Witness::Kind::ended: ended(witness); break;
-            case Witness::Kind::confirmed: confirmed(witness); break;
-            case Witness::Kind::vanished: vanished(witness); break;
-            case Witness::Kind::leaving: leavingSince.emplace(witness.minion, witness.at); break;
-            case Witness::Kind::staying: leavingSince.erase(witness.minion); break;
-            case Witness::Kind::explained: jobs[witness.job].explained = true; break;
-            case Witness::Kind::settled: settledAt = witness.at; break;
-            case Witness::Kind::saved: saved(witness); break;
-            case Witness::Kind::disturbed:
-            case Witness::Kind::mended:
-            case Witness::Kind::closed: break;
-            case Witness::Kind::capacity: capacities[witness.minion] = witness; leavingSince.erase(witness.minion); break;
-            case Witness::Kind::setupAcknowledged:
-                if (witness.version <= lastSetup) broken(11, witness.at, "setup " + std::to_string(witness.version) + " was acknowledged after " + std::to_string(lastSetup));
-                lastSetup = witness.version;
-                setups.emplace_back(witness.at, witness.version);
+            case HistoryEvent::Kind::resumed: resumed(witness); break;
+            case HistoryEvent::Kind::ended: ended(witness); break;
+            case HistoryEvent::Kind::confirmed: confirmed(witness); break;
+            case HistoryEvent::Kind::vanished: vanished(witness); break;
+            case HistoryEvent::Kind::leaving: leavingSince.emplace(witness.worker, witness.at); break;
+            case HistoryEvent::Kind::staying: leavingSince.erase(witness.worker); break;
+            case HistoryEvent::Kind::explained: jobs[witness.job].explained = true; break;
+            case HistoryEvent::Kind::settled: settledAt = witness.at; break;
+            case HistoryEvent::Kind::saved: saved(witness); break;
+            case HistoryEvent::Kind::disturbed:
+            case HistoryEvent::Kind::mended:
+            case HistoryEvent::Kind::closed: break;
+            case HistoryEvent::Kind::capacity: capacities[witness.worker] = witness; leavingSince.erase(witness.worker); break;
+            case HistoryEvent::Kind::configAcknowledged:
+                if (witness.version <= lastConfig) broken(11, witness.at, "config " + std::to_string(witness.version) + " was acknowledged after " + std::to_string(lastConfig));
+                lastConfig = witness.version;
+                configs.emplace_back(witness.at, witness.version);
                 break;
-            case Witness::Kind::setupSeen: {
+            case HistoryEvent::Kind::configSeen: {
                 // A process that is cut off can't know; what the leader answers is judged always.
                 const bool judged = witness.detail == "the leader" || !disturbedWithin(witness.at - 2000, witness.at);
-                for (const auto& [at, version] : setups)
+                for (const auto& [at, version] : configs)
                     if (judged && at + 2000 + options.slack < witness.at && version > witness.version)
-                        return broken(11, witness.at, "setup " + std::to_string(witness.version) + " is in force at " + witness.detail + " long after " + std::to_string(version) + " was acknowledged");
-                auto& seen = seenSetup[witness.detail];
-                if (witness.version < seen) broken(11, witness.at, "setup slipped back at " + witness.detail);
+                        return broken(11, witness.at, "config " + std::to_string(witness.version) + " is in force at " + witness.detail + " long after " + std::to_string(version) + " was acknowledged");
+                auto& seen = seenConfig[witness.detail];
+                if (witness.version < seen) broken(11, witness.at, "config slipped back at " + witness.detail);
                 seen = witness.version;
                 break;
             }
-            case Witness::Kind::whole: wholeSince = witness.at; break;
-            case Witness::Kind::served:
+            case HistoryEvent::Kind::whole: wholeSince = witness.at; break;
+            case HistoryEvent::Kind::served:
                 if (wholeSince && witness.at - *wholeSince > 12'000 + options.slack) broken(12, witness.at, "service returned only after " + std::to_string(witness.at - *wholeSince) + " ms of being whole");
                 wholeSince.reset();
                 break;
         }
     }
 
-    void shown(const Witness& witness) {
+    void shown(const HistoryEvent& witness) {
         auto& job = jobs[witness.job];
         job.over = witness.detail == "finished" || witness.detail == "failed" || witness.detail == "cancelled";
         if (witness.detail == "missing") {
@@ -377,7 +377,7 @@
             for (std::uint32_t time = 0; time < submission->timetable.count; ++time) allFinished(witness, witness.job + "@" + std::to_string(time), *submission);
         }
     }
-    void allFinished(const Witness& witness, const std::string& id, const JobSubmission& submission) {
+    void allFinished(const HistoryEvent& witness, const std::string& id, const JobSubmission& submission) {
         auto& job = jobs[id];
         std::uint32_t total = firstTask(submission, std::uint32_t(submission.steps.size()));
         for (std::uint32_t task = 0; task < total; ++task) {
@@ -386,26 +386,26 @@
                 return broken(4, witness.at, "job " + witness.job + " is shown as finished while " + nameOf(id, task) + " is open");
             for (const auto& run : known->second.runs)
                 if (!run.endedAt && run.active && !(run.called && (disturbedWithin(run.startedAt, witness.at) || submission.steps[placeOf(submission, task).first].needs.redundant)))
-                    broken(4, witness.at, "job " + witness.job + " is shown as finished while " + nameOf(id, task) + " still runs on " + run.minion);
+                    broken(4, witness.at, "job " + witness.job + " is shown as finished while " + nameOf(id, task) + " still runs on " + run.worker);
         }
     }
 
-    void started(const Witness& witness) {
+    void started(const HistoryEvent& witness) {
         auto& job = jobs[witness.job];
         auto& task = job.tasks[witness.task];
         const std::string what = nameOf(witness.job, witness.task);
-        const bool called = isCalled(witness.minion);
+        const bool called = isCalled(witness.worker);
         const auto* ofStep = stepOf(witness.job, witness.task);
         const bool redundant = ofStep && ofStep->needs.redundant;
         if (called) startedOnCalled(witness, job, what);
         for (const auto& run : task.runs)
-            if (!run.endedAt && run.active && !redundant) broken(1, witness.at, what + " runs on " + witness.minion + " and still on " + run.minion);
+            if (!run.endedAt && run.active && !redundant) broken(1, witness.at, what + " runs on " + witness.worker + " and still on " + run.worker);
         if (called) {  // judged when all is known: docs/design.md 11
         } else if (task.confirmedAt) broken(1, witness.at, what + " starts again after finishing well");
         else if (task.finishedAt) startedUnaware(witness, task, what);
         if (job.cancelledAt && witness.at > *job.cancelledAt + 3000 + options.slack && !(called && (witness.late || disturbedWithin(*job.cancelledAt, witness.at)))) broken(5, witness.at, what + " starts long after its job was cancelled");
-        if (auto left = leavingSince.find(witness.minion); left != leavingSince.end() && !called && witness.at > left->second + 2000 + options.slack)
-            broken(9, witness.at, what + " starts on " + witness.minion + ", which is leaving");
+        if (auto left = leavingSince.find(witness.worker); left != leavingSince.end() && !called && witness.at > left->second + 2000 + options.slack)
+            broken(9, witness.at, what + " starts on " + witness.worker + ", which is leaving");
         if (const auto* submission = submissionOf(witness.job)) {
             const auto [step, within] = placeOf(*submission, witness.task);
             if (step >= submission->steps.size()) return broken(3, witness.at, what + " is none of the job's tasks");
@@ -429,7 +429,7 @@
             }
         }
         Run run;
-        run.minion = witness.minion;
+        run.worker = witness.worker;
         run.attempt = witness.attempt;
         run.startedAt = witness.at;
         run.resume(witness.at);
@@ -443,97 +443,97 @@
         room(witness);
     }
 
-    // The work had ended well, but its minion had no chance to tell, or no answer: docs/design.md 5.5.
-    void startedUnaware(const Witness& witness, const TaskHistory& task, const std::string& what) {
+    // The work had ended well, but its worker had no chance to tell, or no answer: docs/design.md 5.5.
+    void startedUnaware(const HistoryEvent& witness, const TaskHistory& task, const std::string& what) {
         const auto done = std::find_if(task.runs.begin(), task.runs.end(), [](const Run& run) { return run.ending == "finished"; });
         if (done == task.runs.end()) return;
-        auto lost = vanishedAt.find(done->minion);
+        auto lost = vanishedAt.find(done->worker);
         const std::string text = what + " starts again after an ending that was not yet confirmed: ";
-        if (lost != vanishedAt.end() && lost->second >= *task.finishedAt) limit(1, witness.at, text + done->minion + " vanished before it was");
-        else if (disturbedWithin(*task.finishedAt, witness.at)) limit(1, witness.at, text + done->minion + " could not tell in time");
+        if (lost != vanishedAt.end() && lost->second >= *task.finishedAt) limit(1, witness.at, text + done->worker + " vanished before it was");
+        else if (disturbedWithin(*task.finishedAt, witness.at)) limit(1, witness.at, text + done->worker + " could not tell in time");
         else broken(1, witness.at, text + "and nothing was in the way");
     }
 
-    void resumed(const Witness& witness) {
+    void resumed(const HistoryEvent& witness) {
         auto* run = runOf(witness);
         if (!run) return;
         for (auto& other : jobs[witness.job].tasks[witness.task].runs)
-            if (&other != run && !other.endedAt && other.active) broken(1, witness.at, nameOf(witness.job, witness.task) + " is resumed on " + witness.minion + " while it runs on " + other.minion);
+            if (&other != run && !other.endedAt && other.active) broken(1, witness.at, nameOf(witness.job, witness.task) + " is resumed on " + witness.worker + " while it runs on " + other.worker);
         if (jobs[witness.job].tasks[witness.task].confirmedAt) broken(1, witness.at, nameOf(witness.job, witness.task) + " is resumed after finishing well");
         run->resume(witness.at);
         room(witness);
     }
 
-    void ended(const Witness& witness) {
+    void ended(const HistoryEvent& witness) {
         auto& job = jobs[witness.job];
         auto& task = job.tasks[witness.task];
         for (auto& run : task.runs)
-            if (run.attempt == witness.attempt && run.minion == witness.minion && !run.endedAt) {
+            if (run.attempt == witness.attempt && run.worker == witness.worker && !run.endedAt) {
                 if (run.active) keptRunning(job, nameOf(witness.job, witness.task), run, witness.at);
                 run.end(witness.at, witness.detail);
                 // A gang's member that is alone waits for nothing: the others were not started, or not in time.
                 if (run.called && witness.detail == "alone" && !job.cancelledAt && !disturbedWithin(run.startedAt - 1000, witness.at))
-                    broken(16, witness.at, nameOf(witness.job, witness.task) + " waited alone on " + run.minion + " for the rest of its gang, with no fault about");
+                    broken(16, witness.at, nameOf(witness.job, witness.task) + " waited alone on " + run.worker + " for the rest of its gang, with no fault about");
             }
         if (witness.detail != "finished") return;
         if (!task.finishedAt) task.finishedAt = witness.at;
-        if (isCalled(witness.minion))
+        if (isCalled(witness.worker))
             eachMemberOf(witness.job, job, witness.task, witness.attempt, [&](TaskHistory& member, const Run&) {
                 if (!member.finishedAt) member.finishedAt = witness.at;
             });
     }
-    // docs/design.md 5.5: an ending is final once the minion has its confirmation; before that nobody else can know of it.
-    void confirmed(const Witness& witness) {
+    // docs/design.md 5.5: an ending is final once the worker has its confirmation; before that nobody else can know of it.
+    void confirmed(const HistoryEvent& witness) {
         auto& task = jobs[witness.job].tasks[witness.task];
         if (witness.detail == "finished" && !task.confirmedAt) task.confirmedAt = witness.at;
         for (auto& run : task.runs)
-            if (run.attempt == witness.attempt && run.minion == witness.minion && run.endedAt && !run.notedAt) run.notedAt = witness.at;
+            if (run.attempt == witness.attempt && run.worker == witness.worker && run.endedAt && !run.notedAt) run.notedAt = witness.at;
     }
 
-    void vanished(const Witness& witness) {
-        vanishedAt[witness.minion] = witness.at;
+    void vanished(const HistoryEvent& witness) {
+        vanishedAt[witness.worker] = witness.at;
         for (auto& [id, job] : jobs)
             for (auto& [place, task] : job.tasks)
                 for (auto& run : task.runs)
-                    if (run.minion == witness.minion && !run.endedAt) run.end(witness.at, "vanished");
+                    if (run.worker == witness.worker && !run.endedAt) run.end(witness.at, "vanished");
     }
 
-    void room(const Witness& witness) {
-        auto capacity = capacities.find(witness.minion);
+    void room(const HistoryEvent& witness) {
+        auto capacity = capacities.find(witness.worker);
         if (capacity == capacities.end() || capacity->second.guards) return;
         std::uint64_t cores = 0, memory = 0, accelerators = 0;
         for (const auto& [id, job] : jobs)
             for (const auto& [place, task] : job.tasks)
                 for (const auto& run : task.runs)
-                    if (run.minion == witness.minion && !run.endedAt) {
+                    if (run.worker == witness.worker && !run.endedAt) {
                         memory += run.memory;
                         if (run.active) cores += run.cores;
                         accelerators += run.accelerators;
                     }
         if (cores > capacity->second.cores || memory > capacity->second.memory || accelerators > capacity->second.accelerators)
-            broken(10, witness.at, witness.minion + " was given " + std::to_string(cores) + " cores and " + std::to_string(memory) + " MB, more than it holds");
+            broken(10, witness.at, witness.worker + " was given " + std::to_string(cores) + " cores and " + std::to_string(memory) + " MB, more than it holds");
     }
 
-    std::vector<Witness> history;
+    std::vector<HistoryEvent> history;
     const std::map<std::string, JobSubmission>& submissions;
-    const PromiseOptions& options;
+    const InvariantOptions& options;
     std::map<std::string, JobHistory> jobs;
     std::map<std::string, std::int64_t> leavingSince;
-    std::map<std::string, Witness> capacities;
+    std::map<std::string, HistoryEvent> capacities;
     std::map<std::string, std::string> savedBy;  // by checkpoint: the task or gang it belongs to
     std::map<std::pair<std::string, std::string>, std::string> broughtBy;  // by gang and run: the checkpoint its members bring
-    std::vector<std::pair<std::int64_t, std::uint64_t>> setups;
-    std::map<std::string, std::uint64_t> seenSetup;
-    std::uint64_t lastSetup = 0;
+    std::vector<std::pair<std::int64_t, std::uint64_t>> configs;
+    std::map<std::string, std::uint64_t> seenConfig;
+    std::uint64_t lastConfig = 0;
     std::optional<std::int64_t> wholeSince, settledAt;
     std::map<std::string, std::int64_t> vanishedAt;
     std::vector<std::pair<std::int64_t, std::int64_t>> disturbances;
-    Findings found;
+    CheckReport found;
 };
 
 }  // namespace
 
-Findings checkPromises(std::vector<Witness> history, const std::map<std::string, JobSubmission>& submissions, const PromiseOptions& options) {
+CheckReport checkInvariants(std::vector<HistoryEvent> history, const std::map<std::string, JobSubmission>& submissions, const InvariantOptions& options) {
     return Checker(std::move(history), submissions, options).check();
 }
 
@@ -551,22 +551,22 @@
     job.steps = {{"first", {}, true, {TaskRequest{}, TaskRequest{}}}, {"second", {"first"}, false, {TaskRequest{}}}};
     return job;
 }
-Witness line(Witness::Kind kind, std::int64_t at, std::uint32_t task = 0, std::string minion = "m", std::string attempt = "1", std::string detail = "") {
-    Witness witness;
+HistoryEvent line(HistoryEvent::Kind kind, std::int64_t at, std::uint32_t task = 0, std::string worker = "m", std::string attempt = "1", std::string detail = "") {
+    HistoryEvent witness;
     witness.kind = kind;
     witness.at = at;
     witness.job = "a";
     witness.task = task;
-    witness.minion = std::move(minion);
+    witness.worker = std::move(worker);
     witness.attempt = std::move(attempt);
     witness.detail = std::move(detail);
     witness.cores = 1;
     witness.memory = 1;
     return witness;
 }
-using K = Witness::Kind;
+using K = HistoryEvent::Kind;
 // A run with nothing wrong: both parts of the gang, then the second step.
-std::vector<Witness> goodRun() {
+std::vector<HistoryEvent> goodRun() {
     auto capacity = line(K::capacity, 1);
     capacity.cores = 4;
     capacity.memory = 100;
@@ -575,33 +575,33 @@
             line(K::ended, 110, 1, "m", "2", "finished"), line(K::confirmed, 115, 1, "m", "2", "finished"),
             line(K::started, 200, 2, "m", "3"), line(K::ended, 300, 2, "m", "3", "finished"), line(K::shown, 400, 0, "", "", "finished")};
 }
-Findings findingsOf(std::vector<Witness> history, const JobSubmission& job = twoSteps()) {
-    PromiseOptions options;
+CheckReport findingsOf(std::vector<HistoryEvent> history, const JobSubmission& job = twoSteps()) {
+    InvariantOptions options;
     options.retriesOf["q"] = 0;
     options.slack = 0;
-    return checkPromises(std::move(history), {{"a", job}}, options);
+    return checkInvariants(std::move(history), {{"a", job}}, options);
 }
-std::set<int> rulesOf(const std::vector<BrokenPromise>& promises) {
+std::set<int> rulesOf(const std::vector<InvariantViolation>& promises) {
     std::set<int> rules;
     for (const auto& promise : promises) rules.insert(promise.rule);
     return rules;
 }
-std::set<int> rulesBroken(std::vector<Witness> history, const JobSubmission& job = twoSteps()) {
+std::set<int> rulesBroken(std::vector<HistoryEvent> history, const JobSubmission& job = twoSteps()) {
     return rulesOf(findingsOf(std::move(history), job).broken);
 }
-std::vector<Witness> with(std::vector<Witness> more) {
+std::vector<HistoryEvent> with(std::vector<HistoryEvent> more) {
     auto history = goodRun();
     history.insert(history.end(), more.begin(), more.end());
     return history;
 }
 }  // namespace
 
-TEST_GROUP(PromiseTests){};
+TEST_GROUP(InvariantTests){};
 
-TEST(PromiseTests, aGoodRunBreaksNothing) { CHECK(rulesBroken(goodRun()).empty()); }
+TEST(InvariantTests, aGoodRunBreaksNothing) { CHECK(rulesBroken(goodRun()).empty()); }
 
 // Each rule catches a planted violation, docs/design.md 11.
-TEST(PromiseTests, eachRuleCatchesAPlantedViolation) {
+TEST(InvariantTests, eachRuleCatchesAPlantedViolation) {
     CHECK(rulesBroken(with({line(K::started, 50, 0, "n", "9")})).count(1));             // twice at once
     CHECK(rulesBroken(with({line(K::started, 500, 0, "n", "9")})).count(1));            // again after finishing well
     CHECK(rulesBroken(with({line(K::shown, 4000, 0, "", "", "missing")})).count(2));    // forgotten
@@ -621,7 +621,7 @@
     tight.cores = 1;
     tight.memory = 1;
     CHECK(rulesBroken({tight, line(K::started, 2, 0), line(K::started, 3, 1, "m", "2")}).count(10));
-    auto acknowledged = line(K::setupAcknowledged, 1), seen = line(K::setupSeen, 2500, 0, "", "", "sluice");
+    auto acknowledged = line(K::configAcknowledged, 1), seen = line(K::configSeen, 2500, 0, "", "", "gateway");
     acknowledged.version = 2;
     seen.version = 1;
     CHECK(rulesBroken({acknowledged, seen}).count(11));
@@ -629,7 +629,7 @@
 }
 
 // What no line says is found all the same: things that never came.
-TEST(PromiseTests, silencePassesForNothing) {
+TEST(InvariantTests, silencePassesForNothing) {
     const auto late = line(K::shown, 9000, 0, "", "", "open");
     CHECK(rulesBroken({line(K::whole, 1), late}).count(12));                                          // service never returned
     CHECK(rulesBroken({line(K::started, 1), line(K::cancelAcknowledged, 3), late}).count(5));         // never ended after its cancel
@@ -645,17 +645,17 @@
 }
 
 // What nobody can lift is told apart, with its cause, and only where the cause is there.
-TEST(PromiseTests, limitsAreCountedByThemselves) {
-    const std::vector<Witness> unaware{line(K::started, 20), line(K::ended, 100, 0, "m", "1", "finished"), line(K::vanished, 101), line(K::started, 5000, 0, "n", "2")};
+TEST(InvariantTests, limitsAreCountedByThemselves) {
+    const std::vector<HistoryEvent> unaware{line(K::started, 20), line(K::ended, 100, 0, "m", "1", "finished"), line(K::vanished, 101), line(K::started, 5000, 0, "n", "2")};
     CHECK(rulesOf(findingsOf(unaware).limits).count(1));
     CHECK(!rulesBroken(unaware).count(1));
     auto capacity = line(K::capacity, 1);
     capacity.cores = capacity.memory = 9;
-    capacity.detail = "termless";
-    const std::vector<Witness> deaf{capacity, line(K::started, 2), line(K::disturbed, 3), line(K::cancelAcknowledged, 4), line(K::ended, 9000, 0, "m", "1", "finished")};
-    CHECK(rulesOf(findingsOf(deaf).limits).count(5));
-    CHECK(!rulesBroken(deaf).count(5));
-    auto calm = deaf;
+    capacity.detail = "leaseless";
+    const std::vector<HistoryEvent> unresponsive{capacity, line(K::started, 2), line(K::disturbed, 3), line(K::cancelAcknowledged, 4), line(K::ended, 9000, 0, "m", "1", "finished")};
+    CHECK(rulesOf(findingsOf(unresponsive).limits).count(5));
+    CHECK(!rulesBroken(unresponsive).count(5));
+    auto calm = unresponsive;
     calm.erase(calm.begin() + 2);
     CHECK(rulesBroken(calm).count(5));
 }
--- a/source/headgate/cluster_commands.cpp
+++ b/source/cli/cluster_commands.cpp
@@ -1,21 +1,21 @@
-#include "edge/loop.hpp"
-#include "headgate/command.hpp"
-#include "headgate/views.hpp"
+#include "net/loop.hpp"
+#include "cli/command.hpp"
+#include "cli/views.hpp"
 
 namespace aniseline {
 
 namespace {
 
 ExitCode replace(Session& session, const Words& words) {
-    return askAndShow(session, {"POST", "/v1/reservoirs/" + words[0] + "/replace", ""},
-                      [](const picojson::value& answer) { return "reservoir " + printable(textIn(answer, "replacing")) + ": a learner takes its place as soon as one has caught up\n"; });
+    return askAndShow(session, {"POST", "/v1/controllers/" + words[0] + "/replace", ""},
+                      [](const picojson::value& answer) { return "controller " + printable(textIn(answer, "replacing")) + ": a learner takes its place as soon as one has caught up\n"; });
 }
 ExitCode found(Session& session, const Words& words) {
     if (auto endpoint = endpointOf(Address{words[0]}); !endpoint) return failUsage(session, "found: " + endpoint.error().text());
     auto answer = session.found(Address{words[0]});
     if (!answer) return fail(session, answer.error());
-    const Answer& told = answer.value();
-    if (told.status >= 400) return fail(session, ClientError{ClientError::Kind::rejected, told.status, told.body, Span{0}});
+    const ApiResponse& told = answer.value();
+    if (told.status >= 400) return fail(session, ClientError{ClientError::Kind::rejected, told.status, told.body, Duration{0}});
     session.out << told.body << "\n";
     return ExitCode::done;
 }
@@ -24,8 +24,8 @@
 
 std::vector<Command> clusterCommands() {
     return {
-        {"replace", "RESERVOIR", "let a learner take this voter's place", "It is remembered through changes of leader. The leader itself can't be replaced: stop it first.", {}, false, replace},
-        {"found", "PEER-ADDRESS", "found a cluster on one blank reservoir", "Once, before anything else; asks that reservoir itself, so needs no sluices.", {}, false, found, false},
+        {"replace", "CONTROLLER", "let a learner take this voter's place", "It is remembered through changes of leader. The leader itself can't be replaced: stop it first.", {}, false, replace},
+        {"found", "PEER-ADDRESS", "found a cluster on one blank controller", "Once, before anything else; asks that controller itself, so needs no gateways.", {}, false, found, false},
     };
 }
 
--- a/source/headgate/command.cpp
+++ b/source/cli/command.cpp
@@ -1,5 +1,5 @@
-#include "headgate/command.hpp"
-#include "headgate/table.hpp"
+#include "cli/command.hpp"
+#include "cli/table.hpp"
 #include <fstream>
 #include <iostream>
 
@@ -17,10 +17,10 @@
 bool fitsTarget(const std::string& word) {
     return !word.empty() && std::none_of(word.begin(), word.end(), [](char letter) { return std::uint8_t(letter) <= 0x20 || letter == 0x7f || std::strchr("/?#%", letter); });
 }
-bool namesId(const std::string& argument) { return argument == "JOB" || argument == "MINION" || argument == "RESERVOIR"; }
+bool namesId(const std::string& argument) { return argument == "JOB" || argument == "WORKER" || argument == "CONTROLLER"; }
 
 std::optional<std::string> faultOf(const Command& command, const Words& arguments, const std::vector<std::string>& given) {
-    if (arguments.size() < command.least() || arguments.size() > command.most()) return "it is: headgate " + command.name + " " + command.arguments;
+    if (arguments.size() < command.least() || arguments.size() > command.most()) return "it is: aniselinectl " + command.name + " " + command.arguments;
     std::istringstream shape(command.arguments);
     std::string argument;
     for (const auto& word : arguments)
@@ -38,14 +38,14 @@
 std::size_t Command::most() const { return arguments.ends_with("...") ? 100 : countWords(arguments, false); }
 
 const std::vector<std::string>& commonOptions() {
-    static const std::vector<std::string> names{"sluices", "within-ms", "json"};
+    static const std::vector<std::string> names{"gateways", "within-ms", "json"};
     return names;
 }
 
 const std::vector<Command>& allCommands() {
     static const std::vector<Command> commands = [] {
         std::vector<Command> all;
-        for (auto part : {lookCommands(), jobCommands(), minionCommands(), setupCommands(), clusterCommands(), watchCommands()}) all.insert(all.end(), part.begin(), part.end());
+        for (auto part : {lookCommands(), jobCommands(), workerCommands(), configCommands(), clusterCommands(), watchCommands()}) all.insert(all.end(), part.begin(), part.end());
         return all;
     }();
     return commands;
@@ -65,14 +65,14 @@
 ExitCode runWords(Session& session, const Words& words, const std::vector<std::string>& given) {
     std::size_t taken = 0;
     const Command* command = commandOf(words, taken);
-    if (!command) return failUsage(session, "the words make no command; `headgate help` lists those that do");
+    if (!command) return failUsage(session, "the words make no command; `aniselinectl help` lists those that do");
     const Words arguments(words.begin() + std::ptrdiff_t(taken), words.end());
     std::vector<std::string> own = given;
     // What `watch` repeats has options of its own.
     if (std::size_t inner = 0; command->name == "watch")
         if (const Command* repeated = commandOf(arguments, inner)) std::erase_if(own, [&](const std::string& option) { return std::count(repeated->options.begin(), repeated->options.end(), option) > 0; });
     if (auto fault = faultOf(*command, arguments, own)) return failUsage(session, command->name + ": " + *fault);
-    if (command->asks && !session.ask) return failUsage(session, "--sluices: is missing, and HEADGATE_SLUICES is not set");
+    if (command->asks && !session.ask) return failUsage(session, "--gateways: is missing, and ANISELINECTL_GATEWAYS is not set");
     return command->run(session, arguments);
 }
 
@@ -86,7 +86,7 @@
     if (!answer) return fail(session, answer.error());
     picojson::value root;
     const std::string& body = answer.value().body;
-    if (nestedTooDeep(body) || !picojson::parse(root, body).empty()) return fail(session, ClientError{ClientError::Kind::unknown, 0, "the answer is not JSON", Span{0}});
+    if (nestedTooDeep(body) || !picojson::parse(root, body).empty()) return fail(session, ClientError{ClientError::Kind::unknown, 0, "the answer is not JSON", Duration{0}});
     return show(session, root, view);
 }
 ExitCode fail(Session& session, const ClientError& error) {
@@ -94,14 +94,14 @@
     return exitCodeOf(error);
 }
 ExitCode failUsage(Session& session, const std::string& text) {
-    session.err << "headgate: " << text << "\n";
+    session.err << "aniselinectl: " << text << "\n";
     return ExitCode::usage;
 }
 std::optional<std::string> readWhole(Session& session, const std::string& file) {
     std::ifstream stream(file);
     std::string text((std::istreambuf_iterator<char>(stream)), {});
     if (stream.is_open() && !stream.bad()) return text;
-    session.err << "headgate: " << file << ": can't be read\n";
+    session.err << "aniselinectl: " << file << ": can't be read\n";
     return std::nullopt;
 }
 
--- a/source/headgate/command.hpp
+++ b/source/cli/command.hpp
@@ -1,6 +1,6 @@
-// The commands of headgate: what each is called, says of itself, takes and does. docs/operations.md 3.
+// The commands of aniselinectl: what each is called, says of itself, takes and does. docs/operations.md 3.
 #pragma once
-#include "headgate/outcome.hpp"
+#include "cli/outcome.hpp"
 #include <iosfwd>
 
 namespace aniseline {
@@ -9,15 +9,15 @@
     bool json = false;
     bool compact = false;  // JSON on one line, as for a program that reads many
     std::string state;
-    std::int64_t basedOn = -1, drainWithin = 30'000, limit = 100, times = 30, every = 1000;
+    std::int64_t baseVersion = -1, drainWithin = 30'000, limit = 100, times = 30, every = 1000;
 };
 
 // What a command works with; the program gives sockets and streams, tests give canned answers.
 struct Session {
     Choices choices;
-    std::function<Result<HttpAnswer, ClientError>(const HttpRequest&)> ask;  // empty: no sluices are given
-    std::function<Result<Answer, ClientError>(const Address& peer)> found;
-    std::function<void(Span)> rest;
+    std::function<Result<HttpResponse, ClientError>(const HttpRequest&)> ask;  // empty: no gateways are given
+    std::function<Result<ApiResponse, ClientError>(const Address& peer)> found;
+    std::function<void(Duration)> rest;
     std::ostream& out;
     std::ostream& err;
     bool terminal = false;
@@ -33,7 +33,7 @@
     std::vector<std::string> options;  // beside those that all have
     bool watchable = false;
     ExitCode (*run)(Session&, const Words& arguments) = nullptr;
-    bool asks = true;                  // through sluices
+    bool asks = true;                  // through gateways
     std::size_t least() const;         // arguments needed
     std::size_t most() const;
 };
@@ -60,8 +60,8 @@
 // By subject.
 std::vector<Command> lookCommands();
 std::vector<Command> jobCommands();
-std::vector<Command> minionCommands();
-std::vector<Command> setupCommands();
+std::vector<Command> workerCommands();
+std::vector<Command> configCommands();
 std::vector<Command> clusterCommands();
 std::vector<Command> watchCommands();
 
--- a/source/headgate/job_commands.cpp
+++ b/source/cli/job_commands.cpp
@@ -1,5 +1,5 @@
-#include "headgate/command.hpp"
-#include "headgate/views.hpp"
+#include "cli/command.hpp"
+#include "cli/views.hpp"
 
 namespace aniseline {
 
--- a/source/headgate/jobs_view.cpp
+++ b/source/cli/jobs_view.cpp
@@ -1,4 +1,4 @@
-#include "headgate/views.hpp"
+#include "cli/views.hpp"
 
 namespace aniseline {
 
@@ -26,9 +26,9 @@
             total += number;
         }
     if (!counts.empty()) text += "tasks: " + counts + "\n";
-    Table table({{"TASK", Table::Align::right}, {"STEP"}, {"STATE"}, {"MINION"}, {"STARTS", Table::Align::right}, {"NOTES"}});
+    Table table({{"TASK", Table::Align::right}, {"STEP"}, {"STATE"}, {"WORKER"}, {"STARTS", Table::Align::right}, {"NOTES"}});
     for (const auto& task : listIn(answer, "tasks"))
-        table.add({numberText(numberIn(task, "task")), textIn(task, "step"), textIn(task, "state"), textIn(task, "minion"), numberText(numberIn(task, "starts")), flagIn(task, "trial") ? "trial" : ""});
+        table.add({numberText(numberIn(task, "task")), textIn(task, "step"), textIn(task, "state"), textIn(task, "worker"), numberText(numberIn(task, "starts")), flagIn(task, "trial") ? "trial" : ""});
     if (table.size()) text += "\n" + table.render();
     if (table.size() && total > double(table.size())) text += "and " + numberText(total - double(table.size())) + " more\n";
     return text;
--- a/source/headgate/outcome.cpp
+++ b/source/cli/outcome.cpp
@@ -1,5 +1,5 @@
-#include "headgate/outcome.hpp"
-#include "headgate/table.hpp"
+#include "cli/outcome.hpp"
+#include "cli/table.hpp"
 
 namespace aniseline {
 
@@ -30,8 +30,8 @@
 std::string errorText(const ClientError& error) {
     const std::string status = error.status ? std::to_string(error.status) + " " : "";
     const auto root = errorIn(error);
-    if (!root) return "headgate: " + status + printable(error.text) + "\n";
-    std::string text = "headgate: " + status + printable(textIn(*root, "error", "error")) + ": ";
+    if (!root) return "aniselinectl: " + status + printable(error.text) + "\n";
+    std::string text = "aniselinectl: " + status + printable(textIn(*root, "error", "error")) + ": ";
     const auto& details = listIn(*root, "details");
     if (details.empty()) return text + printable(textIn(*root, "text")) + "\n";
     for (const auto& detail : details) {
@@ -50,6 +50,6 @@
     for (const auto& fault : error.details) text += where + ": " + (fault.path.empty() ? "" : fault.path + ": ") + fault.text + "\n";
     return text;
 }
-std::string errorJson(const CoreError& error) { return Answer::from(error).body; }
+std::string errorJson(const CoreError& error) { return ApiResponse::from(error).body; }
 
 }  // namespace aniseline
--- a/source/headgate/outcome.hpp
+++ b/source/cli/outcome.hpp
@@ -1,6 +1,6 @@
 // Exit codes by kind, and errors as people or programs read them. docs/operations.md 3.
 #pragma once
-#include "client.hpp"
+#include "net/client.hpp"
 
 namespace aniseline {
 
--- a/source/headgate/plan_view.cpp
+++ b/source/cli/plan_view.cpp
@@ -1,4 +1,4 @@
-#include "headgate/views.hpp"
+#include "cli/views.hpp"
 
 namespace aniseline {
 
@@ -6,13 +6,13 @@
 
 std::string reservationText(const picojson::value& reservation) {
     if (!reservation.is<picojson::object>()) return "";
-    std::string minions;
+    std::string workers;
     for (const auto& placement : listIn(reservation, "placements")) {
-        const std::string minion = printable(textIn(placement, "minion"));
-        if ((" " + minions + ",").find(" " + minion + ",") == std::string::npos) minions += (minions.empty() ? "" : ", ") + minion;
+        const std::string worker = printable(textIn(placement, "worker"));
+        if ((" " + workers + ",").find(" " + worker + ",") == std::string::npos) workers += (workers.empty() ? "" : ", ") + worker;
     }
     return "reserved: job " + printable(textIn(reservation, "job")) + ", step " + numberText(numberIn(reservation, "step")) + ", in " +
-           spanText(std::max(0.0, numberIn(reservation, "in_ms"))) + " on " + minions + ", moved so far: " + numberText(numberIn(reservation, "moved")) + "\n";
+           spanText(std::max(0.0, numberIn(reservation, "in_ms"))) + " on " + workers + ", moved so far: " + numberText(numberIn(reservation, "moved")) + "\n";
 }
 
 }  // namespace
--- a/source/headgate/queues_view.cpp
+++ b/source/cli/queues_view.cpp
@@ -1,5 +1,5 @@
-#include "headgate/views.hpp"
-#include "setup.hpp"
+#include "cli/views.hpp"
+#include "state/cluster_config.hpp"
 
 namespace aniseline {
 
@@ -16,11 +16,11 @@
 
 }  // namespace
 
-picojson::value queuesOf(const picojson::value& setup, const picojson::value& openJobs) {
+picojson::value queuesOf(const picojson::value& config, const picojson::value& openJobs) {
     std::map<std::string, double> open;
     for (const auto& job : listIn(openJobs, "jobs")) ++open[textIn(job, "queue")];
     picojson::array queues;
-    if (auto parsed = Setup::parse(fieldIn(setup, "setup").serialize())) {
+    if (auto parsed = ClusterConfig::parse(fieldIn(config, "config").serialize())) {
         for (const auto& [name, options] : parsed.value().queues) {
             auto queue = queueObject(options);
             if (openJobs.is<picojson::object>()) queue["open"] = json(open[name.value]);
@@ -28,10 +28,10 @@
             queues.push_back(json(queue));
         }
     }
-    // Named by no setup any more: closed to new jobs. docs/design.md 6.4.
+    // Named by no config any more: closed to new jobs. docs/design.md 6.4.
     for (const auto& [name, count] : open) queues.push_back(json(picojson::object{{"name", json(name)}, {"open", json(count)}, {"closed", json(true)}}));
     const double listed = double(listIn(openJobs, "jobs").size());
-    return json(picojson::object{{"version", json(numberIn(setup, "version"))}, {"queues", json(queues)}, {"uncounted", json(std::max(0.0, numberIn(openJobs, "open") - listed))}});
+    return json(picojson::object{{"version", json(numberIn(config, "version"))}, {"queues", json(queues)}, {"uncounted", json(std::max(0.0, numberIn(openJobs, "open") - listed))}});
 }
 
 std::string queuesView(const picojson::value& queues) {
@@ -44,21 +44,21 @@
                        numberText(numberIn(queue, "retries")), numberIn(queue, "trial_ms") > 0 ? spanText(numberIn(queue, "trial_ms")) : "-", textIn(queue, "policy")});
     }
     const double uncounted = numberIn(queues, "uncounted");
-    return "setup " + numberText(numberIn(queues, "version")) + "\n\n" + table.render() +
+    return "config " + numberText(numberIn(queues, "version")) + "\n\n" + table.render() +
            (uncounted > 0 ? "counted are the first 1000 open jobs; " + numberText(uncounted) + " more are open or timed\n" : "");
 }
 
-std::string setupView(const picojson::value& answer) {
-    const auto setup = fieldIn(answer, "setup");
-    if (!setup.is<picojson::object>()) return "setup " + numberText(numberIn(answer, "version")) + "\n";
+std::string configView(const picojson::value& answer) {
+    const auto config = fieldIn(answer, "config");
+    if (!config.is<picojson::object>()) return "config " + numberText(numberIn(answer, "version")) + "\n";
     const auto queues = queuesOf(answer, picojson::value());
     std::string text = queuesView(queues);
     Table policies({{"POLICY"}, {"RANK"}, {"MAY HOLD"}});
-    if (const auto given = fieldIn(setup, "policies"); given.is<picojson::object>())
+    if (const auto given = fieldIn(config, "policies"); given.is<picojson::object>())
         for (const auto& [name, policy] : given.get<picojson::object>()) policies.add({name, textIn(policy, "rank"), textIn(policy, "may_hold")});
     if (policies.size()) text += "\n" + policies.render();
     Table planner({{"PLANNER"}, {"VALUE", Table::Align::right}});
-    if (const auto given = fieldIn(setup, "planner"); given.is<picojson::object>())
+    if (const auto given = fieldIn(config, "planner"); given.is<picojson::object>())
         for (const auto& [name, value] : given.get<picojson::object>()) planner.add({name, value.is<double>() ? numberText(value.get<double>()) : value.serialize()});
     if (planner.size()) text += "\n" + planner.render();
     return text;
--- a/source/headgate/table.cpp
+++ b/source/cli/table.cpp
@@ -1,4 +1,4 @@
-#include "headgate/table.hpp"
+#include "cli/table.hpp"
 #include <cmath>
 #include <date/date.h>
 
--- a/source/headgate/table.hpp
+++ b/source/cli/table.hpp
@@ -1,6 +1,6 @@
 // Short aligned tables for people. docs/operations.md 3.
 #pragma once
-#include "exchange.hpp"
+#include "state/api_request.hpp"
 
 namespace aniseline {
 
--- a/source/headgate/views.hpp
+++ b/source/cli/views.hpp
@@ -1,19 +1,19 @@
 // What the answers look like to people; each takes an answer's JSON. docs/operations.md 3.
 #pragma once
-#include "headgate/table.hpp"
+#include "cli/table.hpp"
 
 namespace aniseline {
 
 std::string clusterView(const picojson::value& answer);
 std::string countersView(const picojson::value& answer);
-std::string minionsView(const picojson::value& answer);
+std::string workersView(const picojson::value& answer);
 std::string jobsView(const picojson::value& answer);
 std::string jobView(const picojson::value& answer);
 std::string planView(const picojson::value& answer);
 std::string queuesView(const picojson::value& queues);   // of queuesOf
-std::string setupView(const picojson::value& answer);
+std::string configView(const picojson::value& answer);
 
-// The queues of a setup with the open jobs of each, from the answers of /v1/setup and /v1/jobs?state=open.
-picojson::value queuesOf(const picojson::value& setup, const picojson::value& openJobs);
+// The queues of a config with the open jobs of each, from the answers of /v1/config and /v1/jobs?state=open.
+picojson::value queuesOf(const picojson::value& config, const picojson::value& openJobs);
 
 }  // namespace aniseline
--- a/source/headgate/watch.cpp
+++ b/source/cli/watch.cpp
@@ -1,5 +1,5 @@
-#include "headgate/command.hpp"
-#include "headgate/table.hpp"
+#include "cli/command.hpp"
+#include "cli/table.hpp"
 #include <chrono>
 #include <iostream>
 
@@ -13,11 +13,11 @@
 ExitCode watch(Session& session, const Words& words) {
     std::size_t taken = 0;
     const Command* command = commandOf(words, taken);
-    if (!command || !command->watchable) return failUsage(session, "watch: what it repeats must only look: cluster, minions, plan, queues, counters, jobs, show JOB or setup show");
+    if (!command || !command->watchable) return failUsage(session, "watch: what it repeats must only look: cluster, workers, plan, queues, counters, jobs, show JOB or config show");
     session.choices.compact = true;
     ExitCode code = ExitCode::done;
     for (std::int64_t turn = 1; turn <= session.choices.times; ++turn) {
-        if (turn > 1) session.rest(Span{session.choices.every});
+        if (turn > 1) session.rest(Duration{session.choices.every});
         if (session.terminal && !session.choices.json) session.out << "\x1b[H\x1b[2J";
         if (!session.choices.json) session.out << (turn > 1 && !session.terminal ? "\n" : "") << "-- " << timeText(calendarNow()) << ", " << turn << " of " << session.choices.times << "\n";
         code = runWords(session, words, {});
--- a/source/view_keeper.hpp
+++ b/source/controller/snapshot_writer.hpp
@@ -1,27 +1,27 @@
 // Keeps a fold of its own from which whole views are packed, off the thread that leads and plans. docs/design.md 3.4.
 #pragma once
-#include "ledger.hpp"
+#include "state/cluster_state.hpp"
 
 namespace aniseline {
 
 // What the core hands over, in the order in which it came about.
-struct ViewWork {
+struct SnapshotWork {
     std::optional<std::string> restart;  // a view to begin from
     std::vector<std::string> records;    // committed since
     std::optional<LogIndex> pack;        // wanted: the view of all that up to here
     bool empty() const { return !restart && records.empty() && !pack; }
 };
-struct PackedView {
+struct PackedSnapshot {
     LogIndex index;
     std::string state;
 };
 
-class ViewKeeper {
+class SnapshotWriter {
 public:
-    std::optional<PackedView> work(const ViewWork& work);
+    std::optional<PackedSnapshot> work(const SnapshotWork& work);
 
 private:
-    Ledger ledger;
+    ClusterState clusterState;
 };
 
 }  // namespace aniseline
