--- a/source/daemons/reservoir_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -1,16 +1,16 @@
-#include "daemons/reservoir_daemon.hpp"
-#include "edge/disk.hpp"
-#include "edge/log.hpp"
-#include "edge/stopping.hpp"
-#include "edge/wire.hpp"
-#include "founding.hpp"
+#include "daemons/controller_daemon.hpp"
+#include "net/disk.hpp"
+#include "net/log.hpp"
+#include "net/signals.hpp"
+#include "net/wire.hpp"
+#include "raft/bootstrap.hpp"
 #include <thread>
 
 namespace aniseline {
 
 namespace {
 
-// Works off what it is handed, in order, off the agreement's thread. docs/design.md 9.1.
+// Works off what it is handed, in order, off consensus's thread. docs/design.md 9.1.
 class WorkThread {
 public:
     WorkThread() : thread([this] { run(); }) {}
@@ -48,12 +48,12 @@
 
 class Program {
 public:
-    explicit Program(ReservoirSettings settings) : settings(std::move(settings)), folder(this->settings.data) {}
+    explicit Program(ControllerSettings settings) : settings(std::move(settings)), folder(this->settings.data) {}
 
     int run() {
         if (!openCore()) return 1;
         if (!listenPeers()) return 1;
-        HttpServer http(loop, HttpLimits{64 * 1024, 100, Span{30'000}, Span{2000}}, [this](const HttpRequest& request) { return standing(request); });
+        HttpServer http(loop, HttpLimits{64 * 1024, 100, Duration{30'000}, Duration{2000}}, [this](const HttpRequest& request) { return readiness(request); });
         if (!settings.http.value.empty())
             if (auto listening = http.listen(settings.http, false); !listening) {
                 log(LogLevel::error, listening.error().text);
@@ -61,7 +61,7 @@
             }
         // What an adapter serves here beside the product's own interface. docs/design.md 9.6.
         Relay relay(loop, [this] { return way(); }, settings.seeds, [] { return false; });
-        const Serve serve = [&relay](const Exchange& exchange) { return relay.relay(exchange); };
+        const Serve serve = [&relay](const ApiRequest& apiRequest) { return relay.relay(apiRequest); };
         HttpServer outer(loop, settings.outer.limits, [&](const HttpRequest& request) { return settings.outer.handle(request, serve); });
         if (settings.outer.handle)
             if (auto listening = outer.listen(settings.outer.address, false); !listening) {
@@ -71,16 +71,16 @@
         disk = std::make_unique<WorkThread>();
         views = std::make_unique<WorkThread>();
         spawn([this] { seekCluster(); });
-        log(LogLevel::info, "started", {{"identity", json(identity.value)}, {"peer", json(settings.peer.value)}, {"area", json(settings.area)}, {"seeds", json(joined(settings.seeds))}});
+        log(LogLevel::info, "started", {{"identity", json(identity.value)}, {"peer", json(settings.peer.value)}, {"zone", json(settings.zone)}, {"seeds", json(joined(settings.seeds))}});
         StopSignal stop(loop);
         ReloadSignal reload(loop, [&] { renewSeeds(relay); });
         lookForSeeds = [&] { renewSeeds(relay); };
-        Instant handOverAt{0}, stopBy{0};
+        MonotonicTime transferAt{0}, stopBy{0};
         while (true) {
             stepped.store(monotonicNow().milliseconds);
             core->step(monotonicNow(), wallNow());
             drive();
-            if (core->agreed().retired() && !renew()) return 1;
+            if (core->raftNode().removedFromCluster() && !renew()) return 1;
             if (core->damaged()) {
                 log(LogLevel::error, "the state can't be read by this version; stopping, nothing is changed", {{"data", json(settings.data)}});
                 broken = true;
@@ -88,18 +88,18 @@
             if (broken) std::_Exit(1);
             if (stop.requested()) {
                 // SIGTERM hands leadership over before the process ends. docs/operations.md 4.
-                if (stopBy == Instant{0}) {
-                    stopBy = monotonicNow() + Span{1500};
+                if (stopBy == MonotonicTime{0}) {
+                    stopBy = monotonicNow() + Duration{1500};
                     log(LogLevel::info, "stopping");
                 }
-                if (!core->agreed().leads() || monotonicNow() >= stopBy) break;
-                if (monotonicNow() >= handOverAt) {
-                    core->handOver(monotonicNow());
-                    handOverAt = monotonicNow() + Span{700};
+                if (!core->raftNode().leads() || monotonicNow() >= stopBy) break;
+                if (monotonicNow() >= transferAt) {
+                    core->transferLeadership(monotonicNow());
+                    transferAt = monotonicNow() + Duration{700};
                 }
             }
             std::unique_lock lock(wakeMutex);
-            wake.wait_for(lock, std::chrono::milliseconds(core->agreed().blank() ? 100 : 10), [&] { return woken; });
+            wake.wait_for(lock, std::chrono::milliseconds(core->raftNode().blank() ? 100 : 10), [&] { return woken; });
             woken = false;
         }
         http.stop();
@@ -120,12 +120,12 @@
     bool openCore() {
         if (!stores()) {
             std::random_device device;
-            identity = ReservoirId{"no-disk-" + std::to_string(device())};
+            identity = ControllerId{"no-disk-" + std::to_string(device())};
             makeCore({});
             return true;
         }
         auto opened = folder.open();
-        DiskResult<std::vector<DiskRecord>> restored = std::vector<DiskRecord>{};
+        DiskResult<std::vector<WriteAheadRecord>> restored = std::vector<WriteAheadRecord>{};
         if (opened) restored = folder.load();
         if (!opened || !restored) {
             const auto& error = opened ? restored.error() : opened.error();
@@ -139,27 +139,27 @@
             }
             opened = folder.openHeld();
             if (!opened) return false;
-            restored = std::vector<DiskRecord>{};
+            restored = std::vector<WriteAheadRecord>{};
             log(LogLevel::warning, "began as a new identity; the damaged state is kept aside", {{"identity", json(opened.value().value)}});
         }
         identity = opened.value();
         makeCore(restored.value());
         return true;
     }
-    void makeCore(const std::vector<DiskRecord>& restored) {
-        ReservoirOptions options;
-        options.agreement.heartbeat = Span{settings.heartbeat};
-        options.agreement.electionLow = Span{settings.electionLow};
-        options.agreement.electionHigh = Span{settings.electionHigh};
-        options.replaceAfter = Span{settings.replaceAfter};
+    void makeCore(const std::vector<WriteAheadRecord>& restored) {
+        ControllerOptions options;
+        options.raft.heartbeat = Duration{settings.heartbeat};
+        options.raft.electionLow = Duration{settings.electionLow};
+        options.raft.electionHigh = Duration{settings.electionHigh};
+        options.replaceAfter = Duration{settings.replaceAfter};
         options.voters = std::size_t(settings.voters);
-        options.term = Span{settings.term};
-        options.margin = Span{settings.margin};
-        options.checkpointVersions = std::uint64_t(settings.checkpointVersions);
+        options.lease = Duration{settings.lease};
+        options.margin = Duration{settings.margin};
+        options.snapshotVersions = std::uint64_t(settings.snapshotVersions);
         std::random_device device;
-        core = std::make_unique<Reservoir>(Member{identity, settings.advertise, AreaName{settings.area}, false}, options, (std::uint64_t(device()) << 32) | device(), restored, monotonicNow());
-        keeper = std::make_shared<ViewKeeper>();
-        core->noted.connect([](const Note& note) { log(LogLevel::info, note.what, note.fields); });
+        core = std::make_unique<Controller>(Member{identity, settings.advertise, ZoneName{settings.zone}, false}, options, (std::uint64_t(device()) << 32) | device(), restored, monotonicNow());
+        keeper = std::make_shared<SnapshotWriter>();
+        core->logEvent.connect([](const LogEvent& note) { log(LogLevel::info, note.what, note.fields); });
     }
     bool renew() {
         log(LogLevel::warning, "this identity is no member any more; beginning anew", {{"identity", json(identity.value)}});
@@ -200,7 +200,7 @@
                     if (keeper == this->keeper) written(result, version);
                 });
             });
-        if (auto work = core->takeViewWork(); !work.empty())
+        if (auto work = core->takeSnapshotWork(); !work.empty())
             views->hand([this, work = std::move(work), keeper = keeper] {
                 if (auto view = keeper->work(work))
                     asio::post(loop.context, [this, keeper, view = std::move(*view)]() mutable {
@@ -242,7 +242,7 @@
                 message = std::move(queue.messages.front());
                 queue.messages.pop_front();
             }
-            caller.post(WireMessage{0, std::move(message)});  // a lost one is made good by the agreement
+            caller.post(WireMessage{0, std::move(message)});  // a lost one is made good by consensus
         }
     }
     bool listenPeers() {
@@ -261,7 +261,7 @@
             for (;;) {
                 auto socket = std::make_shared<tcp::socket>(loop.context);
                 if (await([&](auto done) { acceptor->async_accept(*socket, done); }).error) {
-                    pause(Span{10});
+                    pause(Duration{10});
                     continue;
                 }
                 spawn([this, socket] { servePeer(socket); });
@@ -284,54 +284,54 @@
             }
             const auto correlation = message.value().correlation;
             if (auto* peer = boost::get<PeerMessage>(&message.value().body)) core->receive(*peer, monotonicNow());
-            else if (auto* exchange = boost::get<Exchange>(&message.value().body)) {
-                const ExchangeNumber number{++lastExchange};
+            else if (auto* apiRequest = boost::get<ApiRequest>(&message.value().body)) {
+                const RequestNumber number{++lastRequest};
                 askers[number] = {writer, correlation};
-                core->take(number, std::move(*exchange), monotonicNow());
-            } else if (auto* ask = boost::get<RouteAsk>(&message.value().body)) {
-                if (!ask->sluice.address.value.empty()) core->noteSluice(ask->sluice, monotonicNow());
-                // Where no seed has a disk one of them names the reservoir that founds, once and for all. docs/design.md 3.7.
-                if (!stores() && named.value.empty() && ask->mayFound) named = ask->reservoir;
-                if (core->agreed().blank() && !ask->reservoir.value.empty() && visitors.size() < 32) visitors.insert(ask->reservoir);
+                core->take(number, std::move(*apiRequest), monotonicNow());
+            } else if (auto* ask = boost::get<RouteQuery>(&message.value().body)) {
+                if (!ask->gateway.address.value.empty()) core->recordGateway(ask->gateway, monotonicNow());
+                // Where no seed has a disk one of them names the controller that founds, once and for all. docs/design.md 3.7.
+                if (!stores() && named.value.empty() && ask->mayFound) named = ask->controller;
+                if (core->raftNode().blank() && !ask->controller.value.empty() && visitors.size() < 32) visitors.insert(ask->controller);
                 writer->send(encode(WireMessage{correlation, tell()}));
-            } else if (boost::get<FoundAsk>(&message.value().body)) {
-                const bool blank = core->agreed().blank() && stores();
+            } else if (boost::get<BootstrapRequest>(&message.value().body)) {
+                const bool blank = core->raftNode().blank() && stores();
                 if (blank) core->found(monotonicNow());
-                writer->send(encode(WireMessage{correlation, blank ? Answer::of(202, {{"founded", json(identity.value)}})
-                                                                  : Answer::error(409, "conflict", stores() ? "this reservoir has a cluster already" : "this reservoir has no disk")}));
+                writer->send(encode(WireMessage{correlation, blank ? ApiResponse::of(202, {{"founded", json(identity.value)}})
+                                                                  : ApiResponse::error(409, "conflict", stores() ? "this controller has a cluster already" : "this controller has no disk")}));
             }
             nudge();
         }
     }
     // One that belongs to no cluster tells of the cluster that it has heard of. docs/design.md 9.7.
-    RouteView way() const { return core->agreed().blank() ? heardOf : core->route(monotonicNow()); }
-    RouteTell tell() const {
-        RouteTell told;
+    RouteView way() const { return core->raftNode().blank() ? heardOf : core->route(monotonicNow()); }
+    RouteReply tell() const {
+        RouteReply told;
         told.view = way();
         told.id = identity;
         told.peer = settings.advertise;
-        told.area = AreaName{settings.area};
-        told.blank = core->agreed().blank() && heardOf.reservoirs.empty();
-        told.leads = core->agreed().leads();
+        told.zone = ZoneName{settings.zone};
+        told.blank = core->raftNode().blank() && heardOf.controllers.empty();
+        told.leads = core->raftNode().leads();
         told.stores = stores();
         told.founder = named;
         return told;
     }
-    // A blank reservoir looks for a cluster through its seeds and whom they name, and asks to join it. docs/design.md 3.5.
+    // A blank controller looks for a cluster through its seeds and whom they name, and asks to join it. docs/design.md 3.5.
     void seekCluster() {
         std::map<Address, std::shared_ptr<WireCaller>> callers;
-        for (;; pause(heardOf.reservoirs.empty() ? Span{200} : Span{400})) {
+        for (;; pause(heardOf.controllers.empty() ? Duration{200} : Duration{400})) {
             if (lookForSeeds && way().leader.value.empty()) lookForSeeds();
-            if (!core->agreed().blank()) {
+            if (!core->raftNode().blank()) {
                 heardOf = RouteView{};
                 visitors.clear();
                 meetSeeds(callers);
-                pause(Span{1000});
+                pause(Duration{1000});
                 continue;
             }
-            Founding founding(settings.advertise, stores(), settings.seeds);
+            ClusterBootstrap founding(settings.advertise, stores(), settings.seeds);
             std::vector<Address> asked = settings.seeds;
-            for (const auto& address : heardOf.reservoirs)
+            for (const auto& address : heardOf.controllers)
                 if (!std::count(asked.begin(), asked.end(), address)) asked.push_back(address);
             for (const auto& address : visitors)
                 if (!std::count(asked.begin(), asked.end(), address)) asked.push_back(address);
@@ -339,11 +339,11 @@
                 if (address == settings.advertise) continue;
                 auto& caller = callers[address];
                 if (!caller) caller = std::make_shared<WireCaller>(loop, address);
-                auto answered = caller->call(RouteAsk{{}, settings.advertise, settings.found && stores()}, Span{500});
-                auto* told = answered ? boost::get<RouteTell>(&answered.value().body) : nullptr;
+                auto answered = caller->call(RouteQuery{{}, settings.advertise, settings.found && stores()}, Duration{500});
+                auto* told = answered ? boost::get<RouteReply>(&answered.value().body) : nullptr;
                 if (!told) {
-                    // docs/design.md 9.5: a seed may be a sluice; it names the reservoirs.
-                    for (const auto& reservoir : reservoirsBy(loop, address)) joinAt(reservoir);
+                    // docs/design.md 9.5: a seed may be a gateway; it names the controllers.
+                    for (const auto& controller : controllersBy(loop, address)) joinAt(controller);
                     continue;
                 }
                 if (told->blank) {
@@ -352,10 +352,10 @@
                 }
                 heardOf.takeNewer(told->view);
                 if (!told->view.leader.value.empty()) joinAt(told->view.leader);
-                else if (!told->view.reservoirs.empty()) joinAt(told->view.reservoirs.front());
+                else if (!told->view.controllers.empty()) joinAt(told->view.controllers.front());
             }
             if (!heardOf.leader.value.empty()) joinAt(heardOf.leader);
-            if (settings.found && core->agreed().blank() && heardOf.reservoirs.empty() && founding.may()) {
+            if (settings.found && core->raftNode().blank() && heardOf.controllers.empty() && founding.may()) {
                 log(LogLevel::info, "founds a cluster");
                 core->found(monotonicNow());
                 nudge();
@@ -365,41 +365,41 @@
     // A seed may belong to no cluster and have no disk, and others begin there: it must learn of us, also after it began anew.
     // docs/design.md 9.7, docs/incidents.md 8.
     void meetSeeds(std::map<Address, std::shared_ptr<WireCaller>>& callers) {
-        const auto known = core->agreed().members();
+        const auto known = core->raftNode().members();
         for (const auto& seed : std::vector<Address>(settings.seeds)) {
             if (std::any_of(known.begin(), known.end(), [&](const Member& member) { return member.peer == seed; })) continue;
             auto& caller = callers[seed];
             if (!caller) caller = std::make_shared<WireCaller>(loop, seed);
-            [[maybe_unused]] const auto met = caller->call(RouteAsk{{}, settings.advertise, false}, Span{300});
+            [[maybe_unused]] const auto met = caller->call(RouteQuery{{}, settings.advertise, false}, Duration{300});
         }
     }
     void joinAt(const Address& leader) {
         if (stores()) core->join(leader);
     }
-    Answer standing(const HttpRequest& request) {
+    ApiResponse readiness(const HttpRequest& request) {
         const bool alive = monotonicNow().milliseconds - stepped.load() < 2000;
-        if (request.target == "/healthz") return Answer::of(alive ? 200 : 503, {{"alive", json(alive)}});
+        if (request.target == "/healthz") return ApiResponse::of(alive ? 200 : 503, {{"alive", json(alive)}});
         if (request.target == "/readyz") {
-            const bool ready = alive && !core->agreed().blank() && (core->agreed().serves() || !core->agreed().leader().value.empty());
-            return Answer::of(ready ? 200 : 503, {{"ready", json(ready)}, {"role", json(name(core->agreed().role()))}, {"epoch", json(core->agreed().epoch().value)},
-                                                  {"identity", json(identity.value)}, {"setup", json(core->committed().setup.version.value)}});
+            const bool ready = alive && !core->raftNode().blank() && (core->raftNode().serves() || !core->raftNode().leader().value.empty());
+            return ApiResponse::of(ready ? 200 : 503, {{"ready", json(ready)}, {"role", json(name(core->raftNode().role()))}, {"term", json(core->raftNode().term().value)},
+                                                  {"identity", json(identity.value)}, {"config", json(core->committed().config.version.value)}});
         }
         if (auto contacts = contactsAnswer(request, way())) return *contacts;
-        return Answer::error(404, "missing", "a reservoir serves /healthz, /readyz and /v1/contacts here; all else is at the sluices");
+        return ApiResponse::error(404, "missing", "a controller serves /healthz, /readyz and /v1/contacts here; all else is at the gateways");
     }
 
-    ReservoirSettings settings;
+    ControllerSettings settings;
     Loop loop;
     DataFolder folder;
-    ReservoirId identity;
-    std::unique_ptr<Reservoir> core;
-    std::shared_ptr<ViewKeeper> keeper;
+    ControllerId identity;
+    std::unique_ptr<Controller> core;
+    std::shared_ptr<SnapshotWriter> keeper;
     std::unique_ptr<WorkThread> disk, views;
     std::map<Address, std::shared_ptr<Outbox>> outbox;
-    std::map<ExchangeNumber, std::pair<std::shared_ptr<WireWriter>, std::uint64_t>> askers;
-    std::uint64_t lastExchange = 0;
+    std::map<RequestNumber, std::pair<std::shared_ptr<WireWriter>, std::uint64_t>> askers;
+    std::uint64_t lastRequest = 0;
     RouteView heardOf;  // while it belongs to no cluster: the one it has heard of
-    std::set<Address> visitors;  // and the reservoirs that asked it meanwhile
+    std::set<Address> visitors;  // and the controllers that asked it meanwhile
     Address named;             // to found a cluster, by one that has no disk
     std::atomic<std::int64_t> stepped{0};
     std::function<void()> lookForSeeds;
@@ -410,6 +410,6 @@
 
 }  // namespace
 
-int runReservoir(ReservoirSettings settings) { return Program(std::move(settings)).run(); }
+int runController(ControllerSettings settings) { return Program(std::move(settings)).run(); }
 
 }  // namespace aniseline
--- a/source/daemons/reservoir_daemon.hpp
+++ b/source/daemons/controller_daemon.hpp
@@ -1,21 +1,21 @@
-// The reservoir as a daemon: sockets, disk and threads round the core. docs/design.md 9.
+// The controller as a daemon: sockets, disk and threads round the core. docs/design.md 9.
 #pragma once
-#include "edge/relay.hpp"
+#include "net/relay.hpp"
 
 namespace aniseline {
 
-struct ReservoirSettings {
+struct ControllerSettings {
     Address peer, http, advertise;
-    std::string area, data;  // without a data folder it stores nothing and never votes: it leads the way only. docs/design.md 9.7
+    std::string zone, data;  // without a data folder it stores nothing and never votes: it leads the way only. docs/design.md 9.7
     std::vector<Address> seeds;
     bool found = false, quiet = false;
-    std::int64_t heartbeat = 100, electionLow = 500, electionHigh = 1000, replaceAfter = 30'000, checkpointVersions = 1000, voters = 3;
-    std::int64_t term = 3000, margin = 1000;  // of minions' leases, in milliseconds
+    std::int64_t heartbeat = 100, electionLow = 500, electionHigh = 1000, replaceAfter = 30'000, snapshotVersions = 1000, voters = 3;
+    std::int64_t lease = 3000, margin = 1000;  // of workers' leases, in milliseconds
     OuterInterface outer;
     SeedSource seedsNow;
 };
 
 // Serves until it is told to stop; the process' exit status.
-int runReservoir(ReservoirSettings settings);
+int runController(ControllerSettings settings);
 
 }  // namespace aniseline
--- a/source/edge/route.cpp
+++ b/source/gateway/leader_directory.cpp
@@ -1,4 +1,4 @@
-#include "edge/route.hpp"
+#include "gateway/leader_directory.hpp"
 #include <urcu.h>
 
 #if defined(__SANITIZE_THREAD__)
@@ -15,17 +15,17 @@
 
 namespace aniseline {
 
-RouteBoard::RouteBoard() : current(new RouteView) {}
-RouteBoard::~RouteBoard() { delete current.load(); }
+LeaderDirectory::LeaderDirectory() : current(new RouteView) {}
+LeaderDirectory::~LeaderDirectory() { delete current.load(); }
 RouteReader::RouteReader() { rcu_register_thread(); }
 RouteReader::~RouteReader() { rcu_unregister_thread(); }
-void RouteBoard::lockRead() { rcu_read_lock(); }
-void RouteBoard::unlockRead() {
+void LeaderDirectory::lockRead() { rcu_read_lock(); }
+void LeaderDirectory::unlockRead() {
     ANISELINE_GRACE_RELEASE();
     rcu_read_unlock();
 }
 
-bool RouteBoard::publish(const RouteView& view) {
+bool LeaderDirectory::publish(const RouteView& view) {
     const RouteView* before = current.load(std::memory_order_acquire);
     auto next = std::make_unique<RouteView>(*before);
     if (!next->takeNewer(view)) return false;
@@ -43,11 +43,11 @@
 #include <thread>
 using namespace aniseline;
 
-TEST_GROUP(RouteBoardTests){};
+TEST_GROUP(LeaderDirectoryTests){};
 
 // Under the thread sanitizer this fails when a view is freed under a reader.
-TEST(RouteBoardTests, readersNeverSeeAFreedOrOlderView) {
-    RouteBoard board;
+TEST(LeaderDirectoryTests, readersNeverSeeAFreedOrOlderView) {
+    LeaderDirectory board;
     std::atomic<bool> over{false};
     std::atomic<int> slips{0};
     std::vector<std::thread> readers;
@@ -56,17 +56,17 @@
             RouteReader reader;
             std::uint64_t seen = 0;
             while (!over) {
-                const auto epoch = board.read([](const RouteView& view) { return view.epoch.value + view.reservoirs.size() * 0; });
-                if (epoch < seen) ++slips;
-                seen = epoch;
+                const auto term = board.read([](const RouteView& view) { return view.term.value + view.controllers.size() * 0; });
+                if (term < seen) ++slips;
+                seen = term;
             }
         });
-    for (std::uint64_t epoch = 1; epoch <= 300; ++epoch) {
+    for (std::uint64_t term = 1; term <= 300; ++term) {
         RouteView view;
-        view.epoch = Epoch{epoch};
-        view.reservoirs.assign(3, Address{"127.0.0.1:1"});
+        view.term = Term{term};
+        view.controllers.assign(3, Address{"127.0.0.1:1"});
         CHECK(board.publish(view));
-        view.epoch = Epoch{epoch - 1};
+        view.term = Term{term - 1};
         CHECK(!board.publish(view));
     }
     over = true;
--- a/source/edge/route.hpp
+++ b/source/gateway/leader_directory.hpp
@@ -1,13 +1,13 @@
-// The route view that a sluice's threads read without waiting: read-copy-update by liburcu. docs/design.md 9.2.
+// The route view that a gateway's threads read without waiting: read-copy-update by liburcu. docs/design.md 9.2.
 #pragma once
-#include "exchange.hpp"
+#include "state/api_request.hpp"
 
 namespace aniseline {
 
-class RouteBoard {
+class LeaderDirectory {
 public:
-    RouteBoard();
-    ~RouteBoard();
+    LeaderDirectory();
+    ~LeaderDirectory();
     // For any thread that holds a RouteReader.
     template <class Use> auto read(Use&& use) const {
         lockRead();
--- a/source/client.cpp
+++ b/source/net/client.cpp
@@ -1,18 +1,18 @@
-#include "client.hpp"
+#include "net/client.hpp"
 
 namespace aniseline {
 
 namespace {
-std::vector<Address> sluicesIn(const HttpAnswer& told) {
+std::vector<Address> gatewaysIn(const HttpResponse& told) {
     picojson::value root;
     std::vector<Address> inForce;
-    if (told.status != 200 || !picojson::parse(root, told.body).empty() || !root.is<picojson::object>() || !root.get("sluices").is<picojson::array>()) return inForce;
-    for (const auto& address : root.get("sluices").get<picojson::array>()) inForce.push_back(Address{address.to_str()});
+    if (told.status != 200 || !picojson::parse(root, told.body).empty() || !root.is<picojson::object>() || !root.get("gateways").is<picojson::array>()) return inForce;
+    for (const auto& address : root.get("gateways").get<picojson::array>()) inForce.push_back(Address{address.to_str()});
     return inForce;
 }
 }  // namespace
 
-Result<HttpAnswer, HttpError> Caller::once(const HttpRequest& request, Span within) {
+Result<HttpResponse, HttpError> Caller::once(const HttpRequest& request, Duration within) {
     const Address asked = contacts.current(monotonicNow());
     auto result = client.ask(asked, request, within);
     if (!result) result = HttpError{result.error().kind, asked.value + ": " + result.error().text};
@@ -22,23 +22,23 @@
 }
 
 void Caller::learn() {
-    if (!area || monotonicNow() - learnedAt < Span{5000}) return;
+    if (!zone || monotonicNow() - learnedAt < Duration{5000}) return;
     learnedAt = monotonicNow();
-    // Of the addresses given some may be dead, some reservoirs, which serve no callers but know who does.
+    // Of the addresses given some may be dead, some controllers, which serve no callers but know who does.
     for (std::size_t tries = 0; tries < (contacts.knowsMore() ? 1 : contacts.seedCount()); ++tries) {
-        if (auto told = client.ask(contacts.current(learnedAt), {"GET", "/v1/contacts?area=" + area->value, ""}, Span{500})) contacts.learn(sluicesIn(told.value()));
+        if (auto told = client.ask(contacts.current(learnedAt), {"GET", "/v1/contacts?zone=" + zone->value, ""}, Duration{500})) contacts.learn(gatewaysIn(told.value()));
         if (contacts.knowsMore()) return;
         contacts.failed(learnedAt);
     }
 }
 
-Result<HttpAnswer, ClientError> Caller::ask(const HttpRequest& request, Span within) {
-    const Instant until = monotonicNow() + within;
-    ClientError last{ClientError::Kind::unknown, 0, "no sluice answers", Span{0}};
+Result<HttpResponse, ClientError> Caller::ask(const HttpRequest& request, Duration within) {
+    const MonotonicTime until = monotonicNow() + within;
+    ClientError last{ClientError::Kind::unknown, 0, "no gateway answers", Duration{0}};
     learn();
     while (monotonicNow() < until) {
-        // A sluice that is silent for longer is left for the next; what it may have taken is asked again with the same id.
-        auto result = once(request, std::min(Span{1500}, until - monotonicNow()));
+        // A gateway that is silent for longer is left for the next; what it may have taken is asked again with the same id.
+        auto result = once(request, std::min(Duration{1500}, until - monotonicNow()));
         if (result) {
             if (result.value().status < 400) return result.value();
             last = ClientError{result.value().status == 404 ? ClientError::Kind::missing : result.value().status == 503 ? ClientError::Kind::unknown : ClientError::Kind::rejected,
@@ -46,31 +46,31 @@
             if (last.kind != ClientError::Kind::unknown) return last;
             contacts.failed(monotonicNow());
         } else last.text = result.error().text;
-        pause(Span{std::clamp<std::int64_t>(last.retryAfter.milliseconds, 50, 500)});
+        pause(Duration{std::clamp<std::int64_t>(last.retryAfter.milliseconds, 50, 500)});
     }
     return last;
 }
 
-MinionClient::MinionClient(Loop& loop, MinionHand::Options options, Incarnation incarnation, std::vector<Address> sluices)
-    : loop(loop), core(std::move(options), incarnation), contacts(std::move(sluices), incarnation.value / 2), draw(incarnation.value) {}
+WorkerClient::WorkerClient(Loop& loop, WorkerSession::Options options, Incarnation incarnation, std::vector<Address> gateways)
+    : loop(loop), core(std::move(options), incarnation), contacts(std::move(gateways), incarnation.value / 2), random(incarnation.value) {}
 
-void MinionClient::deliver() {
+void WorkerClient::deliver() {
     for (const auto& [order, kind] : core.takeConfirmed()) confirmed(order, kind);
     for (const auto& wanted : core.takeEffects()) effect(wanted);
 }
 
-void MinionClient::ended(AttemptNumber attempt, bool well) { core.ended(attempt, well, monotonicNow()); }
-void MinionClient::leave(Span within) { core.leave(within); }
+void WorkerClient::ended(AttemptNumber attempt, bool well) { core.ended(attempt, well, monotonicNow()); }
+void WorkerClient::leave(Duration within) { core.leave(within); }
 
-void MinionClient::run(const std::atomic<bool>& stop) {
+void WorkerClient::run(const std::atomic<bool>& stop) {
     // The fibers below use what stands here: this one waits for them at its end.
     std::size_t others = 2;
-    // Terms lapse and trials end between syncs too.
+    // Leases lapse and trials end between syncs too.
     spawn([this, &stop, &others] {
         while (!stop) {
             core.tick(monotonicNow());
             deliver();
-            pause(Span{10});
+            pause(Duration{10});
         }
         --others;
     });
@@ -81,50 +81,50 @@
         while (!stop) {
             if (core.urgent() && !cut) {
                 auto report = core.report(monotonicNow());
-                report.wait = Span{0};
-                const Instant sentAt = monotonicNow();
-                auto result = urgent.ask(contacts.current(sentAt), {"POST", "/v1/minions/" + report.id.value + "/sync", renderReport(report)}, Span{1500});
+                report.wait = Duration{0};
+                const MonotonicTime sentAt = monotonicNow();
+                auto result = urgent.ask(contacts.current(sentAt), {"POST", "/v1/workers/" + report.id.value + "/sync", renderReport(report)}, Duration{1500});
                 if (result && result.value().status == 200) {
-                    if (auto answer = SyncAnswer::parse(result.value().body)) core.answered(answer.value(), sentAt, monotonicNow());
+                    if (auto answer = SyncResponse::parse(result.value().body)) core.answered(answer.value(), sentAt, monotonicNow());
                     deliver();
-                } else pause(Span{50});
+                } else pause(Duration{50});
             }
-            pause(Span{5});
+            pause(Duration{5});
         }
         --others;
     });
     while (!stop) {
         if (cut) {
-            pause(Span{20});
+            pause(Duration{20});
             continue;
         }
-        contacts.learn(core.sluices());
+        contacts.learn(core.gateways());
         const Address target = contacts.current(monotonicNow());
         const auto report = core.report(monotonicNow());
-        const Instant sentAt = monotonicNow();
-        auto result = patient.ask(target, {"POST", "/v1/minions/" + report.id.value + "/sync", renderReport(report)}, report.wait + Span{300});
+        const MonotonicTime sentAt = monotonicNow();
+        auto result = patient.ask(target, {"POST", "/v1/workers/" + report.id.value + "/sync", renderReport(report)}, report.wait + Duration{300});
         if (cut) continue;
         if (result && result.value().status == 200) {
-            auto answer = SyncAnswer::parse(result.value().body);
+            auto answer = SyncResponse::parse(result.value().body);
             if (answer) core.answered(answer.value(), sentAt, monotonicNow());
             deliver();
-            if (!answer) pause(Span{100});
+            if (!answer) pause(Duration{100});
         } else if (result && result.value().status == 410) {
-            core.replaced(Incarnation{draw.next() | 1});
+            core.replaced(Incarnation{random.next() | 1});
             deliver();
             began(core.currentIncarnation());
         } else {
             if (result && result.value().status == 409) rejected(result.value().body);
             else {
-                // The address given may be a reservoir's, which serves no minions but knows who does.
+                // The address given may be a controller's, which serves no workers but knows who does.
                 if (!contacts.knowsMore())
-                    if (auto told = patient.ask(target, {"GET", "/v1/contacts?area=" + report.capacity.area.value, ""}, Span{500})) contacts.learn(sluicesIn(told.value()));
+                    if (auto told = patient.ask(target, {"GET", "/v1/contacts?zone=" + report.capacity.zone.value, ""}, Duration{500})) contacts.learn(gatewaysIn(told.value()));
                 contacts.failed(monotonicNow());
             }
-            pause(result ? std::max(Span{20}, result.value().retryAfter) : Span{20});
+            pause(result ? std::max(Duration{20}, result.value().retryAfter) : Duration{20});
         }
     }
-    while (others > 0) pause(Span{5});
+    while (others > 0) pause(Duration{5});
 }
 
 }  // namespace aniseline
--- a/source/edge/disk.cpp
+++ b/source/net/disk.cpp
@@ -1,4 +1,4 @@
-#include "edge/disk.hpp"
+#include "net/disk.hpp"
 #include <cerrno>
 #include <fcntl.h>
 #include <filesystem>
@@ -13,9 +13,9 @@
 namespace {
 constexpr char frameMark[8] = {'A', 'N', 'I', 'S', 'E', '0', '0', '4'};  // the last three are the format's number
 
-std::string nameOf(const DiskRecord& record) {
+std::string nameOf(const WriteAheadRecord& record) {
     char name[64];
-    std::snprintf(name, sizeof name, "%s-%020llu", record.whole ? "view" : "log", (unsigned long long)record.version.value);
+    std::snprintf(name, sizeof name, "%s-%020llu", record.whole ? "snapshot" : "log", (unsigned long long)record.version.value);
     return name;
 }
 std::string systemText() { return std::strerror(errno); }
@@ -75,7 +75,7 @@
     return true;
 }
 
-DiskResult<ReservoirId> DataFolder::open() {
+DiskResult<ControllerId> DataFolder::open() {
     std::error_code error;
     fs::create_directories(path, error);
     if (error) return DiskError{path, 0, error.message()};
@@ -89,55 +89,55 @@
     return openHeld();
 }
 
-DiskResult<ReservoirId> DataFolder::openHeld() {
+DiskResult<ControllerId> DataFolder::openHeld() {
     const std::string file = path + "/identity";
     if (!fs::exists(file)) {
         for (const auto& entry : fs::directory_iterator(path)) {
             const std::string name = entry.path().filename();
-            if (name.starts_with("log-") || name.starts_with("view-")) return DiskError{file, 0, "is missing, but the folder holds state"};
+            if (name.starts_with("log-") || name.starts_with("snapshot-")) return DiskError{file, 0, "is missing, but the folder holds state"};
         }
         std::random_device device;
         char text[40];
         std::snprintf(text, sizeof text, "%08x%08x", device(), device());
         if (auto written = writeFile("identity", frame(text)); !written) return written.error();
-        return ReservoirId{text};
+        return ControllerId{text};
     }
     std::ifstream stream(file, std::ios::binary);
     std::string bytes((std::istreambuf_iterator<char>(stream)), {});
     auto body = unframe(file, bytes);
     if (!body) return body.error();
-    return ReservoirId{body.value()};
+    return ControllerId{body.value()};
 }
 
-DiskResult<std::vector<DiskRecord>> DataFolder::load() {
+DiskResult<std::vector<WriteAheadRecord>> DataFolder::load() {
     for (const auto& entry : fs::directory_iterator(path))
         if (entry.path().extension() == ".partial") fs::remove(entry.path());
     return loadFrom(path);
 }
 
-DiskResult<std::vector<DiskRecord>> DataFolder::loadFrom(const std::string& path) {
+DiskResult<std::vector<WriteAheadRecord>> DataFolder::loadFrom(const std::string& path) {
     std::map<std::uint64_t, std::string> files;
-    std::uint64_t latestView = 0;
+    std::uint64_t latestSnapshot = 0;
     std::error_code listError;
     for (const auto& entry : fs::directory_iterator(path, listError)) {
         const std::string name = entry.path().filename();
-        const bool view = name.starts_with("view-");
-        if ((!view && !name.starts_with("log-")) || name.ends_with(".partial")) continue;
-        const std::uint64_t version = std::strtoull(name.c_str() + (view ? 5 : 4), nullptr, 10);
+        const bool snapshot = name.starts_with("snapshot-");
+        if ((!snapshot && !name.starts_with("log-")) || name.ends_with(".partial")) continue;
+        const std::uint64_t version = std::strtoull(name.c_str() + (snapshot ? 9 : 4), nullptr, 10);
         if (!files.emplace(version, entry.path()).second) return DiskError{entry.path(), 0, "a version stands twice"};
-        if (view) latestView = std::max(latestView, version);
+        if (snapshot) latestSnapshot = std::max(latestSnapshot, version);
     }
     if (listError) return DiskError{path, 0, listError.message()};
-    files.erase(files.begin(), files.lower_bound(latestView));
-    std::vector<DiskRecord> records;
-    std::uint64_t expected = latestView ? latestView : 1;
+    files.erase(files.begin(), files.lower_bound(latestSnapshot));
+    std::vector<WriteAheadRecord> records;
+    std::uint64_t expected = latestSnapshot ? latestSnapshot : 1;
     for (const auto& [version, file] : files) {
         if (version != expected++) return DiskError{file, 0, "version " + std::to_string(expected - 1) + " before it is missing"};
         std::ifstream stream(file, std::ios::binary);
         std::string bytes((std::istreambuf_iterator<char>(stream)), {});
         auto body = unframe(file, bytes);
         if (!body) return body.error();
-        auto record = unpack<DiskRecord>(body.value());
+        auto record = unpack<WriteAheadRecord>(body.value());
         if (!record) return DiskError{file, 20, record.error().text()};
         if (record.value().version.value != version) return DiskError{file, 20, "holds another version than its name says"};
         records.push_back(std::move(record.value()));
@@ -145,15 +145,15 @@
     return records;
 }
 
-DiskResult<bool> DataFolder::write(const DiskRecord& record) {
+DiskResult<bool> DataFolder::write(const WriteAheadRecord& record) {
     auto written = writeFile(nameOf(record), frame(pack(record)));
     if (!written || !record.whole) return written;
     // Older versions go only now that the whole one is synced.
     for (const auto& entry : fs::directory_iterator(path)) {
         const std::string name = entry.path().filename();
-        const bool view = name.starts_with("view-");
-        if (!view && !name.starts_with("log-")) continue;
-        if (std::strtoull(name.c_str() + (view ? 5 : 4), nullptr, 10) < record.version.value) {
+        const bool snapshot = name.starts_with("snapshot-");
+        if (!snapshot && !name.starts_with("log-")) continue;
+        if (std::strtoull(name.c_str() + (snapshot ? 9 : 4), nullptr, 10) < record.version.value) {
             std::error_code ignored;
             fs::remove(entry.path(), ignored);
         }
@@ -174,7 +174,7 @@
     if (!syncFolder(path)) return DiskError{path, 0, systemText()};
     for (const auto& entry : fs::directory_iterator(path)) {
         const std::string name = entry.path().filename();
-        if (name.starts_with("log-") || name.starts_with("view-")) fs::rename(entry.path(), target + "/" + name, error);
+        if (name.starts_with("log-") || name.starts_with("snapshot-")) fs::rename(entry.path(), target + "/" + name, error);
     }
     if (error) return DiskError{path, 0, error.message()};
     if (!syncFolder(path)) return DiskError{path, 0, systemText()};
@@ -194,12 +194,12 @@
         path = ::mkdtemp(made);
     }
     void teardown() override { fs::remove_all(path); }
-    DiskRecord record(std::uint64_t version, bool whole) {
-        DiskRecord made;
+    WriteAheadRecord record(std::uint64_t version, bool whole) {
+        WriteAheadRecord made;
         made.version = DiskVersion{version};
         made.whole = whole;
         made.first = LogIndex{version};
-        made.entries = {LogEntry{Epoch{1}, false, "payload " + std::to_string(version)}};
+        made.entries = {LogEntry{Term{1}, false, "payload " + std::to_string(version)}};
         return made;
     }
     std::string fileOf(std::uint64_t version) {
--- a/source/edge/disk.hpp
+++ b/source/net/disk.hpp
@@ -1,6 +1,6 @@
-// A reservoir's data folder: its identity, and one file for each version of its durable state. docs/design.md 3.3.
+// A controller's data folder: its identity, and one file for each version of its durable state. docs/design.md 3.3.
 #pragma once
-#include "agreement.hpp"
+#include "raft/node.hpp"
 
 namespace aniseline {
 
@@ -16,13 +16,13 @@
 public:
     explicit DataFolder(std::string path) : path(std::move(path)) {}
     // Opens the folder; an empty one gets a new identity. Damage is an error, never a guess.
-    DiskResult<ReservoirId> open();
-    DiskResult<ReservoirId> openHeld();  // the same, by the process that holds the folder already
-    DiskResult<std::vector<DiskRecord>> load();
-    DiskResult<bool> write(const DiskRecord& record);
+    DiskResult<ControllerId> open();
+    DiskResult<ControllerId> openHeld();  // the same, by the process that holds the folder already
+    DiskResult<std::vector<WriteAheadRecord>> load();
+    DiskResult<bool> write(const WriteAheadRecord& record);
     // Puts a folder whose identity may not vote any more aside; the next open begins a new identity.
     DiskResult<bool> setAside();
-    static DiskResult<std::vector<DiskRecord>> loadFrom(const std::string& path);
+    static DiskResult<std::vector<WriteAheadRecord>> loadFrom(const std::string& path);
     static std::string frame(const std::string& bytes);
     static DiskResult<std::string> unframe(const std::string& file, const std::string& bytes);
 
--- a/source/edge/history.cpp
+++ b/source/net/history_file.cpp
@@ -1,4 +1,4 @@
-#include "edge/history.hpp"
+#include "net/history_file.hpp"
 #include <filesystem>
 
 namespace aniseline {
@@ -21,7 +21,7 @@
         std::size_t number = 0;
         for (std::string line; std::getline(lines, line);) {
             ++number;
-            auto job = Exchange::parse("POST", "/v1/jobs", line);
+            auto job = ApiRequest::parse("POST", "/v1/jobs", line);
             if (job) found.submissions[job.value().job.id.value] = job.value().job;
             else if (!atWork) return HistoryError{name, number, job.error().text()};
         }
--- a/source/edge/history.hpp
+++ b/source/net/history_file.hpp
@@ -1,8 +1,8 @@
-// The file in which a program writes down what it witnesses, line by line, for tailrace. docs/design.md 11.
+// The file in which a program writes down what it witnesses, line by line, for history_check. docs/design.md 11.
 #pragma once
-#include "edge/loop.hpp"
-#include "exchange.hpp"
-#include "witness.hpp"
+#include "net/loop.hpp"
+#include "state/api_request.hpp"
+#include "checker/history.hpp"
 #include <fstream>
 
 namespace aniseline {
@@ -16,18 +16,18 @@
         out.open(name, std::ios::app);
         out << "\n" << std::flush;
     }
-    void write(Witness witness) {
+    void write(HistoryEvent witness) {
         if (!out.is_open()) return;
         if (!witness.at) witness.at = wallNow().milliseconds;
         out << witness.line() << "\n" << std::flush;
     }
-    void write(Witness::Kind kind, std::string detail = {}) {
-        Witness witness;
+    void write(HistoryEvent::Kind kind, std::string detail = {}) {
+        HistoryEvent witness;
         witness.kind = kind;
         witness.detail = std::move(detail);
         write(std::move(witness));
     }
-    void close() { write(Witness::Kind::closed); }
+    void close() { write(HistoryEvent::Kind::closed); }
 
 private:
     std::ofstream out;
@@ -35,7 +35,7 @@
 
 // What all writers of a folder witnessed (*.witness), and the jobs submitted (*.submissions).
 struct FleetHistory {
-    std::vector<Witness> witnessed;
+    std::vector<HistoryEvent> witnessed;
     std::map<std::string, JobSubmission> submissions;
 };
 // An error in any file is an error of the whole; of writers still at work a line may be half written.
--- a/source/edge/http.cpp
+++ b/source/net/http.cpp
@@ -1,4 +1,4 @@
-#include "edge/http.hpp"
+#include "net/http.hpp"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -29,7 +29,7 @@
             tcp::socket socket(loop.context);
             if (await([&](auto done) { acceptor->async_accept(socket, done); }).error) {
                 if (stopping) return;
-                pause(Span{10});
+                pause(Duration{10});
                 continue;
             }
             if (connections >= limits.connections) continue;  // closed at once: the bound holds
@@ -61,13 +61,13 @@
         parser.header_limit(16 * 1024);
         stream.expires_after(std::chrono::milliseconds(limits.idle.milliseconds));
         const auto read = await([&](auto done) { http::async_read(stream, buffer, parser, done); });
-        Answer answer;
+        ApiResponse answer;
         bool bad = false;
-        if (read.error == http::error::body_limit) answer = Answer::error(413, "invalid", "the body is larger than " + std::to_string(limits.bodyBytes) + " bytes"), bad = true;
-        else if (read.error == http::error::header_limit) answer = Answer::error(431, "invalid", "the header is too large"), bad = true;
+        if (read.error == http::error::body_limit) answer = ApiResponse::error(413, "invalid", "the body is larger than " + std::to_string(limits.bodyBytes) + " bytes"), bad = true;
+        else if (read.error == http::error::header_limit) answer = ApiResponse::error(431, "invalid", "the header is too large"), bad = true;
         else if (read.error && read.error.category() == http::make_error_code(http::error::bad_method).category() && read.error != http::error::end_of_stream &&
                  read.error != http::error::partial_message)
-            answer = Answer::error(400, "invalid", "this is no HTTP/1.1 request: " + read.error.message()), bad = true;
+            answer = ApiResponse::error(400, "invalid", "this is no HTTP/1.1 request: " + read.error.message()), bad = true;
         else if (read.error) return;
         else {
             HttpRequest request{std::string(parser.get().method_string()), std::string(parser.get().target()), std::move(parser.get().body())};
@@ -77,11 +77,11 @@
                     std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return char(std::tolower(letter)); });
                     request.fields.emplace_back(std::move(name), std::string(field.value()));
                 }
-            // Whatever a body makes a reader throw ends the exchange, never the process.
+            // Whatever a body makes a reader throw ends the request, never the process.
             try {
                 answer = handler(request);
             } catch (const std::exception& error) {
-                answer = Answer::error(400, "invalid", std::string("the request can't be read: ") + error.what());
+                answer = ApiResponse::error(400, "invalid", std::string("the request can't be read: ") + error.what());
             }
         }
         keep = !bad && parser.get().keep_alive() && !stopping;
@@ -94,39 +94,39 @@
         response.keep_alive(keep);
         response.body() = std::move(answer.body);
         response.prepare_payload();
-        stream.expires_after(std::chrono::milliseconds(limits.exchange.milliseconds));
+        stream.expires_after(std::chrono::milliseconds(limits.request.milliseconds));
         if (await([&](auto done) { http::async_write(stream, response, done); }).error) return;
     }
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-std::optional<Answer> contactsAnswer(const HttpRequest& request, const RouteView& view) {
+std::optional<ApiResponse> contactsAnswer(const HttpRequest& request, const RouteView& view) {
     static std::atomic<std::uint64_t> turn{0};
-    const std::string path = "/v1/contacts", query = "?area=";
+    const std::string path = "/v1/contacts", query = "?zone=";
     if (request.method != "GET" || !request.target.starts_with(path)) return std::nullopt;
     const std::string rest = request.target.substr(path.size());
     if (!rest.empty() && !rest.starts_with(query)) return std::nullopt;
-    const AreaName area{rest.empty() ? "" : rest.substr(query.size())};
-    picojson::array sluices, reservoirs;
-    for (const auto& address : preferred(view.sluices, area, turn++)) sluices.push_back(json(address.value));
-    for (const auto& address : view.reservoirs) reservoirs.push_back(json(address.value));
-    return Answer::of(200, {{"sluices", json(sluices)}, {"reservoirs", json(reservoirs)}, {"leader", json(view.leader.value)}});
+    const ZoneName zone{rest.empty() ? "" : rest.substr(query.size())};
+    picojson::array gateways, controllers;
+    for (const auto& address : preferred(view.gateways, zone, turn++)) gateways.push_back(json(address.value));
+    for (const auto& address : view.controllers) controllers.push_back(json(address.value));
+    return ApiResponse::of(200, {{"gateways", json(gateways)}, {"controllers", json(controllers)}, {"leader", json(view.leader.value)}});
 }
 
-std::vector<Address> reservoirsBy(Loop& loop, const Address& seed) {
+std::vector<Address> controllersBy(Loop& loop, const Address& seed) {
     HttpClient client(loop);
-    auto answer = client.ask(seed, {"GET", "/v1/contacts", ""}, Span{500});
+    auto answer = client.ask(seed, {"GET", "/v1/contacts", ""}, Duration{500});
     picojson::value root;
     std::vector<Address> found;
-    if (!answer || answer.value().status != 200 || !picojson::parse(root, answer.value().body).empty() || !root.get("reservoirs").is<picojson::array>()) return found;
-    for (const auto& address : root.get("reservoirs").get<picojson::array>())
+    if (!answer || answer.value().status != 200 || !picojson::parse(root, answer.value().body).empty() || !root.get("controllers").is<picojson::array>()) return found;
+    for (const auto& address : root.get("controllers").get<picojson::array>())
         if (address.is<std::string>() && endpointOf(Address{address.get<std::string>()})) found.push_back(Address{address.get<std::string>()});
     return found;
 }
 
 HttpClient::~HttpClient() = default;
 
-Result<HttpAnswer, HttpError> HttpClient::ask(const Address& address, const HttpRequest& given, Span within) {
+Result<HttpResponse, HttpError> HttpClient::ask(const Address& address, const HttpRequest& given, Duration within) {
     auto endpoint = endpointOf(address);
     if (!endpoint) return HttpError{HttpError::Kind::unreachable, endpoint.error().text()};
     if (connectedTo != address) connection.reset();
@@ -167,11 +167,11 @@
             else return HttpError{HttpError::Kind::lost, result.error.message()};
             continue;
         }
-        HttpAnswer answer;
+        HttpResponse answer;
         answer.status = int(response.result_int());
         answer.body = std::move(response.body());
         const auto retry = response.find("Retry-After-Ms");
-        if (retry != response.end()) answer.retryAfter = Span{std::strtoll(std::string(retry->value()).c_str(), nullptr, 10)};
+        if (retry != response.end()) answer.retryAfter = Duration{std::strtoll(std::string(retry->value()).c_str(), nullptr, 10)};
         if (!response.keep_alive()) connection.reset();
         return answer;
     }
--- a/source/edge/http.hpp
+++ b/source/net/http.hpp
@@ -1,7 +1,7 @@
 // HTTP/1.1 with JSON, outward, by Boost.Beast on fibers. docs/design.md 9.4.
 #pragma once
-#include "edge/loop.hpp"
-#include "exchange.hpp"
+#include "net/loop.hpp"
+#include "state/api_request.hpp"
 
 namespace aniseline {
 
@@ -22,15 +22,15 @@
 struct HttpLimits {
     std::size_t bodyBytes = 1024 * 1024;
     std::size_t connections = 2000;
-    Span idle{30'000};
-    Span exchange{10'000};  // to read one request or write one answer
+    Duration idle{30'000};
+    Duration request{10'000};  // to read one request or write one answer
     bool keepFields = false;  // hand the header's fields to the handler
 };
 
 // Serves until told to stop; one fiber a connection, all on the thread that calls serve().
 class HttpServer {
 public:
-    using Handler = std::function<Answer(const HttpRequest&)>;
+    using Handler = std::function<ApiResponse(const HttpRequest&)>;
     HttpServer(Loop& loop, HttpLimits limits, Handler handler) : loop(loop), limits(limits), handler(std::move(handler)) {}
     Result<bool, HttpError> listen(const Address& address, bool shared);
     void stop();
@@ -46,21 +46,21 @@
     bool stopping = false;
 };
 
-struct HttpAnswer {
+struct HttpResponse {
     int status = 0;
     std::string body;
-    Span retryAfter{0};
+    Duration retryAfter{0};
 };
 
-// GET /v1/contacts[?area=A], which sluices and reservoirs answer alike; nothing if the request is another. docs/design.md 9.5.
-std::optional<Answer> contactsAnswer(const HttpRequest& request, const RouteView& view);
+// GET /v1/contacts[?zone=A], which gateways and controllers answer alike; nothing if the request is another. docs/design.md 9.5.
+std::optional<ApiResponse> contactsAnswer(const HttpRequest& request, const RouteView& view);
 
 // One kept connection to one address.
 class HttpClient {
 public:
     explicit HttpClient(Loop& loop) : loop(loop) {}
     ~HttpClient();
-    Result<HttpAnswer, HttpError> ask(const Address& address, const HttpRequest& request, Span within);
+    Result<HttpResponse, HttpError> ask(const Address& address, const HttpRequest& request, Duration within);
 
 private:
     struct Connection;
@@ -69,7 +69,7 @@
     std::shared_ptr<Connection> connection;
 };
 
-// The reservoirs that the process at an outer address knows of; none if it knows none or is silent.
-std::vector<Address> reservoirsBy(Loop& loop, const Address& seed);
+// The controllers that the process at an outer address knows of; none if it knows none or is silent.
+std::vector<Address> controllersBy(Loop& loop, const Address& seed);
 
 }  // namespace aniseline
--- a/source/edge/log.cpp
+++ b/source/net/log.cpp
@@ -1,4 +1,4 @@
-#include "edge/log.hpp"
+#include "net/log.hpp"
 #include <date/date.h>
 #include <easylogging++.h>
 
--- a/source/edge/log.hpp
+++ b/source/net/log.hpp
@@ -1,6 +1,6 @@
 // Logs: one JSON object a line on standard error. docs/operations.md 5.
 #pragma once
-#include "exchange.hpp"
+#include "state/api_request.hpp"
 
 namespace aniseline {
 
--- a/source/edge/loop.cpp
+++ b/source/net/loop.cpp
@@ -1,4 +1,4 @@
-#include "edge/loop.hpp"
+#include "net/loop.hpp"
 
 namespace aniseline {
 
--- a/source/edge/loop.hpp
+++ b/source/net/loop.hpp
@@ -1,6 +1,6 @@
 // One thread's fibers over one Asio context. docs/design.md 9.1.
 #pragma once
-#include "aniseline.hpp"
+#include "base/types.hpp"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -77,20 +77,20 @@
 }
 
 template <class Work>
-void after(Span span, Work&& work) {
+void after(Duration span, Work&& work) {
     spawn([span, work = std::forward<Work>(work)] {
         boost::this_fiber::sleep_for(std::chrono::milliseconds(span.milliseconds));
         work();
     });
 }
 
-inline Instant monotonicNow() {
-    return Instant{std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count()};
+inline MonotonicTime monotonicNow() {
+    return MonotonicTime{std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count()};
 }
 inline WallTime wallNow() {
     return WallTime{std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()};
 }
-inline void pause(Span span) { boost::this_fiber::sleep_for(std::chrono::milliseconds(span.milliseconds)); }
+inline void pause(Duration span) { boost::this_fiber::sleep_for(std::chrono::milliseconds(span.milliseconds)); }
 
 inline std::string ipOf(const Address& address) {
     const auto colon = address.value.rfind(':');
--- a/source/edge/options.cpp
+++ b/source/net/options.cpp
@@ -1,5 +1,5 @@
-#include "edge/options.hpp"
-#include "edge/loop.hpp"
+#include "net/options.hpp"
+#include "net/loop.hpp"
 #include <cmath>
 #include <fstream>
 #include <iostream>
--- a/source/edge/options.hpp
+++ b/source/net/options.hpp
@@ -1,6 +1,6 @@
 // Command lines (TCLAP) over an options file (JSON): every fault is named by file and field. docs/operations.md 2.
 #pragma once
-#include "exchange.hpp"
+#include "state/api_request.hpp"
 #include <tclap/CmdLine.h>
 
 namespace aniseline {
--- a/source/edge/relay.hpp
+++ b/source/net/relay.hpp
@@ -1,13 +1,13 @@
-// A sluice's way from a typed exchange to the leader and back. docs/design.md 9.2.
+// A gateway's way from a typed request to the leader and back. docs/design.md 9.2.
 #pragma once
-#include "edge/http.hpp"
-#include "edge/route.hpp"
-#include "edge/wire.hpp"
+#include "net/http.hpp"
+#include "gateway/leader_directory.hpp"
+#include "net/wire.hpp"
 
 namespace aniseline {
 
-// Has an exchange served by the leader, wherever that is.
-using Serve = std::function<Answer(const Exchange&)>;
+// Has a request served by the leader, wherever that is.
+using Serve = std::function<ApiResponse(const ApiRequest&)>;
 
 // An interface that an adapter gives a daemon beside the product's own. docs/design.md 9.6.
 // The addresses for first contact as they stand now, where they can change while a process runs.
@@ -16,7 +16,7 @@
 struct OuterInterface {
     Address address;
     HttpLimits limits;
-    std::function<Answer(const HttpRequest&, const Serve&)> handle;
+    std::function<ApiResponse(const HttpRequest&, const Serve&)> handle;
 };
 
 class Relay {
@@ -24,7 +24,7 @@
     // givingUp: this process ends, and what is under way gets its last answer now.
     Relay(Loop& loop, std::function<RouteView()> route, std::vector<Address> seeds, std::function<bool()> givingUp)
         : loop(loop), route(std::move(route)), seeds(std::move(seeds)), givingUp(std::move(givingUp)) {}
-    Answer relay(const Exchange& exchange);
+    ApiResponse relay(const ApiRequest& apiRequest);
     void useSeeds(std::vector<Address> given) { seeds = std::move(given); }
     // Whoever served last; empty before anyone did.
     const Address& served() const { return lastServed; }
--- a/source/edge/stopping.hpp
+++ b/source/net/signals.hpp
@@ -1,6 +1,6 @@
 // The polite signals, as a flag that fibers can see.
 #pragma once
-#include "edge/loop.hpp"
+#include "net/loop.hpp"
 #include <boost/asio/signal_set.hpp>
 
 namespace aniseline {
--- a/source/edge/wire.cpp
+++ b/source/net/wire.cpp
@@ -1,4 +1,4 @@
-#include "edge/wire.hpp"
+#include "net/wire.hpp"
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -73,9 +73,9 @@
     socket->close(ignored);
 }
 
-std::shared_ptr<WireCaller::Connection> WireCaller::connection(Span within) {
+std::shared_ptr<WireCaller::Connection> WireCaller::connection(Duration within) {
     if (current && current->open) return current;
-    while (connecting) pause(Span{5});
+    while (connecting) pause(Duration{5});
     if (current && current->open) return current;
     if (monotonicNow() < notBefore) return nullptr;
     auto endpoint = endpointOf(address);
@@ -93,7 +93,7 @@
     timer->cancel();
     connecting = false;
     if (connected.error) {
-        notBefore = monotonicNow() + Span{50};
+        notBefore = monotonicNow() + Duration{50};
         return nullptr;
     }
     IoError ignored;
@@ -121,7 +121,7 @@
     return made;
 }
 
-Result<WireMessage, WireError> WireCaller::call(WireBody body, Span within, const std::function<bool()>& abandoned) {
+Result<WireMessage, WireError> WireCaller::call(WireBody body, Duration within, const std::function<bool()>& abandoned) {
     auto link = connection(within);
     if (!link) return WireError{WireError::Kind::unreachable, address.value + " can't be reached"};
     const std::uint64_t correlation = nextCorrelation++;
@@ -132,9 +132,9 @@
         link->waiting.erase(correlation);
         return WireError{WireError::Kind::unreachable, "the link to " + address.value + " is full"};
     }
-    const Instant until = monotonicNow() + within;
+    const MonotonicTime until = monotonicNow() + within;
     while (monotonicNow() < until && !(abandoned && abandoned())) {
-        const Span slice = std::min(abandoned ? Span{50} : within, until - monotonicNow());
+        const Duration slice = std::min(abandoned ? Duration{50} : within, until - monotonicNow());
         if (future.wait_for(std::chrono::milliseconds(slice.milliseconds)) == boost::fibers::future_status::ready) return future.get();
     }
     link->waiting.erase(correlation);
@@ -142,7 +142,7 @@
 }
 
 bool WireCaller::post(WireMessage message) {
-    auto link = connection(Span{500});
+    auto link = connection(Duration{500});
     return link && link->writer->send(encode(message));
 }
 
--- a/source/edge/wire.hpp
+++ b/source/net/wire.hpp
@@ -1,31 +1,31 @@
 // What our own processes say to each other: framed, checksummed Boost.Serialization over TCP. docs/design.md 9.3.
 #pragma once
-#include "edge/loop.hpp"
-#include "reservoir.hpp"
+#include "net/loop.hpp"
+#include "controller/controller.hpp"
 
 namespace aniseline {
 
-struct RouteAsk {
-    Contact sluice;         // of a sluice that asks, else empty
-    Address reservoir;      // of a reservoir that asks, so that whoever is asked learns of it; else empty
+struct RouteQuery {
+    Contact gateway;         // of a gateway that asks, else empty
+    Address controller;      // of a controller that asks, so that whoever is asked learns of it; else empty
     bool mayFound = false;  // it is blank and may found a cluster. docs/design.md 3.7
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & sluice & reservoir & mayFound; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & gateway & controller & mayFound; }
 };
-struct RouteTell {
+struct RouteReply {
     RouteView view;
-    ReservoirId id;
+    ControllerId id;
     Address peer;
-    AreaName area;
+    ZoneName zone;
     bool blank = false;   // it knows of no cluster
     bool leads = false;
     bool stores = true;   // it has a disk, so it may found and vote
-    Address founder;      // of one that has none: the reservoir that it named to found
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & view & id & peer & area & blank & leads & stores & founder; }
+    Address founder;      // of one that has none: the controller that it named to found
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & view & id & peer & zone & blank & leads & stores & founder; }
 };
-struct FoundAsk {  // an operator's word: found a new cluster here
+struct BootstrapRequest {  // an operator's word: found a new cluster here
     template <class Archive> void serialize(Archive&, unsigned) {}
 };
-using WireBody = boost::variant<PeerMessage, Exchange, Answer, RouteAsk, RouteTell, FoundAsk>;
+using WireBody = boost::variant<PeerMessage, ApiRequest, ApiResponse, RouteQuery, RouteReply, BootstrapRequest>;
 struct WireMessage {
     std::uint64_t correlation = 0;
     WireBody body;
@@ -64,7 +64,7 @@
     WireCaller(Loop& loop, Address address) : loop(loop), address(std::move(address)) {}
     // An error of kind `unreachable` means that nothing was sent.
     // `abandoned` is asked now and then whether to wait on; true ends the wait as late.
-    Result<WireMessage, WireError> call(WireBody body, Span within, const std::function<bool()>& abandoned = {});
+    Result<WireMessage, WireError> call(WireBody body, Duration within, const std::function<bool()>& abandoned = {});
     bool post(WireMessage message);  // without an answer; lost when it can't be sent
 
 private:
@@ -77,12 +77,12 @@
         std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
         bool open = true;
     };
-    std::shared_ptr<Connection> connection(Span within);
+    std::shared_ptr<Connection> connection(Duration within);
     Loop& loop;
     Address address;
     std::shared_ptr<Connection> current;
     bool connecting = false;
-    Instant notBefore{0};
+    MonotonicTime notBefore{0};
     std::uint64_t nextCorrelation = 1;
 };
 
--- a/source/edge/minion_words.cpp
+++ b/source/net/worker_protocol.cpp
@@ -1,14 +1,14 @@
-#include "edge/minion_words.hpp"
+#include "net/worker_protocol.hpp"
 #include <cmath>
 
 namespace aniseline {
 
 namespace {
 
-constexpr std::pair<MinionCall::Kind, const char*> callTargets[] = {
-    {MinionCall::Kind::start, "/v1/run/start"}, {MinionCall::Kind::stop, "/v1/run/stop"}, {MinionCall::Kind::look, "/v1/run/look"}};
-constexpr std::pair<MinionReply::Kind, const char*> reasons[] = {
-    {MinionReply::Kind::fenced, "fence"}, {MinionReply::Kind::old, "old"}, {MinionReply::Kind::late, "late"}, {MinionReply::Kind::room, "room"}};
+constexpr std::pair<WorkerCall::Kind, const char*> callTargets[] = {
+    {WorkerCall::Kind::start, "/v1/run/start"}, {WorkerCall::Kind::stop, "/v1/run/stop"}, {WorkerCall::Kind::look, "/v1/run/look"}};
+constexpr std::pair<WorkerReply::Kind, const char*> reasons[] = {
+    {WorkerReply::Kind::fenced, "fence"}, {WorkerReply::Kind::old, "old"}, {WorkerReply::Kind::late, "late"}, {WorkerReply::Kind::room, "room"}};
 constexpr const char* accountTarget = "/v1/account";
 constexpr const char* leaveTarget = "/v1/leave";
 
@@ -73,7 +73,7 @@
     if (nestedTooDeep(body) || !picojson::parse(root, body).empty() || !root.is<picojson::object>()) return std::nullopt;
     return root;
 }
-void renderStart(const MinionCall& call, picojson::object& body) {
+void renderStart(const WorkerCall& call, picojson::object& body) {
     const Order& order = call.order;
     body["attempt"] = json(std::to_string(order.attempt.value));
     body["job"] = json(order.job.value);  // the occurrence's own id, where it is one of a timetable
@@ -93,8 +93,8 @@
     order.task = reading.narrow("task", true);
     order.cores = reading.thousandths("cores");
     order.memory = reading.whole("memory_mb", true);
-    order.runtime = Span{std::int64_t(reading.whole("runtime_ms", true))};
-    order.quantum = Span{std::int64_t(reading.whole("quantum_ms"))};
+    order.runtime = Duration{std::int64_t(reading.whole("runtime_ms", true))};
+    order.quantum = Duration{std::int64_t(reading.whole("quantum_ms"))};
     order.payload = reading.text("payload");
     order.saved = reading.text("saved");
     order.step = name.step;
@@ -103,14 +103,14 @@
     return order;
 }
 
-// --- a penstock's side ---
+// --- an agent's side ---
 
-HttpRequest renderCall(const MinionCall& call) {
+HttpRequest renderCall(const WorkerCall& call) {
     picojson::object body{{"life", json(call.life.value)}, {"fence", json(std::to_string(call.fence.value))}};
-    if (call.kind != MinionCall::Kind::look) body["name"] = json(renderName(call.name));
-    if (call.kind != MinionCall::Kind::stop && call.deadline) body["deadline_ms"] = json(call.deadline->milliseconds);
-    if (call.kind == MinionCall::Kind::start) renderStart(call, body);
-    if (call.kind == MinionCall::Kind::look) {
+    if (call.kind != WorkerCall::Kind::look) body["name"] = json(renderName(call.name));
+    if (call.kind != WorkerCall::Kind::stop && call.deadline) body["deadline_ms"] = json(call.deadline->milliseconds);
+    if (call.kind == WorkerCall::Kind::start) renderStart(call, body);
+    if (call.kind == WorkerCall::Kind::look) {
         body["last_seen"] = json(call.lastSeen);
         body["wait_ms"] = json(call.wait.milliseconds);
     }
@@ -119,16 +119,16 @@
     return {};
 }
 
-void readLook(const picojson::value& root, MinionReply& reply) {
+void readLook(const picojson::value& root, WorkerReply& reply) {
     auto rows = [&](const char* field, auto&& use) {
         const auto& list = root.get(field);
-        if (!list.is<picojson::array>()) return reply.kind = MinionReply::Kind::lost, void();
+        if (!list.is<picojson::array>()) return reply.kind = WorkerReply::Kind::lost, void();
         for (const auto& row : list.get<picojson::array>()) {
             Reading reading{row};
             const auto name = reading.find("name");
             Reading nameReading{name};
             const RunName run = readName(nameReading);
-            if (nameReading.fault || !use(reading, run) || reading.fault) reply.kind = MinionReply::Kind::lost;  // what can't be read whole tells nothing
+            if (nameReading.fault || !use(reading, run) || reading.fault) reply.kind = WorkerReply::Kind::lost;  // what can't be read whole tells nothing
         }
     };
     rows("active", [&](Reading& reading, const RunName& run) {
@@ -143,36 +143,36 @@
     reply.whole = !root.get("more").evaluate_as_boolean();
 }
 
-MinionReply readReply(const MinionCall& call, const Result<HttpAnswer, HttpError>& answer) {
-    MinionReply reply;
+WorkerReply readReply(const WorkerCall& call, const Result<HttpResponse, HttpError>& answer) {
+    WorkerReply reply;
     if (!answer) return reply;
     const auto root = parsed(answer.value().body);
-    if (root && root->get("now_ms").is<double>()) reply.clock = MinionTime{std::int64_t(root->get("now_ms").get<double>())};
+    if (root && root->get("now_ms").is<double>()) reply.clock = WorkerTime{std::int64_t(root->get("now_ms").get<double>())};
     switch (answer.value().status) {
         case 200: break;
-        case 400: reply.kind = MinionReply::Kind::invalid; return reply;
-        case 410: reply.kind = MinionReply::Kind::otherLife; return reply;
+        case 400: reply.kind = WorkerReply::Kind::invalid; return reply;
+        case 410: reply.kind = WorkerReply::Kind::otherLife; return reply;
         case 429:
-        case 503: reply.kind = MinionReply::Kind::sick; return reply;
+        case 503: reply.kind = WorkerReply::Kind::sick; return reply;
         case 409:
-            reply.kind = MinionReply::Kind::room;
+            reply.kind = WorkerReply::Kind::room;
             for (const auto& [kind, reason] : reasons)
                 if (root && root->get("reason").is<std::string>() && root->get("reason").get<std::string>() == reason) reply.kind = kind;
             return reply;
         default: return reply;
     }
     if (!root) return reply;
-    reply.kind = MinionReply::Kind::done;
-    if (call.kind == MinionCall::Kind::look) readLook(*root, reply);
+    reply.kind = WorkerReply::Kind::done;
+    if (call.kind == WorkerCall::Kind::look) readLook(*root, reply);
     return reply;
 }
 
-std::optional<MinionWords::Word> hear(const HttpRequest& request) {
+std::optional<WorkerProtocol::Word> hear(const HttpRequest& request) {
     const auto root = parsed(request.body);
     if (request.method != "POST" || !root || (request.target != accountTarget && request.target != leaveTarget)) return std::nullopt;
     Reading reading{*root};
-    MinionWords::Word word;
-    word.account.life = MinionId{reading.text("life", true)};
+    WorkerProtocol::Word word;
+    word.account.life = WorkerId{reading.text("life", true)};
     if (request.target == leaveTarget) {
         word.left = true;
         return reading.fault ? std::nullopt : std::optional(word);
@@ -181,45 +181,45 @@
     capacity.cores = reading.thousandths("cores");
     capacity.memory = reading.whole("memory_mb", true);
     capacity.accelerators = reading.narrow("accelerators");
-    capacity.area = AreaName{reading.text("area", true)};
+    capacity.zone = ZoneName{reading.text("zone", true)};
     capacity.rack = reading.text("rack");
     capacity.pool = reading.text("pool");
     capacity.guardsRoom = reading.flag("guards_room");
-    capacity.honoursTerms = capacity.lapses = true;  // the hold ends all by itself
+    capacity.honoursLeases = capacity.lapses = true;  // the hold ends all by itself
     capacity.pauses = false;
     if (const auto labels = reading.find("labels"); labels.is<picojson::array>())
         for (const auto& label : labels.get<picojson::array>()) capacity.labels.push_back(label.to_str());
     word.account.leaving = reading.flag("leaving");
-    word.account.leaveWithin = Span{std::int64_t(reading.whole("leave_within_ms"))};
-    word.account.clock = MinionTime{std::int64_t(reading.whole("now_ms", true))};
+    word.account.leaveWithin = Duration{std::int64_t(reading.whole("leave_within_ms"))};
+    word.account.clock = WorkerTime{std::int64_t(reading.whole("now_ms", true))};
     return reading.fault ? std::nullopt : std::optional(word);
 }
 
 }  // namespace
 
-MinionWords minionWords() { return {renderCall, readReply, hear}; }
+WorkerProtocol workerProtocol() { return {renderCall, readReply, hear}; }
 
-Result<MinionCall> readMinionCall(const HttpRequest& request) {
-    MinionCall call;
+Result<WorkerCall> readWorkerCall(const HttpRequest& request) {
+    WorkerCall call;
     auto found = std::find_if(std::begin(callTargets), std::end(callTargets), [&](const auto& known) { return request.target == known.second; });
     if (request.method != "POST" || found == std::end(callTargets)) return CoreError::at(CoreError::Kind::missing, "", "there is no " + request.method + " " + request.target);
     call.kind = found->first;
     const auto root = parsed(request.body);
     if (!root) return CoreError::at(CoreError::Kind::invalid, "", "the body must be an object in JSON");
     Reading reading{*root};
-    call.life = MinionId{reading.text("life", true)};
-    call.fence = Epoch{reading.digits("fence", true)};
-    if (!reading.find("deadline_ms").is<picojson::null>()) call.deadline = MinionTime{std::int64_t(reading.whole("deadline_ms"))};
-    if (call.kind == MinionCall::Kind::look) {
+    call.life = WorkerId{reading.text("life", true)};
+    call.fence = Term{reading.digits("fence", true)};
+    if (!reading.find("deadline_ms").is<picojson::null>()) call.deadline = WorkerTime{std::int64_t(reading.whole("deadline_ms"))};
+    if (call.kind == WorkerCall::Kind::look) {
         call.lastSeen = reading.whole("last_seen");
-        call.wait = Span{std::min<std::int64_t>(10'000, std::int64_t(reading.whole("wait_ms")))};
+        call.wait = Duration{std::min<std::int64_t>(10'000, std::int64_t(reading.whole("wait_ms")))};
     } else {
         const auto name = reading.find("name");
         Reading nameReading{name};
         call.name = readName(nameReading);
         if (nameReading.fault) return CoreError::at(CoreError::Kind::invalid, "/name" + nameReading.fault->path, nameReading.fault->text);
     }
-    if (call.kind == MinionCall::Kind::start) {
+    if (call.kind == WorkerCall::Kind::start) {
         call.order = readStart(reading, call.name);
         call.payload = call.order.payload;
         call.saved = call.order.saved;
@@ -228,23 +228,23 @@
     return call;
 }
 
-Answer writeMinionReply(const MinionCall& call, const MinionReply& reply) {
+ApiResponse writeWorkerReply(const WorkerCall& call, const WorkerReply& reply) {
     picojson::object body;
     if (reply.clock) body["now_ms"] = json(reply.clock->milliseconds);
     auto refuse = [&](int status, const char* error, const std::string& text) {
         body["error"] = json(error);
         body["text"] = json(text);
-        return Answer::of(status, body);
+        return ApiResponse::of(status, body);
     };
-    if (reply.kind == MinionReply::Kind::otherLife) return refuse(410, "gone", "this is another life of the minion");
+    if (reply.kind == WorkerReply::Kind::otherLife) return refuse(410, "gone", "this is another life of the worker");
     for (const auto& [kind, reason] : reasons)
         if (reply.kind == kind) {
             body["reason"] = json(reason);
             return refuse(409, "conflict", std::string("turned away: ") + reason);
         }
-    if (reply.kind == MinionReply::Kind::invalid) return refuse(400, "invalid", "can't be carried out");
-    if (reply.kind != MinionReply::Kind::done) return refuse(503, "not_taken", "not now");
-    if (call.kind == MinionCall::Kind::look) {
+    if (reply.kind == WorkerReply::Kind::invalid) return refuse(400, "invalid", "can't be carried out");
+    if (reply.kind != WorkerReply::Kind::done) return refuse(503, "not_taken", "not now");
+    if (call.kind == WorkerCall::Kind::look) {
         picojson::array active, ended;
         for (const auto& run : reply.active) active.push_back(json(picojson::object{{"name", json(renderName(run.name))}, {"saved", json(run.saved)}}));
         for (const auto& run : reply.ended)
@@ -253,13 +253,13 @@
         body["ended"] = json(ended);
         body["more"] = json(!reply.whole);
     }
-    return Answer::of(200, body);
+    return ApiResponse::of(200, body);
 }
 
-HttpRequest writeAccount(const MinionAccount& account) {
+HttpRequest writeAccount(const WorkerAccount& account) {
     const Capacity& capacity = account.capacity;
     picojson::object body{{"life", json(account.life.value)}, {"cores", json(capacity.cores / 1000.0)}, {"memory_mb", json(capacity.memory)}, {"accelerators", json(capacity.accelerators)},
-                          {"area", json(capacity.area.value)}, {"rack", json(capacity.rack)}, {"guards_room", json(capacity.guardsRoom)}, {"leaving", json(account.leaving)},
+                          {"zone", json(capacity.zone.value)}, {"rack", json(capacity.rack)}, {"guards_room", json(capacity.guardsRoom)}, {"leaving", json(account.leaving)},
                           {"leave_within_ms", json(account.leaveWithin.milliseconds)}, {"now_ms", json(account.clock ? account.clock->milliseconds : 0)}};
     if (!capacity.pool.empty()) body["pool"] = json(capacity.pool);
     picojson::array labels;
@@ -267,6 +267,6 @@
     if (!labels.empty()) body["labels"] = json(labels);
     return {"POST", accountTarget, json(body).serialize()};
 }
-HttpRequest writeLeave(const MinionId& life) { return {"POST", leaveTarget, json(picojson::object{{"life", json(life.value)}}).serialize()}; }
+HttpRequest writeLeave(const WorkerId& life) { return {"POST", leaveTarget, json(picojson::object{{"life", json(life.value)}}).serialize()}; }
 
 }  // namespace aniseline
--- a/source/founding.hpp
+++ b/source/raft/bootstrap.hpp
@@ -1,15 +1,15 @@
-// May this blank reservoir found the cluster? Judged anew in each round of asking the seeds. docs/design.md 3.7.
+// May this blank controller found the cluster? Judged anew in each round of asking the seeds. docs/design.md 3.7.
 #pragma once
-#include "aniseline.hpp"
+#include "base/types.hpp"
 
 namespace aniseline {
 
-class Founding {
+class ClusterBootstrap {
 public:
-    Founding(Address self, bool stores, std::vector<Address> seeds) : self(std::move(self)), stores(stores), seeds(std::move(seeds)) {
+    ClusterBootstrap(Address self, bool stores, std::vector<Address> seeds) : self(std::move(self)), stores(stores), seeds(std::move(seeds)) {
         if (std::count(this->seeds.begin(), this->seeds.end(), this->self)) hear(this->self, true, Address{});
     }
-    // A seed is there and blank. `named`: the reservoir that it would have found, where it has no disk itself.
+    // A seed is there and blank. `named`: the controller that it would have found, where it has no disk itself.
     void hear(const Address& seed, bool seedStores, const Address& named) {
         if (!std::count(seeds.begin(), seeds.end(), seed)) return;
         blank[seed] = {seedStores, named};
--- a/source/agreement.cpp
+++ b/source/raft/node.cpp
@@ -1,4 +1,4 @@
-#include "agreement.hpp"
+#include "raft/node.hpp"
 
 namespace aniseline {
 
@@ -7,14 +7,14 @@
     return names[std::size_t(role)];
 }
 
-Agreement::Agreement(Member self, AgreementOptions options, std::uint64_t seed, const std::vector<DiskRecord>& restored, Instant now)
-    : own(std::move(self)), options(options), draw(seed), clockNow(now) {
+RaftNode::RaftNode(Member self, RaftOptions options, std::uint64_t seed, const std::vector<WriteAheadRecord>& restored, MonotonicTime now)
+    : own(std::move(self)), options(options), random(seed), clockNow(now) {
     for (const auto& record : restored) {
-        currentEpoch = record.epoch;
+        currentTerm = record.term;
         vote = record.vote;
         if (record.whole) {
-            stored = record.view;
-            base = LogView{record.view.index, record.view.epoch, record.view.members, {}};
+            stored = record.snapshot;
+            base = Snapshot{record.snapshot.index, record.snapshot.term, record.snapshot.members, {}};
             log = record.entries;
             sinceWhole = 0;
         } else {
@@ -33,25 +33,25 @@
     resetElection(now);
 }
 
-bool Agreement::selfVotes() const {
+bool RaftNode::selfVotes() const {
     const auto* found = member(own.id);
     return found && found->voter;
 }
-const Member* Agreement::member(const ReservoirId& id) const {
+const Member* RaftNode::member(const ControllerId& id) const {
     for (const auto& entry : currentMembers)
         if (entry.id == id) return &entry;
     return nullptr;
 }
-std::size_t Agreement::majority() const {
+std::size_t RaftNode::majority() const {
     return std::size_t(std::count_if(currentMembers.begin(), currentMembers.end(), [](auto& entry) { return entry.voter; })) / 2 + 1;
 }
-Epoch Agreement::epochAt(LogIndex index) const {
-    if (index == base.index) return base.epoch;
-    if (index < base.index || index > last()) return Epoch{};
-    return entry(index).epoch;
+Term RaftNode::termAt(LogIndex index) const {
+    if (index == base.index) return base.term;
+    if (index < base.index || index > last()) return Term{};
+    return entry(index).term;
 }
 
-void Agreement::findMembers() {
+void RaftNode::findMembers() {
     currentMembers = base.members;
     membersIndex = base.index;
     for (std::uint64_t place = log.size(); place > 0; --place)
@@ -63,39 +63,39 @@
         }
 }
 
-void Agreement::resetElection(Instant now) {
-    electionAt = now + Span{draw.between(options.electionLow.milliseconds, options.electionHigh.milliseconds)};
+void RaftNode::resetElection(MonotonicTime now) {
+    electionAt = now + Duration{random.between(options.electionLow.milliseconds, options.electionHigh.milliseconds)};
 }
 
-Address Agreement::addressOf(const ReservoirId& id) const {
+Address RaftNode::addressOf(const ControllerId& id) const {
     // Where it last spoke from: a member may have come back at another address, which its log does not say yet.
     if (auto heard = addresses.find(id); heard != addresses.end()) return heard->second;
     const auto* found = member(id);
     return found ? found->peer : Address{};
 }
-void Agreement::send(const ReservoirId& to, PeerBody body) {
+void RaftNode::send(const ControllerId& to, PeerBody body) {
     outgoing.push_back(PeerMessage{own.id, to, addressOf(to), std::move(body), own.peer});
 }
 // docs/design.md 3.3: what rests on durable state leaves only when that state is synced.
-void Agreement::sendAfterSync(const ReservoirId& to, PeerBody body) {
+void RaftNode::sendAfterSync(const ControllerId& to, PeerBody body) {
     afterSync.emplace_back(nextVersion, PeerMessage{own.id, to, addressOf(to), std::move(body), own.peer});
 }
 
-void Agreement::mark(LogIndex from) {
+void RaftNode::mark(LogIndex from) {
     if (!dirty || from < dirtyFrom) dirtyFrom = from;
     dirty = true;
 }
 
-std::optional<DiskRecord> Agreement::takeWrite() {
+std::optional<WriteAheadRecord> RaftNode::takeWrite() {
     if (inFlight || (!dirty && !wantWhole)) return std::nullopt;
-    DiskRecord record;
+    WriteAheadRecord record;
     record.version = nextVersion;
     nextVersion = nextVersion.next();
-    record.epoch = currentEpoch;
+    record.term = currentTerm;
     record.vote = vote;
     record.whole = wantWhole;
     if (wantWhole) {
-        record.view = stored;
+        record.snapshot = stored;
         record.first = stored.index.next();
         for (LogIndex index = record.first; index <= last(); index = index.next()) record.entries.push_back(entry(index));
         sinceWhole = 0;
@@ -114,7 +114,7 @@
     return record;
 }
 
-void Agreement::synced(DiskVersion version, Instant now) {
+void RaftNode::synced(DiskVersion version, MonotonicTime now) {
     if (!inFlight || inFlight->version != version) return;
     clockNow = now;
     syncedIndex = std::max(syncedIndex, inFlight->covers);
@@ -135,7 +135,7 @@
     else if (!lastAppender.value.empty() && lastAppender == knownLeader) replyAppend(lastAppender, true, std::min(syncedIndex, shownBy), lastRoundSeen);
 }
 
-void Agreement::cutLog(LogIndex from) {
+void RaftNode::cutLog(LogIndex from) {
     log.resize(from.value - base.index.value - 1);
     syncedIndex = std::min(syncedIndex, LogIndex{from.value - 1});
     if (inFlight) inFlight->covers = std::min(inFlight->covers, LogIndex{from.value - 1});
@@ -143,42 +143,42 @@
     if (membersIndex >= from) findMembers();
 }
 
-void Agreement::seeEpoch(Epoch epoch, Instant now) {
-    if (epoch <= currentEpoch) return;
-    currentEpoch = epoch;
-    vote = ReservoirId{};
-    knownLeader = ReservoirId{};
+void RaftNode::seeTerm(Term term, MonotonicTime now) {
+    if (term <= currentTerm) return;
+    currentTerm = term;
+    vote = ControllerId{};
+    knownLeader = ControllerId{};
     mark(last().next());
     if (currentRole != Role::learner) become(Role::follower, now);
 }
 
-void Agreement::become(Role role, Instant now) {
+void RaftNode::become(Role role, MonotonicTime now) {
     currentRole = role;
     votes.clear();
     trialElection = false;
     if (role == Role::follower) {
         if (!selfVotes()) currentRole = Role::learner;
         resetElection(now);
-        handingOver = false;
+        transferringLeadership = false;
     }
 }
 
-void Agreement::tick(Instant now, WallTime wall) {
+void RaftNode::tick(MonotonicTime now, WallTime wall) {
     clockNow = now;
     wallNow = wall;
     wallAt = now;
     // After a pause of our own the answers of others may lie unread: our lateness says nothing of them. docs/design.md 3.2.
-    if (now - tickedAt > Span{2 * options.heartbeat.milliseconds}) readingUntil = now + options.electionLow;
+    if (now - tickedAt > Duration{2 * options.heartbeat.milliseconds}) readingUntil = now + options.electionLow;
     tickedAt = now;
     if (leads()) {
         // A leader that has not heard from a majority for the longest election time may have been replaced. docs/design.md 3.2.
-        const Span unheard = currentMembers.size() > 1 ? now - quorumContact() : Span{0};
-        if (unheard > options.electionHigh && (now >= readingUntil || unheard > Span{5 * options.electionHigh.milliseconds})) {
-            knownLeader = ReservoirId{};
+        const Duration unheard = currentMembers.size() > 1 ? now - quorumContact() : Duration{0};
+        if (unheard > options.electionHigh && (now >= readingUntil || unheard > Duration{5 * options.electionHigh.milliseconds})) {
+            knownLeader = ControllerId{};
             become(Role::follower, now);
             return;
         }
-        if (handingOver && now > handOverUntil) handingOver = false;
+        if (transferringLeadership && now > transferUntil) transferringLeadership = false;
         // A few rounds at a time: where the others are slow what is wanted meanwhile goes together into the next. docs/design.md 3.2.
         const bool mayBegin = round.value - confirmedRound().value < options.roundsAtOnce || now - broadcastAt >= options.heartbeat;
         if (now >= nextHeartbeat && mayBegin) broadcast(now, true);
@@ -186,47 +186,47 @@
     }
     if (now >= nextHeartbeat) askToJoin(now);
     if (selfVotes() && currentRole == Role::learner) currentRole = Role::follower;
-    if (currentRole != Role::learner && now >= electionAt && !wasRetired) campaign(now, true, false);
+    if (currentRole != Role::learner && now >= electionAt && !wasRemoved) campaign(now, true, false);
 }
 
 // A blank one asks where its seeds point; a learner that hears no leader may have been put out while it was away, and asks
 // whoever it knew. docs/design.md 3.5.
-void Agreement::askToJoin(Instant now) {
-    auto ask = [&](const Address& address) { outgoing.push_back({own.id, ReservoirId{}, address, Join{own}, own.peer}); };
+void RaftNode::askToJoin(MonotonicTime now) {
+    auto ask = [&](const Address& address) { outgoing.push_back({own.id, ControllerId{}, address, Join{own}, own.peer}); };
     if (blank() && !leaderJoinAddress.value.empty()) ask(leaderJoinAddress);
-    else if (!blank() && currentRole == Role::learner && now - heardLeader > Span{2000}) {
+    else if (!blank() && currentRole == Role::learner && now - heardLeader > Duration{2000}) {
         for (const auto& entry : currentMembers)
             if (entry.id != own.id) ask(entry.peer);
         if (!leaderJoinAddress.value.empty()) ask(leaderJoinAddress);
     } else return;
-    nextHeartbeat = now + Span{500};
+    nextHeartbeat = now + Duration{500};
 }
 
-void Agreement::campaign(Instant now, bool trial, bool handover) {
+void RaftNode::campaign(MonotonicTime now, bool trial, bool leaderTransfer) {
     if (!selfVotes()) return;
     currentRole = Role::candidate;
-    knownLeader = ReservoirId{};
+    knownLeader = ControllerId{};
     trialElection = trial;
     votes.clear();
     resetElection(now);
     if (!trial) {
-        currentEpoch = currentEpoch.next();
+        currentTerm = currentTerm.next();
         vote = own.id;
         ownVotePending = true;
         mark(last().next());
     } else votes.insert(own.id);
-    AskVote ask;
-    ask.epoch = trial ? currentEpoch.next() : currentEpoch;
+    RequestVote ask;
+    ask.term = trial ? currentTerm.next() : currentTerm;
     ask.trial = trial;
-    ask.handover = handover;
+    ask.leaderTransfer = leaderTransfer;
     ask.last = last();
-    ask.lastEpoch = epochAt(last());
+    ask.lastTerm = termAt(last());
     for (const auto& entry : currentMembers)
         if (entry.voter && entry.id != own.id) send(entry.id, ask);
     if (trial) countVotes(now);
 }
 
-void Agreement::countVotes(Instant now) {
+void RaftNode::countVotes(MonotonicTime now) {
     std::size_t given = 0;
     for (const auto& entry : currentMembers) given += entry.voter && votes.count(entry.id);
     if (given < majority()) return;
@@ -234,10 +234,10 @@
     else lead(now);
 }
 
-void Agreement::lead(Instant now) {
+void RaftNode::lead(MonotonicTime now) {
     become(Role::leader, now);
     knownLeader = own.id;
-    handingOver = false;
+    transferringLeadership = false;
     peers.clear();
     roundTimes.clear();
     round = RoundNumber{};
@@ -251,16 +251,16 @@
     nextHeartbeat = now;
 }
 
-LogIndex Agreement::propose(std::string payload, Instant now) {
-    log.push_back(LogEntry{currentEpoch, false, std::move(payload)});
+LogIndex RaftNode::propose(std::string payload, MonotonicTime now) {
+    log.push_back(LogEntry{currentTerm, false, std::move(payload)});
     mark(last());
     nextHeartbeat = std::min(nextHeartbeat, now);
     return last();
 }
 
-bool Agreement::proposeMembers(const Members& members, Instant now) {
+bool RaftNode::proposeMembers(const Members& members, MonotonicTime now) {
     if (!serves() || !membersSettled()) return false;
-    log.push_back(LogEntry{currentEpoch, true, pack(members)});
+    log.push_back(LogEntry{currentTerm, true, pack(members)});
     mark(last());
     currentMembers = members;
     membersIndex = last();
@@ -275,20 +275,20 @@
     return true;
 }
 
-void Agreement::found(Instant now) {
+void RaftNode::found(MonotonicTime now) {
     if (!blank()) return;
-    currentEpoch = currentEpoch.next();
+    currentTerm = currentTerm.next();
     vote = own.id;
     Member first = own;
     first.voter = true;
-    log.push_back(LogEntry{currentEpoch, true, pack(Members{first})});
+    log.push_back(LogEntry{currentTerm, true, pack(Members{first})});
     mark(last());
     findMembers();
     currentRole = Role::follower;
     resetElection(now);
 }
 
-void Agreement::handOver(Instant now) {
+void RaftNode::transferLeadership(MonotonicTime now) {
     if (!leads()) return;
     const Member* best = nullptr;
     for (const auto& entry : currentMembers)
@@ -296,19 +296,19 @@
             (!best || peers[entry.id].match > peers[best->id].match))
             best = &entry;
     if (!best) return;
-    handingOver = true;
-    handOverUntil = now + options.electionHigh;
+    transferringLeadership = true;
+    transferUntil = now + options.electionHigh;
     broadcast(now, true);
-    send(best->id, HandOver{currentEpoch});
+    send(best->id, TimeoutNow{currentTerm});
 }
 
-void Agreement::checkpoint(LogIndex index, std::string state) {
+void RaftNode::compact(LogIndex index, std::string state) {
     if (index > commit || index <= stored.index) return;
     Members members = base.members;
     for (LogIndex at = base.index.next(); at <= index; at = at.next())
         if (entry(at).members)
             if (auto found = unpack<Members>(entry(at).payload)) members = found.value();
-    stored = LogView{index, epochAt(index), members, std::move(state)};
+    stored = Snapshot{index, termAt(index), members, std::move(state)};
     wantWhole = true;
     const std::uint64_t cut = std::min<std::uint64_t>(index.value, last().value > options.keepEntries ? last().value - options.keepEntries : 0);
     if (cut > base.index.value) {
@@ -316,22 +316,22 @@
         for (std::uint64_t at = base.index.value + 1; at <= cut; ++at)
             if (entry(LogIndex{at}).members)
                 if (auto found = unpack<Members>(entry(LogIndex{at}).payload)) atCut = found.value();
-        const Epoch epochAtCut = epochAt(LogIndex{cut});
+        const Term termAtCut = termAt(LogIndex{cut});
         log.erase(log.begin(), log.begin() + std::ptrdiff_t(cut - base.index.value));
-        base = LogView{LogIndex{cut}, epochAtCut, atCut, {}};
+        base = Snapshot{LogIndex{cut}, termAtCut, atCut, {}};
     }
 }
 
-void Agreement::join(const Address& address) { leaderJoinAddress = address; }
+void RaftNode::join(const Address& address) { leaderJoinAddress = address; }
 
-RoundNumber Agreement::startRound(Instant now) {
+RoundNumber RaftNode::startRound(MonotonicTime now) {
     nextHeartbeat = std::min(nextHeartbeat, now);
     return round.next();
 }
 
 // The highest value that a majority of the voters has reached.
 template <class Value, class OfPeer>
-Value Agreement::reachedByMajority(Value ofSelf, OfPeer ofPeer) const {
+Value RaftNode::reachedByMajority(Value ofSelf, OfPeer ofPeer) const {
     std::vector<Value> reached;
     for (const auto& entry : currentMembers) {
         if (!entry.voter) continue;
@@ -343,26 +343,26 @@
     std::sort(reached.begin(), reached.end(), std::greater<>());
     return reached[majority() - 1];
 }
-RoundNumber Agreement::confirmedRound() const {
+RoundNumber RaftNode::confirmedRound() const {
     return reachedByMajority(round, [](const Peer& peer) { return peer.acked; });
 }
-Instant Agreement::quorumContact() const {
+MonotonicTime RaftNode::quorumContact() const {
     return reachedByMajority(clockNow, [](const Peer& peer) { return peer.contact; });
 }
-Instant Agreement::heardFrom(const ReservoirId& id) const {
+MonotonicTime RaftNode::heardFrom(const ControllerId& id) const {
     auto found = peers.find(id);
     return found == peers.end() ? clockNow : found->second.heard;
 }
-LogIndex Agreement::matchOf(const ReservoirId& id) const {
+LogIndex RaftNode::matchOf(const ControllerId& id) const {
     auto found = peers.find(id);
     return found == peers.end() ? LogIndex{} : found->second.match;
 }
-bool Agreement::forgetful(const ReservoirId& id) const {
+bool RaftNode::lostState(const ControllerId& id) const {
     auto found = peers.find(id);
-    return found != peers.end() && found->second.forgetful;
+    return found != peers.end() && found->second.lostState;
 }
 
-std::optional<WallTime> Agreement::agreedWall(Instant now) const {
+std::optional<WallTime> RaftNode::agreedWall(MonotonicTime now) const {
     std::vector<std::int64_t> walls;
     for (const auto& entry : currentMembers) {
         if (!entry.voter) continue;
@@ -377,7 +377,7 @@
     return WallTime{walls[(walls.size() - 1) / 2]};  // the lower median: one clock alone cannot move it ahead
 }
 
-void Agreement::broadcast(Instant now, bool force) {
+void RaftNode::broadcast(MonotonicTime now, bool force) {
     broadcastAt = now;
     round = round.next();
     roundTimes.emplace_back(round, now);
@@ -388,21 +388,21 @@
     advanceCommit();
 }
 
-void Agreement::sendAppend(const Member& to, Peer& peer, Instant now, bool force) {
+void RaftNode::sendAppend(const Member& to, Peer& peer, MonotonicTime now, bool force) {
     if (peer.next <= base.index) {
-        if (peer.installing && now - peer.installSent < Span{2000}) {
-            send(to.id, Append{currentEpoch, last(), epochAt(last()), {}, LogIndex{}, round});
+        if (peer.installing && now - peer.installSent < Duration{2000}) {
+            send(to.id, AppendEntries{currentTerm, last(), termAt(last()), {}, LogIndex{}, round});
             return;
         }
         peer.installing = true;
         peer.installSent = now;
-        send(to.id, InstallView{currentEpoch, stored, round});
+        send(to.id, InstallSnapshot{currentTerm, stored, round});
         return;
     }
-    Append body;
-    body.epoch = currentEpoch;
+    AppendEntries body;
+    body.term = currentTerm;
     body.previous = LogIndex{peer.next.value - 1};
-    body.previousEpoch = epochAt(body.previous);
+    body.previousTerm = termAt(body.previous);
     body.commit = commit;
     body.round = round;
     std::size_t bytes = 0;
@@ -415,16 +415,16 @@
     send(to.id, std::move(body));
 }
 
-void Agreement::advanceCommit() {
+void RaftNode::advanceCommit() {
     const LogIndex agreed = reachedByMajority(std::min(syncedIndex, last()), [](const Peer& peer) { return peer.match; });
-    if (agreed > commit && epochAt(agreed) == currentEpoch) {
+    if (agreed > commit && termAt(agreed) == currentTerm) {
         commit = agreed;
-        nextHeartbeat = std::min(nextHeartbeat, clockNow + Span{10});
+        nextHeartbeat = std::min(nextHeartbeat, clockNow + Duration{10});
         if (!selfVotes()) become(Role::follower, clockNow);
     }
 }
 
-void Agreement::receive(const PeerMessage& message, Instant now) {
+void RaftNode::receive(const PeerMessage& message, MonotonicTime now) {
     clockNow = std::max(clockNow, now);
     const bool isJoin = message.body.type() == typeid(Join);
     if (!isJoin && message.to != own.id) return;  // meant for another identity at this address
@@ -435,7 +435,7 @@
 }
 
 // A member that speaks from a new address has moved with its disk: that is logged, so that everyone finds it. docs/design.md 3.5.
-void Agreement::followMoves(Instant now) {
+void RaftNode::followMoves(MonotonicTime now) {
     Members moved = currentMembers;
     for (auto& entry : moved) {
         auto heard = addresses.find(entry.id);
@@ -445,49 +445,49 @@
     if (moved != currentMembers) proposeMembers(moved, now);
 }
 
-void Agreement::on(const PeerMessage& message, const AskVote& body, Instant now) {
+void RaftNode::on(const PeerMessage& message, const RequestVote& body, MonotonicTime now) {
     const auto* candidate = member(message.from);
-    if (!candidate && body.epoch > currentEpoch && leads()) {
-        send(message.from, Retire{currentEpoch});
+    if (!candidate && body.term > currentTerm && leads()) {
+        send(message.from, RemovedFromCluster{currentTerm});
         return;
     }
     // One that hears a leader does not help to unseat it. docs/design.md 3.2.
     const bool content = leads() || (now - heardLeader < options.electionLow);
-    if (content && !body.handover) {
-        send(message.from, GiveVote{currentEpoch, body.trial, false});
+    if (content && !body.leaderTransfer) {
+        send(message.from, RequestVoteReply{currentTerm, body.trial, false});
         return;
     }
-    if (!body.trial) seeEpoch(body.epoch, now);
-    const bool newer = std::tie(body.lastEpoch, body.last) >= std::make_tuple(epochAt(last()), last());
+    if (!body.trial) seeTerm(body.term, now);
+    const bool newer = std::tie(body.lastTerm, body.last) >= std::make_tuple(termAt(last()), last());
     // A learner votes too when asked by its identity: the asker's log may hold the change that made it a voter, which its
     // own does not hold yet, and that change may need its vote to be committed. docs/design.md 3.5.
-    bool given = newer && body.epoch >= currentEpoch && !wasRetired;
+    bool given = newer && body.term >= currentTerm && !wasRemoved;
     if (!body.trial) {
-        given = given && body.epoch == currentEpoch && (vote.value.empty() || vote == message.from);
+        given = given && body.term == currentTerm && (vote.value.empty() || vote == message.from);
         if (given) {
             vote = message.from;
             mark(last().next());
             resetElection(now);
         }
-        sendAfterSync(message.from, GiveVote{currentEpoch, false, given});
+        sendAfterSync(message.from, RequestVoteReply{currentTerm, false, given});
         if (!dirty && !inFlight) mark(last().next());
-    } else send(message.from, GiveVote{given ? body.epoch : currentEpoch, true, given});  // one behind must learn by how far
+    } else send(message.from, RequestVoteReply{given ? body.term : currentTerm, true, given});  // one behind must learn by how far
 }
 
-void Agreement::on(const PeerMessage& message, const GiveVote& body, Instant now) {
+void RaftNode::on(const PeerMessage& message, const RequestVoteReply& body, MonotonicTime now) {
     if (!body.given) {
-        if (body.epoch > currentEpoch) seeEpoch(body.epoch, now);
+        if (body.term > currentTerm) seeTerm(body.term, now);
         return;
     }
     if (currentRole != Role::candidate || trialElection != body.trial) return;
-    if (body.epoch != (body.trial ? currentEpoch.next() : currentEpoch)) return;
+    if (body.term != (body.trial ? currentTerm.next() : currentTerm)) return;
     votes.insert(message.from);
     countVotes(now);
 }
 
-void Agreement::replyAppend(const ReservoirId& to, bool matched, LogIndex match, RoundNumber answered) {
-    AppendReply reply;
-    reply.epoch = currentEpoch;
+void RaftNode::replyAppend(const ControllerId& to, bool matched, LogIndex match, RoundNumber answered) {
+    AppendEntriesReply reply;
+    reply.term = currentTerm;
     reply.matched = matched;
     reply.match = match;
     reply.last = std::min(syncedIndex, last());
@@ -496,38 +496,38 @@
     send(to, reply);
 }
 
-void Agreement::hearLeader(const ReservoirId& leader, Epoch epoch, RoundNumber heardRound, Instant now) {
+void RaftNode::hearLeader(const ControllerId& leader, Term term, RoundNumber heardRound, MonotonicTime now) {
     knownLeader = leader;
     heardLeader = now;
     resetElection(now);
-    const bool another = lastAppender != leader || lastAppendEpoch != epoch;
+    const bool another = lastAppender != leader || lastAppendTerm != term;
     // docs/design.md 3.3: of what lies here only the committed part is known to be in a new leader's log.
     if (another) shownBy = commit;
     lastRoundSeen = another ? heardRound : std::max(lastRoundSeen, heardRound);
     lastAppender = leader;
-    lastAppendEpoch = epoch;
+    lastAppendTerm = term;
 }
 
-void Agreement::on(const PeerMessage& message, const Append& body, Instant now) {
-    if (body.epoch < currentEpoch) {
+void RaftNode::on(const PeerMessage& message, const AppendEntries& body, MonotonicTime now) {
+    if (body.term < currentTerm) {
         replyAppend(message.from, false, LogIndex{}, RoundNumber{});
         return;
     }
-    seeEpoch(body.epoch, now);
-    if (leads()) return;  // cannot be: one leader an epoch
+    seeTerm(body.term, now);
+    if (leads()) return;  // cannot be: one leader a term
     if (currentRole == Role::candidate) become(Role::follower, now);
-    hearLeader(message.from, body.epoch, body.round, now);
+    hearLeader(message.from, body.term, body.round, now);
     // Up to what this leader has shown the logs agree, so one answer sets it back far enough. docs/design.md 3.4.
     if (body.previous > last()) return replyAppend(message.from, false, shownBy, body.round);
     if (body.previous < base.index) return replyAppend(message.from, true, std::min(syncedIndex, commit), body.round);
-    if (epochAt(body.previous) != body.previousEpoch)
+    if (termAt(body.previous) != body.previousTerm)
         return replyAppend(message.from, false, shownBy, body.round);
     LogIndex index = body.previous;
     bool membersChanged = false;
     for (const auto& added : body.entries) {
         index = index.next();
         if (index <= last()) {
-            if (epochAt(index) == added.epoch) continue;
+            if (termAt(index) == added.term) continue;
             cutLog(index);
         }
         log.push_back(added);
@@ -544,9 +544,9 @@
     replyAppend(message.from, true, std::min(index, syncedIndex), body.round);
 }
 
-void Agreement::on(const PeerMessage& message, const AppendReply& body, Instant now) {
-    if (body.epoch > currentEpoch) return seeEpoch(body.epoch, now);
-    if (!leads() || body.epoch != currentEpoch) return;
+void RaftNode::on(const PeerMessage& message, const AppendEntriesReply& body, MonotonicTime now) {
+    if (body.term > currentTerm) return seeTerm(body.term, now);
+    if (!leads() || body.term != currentTerm) return;
     auto found = peers.find(message.from);
     if (found == peers.end()) return;
     Peer& peer = found->second;
@@ -560,7 +560,7 @@
     // docs/design.md 3.5: it once acknowledged more than it now has; its disk is not the one that voted. A reply of a
     // later round was made later; one that was merely overtaken on the way proves nothing.
     if (body.last < peer.match) {
-        peer.forgetful = peer.forgetful || body.round > peer.matchRound;
+        peer.lostState = peer.lostState || body.round > peer.matchRound;
         return;
     }
     if (body.matched) {
@@ -582,20 +582,20 @@
     }
 }
 
-void Agreement::on(const PeerMessage& message, const InstallView& body, Instant now) {
-    if (body.epoch < currentEpoch) return replyAppend(message.from, false, LogIndex{}, RoundNumber{});
-    seeEpoch(body.epoch, now);
+void RaftNode::on(const PeerMessage& message, const InstallSnapshot& body, MonotonicTime now) {
+    if (body.term < currentTerm) return replyAppend(message.from, false, LogIndex{}, RoundNumber{});
+    seeTerm(body.term, now);
     if (leads()) return;
-    hearLeader(message.from, body.epoch, body.round, now);
-    if (body.view.index > commit) {
+    hearLeader(message.from, body.term, body.round, now);
+    if (body.snapshot.index > commit) {
         // What the disk holds beyond what this leader has shown may be another log; it stands for nothing of the view.
         syncedIndex = std::min(syncedIndex, shownBy);
         if (inFlight) inFlight->covers = std::min(inFlight->covers, shownBy);
-        shownBy = body.view.index;
-        stored = body.view;
-        base = LogView{body.view.index, body.view.epoch, body.view.members, {}};
+        shownBy = body.snapshot.index;
+        stored = body.snapshot;
+        base = Snapshot{body.snapshot.index, body.snapshot.term, body.snapshot.members, {}};
         log.clear();
-        commit = body.view.index;
+        commit = body.snapshot.index;
         wantWhole = true;
         installed = true;
         findMembers();
@@ -604,14 +604,14 @@
     replyAppend(message.from, true, std::min(syncedIndex, shownBy), body.round);
 }
 
-void Agreement::on(const PeerMessage& message, const HandOver& body, Instant now) {
-    if (body.epoch == currentEpoch && message.from == knownLeader) campaign(now, false, true);
+void RaftNode::on(const PeerMessage& message, const TimeoutNow& body, MonotonicTime now) {
+    if (body.term == currentTerm && message.from == knownLeader) campaign(now, false, true);
 }
-void Agreement::on(const PeerMessage& message, const Retire& body, Instant) {
-    // Only a leader of a later or the same epoch, once a member with us, can retire us.
-    if (body.epoch >= currentEpoch && message.from != own.id && !leads()) wasRetired = true;
+void RaftNode::on(const PeerMessage& message, const RemovedFromCluster& body, MonotonicTime) {
+    // Only a leader of a later or the same term, once a member with us, can retire us.
+    if (body.term >= currentTerm && message.from != own.id && !leads()) wasRemoved = true;
 }
-void Agreement::on(const PeerMessage&, const Join& body, Instant now) {
+void RaftNode::on(const PeerMessage&, const Join& body, MonotonicTime now) {
     if (!serves() || member(body.member.id) || !membersSettled()) return;
     Members members = currentMembers;
     // The same address under a new identity: the old learner there is no more.
@@ -631,98 +631,98 @@
 using namespace aniseline;
 
 namespace {
-const Members three{{ReservoirId{"a"}, Address{"a:1"}, AreaName{"x"}, true}, {ReservoirId{"b"}, Address{"b:1"}, AreaName{"y"}, true}, {ReservoirId{"c"}, Address{"c:1"}, AreaName{"z"}, true}};
-// A follower whose disk holds the members and entries of epoch 1 that no majority ever had.
-DiskRecord heldBy(std::size_t entries) {
-    DiskRecord record;
+const Members three{{ControllerId{"a"}, Address{"a:1"}, ZoneName{"x"}, true}, {ControllerId{"b"}, Address{"b:1"}, ZoneName{"y"}, true}, {ControllerId{"c"}, Address{"c:1"}, ZoneName{"z"}, true}};
+// A follower whose disk holds the members and entries of term 1 that no majority ever had.
+WriteAheadRecord heldBy(std::size_t entries) {
+    WriteAheadRecord record;
     record.version = DiskVersion{1};
     record.whole = true;
-    record.epoch = Epoch{1};
+    record.term = Term{1};
     record.first = LogIndex{1};
-    record.entries.push_back({Epoch{1}, true, pack(three)});
-    for (std::size_t count = 0; count < entries; ++count) record.entries.push_back({Epoch{1}, false, "lost"});
+    record.entries.push_back({Term{1}, true, pack(three)});
+    for (std::size_t count = 0; count < entries; ++count) record.entries.push_back({Term{1}, false, "lost"});
     return record;
 }
-std::vector<AppendReply> repliesOf(Agreement& agreement) {
-    std::vector<AppendReply> replies;
-    for (auto& message : agreement.takeMessages())
-        if (auto* reply = boost::get<AppendReply>(&message.body)) replies.push_back(*reply);
+std::vector<AppendEntriesReply> repliesOf(RaftNode& raft) {
+    std::vector<AppendEntriesReply> replies;
+    for (auto& message : raft.takeMessages())
+        if (auto* reply = boost::get<AppendEntriesReply>(&message.body)) replies.push_back(*reply);
     return replies;
 }
-PeerMessage fromC(PeerBody body) { return PeerMessage{ReservoirId{"c"}, ReservoirId{"b"}, Address{"b:1"}, std::move(body), Address{"c:1"}}; }
+PeerMessage fromC(PeerBody body) { return PeerMessage{ControllerId{"c"}, ControllerId{"b"}, Address{"b:1"}, std::move(body), Address{"c:1"}}; }
 }  // namespace
 
-TEST_GROUP(AgreementTests) {
-    Agreement follower{three[1], {}, 1, {heldBy(5)}, Instant{0}};
+TEST_GROUP(RaftTests) {
+    RaftNode follower{three[1], {}, 1, {heldBy(5)}, MonotonicTime{0}};
     void sync(std::int64_t now) {
-        while (auto record = follower.takeWrite()) follower.synced(record->version, Instant{now});
+        while (auto record = follower.takeWrite()) follower.synced(record->version, MonotonicTime{now});
     }
 };
 
 // docs/design.md 3.3: what lies on disk is claimed only up to where it is known to be the leader's.
-TEST(AgreementTests, aFollowerClaimsNoEntriesThatItsLeaderHasNotShown) {
-    Append heartbeat;
-    heartbeat.epoch = Epoch{2};
+TEST(RaftTests, aFollowerClaimsNoEntriesThatItsLeaderHasNotShown) {
+    AppendEntries heartbeat;
+    heartbeat.term = Term{2};
     heartbeat.previous = LogIndex{1};
-    heartbeat.previousEpoch = Epoch{1};
+    heartbeat.previousTerm = Term{1};
     heartbeat.round = RoundNumber{1};
-    follower.receive(fromC(heartbeat), Instant{10});
+    follower.receive(fromC(heartbeat), MonotonicTime{10});
     sync(12);
     for (const auto& reply : repliesOf(follower)) LONGS_EQUAL(1, reply.match.value);
 }
 
 // docs/design.md 3.4: however its log differs, one answer tells the leader where to go on from.
-TEST(AgreementTests, oneMismatchTellsWhereTheLogsAgree) {
-    Append ahead;
-    ahead.epoch = Epoch{2};
+TEST(RaftTests, oneMismatchTellsWhereTheLogsAgree) {
+    AppendEntries ahead;
+    ahead.term = Term{2};
     ahead.previous = LogIndex{9};
-    ahead.previousEpoch = Epoch{2};
+    ahead.previousTerm = Term{2};
     ahead.round = RoundNumber{1};
-    follower.receive(fromC(ahead), Instant{10});
+    follower.receive(fromC(ahead), MonotonicTime{10});
     auto replies = repliesOf(follower);
     CHECK(!replies.empty() && !replies[0].matched);
-    Append again = ahead;
+    AppendEntries again = ahead;
     again.previous = replies[0].match;
-    again.previousEpoch = again.previous.value > 1 ? Epoch{2} : again.previous.value ? Epoch{1} : Epoch{};  // the leader's own from 2 on
-    again.entries.assign(9 - again.previous.value, LogEntry{Epoch{2}, false, "kept"});
-    follower.receive(fromC(again), Instant{12});
+    again.previousTerm = again.previous.value > 1 ? Term{2} : again.previous.value ? Term{1} : Term{};  // the leader's own from 2 on
+    again.entries.assign(9 - again.previous.value, LogEntry{Term{2}, false, "kept"});
+    follower.receive(fromC(again), MonotonicTime{12});
     replies = repliesOf(follower);
     CHECK(!replies.empty() && replies.back().matched);
     LONGS_EQUAL(9, follower.last().value);
 }
 
-// docs/design.md 3.2: a candidate behind in epochs learns it from the refusal; else no one could ever be elected.
-TEST(AgreementTests, aRefusedTrialTellsTheEpoch) {
-    Append seen;
-    seen.epoch = Epoch{47};
-    follower.receive(fromC(seen), Instant{10});
+// docs/design.md 3.2: a candidate behind in terms learns it from the refusal; else no one could ever be elected.
+TEST(RaftTests, aRefusedTrialTellsTheTerm) {
+    AppendEntries seen;
+    seen.term = Term{47};
+    follower.receive(fromC(seen), MonotonicTime{10});
     follower.takeMessages();
-    AskVote ask{Epoch{33}, true, false, LogIndex{99}, Epoch{32}};
-    follower.receive(fromC(ask), Instant{5000});
+    RequestVote ask{Term{33}, true, false, LogIndex{99}, Term{32}};
+    follower.receive(fromC(ask), MonotonicTime{5000});
     const auto messages = follower.takeMessages();
     LONGS_EQUAL(1, messages.size());
-    const auto& answer = boost::get<GiveVote>(messages[0].body);
+    const auto& answer = boost::get<RequestVoteReply>(messages[0].body);
     CHECK(!answer.given);
-    LONGS_EQUAL(47, answer.epoch.value);
+    LONGS_EQUAL(47, answer.term.value);
 }
 
 // A learner that was put out while it was away asks to learn again; it would stay out for ever. docs/design.md 3.5.
-TEST(AgreementTests, aLearnerThatHearsNoLeaderAsksToJoin) {
+TEST(RaftTests, aLearnerThatHearsNoLeaderAsksToJoin) {
     auto record = heldBy(1);
     Members members = three;
     members[1].voter = false;
     record.entries[0].payload = pack(members);
-    Agreement learner(three[1], {}, 1, {record}, Instant{0});
-    for (std::int64_t now = 0; now < 4000; now += 100) learner.tick(Instant{now}, WallTime{now});
+    RaftNode learner(three[1], {}, 1, {record}, MonotonicTime{0});
+    for (std::int64_t now = 0; now < 4000; now += 100) learner.tick(MonotonicTime{now}, WallTime{now});
     std::size_t asked = 0;
     for (const auto& message : learner.takeMessages()) asked += message.body.type() == typeid(Join);
     CHECK(asked > 0);
 }
 
 // A view counts only once it is synced; what lay on the disk before it is another log.
-TEST(AgreementTests, anInstalledViewIsClaimedOnlyWhenItIsSynced) {
-    InstallView install{Epoch{2}, LogView{LogIndex{4}, Epoch{2}, three, "state"}, RoundNumber{1}};
-    follower.receive(fromC(install), Instant{10});
+TEST(RaftTests, anInstalledViewIsClaimedOnlyWhenItIsSynced) {
+    InstallSnapshot install{Term{2}, Snapshot{LogIndex{4}, Term{2}, three, "state"}, RoundNumber{1}};
+    follower.receive(fromC(install), MonotonicTime{10});
     for (const auto& reply : repliesOf(follower)) CHECK(reply.match.value < 4);
     sync(12);
     const auto after = repliesOf(follower);
--- a/source/planner.cpp
+++ b/source/scheduling/planner.cpp
@@ -1,4 +1,4 @@
-#include "planner_work.hpp"
+#include "scheduling/planner_work.hpp"
 
 namespace aniseline {
 
@@ -23,7 +23,7 @@
         plan.cores += room.usable ? room.cores : 0;
         plan.coresUsed += room.usable ? room.usedCores : 0;
     }
-    if (ledger.setup.planner.urgencyFirst) weighPools();
+    if (clusterState.config.planner.urgencyFirst) weighPools();
     std::vector<const Unit*> notStarted;
     for (const auto& unit : units) {
         Batch& batch = *unit.batch;
@@ -32,7 +32,7 @@
         auto shape = [&] { return unit.shape(std::numeric_limits<std::int64_t>::max(), batch.runtime); };
         if (!batch.noBackfill && !unit.gang() && reserved && !unit.needs().apart) batch.noBackfill = noBackfill.covers(shape());
         if (batch.noBackfill) {
-            note(unit, "would delay the reserved start, or no minion has room");
+            note(unit, "would delay the reserved start, or no worker has room");
             notStarted.push_back(&unit);
             continue;
         }
@@ -53,17 +53,17 @@
             if (reservation) {
                 keepReservation(unit, std::move(*reservation));
                 const Reservation& kept = plan.made.reservation;
-                note(unit, "holds the reserved start on " + kept.placements.front().minion.value + " in " + std::to_string((kept.start - now).milliseconds) + " ms");
-            } else note(unit, "no minion that is here now could ever hold it");
+                note(unit, "holds the reserved start on " + kept.placements.front().worker.value + " in " + std::to_string((kept.start - now).milliseconds) + " ms");
+            } else note(unit, "no worker that is here now could ever hold it");
             continue;
         }
         const StepNeeds& needs = unit.needs();
         if (!unit.gang() && !needs.apart && !needs.sameRack && needs.near.empty() && !unit.request(unit.tasks[0]).accelerators) noBackfill.add(shape());
-        note(unit, "would delay the reserved start, or no minion has room");
+        note(unit, "would delay the reserved start, or no worker has room");
     }
-    if (ledger.setup.planner.trials) startTrials(notStarted);
+    if (clusterState.config.planner.trials) startTrials(notStarted);
     startCopies();
-    plan.made.number = ledger.plan.next();
+    plan.made.number = clusterState.plan.next();
     for (auto& room : rooms) {
         room.projections.clear();
         planner.spare.push_back(std::move(room.projections));
@@ -74,40 +74,40 @@
 Planner::Planner() = default;
 Planner::~Planner() = default;
 
-Plan Planner::make(const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain, const Hints& hints) {
-    if (!any || compiled != ledger.setup.version) {
+Plan Planner::make(const ClusterState& clusterState, ClusterTime now, const Silence& silence, bool explain, const Hints& hints) {
+    if (!any || compiled != clusterState.config.version) {
         programs.clear();
-        for (const auto& [name, policy] : ledger.setup.policies)
+        for (const auto& [name, policy] : clusterState.config.policies)
             programs.emplace(name, Programs{PolicyProgram(policy.rank), PolicyProgram(policy.mayHold)});
         if (!programs.count("default")) programs.emplace("default", Programs{PolicyProgram(PolicyOptions{}.rank), PolicyProgram("1")});
-        compiled = ledger.setup.version;
+        compiled = clusterState.config.version;
         any = true;
     }
-    return Work(*this, ledger, now, silence, explain, hints).run();
+    return Work(*this, clusterState, now, silence, explain, hints).run();
 }
 
-std::optional<ClusterTime> Planner::nextDue(const Ledger& ledger, ClusterTime now) {
+std::optional<ClusterTime> Planner::nextDue(const ClusterState& clusterState, ClusterTime now) {
     std::optional<ClusterTime> due;
     auto consider = [&](ClusterTime time) {
-        if (time <= now) time = now + Span{1};
+        if (time <= now) time = now + Duration{1};
         if (!due || time < *due) due = time;
     };
-    const bool limits = std::any_of(ledger.setup.queues.begin(), ledger.setup.queues.end(), [](const auto& queue) { return queue.second.hardLimit.milliseconds > 0; });
-    for (const auto& [number, attempt] : ledger.attempts) {
+    const bool limits = std::any_of(clusterState.config.queues.begin(), clusterState.config.queues.end(), [](const auto& queue) { return queue.second.hardLimit.milliseconds > 0; });
+    for (const auto& [number, attempt] : clusterState.attempts) {
         if (attempt.lost) continue;
-        if (attempt.trial() && attempt.state == AttemptState::running) consider(now + (attempt.quantum + trialGrace - attempt.ranBy(now)) + Span{1});
-        if (attempt.gang && !attempt.assembles && (attempt.state == AttemptState::ordered || attempt.state == AttemptState::staged)) consider(now + Span{200});
-        if (attempt.gang && (attempt.state == AttemptState::going || (attempt.assembles && attempt.state == AttemptState::ordered))) consider(attempt.runningSince + goLimit + Span{1});
+        if (attempt.trial() && attempt.state == AttemptState::running) consider(now + (attempt.quantum + trialGrace - attempt.ranBy(now)) + Duration{1});
+        if (attempt.gang && !attempt.assembles && (attempt.state == AttemptState::ordered || attempt.state == AttemptState::staged)) consider(now + Duration{200});
+        if (attempt.gang && (attempt.state == AttemptState::going || (attempt.assembles && attempt.state == AttemptState::ordered))) consider(attempt.runningSince + goLimit + Duration{1});
         if (limits && !attempt.trial() && attempt.state == AttemptState::running) {
-            const auto found = ledger.jobs.find(attempt.job);
-            const auto* queue = found == ledger.jobs.end() ? nullptr : ledger.setup.queue(found->second.submission.queue);
-            if (queue && queue->hardLimit.milliseconds > 0) consider(now + (queue->hardLimit - attempt.ranBy(now)) + Span{1});
+            const auto found = clusterState.jobs.find(attempt.job);
+            const auto* queue = found == clusterState.jobs.end() ? nullptr : clusterState.config.queue(found->second.submission.queue);
+            if (queue && queue->hardLimit.milliseconds > 0) consider(now + (queue->hardLimit - attempt.ranBy(now)) + Duration{1});
         }
     }
-    const ClusterTime soonest = now + Span{500};  // for what waits
-    for (const auto& id : ledger.open) {
+    const ClusterTime soonest = now + Duration{500};  // for what waits
+    for (const auto& id : clusterState.open) {
         if (due && *due <= soonest) break;
-        const Job& job = ledger.jobs.at(id);
+        const Job& job = clusterState.jobs.at(id);
         if (job.state != JobState::open) continue;
         for (const auto& task : job.tasks)
             if (task.state == TaskState::waiting) {
@@ -125,53 +125,53 @@
 using namespace aniseline;
 
 namespace {
-// A ledger made by events alone, as in the daemons, and the plan of one moment.
+// A cluster state made by events alone, as in the daemons, and the plan of one moment.
 struct Bench {
-    Ledger ledger;
+    ClusterState clusterState;
     Planner planner;
     std::int64_t now = 0;
     Silence heard;
-    std::string deaf;  // a minion that hears no orders
-    explicit Bench(const std::string& setup = R"({"queues":{"q":{"retries":1}}})") {
-        auto parsed = Setup::parse(setup);
+    std::string unresponsive;  // a worker that hears no orders
+    explicit Bench(const std::string& config = R"({"queues":{"q":{"retries":1}}})") {
+        auto parsed = ClusterConfig::parse(config);
         CHECK(parsed.has_value());
-        parsed.value().version = SetupVersion{1};
-        fold(SetupTaken{parsed.value()});
+        parsed.value().version = ConfigVersion{1};
+        apply(ConfigCommitted{parsed.value()});
     }
-    void fold(Event event) { ledger.fold(Record{ClusterTime{now}, std::move(event)}); }
-    void minion(const std::string& id, std::uint32_t cores, std::uint64_t memory, const std::string& rack = "") {
+    void apply(Event event) { clusterState.apply(LogRecord{ClusterTime{now}, std::move(event)}); }
+    void worker(const std::string& id, std::uint32_t cores, std::uint64_t memory, const std::string& rack = "") {
         Capacity capacity;
         capacity.rack = rack;
         capacity.cores = cores;
         capacity.memory = memory;
-        fold(MinionSeen{MinionId{id}, Incarnation{1}, capacity});
-        heard[MinionId{id}] = Span{0};
+        apply(WorkerRegistered{WorkerId{id}, Incarnation{1}, capacity});
+        heard[WorkerId{id}] = Duration{0};
     }
     void submit(const std::string& id, std::uint32_t cores, std::uint64_t memory, std::int64_t runtime, std::size_t tasks = 1, bool gang = false) {
         JobSubmission job;
         job.id = JobId{id};
         job.queue = QueueName{"q"};
-        job.steps = {{"s", {}, gang, std::vector<TaskRequest>(tasks, TaskRequest{cores, memory, Span{runtime}, ""})}};
-        fold(JobAllowed{job});
+        job.steps = {{"s", {}, gang, std::vector<TaskRequest>(tasks, TaskRequest{cores, memory, Duration{runtime}, ""})}};
+        apply(JobAccepted{job});
     }
-    // What the plan does, one word an action; folded and applied by the minions at once.
+    // What the plan does, one word an action; folded and applied by the workers at once.
     std::string plan() {
-        auto made = planner.make(ledger, ClusterTime{now}, heard);
+        auto made = planner.make(clusterState, ClusterTime{now}, heard);
         std::string text;
         for (const auto& action : made.made.actions) {
             static const char* const names[] = {"start", "stage", "go", "hold", "stop"};
             text += std::string(text.empty() ? "" : ", ") + names[int(action.kind)] + (action.trial ? " trial " : " ") +
-                    (action.job.value.empty() ? "#" + std::to_string(action.attempt.value) : action.job.value) + " on " + action.minion.value;
+                    (action.job.value.empty() ? "#" + std::to_string(action.attempt.value) : action.job.value) + " on " + action.worker.value;
         }
         if (made.made.reservation.held())
-            text += std::string(text.empty() ? "" : ", ") + "reserve " + made.made.reservation.job.value + " on " + made.made.reservation.placements[0].minion.value + " at " + std::to_string(made.made.reservation.start.milliseconds / 1000);
-        fold(made.made);
-        for (auto& [id, minion] : ledger.minions)
-            if (id.value != deaf) fold(MinionSynced{id, minion.lastOrder, {}});
+            text += std::string(text.empty() ? "" : ", ") + "reserve " + made.made.reservation.job.value + " on " + made.made.reservation.placements[0].worker.value + " at " + std::to_string(made.made.reservation.start.milliseconds / 1000);
+        apply(made.made);
+        for (auto& [id, worker] : clusterState.workers)
+            if (id.value != unresponsive) apply(WorkerSynced{id, worker.lastOrder, {}});
         return text;
     }
     void end(std::uint64_t attempt, EndingKind kind = EndingKind::finished) {
-        fold(MinionSynced{ledger.attempts[AttemptNumber{attempt}].minion, {}, {{AttemptNumber{attempt}, kind}}});
+        apply(WorkerSynced{clusterState.attempts[AttemptNumber{attempt}].worker, {}, {{AttemptNumber{attempt}, kind}}});
     }
 };
 constexpr const char* noTrials = R"({"planner":{"trials":false},"queues":{"q":{"retries":1}}})";
@@ -179,11 +179,11 @@
 
 TEST_GROUP(PlannerTests){};
 
-// Paper 2.2: of the minions with room the one with the fewest unallocated cores.
+// Paper 2.2: of the workers with room the one with the fewest unallocated cores.
 TEST(PlannerTests, fewestUnallocatedCoresWins) {
     Bench bench(noTrials);
-    bench.minion("big", 16, 9999);
-    bench.minion("small", 4, 9999);
+    bench.worker("big", 16, 9999);
+    bench.worker("small", 4, 9999);
     bench.submit("a", 2, 100, 60'000);
     STRCMP_EQUAL("start a on small", bench.plan().c_str());
     bench.submit("b", 4, 100, 60'000);
@@ -193,7 +193,7 @@
 // Paper table 3: with one hour of wait the short job's expansion is 1+1/0.1=11, the long one's 1+1/10=1.1.
 TEST(PlannerTests, waitingRaisesTheShortJobFaster) {
     Bench bench(noTrials);
-    bench.minion("m", 4, 9999);
+    bench.worker("m", 4, 9999);
     bench.submit("running", 4, 100, 3'600'000);
     bench.plan();
     bench.submit("long", 4, 100, 36'000'000);
@@ -207,7 +207,7 @@
 // Paper 2.2: one reserved start, and backfill that does not delay it.
 TEST(PlannerTests, backfillGoesInOnlyWhereTheReservedStartStays) {
     Bench bench(noTrials);
-    bench.minion("m", 8, 9999);
+    bench.worker("m", 8, 9999);
     bench.submit("first", 6, 100, 100'000);
     bench.plan();
     bench.now = 1000;
@@ -225,7 +225,7 @@
 // Paper 2.4: victims with ten minutes behind them, the least slowdown first, held with their memory, back afterwards.
 TEST(PlannerTests, aTrialHoldsTheLeastSlowedDownAndResumesIt) {
     Bench bench;
-    bench.minion("m", 4, 4096);
+    bench.worker("m", 4, 4096);
     bench.submit("older", 2, 1024, 36'000'000);
     bench.plan();
     bench.now = 300'000;
@@ -236,12 +236,12 @@
     STRCMP_EQUAL("reserve new on m at 36000", bench.plan().c_str());  // nobody has run for ten minutes yet
     bench.now = 1'100'000;
     STRCMP_EQUAL("hold #1 on m, start trial new on m, reserve new on m at 36000", bench.plan().c_str());
-    CHECK(bench.ledger.attempts[AttemptNumber{1}].state == AttemptState::held);
-    LONGS_EQUAL(1024, bench.ledger.attempts[AttemptNumber{3}].memory);
+    CHECK(bench.clusterState.attempts[AttemptNumber{1}].state == AttemptState::held);
+    LONGS_EQUAL(1024, bench.clusterState.attempts[AttemptNumber{3}].memory);
     bench.now = 1'160'000;
     bench.end(3, EndingKind::ranOut);
-    CHECK(bench.ledger.attempts[AttemptNumber{1}].state == AttemptState::running);
-    LONGS_EQUAL(0, bench.ledger.jobs[JobId{"new"}].tasks[0].starts);  // a trial that ran out takes nothing
+    CHECK(bench.clusterState.attempts[AttemptNumber{1}].state == AttemptState::running);
+    LONGS_EQUAL(0, bench.clusterState.jobs[JobId{"new"}].tasks[0].starts);  // a trial that ran out takes nothing
     bench.now = 2'000'000;
     CHECK(bench.plan().find("trial") == std::string::npos);  // one trial a unit
 }
@@ -249,7 +249,7 @@
 // With too little unallocated memory there is no trial, however few cores it wants.
 TEST(PlannerTests, noTrialWithoutUnallocatedMemory) {
     Bench bench;
-    bench.minion("m", 4, 4096);
+    bench.worker("m", 4, 4096);
     bench.submit("older", 4, 3500, 36'000'000);
     bench.plan();
     bench.now = 1'000'000;
@@ -260,23 +260,23 @@
 // docs/design.md 7.3: a gang is staged whole, and goes only when every part is staged.
 TEST(PlannerTests, aGangIsStagedAndGoesTogether) {
     Bench bench(noTrials);
-    bench.minion("m", 2, 4096);
-    bench.minion("n", 2, 4096);
+    bench.worker("m", 2, 4096);
+    bench.worker("n", 2, 4096);
     bench.submit("gang", 2, 100, 1000, 2, true);
     STRCMP_EQUAL("stage gang on m, stage gang on n", bench.plan().c_str());
     STRCMP_EQUAL("go #1 on m, go #2 on n", bench.plan().c_str());
-    bench.fold(MinionGone{MinionId{"m"}, "test"});
-    CHECK(bench.ledger.attempts[AttemptNumber{2}].state == AttemptState::stopping);  // it does not run alone
+    bench.apply(WorkerGone{WorkerId{"m"}, "test"});
+    CHECK(bench.clusterState.attempts[AttemptNumber{2}].state == AttemptState::stopping);  // it does not run alone
 }
 
 // docs/design.md 7.3: a part that is not heard to have gone has the others stopped; none runs alone for long.
-TEST(PlannerTests, aGangWithADeafPartIsStopped) {
+TEST(PlannerTests, aGangWithAUnresponsivePartIsStopped) {
     Bench bench(noTrials);
-    bench.minion("m", 2, 4096);
-    bench.minion("n", 2, 4096);
+    bench.worker("m", 2, 4096);
+    bench.worker("n", 2, 4096);
     bench.submit("gang", 2, 100, 9000, 2, true);
     bench.plan();
-    bench.deaf = "n";
+    bench.unresponsive = "n";
     STRCMP_EQUAL("go #1 on m, go #2 on n", bench.plan().c_str());
     bench.now += 2400;
     STRCMP_EQUAL("", bench.plan().c_str());
@@ -287,27 +287,27 @@
 // docs/paper.md 2: where the fit leaves a choice a retry leaves the rack it failed on, and a gang keeps to few.
 TEST(PlannerTests, racksDecideWhereTheFitLeavesAChoice) {
     Bench bench(noTrials);
-    bench.minion("a1", 4, 4096, "A");
-    bench.minion("a2", 4, 4096, "A");
-    bench.minion("b1", 4, 4096, "B");
+    bench.worker("a1", 4, 4096, "A");
+    bench.worker("a2", 4, 4096, "A");
+    bench.worker("b1", 4, 4096, "B");
     bench.submit("j", 2, 100, 1000);
     STRCMP_EQUAL("start j on a1", bench.plan().c_str());
     bench.end(1, EndingKind::failed);
     bench.now += 1000;
     STRCMP_EQUAL("start j on b1", bench.plan().c_str());
     Bench gangs(noTrials);
-    gangs.minion("a1", 4, 4096, "A");
-    gangs.minion("b1", 4, 4096, "B");
-    gangs.minion("c1", 4, 4096, "A");
+    gangs.worker("a1", 4, 4096, "A");
+    gangs.worker("b1", 4, 4096, "B");
+    gangs.worker("c1", 4, 4096, "A");
     gangs.submit("gang", 4, 100, 1000, 2, true);
     STRCMP_EQUAL("stage gang on a1, stage gang on c1", gangs.plan().c_str());
 }
 
 // docs/design.md 5.6: one that is slow, or fails its work, gets one task at a time until it has mended.
-TEST(PlannerTests, aSlowMinionGetsLess) {
+TEST(PlannerTests, aSlowWorkerGetsLess) {
     Bench bench(noTrials);
-    bench.minion("slow", 4, 4096);
-    bench.minion("sound", 8, 4096);
+    bench.worker("slow", 4, 4096);
+    bench.worker("sound", 8, 4096);
     for (std::uint64_t count = 1; count <= 4; ++count) {
         bench.submit("job" + std::to_string(count), 1, 100, 1000);
         STRCMP_EQUAL(("start job" + std::to_string(count) + " on slow").c_str(), bench.plan().c_str());
@@ -324,13 +324,13 @@
 // docs/design.md 7.6: an overrunning task stays; the reserved start moves and says so.
 TEST(PlannerTests, anOverrunMovesTheReservedStart) {
     Bench bench(noTrials);
-    bench.minion("m", 4, 4096);
+    bench.worker("m", 4, 4096);
     bench.submit("over", 4, 100, 10'000);
     bench.plan();
     bench.submit("next", 4, 100, 10'000);
     STRCMP_EQUAL("reserve next on m at 10", bench.plan().c_str());
     bench.now = 20'000;
     STRCMP_EQUAL("reserve next on m at 30", bench.plan().c_str());
-    LONGS_EQUAL(1, bench.ledger.reservation.moved);
+    LONGS_EQUAL(1, bench.clusterState.reservation.moved);
 }
 #endif
--- a/source/planner_gangs.cpp
+++ b/source/scheduling/planner_gangs.cpp
@@ -1,5 +1,5 @@
 // What is placed and has to be told something: gangs that go or are taken back, runs past their limit. docs/design.md 7.3, 7.5, 7.6.
-#include "planner_work.hpp"
+#include "scheduling/planner_work.hpp"
 
 namespace aniseline {
 
@@ -30,14 +30,14 @@
                 staging = true;
                 late = late || now - part->orderedAt > stagingLimit;
             }
-            auto quiet = silence.find(part->minion);
-            const bool heard = quiet != silence.end() && quiet->second < Span{1500};
-            allStaged = allStaged && part->state == AttemptState::staged && heard && ledger.minions.at(part->minion).open();
+            auto quiet = silence.find(part->worker);
+            const bool heard = quiet != silence.end() && quiet->second < Duration{1500};
+            allStaged = allStaged && part->state == AttemptState::staged && heard && clusterState.workers.at(part->worker).open();
         }
         for (const auto* part : parts) {
             Action action;
             action.attempt = part->number;
-            action.minion = part->minion;
+            action.worker = part->worker;
             if (allStaged && !part->assembles) action.kind = ActionKind::go;
             else if (oneAlone && part->state != AttemptState::stopping) {
                 action.kind = ActionKind::stop;
@@ -60,7 +60,7 @@
     Action action;
     action.kind = ActionKind::stop;
     action.attempt = attempt.number;
-    action.minion = attempt.minion;
+    action.worker = attempt.worker;
     action.reason = trialOver ? "trial" : "hard limit";
     overdueStops.push_back(std::move(action));
 }
--- a/source/planner_order.cpp
+++ b/source/scheduling/planner_order.cpp
@@ -1,5 +1,5 @@
 // What waits for a start, and in which order. docs/design.md 7.1, 7.8; docs/paper.md 2 and 5.
-#include "planner_work.hpp"
+#include "scheduling/planner_work.hpp"
 
 namespace aniseline {
 
@@ -93,11 +93,11 @@
         batch.cores += request.cores;
     }
     inputs.urgency = double(queue.urgency);
-    inputs.weightWait = ledger.setup.planner.weightWait;
-    inputs.weightExpansion = ledger.setup.planner.weightExpansion;
+    inputs.weightWait = clusterState.config.planner.weightWait;
+    inputs.weightExpansion = clusterState.config.planner.weightExpansion;
     batch.standing = batch.step->of->standing;
     batch.pressed = batch.step->of->pressed;
-    batch.urgency = ledger.setup.planner.urgencyFirst ? queue.urgency : 0;
+    batch.urgency = clusterState.config.planner.urgencyFirst ? queue.urgency : 0;
     batch.priority = programsOf(queue.policy).rank.evaluate(inputs);
     suitingOf(*batch.step);
 }
@@ -117,7 +117,7 @@
 }  // namespace
 
 void Planner::Work::collectUnits() {
-    for (const auto& id : ledger.open)
+    for (const auto& id : clusterState.open)
         if (JobInPlan& job = *jobInPlan(id); job.job->state == JobState::open && !job.job->ending) collectBatches(job);
     std::vector<Batch*> order;
     std::size_t count = 0;
@@ -158,7 +158,7 @@
 
 bool Planner::Work::leavesUrgentRoom(const Unit& unit) const {
     const Batch& batch = *unit.batch;
-    if (!ledger.setup.planner.urgencyFirst || batch.urgency == mostUrgent || (batch.pressed && batch.standing < 2)) return true;
+    if (!clusterState.config.planner.urgencyFirst || batch.urgency == mostUrgent || (batch.pressed && batch.standing < 2)) return true;
     const PoolInPlan& pool = *unit.queue().pool;
     // Never so that work stands while half of the pool is idle.
     if (!pool.demand || 5 * pool.free > 2 * pool.cores) return true;
--- a/source/planner_reservation.cpp
+++ b/source/scheduling/planner_reservation.cpp
@@ -1,5 +1,5 @@
 // The one reserved start, and what may go before it. Paper 2.2; docs/paper.md 3.
-#include "planner_work.hpp"
+#include "scheduling/planner_work.hpp"
 
 namespace aniseline {
 
@@ -18,12 +18,12 @@
 }
 
 void Planner::Work::keepReservation(const Unit& unit, Reservation reservation) {
-    const Reservation& before = ledger.reservation;
+    const Reservation& before = clusterState.reservation;
     const bool same = before.job == reservation.job && before.step == reservation.step;
     reservation.moved = same ? before.moved : 0;
-    if (same && reservation.start > before.start + Span{1000}) ++reservation.moved;
+    if (same && reservation.start > before.start + Duration{1000}) ++reservation.moved;
     for (const auto& placement : reservation.placements) {
-        Room& room = rooms[placeOf(placement.minion)];
+        Room& room = rooms[placeOf(placement.worker)];
         room.reservedCores += unit.request(placement.task).cores;
         room.reservedMemory += std::int64_t(unit.request(placement.task).memory);
     }
@@ -35,7 +35,7 @@
 std::optional<Reservation> Planner::Work::reserve(const Unit& unit) const {
     std::vector<std::size_t> places;
     for (auto place : unit.step().suiting->places)
-        if (rooms[place].minion->open()) places.push_back(place);
+        if (rooms[place].worker->open()) places.push_back(place);
     Reservation reservation;
     reservation.job = unit.step().id();
     reservation.step = unit.step().number;
@@ -77,7 +77,7 @@
         reservation.start = time;
     }
     if (best == none) return false;
-    reservation.placements = {{unit.tasks[0], rooms[best].minion->id}};
+    reservation.placements = {{unit.tasks[0], rooms[best].worker->id}};
     return true;
 }
 
@@ -133,7 +133,7 @@
         free[best].memory -= std::int64_t(request.memory);
         free[best].accelerators -= request.accelerators;
         ++together[best];
-        reservation.placements.push_back({part, rooms[best].minion->id});
+        reservation.placements.push_back({part, rooms[best].worker->id});
     }
     return true;
 }
--- a/source/planner_starts.cpp
+++ b/source/scheduling/planner_starts.cpp
@@ -1,5 +1,5 @@
 // Starts in this plan: the paper's best fit, and copies. docs/paper.md 2; docs/design.md 4.6, 7.7.
-#include "planner_work.hpp"
+#include "scheduling/planner_work.hpp"
 
 namespace aniseline {
 
@@ -24,11 +24,11 @@
 }
 // Away from its data or from the rest of its step a task takes `far` times as long. docs/paper.md 2.
 bool Planner::Work::isFar(StepInPlan& step, const Room& room) {
-    if (!step.needs().near.empty() && !room.minion->capacity.has(step.needs().near)) return true;
+    if (!step.needs().near.empty() && !room.worker->capacity.has(step.needs().near)) return true;
     return step.needs().sameRack && room.rack != rackFor(step);
 }
-Span Planner::Work::runtimeAt(StepInPlan& step, const Room& room, const TaskRequest& request) {
-    return isFar(step, room) ? Span{std::int64_t(double(request.runtime.milliseconds) * ledger.setup.planner.far)} : request.runtime;
+Duration Planner::Work::runtimeAt(StepInPlan& step, const Room& room, const TaskRequest& request) {
+    return isFar(step, room) ? Duration{std::int64_t(double(request.runtime.milliseconds) * clusterState.config.planner.far)} : request.runtime;
 }
 
 // Largest part first, so that a gang is not blocked by its own small parts.
@@ -42,7 +42,7 @@
     rooms[place].add({nullptr, request.cores, memory, request.accelerators, end, false, withVictims});
 }
 
-// Among fitting minions the one with the fewest unallocated cores; ties by rack, then by name. Paper 2.2.
+// Among fitting workers the one with the fewest unallocated cores; ties by rack, then by name. Paper 2.2.
 bool Planner::Work::startNow(const Unit& unit) {
     StepInPlan& step = unit.step();
     const auto& places = suitingOf(step).places;
@@ -51,7 +51,7 @@
     std::vector<std::size_t> racksUsed;
     for (auto part : partsBySize(unit)) {
         const TaskRequest& request = unit.request(part);
-        const MinionId& avoid = unit.task(part).avoid;
+        const WorkerId& avoid = unit.task(part).avoid;
         const std::size_t placeToAvoid = avoid.value.empty() ? none : placeOf(avoid);
         const std::size_t rackToAvoid = avoid.value.empty() ? none : rackOf(avoid);
         std::size_t best = none;
@@ -85,8 +85,8 @@
         placed.emplace_back(part, best);
         if (unit.gang()) racksUsed.push_back(rooms[best].rack);
     }
-    // Parts that find each other at the minions are started, with one number; others are staged. docs/design.md 7.3.
-    const bool assembles = unit.gang() && std::all_of(placed.begin(), placed.end(), [&](const auto& part) { return rooms[part.second].minion->capacity.assembles; });
+    // Parts that find each other at the workers are started, with one number; others are staged. docs/design.md 7.3.
+    const bool assembles = unit.gang() && std::all_of(placed.begin(), placed.end(), [&](const auto& part) { return rooms[part.second].worker->capacity.assembles; });
     std::uint32_t run = 0;
     if (unit.gang())
         for (auto part : unit.tasks) run = std::max(run, unit.task(part).run + 1);
@@ -97,7 +97,7 @@
         action.attempt = lastAttempt = lastAttempt.next();
         action.job = step.id();
         action.task = task;
-        action.minion = rooms[place].minion->id;
+        action.worker = rooms[place].worker->id;
         action.memory = unit.request(task).memory;
         if (rooms[place].penalty > 0) rooms[place].usable = false;
         plan.made.actions.push_back(std::move(action));
@@ -116,7 +116,7 @@
     return slots >= std::int64_t(unit.tasks.size());
 }
 
-// Of redundant steps a copy is begun elsewhere when a run is overdue or its minion is out of touch. docs/paper.md 5.
+// Of redundant steps a copy is begun elsewhere when a run is overdue or its worker is out of touch. docs/paper.md 5.
 void Planner::Work::startCopies() {
     std::size_t begun = 0;
     for (auto& [step, attempt] : copied) {
@@ -127,12 +127,12 @@
         if (task.attempt != attempt->number || task.twin.value) continue;
         const QueueOptions& queue = *step->of->queue->options;
         if (queue.tries && task.failures + 1 >= queue.tries) continue;  // the one that runs is the last try
-        if (!outOfTouch(attempt->minion) && !overdue(*attempt, &step->needs())) continue;
+        if (!outOfTouch(attempt->worker) && !overdue(*attempt, &step->needs())) continue;
         const TaskRequest& request = job.request(task);
         std::size_t best = none;
         for (auto place : suitingOf(*step).places) {
             const Room& room = rooms[place];
-            if (!room.usable || room.penalty > 0 || room.minion->id == attempt->minion || room.safeCores() < request.cores || !hasRoom(*step, place, request)) continue;
+            if (!room.usable || room.penalty > 0 || room.worker->id == attempt->worker || room.safeCores() < request.cores || !hasRoom(*step, place, request)) continue;
             if (!memoryFits(room, room.freeMemory(), std::int64_t(request.memory), trialRoom) || delays(room, request.cores, std::int64_t(request.memory), now + runtimeAt(*step, room, request))) continue;
             if (best == none || room.freeCores() < rooms[best].freeCores()) best = place;
         }
@@ -143,7 +143,7 @@
         action.attempt = lastAttempt = lastAttempt.next();
         action.job = attempt->job;
         action.task = attempt->task;
-        action.minion = rooms[best].minion->id;
+        action.worker = rooms[best].worker->id;
         action.memory = request.memory;
         action.twin = true;
         ++plan.copies;
--- a/source/planner_trials.cpp
+++ b/source/scheduling/planner_trials.cpp
@@ -1,12 +1,12 @@
 // Immediate service: trials, and the holds that make way for them. Paper 2.4; docs/paper.md 4 and 5.
-#include "planner_work.hpp"
+#include "scheduling/planner_work.hpp"
 
 namespace aniseline {
 
 using namespace planning;
 
 double Planner::Work::slowdown(const Attempt& attempt) const {
-    const Task& task = ledger.jobs.at(attempt.job).tasks[attempt.task];
+    const Task& task = clusterState.jobs.at(attempt.job).tasks[attempt.task];
     const double ran = std::max(1.0, double(attempt.ranBy(now).milliseconds));
     return double((now - task.readyAt).milliseconds) / ran;
 }
@@ -31,7 +31,7 @@
     std::optional<TrialPlace> best;
     for (auto place : unit.step().suiting->places) {
         const Room& room = rooms[place];
-        if (!room.usable || room.penalty > 0 || place == avoid || !room.minion->capacity.pauses || !hasRoom(unit.step(), place, request)) continue;
+        if (!room.usable || room.penalty > 0 || place == avoid || !room.worker->capacity.pauses || !hasRoom(unit.step(), place, request)) continue;
         if (room.cores < request.cores || room.freeMemory() < memory) continue;
         TrialPlace candidate;
         candidate.place = place;
@@ -84,7 +84,7 @@
     for (auto part : partsBySize(unit)) {
         const TaskRequest& request = unit.request(part);
         const auto memory = std::int64_t(std::min<std::uint64_t>(request.memory, options.memory));
-        const MinionId& avoided = unit.task(part).avoid;
+        const WorkerId& avoided = unit.task(part).avoid;
         const std::size_t avoid = avoided.value.empty() ? none : placeOf(avoided);
         auto found = trialPlace(unit, request, avoid, memory, false, own);
         if (!found) found = trialPlace(unit, request, avoid, memory, true, own);
@@ -101,7 +101,7 @@
             Action hold;
             hold.kind = ActionKind::hold;
             hold.attempt = victim;
-            hold.minion = room.minion->id;
+            hold.worker = room.worker->id;
             hold.heldFor = lastAttempt;
             plan.made.actions.push_back(hold);
             for (auto& projection : room.projections)
@@ -115,7 +115,7 @@
         action.attempt = lastAttempt;
         action.job = unit.step().id();
         action.task = part;
-        action.minion = room.minion->id;
+        action.worker = room.worker->id;
         action.trial = true;
         action.quantum = options.quantum;
         action.memory = std::uint64_t(memory);
@@ -135,7 +135,7 @@
         const auto shape = unit->shape(std::int64_t(queue.trial.memory), queue.trial.minimumRun);
         if (plain && noTrial.covers(shape)) continue;
         if (tryTrial(*unit)) note(*unit, "gets its trial in this plan");
-        else if (plain && queue.trial.quantum >= Span{1000}) noTrial.add(shape);
+        else if (plain && queue.trial.quantum >= Duration{1000}) noTrial.add(shape);
     }
 }
 
--- a/source/planner_work.hpp
+++ b/source/scheduling/planner_work.hpp
@@ -1,16 +1,16 @@
 // What one plan works with: rooms, the jobs' steps as the plan sees them, and what waits. docs/design.md 7.
 #pragma once
-#include "planner.hpp"
+#include "scheduling/planner.hpp"
 #include <span>
 #include <unordered_map>
 
 namespace aniseline::planning {
 
-constexpr Span silentTooLong{2000};     // an unheard minion gets no new work, docs/design.md 5.6
-constexpr Span unappliedTooLong{1500};  // nor one that is slow to apply its orders
-constexpr Span stagingLimit{5000};
-constexpr Span goLimit{2500};     // told to go but not heard to have gone: the others run alone, docs/design.md 7.3
-constexpr Span trialGrace{2000};  // past its quantum a trial is stopped by order, docs/design.md 7.5
+constexpr Duration silentTooLong{2000};     // an unheard worker gets no new work, docs/design.md 5.6
+constexpr Duration unappliedTooLong{1500};  // nor one that is slow to apply its orders
+constexpr Duration stagingLimit{5000};
+constexpr Duration goLimit{2500};     // told to go but not heard to have gone: the others run alone, docs/design.md 7.3
+constexpr Duration trialGrace{2000};  // past its quantum a trial is stopped by order, docs/design.md 7.5
 constexpr std::int64_t blameLimit = 500;
 
 // One attempt as the plan sees it: what it takes and when it is expected to end.
@@ -29,7 +29,7 @@
 
 struct PoolInPlan;
 struct Room {
-    const Minion* minion = nullptr;
+    const Worker* worker = nullptr;
     std::int64_t cores = 0, memory = 0, accelerators = 0;
     bool usable = true;
     int penalty = 0;
@@ -110,12 +110,12 @@
     FailedShapes noBackfill;
 };
 
-// Where urgency goes first, long work that has time leaves free what the most urgent queues have wanted lately: on minions
+// Where urgency goes first, long work that has time leaves free what the most urgent queues have wanted lately: on workers
 // that can't pause, the paper's immediate service has no victims that cost nothing. docs/paper.md 5.
 struct PoolInPlan {
-    std::size_t minions = 0;  // their rooms
+    std::size_t workers = 0;  // their rooms
     std::int64_t cores = 0, free = 0, urgentUsed = 0, urgentWanted = 0;
-    bool weighed = false;                    // there are minions, or urgent work, to speak of
+    bool weighed = false;                    // there are workers, or urgent work, to speak of
     std::optional<std::int64_t> demand;      // of urgent work lately
     std::map<std::string, Suiting> suiting;  // by label
 };
@@ -152,7 +152,7 @@
     StepInPlan* step = nullptr;
     bool gang = false;
     std::vector<std::uint32_t> tasks;
-    Span runtime;  // the longest of its parts
+    Duration runtime;  // the longest of its parts
     ClusterTime readyAt;
     double priority = 0;
     int standing = 0;          // 0: its job's aim can be met; 1: late, but of use; 2: past that. docs/paper.md 5
@@ -175,7 +175,7 @@
     const QueueInPlan& queue() const { return *batch->step->of->queue; }
     const Task& task(std::uint32_t place) const { return batch->step->job().tasks[place]; }
     const TaskRequest& request(std::uint32_t place) const { return batch->step->requestOf(place); }
-    FailedShapes::Shape shape(std::int64_t memoryLimit, Span span) const {
+    FailedShapes::Shape shape(std::int64_t memoryLimit, Duration span) const {
         if (gang()) return {0, 0, span.milliseconds};
         const TaskRequest& only = request(tasks[0]);
         return {only.cores, std::min(std::int64_t(only.memory), memoryLimit), span.milliseconds};
@@ -210,7 +210,7 @@
 
 struct Planner::Work {
     Planner& planner;
-    const Ledger& ledger;
+    const ClusterState& clusterState;
     ClusterTime now;
     const Silence& silence;
     bool explain;
@@ -219,12 +219,12 @@
     AttemptNumber lastAttempt;
     std::int64_t trialRoom;
 
-    Work(Planner& planner, const Ledger& ledger, ClusterTime now, const Silence& silence, bool explain, const Hints& hints)
-        : planner(planner), ledger(ledger), now(now), silence(silence), explain(explain), hints(hints), lastAttempt(ledger.lastAttempt),
-          trialRoom(std::int64_t(ledger.setup.planner.trialRoom)) {}
+    Work(Planner& planner, const ClusterState& clusterState, ClusterTime now, const Silence& silence, bool explain, const Hints& hints)
+        : planner(planner), clusterState(clusterState), now(now), silence(silence), explain(explain), hints(hints), lastAttempt(clusterState.lastAttempt),
+          trialRoom(std::int64_t(clusterState.config.planner.trialRoom)) {}
     Plan run();
 
-    // planner_rooms.cpp: minions as rooms, and the attempts in them.
+    // planner_rooms.cpp: workers as rooms, and the attempts in them.
     std::vector<planning::Room> rooms;
     std::unordered_map<std::string_view, std::size_t> roomOf;
     std::map<std::string, planning::PoolInPlan> pools;
@@ -244,12 +244,12 @@
     planning::Suiting& suitingOf(planning::StepInPlan& step);
     static constexpr std::size_t none = std::size_t(-1);
     std::size_t rackNumber(std::string_view name) const;
-    std::size_t rackOf(const MinionId& id) const;
-    std::size_t placeOf(const MinionId& id) const;
-    Span remaining(const Attempt& attempt) const;
+    std::size_t rackOf(const WorkerId& id) const;
+    std::size_t placeOf(const WorkerId& id) const;
+    Duration remaining(const Attempt& attempt) const;
     ClusterTime expectedEnd(const Attempt& attempt) const;
     bool overdue(const Attempt& attempt, const StepNeeds* needs) const;
-    bool outOfTouch(const MinionId& id) const;
+    bool outOfTouch(const WorkerId& id) const;
 
     // planner_order.cpp: what waits, and in which order.
     std::deque<planning::Batch> batches;
@@ -270,7 +270,7 @@
     bool hasRoom(const planning::StepInPlan& step, std::size_t place, const TaskRequest& request) const;
     std::size_t rackFor(planning::StepInPlan& step);
     bool isFar(planning::StepInPlan& step, const planning::Room& room);
-    Span runtimeAt(planning::StepInPlan& step, const planning::Room& room, const TaskRequest& request);
+    Duration runtimeAt(planning::StepInPlan& step, const planning::Room& room, const TaskRequest& request);
     std::vector<std::uint32_t> partsBySize(const planning::Unit& unit) const;
 
     // planner_reservation.cpp: the one reserved start, and what may go before it.
--- a/source/simulator/called_minion.cpp
+++ b/source/simulator/called_worker.cpp
@@ -1,4 +1,4 @@
-#include "simulator/called_minion.hpp"
+#include "simulator/called_worker.hpp"
 
 namespace aniseline {
 
@@ -13,15 +13,15 @@
 std::int64_t progressOf(const std::string& saved) { return std::strtoll(saved.c_str(), nullptr, 10); }
 }  // namespace
 
-CalledMinion::CalledMinion(CalledMinionOptions given, GangMeetings& meetings, std::uint64_t seed, Book book, Tell tell, std::int64_t now)
-    : options(std::move(given)), meetings(meetings), draw(seed), book(std::move(book)), tell(std::move(tell)), bornAt(now), tickedAt(now) {}
+CalledWorker::CalledWorker(CalledWorkerOptions given, GangMeetings& meetings, std::uint64_t seed, Book book, Tell tell, std::int64_t now)
+    : options(std::move(given)), meetings(meetings), random(seed), book(std::move(book)), tell(std::move(tell)), bornAt(now), tickedAt(now) {}
 
-MinionAccount CalledMinion::account(std::int64_t now) const { return {options.life, options.capacity, leaving, leaveWithin, clock(now)}; }
+WorkerAccount CalledWorker::account(std::int64_t now) const { return {options.life, options.capacity, leaving, leaveWithin, clock(now)}; }
 
-Witness CalledMinion::witness(Witness::Kind kind, const RunName& name) const {
-    Witness given;
+HistoryEvent CalledWorker::witness(HistoryEvent::Kind kind, const RunName& name) const {
+    HistoryEvent given;
     given.kind = kind;
-    given.minion = options.life.value;
+    given.worker = options.life.value;
     given.job = name.job.value;
     given.attempt = std::to_string(name.run);
     const auto* job = book(name.job);
@@ -32,38 +32,38 @@
     return given;
 }
 
-void CalledMinion::hold(const std::optional<MinionTime>& deadline, std::int64_t now) {
+void CalledWorker::hold(const std::optional<WorkerTime>& deadline, std::int64_t now) {
     if (!deadline) return;
-    const MinionTime until = std::min(*deadline, clock(now) + options.longestHold);
+    const WorkerTime until = std::min(*deadline, clock(now) + options.longestHold);
     if (until > clock(now) && (!heldUntil || until > *heldUntil)) heldUntil = until;
 }
 
-MinionReply CalledMinion::take(const MinionCall& call, std::int64_t now, bool late) {
+WorkerReply CalledWorker::take(const WorkerCall& call, std::int64_t now, bool late) {
     tick(now);
-    MinionReply reply;
+    WorkerReply reply;
     if (call.life != options.life) {
-        reply.kind = MinionReply::Kind::otherLife;
+        reply.kind = WorkerReply::Kind::otherLife;
         return reply;
     }
     reply.clock = clock(now);
-    if (call.kind == MinionCall::Kind::start && sickness == Sickness::refusing) {
-        reply.kind = MinionReply::Kind::sick;  // nothing was done
+    if (call.kind == WorkerCall::Kind::start && sickness == Sickness::refusing) {
+        reply.kind = WorkerReply::Kind::sick;  // nothing was done
         return reply;
     }
     if (call.fence < fence) {
-        reply.kind = MinionReply::Kind::fenced;
+        reply.kind = WorkerReply::Kind::fenced;
         return reply;
     }
     fence = call.fence;
-    reply.kind = MinionReply::Kind::done;
-    if (call.kind == MinionCall::Kind::stop) stop(call, now);
+    reply.kind = WorkerReply::Kind::done;
+    if (call.kind == WorkerCall::Kind::stop) stop(call, now);
     else hold(call.deadline, now);
-    if (call.kind == MinionCall::Kind::look) forget(call.lastSeen);
-    if (call.kind == MinionCall::Kind::start) start(call, reply, now, late);
+    if (call.kind == WorkerCall::Kind::look) forget(call.lastSeen);
+    if (call.kind == WorkerCall::Kind::start) start(call, reply, now, late);
     return reply;
 }
 
-bool CalledMinion::hasRoom(const TaskRequest& request) const {
+bool CalledWorker::hasRoom(const TaskRequest& request) const {
     std::uint64_t cores = request.cores, memory = request.memory, accelerators = request.accelerators;
     for (const auto& [name, run] : runs) {
         cores += run.request.cores;
@@ -73,15 +73,15 @@
     return cores <= options.capacity.cores && memory <= options.capacity.memory && accelerators <= options.capacity.accelerators;
 }
 
-void CalledMinion::start(const MinionCall& call, MinionReply& reply, std::int64_t now, bool late) {
+void CalledWorker::start(const WorkerCall& call, WorkerReply& reply, std::int64_t now, bool late) {
     if (runs.count(call.name)) return;  // it is there already
     const bool newerHere = std::any_of(runs.begin(), runs.end(), [&](const auto& entry) { return task(entry.first) == task(call.name) && entry.first.run > call.name.run; });
     if (auto known = fenced.find(task(call.name)); newerHere || (known != fenced.end() && call.name.run <= known->second)) {
-        reply.kind = MinionReply::Kind::old;
+        reply.kind = WorkerReply::Kind::old;
         return;
     }
     if (!heldUntil || !call.deadline || *call.deadline <= clock(now)) {
-        reply.kind = MinionReply::Kind::late;
+        reply.kind = WorkerReply::Kind::late;
         return;
     }
     Run run;
@@ -89,7 +89,7 @@
     if (run.job && call.name.step < run.job->steps.size()) run.step = &run.job->steps[call.name.step];
     if (run.step && call.name.within < run.step->tasks.size()) run.request = run.step->tasks[call.name.within];
     if (options.capacity.guardsRoom && !hasRoom(run.request)) {
-        reply.kind = MinionReply::Kind::room;
+        reply.kind = WorkerReply::Kind::room;
         return;
     }
     run.payload = call.payload;
@@ -100,7 +100,7 @@
     run.length = runOf(call.payload, run.request.runtime.milliseconds);
     run.fails = failsAlways(call.payload);
     if (run.step && run.step->needs.lasts) {  // it goes on until it is stopped, or fails at some time
-        run.length = draw.between(4000, 40'000);
+        run.length = random.between(4000, 40'000);
         run.fails = true;
     }
     if (run.step && !run.step->needs.near.empty() && !options.capacity.has(run.step->needs.near)) run.length = std::int64_t(double(run.length) * options.far);
@@ -108,7 +108,7 @@
         run.length = std::min<std::int64_t>(run.length, run.done + 100);
         run.fails = true;
     }
-    auto given = witness(Witness::Kind::started, call.name);
+    auto given = witness(HistoryEvent::Kind::started, call.name);
     given.payload = call.payload;
     given.saved = call.saved;
     given.cores = run.request.cores;
@@ -125,19 +125,19 @@
     runs.emplace(call.name, std::move(run));
 }
 
-void CalledMinion::stop(const MinionCall& call, std::int64_t now) {
+void CalledWorker::stop(const WorkerCall& call, std::int64_t now) {
     auto& fencedTo = fenced[task(call.name)];
     fencedTo = std::max(fencedTo, call.name.run);
     auto found = runs.find(call.name);
-    if (found != runs.end() && !found->second.stoppedBy) found->second.stoppedBy = now + draw.between(0, options.stopTakes.milliseconds);
+    if (found != runs.end() && !found->second.stoppedBy) found->second.stoppedBy = now + random.between(0, options.stopTakes.milliseconds);
 }
 
 // Endings that nobody asks for again are final, unless the hold ran out before they were taken note of.
-void CalledMinion::forget(std::uint64_t lastSeen) {
+void CalledWorker::forget(std::uint64_t lastSeen) {
     while (!endings.empty() && endings.front().number <= lastSeen) {
         const Ended& ended = endings.front();
         if (!ended.lapsed) {
-            auto given = witness(Witness::Kind::confirmed, ended.name);
+            auto given = witness(HistoryEvent::Kind::confirmed, ended.name);
             given.detail = ended.how;
             tell(given);
         }
@@ -145,7 +145,7 @@
     }
 }
 
-void CalledMinion::list(MinionReply& reply, std::int64_t now) const {
+void CalledWorker::list(WorkerReply& reply, std::int64_t now) const {
     reply.clock = clock(now);
     for (const auto& [name, run] : runs) reply.active.push_back({name, run.saved});
     for (const auto& ended : endings) {
@@ -157,18 +157,18 @@
     }
 }
 
-void CalledMinion::save(const RunName& name, Run& run) {
+void CalledWorker::save(const RunName& name, Run& run) {
     if (!run.step || !run.step->needs.saves || run.done <= run.savedAt) return;
     run.savedAt = run.done;
-    run.saved = std::to_string(run.done) + ":" + std::to_string(draw.next());
-    auto given = witness(Witness::Kind::saved, name);
+    run.saved = std::to_string(run.done) + ":" + std::to_string(random.next());
+    auto given = witness(HistoryEvent::Kind::saved, name);
     given.saved = run.saved;
     tell(given);
 }
 
-void CalledMinion::end(RunName name, const std::string& how) {
+void CalledWorker::end(RunName name, const std::string& how) {
     auto found = runs.find(name);
-    auto given = witness(Witness::Kind::ended, name);
+    auto given = witness(HistoryEvent::Kind::ended, name);
     given.detail = how;
     tell(given);
     endings.push_back({++lastEnding, name, how, found->second.saved});
@@ -181,7 +181,7 @@
     fencedTo = std::max(fencedTo, name.run);
 }
 
-void CalledMinion::tick(std::int64_t now) {
+void CalledWorker::tick(std::int64_t now) {
     const std::int64_t before = std::exchange(tickedAt, now);
     if (heldUntil && clock(now) >= *heldUntil) {
         heldUntil.reset();
@@ -216,7 +216,7 @@
     }
 }
 
-void CalledMinion::vanish() {
+void CalledWorker::vanish() {
     for (auto& [name, run] : runs)
         if (run.gang()) {
             auto& met = meeting(name);
--- a/source/simulator/called_minion.hpp
+++ b/source/simulator/called_worker.hpp
@@ -1,8 +1,8 @@
-// A stand-in for a minion that is called rather than calls: it holds what runs there until a deadline on its own clock, and
-// gangs assemble themselves at such minions. Sans-IO. docs/design.md 12.4.
+// A stand-in for a worker that is called rather than calls: it holds what runs there until a deadline on its own clock, and
+// gangs assemble themselves at such workers. Sans-IO. docs/design.md 12.4.
 #pragma once
-#include "penstock.hpp"
-#include "witness.hpp"
+#include "agent/node_agent.hpp"
+#include "checker/history.hpp"
 
 namespace aniseline {
 
@@ -15,35 +15,35 @@
 };
 using GangMeetings = std::map<std::tuple<JobId, std::uint32_t, std::uint32_t, std::uint32_t>, GangMeeting>;  // job, occurrence, step, run
 
-struct CalledMinionOptions {
-    MinionId life;
+struct CalledWorkerOptions {
+    WorkerId life;
     Capacity capacity;
     double clockRate = 1.0;   // its steady clock against a true one
     std::int64_t clockBase = 0;
-    Span longestHold{6000}, stopTakes{250}, gangWait{3000}, saveEvery{1000}, restoreTakes{150};
+    Duration longestHold{6000}, stopTakes{250}, gangWait{3000}, saveEvery{1000}, restoreTakes{150};
     std::size_t endingsAtOnce = 500;
     double far = 2.0;
 };
 
-class CalledMinion {
+class CalledWorker {
 public:
     enum class Sickness : std::uint8_t { none, stalled, refusing, mute, failing };
     using Book = std::function<const JobSubmission*(const JobId&)>;  // what the callers asked for
-    using Tell = std::function<void(Witness)>;
-    CalledMinion(CalledMinionOptions options, GangMeetings& meetings, std::uint64_t seed, Book book, Tell tell, std::int64_t now);
+    using Tell = std::function<void(HistoryEvent)>;
+    CalledWorker(CalledWorkerOptions options, GangMeetings& meetings, std::uint64_t seed, Book book, Tell tell, std::int64_t now);
 
     // Of a look the lists are read when it is answered, which may be later.
-    MinionReply take(const MinionCall& call, std::int64_t now, bool late);
+    WorkerReply take(const WorkerCall& call, std::int64_t now, bool late);
     bool hasEnding(std::uint64_t lastSeen) const { return !endings.empty() && endings.back().number > lastSeen; }
-    void list(MinionReply& reply, std::int64_t now) const;
+    void list(WorkerReply& reply, std::int64_t now) const;
     void tick(std::int64_t now);
     void vanish();  // its process ends, with all that runs there
 
-    MinionAccount account(std::int64_t now) const;
+    WorkerAccount account(std::int64_t now) const;
     Sickness sickness = Sickness::none;
     bool leaving = false;
-    Span leaveWithin{0};
-    const MinionId& life() const { return options.life; }
+    Duration leaveWithin{0};
+    const WorkerId& life() const { return options.life; }
     std::size_t running() const { return runs.size(); }
 
 private:
@@ -63,29 +63,29 @@
         std::string how, saved;
         bool lapsed = false;  // the hold ran out before anybody took note of it
     };
-    MinionTime clock(std::int64_t now) const { return MinionTime{options.clockBase + std::int64_t(double(now - bornAt) * options.clockRate)}; }
-    void hold(const std::optional<MinionTime>& deadline, std::int64_t now);
-    void start(const MinionCall& call, MinionReply& reply, std::int64_t now, bool late);
-    void stop(const MinionCall& call, std::int64_t now);
+    WorkerTime clock(std::int64_t now) const { return WorkerTime{options.clockBase + std::int64_t(double(now - bornAt) * options.clockRate)}; }
+    void hold(const std::optional<WorkerTime>& deadline, std::int64_t now);
+    void start(const WorkerCall& call, WorkerReply& reply, std::int64_t now, bool late);
+    void stop(const WorkerCall& call, std::int64_t now);
     void forget(std::uint64_t lastSeen);
     void save(const RunName& name, Run& run);
     void end(RunName name, const std::string& how);
     bool hasRoom(const TaskRequest& request) const;
-    Witness witness(Witness::Kind kind, const RunName& name) const;
+    HistoryEvent witness(HistoryEvent::Kind kind, const RunName& name) const;
     GangMeeting& meeting(const RunName& name) { return meetings[{name.job, name.occurrence, name.step, name.run}]; }
     static RunName task(RunName name) {
         name.run = 0;
         return name;
     }
 
-    CalledMinionOptions options;
+    CalledWorkerOptions options;
     GangMeetings& meetings;
-    Draw draw;
+    Random random;
     Book book;
     Tell tell;
     std::int64_t bornAt, tickedAt;
-    Epoch fence;
-    std::optional<MinionTime> heldUntil;
+    Term fence;
+    std::optional<WorkerTime> heldUntil;
     std::map<RunName, Run> runs;
     std::map<RunName, std::uint32_t> fenced;  // by task: the highest run stopped or ended here
     std::deque<Ended> endings;
--- a/source/simulator/campaign.hpp
+++ b/source/simulator/campaign.hpp
@@ -8,13 +8,13 @@
     std::uint64_t seed = 1;
     std::int64_t length = 60'000;
     std::size_t faults = 12;
-    std::size_t called = 0;  // minions that are called, beside the others
-    std::size_t voters = 3, reservoirs = 3;
+    std::size_t called = 0;  // workers that are called, beside the others
+    std::size_t voters = 3, controllers = 3;
     std::vector<std::size_t> only;  // the places of the faults to keep; empty: all
     bool verbose = false;
 };
 struct CampaignResult {
-    std::vector<BrokenPromise> broken, limits;
+    std::vector<InvariantViolation> broken, limits;
     std::vector<std::string> unfinished;
     std::vector<std::string> faults;
     std::map<std::string, std::size_t> effects;  // by kind of fault: how often it took effect
@@ -26,8 +26,8 @@
 };
 CampaignResult runCampaign(const CampaignOptions& options);
 
-std::string standardSetup(const std::string& change = "");
-// With queues, pools and policies for minions that are called, too.
-std::string calledSetup(const std::string& change = "");
+std::string standardConfig(const std::string& change = "");
+// With queues, pools and policies for workers that are called, too.
+std::string calledConfig(const std::string& change = "");
 
 }  // namespace aniseline
--- a/source/simulator/nodes.hpp
+++ b/source/simulator/nodes.hpp
@@ -1,28 +1,28 @@
 // What the simulated world is made of: processes with their machines, and callers. docs/design.md 12.1.
 #pragma once
-#include "simulator/called_minion.hpp"
+#include "simulator/called_worker.hpp"
 #include "simulator/world.hpp"
 
 namespace aniseline {
 
-constexpr std::size_t noSluice = std::size_t(-1);  // nobody is at that address any more
+constexpr std::size_t noGateway = std::size_t(-1);  // nobody is at that address any more
 
 struct World::Node {
-    std::size_t area = 0;
+    std::size_t zone = 0;
     bool up = true, frozen = false, cut = false;
     std::uint64_t generation = 1;
     std::vector<std::function<void()>> inbox;  // what arrives while frozen
     virtual ~Node() = default;
 };
 
-struct World::ReservoirNode : Node {
+struct World::ControllerNode : Node {
     std::size_t place = 0;
     Address address;
-    ReservoirId identity;
-    std::unique_ptr<Reservoir> core;
-    ViewKeeper keeper;
-    std::vector<DiskRecord> disk;
-    std::optional<DiskRecord> writing;
+    ControllerId identity;
+    std::unique_ptr<Controller> core;
+    SnapshotWriter keeper;
+    std::vector<WriteAheadRecord> disk;
+    std::optional<WriteAheadRecord> writing;
     std::int64_t stalledUntil = 0, slow = 0, wallOffset = 0, monotonicBase = 0;
     bool stepping = false, full = false;
     std::int64_t seekAt = 0;
@@ -34,17 +34,17 @@
     RouteView route;
 };
 
-struct World::SluiceNode : RoutedNode {
+struct World::GatewayNode : RoutedNode {
     std::size_t place = 0;
     Address outer;
     std::map<std::uint64_t, std::function<void()>> onDeath;
 };
 
-struct World::MinionNode : Node {
+struct World::WorkerNode : Node {
     std::size_t place = 0;
     std::string id;
     Capacity capacity;
-    std::unique_ptr<MinionHand> hand;
+    std::unique_ptr<WorkerSession> hand;
     struct Running {
         Order order;
         std::int64_t since = 0, left = 0, total = 0;
@@ -52,14 +52,14 @@
     };
     std::map<AttemptNumber, Running> tasks;
     double slow = 1, fail = 0;
-    std::unique_ptr<ContactBook> contacts;
+    std::unique_ptr<PeerDirectory> contacts;
     bool patientBusy = false, urgentBusy = false, gone = false;
 };
 
-// The agent of one minion that is called, on the same machine; killed, it begins empty.
-struct World::PenstockNode : RoutedNode {
+// The agent of one worker that is called, on the same machine; killed, it begins empty.
+struct World::AgentNode : RoutedNode {
     std::size_t place = 0, turn = 0;
-    std::unique_ptr<Penstock> core;
+    std::unique_ptr<NodeAgent> core;
     bool patientBusy = false, urgentBusy = false;
     std::int64_t beatWaitsUntil = 0;  // the word of a leaving is acknowledged once it is logged
 };
@@ -67,14 +67,14 @@
 struct World::CalledNode : Node {
     std::size_t place = 0, lives = 0;
     Capacity capacity;
-    std::unique_ptr<CalledMinion> minion;
+    std::unique_ptr<CalledWorker> worker;
     struct Look {  // one that waits for an ending
-        MinionCall call;
+        WorkerCall call;
         std::int64_t until = 0;
-        std::function<void(MinionReply)> reply;
+        std::function<void(WorkerReply)> reply;
     };
     std::vector<Look> looks;
-    CalledMinion::Sickness sickness = CalledMinion::Sickness::none;
+    CalledWorker::Sickness sickness = CalledWorker::Sickness::none;
     std::int64_t beatAt = 0;
     bool ordersLate = false, gone = false, leavingAcknowledged = false;
 };
@@ -85,14 +85,14 @@
 
 struct World::CallerState {
     JobSubmission job;
-    std::size_t sluice = 0;
+    std::size_t gateway = 0;
     bool accepted = false, over = false, rejected = false, cancelled = false;
     std::int64_t cancelAfter = -1, begunAt = 0, tries = 0;
     bool resend = false;
 };
 
-inline Witness seen(Witness::Kind kind, std::int64_t at) {
-    Witness witness;
+inline HistoryEvent seen(HistoryEvent::Kind kind, std::int64_t at) {
+    HistoryEvent witness;
     witness.kind = kind;
     witness.at = at;
     return witness;
--- a/source/simulator/world_callers.cpp
+++ b/source/simulator/world_callers.cpp
@@ -2,15 +2,15 @@
 
 namespace aniseline {
 
-void World::ask(std::size_t sluice, const std::string& method, const std::string& target, const std::string& body, Follower follower, std::int64_t within) {
-    askSluice(*outside, sluice, method, target, body, within, std::move(follower));
+void World::ask(std::size_t gateway, const std::string& method, const std::string& target, const std::string& body, Follower follower, std::int64_t within) {
+    askGateway(*outside, gateway, method, target, body, within, std::move(follower));
 }
 
 void World::submit(const JobSubmission& job, std::int64_t cancelAfter) {
     submissions[job.id.value] = job;
     auto state = std::make_shared<CallerState>();
     state->job = job;
-    state->sluice = draw.next() % sluices.size();
+    state->gateway = random.next() % gateways.size();
     state->cancelAfter = cancelAfter;
     state->begunAt = now;
     callers.push_back(state);
@@ -19,7 +19,7 @@
 void World::resubmit(const JobSubmission& job) {
     auto state = std::make_shared<CallerState>();
     state->job = job;
-    state->sluice = draw.next() % sluices.size();
+    state->gateway = random.next() % gateways.size();
     state->begunAt = now;
     state->resend = true;
     callers.push_back(state);
@@ -27,12 +27,12 @@
 }
 
 void World::trySubmit(std::shared_ptr<CallerState> state) {
-    auto given = seen(Witness::Kind::submitted, calendar + now);
+    auto given = seen(HistoryEvent::Kind::submitted, calendar + now);
     given.job = state->job.id.value;
     witness(given);
     ++state->tries;
-    askSluice(*outside, state->sluice, "POST", "/v1/jobs", renderJob(state->job), 3000, [this, state](int status, const std::string& body) {
-        auto answered = seen(status == 202 ? Witness::Kind::accepted : status == 0 || status == 503 ? Witness::Kind::unknown : Witness::Kind::rejected, calendar + now);
+    askGateway(*outside, state->gateway, "POST", "/v1/jobs", renderJob(state->job), 3000, [this, state](int status, const std::string& body) {
+        auto answered = seen(status == 202 ? HistoryEvent::Kind::accepted : status == 0 || status == 503 ? HistoryEvent::Kind::unknown : HistoryEvent::Kind::rejected, calendar + now);
         answered.job = state->job.id.value;
         answered.detail = std::to_string(status);
         witness(answered);
@@ -43,8 +43,8 @@
             if (state->cancelAfter >= 0) after(state->cancelAfter, [this, state] { tryCancel(state); });
             watch(state);
         } else if (status == 0 || status == 503 || (status == 429 && state->tries < 40)) {
-            state->sluice = (state->sluice + 1) % sluices.size();
-            after(200 + draw.between(0, 300), [this, state] { trySubmit(state); });
+            state->gateway = (state->gateway + 1) % gateways.size();
+            after(200 + random.between(0, 300), [this, state] { trySubmit(state); });
         } else {
             state->rejected = true;
         }
@@ -53,31 +53,31 @@
 
 void World::tryCancel(std::shared_ptr<CallerState> state) {
     if (state->over) return;
-    askSluice(*outside, state->sluice, "DELETE", "/v1/jobs/" + state->job.id.value, "", 3000, [this, state](int status, const std::string& body) {
+    askGateway(*outside, state->gateway, "DELETE", "/v1/jobs/" + state->job.id.value, "", 3000, [this, state](int status, const std::string& body) {
         if (say) say("cancel " + state->job.id.value + ": " + std::to_string(status) + " " + body);
         if (status == 200) {
-            auto given = seen(Witness::Kind::cancelAcknowledged, calendar + now);
+            auto given = seen(HistoryEvent::Kind::cancelAcknowledged, calendar + now);
             given.job = state->job.id.value;
             witness(given);
             return;
         }
-        state->sluice = (state->sluice + 1) % sluices.size();
+        state->gateway = (state->gateway + 1) % gateways.size();
         after(200, [this, state] { tryCancel(state); });
     });
 }
 
 void World::watch(std::shared_ptr<CallerState> state) {
-    after(150 + draw.between(0, 200), [this, state] {
-        askSluice(*outside, state->sluice, "GET", "/v1/jobs/" + state->job.id.value, "", 3000, [this, state](int status, const std::string& body) {
+    after(150 + random.between(0, 200), [this, state] {
+        askGateway(*outside, state->gateway, "GET", "/v1/jobs/" + state->job.id.value, "", 3000, [this, state](int status, const std::string& body) {
             std::string shown;
             if (status == 404) shown = "missing";
             else if (status == 200) {
                 picojson::value root;
                 if (picojson::parse(root, body).empty()) shown = root.get("state").to_str();
-            } else state->sluice = (state->sluice + 1) % sluices.size();
+            } else state->gateway = (state->gateway + 1) % gateways.size();
             auto& last = lastShown[state->job.id.value];
             if (!shown.empty() && shown != last) {
-                auto given = seen(Witness::Kind::shown, calendar + now);
+                auto given = seen(HistoryEvent::Kind::shown, calendar + now);
                 given.job = state->job.id.value;
                 given.detail = shown;
                 witness(given);
@@ -90,18 +90,18 @@
     });
 }
 
-void World::applySetup(const std::string& text, std::uint64_t basedOn, Follower follower, std::size_t sluice) {
-    if (auto parsed = Setup::parse(text))
+void World::applyConfig(const std::string& text, std::uint64_t baseVersion, Follower follower, std::size_t gateway) {
+    if (auto parsed = ClusterConfig::parse(text))
         for (const auto& [name, queue] : parsed.value().queues) poolsOf[name.value].insert(queue.pool);
-    askSluice(*outside, sluice, "PUT", "/v1/setup", "{\"based_on\":" + std::to_string(basedOn) + ",\"setup\":" + text + "}", 3000,
+    askGateway(*outside, gateway, "PUT", "/v1/config", "{\"based_on\":" + std::to_string(baseVersion) + ",\"config\":" + text + "}", 3000,
               [this, follower = std::move(follower), text](int status, const std::string& body) {
                   if (status == 200) {
                       picojson::value root;
                       picojson::parse(root, body);
-                      auto given = seen(Witness::Kind::setupAcknowledged, calendar + now);
+                      auto given = seen(HistoryEvent::Kind::configAcknowledged, calendar + now);
                       given.version = std::uint64_t(root.get("version").get<double>());
                       witness(given);
-                      auto parsed = Setup::parse(text);
+                      auto parsed = ClusterConfig::parse(text);
                       if (parsed)
                           for (const auto& [name, queue] : parsed.value().queues) {
                               auto& most = queue.tries ? tries[name.value] : retries[name.value];
@@ -114,28 +114,28 @@
 
 std::optional<std::size_t> World::leader() const {
     std::optional<std::size_t> found;
-    for (const auto& node : reservoirs)
-        if (node->up && !node->frozen && node->core->agreed().serves() &&
-            (!found || node->core->agreed().epoch() > reservoirs[*found]->core->agreed().epoch()))
+    for (const auto& node : controllers)
+        if (node->up && !node->frozen && node->core->raftNode().serves() &&
+            (!found || node->core->raftNode().term() > controllers[*found]->core->raftNode().term()))
             found = node->place;
     return found;
 }
-const Reservoir* World::reservoir(std::size_t place) const { return reservoirs[place]->up ? reservoirs[place]->core.get() : nullptr; }
-std::size_t World::reservoirCount() const { return reservoirs.size(); }
+const Controller* World::controller(std::size_t place) const { return controllers[place]->up ? controllers[place]->core.get() : nullptr; }
+std::size_t World::controllerCount() const { return controllers.size(); }
 std::uint64_t World::startsOf(const std::string& job) const {
-    return std::uint64_t(std::count_if(history.begin(), history.end(), [&](const Witness& given) { return given.kind == Witness::Kind::started && given.job == job; }));
+    return std::uint64_t(std::count_if(history.begin(), history.end(), [&](const HistoryEvent& given) { return given.kind == HistoryEvent::Kind::started && given.job == job; }));
 }
 bool World::isVoter(std::size_t place) const {
-    const auto& node = *reservoirs[place];
+    const auto& node = *controllers[place];
     const auto leading = leader();
     if (!node.up || !leading) return false;
-    for (const auto& member : reservoirs[*leading]->core->agreed().members())
+    for (const auto& member : controllers[*leading]->core->raftNode().members())
         if (member.id == node.identity) return member.voter;
     return false;
 }
 std::size_t World::voterCount() const {
     std::size_t count = 0;
-    for (std::size_t place = 0; place < reservoirs.size(); ++place) count += isVoter(place);
+    for (std::size_t place = 0; place < controllers.size(); ++place) count += isVoter(place);
     return count;
 }
 std::vector<std::string> World::unfinished() const {
@@ -145,13 +145,13 @@
     return left;
 }
 bool World::allOver() const { return unfinished().empty(); }
-Findings World::findings() const {
-    PromiseOptions promises;
+CheckReport World::findings() const {
+    InvariantOptions promises;
     promises.slack = 50;
     promises.retriesOf = retries;
     promises.triesOf = tries;
     promises.poolsOf = poolsOf;
-    return checkPromises(history, submissions, promises);
+    return checkInvariants(history, submissions, promises);
 }
 
 }  // namespace aniseline
