--- a/source/simulator/world_minions.cpp
+++ b/source/simulator/world_workers.cpp
@@ -2,62 +2,62 @@
 
 namespace aniseline {
 
-void World::bootMinion(MinionNode& node) {
+void World::bootWorker(WorkerNode& node) {
     node.up = true;
     node.frozen = node.patientBusy = node.urgentBusy = false;
     ++node.generation;
-    MinionHand::Options hand;
-    hand.id = MinionId{node.id};
+    WorkerSession::Options hand;
+    hand.id = WorkerId{node.id};
     hand.capacity = node.capacity;
-    node.hand = std::make_unique<MinionHand>(hand, Incarnation{draw.next() | 1});
+    node.hand = std::make_unique<WorkerSession>(hand, Incarnation{random.next() | 1});
     std::vector<Address> firstContacts;  // what its settings say when it is started
-    for (std::size_t place = 0; place < std::min<std::size_t>(3, sluices.size()); ++place) firstContacts.push_back(sluices[place]->outer);
-    node.contacts = std::make_unique<ContactBook>(firstContacts, draw.next());
-    auto capacity = seen(Witness::Kind::capacity, calendar + now);
-    capacity.minion = node.id;
+    for (std::size_t place = 0; place < std::min<std::size_t>(3, gateways.size()); ++place) firstContacts.push_back(gateways[place]->outer);
+    node.contacts = std::make_unique<PeerDirectory>(firstContacts, random.next());
+    auto capacity = seen(HistoryEvent::Kind::capacity, calendar + now);
+    capacity.worker = node.id;
     capacity.cores = node.capacity.cores;
     capacity.memory = node.capacity.memory;
     capacity.guards = node.capacity.guardsRoom;
-    if (!node.capacity.honoursTerms) capacity.detail = "termless";
+    if (!node.capacity.honoursLeases) capacity.detail = "leaseless";
     witness(capacity);
-    tickMinion(node, node.generation);
+    tickWorker(node, node.generation);
 }
 
-void World::tickMinion(MinionNode& node, std::uint64_t generation) {
+void World::tickWorker(WorkerNode& node, std::uint64_t generation) {
     if (!node.up || node.generation != generation) return;
     if (!node.frozen) {
-        node.hand->tick(Instant{now});
+        node.hand->tick(MonotonicTime{now});
         followEffects(node);
         std::vector<AttemptNumber> due;
         for (auto& [attempt, task] : node.tasks)
             if (task.active && now - task.since >= task.left) due.push_back(attempt);
         for (auto attempt : due) {
             auto& task = node.tasks[attempt];
-            const bool well = !draw.chance(node.fail);
-            auto ended = seen(Witness::Kind::ended, calendar + now);
-            ended.minion = node.id;
+            const bool well = !random.chance(node.fail);
+            auto ended = seen(HistoryEvent::Kind::ended, calendar + now);
+            ended.worker = node.id;
             ended.job = task.order.job.value;
             ended.task = task.order.task;
             ended.attempt = std::to_string(attempt.value);
             ended.detail = well ? "finished" : "failed";
             witness(ended);
             node.tasks.erase(attempt);
-            node.hand->ended(attempt, well, Instant{now});
+            node.hand->ended(attempt, well, MonotonicTime{now});
         }
-        if (!node.patientBusy) syncMinion(node, true);
-        if (!node.urgentBusy && node.hand->urgent()) syncMinion(node, false);
+        if (!node.patientBusy) syncWorker(node, true);
+        if (!node.urgentBusy && node.hand->urgent()) syncWorker(node, false);
     }
-    schedule(now + 5, [this, &node, generation] { tickMinion(node, generation); });
+    schedule(now + 5, [this, &node, generation] { tickWorker(node, generation); });
 }
 
-void World::syncMinion(MinionNode& node, bool patient) {
-    auto report = node.hand->report(Instant{now});
-    if (!patient) report.wait = Span{0};
+void World::syncWorker(WorkerNode& node, bool patient) {
+    auto report = node.hand->report(MonotonicTime{now});
+    if (!patient) report.wait = Duration{0};
     const std::int64_t sentAt = now;
     (patient ? node.patientBusy : node.urgentBusy) = true;
     const auto incarnation = report.incarnation;
-    node.contacts->learn(node.hand->sluices());
-    askSluice(node, sluiceAt(node.contacts->current(Instant{now})), "POST", "/v1/minions/" + node.id + "/sync", renderReport(report), report.wait.milliseconds + 300,
+    node.contacts->learn(node.hand->gateways());
+    askGateway(node, gatewayAt(node.contacts->current(MonotonicTime{now})), "POST", "/v1/workers/" + node.id + "/sync", renderReport(report), report.wait.milliseconds + 300,
               [this, &node, patient, sentAt, incarnation](int status, const std::string& body) {
                   auto& busy = patient ? node.patientBusy : node.urgentBusy;
                   if (node.hand->currentIncarnation() != incarnation) {
@@ -65,14 +65,14 @@
                       return;
                   }
                   if (status == 200) {
-                      if (auto answer = SyncAnswer::parse(body)) node.hand->answered(answer.value(), Instant{sentAt}, Instant{now});
+                      if (auto answer = SyncResponse::parse(body)) node.hand->answered(answer.value(), MonotonicTime{sentAt}, MonotonicTime{now});
                       followEffects(node);
                   } else if (status == 410) {
-                      node.hand->replaced(Incarnation{draw.next() | 1});
+                      node.hand->replaced(Incarnation{random.next() | 1});
                       followEffects(node);
                   } else {
-                      if (!node.contacts->knowsMore()) learnContacts(node, sluiceAt(node.contacts->current(Instant{now})));
-                      node.contacts->failed(Instant{now});
+                      if (!node.contacts->knowsMore()) learnContacts(node, gatewayAt(node.contacts->current(MonotonicTime{now})));
+                      node.contacts->failed(MonotonicTime{now});
                   }
                   if (status == 200 && patient) {
                       busy = false;
@@ -85,20 +85,20 @@
               });
 }
 
-// Whatever sluice answers names the others, even while no leader is there.
-void World::learnContacts(MinionNode& node, std::size_t place) {
-    if (place == noSluice || !sluices[place]->up) return;
-    auto* from = sluices[place].get();
+// Whatever gateway answers names the others, even while no leader is there.
+void World::learnContacts(WorkerNode& node, std::size_t place) {
+    if (place == noGateway || !gateways[place]->up) return;
+    auto* from = gateways[place].get();
     deliver(node, *from, [this, &node, from] {
-        const auto inForce = preferred(from->route.sluices, node.capacity.area, node.place);
+        const auto inForce = preferred(from->route.gateways, node.capacity.zone, node.place);
         deliver(*from, node, [&node, inForce] { node.contacts->learn(inForce); });
     });
 }
 
-void World::followEffects(MinionNode& node) {
+void World::followEffects(WorkerNode& node) {
     for (const auto& [order, kind] : node.hand->takeConfirmed()) {
-        auto told = seen(Witness::Kind::confirmed, calendar + now);
-        told.minion = node.id;
+        auto told = seen(HistoryEvent::Kind::confirmed, calendar + now);
+        told.worker = node.id;
         told.job = order.job.value;
         told.task = order.task;
         told.attempt = std::to_string(order.attempt.value);
@@ -107,9 +107,9 @@
     }
     for (const auto& effect : node.hand->takeEffects()) {
         auto found = node.tasks.find(effect.attempt);
-        auto base = [&](Witness::Kind kind, const Order& order) {
+        auto base = [&](HistoryEvent::Kind kind, const Order& order) {
             auto given = seen(kind, calendar + now);
-            given.minion = node.id;
+            given.worker = node.id;
             given.job = order.job.value;
             given.task = order.task;
             given.attempt = std::to_string(order.attempt.value);
@@ -123,20 +123,20 @@
             if (effect.order.payload.starts_with("run=")) run = std::strtoll(effect.order.payload.c_str() + 4, nullptr, 10);
             run = std::int64_t(double(run) * node.slow);
             node.tasks[effect.attempt] = {effect.order, now, run, run, true};
-            witness(base(Witness::Kind::started, effect.order));
+            witness(base(HistoryEvent::Kind::started, effect.order));
         } else if (found == node.tasks.end()) continue;
         else if (effect.kind == HandEffect::Kind::hold) {
             found->second.left -= now - found->second.since;
             found->second.active = false;
-            witness(base(Witness::Kind::held, found->second.order));
+            witness(base(HistoryEvent::Kind::held, found->second.order));
         } else if (effect.kind == HandEffect::Kind::resume) {
             found->second.since = now;
             found->second.active = true;
-            witness(base(Witness::Kind::resumed, found->second.order));
+            witness(base(HistoryEvent::Kind::resumed, found->second.order));
         } else {
             auto& task = found->second;
             const std::int64_t ran = task.total - task.left + (task.active ? now - task.since : 0);
-            auto ended = base(Witness::Kind::ended, task.order);
+            auto ended = base(HistoryEvent::Kind::ended, task.order);
             ended.detail = task.order.quantum.milliseconds > 0 && ran >= task.order.quantum.milliseconds ? "ran_out" : "stopped";
             witness(ended);
             node.tasks.erase(found);
@@ -144,36 +144,36 @@
     }
 }
 
-void World::killMinion(std::size_t place, bool forGood) {
-    auto& node = *minions[place];
+void World::killWorker(std::size_t place, bool forGood) {
+    auto& node = *workers[place];
     node.gone = node.gone || forGood;
     if (!node.up) return;
     node.up = node.frozen = false;
     ++node.generation;
     node.inbox.clear();
     node.tasks.clear();
-    auto vanished = seen(Witness::Kind::vanished, calendar + now);
-    vanished.minion = node.id;
+    auto vanished = seen(HistoryEvent::Kind::vanished, calendar + now);
+    vanished.worker = node.id;
     witness(vanished);
 }
-void World::restartMinion(std::size_t place) {
-    if (!minions[place]->up && !minions[place]->gone) bootMinion(*minions[place]);
+void World::restartWorker(std::size_t place) {
+    if (!workers[place]->up && !workers[place]->gone) bootWorker(*workers[place]);
 }
-bool World::isMinionUp(const std::string& id) const {
-    return std::any_of(minions.begin(), minions.end(), [&](const auto& node) { return node->id == id && node->up; });
+bool World::isWorkerUp(const std::string& id) const {
+    return std::any_of(workers.begin(), workers.end(), [&](const auto& node) { return node->id == id && node->up; });
 }
-void World::returnMinion(std::size_t place) {
-    minions[place]->gone = false;
-    restartMinion(place);
+void World::returnWorker(std::size_t place) {
+    workers[place]->gone = false;
+    restartWorker(place);
 }
-void World::freezeMinion(std::size_t place, bool frozen) {
-    auto& node = *minions[place];
+void World::freezeWorker(std::size_t place, bool frozen) {
+    auto& node = *workers[place];
     if (!node.up || node.frozen == frozen) return;
     // What runs in a frozen process does not run: the history says so.
     for (auto& [attempt, task] : node.tasks) {
         if (!task.active) continue;
-        auto given = seen(frozen ? Witness::Kind::held : Witness::Kind::resumed, calendar + now);
-        given.minion = node.id;
+        auto given = seen(frozen ? HistoryEvent::Kind::held : HistoryEvent::Kind::resumed, calendar + now);
+        given.worker = node.id;
         given.job = task.order.job.value;
         given.task = task.order.task;
         given.attempt = std::to_string(attempt.value);
@@ -188,15 +188,15 @@
             if (task.active) task.since = now;
         auto before = node.tasks;
         node.frozen = false;
-        node.hand->tick(Instant{now});
+        node.hand->tick(MonotonicTime{now});
         node.frozen = true;
         for (const auto& effect : node.hand->takeEffects()) {
             auto found = node.tasks.find(effect.attempt);
             if (found == node.tasks.end()) continue;
             if (effect.kind == HandEffect::Kind::hold) found->second.active = false;
             else if (effect.kind == HandEffect::Kind::stop) {
-                auto ended = seen(Witness::Kind::ended, calendar + now);
-                ended.minion = node.id;
+                auto ended = seen(HistoryEvent::Kind::ended, calendar + now);
+                ended.worker = node.id;
                 ended.job = found->second.order.job.value;
                 ended.task = found->second.order.task;
                 ended.attempt = std::to_string(effect.attempt.value);
@@ -207,8 +207,8 @@
         }
         for (auto& [attempt, task] : node.tasks) {
             if (!task.active) continue;
-            auto given = seen(Witness::Kind::resumed, calendar + now);
-            given.minion = node.id;
+            auto given = seen(HistoryEvent::Kind::resumed, calendar + now);
+            given.worker = node.id;
             given.job = task.order.job.value;
             given.task = task.order.task;
             given.attempt = std::to_string(attempt.value);
@@ -217,24 +217,24 @@
     }
     freeze(node, frozen);
 }
-void World::cutMinion(std::size_t place, bool cut) { minions[place]->cut = cut; }
-void World::leaveMinion(std::size_t place, std::int64_t within) {
-    auto& node = *minions[place];
+void World::cutWorker(std::size_t place, bool cut) { workers[place]->cut = cut; }
+void World::leaveWorker(std::size_t place, std::int64_t within) {
+    auto& node = *workers[place];
     if (node.up && !node.frozen) {
-        node.hand->leave(Span{within});
-        auto leaving = seen(Witness::Kind::leaving, calendar + now);
-        leaving.minion = node.id;
+        node.hand->leave(Duration{within});
+        auto leaving = seen(HistoryEvent::Kind::leaving, calendar + now);
+        leaving.worker = node.id;
         witness(leaving);
     }
     after(within + 2000, [this, place, generation = node.generation] {
-        if (minions[place]->generation == generation) killMinion(place, true);  // else it is another process by now
+        if (workers[place]->generation == generation) killWorker(place, true);  // else it is another process by now
     });
 }
-void World::setMinion(std::size_t place, double slow, double fail) {
-    minions[place]->slow = slow;
-    minions[place]->fail = fail;
+void World::setWorker(std::size_t place, double slow, double fail) {
+    workers[place]->slow = slow;
+    workers[place]->fail = fail;
 }
-void World::cutAreas(std::size_t from, std::size_t to, bool cut) {
+void World::cutZones(std::size_t from, std::size_t to, bool cut) {
     if (cut) cuts.insert({from, to});
     else cuts.erase({from, to});
 }
--- a/source/exchange.cpp
+++ b/source/state/api_request.cpp
@@ -1,59 +1,59 @@
-#include "exchange.hpp"
+#include "state/api_request.hpp"
 #include <cmath>
 
 namespace aniseline {
 
-const char* name(Ask ask) {
-    static const char* const names[] = {"submit", "cancel", "show-job", "list-jobs", "apply-setup", "show-setup", "sync", "leave", "drain",
-                                        "undrain", "declare-gone", "minions", "cluster", "plan", "counters", "replace", "export", "phase", "waiting", "read-setup"};
-    return names[std::size_t(ask)];
+const char* name(RequestKind kind) {
+    static const char* const names[] = {"submit", "cancel", "show-job", "list-jobs", "apply-config", "show-config", "sync", "leave", "drain",
+                                        "undrain", "declare-gone", "workers", "cluster", "plan", "counters", "replace", "export", "phase", "waiting", "read-config"};
+    return names[std::size_t(kind)];
 }
 
-bool RouteView::mayTake(const Exchange& exchange, std::size_t underWay, std::size_t most) const {
-    return roomFor(exchange.ask, exchange.ask == Ask::submitJob && !std::count(urgent.begin(), urgent.end(), exchange.job.queue), underWay, most);
+bool RouteView::hasRoomFor(const ApiRequest& request, std::size_t underWay, std::size_t most) const {
+    return roomFor(request.kind, request.kind == RequestKind::submitJob && !std::count(urgent.begin(), urgent.end(), request.job.queue), underWay, most);
 }
-std::vector<Address> preferred(const std::vector<Contact>& contacts, const AreaName& area, std::uint64_t spread) {
+std::vector<Address> preferred(const std::vector<Contact>& contacts, const ZoneName& zone, std::uint64_t spread) {
     std::vector<Address> near, far;
-    for (const auto& contact : contacts) (contact.area == area ? near : far).push_back(contact.address);
+    for (const auto& contact : contacts) (contact.zone == zone ? near : far).push_back(contact.address);
     for (auto* some : {&near, &far})
         if (!some->empty()) std::rotate(some->begin(), some->begin() + std::ptrdiff_t(spread % some->size()), some->end());
     near.insert(near.end(), far.begin(), far.end());
     return near;
 }
-bool roomFor(Ask ask, bool plain, std::size_t underWay, std::size_t most) {
-    if (ask == Ask::sync) return true;  // as many as there are minions, and without them nothing ends
+bool roomFor(RequestKind kind, bool plain, std::size_t underWay, std::size_t most) {
+    if (kind == RequestKind::sync) return true;  // as many as there are workers, and without them nothing ends
     return underWay < (plain ? most - most / 5 : most);
 }
 
-Answer Answer::of(int status, const picojson::object& body) {
-    Answer answer;
+ApiResponse ApiResponse::of(int status, const picojson::object& body) {
+    ApiResponse answer;
     answer.status = status;
     answer.body = picojson::value(body).serialize();
     return answer;
 }
-Answer Answer::error(int status, const std::string& kind, const std::string& text, Span retryAfter) {
-    Answer answer = of(status, {{"error", json(kind)}, {"text", json(text)}});
+ApiResponse ApiResponse::error(int status, const std::string& kind, const std::string& text, Duration retryAfter) {
+    ApiResponse answer = of(status, {{"error", json(kind)}, {"text", json(text)}});
     answer.retryAfter = retryAfter;
     answer.kind = kind;
     return answer;
 }
-Answer Answer::unknown(const std::string& text) { return error(503, "unknown", text, Span{500}); }
-Answer Answer::notTaken(const std::string& text) { return error(503, "not_taken", text + "; nothing was taken, ask again", Span{300}); }
-Answer Answer::from(const CoreError& error) {
+ApiResponse ApiResponse::unknown(const std::string& text) { return error(503, "unknown", text, Duration{500}); }
+ApiResponse ApiResponse::notTaken(const std::string& text) { return error(503, "not_taken", text + "; nothing was taken, ask again", Duration{300}); }
+ApiResponse ApiResponse::from(const CoreError& error) {
     int status = 400;
     const char* kind = "invalid";
-    Span retryAfter{0};
+    Duration retryAfter{0};
     switch (error.kind) {
         case CoreError::Kind::invalid: break;
         case CoreError::Kind::conflict: status = 409, kind = "conflict"; break;
-        case CoreError::Kind::overloaded: status = 429, kind = "overloaded", retryAfter = Span{1000}; break;
+        case CoreError::Kind::overloaded: status = 429, kind = "overloaded", retryAfter = Duration{1000}; break;
         case CoreError::Kind::missing: status = 404, kind = "missing"; break;
-        case CoreError::Kind::unknown: status = 503, kind = "unknown", retryAfter = Span{500}; break;
+        case CoreError::Kind::unknown: status = 503, kind = "unknown", retryAfter = Duration{500}; break;
         case CoreError::Kind::gone: status = 410, kind = "gone"; break;
     }
     picojson::array details;
     for (const auto& detail : error.details) details.push_back(json(picojson::object{{"path", json(detail.path)}, {"text", json(detail.text)}}));
-    Answer answer = of(status, {{"error", json(kind)}, {"text", json(error.text())}, {"details", json(details)}});
+    ApiResponse answer = of(status, {{"error", json(kind)}, {"text", json(error.text())}, {"details", json(details)}});
     answer.retryAfter = retryAfter;
     answer.kind = kind;
     return answer;
@@ -135,7 +135,7 @@
 };
 
 std::uint32_t narrow(std::uint64_t number) { return std::uint32_t(std::min<std::uint64_t>(number, 0xffffffffu)); }
-Span spanOf(std::uint64_t number) { return Span{std::int64_t(std::min<std::uint64_t>(number, 1ull << 53))}; }
+Duration spanOf(std::uint64_t number) { return Duration{std::int64_t(std::min<std::uint64_t>(number, 1ull << 53))}; }
 
 JobSubmission parseJob(const picojson::value& root, std::vector<ErrorDetail>& faults) {
     JobSubmission job;
@@ -192,8 +192,8 @@
 
 SyncReport parseReport(const picojson::value& root, const std::string& id, std::vector<ErrorDetail>& faults) {
     SyncReport report;
-    report.id = MinionId{id};
-    if (id.empty() || id.size() > 64) faults.push_back({"", "a minion's id holds 1 to 64 characters"});
+    report.id = WorkerId{id};
+    if (id.empty() || id.size() > 64) faults.push_back({"", "a worker's id holds 1 to 64 characters"});
     Fields fields(root, "", faults);
     report.incarnation = Incarnation{fields.number("incarnation", true)};
     if (!report.incarnation.value) faults.push_back({"/incarnation", "must not be 0"});
@@ -201,9 +201,9 @@
     report.capacity.memory = fields.whole("memory_mb", true);
     if (!report.capacity.cores || report.capacity.cores > 65'536'000) faults.push_back({"/cores", "must be from 0.001 to 65536"});
     if (!report.capacity.memory || report.capacity.memory > 1'000'000'000) faults.push_back({"/memory_mb", "must be from 1 to 1000000000"});
-    report.capacity.area = AreaName{fields.words("area")};
+    report.capacity.zone = ZoneName{fields.words("zone")};
     report.capacity.rack = fields.words("rack");
-    report.capacity.honoursTerms = fields.flag("honours_terms");
+    report.capacity.honoursLeases = fields.flag("honours_leases");
     report.capacity.guardsRoom = fields.flag("guards_room");
     report.capacity.accelerators = narrow(fields.whole("accelerators", false));
     report.capacity.pool = fields.words("pool");
@@ -229,7 +229,7 @@
 
 }  // namespace
 
-Result<Exchange> Exchange::parse(const std::string& method, const std::string& target, const std::string& body) {
+Result<ApiRequest> ApiRequest::parse(const std::string& method, const std::string& target, const std::string& body) {
     auto fail = [](CoreError::Kind kind, std::string path, std::string text) { return CoreError::at(kind, std::move(path), std::move(text)); };
     std::string path = target.substr(0, target.find('?'));
     std::map<std::string, std::string> query;
@@ -246,30 +246,30 @@
     const std::string noun = parts.size() > 1 && parts[0] == "v1" ? parts[1] : "";
     const std::string id = parts.size() > 2 ? parts[2] : "";
     const std::string verb = parts.size() > 3 ? parts[3] : "";
-    Exchange exchange;
-    exchange.id = id;
+    ApiRequest request;
+    request.id = id;
     bool wantsBody = false;
     const std::string shape = method + " " + noun + (id.empty() ? "" : "/*") + (verb.empty() ? "" : "/" + verb);
-    static const std::map<std::string, std::pair<Ask, bool>> shapes = {
-        {"POST jobs", {Ask::submitJob, true}},           {"DELETE jobs/*", {Ask::cancelJob, false}},
-        {"GET jobs/*", {Ask::showJob, false}},           {"GET jobs", {Ask::listJobs, false}},
-        {"PUT setup", {Ask::applySetup, true}},          {"GET setup", {Ask::showSetup, false}},
-        {"POST minions/*/sync", {Ask::sync, true}},      {"POST minions/*/leave", {Ask::leave, false}},
-        {"POST minions/*/drain", {Ask::drain, false}},   {"POST minions/*/undrain", {Ask::undrain, false}},
-        {"POST minions/*/gone", {Ask::declareGone, false}}, {"GET minions", {Ask::listMinions, false}},
-        {"GET cluster", {Ask::showCluster, false}},      {"GET plan", {Ask::showPlan, false}},
-        {"GET counters", {Ask::showCounters, false}},    {"POST reservoirs/*/replace", {Ask::replaceReservoir, false}},
-        {"GET state", {Ask::exportState, false}},         {"GET jobs/*/phase", {Ask::showPhase, false}},
+    static const std::map<std::string, std::pair<RequestKind, bool>> shapes = {
+        {"POST jobs", {RequestKind::submitJob, true}},           {"DELETE jobs/*", {RequestKind::cancelJob, false}},
+        {"GET jobs/*", {RequestKind::showJob, false}},           {"GET jobs", {RequestKind::listJobs, false}},
+        {"PUT config", {RequestKind::applyConfig, true}},          {"GET config", {RequestKind::showConfig, false}},
+        {"POST workers/*/sync", {RequestKind::sync, true}},      {"POST workers/*/leave", {RequestKind::leave, false}},
+        {"POST workers/*/drain", {RequestKind::drain, false}},   {"POST workers/*/undrain", {RequestKind::undrain, false}},
+        {"POST workers/*/gone", {RequestKind::declareGone, false}}, {"GET workers", {RequestKind::listWorkers, false}},
+        {"GET cluster", {RequestKind::showCluster, false}},      {"GET plan", {RequestKind::showPlan, false}},
+        {"GET counters", {RequestKind::showCounters, false}},    {"POST controllers/*/replace", {RequestKind::replaceController, false}},
+        {"GET state", {RequestKind::exportState, false}},         {"GET jobs/*/phase", {RequestKind::showPhase, false}},
     };
     auto found = parts.size() <= 4 ? shapes.find(shape) : shapes.end();
     if (found == shapes.end()) return fail(CoreError::Kind::missing, "", "there is no " + method + " " + path);
-    exchange.ask = found->second.first;
+    request.kind = found->second.first;
     wantsBody = found->second.second;
-    if (query.count("state")) exchange.text = query["state"];
-    if (query.count("limit")) exchange.limit = std::min<std::uint64_t>(1000, std::strtoull(query["limit"].c_str(), nullptr, 10));
-    exchange.within = Span{30'000};
-    if (query.count("within_ms")) exchange.within = Span{std::min<std::int64_t>(86'400'000, std::max<std::int64_t>(0, std::strtoll(query["within_ms"].c_str(), nullptr, 10)))};
-    if (!wantsBody) return exchange;
+    if (query.count("state")) request.text = query["state"];
+    if (query.count("limit")) request.limit = std::min<std::uint64_t>(1000, std::strtoull(query["limit"].c_str(), nullptr, 10));
+    request.within = Duration{30'000};
+    if (query.count("within_ms")) request.within = Duration{std::min<std::int64_t>(86'400'000, std::max<std::int64_t>(0, std::strtoll(query["within_ms"].c_str(), nullptr, 10)))};
+    if (!wantsBody) return request;
     if (nestedTooDeep(body)) return fail(CoreError::Kind::invalid, "", "the body is nested too deep");
     picojson::value root;
     std::string parseError;
@@ -277,15 +277,15 @@
     if (parseError.empty() && std::any_of(end, body.end(), [](char letter) { return !std::isspace((unsigned char)letter); })) parseError = "more follows the value";
     if (!parseError.empty()) return fail(CoreError::Kind::invalid, "", "the body is not JSON: " + parseError);
     std::vector<ErrorDetail> faults;
-    if (exchange.ask == Ask::submitJob) exchange.job = parseJob(root, faults);
-    if (exchange.ask == Ask::sync) exchange.report = parseReport(root, id, faults);
-    if (exchange.ask == Ask::applySetup) {
+    if (request.kind == RequestKind::submitJob) request.job = parseJob(root, faults);
+    if (request.kind == RequestKind::sync) request.report = parseReport(root, id, faults);
+    if (request.kind == RequestKind::applyConfig) {
         Fields fields(root, "", faults);
-        exchange.basedOn = SetupVersion{fields.whole("based_on", true)};
-        if (const auto* setup = fields.find("setup", true)) exchange.text = setup->serialize();
+        request.baseVersion = ConfigVersion{fields.whole("based_on", true)};
+        if (const auto* config = fields.find("config", true)) request.text = config->serialize();
     }
     if (!faults.empty()) return CoreError{CoreError::Kind::invalid, std::move(faults)};
-    return exchange;
+    return request;
 }
 
 std::string renderReport(const SyncReport& report) {
@@ -295,9 +295,9 @@
     picojson::object shown{{"incarnation", json(std::to_string(report.incarnation.value))},
                                  {"cores", json(report.capacity.cores / 1000.0)},
                                  {"memory_mb", json(report.capacity.memory)},
-                                 {"area", json(report.capacity.area.value)},
+                                 {"zone", json(report.capacity.zone.value)},
                                  {"rack", json(report.capacity.rack)},
-                                 {"honours_terms", json(report.capacity.honoursTerms)},
+                                 {"honours_leases", json(report.capacity.honoursLeases)},
                                  {"guards_room", json(report.capacity.guardsRoom)},
                                  {"last_order", json(std::to_string(report.lastOrder.value))},
                                  {"leaving", json(report.leaving)},
@@ -342,7 +342,7 @@
     return json(shown).serialize();
 }
 
-picojson::object SyncAnswer::render() const {
+picojson::object SyncResponse::render() const {
     picojson::array listed, ended, known;
     for (const auto& order : orders) {
         picojson::object shown{{"number", json(std::to_string(order.number.value))},
@@ -360,22 +360,22 @@
         listed.push_back(json(shown));
     }
     for (const auto& attempt : confirmed) ended.push_back(json(std::to_string(attempt.value)));
-    for (const auto& address : sluices) known.push_back(json(address.value));
-    return {{"epoch", json(std::to_string(epoch.value))}, {"orders", json(listed)}, {"confirmed", json(ended)},
-            {"term_ms", json(term.milliseconds)}, {"sluices", json(known)}};
+    for (const auto& address : gateways) known.push_back(json(address.value));
+    return {{"term", json(std::to_string(term.value))}, {"orders", json(listed)}, {"confirmed", json(ended)},
+            {"lease_ms", json(lease.milliseconds)}, {"gateways", json(known)}};
 }
 
-Result<SyncAnswer> SyncAnswer::parse(const std::string& body) {
+Result<SyncResponse> SyncResponse::parse(const std::string& body) {
     if (nestedTooDeep(body)) return CoreError::at(CoreError::Kind::invalid, "", "the answer is nested too deep");
     picojson::value root;
     const std::string parseError = picojson::parse(root, body);
     if (!parseError.empty()) return CoreError::at(CoreError::Kind::invalid, "", "the answer is not JSON: " + parseError);
     std::vector<ErrorDetail> faults;
-    SyncAnswer answer;
+    SyncResponse answer;
     {
         Fields fields(root, "", faults);
-        answer.epoch = Epoch{fields.number("epoch", true)};
-        answer.term = spanOf(fields.whole("term_ms", true));
+        answer.term = Term{fields.number("term", true)};
+        answer.lease = spanOf(fields.whole("lease_ms", true));
         if (const auto* orders = fields.list("orders", true))
             for (std::size_t place = 0; place < orders->size(); ++place) {
                 Fields shown((*orders)[place], "/orders/" + std::to_string(place), faults);
@@ -397,9 +397,9 @@
         if (const auto* confirmed = fields.list("confirmed", true))
             for (const auto& attempt : *confirmed)
                 if (attempt.is<std::string>()) answer.confirmed.push_back(AttemptNumber{std::strtoull(attempt.get<std::string>().c_str(), nullptr, 10)});
-        if (const auto* sluices = fields.list("sluices"))
-            for (const auto& address : *sluices)
-                if (address.is<std::string>()) answer.sluices.push_back(Address{address.get<std::string>()});
+        if (const auto* gateways = fields.list("gateways"))
+            for (const auto& address : *gateways)
+                if (address.is<std::string>()) answer.gateways.push_back(Address{address.get<std::string>()});
     }
     if (!faults.empty()) return CoreError{CoreError::Kind::invalid, std::move(faults)};
     return answer;
@@ -423,13 +423,13 @@
         {"POST", "/v1/jobs", R"({"id":"a","queue":"q","colour":1,"steps":[{"tasks":[{"cores":1,"memory_mb":1,"runtime_ms":1}]}]})", "/colour"},
         {"POST", "/v1/jobs", R"({"id":"a","queue":"q","steps":[{"tasks":[{"cores":1e99,"memory_mb":1,"runtime_ms":1}]}]})", "/steps/0/tasks/0/cores"},
         {"POST", "/v1/jobs", R"({"id":"a","queue":"q","steps":[{"tasks":[{"count":1000000,"cores":1,"memory_mb":1,"runtime_ms":1}]}]})", "/count"},
-        {"POST", "/v1/minions/m/sync", R"({"incarnation":"99999999999999999999","cores":1,"memory_mb":1,"last_order":"0"})", "/incarnation"},
-        {"PUT", "/v1/setup", R"({"setup":{}})", "/based_on"},
+        {"POST", "/v1/workers/m/sync", R"({"incarnation":"99999999999999999999","cores":1,"memory_mb":1,"last_order":"0"})", "/incarnation"},
+        {"PUT", "/v1/config", R"({"config":{}})", "/based_on"},
         {"PATCH", "/v1/jobs", "", "there is no"},
         {"GET", "/v1/jobs/a/b/c", "", "there is no"},
     };
     for (const auto& bad : cases) {
-        auto parsed = Exchange::parse(bad.method, bad.target, bad.body);
+        auto parsed = ApiRequest::parse(bad.method, bad.target, bad.body);
         CHECK_TEXT(!parsed.has_value(), bad.body);
         CHECK_TEXT(parsed.error().text().find(bad.part) != std::string::npos, parsed.error().text().c_str());
     }
@@ -438,22 +438,22 @@
 TEST(ExchangeTests, aFloodOfOtherWorkLeavesRoomForUrgent) {
     RouteView view;
     view.urgent = {QueueName{"proofs"}};
-    Exchange plain, urgent, sync;
-    plain.ask = urgent.ask = Ask::submitJob;
+    ApiRequest plain, urgent, sync;
+    plain.kind = urgent.kind = RequestKind::submitJob;
     plain.job.queue = QueueName{"plates"};
     urgent.job.queue = QueueName{"proofs"};
-    sync.ask = Ask::sync;
-    CHECK(view.mayTake(plain, 79, 100));
-    CHECK(!view.mayTake(plain, 80, 100));
-    CHECK(view.mayTake(urgent, 99, 100));
-    CHECK(!view.mayTake(urgent, 100, 100));
-    CHECK(view.mayTake(sync, 1000, 100));
+    sync.kind = RequestKind::sync;
+    CHECK(view.hasRoomFor(plain, 79, 100));
+    CHECK(!view.hasRoomFor(plain, 80, 100));
+    CHECK(view.hasRoomFor(urgent, 99, 100));
+    CHECK(!view.hasRoomFor(urgent, 100, 100));
+    CHECK(view.hasRoomFor(sync, 1000, 100));
 }
 
 TEST(ExchangeTests, aJobSurvivesItsOwnRendering) {
-    auto parsed = Exchange::parse("POST", "/v1/jobs", R"({"id":"a","queue":"q","steps":[{"name":"x","gang":true,"tasks":[{"count":3,"cores":2,"memory_mb":5,"runtime_ms":7,"payload":"p"}]}]})");
+    auto parsed = ApiRequest::parse("POST", "/v1/jobs", R"({"id":"a","queue":"q","steps":[{"name":"x","gang":true,"tasks":[{"count":3,"cores":2,"memory_mb":5,"runtime_ms":7,"payload":"p"}]}]})");
     CHECK(parsed.has_value());
-    auto again = Exchange::parse("POST", "/v1/jobs", renderJob(parsed.value().job));
+    auto again = ApiRequest::parse("POST", "/v1/jobs", renderJob(parsed.value().job));
     CHECK(again.has_value());
     LONGS_EQUAL(parsed.value().job.digest(), again.value().job.digest());
 }
--- a/source/setup.cpp
+++ b/source/state/cluster_config.cpp
@@ -1,4 +1,4 @@
-#include "setup.hpp"
+#include "state/cluster_config.hpp"
 #include <muParser.h>
 #include <cmath>
 
@@ -56,12 +56,12 @@
     return std::nullopt;
 }
 
-const QueueOptions* Setup::queue(const QueueName& name) const {
+const QueueOptions* ClusterConfig::queue(const QueueName& name) const {
     auto found = queues.find(name);
     return found == queues.end() ? nullptr : &found->second;
 }
 
-const Entrance* Setup::entrance(const std::string& host, const std::string& path) const {
+const Entrance* ClusterConfig::entrance(const std::string& host, const std::string& path) const {
     const Entrance* best = nullptr;
     for (const auto& entrance : entrances)
         if (entrance.host == host && path.starts_with(entrance.prefix) && (!best || entrance.prefix.size() > best->prefix.size())) best = &entrance;
@@ -70,7 +70,7 @@
 
 namespace {
 
-// Reads one JSON object, noting each fault by path and each field nobody asked for.
+// Reads one JSON object, onLogEvent each fault by path and each field nobody asked for.
 class Reader {
 public:
     Reader(const picojson::value& value, std::string path, std::vector<ErrorDetail>& faults)
@@ -109,7 +109,7 @@
             return fault(field, "must be a number from " + std::to_string(low) + " to " + std::to_string(high));
         target = value->get<double>();
     }
-    void span(const std::string& field, Span& target, double low, double high) { whole(field, target.milliseconds, low, high); }
+    void span(const std::string& field, Duration& target, double low, double high) { whole(field, target.milliseconds, low, high); }
     void flag(const std::string& field, bool& target) {
         const auto* value = find(field);
         if (!value) return;
@@ -134,10 +134,10 @@
 
 }  // namespace
 
-Result<Setup> Setup::parse(const std::string& text) {
-    Setup setup;
+Result<ClusterConfig> ClusterConfig::parse(const std::string& text) {
+    ClusterConfig config;
     std::vector<ErrorDetail> faults;
-    if (text.size() > 256 * 1024) return CoreError::at(CoreError::Kind::invalid, "", "a setup may hold at most 262144 bytes");
+    if (text.size() > 256 * 1024) return CoreError::at(CoreError::Kind::invalid, "", "a config may hold at most 262144 bytes");
     if (nestedTooDeep(text)) return CoreError::at(CoreError::Kind::invalid, "", "is nested too deep");
     picojson::value root;
     const std::string parseError = picojson::parse(root, text);
@@ -154,31 +154,31 @@
                     policy.words("may_hold", options.mayHold);
                     if (auto fault = PolicyProgram::check(options.rank)) policy.fault("rank", *fault);
                     if (auto fault = PolicyProgram::check(options.mayHold)) policy.fault("may_hold", *fault);
-                    setup.policies[name] = options;
+                    config.policies[name] = options;
                 }
         }
-        setup.policies.emplace("default", PolicyOptions{});
+        config.policies.emplace("default", PolicyOptions{});
         if (const auto* value = reader.find("planner")) {
             Reader planner(*value, "/planner", faults);
-            planner.span("period_ms", setup.planner.period, 5, 10'000);
-            planner.real("weight_wait", setup.planner.weightWait, 0, 1e6);
-            planner.real("weight_expansion", setup.planner.weightExpansion, 0, 1e6);
-            planner.flag("trials", setup.planner.trials);
-            planner.whole("trial_room_mb", setup.planner.trialRoom, 0, 1e9);
-            planner.whole("open_limit", setup.planner.openLimit, 1, 100'000);
-            planner.span("keep_finished_ms", setup.planner.keepFinished, 10'000, dayMilliseconds);
-            planner.whole("keep_limit", setup.planner.keepLimit, 100, 2'000'000);
-            planner.flag("urgency_first", setup.planner.urgencyFirst);
-            planner.real("far", setup.planner.far, 1, 1000);
-            planner.span("known_after_ms", setup.planner.knownAfter, 0, dayMilliseconds);
+            planner.span("period_ms", config.planner.period, 5, 10'000);
+            planner.real("weight_wait", config.planner.weightWait, 0, 1e6);
+            planner.real("weight_expansion", config.planner.weightExpansion, 0, 1e6);
+            planner.flag("trials", config.planner.trials);
+            planner.whole("trial_room_mb", config.planner.trialRoom, 0, 1e9);
+            planner.whole("open_limit", config.planner.openLimit, 1, 100'000);
+            planner.span("keep_finished_ms", config.planner.keepFinished, 10'000, dayMilliseconds);
+            planner.whole("keep_limit", config.planner.keepLimit, 100, 2'000'000);
+            planner.flag("urgency_first", config.planner.urgencyFirst);
+            planner.real("far", config.planner.far, 1, 1000);
+            planner.span("known_after_ms", config.planner.knownAfter, 0, dayMilliseconds);
         }
-        reader.whole("version", setup.version.value, 1, 9007199254740991.0);
+        reader.whole("version", config.version.value, 1, 9007199254740991.0);
         if (const auto* pools = reader.find("pools")) {
             if (!pools->is<picojson::object>()) reader.fault("pools", "must be an object");
             else
                 for (const auto& [name, value] : pools->get<picojson::object>()) {
                     Reader pool(value, "/pools/" + name, faults);
-                    pool.flag("guards_room", setup.pools[name].guardsRoom);
+                    pool.flag("guards_room", config.pools[name].guardsRoom);
                 }
         }
         const auto* queues = reader.find("queues");
@@ -198,12 +198,12 @@
                 queue.span("hard_limit_ms", options.hardLimit, 0, 366 * dayMilliseconds);
                 queue.span("replace_after_ms", options.replaceAfter, 0, dayMilliseconds);
                 queue.words("pool", options.pool);
-                if (!options.pool.empty() && !setup.pools.count(options.pool)) queue.fault("pool", "names no pool of this setup");
+                if (!options.pool.empty() && !config.pools.count(options.pool)) queue.fault("pool", "names no pool of this config");
                 queue.whole("tries", options.tries, 1, 1000);
                 queue.real("extend", options.extend, 0, 1e6);
                 queue.span("target_ms", options.target, 0, dayMilliseconds);
                 queue.words("policy", options.policy);
-                if (!setup.policies.count(options.policy)) queue.fault("policy", "names no policy of this setup");
+                if (!config.policies.count(options.policy)) queue.fault("policy", "names no policy of this config");
                 if (const auto* trialValue = queue.find("trial")) {
                     Reader trial(*trialValue, queue.path + "/trial", faults);
                     trial.span("quantum_ms", options.trial.quantum, 10, 3'600'000);
@@ -211,9 +211,9 @@
                     trial.span("minimum_run_ms", options.trial.minimumRun, 0, dayMilliseconds);
                 }
                 reserved += options.reserved;
-                setup.queues[options.name] = options;
+                config.queues[options.name] = options;
             }
-            if (reserved >= setup.planner.openLimit) reader.fault("queues", "reserve together all of planner/open_limit");
+            if (reserved >= config.planner.openLimit) reader.fault("queues", "reserve together all of planner/open_limit");
         }
         if (const auto* entrances = reader.find("entrances")) {
             if (!entrances->is<picojson::array>()) reader.fault("entrances", "must be a list");
@@ -224,16 +224,16 @@
                     shown.words("host", entrance.host);
                     shown.words("prefix", entrance.prefix);
                     shown.words("queue", entrance.queue.value);
-                    if (!setup.queues.count(entrance.queue)) shown.fault("queue", "names no queue of this setup");
-                    for (const auto& other : setup.entrances)
+                    if (!config.queues.count(entrance.queue)) shown.fault("queue", "names no queue of this config");
+                    for (const auto& other : config.entrances)
                         if (other.host == entrance.host && other.prefix == entrance.prefix) shown.fault("prefix", "stands twice for this host");
-                    setup.entrances.push_back(std::move(entrance));
+                    config.entrances.push_back(std::move(entrance));
                 }
         }
     }
     if (!faults.empty()) return CoreError{CoreError::Kind::invalid, std::move(faults)};
-    setup.text = text;
-    return setup;
+    config.text = text;
+    return config;
 }
 
 }  // namespace aniseline
@@ -242,21 +242,21 @@
 #include <CppUTest/TestHarness.h>
 using namespace aniseline;
 
-TEST_GROUP(SetupTests){};
+TEST_GROUP(ConfigTests){};
 
-TEST(SetupTests, takesAWholeDescription) {
-    auto setup = Setup::parse(R"({"policies":{"short":{"rank":"expansion + urgency","may_hold":"runtime > 0.1"}},
+TEST(ConfigTests, takesAWholeDescription) {
+    auto config = ClusterConfig::parse(R"({"policies":{"short":{"rank":"expansion + urgency","may_hold":"runtime > 0.1"}},
         "queues":{"proofs":{"urgency":9,"retries":2,"policy":"short","trial":{"quantum_ms":5000}}}})");
-    CHECK(setup.has_value());
-    LONGS_EQUAL(5000, setup.value().queue(QueueName{"proofs"})->trial.quantum.milliseconds);
-    LONGS_EQUAL(600000, setup.value().queue(QueueName{"proofs"})->trial.minimumRun.milliseconds);
+    CHECK(config.has_value());
+    LONGS_EQUAL(5000, config.value().queue(QueueName{"proofs"})->trial.quantum.milliseconds);
+    LONGS_EQUAL(600000, config.value().queue(QueueName{"proofs"})->trial.minimumRun.milliseconds);
 }
 
-TEST(SetupTests, namesEveryFaultByItsPath) {
-    auto setup = Setup::parse(R"({"policies":{"odd":{"rank":"wait +"}},
+TEST(ConfigTests, namesEveryFaultByItsPath) {
+    auto config = ClusterConfig::parse(R"({"policies":{"odd":{"rank":"wait +"}},
         "queues":{"proofs":{"urgency":"high","retries":-1,"colour":1,"policy":"none"}}})");
-    CHECK(!setup.has_value());
-    std::string text = setup.error().text();
+    CHECK(!config.has_value());
+    std::string text = config.error().text();
     for (const char* path : {"/policies/odd/rank", "/queues/proofs/urgency", "/queues/proofs/retries",
                              "/queues/proofs/colour", "/queues/proofs/policy"})
         CHECK_TEXT(text.find(path) != std::string::npos, (std::string(path) + " missing from " + text).c_str());
--- a/source/setup.hpp
+++ b/source/state/cluster_config.hpp
@@ -1,14 +1,14 @@
-// The setup aggregate: the operators' whole description of queues, policies and planner options. docs/design.md 6.
+// The config aggregate: the operators' whole description of queues, policies and planner options. docs/design.md 6.
 #pragma once
-#include "aniseline.hpp"
+#include "base/types.hpp"
 #include <picojson.h>
 
 namespace aniseline {
 
 struct TrialOptions {
-    Span quantum{60'000};         // paper section 3: one minute
+    Duration quantum{60'000};         // paper section 3: one minute
     std::uint64_t memory = 1024;  // MB, paper section 3: one gigabyte
-    Span minimumRun{600'000};     // paper section 2.4: ten minutes uninterrupted
+    Duration minimumRun{600'000};     // paper section 2.4: ten minutes uninterrupted
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & quantum & memory & minimumRun; }
 };
 
@@ -19,21 +19,21 @@
     std::uint64_t openLimit = 1000;  // open jobs past which a submission is rejected
     std::uint64_t reserved = 0;      // open jobs of the whole that only this queue may use
     TrialOptions trial;
-    Span hardLimit{0};  // 0: an overrunning task stays in place
-    Span replaceAfter{0};  // waited beyond term and margin before a silent minion's tasks are started elsewhere
+    Duration hardLimit{0};  // 0: an overrunning task stays in place
+    Duration replaceAfter{0};  // waited beyond lease and margin before a silent worker's tasks are started elsewhere
     std::string policy = "default";
-    std::string pool;        // the minions its tasks run on; empty: those of no pool
+    std::string pool;        // the workers its tasks run on; empty: those of no pool
     std::uint32_t tries = 0; // not 0: a task may end as failed this often, and nothing else counts. docs/design.md 4.4
     double extend = 1.0;     // the aim of a job is this times its longest chain of work, and the target
-    Span target{0};
-    bool closed = false;  // removed from the setup while jobs were open: runs on, takes nothing new
+    Duration target{0};
+    bool closed = false;  // removed from the config while jobs were open: runs on, takes nothing new
     template <class Archive> void serialize(Archive& archive, unsigned) {
         archive & name & urgency & retries & openLimit & reserved & trial & hardLimit & replaceAfter & policy & pool & tries & extend & target & closed;
     }
 };
 
 struct PoolOptions {
-    bool guardsRoom = false;  // its minions themselves reject what they can't hold
+    bool guardsRoom = false;  // its workers themselves reject what they can't hold
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & guardsRoom; }
 };
 
@@ -51,24 +51,24 @@
 };
 
 struct PlannerOptions {
-    Span period{50};
+    Duration period{50};
     double weightWait = 0.0167;   // paper table 3, LXF&W-backfill
     double weightExpansion = 1.0;
     bool trials = true;
-    std::uint64_t trialRoom = 0;  // MB of each minion that only trials may use; 0 is the paper's design
+    std::uint64_t trialRoom = 0;  // MB of each worker that only trials may use; 0 is the paper's design
     std::uint64_t openLimit = 20'000;
-    Span keepFinished{3'600'000};
+    Duration keepFinished{3'600'000};
     std::uint64_t keepLimit = 300'000;  // jobs kept; past it the earliest ended go first, docs/design.md 4.5
     bool urgencyFirst = false;          // a more urgent queue's work goes before all less urgent work, whatever its rank
     double far = 1.0;                   // what a task away from its data, or from its step's rack, takes of its time
-    Span knownAfter{30'000};            // how long minions must have been as they are before a job is rejected as too large
+    Duration knownAfter{30'000};            // how long workers must have been as they are before a job is rejected as too large
     template <class Archive> void serialize(Archive& archive, unsigned) {
         archive & period & weightWait & weightExpansion & trials & trialRoom & openLimit & keepFinished & keepLimit & urgencyFirst & far & knownAfter;
     }
 };
 
-struct Setup {
-    SetupVersion version;
+struct ClusterConfig {
+    ConfigVersion version;
     std::map<QueueName, QueueOptions> queues;
     std::map<std::string, PolicyOptions> policies;
     PlannerOptions planner;
@@ -80,7 +80,7 @@
     // The queue behind a host and path, and how much of the path is its prefix.
     const Entrance* entrance(const std::string& host, const std::string& path) const;
     // Every fault is named by its path; nothing is taken from a faulty text.
-    static Result<Setup> parse(const std::string& text);
+    static Result<ClusterConfig> parse(const std::string& text);
     template <class Archive> void serialize(Archive& archive, unsigned) {
         archive & version & queues & policies & planner & pools & entrances & text;
     }
--- a/source/ledger.hpp
+++ b/source/state/cluster_state.hpp
@@ -1,6 +1,6 @@
-// The fold of the replicated log: setups, jobs, minions, attempts. docs/design.md 3.2, 4, 5.
+// The fold of the replicated log: configs, jobs, workers, attempts. docs/design.md 3.2, 4, 5.
 #pragma once
-#include "event.hpp"
+#include "state/event.hpp"
 
 namespace aniseline {
 
@@ -13,44 +13,44 @@
     }
 };
 
-class Ledger {
+class ClusterState {
 public:
     ClusterTime now;  // the latest record's time; cluster time never goes back
-    Setup setup;
+    ClusterConfig config;
     std::map<JobId, Job> jobs;
     std::set<JobId> open;                             // jobs with work to do, timetables too
     std::map<QueueName, std::uint64_t> openByQueue;
-    std::map<MinionId, Minion> minions;
+    std::map<WorkerId, Worker> workers;
     std::map<AttemptNumber, Attempt> attempts;
     AttemptNumber lastAttempt;
     PlanNumber plan;
     Reservation reservation;
     Counters counters;
-    std::set<ReservoirId> toReplace;                 // by an operator's word
-    ClusterTime capacityChangedAt;                   // when a minion was last seen for the first time, or with another room
+    std::set<ControllerId> toReplace;                 // by an operator's word
+    ClusterTime capacityChangedAt;                   // when a worker was last seen for the first time, or with another room
     std::set<std::pair<ClusterTime, JobId>> ended;   // jobs that are over, the earliest first; derived
-    std::set<MinionId> addressed;                    // given an order, or seen, since whoever reads this emptied it; not kept
+    std::set<WorkerId> addressed;                    // given an order, or seen, since whoever reads this emptied it; not kept
 
-    void fold(const Record& record);
+    void apply(const LogRecord& record);
 
     std::vector<AttemptNumber> attemptsOf(const JobId& job, bool withLost) const;
-    std::vector<AttemptNumber> attemptsOn(const MinionId& minion) const;
-    // The attempt behind the names that minions know a start by; 0 if there is none any more. docs/design.md 4.7.
-    AttemptNumber attemptNamed(const MinionId& minion, const RunName& name) const;
-    // Could the known minions, all empty, ever hold these tasks together (a gang) or one by one? Those away or gone count, and
-    // nothing is said before the minions are known to be all. docs/design.md 10.
+    std::vector<AttemptNumber> attemptsOn(const WorkerId& worker) const;
+    // The attempt behind the names that workers know a start by; 0 if there is none any more. docs/design.md 4.7.
+    AttemptNumber attemptNamed(const WorkerId& worker, const RunName& name) const;
+    // Could the known workers, all empty, ever hold these tasks together (a gang) or one by one? Those away or gone count, and
+    // nothing is said before the workers are known to be all. docs/design.md 10.
     std::optional<std::string> neverFits(const JobSubmission& job, const StepRequest& step) const;
 
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & now & setup & jobs & open & openByQueue & minions & attempts & lastAttempt & plan & reservation & counters & toReplace & capacityChangedAt;
+        archive & now & config & jobs & open & openByQueue & workers & attempts & lastAttempt & plan & reservation & counters & toReplace & capacityChangedAt;
         if constexpr (Archive::is_loading::value) derive();
     }
 
 private:
-    struct Folder;
-    // Derived from the attempts, added to by addAttempt, taken from by removeAttempt; an attempt's job and minion never change.
+    struct Applier;
+    // Derived from the attempts, added to by addAttempt, taken from by removeAttempt; an attempt's job and worker never change.
     std::map<JobId, std::set<AttemptNumber>> byJob;
-    std::map<MinionId, std::set<AttemptNumber>> byMinion;
+    std::map<WorkerId, std::set<AttemptNumber>> byWorker;
     std::set<AttemptNumber> onceHeld;  // attempts that are held or were
     const std::set<AttemptNumber>& numbersOf(const JobId& job) const;
     void derive();
@@ -64,7 +64,7 @@
     void giveUpAttempt(AttemptNumber number);
     void removeAttempt(AttemptNumber number);
     void taskDone(Job& job, Task& task);
-    void taskBack(Job& job, Task& task, const MinionId& avoid, Span pause);
+    void taskBack(Job& job, Task& task, const WorkerId& avoid, Duration pause);
     void abortGang(Job& job, std::uint32_t step, AttemptNumber except);
     void failJob(Job& job, const std::string& reason);
     void settle(Job& job);
--- a/source/event.hpp
+++ b/source/state/event.hpp
@@ -1,17 +1,17 @@
 // What the replicated log holds; views are folds of these. docs/design.md 3.2.
 #pragma once
-#include "minion.hpp"
+#include "state/worker.hpp"
 
 namespace aniseline {
 
-struct Opened {  // a new leader's first entry
+struct LeaderStarted {  // a new leader's first entry
     template <class Archive> void serialize(Archive&, unsigned) {}
 };
-struct SetupTaken {
-    Setup setup;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & setup; }
+struct ConfigCommitted {
+    ClusterConfig config;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & config; }
 };
-struct JobAllowed {
+struct JobAccepted {
     JobSubmission submission;
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & submission; }
 };
@@ -23,48 +23,48 @@
     JobId job;
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & job; }
 };
-struct Forgotten {
+struct JobsExpired {
     std::vector<JobId> jobs;
     std::vector<JobId> shortened;   // over for a while: only what a resend and a look need is kept
-    std::vector<MinionId> minions;  // gone as long ago
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & jobs & shortened & minions; }
+    std::vector<WorkerId> workers;  // gone as long ago
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & jobs & shortened & workers; }
 };
-struct MinionSeen {  // a new minion, a new incarnation, or a changed word about itself
-    MinionId minion;
+struct WorkerRegistered {  // a new worker, a new incarnation, or a changed word about itself
+    WorkerId worker;
     Incarnation incarnation;
     Capacity capacity;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & incarnation & capacity; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & worker & incarnation & capacity; }
 };
-struct MinionSynced {
-    MinionId minion;
+struct WorkerSynced {
+    WorkerId worker;
     OrderNumber applied;
     std::vector<Ending> endings;
     std::vector<std::pair<AttemptNumber, std::string>> saves{};  // checkpoints of what runs on
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & applied & endings & saves; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & worker & applied & endings & saves; }
 };
-struct MinionLeaves {
-    MinionId minion;
-    Span within;
+struct WorkerLeaves {
+    WorkerId worker;
+    Duration within;
     bool byOperator = false;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & within & byOperator; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & worker & within & byOperator; }
 };
-struct MinionLeaveOver {  // the deadline of its leaving passed
-    MinionId minion;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion; }
+struct WorkerLeaveOver {  // the deadline of its leaving passed
+    WorkerId worker;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & worker; }
 };
-struct MinionAllowed {  // back from silence, or undrained
-    MinionId minion;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion; }
+struct WorkerReturned {  // back from silence, or undrained
+    WorkerId worker;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & worker; }
 };
-struct MinionSilent {
-    MinionId minion;
+struct WorkerSilent {
+    WorkerId worker;
     std::vector<AttemptNumber> givenUp;  // those whose queues wait no longer
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & givenUp; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & worker & givenUp; }
 };
-struct MinionGone {
-    MinionId minion;
+struct WorkerGone {
+    WorkerId worker;
     std::string reason;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & minion & reason; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & worker & reason; }
 };
 
 struct JobFailed {  // it can never be done
@@ -73,16 +73,16 @@
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & job & reason; }
 };
 
-struct ReservoirNamed {  // an operator's word that a learner may take its place; or that this is over
-    ReservoirId reservoir;
+struct ControllerReplacementRequested {  // an operator's word that a learner may take its place; or that this is over
+    ControllerId controller;
     bool over = false;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & reservoir & over; }
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & controller & over; }
 };
 
 struct Placement {
     std::uint32_t task = 0;
-    MinionId minion;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & task & minion; }
+    WorkerId worker;
+    template <class Archive> void serialize(Archive& archive, unsigned) { archive & task & worker; }
 };
 struct Reservation {  // the ONE reserved start, docs/paper.md 3
     JobId job;
@@ -99,16 +99,16 @@
     AttemptNumber attempt;
     JobId job;
     std::uint32_t task = 0;
-    MinionId minion;
+    WorkerId worker;
     bool trial = false;
-    Span quantum;
+    Duration quantum;
     std::uint64_t memory = 0;
     AttemptNumber heldFor;  // of a hold: the trial it makes way for
     std::uint32_t run = 0;  // of a start
     bool twin = false;      // of a start: a copy beside the one that runs
     std::string reason;
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & kind & attempt & job & task & minion & trial & quantum & memory & heldFor & run & twin & reason;
+        archive & kind & attempt & job & task & worker & trial & quantum & memory & heldFor & run & twin & reason;
     }
 };
 struct PlanMade {
@@ -118,10 +118,10 @@
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & number & actions & reservation; }
 };
 
-using Event = boost::variant<Opened, SetupTaken, JobAllowed, JobCancelled, OccurrenceFired, Forgotten, MinionSeen, MinionSynced,
-                             MinionLeaves, MinionLeaveOver, MinionAllowed, MinionSilent, MinionGone, PlanMade, ReservoirNamed, JobFailed>;
+using Event = boost::variant<LeaderStarted, ConfigCommitted, JobAccepted, JobCancelled, OccurrenceFired, JobsExpired, WorkerRegistered, WorkerSynced,
+                             WorkerLeaves, WorkerLeaveOver, WorkerReturned, WorkerSilent, WorkerGone, PlanMade, ControllerReplacementRequested, JobFailed>;
 
-struct Record {
+struct LogRecord {
     ClusterTime at;
     Event event;
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & at & event; }
--- a/source/job.cpp
+++ b/source/state/job.cpp
@@ -1,4 +1,4 @@
-#include "job.hpp"
+#include "state/job.hpp"
 
 namespace aniseline {
 
@@ -11,7 +11,7 @@
     return names[std::size_t(state)];
 }
 
-Span JobSubmission::longestChain() const {
+Duration JobSubmission::longestChain() const {
     std::vector<std::int64_t> chains(steps.size());
     std::int64_t longest = 0;
     for (std::size_t step = 0; step < steps.size(); ++step) {
@@ -23,7 +23,7 @@
         chains[step] = before + own;
         longest = std::max(longest, chains[step]);
     }
-    return Span{longest};
+    return Duration{longest};
 }
 
 std::vector<ErrorDetail> JobSubmission::faults() const {
--- a/source/job.hpp
+++ b/source/state/job.hpp
@@ -1,13 +1,13 @@
 // The job aggregate: steps, tasks, and the plain machine of a job's states. docs/design.md 4.
 #pragma once
-#include "setup.hpp"
+#include "state/cluster_config.hpp"
 
 namespace aniseline {
 
 struct TaskRequest {
     std::uint32_t cores = 1;   // thousandths of a core
     std::uint64_t memory = 1;  // MB
-    Span runtime{1000};
+    Duration runtime{1000};
     std::string payload;
     std::uint32_t accelerators = 0;
     bool operator==(const TaskRequest&) const = default;
@@ -16,9 +16,9 @@
 
 // What a step asks of the places its tasks run on, and how they run. docs/design.md 4.6.
 struct StepNeeds {
-    std::string label;        // the minion must have it
+    std::string label;        // the worker must have it
     std::string near;         // the rack that holds the data: elsewhere a task takes `far` times as long
-    std::uint32_t apart = 0;  // not 0: the most tasks of the step that may be on one minion
+    std::uint32_t apart = 0;  // not 0: the most tasks of the step that may be on one worker
     bool sameRack = false;    // the tasks take `far` times as long when they are on more than one rack
     bool redundant = false;   // copies of a task may run side by side; the first clean ending counts
     bool lasts = false;       // runs until the job is cancelled, and is started again however it ends
@@ -52,7 +52,7 @@
 
 struct Timetable {
     ClusterTime first;  // milliseconds of calendar time; 0: not timed
-    Span every{0};
+    Duration every{0};
     std::uint32_t count = 1;
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & first & every & count; }
 };
@@ -64,7 +64,7 @@
     Timetable timetable;
     std::string payload;  // for every task, where the task brings none of its own
     bool timed() const { return timetable.first.milliseconds > 0; }
-    Span longestChain() const;  // of requested run times, through steps that wait on each other
+    Duration longestChain() const;  // of requested run times, through steps that wait on each other
     std::uint32_t digest() const { return checksum(pack(*this)); }
     // The rules that need no state: shape, sizes, cycles, unknown steps.
     std::vector<ErrorDetail> faults() const;
@@ -86,9 +86,9 @@
     AttemptNumber attempt;  // the current one, 0 if none
     ClusterTime readyAt;
     ClusterTime notBefore;
-    MinionId avoid;  // where it last failed
+    WorkerId avoid;  // where it last failed
     bool finishedBefore = false;  // an earlier attempt turned out to have ended well, docs/design.md 5.5
-    std::uint32_t run = 0;        // starts of any kind so far: the number that minions know a start by. docs/design.md 4.7
+    std::uint32_t run = 0;        // starts of any kind so far: the number that workers know a start by. docs/design.md 4.7
     std::uint32_t failures = 0;   // runs that ended as failed; of a gang its first task counts them
     std::uint32_t failedRun = 0;  // the last run that was counted among them
     AttemptNumber twin;           // of a redundant step: a copy beside the current attempt
--- a/source/minion.cpp
+++ b/source/state/worker.cpp
@@ -1,4 +1,4 @@
-#include "minion.hpp"
+#include "state/worker.hpp"
 
 namespace aniseline {
 
@@ -12,17 +12,17 @@
 constexpr const char* orderNames[] = {"start", "stage", "go", "hold", "resume", "stop"};
 constexpr const char* endingNames[] = {"finished", "failed", "stopped", "ran_out", "unstarted", "refused"};
 constexpr const char* attemptNames[] = {"ordered", "staged", "going", "running", "held", "stopping"};
-constexpr const char* minionNames[] = {"present", "leaving", "drained", "silent", "gone"};
+constexpr const char* workerNames[] = {"present", "leaving", "drained", "silent", "gone"};
 }  // namespace
 
 const char* name(OrderKind kind) { return orderNames[std::size_t(kind)]; }
 const char* name(EndingKind kind) { return endingNames[std::size_t(kind)]; }
 const char* name(AttemptState state) { return attemptNames[std::size_t(state)]; }
-const char* name(MinionState state) { return minionNames[std::size_t(state)]; }
+const char* name(WorkerState state) { return workerNames[std::size_t(state)]; }
 std::optional<OrderKind> orderKind(const std::string& text) { return fromName<OrderKind>(orderNames, text); }
 std::optional<EndingKind> endingKind(const std::string& text) { return fromName<EndingKind>(endingNames, text); }
 
-Order& Minion::give(OrderKind kind, const Attempt& attempt) {
+Order& Worker::give(OrderKind kind, const Attempt& attempt) {
     lastOrder = lastOrder.next();
     Order order;
     order.number = lastOrder;
--- a/source/minion.hpp
+++ b/source/state/worker.hpp
@@ -1,27 +1,27 @@
-// The minion aggregate: what is known of a minion, its orders, and the attempts placed on it. docs/design.md 5.
+// The worker aggregate: what is known of a worker, its orders, and the attempts placed on it. docs/design.md 5.
 #pragma once
-#include "job.hpp"
+#include "state/job.hpp"
 
 namespace aniseline {
 
 struct Capacity {
     std::uint32_t cores = 0;   // thousandths of a core
     std::uint64_t memory = 0;  // MB
-    AreaName area;
+    ZoneName zone;
     std::string rack;
-    bool honoursTerms = false;  // holds its tasks when its term lapses
+    bool honoursLeases = false;  // holds its tasks when its lease lapses
     bool guardsRoom = false;    // itself rejects what it cannot hold
     std::uint32_t accelerators = 0;
     std::string pool{};               // queues name the pool their tasks run in; empty: the one without a name
     std::vector<std::string> labels{};
-    std::string host{};               // where it stands; there is one minion a host. docs/design.md 5.8
+    std::string host{};               // where it stands; there is one worker a host. docs/design.md 5.8
     bool pauses = true;               // can hold a task in place; otherwise a hold is a stop
-    bool lapses = false;              // kills all when its term is over; what ended before that and was not confirmed is void
+    bool lapses = false;              // kills all when its lease is over; what ended before that and was not confirmed is void
     bool assembles = false;           // a gang's parts find each other there; they are started, not staged
     bool operator==(const Capacity&) const = default;
     bool has(const std::string& label) const { return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end(); }
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & cores & memory & area & rack & honoursTerms & guardsRoom & accelerators & pool & labels & host & pauses & lapses & assembles;
+        archive & cores & memory & zone & rack & honoursLeases & guardsRoom & accelerators & pool & labels & host & pauses & lapses & assembles;
     }
 };
 
@@ -37,17 +37,17 @@
     std::uint32_t task = 0;
     std::uint32_t cores = 0;
     std::uint64_t memory = 0;
-    Span runtime;
-    Span quantum;  // not 0: a trial, which the minion stops by itself when this much run time is used
+    Duration runtime;
+    Duration quantum;  // not 0: a trial, which the worker stops by itself when this much run time is used
     std::string payload;
-    std::uint32_t step = 0, within = 0, run = 0;  // the names minions know a start by. docs/design.md 4.7
+    std::uint32_t step = 0, within = 0, run = 0;  // the names workers know a start by. docs/design.md 4.7
     std::string saved;                            // the checkpoint to go on from
     template <class Archive> void serialize(Archive& archive, unsigned) {
         archive & number & kind & attempt & job & task & cores & memory & runtime & quantum & payload & step & within & run & saved;
     }
 };
 
-enum class EndingKind : std::uint8_t { finished, failed, stopped, ranOut, unstarted, refused };  // refused: turned away by the minion
+enum class EndingKind : std::uint8_t { finished, failed, stopped, ranOut, unstarted, refused };  // refused: turned away by the worker
 const char* name(EndingKind kind);
 std::optional<EndingKind> endingKind(const std::string& text);
 
@@ -58,7 +58,7 @@
     template <class Archive> void serialize(Archive& archive, unsigned) { archive & attempt & kind & saved; }
 };
 
-// A start by the names that minions know it by; penstocks speak of nothing else. docs/design.md 4.7.
+// A start by the names that workers know it by; agents speak of nothing else. docs/design.md 4.7.
 struct RunName {
     JobId job;                     // of a timetable's occurrence the timetable's
     std::uint32_t occurrence = 0, step = 0, within = 0, run = 0;
@@ -89,19 +89,19 @@
 enum class AttemptState : std::uint8_t { ordered, staged, going, running, held, stopping };
 const char* name(AttemptState state);
 
-// One start of one task on one minion; it occupies room until its ending is known.
+// One start of one task on one worker; it occupies room until its ending is known.
 struct Attempt {
     AttemptNumber number;
     JobId job;
     std::uint32_t task = 0;
     std::uint32_t step = 0, within = 0;
-    MinionId minion;
+    WorkerId worker;
     std::uint32_t cores = 0;
     std::uint64_t memory = 0;
     std::uint32_t accelerators = 0;
     std::uint32_t run = 0;
-    Span runtime;
-    Span quantum;
+    Duration runtime;
+    Duration quantum;
     bool gang = false;
     bool assembles = false;  // of a gang: started, not staged
     bool lost = false;     // given up on; its task may have been placed anew. docs/design.md 5.5
@@ -111,70 +111,70 @@
     OrderNumber order;
     ClusterTime orderedAt;
     ClusterTime runningSince;  // of the present uninterrupted run
-    Span runBefore;            // run time before the present run
+    Duration runBefore;            // run time before the present run
     AttemptNumber heldFor;
     bool trial() const { return quantum.milliseconds > 0; }
     bool usesCores() const { return state != AttemptState::held; }
-    Span ranBy(ClusterTime now) const {
+    Duration ranBy(ClusterTime now) const {
         const bool runs = state == AttemptState::running || state == AttemptState::going;
         return runs && now > runningSince ? runBefore + (now - runningSince) : runBefore;
     }
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & number & job & task & step & within & minion & cores & memory & accelerators & run & runtime & quantum & gang & assembles & lost & counted & tryless &
+        archive & number & job & task & step & within & worker & cores & memory & accelerators & run & runtime & quantum & gang & assembles & lost & counted & tryless &
             state & order & orderedAt & runningSince & runBefore & heldFor;
     }
 };
 
-enum class MinionState : std::uint8_t { present, leaving, drained, silent, gone };
-const char* name(MinionState state);
+enum class WorkerState : std::uint8_t { present, leaving, drained, silent, gone };
+const char* name(WorkerState state);
 
-struct Minion {
-    MinionId id;
+struct Worker {
+    WorkerId id;
     Incarnation incarnation;
     std::vector<Incarnation> retired;  // earlier ones, the latest few
     Capacity capacity;
-    MinionState state = MinionState::present;
+    WorkerState state = WorkerState::present;
     ClusterTime seenAt;
     ClusterTime leaveBy;
     bool leaveStopped = false;  // the deadline of its leaving has passed and its tasks were stopped
     OrderNumber lastOrder;      // the last one given
-    OrderNumber applied;        // the last one the minion said it applied
+    OrderNumber applied;        // the last one the worker said it applied
     std::deque<Order> orders;   // those not yet applied
-    std::int64_t blame = 0;     // standing: rises with failed work, falls with good work. docs/design.md 5.6
-    ClusterTime blamedAt;
+    std::int64_t failureScore = 0;     // standing: rises with failed work, falls with good work. docs/design.md 5.6
+    ClusterTime failureScoredAt;
 
-    bool open() const { return state == MinionState::present; }
-    // Blame fades by half a minute's half-life, so that a mended minion gets work again.
-    std::int64_t blameAt(ClusterTime now) const {
-        const auto halvings = std::max<std::int64_t>(0, (now - blamedAt).milliseconds / 30'000);
-        return halvings > 20 ? 0 : blame >> halvings;
+    bool open() const { return state == WorkerState::present; }
+    // The failure score fades by half a minute's half-life, so that a mended worker gets work again.
+    std::int64_t failureScoreAt(ClusterTime now) const {
+        const auto halvings = std::max<std::int64_t>(0, (now - failureScoredAt).milliseconds / 30'000);
+        return halvings > 20 ? 0 : failureScore >> halvings;
     }
     Order& give(OrderKind kind, const Attempt& attempt);
     template <class Archive> void serialize(Archive& archive, unsigned) {
         archive & id & incarnation & retired & capacity & state & seenAt & leaveBy & leaveStopped & lastOrder & applied & orders &
-            blame & blamedAt;
+            failureScore & failureScoredAt;
     }
 };
 
-// What a minion says in a sync, docs/api.md 3.
+// What a worker says in a sync, docs/api.md 3.
 struct SyncReport {
-    MinionId id;
+    WorkerId id;
     Incarnation incarnation;
     Capacity capacity;
     OrderNumber lastOrder;
     std::vector<Ending> endings;
     bool leaving = false;
-    Span leaveWithin{0};
-    Span wait{0};  // how long the answer may be held back when there is nothing to say
-    OrderNumber received;  // of a penstock: what it has got, while lastOrder is what it has carried out
-    bool deaf = false;     // of a penstock: its minion does not answer; no lease is wanted, for it could not be passed on
-    Span heldFor{0};       // of a deaf minion: its tasks are held no longer than this from now on
-    Instant reportedAt;    // of a penstock, by its own clock: reports may overtake each other
-    bool packed = false;   // of a penstock: the answer's body is a packed SyncAnswer, endings and checkpoints go by name
+    Duration leaveWithin{0};
+    Duration wait{0};  // how long the answer may be held back when there is nothing to say
+    OrderNumber received;  // of an agent: what it has got, while lastOrder is what it has carried out
+    bool unresponsive = false;     // of an agent: its worker does not answer; no lease is wanted, for it could not be passed on
+    Duration heldFor{0};       // of a unresponsive worker: its tasks are held no longer than this from now on
+    MonotonicTime reportedAt;    // of an agent, by its own clock: reports may overtake each other
+    bool packed = false;   // of an agent: the answer's body is a packed SyncResponse, endings and checkpoints go by name
     std::vector<NamedEnding> namedEndings;
     std::vector<NamedSave> saves;
     template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & id & incarnation & capacity & lastOrder & endings & leaving & leaveWithin & wait & received & deaf & heldFor & reportedAt & packed & namedEndings & saves;
+        archive & id & incarnation & capacity & lastOrder & endings & leaving & leaveWithin & wait & received & unresponsive & heldFor & reportedAt & packed & namedEndings & saves;
     }
 };
 
--- a/tests/founding_tests.cpp
+++ b/tests/bootstrap_tests.cpp
@@ -1,5 +1,5 @@
-// Who founds a cluster: one reservoir and one only, whichever machines the seeds name. docs/design.md 3.7.
-#include "founding.hpp"
+// Who founds a cluster: one controller and one only, whichever machines the seeds name. docs/design.md 3.7.
+#include "raft/bootstrap.hpp"
 #include <CppUTest/TestHarness.h>
 
 using namespace aniseline;
@@ -10,9 +10,9 @@
 }  // namespace
 
 TEST_GROUP(FoundingTests) {
-    // What one reservoir decides when it has heard every seed; those named have no disk.
+    // What one controller decides when it has heard every seed; those named have no disk.
     bool founds(const char* self, const std::set<std::string>& diskless, const char* named = "") {
-        Founding founding(at(self), !diskless.count(self), seeds);
+        ClusterBootstrap founding(at(self), !diskless.count(self), seeds);
         for (const auto& seed : seeds)
             if (seed != at(self)) founding.hear(seed, !diskless.count(seed.value), diskless.count(seed.value) ? at(named) : Address{});
         return founding.may();
@@ -32,7 +32,7 @@
     CHECK(!founds("e:1", none, "d:1"));
     CHECK(!founds("e:1", none));
     // The word of another than the lowest does not count.
-    Founding founding(at("e:1"), true, seeds);
+    ClusterBootstrap founding(at("e:1"), true, seeds);
     founding.hear(at("a:1"), false, at("d:1"));
     founding.hear(at("b:1"), false, at("e:1"));
     founding.hear(at("c:1"), false, at("e:1"));
@@ -40,13 +40,13 @@
 }
 
 TEST(FoundingTests, everySeedMustBeThereAndBlank) {
-    Founding founding(at("a:1"), true, seeds);
+    ClusterBootstrap founding(at("a:1"), true, seeds);
     founding.hear(at("b:1"), true, Address{});
     CHECK(!founding.may());
     founding.hear(at("x:1"), true, Address{});  // no seed
     CHECK(!founding.may());
     founding.hear(at("c:1"), true, Address{});
     CHECK(founding.may());
-    CHECK(Founding(at("a:1"), true, {at("a:1")}).may());
-    CHECK(!Founding(at("a:1"), false, {at("a:1")}).may());
+    CHECK(ClusterBootstrap(at("a:1"), true, {at("a:1")}).may());
+    CHECK(!ClusterBootstrap(at("a:1"), false, {at("a:1")}).may());
 }
--- a/tests/headgate_tests.cpp
+++ b/tests/cli_tests.cpp
@@ -1,6 +1,6 @@
-// headgate's tables from canned answers, its words and its exit codes. docs/operations.md 3.
-#include "headgate/command.hpp"
-#include "headgate/views.hpp"
+// aniselinectl's tables from canned answers, its words and its exit codes. docs/operations.md 3.
+#include "cli/command.hpp"
+#include "cli/views.hpp"
 #include <CppUTest/TestHarness.h>
 #include <sstream>
 
@@ -16,21 +16,21 @@
 
 // A session whose answers are given beforehand, by method and target.
 struct Desk {
-    std::map<std::string, Result<HttpAnswer, ClientError>> answers;
+    std::map<std::string, Result<HttpResponse, ClientError>> answers;
     std::vector<std::string> asked;
     std::ostringstream out, err;
     int rests = 0;
     Session session{{}, [this](const HttpRequest& request) { return answer(request); },
-                    [](const Address&) -> Result<Answer, ClientError> { return Answer::of(200, {{"founded", json(true)}}); },
-                    [this](Span) { ++rests; }, out, err};
-    Result<HttpAnswer, ClientError> answer(const HttpRequest& request) {
+                    [](const Address&) -> Result<ApiResponse, ClientError> { return ApiResponse::of(200, {{"founded", json(true)}}); },
+                    [this](Duration) { ++rests; }, out, err};
+    Result<HttpResponse, ClientError> answer(const HttpRequest& request) {
         asked.push_back(request.method + " " + request.target + (request.body.empty() ? "" : " " + request.body));
         auto found = answers.find(request.method + " " + request.target);
-        if (found == answers.end()) return ClientError{ClientError::Kind::missing, 404, R"({"error":"missing","text":"no such thing"})", Span{0}};
+        if (found == answers.end()) return ClientError{ClientError::Kind::missing, 404, R"({"error":"missing","text":"no such thing"})", Duration{0}};
         return found->second;
     }
-    void give(const std::string& request, const std::string& body) { answers.emplace(request, HttpAnswer{200, body, Span{0}}); }
-    void refuse(const std::string& request, ClientError::Kind kind, int status, const std::string& body) { answers.emplace(request, ClientError{kind, status, body, Span{0}}); }
+    void give(const std::string& request, const std::string& body) { answers.emplace(request, HttpResponse{200, body, Duration{0}}); }
+    void refuse(const std::string& request, ClientError::Kind kind, int status, const std::string& body) { answers.emplace(request, ClientError{kind, status, body, Duration{0}}); }
     int run(const std::string& line, const std::vector<std::string>& given = {}) {
         std::istringstream stream(line);
         Words words;
@@ -41,55 +41,55 @@
     bool tells(const std::string& part) const { return out.str().find(part) != std::string::npos; }
 };
 
-const char* const clusterAnswer = R"({"epoch":2,"commit":315,"last":316,"view":0,"setup":1,"cluster_time_ms":1796182718211,"reservoirs":[
-    {"id":"a2d0","address":"127.2.1.1:26001","area":"area1","voter":true,"leads":true,"match":316,"unheard_ms":0},
-    {"id":"3869","address":"127.2.2.1:26002","area":"area2","voter":true,"leads":false,"match":310,"unheard_ms":2},
-    {"id":"950c","address":"127.2.3.1:26003","area":"area3","voter":true,"leads":false,"match":12,"unheard_ms":12500},
-    {"id":"77aa","address":"127.2.3.1:26004","area":"area3","voter":false,"leads":false,"match":0,"unheard_ms":40}],
-    "sluices":[{"address":"127.2.1.1:26021","area":"area1","unheard_ms":132}]})";
+const char* const clusterAnswer = R"({"term":2,"commit":315,"last":316,"view":0,"config":1,"cluster_time_ms":1796182718211,"controllers":[
+    {"id":"a2d0","address":"127.2.1.1:26001","zone":"zone1","voter":true,"leads":true,"match":316,"unheard_ms":0},
+    {"id":"3869","address":"127.2.2.1:26002","zone":"zone2","voter":true,"leads":false,"match":310,"unheard_ms":2},
+    {"id":"950c","address":"127.2.3.1:26003","zone":"zone3","voter":true,"leads":false,"match":12,"unheard_ms":12500},
+    {"id":"77aa","address":"127.2.3.1:26004","zone":"zone3","voter":false,"leads":false,"match":0,"unheard_ms":40}],
+    "gateways":[{"address":"127.2.1.1:26021","zone":"zone1","unheard_ms":132}]})";
 
 }  // namespace
 
-TEST_GROUP(HeadgateTests){};
+TEST_GROUP(CliTests){};
 
-TEST(HeadgateTests, AClusterIsShownWithWhoIsBehindOrSilent) {
-    STRCMP_EQUAL("epoch 2, committed 315 of 316, setup 1, cluster time 2026-12-02T03:38:38.211Z\n"
+TEST(CliTests, AClusterIsShownWithWhoIsBehindOrSilent) {
+    STRCMP_EQUAL("term 2, committed 315 of 316, config 1, cluster time 2026-12-02T03:38:38.211Z\n"
                  "attention: 2 of 3 voters heard within 2.0 s\n"
                  "\n"
-                 "RESERVOIR  ADDRESS          AREA   ROLE     BEHIND  UNHEARD\n"
-                 "a2d0       127.2.1.1:26001  area1  leader        0     0 ms\n"
-                 "3869       127.2.2.1:26002  area2  voter         6     2 ms\n"
-                 "950c       127.2.3.1:26003  area3  voter       304   12.5 s\n"
-                 "77aa       127.2.3.1:26004  area3  learner     316    40 ms\n"
+                 "CONTROLLER  ADDRESS          ZONE   ROLE     BEHIND  UNHEARD\n"
+                 "a2d0        127.2.1.1:26001  zone1  leader        0     0 ms\n"
+                 "3869        127.2.2.1:26002  zone2  voter         6     2 ms\n"
+                 "950c        127.2.3.1:26003  zone3  voter       304   12.5 s\n"
+                 "77aa        127.2.3.1:26004  zone3  learner     316    40 ms\n"
                  "\n"
-                 "SLUICE           AREA   UNHEARD\n"
-                 "127.2.1.1:26021  area1   132 ms\n",
+                 "GATEWAY          ZONE   UNHEARD\n"
+                 "127.2.1.1:26021  zone1   132 ms\n",
                  clusterView(parsed(clusterAnswer)).c_str());
 }
 
-TEST(HeadgateTests, MinionsAreShownWithTheirRoom) {
-    STRCMP_EQUAL("MINION  STATE    AREA   RACK   CORES          MEMORY  RUNS  HELD  ORDERS  BLAME  UNHEARD  NOTES\n"
-                 "m1      present  area1  rack1   2/16  4.0 GB/32.0 GB     3     1       0      0   571 ms  room unguarded\n"
-                 "m2      gone     area2  -      0/0.5     0 MB/512 MB     0     0       2    500        -  no leases\n"
+TEST(CliTests, WorkersAreShownWithTheirRoom) {
+    STRCMP_EQUAL("WORKER  STATE    ZONE   RACK   CORES          MEMORY  RUNS  HELD  ORDERS  BLAME  UNHEARD  NOTES\n"
+                 "m1      present  zone1  rack1   2/16  4.0 GB/32.0 GB     3     1       0      0   571 ms  room unguarded\n"
+                 "m2      gone     zone2  -      0/0.5     0 MB/512 MB     0     0       2    500        -  no leases\n"
                  "\n"
-                 "2 minions; of those present 2 of 16 cores used\n",
-                 minionsView(parsed(R"({"minions":[
-        {"id":"m1","state":"present","area":"area1","rack":"rack1","cores":16,"cores_used":2,"memory_mb":32768,"memory_used_mb":4096,"attempts":4,"held":1,"honours_terms":true,"guards_room":false,"blame":0,"orders_pending":0,"unheard_ms":571},
-        {"id":"m2","state":"gone","area":"area2","rack":"","cores":0.5,"cores_used":0,"memory_mb":512,"memory_used_mb":0,"attempts":0,"held":0,"honours_terms":false,"guards_room":true,"blame":500,"orders_pending":2,"unheard_ms":-1}]})")).c_str());
+                 "2 workers; of those present 2 of 16 cores used\n",
+                 workersView(parsed(R"({"workers":[
+        {"id":"m1","state":"present","zone":"zone1","rack":"rack1","cores":16,"cores_used":2,"memory_mb":32768,"memory_used_mb":4096,"attempts":4,"held":1,"honours_leases":true,"guards_room":false,"failureScore":0,"orders_pending":0,"unheard_ms":571},
+        {"id":"m2","state":"gone","zone":"zone2","rack":"","cores":0.5,"cores_used":0,"memory_mb":512,"memory_used_mb":0,"attempts":0,"held":0,"honours_leases":false,"guards_room":true,"failureScore":500,"orders_pending":2,"unheard_ms":-1}]})")).c_str());
 }
 
-TEST(HeadgateTests, AJobIsShownWithItsTasksAndThoseLeftOut) {
+TEST(CliTests, AJobIsShownWithItsTasksAndThoseLeftOut) {
     STRCMP_EQUAL("job first-job, queue plates, failed\n"
                  "because: task 1 failed too often\n"
                  "accepted 2026-12-02T03:38:38.267Z, ended 2026-12-02T03:38:39.267Z\n"
                  "tasks: 300 blocked, 2 running\n"
                  "\n"
-                 "TASK  STEP      STATE    MINION  STARTS  NOTES\n"
+                 "TASK  STEP      STATE    WORKER  STARTS  NOTES\n"
                  "   0  separate  running  m1           1  trial\n"
                  "   1  separate  running  m11          2\n"
                  "and 300 more\n",
                  jobView(parsed(R"({"id":"first-job","queue":"plates","state":"failed","reason":"task 1 failed too often","allowed_at_ms":1796182718267,"ended_at_ms":1796182719267,
-        "tasks_by_state":{"running":2,"blocked":300},"tasks":[{"task":0,"step":"separate","state":"running","minion":"m1","starts":1,"trial":true},{"task":1,"step":"separate","state":"running","minion":"m11","starts":2}]})")).c_str());
+        "tasks_by_state":{"running":2,"blocked":300},"tasks":[{"task":0,"step":"separate","state":"running","worker":"m1","starts":1,"trial":true},{"task":1,"step":"separate","state":"running","worker":"m11","starts":2}]})")).c_str());
     STRCMP_EQUAL("JOB  QUEUE   STATE\n"
                  "a    plates  open\n"
                  "\n"
@@ -97,24 +97,24 @@
                  jobsView(parsed(R"({"jobs":[{"id":"a","queue":"plates","state":"open"}],"open":7,"kept":9})")).c_str());
 }
 
-TEST(HeadgateTests, APlanSaysWhoWaitsAndWhy) {
+TEST(CliTests, APlanSaysWhoWaitsAndWhy) {
     STRCMP_EQUAL("plan 67, 3 units wait\n"
                  "reserved: job wide, step 0, in 2.5 s on m11, m1, moved so far: 1\n"
                  "\n"
                  "JOB   STEP  PRIORITY  WHY IT WAITS\n"
                  "wide     0      12.5  holds the reserved start\n"
-                 "late     1     0.001  no minion has room\n"
+                 "late     1     0.001  no worker has room\n"
                  "and 1 more\n",
-                 planView(parsed(R"({"plan":67,"waiting":3,"reasons":[{"job":"wide","step":0,"priority":12.5,"reason":"holds the reserved start"},{"job":"late","step":1,"priority":0.001,"reason":"no minion has room"}],
-        "reservation":{"job":"wide","step":0,"in_ms":2500,"moved":1,"placements":[{"task":0,"minion":"m11"},{"task":1,"minion":"m1"},{"task":2,"minion":"m11"}]}})")).c_str());
+                 planView(parsed(R"({"plan":67,"waiting":3,"reasons":[{"job":"wide","step":0,"priority":12.5,"reason":"holds the reserved start"},{"job":"late","step":1,"priority":0.001,"reason":"no worker has room"}],
+        "reservation":{"job":"wide","step":0,"in_ms":2500,"moved":1,"placements":[{"task":0,"worker":"m11"},{"task":1,"worker":"m1"},{"task":2,"worker":"m11"}]}})")).c_str());
 }
 
-TEST(HeadgateTests, QueuesAreCountedAndThoseGoneAreShownClosed) {
+TEST(CliTests, QueuesAreCountedAndThoseGoneAreShownClosed) {
     Desk desk;
-    desk.give("GET /v1/setup", R"({"version":4,"setup":{"queues":{"plates":{"urgency":0,"retries":5,"open_limit":1000},"proofs":{"urgency":10,"retries":3,"open_limit":2000,"reserved":500,"trial":{"quantum_ms":5000,"memory_mb":512}}}}})");
+    desk.give("GET /v1/config", R"({"version":4,"config":{"queues":{"plates":{"urgency":0,"retries":5,"open_limit":1000},"proofs":{"urgency":10,"retries":3,"open_limit":2000,"reserved":500,"trial":{"quantum_ms":5000,"memory_mb":512}}}}})");
     desk.give("GET /v1/jobs?state=open&limit=1000", R"({"open":5,"kept":9,"jobs":[{"id":"a","queue":"proofs"},{"id":"b","queue":"old"},{"id":"c","queue":"proofs"}]})");
     LONGS_EQUAL(0, desk.run("queues"));
-    STRCMP_EQUAL("setup 4\n"
+    STRCMP_EQUAL("config 4\n"
                  "\n"
                  "QUEUE   URGENCY  OPEN   LIMIT  RESERVED  RETRIES   TRIAL  POLICY\n"
                  "plates        0     0    1000         0        5  60.0 s  default\n"
@@ -124,7 +124,7 @@
                  desk.out.str().c_str());
 }
 
-TEST(HeadgateTests, WhatCameFromElsewhereCantSteerATerminal) {
+TEST(CliTests, WhatCameFromElsewhereCantSteerATerminal) {
     Table table({{"A"}, {"B", Table::Align::right}});
     table.add({"\x1b[2J\n", "\xc3\xa9"});
     table.add({"x", "longer"});
@@ -135,18 +135,18 @@
     STRCMP_EQUAL("48.0 h", spanText(172'800'000).c_str());
 }
 
-TEST(HeadgateTests, AnswersOfAnotherFormAreNoFault) {
-    for (const char* body : {"{}", "[]", "7", R"({"reservoirs":[7],"minions":{},"jobs":[{}],"reasons":[null],"tasks":"no","queues":[[]],"setup":[]})"})
-        for (auto view : {clusterView, countersView, minionsView, jobsView, jobView, planView, queuesView, setupView}) CHECK(!view(parsed(body)).empty());
+TEST(CliTests, AnswersOfAnotherFormAreNoFault) {
+    for (const char* body : {"{}", "[]", "7", R"({"controllers":[7],"workers":{},"jobs":[{}],"reasons":[null],"tasks":"no","queues":[[]],"config":[]})"})
+        for (auto view : {clusterView, countersView, workersView, jobsView, jobView, planView, queuesView, configView}) CHECK(!view(parsed(body)).empty());
 }
 
-TEST(HeadgateTests, WrongWordsAreNamedAndNothingIsAsked) {
+TEST(CliTests, WrongWordsAreNamedAndNothingIsAsked) {
     struct Case {
         const char *words, *part;
         std::vector<std::string> given{};
     };
-    const std::vector<Case> cases = {{"", "the words make no command"}, {"paint", "the words make no command"}, {"setup", "the words make no command"}, {"setup paint x", "the words make no command"},
-                                     {"show", "show: it is: headgate show JOB"}, {"show a b", "show: it is: headgate show JOB"}, {"cluster now", "cluster: it is: headgate cluster"},
+    const std::vector<Case> cases = {{"", "the words make no command"}, {"paint", "the words make no command"}, {"config", "the words make no command"}, {"config paint x", "the words make no command"},
+                                     {"show", "show: it is: aniselinectl show JOB"}, {"show a b", "show: it is: aniselinectl show JOB"}, {"cluster now", "cluster: it is: aniselinectl cluster"},
                                      {"show a/b", "'a/b' can't be an id"}, {"cancel a?b", "can't be an id"}, {"cluster", "cluster: --state: is no option of this command", {"json", "state"}},
                                      {"watch", "watch: it is"}, {"watch submit f", "must only look"}, {"watch watch cluster", "must only look"}, {"submit nothing/there", "nothing/there: can't be read"},
                                      {"found localhost", "found: 'localhost'"}};
@@ -161,11 +161,11 @@
     LONGS_EQUAL(2, desk.run("jobs", {"state"}));
     desk.session.ask = nullptr;
     LONGS_EQUAL(2, desk.run("cluster"));
-    CHECK(desk.complains("--sluices: is missing"));
+    CHECK(desk.complains("--gateways: is missing"));
     LONGS_EQUAL(0, desk.run("found 127.0.0.1:1"));
 }
 
-TEST(HeadgateTests, ExitCodesAreByKind) {
+TEST(CliTests, ExitCodesAreByKind) {
     struct Case {
         ClientError::Kind kind;
         int status, code;
@@ -186,18 +186,18 @@
     LONGS_EQUAL(5, garbled.run("cluster"));
 }
 
-TEST(HeadgateTests, FaultsAreToldByPathAndToProgramsAsJson) {
+TEST(CliTests, FaultsAreToldByPathAndToProgramsAsJson) {
     const char* body = R"({"error":"invalid","text":"both","details":[{"path":"/id","text":"is missing"},{"path":"/steps","text":"is missing"}]})";
     Desk people, programs;
     for (auto* desk : {&people, &programs}) desk->refuse("DELETE /v1/jobs/a", ClientError::Kind::rejected, 400, body);
     LONGS_EQUAL(3, people.run("cancel a"));
-    STRCMP_EQUAL("headgate: 400 invalid: \n  /id: is missing\n  /steps: is missing\n", people.err.str().c_str());
+    STRCMP_EQUAL("aniselinectl: 400 invalid: \n  /id: is missing\n  /steps: is missing\n", people.err.str().c_str());
     programs.session.choices.json = true;
     LONGS_EQUAL(3, programs.run("cancel a"));
     STRCMP_EQUAL("both", textIn(parsed(programs.err.str()), "text").c_str());
 }
 
-TEST(HeadgateTests, OldWordsStillWorkAndJsonIsTheAnswerItself) {
+TEST(CliTests, OldWordsStillWorkAndJsonIsTheAnswerItself) {
     Desk desk;
     desk.give("GET /v1/jobs?limit=100&state=open", R"({"jobs":[],"open":0,"kept":0})");
     desk.session.choices.state = "open";
@@ -207,14 +207,14 @@
     desk.out.str("");
     LONGS_EQUAL(0, desk.run("cluster"));
     CHECK(parsed(desk.out.str()) == parsed(clusterAnswer));
-    desk.give("POST /v1/minions/m1/drain?within_ms=5000", R"({"minion":"m1","state":"draining"})");
+    desk.give("POST /v1/workers/m1/drain?within_ms=5000", R"({"worker":"m1","state":"draining"})");
     desk.session.choices.drainWithin = 5000;
     desk.session.choices.json = false;
     LONGS_EQUAL(0, desk.run("drain m1", {"drain-within-ms"}));
-    CHECK(desk.tells("minion m1: draining\n"));
+    CHECK(desk.tells("worker m1: draining\n"));
 }
 
-TEST(HeadgateTests, WatchRepeatsSoOftenAndGoesOnPastAFailure) {
+TEST(CliTests, WatchRepeatsSoOftenAndGoesOnPastAFailure) {
     Desk desk;
     desk.session.choices.times = 3;
     desk.give("GET /v1/plan", R"({"plan":1,"waiting":0,"reasons":[]})");
@@ -233,11 +233,11 @@
     LONGS_EQUAL(2, desk.run("watch jobs", {"state", "every-ms"}));
 }
 
-TEST(HeadgateTests, EveryCommandSaysWhatItIs) {
+TEST(CliTests, EveryCommandSaysWhatItIs) {
     const std::string help = generalHelp("");
     for (const auto& command : allCommands()) {
         CHECK_TEXT(help.find("  " + command.name) != std::string::npos && !command.purpose.empty(), command.name.c_str());
-        CHECK(commandHelp(command, "", "").starts_with("headgate " + command.name));
+        CHECK(commandHelp(command, "", "").starts_with("aniselinectl " + command.name));
         std::size_t taken = 0;
         std::istringstream stream(command.name);
         Words words;
--- a/tests/drill.sh
+++ b/tests/drill.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# The area-out drill on a fleet of real processes, bounded, waiting on conditions. tests/drill.sh [kill|freeze|cut]
+# The zone-out drill on a fleet of real processes, bounded, waiting on conditions. tests/drill.sh [kill|freeze|cut]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 by=${1:-kill}
 folder=$(mktemp -d)
 fleet=""
 trap '[ -z "$fleet" ] || kill "$fleet" 2>/dev/null || true; rm -rf "$folder"' EXIT
-build/millrace --folder "$folder/fleet" --port 23000 --setup examples/setup-cooperative.json --deployment cooperative --seconds 14 --keep 60 > "$folder/fleet.txt" 2>&1 &
+build/local_cluster --folder "$folder/fleet" --port 23000 --config examples/config-cooperative.json --deployment cooperative --seconds 14 --keep 60 > "$folder/fleet.txt" 2>&1 &
 fleet=$!
 for _ in $(seq 300); do
   [ -s "$folder/fleet/control" ] && break
@@ -14,34 +14,34 @@
   sleep 0.1
 done
 control=$(cat "$folder/fleet/control")
-build/drawdown --control "$control" --area area2 --dry-run | grep -q "nothing was done"
+build/zone_drill --control "$control" --zone zone2 --dry-run | grep -q "nothing was done"
 # Frames and requests that are none are told so in the log or the answer, and change nothing.
 # The format in force is the source's: a frame of any other is refused before its checksum is looked at.
-format=$(sed -n 's/^constexpr std::uint32_t wireFormat = \([0-9]*\);$/\1/p' source/edge/wire.hpp)
+format=$(sed -n 's/^constexpr std::uint32_t wireFormat = \([0-9]*\);$/\1/p' source/net/wire.hpp)
 [ "${format:-99}" != 99 ] || { echo "the format of frames is not to be found"; exit 1; }
 head -c 400 /dev/zero > /dev/tcp/127.1.1.1/23001
 printf '\x30\x41\x4e\x53\x63\x00\x00\x00\x04\x00\x00\x00\x00\x00\x00\x00....' > /dev/tcp/127.1.1.1/23001
 printf "\\x30\\x41\\x4e\\x53\\x$(printf %02x "$format")"'\x00\x00\x00\x04\x00\x00\x00\x00\x00\x00\x00....' > /dev/tcp/127.1.1.1/23001
 for words in "does not speak our protocol" "speaks format 99" "checksum does not match"; do
-  for _ in $(seq 50); do grep -q "$words" "$folder/fleet/reservoir1.log" && break; sleep 0.1; done
-  grep -q "$words" "$folder/fleet/reservoir1.log" || { echo "the log does not say: $words"; exit 1; }
+  for _ in $(seq 50); do grep -q "$words" "$folder/fleet/controller1.log" && break; sleep 0.1; done
+  grep -q "$words" "$folder/fleet/controller1.log" || { echo "the log does not say: $words"; exit 1; }
 done
 exec 4<>/dev/tcp/127.2.1.1/23021
 printf 'no request at all\r\n\r\n' >&4
 grep -q "400 Bad Request" <&4
 # Machines that run checks are slow at times; the promise of a quarter of a second is measured in docs/measurements.md.
-build/drawdown --control "$control" --area area2 --by "$by" --queue updates --out-seconds 8 --urgent-ms 2000 --setup examples/setup-cooperative.json
-build/drawdown --control "$control" --area area2 --by "$by" --queue updates --out-seconds 30 --setup examples/setup-cooperative.json > "$folder/second.txt" &
+build/zone_drill --control "$control" --zone zone2 --by "$by" --queue updates --out-seconds 8 --urgent-ms 2000 --config examples/config-cooperative.json
+build/zone_drill --control "$control" --zone zone2 --by "$by" --queue updates --out-seconds 30 --config examples/config-cooperative.json > "$folder/second.txt" &
 drill=$!
-whole() { build/drawdown --control "$control" --area area2 --dry-run >/dev/null 2>&1; }
+whole() { build/zone_drill --control "$control" --zone zone2 --dry-run >/dev/null 2>&1; }
 for _ in $(seq 100); do whole || break; sleep 0.1; done
-# While an area is out a second drill is refused; interrupted, the first gives its area back.
+# While a zone is out a second drill is refused; interrupted, the first gives its zone back.
 if whole; then echo "a drill was not refused on a fleet that is not whole"; exit 1; fi
 kill -TERM "$drill"
 status=0
 wait "$drill" || status=$?
 [ "$status" = 4 ] || { cat "$folder/second.txt"; echo "an interrupted drill ended with $status"; exit 1; }
-whole || { echo "the area was not given back"; exit 1; }
+whole || { echo "the zone was not given back"; exit 1; }
 exec 3<>"/dev/tcp/${control%:*}/${control#*:}"
 printf 'POST /release HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\nContent-Length: 0\r\n\r\n' >&3
 grep -q released <&3
--- a/tests/transcripts.cpp
+++ b/tests/golden_tests.cpp
@@ -1,4 +1,4 @@
-// Approved transcripts of whole exchanges in the simulator; docs/design.md 12.2. ANISELINE_APPROVE=1 writes them anew.
+// Approved transcripts of whole requests in the simulator; docs/design.md 12.2. ANISELINE_APPROVE=1 writes them anew.
 #include "script.hpp"
 
 using namespace aniseline;
@@ -14,7 +14,7 @@
     script.ask("POST", "/v1/jobs", job("c", 300, "nowhere"));
     script.ask("POST", "/v1/jobs", job("d", 300, "proofs", 99));
     script.ask("GET", "/v1/jobs/d");
-    // docs/design.md 10: only when the minions have been known for a while is a job called too large for all of them.
+    // docs/design.md 10: only when the workers have been known for a while is a job called too large for all of them.
     script.run(31'000);
     script.ask("POST", "/v1/jobs", job("e", 300, "proofs", 99));
     script.ask("DELETE", "/v1/jobs/b");
@@ -26,20 +26,20 @@
     script.approve("submit-resend-cancel");
 }
 
-TEST(Transcripts, twoSetupsAtOnce) {
+TEST(Transcripts, twoConfigsAtOnce) {
     Script script;
     std::vector<int> statuses;
     for (int count = 0; count < 2; ++count)
-        script.world->applySetup(standardSetup(",\"extra" + std::to_string(count) + "\":{}"), 1, [&](int status, const std::string&) { statuses.push_back(status); }, std::size_t(count));
+        script.world->applyConfig(standardConfig(",\"extra" + std::to_string(count) + "\":{}"), 1, [&](int status, const std::string&) { statuses.push_back(status); }, std::size_t(count));
     script.run(2000);
     std::sort(statuses.begin(), statuses.end());
     for (int status : statuses) script.write("applied on version 1 -> " + std::to_string(status));
-    script.ask("PUT", "/v1/setup", "{\"based_on\":2,\"setup\":{\"queues\":{\"q\":{\"retries\":-1}}}}");
-    script.ask("PUT", "/v1/setup", "{\"based_on\":1,\"setup\":{\"queues\":{\"q\":{}}}}");
-    script.ask("PUT", "/v1/setup", "{\"based_on\":2,\"setup\":{\"queues\":{\"q\":{}}}}");
-    script.ask("PUT", "/v1/setup", "{\"based_on\":2,\"setup\":{\"queues\":{\"q\":{}}}}");  // a resend: the same answer
-    script.ask("GET", "/v1/setup");
-    script.approve("two-setups");
+    script.ask("PUT", "/v1/config", "{\"based_on\":2,\"config\":{\"queues\":{\"q\":{\"retries\":-1}}}}");
+    script.ask("PUT", "/v1/config", "{\"based_on\":1,\"config\":{\"queues\":{\"q\":{}}}}");
+    script.ask("PUT", "/v1/config", "{\"based_on\":2,\"config\":{\"queues\":{\"q\":{}}}}");
+    script.ask("PUT", "/v1/config", "{\"based_on\":2,\"config\":{\"queues\":{\"q\":{}}}}");  // a resend: the same answer
+    script.ask("GET", "/v1/config");
+    script.approve("two-configs");
 }
 
 // The leader dies right after it acknowledged; what it acknowledged stays, and runs once.
@@ -47,8 +47,8 @@
     Script script;
     const std::size_t before = *script.world->leader();
     script.world->submit(typed(job("a", 2000)));
-    CHECK(script.world->runUntilTrue([&] { return script.world->history.back().kind == Witness::Kind::accepted; }, 2000));
-    script.world->killReservoir(before, true);
+    CHECK(script.world->runUntilTrue([&] { return script.world->history.back().kind == HistoryEvent::Kind::accepted; }, 2000));
+    script.world->killController(before, true);
     script.write("the leader loses power");
     CHECK(script.world->runUntilTrue([&] { return script.world->leader().has_value(); }, 3000));
     script.write("another leads");
@@ -61,10 +61,10 @@
 TEST(Transcripts, powerLossEverywhereAfterAcknowledging) {
     Script script;
     script.world->submit(typed(job("a", 300)));
-    CHECK(script.world->runUntilTrue([&] { return script.world->history.back().kind == Witness::Kind::accepted; }, 2000));
-    for (std::size_t place = 0; place < 3; ++place) script.world->killReservoir(place, true);
+    CHECK(script.world->runUntilTrue([&] { return script.world->history.back().kind == HistoryEvent::Kind::accepted; }, 2000));
+    for (std::size_t place = 0; place < 3; ++place) script.world->killController(place, true);
     script.run(3000);
-    for (std::size_t place = 0; place < 3; ++place) script.world->restartReservoir(place);
+    for (std::size_t place = 0; place < 3; ++place) script.world->restartController(place);
     CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 15'000));
     script.history("a");
     script.approve("power-loss");
@@ -74,13 +74,13 @@
 TEST(Transcripts, frozenLeaderWakes) {
     Script script;
     const std::size_t before = *script.world->leader();
-    script.world->freezeReservoir(before, true);
+    script.world->freezeController(before, true);
     script.run(500);
     script.world->submit(typed(job("a", 1000)));
     CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 8000));
-    script.world->freezeReservoir(before, false);
+    script.world->freezeController(before, false);
     script.run(100);
-    CHECK(!script.world->reservoir(before)->agreed().leads());
+    CHECK(!script.world->controller(before)->raftNode().leads());
     script.write("the woken one leads no more");
     CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 8000));
     LONGS_EQUAL(1, script.world->startsOf("a"));
@@ -88,98 +88,98 @@
     script.approve("frozen-leader");
 }
 
-// A cut-off minion holds in place when its term lapses; what was replaced is stopped on its return, never resumed.
-TEST(Transcripts, cutOffMinionReturns) {
+// A cut-off worker holds in place when its lease lapses; what was replaced is stopped on its return, never resumed.
+TEST(Transcripts, cutOffWorkerReturns) {
     WorldOptions options;
-    options.minions = 2;
+    options.workers = 2;
     Script script(options);
     script.world->submit(typed(job("a", 6000, "plates")));
     CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
-    const std::size_t first = script.minionOf("a") == "m1" ? 0 : 1;
-    script.world->cutMinion(first, true);
+    const std::size_t first = script.workerOf("a") == "m1" ? 0 : 1;
+    script.world->cutWorker(first, true);
     CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 2; }, 8000));
-    script.world->cutMinion(first, false);
+    script.world->cutWorker(first, false);
     CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 10'000));
     script.run(500);
     script.history("a");
-    script.approve("cut-off-minion");
+    script.approve("cut-off-worker");
 }
 
-// docs/design.md 5.4: without the word that it honours terms a silent minion's tasks are not replaced, until an operator speaks.
-TEST(Transcripts, termlessMinionNeedsAWord) {
+// docs/design.md 5.4: without the word that it honours leases a silent worker's tasks are not replaced, until an operator speaks.
+TEST(Transcripts, termlessWorkerNeedsAWord) {
     WorldOptions options;
-    options.minions = 2;
-    options.termless = 2;
+    options.workers = 2;
+    options.leaseless = 2;
     Script script(options);
     script.world->submit(typed(job("a", 4000, "plates")));
     CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
-    const std::size_t first = script.minionOf("a") == "m1" ? 0 : 1;
-    script.world->killMinion(first, true);
+    const std::size_t first = script.workerOf("a") == "m1" ? 0 : 1;
+    script.world->killWorker(first, true);
     script.run(20'000);
     LONGS_EQUAL(1, script.world->startsOf("a"));
     script.write("after 20 s of silence nothing was replaced");
     int status = 0;
-    script.askQuietly("POST", "/v1/minions/m" + std::to_string(first + 1) + "/gone", "", [&](int given) { status = given; });
+    script.askQuietly("POST", "/v1/workers/m" + std::to_string(first + 1) + "/gone", "", [&](int given) { status = given; });
     CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 15'000));
     script.write("declared gone -> " + std::to_string(status));
     script.history("a");
-    script.approve("termless-minion");
+    script.approve("leaseless-worker");
 }
 
 // An emptied machine at a new address is a new identity: it learns, is admitted, and the dead one goes.
-TEST(Transcripts, emptyReservoirAtANewAddress) {
+TEST(Transcripts, emptyControllerAtANewAddress) {
     Script script;
     const std::size_t victim = (*script.world->leader() + 1) % 3;
     script.world->loseDisk(victim);
-    script.world->moveReservoir(victim);
+    script.world->moveController(victim);
     script.run(500);
-    script.world->restartReservoir(victim);
+    script.world->restartController(victim);
     CHECK(script.world->runUntilTrue([&] {
         const auto leader = script.world->leader();
-        return leader && script.world->reservoir(*leader)->agreed().members().size() == 3 && script.world->isVoter(victim);
+        return leader && script.world->controller(*leader)->raftNode().members().size() == 3 && script.world->isVoter(victim);
     }, 20'000));
     script.write("three voters again, one of them new");
     script.world->submit(typed(job("a", 300)));
     CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 8000));
     script.history("a");
-    script.approve("empty-reservoir");
+    script.approve("empty-controller");
 }
 
-// A reservoir that comes back with an old copy of its disk has forgotten what it acknowledged; it is put out and begins anew.
+// A controller that comes back with an old copy of its disk has forgotten what it acknowledged; it is put out and begins anew.
 TEST(Transcripts, oldDiskIsNotTrusted) {
     Script script;
     const std::size_t victim = (*script.world->leader() + 1) % 3;
     const auto old = script.world->copyDisk(victim);
     for (int count = 0; count < 20; ++count) script.world->submit(typed(job("j" + std::to_string(count), 100)));
     script.run(3000);
-    script.world->killReservoir(victim, false);
+    script.world->killController(victim, false);
     script.world->putDisk(victim, old);
     std::vector<std::string> notes;
     script.world->say = [&](const std::string& text) {
-        if (text.find("forgetful") != std::string::npos) notes.push_back("put out as forgetful");
+        if (text.find("lost state") != std::string::npos) notes.push_back("put out as lost state");
         if (text.find("begins anew") != std::string::npos) notes.push_back("begins anew");
     };
-    script.world->restartReservoir(victim);
+    script.world->restartController(victim);
     CHECK(script.world->runUntilTrue([&] { return notes.size() >= 2 && script.world->voterCount() == 3; }, 20'000));
     for (const auto& note : notes) script.write(note);
     script.approve("old-disk");
 }
 
-// docs/design.md 5.7: a drained minion's task may go on until the deadline, then is stopped and starts elsewhere.
+// docs/design.md 5.7: a drained worker's task may go on until the deadline, then is stopped and starts elsewhere.
 TEST(Transcripts, drainMovesWorkAway) {
     WorldOptions options;
-    options.minions = 2;
+    options.workers = 2;
     Script script(options);
     script.world->submit(typed(job("a", 4000, "plates")));
     CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
-    const std::string first = script.minionOf("a");
+    const std::string first = script.workerOf("a");
     int status = 0;
-    script.askQuietly("POST", "/v1/minions/" + first + "/drain?within_ms=1500", "", [&](int given) { status = given; });
+    script.askQuietly("POST", "/v1/workers/" + first + "/drain?within_ms=1500", "", [&](int given) { status = given; });
     script.run(1000);
     LONGS_EQUAL(1, script.world->startsOf("a"));
     script.write("drained -> " + std::to_string(status) + ", still running after a second");
     CHECK(script.world->runUntilTrue([&] { return script.world->lastShown["a"] == "finished"; }, 10'000));
-    CHECK(first != script.minionOf("a"));
+    CHECK(first != script.workerOf("a"));
     script.history("a");
     script.approve("drain");
 }
@@ -188,7 +188,7 @@
 TEST(Transcripts, aFloodLeavesTheReserve) {
     Script script;
     bool taken = false;
-    script.world->applySetup(R"({"planner":{"open_limit":30},"queues":{"proofs":{"urgency":10,"reserved":10},"plates":{},"small":{"open_limit":2}}})", 1,
+    script.world->applyConfig(R"({"planner":{"open_limit":30},"queues":{"proofs":{"urgency":10,"reserved":10},"plates":{},"small":{"open_limit":2}}})", 1,
                              [&](int status, const std::string&) { taken = status == 200; });
     CHECK(script.world->runUntilTrue([&] { return taken; }, 3000));
     std::map<int, int> counts;
@@ -200,19 +200,19 @@
     script.approve("flood");
 }
 
-// docs/design.md 5.2: a second process with a minion's id is told so, and the first one's work goes on.
-TEST(Transcripts, twoMinionsWithOneId) {
+// docs/design.md 5.2: a second process with a worker's id is told so, and the first one's work goes on.
+TEST(Transcripts, twoWorkersWithOneId) {
     WorldOptions options;
-    options.minions = 2;
+    options.workers = 2;
     options.twins = 1;
     Script script(options);
     std::size_t told = 0;
-    script.world->noting = [&](std::size_t, const Note& note) { told += note.what == "minion id in use"; };
+    script.world->onLogEvent = [&](std::size_t, const LogEvent& note) { told += note.what == "worker id in use"; };
     script.world->submit(typed(job("a", 9000, "plates")));
     script.untilFinished("a", 15'000);
     CHECK(told > 3);
     script.history("a");
-    script.approve("two-minions-one-id");
+    script.approve("two-workers-one-id");
 }
 
 // docs/design.md 3.5: a new identity that answers at a voter's very address proves that voter's disk gone.
@@ -221,7 +221,7 @@
     const std::size_t victim = (*script.world->leader() + 1) % 3;
     script.world->loseDisk(victim);
     script.run(500);
-    script.world->restartReservoir(victim);
+    script.world->restartController(victim);
     script.untilVoters(3, 4000);
     script.write("three voters within 4 s, though a silent one is waited for 30 s");
     script.approve("lost-disk");
@@ -231,10 +231,10 @@
     Script script({}, 30'000);
     const std::size_t victim = (*script.world->leader() + 1) % 3;
     std::size_t changes = 0;
-    script.world->noting = [&](std::size_t, const Note& note) { changes += note.what == "members change"; };
-    script.world->freezeReservoir(victim, true);
+    script.world->onLogEvent = [&](std::size_t, const LogEvent& note) { changes += note.what == "members change"; };
+    script.world->freezeController(victim, true);
     script.run(20'000);
-    script.world->freezeReservoir(victim, false);
+    script.world->freezeController(victim, false);
     script.run(2000);
     LONGS_EQUAL(0, changes);
     LONGS_EQUAL(3, script.world->voterCount());
@@ -244,19 +244,19 @@
 TEST(Transcripts, aReplacementOutlivesItsLeader) {
     Script script({}, 60'000);
     const std::size_t before = *script.world->leader(), victim = (before + 1) % 3;
-    const std::string named = script.world->reservoir(victim)->agreed().self().id.value;
+    const std::string named = script.world->controller(victim)->raftNode().self().id.value;
     script.world->loseDisk(victim);
-    script.world->moveReservoir(victim);
+    script.world->moveController(victim);
     int status = 0;
-    script.askQuietly("POST", "/v1/reservoirs/" + named + "/replace", "", [&](int given) { status = given; });
+    script.askQuietly("POST", "/v1/controllers/" + named + "/replace", "", [&](int given) { status = given; });
     script.run(300);
-    script.world->killReservoir(before, true);
+    script.world->killController(before, true);
     script.run(1500);
-    script.world->restartReservoir(before);
+    script.world->restartController(before);
     script.run(2500);
     CHECK(script.world->leader().has_value());
     CHECK(*script.world->leader() != before);
-    script.world->restartReservoir(victim);
+    script.world->restartController(victim);
     script.untilVoters(3, 8000);
     script.write("named -> " + std::to_string(status) + "; the leader after the next one replaced it");
     script.approve("replacement-outlives");
@@ -266,7 +266,7 @@
 TEST(Transcripts, finishedWorkTurnsNoneAway) {
     Script script;
     bool taken = false;
-    script.world->applySetup(R"({"planner":{"keep_limit":100,"open_limit":20},"queues":{"proofs":{"urgency":10}}})", 1, [&](int status, const std::string&) { taken = status == 200; });
+    script.world->applyConfig(R"({"planner":{"keep_limit":100,"open_limit":20},"queues":{"proofs":{"urgency":10}}})", 1, [&](int status, const std::string&) { taken = status == 200; });
     CHECK(script.world->runUntilTrue([&] { return taken; }, 3000));
     std::map<int, int> counts;
     for (int count = 0; count < 300; ++count) {
@@ -275,27 +275,27 @@
     }
     script.run(65'000);
     for (const auto& [status, count] : counts) script.write("300 jobs -> " + std::to_string(count) + " times " + std::to_string(status));
-    const auto& ledger = script.world->reservoir(*script.world->leader())->committed();
-    script.write(std::to_string(ledger.jobs.size()) + " are kept, the latest shortened: " + (ledger.jobs.at(JobId{"k299"}).tasks.empty() ? "yes" : "no"));
+    const auto& clusterState = script.world->controller(*script.world->leader())->committed();
+    script.write(std::to_string(clusterState.jobs.size()) + " are kept, the latest shortened: " + (clusterState.jobs.at(JobId{"k299"}).tasks.empty() ? "yes" : "no"));
     script.ask("POST", "/v1/jobs", job("k299", 50));
     script.ask("POST", "/v1/jobs", job("k299", 60));
     script.approve("kept-jobs");
 }
 
-// docs/design.md 5.5: a queue may wait longer for a silent minion, which then tells its ending instead of being replaced.
+// docs/design.md 5.5: a queue may wait longer for a silent worker, which then tells its ending instead of being replaced.
 TEST(Transcripts, patienceSavesAnEnding) {
     for (const char* patience : {"0", "6000"}) {
         Script script;
         bool taken = false;
-        script.world->applySetup(std::string(R"({"queues":{"plates":{"retries":3,"replace_after_ms":)") + patience + "}}}", 1, [&](int status, const std::string&) { taken = status == 200; });
+        script.world->applyConfig(std::string(R"({"queues":{"plates":{"retries":3,"replace_after_ms":)") + patience + "}}}", 1, [&](int status, const std::string&) { taken = status == 200; });
         CHECK(script.world->runUntilTrue([&] { return taken; }, 3000));
         script.world->submit(typed(job("a", 1500, "plates")));
         CHECK(script.world->runUntilTrue([&] { return script.world->startsOf("a") == 1; }, 3000));
-        const std::size_t place = std::stoul(script.minionOf("a").substr(1)) - 1;
+        const std::size_t place = std::stoul(script.workerOf("a").substr(1)) - 1;
         script.world->disturb("the cut", false);
-        script.world->cutMinion(place, true);
+        script.world->cutWorker(place, true);
         script.run(7000);
-        script.world->cutMinion(place, false);
+        script.world->cutWorker(place, false);
         script.world->disturb("the cut", true);
         script.untilFinished("a");
         script.write(std::string("waiting ") + patience + " ms more: started " + std::to_string(script.world->startsOf("a")) + " times");
@@ -303,14 +303,14 @@
     }
 }
 
-// docs/design.md 8.3: an exchange that is given up is answered then, with a time to come back: what may have been taken as
+// docs/design.md 8.3: a request that is given up is answered then, with a time to come back: what may have been taken as
 // unknown when its leader has lost the majority, what surely was not as not taken. None is held to its end.
 TEST(Transcripts, whatIsGivenUpIsAnsweredThen) {
     Script script;
     const std::size_t leader = *script.world->leader();
     for (std::size_t other = 1; other < 3; ++other) {
-        script.world->cutAreas(leader, (leader + other) % 3, true);
-        script.world->cutAreas((leader + other) % 3, leader, true);
+        script.world->cutZones(leader, (leader + other) % 3, true);
+        script.world->cutZones((leader + other) % 3, leader, true);
     }
     for (const char* id : {"a", "b"}) {
         const std::int64_t begun = script.world->now;
@@ -326,8 +326,8 @@
     for (const bool whole : {false, true}) {
         Script script;
         const std::size_t before = *script.world->leader();
-        script.world->cutAreas(before, (before + 1) % 3, true);
-        if (whole) script.world->cutAreas(before, (before + 2) % 3, true);
+        script.world->cutZones(before, (before + 1) % 3, true);
+        if (whole) script.world->cutZones(before, (before + 2) % 3, true);
         script.run(3000);
         CHECK(script.world->leader().has_value());
         if (whole) CHECK(*script.world->leader() != before);
--- a/tests/layout.sh
+++ b/tests/layout.sh
@@ -25,9 +25,12 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 mkdir "$folder/source"
-cp source/*.hpp "$folder/source/"
+for subject in base raft state scheduling controller agent gateway checker; do
+  mkdir "$folder/source/$subject"
+  cp source/"$subject"/*.hpp "$folder/source/$subject/"
+done
 for name in $core; do
-  cp "source/$name.cpp" "$folder/source/"
+  cp "source/$name.cpp" "$folder/source/$name.cpp"
 done
 if ! printf '%s\n' $core | xargs -P 3 -I{} "${CXX:-c++}" -std=c++20 -fsyntax-only -I "$folder/source" "$folder/source/{}.cpp"; then fail "the core does not compile alone"; fi
 [ "$failed" = 0 ] && echo "layout: platform/ is used by its own program and tests only; the core compiles alone"
--- a/tests/library.sh
+++ b/tests/library.sh
@@ -8,22 +8,22 @@
 cmake --install build --prefix "$folder/installed" >/dev/null
 cmake -S examples/programs -B "$folder/built" -G Ninja -DCMAKE_PREFIX_PATH="$folder/installed" >/dev/null
 cmake --build "$folder/built" >/dev/null
-"$folder/installed/bin/millrace" --folder "$folder/fleet" --port 24000 --sluices 3 --minions 3 --setup examples/setup-cedarmark.json --seconds 5 --keep 60 > "$folder/fleet.txt" 2>&1 &
+"$folder/installed/bin/local_cluster" --folder "$folder/fleet" --port 24000 --gateways 3 --workers 3 --config examples/config-cedarmark.json --seconds 5 --keep 60 > "$folder/fleet.txt" 2>&1 &
 fleet=$!
 for _ in $(seq 300); do
   [ -s "$folder/fleet/control" ] && break
   kill -0 "$fleet" 2>/dev/null || { cat "$folder/fleet.txt"; exit 1; }
   sleep 0.1
 done
-# The minion knows a sluice; the caller is given a dead address and a reservoir's, and finds the sluices itself.
-"$folder/built/example_minion" 8 127.2.1.1:24021 > "$folder/minion.txt" &
-minion=$!
+# The worker knows a gateway; the caller is given a dead address and a controller's, and finds the gateways itself.
+"$folder/built/example_worker" 8 127.2.1.1:24021 > "$folder/worker.txt" &
+worker=$!
 "$folder/built/example_origin" 127.0.0.1:1 127.1.2.1:24012
 for _ in $(seq 8); do "$folder/built/example_origin" 127.2.2.1:24022 >/dev/null; done
-wait "$minion"
-cat "$folder/minion.txt"
-grep -qv '^0 tasks' "$folder/minion.txt"
-# The example minion writes no history, so the fleet's own verdict is not asked for: told to stop, it takes all along.
+wait "$worker"
+cat "$folder/worker.txt"
+grep -qv '^0 tasks' "$folder/worker.txt"
+# The example worker writes no history, so the fleet's own verdict is not asked for: told to stop, it takes all along.
 kill -TERM "$fleet"
 status=0
 wait "$fleet" || status=$?
--- a/tests/meeting.sh
+++ b/tests/meeting.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# A seed without a disk: it names who founds the cluster, and after everything was killed at once sluices that know no other
-# address find the reservoirs by it again. Bounded, waiting on conditions. docs/design.md 3.7, 9.7.
+# A seed without a disk: it names who founds the cluster, and after everything was killed at once gateways that know no other
+# address find the controllers by it again. Bounded, waiting on conditions. docs/design.md 3.7, 9.7.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folder=$(mktemp -d)
@@ -8,9 +8,9 @@
 trap '[ ${#running[@]} = 0 ] || kill -9 "${running[@]}" 2>/dev/null || true; rm -rf "$folder"' EXIT
 begin() { "$@" >> "$folder/log" 2>&1 & running+=($!); }
 all() {
-  begin build/sluice --http 127.3.1.3:26003 --area a --seeds 127.3.1.1:26001
-  begin build/reservoir --peer 127.3.1.1:26001 --area a --seeds 127.3.1.1:26001 --voters 1
-  begin build/reservoir --peer 127.3.1.2:26002 --area a --data "$folder/data" --seeds 127.3.1.1:26001 --voters 1 "$@"
+  begin build/gateway --http 127.3.1.3:26003 --zone a --seeds 127.3.1.1:26001
+  begin build/controller --peer 127.3.1.1:26001 --zone a --seeds 127.3.1.1:26001 --voters 1
+  begin build/controller --peer 127.3.1.2:26002 --zone a --data "$folder/data" --seeds 127.3.1.1:26001 --voters 1 "$@"
 }
 serves() {
   exec 5<>/dev/tcp/127.3.1.3/26003 || return 1
@@ -32,5 +32,5 @@
 wait "${running[@]}" 2>/dev/null || true
 running=()
 all
-until_serves "after all began anew the reservoir was not found by way of a seed without a disk"
+until_serves "after all began anew the controller was not found by way of a seed without a disk"
 echo "1 passed, 0 failed"
--- a/tests/penstock_tests.cpp
+++ b/tests/node_agent_tests.cpp
@@ -1,13 +1,13 @@
-// The penstock without sockets: its calls are taken as text, and each test answers, loses or delays them. docs/design.md 5.8.
-#include "penstock.hpp"
+// The agent without sockets: its calls are taken as text, and each test answers, loses or delays them. docs/design.md 5.8.
+#include "agent/node_agent.hpp"
 #include <CppUTest/TestHarness.h>
 
 using namespace aniseline;
 
 namespace {
 
-using CallKind = MinionCall::Kind;
-using ReplyKind = MinionReply::Kind;
+using CallKind = WorkerCall::Kind;
+using ReplyKind = WorkerReply::Kind;
 
 RunName run(const std::string& job, std::uint32_t number = 1) { return RunName{JobId{job}, 0, 0, 0, number}; }
 std::string text(const RunName& name) { return name.job.value + "/" + std::to_string(name.run); }
@@ -22,48 +22,48 @@
 }
 Order start(std::uint64_t number, const std::string& job, std::uint32_t runNumber = 1) { return order(number, OrderKind::start, job, runNumber); }
 Order stop(std::uint64_t number, const std::string& job, std::uint32_t runNumber = 1) { return order(number, OrderKind::stop, job, runNumber); }
-MinionReply::Active active(const std::string& job, const std::string& saved = "") { return {run(job), saved}; }
-MinionReply::Ended ended(std::uint64_t number, const std::string& job, EndingKind kind = EndingKind::finished) { return {number, run(job), kind, ""}; }
+WorkerReply::Active active(const std::string& job, const std::string& saved = "") { return {run(job), saved}; }
+WorkerReply::Ended ended(std::uint64_t number, const std::string& job, EndingKind kind = EndingKind::finished) { return {number, run(job), kind, ""}; }
 
-// A penstock between a leader and a minion that are both the test.
+// An agent between a leader and a worker that are both the test.
 struct Stand {
-    Penstock penstock{PenstockOptions{}};
+    NodeAgent agent{NodeAgentOptions{}};
     std::int64_t now = 100'000;
-    double rate = 1.0;  // of the minion's clock against ours
-    Epoch epoch{7};
-    Span term{6000};
+    double rate = 1.0;  // of the worker's clock against ours
+    Term term{7};
+    Duration lease{6000};
     std::string life = "life-1";
-    std::vector<MinionCall> open;  // under way to the minion
+    std::vector<WorkerCall> open;  // under way to the worker
 
-    Instant at() const { return Instant{now}; }
-    MinionTime minionClock(std::int64_t time) const { return MinionTime{5'000'000 + std::int64_t(double(time - 100'000) * rate)}; }
-    MinionAccount account(bool leaving = false) const {
-        MinionAccount account;
-        account.life = MinionId{life};
+    MonotonicTime at() const { return MonotonicTime{now}; }
+    WorkerTime workerClock(std::int64_t time) const { return WorkerTime{5'000'000 + std::int64_t(double(time - 100'000) * rate)}; }
+    WorkerAccount account(bool leaving = false) const {
+        WorkerAccount account;
+        account.life = WorkerId{life};
         account.leaving = leaving;
-        account.leaveWithin = Span{leaving ? 2000 : 0};
-        account.clock = minionClock(now);
+        account.leaveWithin = Duration{leaving ? 2000 : 0};
+        account.clock = workerClock(now);
         return account;
     }
-    bool beat(bool leaving = false) { return penstock.known(account(leaving), at()); }
-    SyncAnswer answer(std::vector<Order> orders, std::uint32_t closed = 0) const {
-        SyncAnswer made;
-        made.epoch = epoch;
+    bool beat(bool leaving = false) { return agent.known(account(leaving), at()); }
+    SyncResponse answer(std::vector<Order> orders, std::uint32_t closed = 0) const {
+        SyncResponse made;
         made.term = term;
+        made.lease = lease;
         made.orders = std::move(orders);
         made.closed = closed;
         return made;
     }
-    // One exchange with the leader, over at once.
+    // One request with the leader, over at once.
     SyncReport sync(std::vector<Order> orders = {}, std::uint32_t closed = 0) {
-        auto report = penstock.report(at());
-        penstock.answered(report, answer(std::move(orders), closed), at(), at());
+        auto report = agent.report(at());
+        agent.answered(report, answer(std::move(orders), closed), at(), at());
         return report;
     }
-    // What the penstock asks of its minion now; the calls stay open until they are answered.
+    // What the agent asks of its worker now; the calls stay open until they are answered.
     std::string calls() {
         std::string words;
-        for (auto& call : penstock.takeCalls(at())) {
+        for (auto& call : agent.takeCalls(at())) {
             static const char* const names[] = {"start ", "stop ", "look"};
             words += (words.empty() ? "" : ", ") + std::string(names[int(call.kind)]) + (call.kind == CallKind::look ? "" : text(call.name));
             open.push_back(std::move(call));
@@ -74,35 +74,35 @@
         now += span;
         return calls();
     }
-    MinionCall take(CallKind kind, const std::string& job = "") {
-        auto found = std::find_if(open.begin(), open.end(), [&](const MinionCall& call) { return call.kind == kind && (job.empty() || call.name.job.value == job); });
+    WorkerCall take(CallKind kind, const std::string& job = "") {
+        auto found = std::find_if(open.begin(), open.end(), [&](const WorkerCall& call) { return call.kind == kind && (job.empty() || call.name.job.value == job); });
         CHECK_TEXT(found != open.end(), "no such call is under way");
-        MinionCall call = *found;
+        WorkerCall call = *found;
         open.erase(found);
         return call;
     }
-    MinionCall reply(CallKind kind, ReplyKind how, const std::string& job = "") {
-        const MinionCall call = take(kind, job);
-        MinionReply reply;
+    WorkerCall reply(CallKind kind, ReplyKind how, const std::string& job = "") {
+        const WorkerCall call = take(kind, job);
+        WorkerReply reply;
         reply.kind = how;
-        if (how != ReplyKind::lost) reply.clock = minionClock(now);
-        penstock.replied(call, reply, at());
+        if (how != ReplyKind::lost) reply.clock = workerClock(now);
+        agent.replied(call, reply, at());
         return call;
     }
-    MinionReply lists(std::vector<MinionReply::Active> running, std::vector<MinionReply::Ended> over) const {
-        MinionReply reply;
+    WorkerReply lists(std::vector<WorkerReply::Active> running, std::vector<WorkerReply::Ended> over) const {
+        WorkerReply reply;
         reply.kind = ReplyKind::done;
-        reply.clock = minionClock(now);
+        reply.clock = workerClock(now);
         reply.active = std::move(running);
         reply.ended = std::move(over);
         return reply;
     }
-    MinionCall looked(std::vector<MinionReply::Active> running = {}, std::vector<MinionReply::Ended> over = {}) {
-        const MinionCall call = take(CallKind::look);
-        penstock.replied(call, lists(std::move(running), std::move(over)), at());
+    WorkerCall looked(std::vector<WorkerReply::Active> running = {}, std::vector<WorkerReply::Ended> over = {}) {
+        const WorkerCall call = take(CallKind::look);
+        agent.replied(call, lists(std::move(running), std::move(over)), at());
         return call;
     }
-    // The minion is known, the leader grants a lease, and the first look finds nothing there.
+    // The worker is known, the leader grants a lease, and the first look finds nothing there.
     void begin() {
         CHECK(beat());
         sync();
@@ -122,15 +122,15 @@
         for (const auto& ending : report.namedEndings) words += (words.empty() ? "" : ", ") + text(ending.name) + " " + name(ending.kind);
         return words;
     }
-    std::string endings() { return endings(penstock.report(at())); }
-    std::uint64_t applied() { return penstock.report(at()).lastOrder.value; }
+    std::string endings() { return endings(agent.report(at())); }
+    std::uint64_t applied() { return agent.report(at()).lastOrder.value; }
 };
 
 }  // namespace
 
-TEST_GROUP(PenstockStarts){};
+TEST_GROUP(AgentStarts){};
 
-TEST(PenstockStarts, withoutAnAnswerIsTriedAgainAndNothingIsTold) {
+TEST(AgentStarts, withoutAnAnswerIsTriedAgainAndNothingIsTold) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -148,7 +148,7 @@
     STRCMP_EQUAL("", stand.endings().c_str());
 }
 
-TEST(PenstockStarts, isNeverUnstartedBeforeAStopOfItWasAnsweredAndALookSawNothing) {
+TEST(AgentStarts, isNeverUnstartedBeforeAStopOfItWasAnsweredAndALookSawNothing) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -168,7 +168,7 @@
     LONGS_EQUAL(2, stand.applied());
 }
 
-TEST(PenstockStarts, carriedOutLateIsSeenAndEndsAsStopped) {
+TEST(AgentStarts, carriedOutLateIsSeenAndEndsAsStopped) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -185,7 +185,7 @@
     STRCMP_EQUAL("a/1 stopped", stand.endings().c_str());
 }
 
-TEST(PenstockStarts, aLookBegunBeforeTheStopsAnswerProvesNothing) {
+TEST(AgentStarts, aLookBegunBeforeTheStopsAnswerProvesNothing) {
     Stand stand;
     stand.begin();
     stand.beginWith("b");
@@ -203,7 +203,7 @@
 }
 
 // A list that had no room for all endings proves no absence.
-TEST(PenstockStarts, aLookThatIsNotWholeProvesNothing) {
+TEST(AgentStarts, aLookThatIsNotWholeProvesNothing) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -215,14 +215,14 @@
     stand.callsIn(30);
     auto reply = stand.lists({}, {});
     reply.whole = false;
-    stand.penstock.replied(stand.take(CallKind::look), reply, stand.at());
+    stand.agent.replied(stand.take(CallKind::look), reply, stand.at());
     STRCMP_EQUAL("", stand.endings().c_str());
     stand.callsIn(250);
     stand.looked();
     STRCMP_EQUAL("a/1 unstarted", stand.endings().c_str());
 }
 
-TEST(PenstockStarts, turnedAwayForRoomIsRefusedWithoutAStop) {
+TEST(AgentStarts, turnedAwayForRoomIsRefusedWithoutAStop) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -233,7 +233,7 @@
     LONGS_EQUAL(1, stand.applied());
 }
 
-TEST(PenstockStarts, turnedAwayForRoomAfterSilenceIsStoppedFirst) {
+TEST(AgentStarts, turnedAwayForRoomAfterSilenceIsStoppedFirst) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -249,7 +249,7 @@
     STRCMP_EQUAL("a/1 refused", stand.endings().c_str());
 }
 
-TEST(PenstockStarts, behindAFenceWaitsForTheNewerLeader) {
+TEST(AgentStarts, behindAFenceWaitsForTheNewerLeader) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -257,14 +257,14 @@
     LONGS_EQUAL(7, stand.reply(CallKind::start, ReplyKind::fenced).fence.value);
     STRCMP_EQUAL("", stand.endings().c_str());
     STRCMP_EQUAL("", stand.callsIn(100).c_str());
-    stand.epoch = Epoch{8};
+    stand.term = Term{8};
     stand.sync();
     STRCMP_EQUAL("start a/1", stand.callsIn(100).c_str());
     LONGS_EQUAL(8, stand.reply(CallKind::start, ReplyKind::done).fence.value);
     LONGS_EQUAL(1, stand.applied());
 }
 
-TEST(PenstockStarts, calledOldIsLookedFor) {
+TEST(AgentStarts, calledOldIsLookedFor) {
     Stand there;
     there.begin();
     there.sync({start(1, "a")});
@@ -301,7 +301,7 @@
     STRCMP_EQUAL("a/1 unstarted", nowhere.endings().c_str());
 }
 
-TEST(PenstockStarts, calledLateIsTriedWithTheNextLease) {
+TEST(AgentStarts, calledLateIsTriedWithTheNextLease) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -316,7 +316,7 @@
     STRCMP_EQUAL("", stand.endings().c_str());
 }
 
-TEST(PenstockStarts, atASickMinionIsTriedThreeTimes) {
+TEST(AgentStarts, atASickWorkerIsTriedThreeTimes) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -332,7 +332,7 @@
     STRCMP_EQUAL("a/1 refused", stand.endings().c_str());
 }
 
-TEST(PenstockStarts, theStopIsTriedUntilASickMinionAnswers) {
+TEST(AgentStarts, theStopIsTriedUntilASickWorkerAnswers) {
     Stand stand;
     stand.begin();
     stand.beginWith("a");
@@ -346,7 +346,7 @@
     }
 }
 
-TEST(PenstockStarts, ofAnotherLifeIsTriedAgainLater) {
+TEST(AgentStarts, ofAnotherLifeIsTriedAgainLater) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -357,7 +357,7 @@
     STRCMP_EQUAL("start a/1", stand.callsIn(300).c_str());
 }
 
-TEST(PenstockStarts, waitForALease) {
+TEST(AgentStarts, waitForALease) {
     Stand stand;
     CHECK(stand.beat());
     STRCMP_EQUAL("", stand.calls().c_str());  // no leader has been heard
@@ -368,9 +368,9 @@
     CHECK(stand.calls().find("start a/1") != std::string::npos);
 }
 
-TEST_GROUP(PenstockStops){};
+TEST_GROUP(AgentStops){};
 
-TEST(PenstockStops, ofARunNeverBegunNeedNoCall) {
+TEST(AgentStops, ofARunNeverBegunNeedNoCall) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a"), stop(2, "a")});
@@ -380,7 +380,7 @@
 }
 
 // Given to an earlier process: this one fences the run before it says that it never began.
-TEST(PenstockStops, ofAnUnknownRunAreFencedAndLookedFor) {
+TEST(AgentStops, ofAnUnknownRunAreFencedAndLookedFor) {
     Stand stand;
     stand.begin();
     stand.sync({stop(9, "a")});
@@ -394,7 +394,7 @@
     LONGS_EQUAL(9, stand.applied());
 }
 
-TEST(PenstockStops, whileAStartIsUnderWayWaitForItsAnswer) {
+TEST(AgentStops, whileAStartIsUnderWayWaitForItsAnswer) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -406,7 +406,7 @@
     LONGS_EQUAL(0, stand.applied());
 }
 
-TEST(PenstockStops, ofARunThatEndedByItselfAreDone) {
+TEST(AgentStops, ofARunThatEndedByItselfAreDone) {
     Stand stand;
     stand.begin();
     stand.beginWith("a");
@@ -418,8 +418,8 @@
     LONGS_EQUAL(2, stand.applied());
 }
 
-// Each look costs its minion: one that waits comes back with the ending, so nothing asks again and again while a stop takes its time.
-TEST(PenstockStops, ofARunThatIsThereAreSeenByTheLookThatWaits) {
+// Each look costs its worker: one that waits comes back with the ending, so nothing asks again and again while a stop takes its time.
+TEST(AgentStops, ofARunThatIsThereAreSeenByTheLookThatWaits) {
     Stand stand;
     stand.begin();
     stand.beginWith("a");
@@ -437,20 +437,20 @@
     LONGS_EQUAL(2, stand.applied());
 }
 
-TEST_GROUP(PenstockEndings){};
+TEST_GROUP(AgentEndings){};
 
 // docs/design.md 5.5: a look passes an ending only when the leader's log holds it.
-TEST(PenstockEndings, passLastSeenOnlyOnceClosed) {
+TEST(AgentEndings, passLastSeenOnlyOnceClosed) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
     stand.beginWith("b", 2);
     stand.calls();
     stand.looked({active("b")}, {ended(1, "a")});
-    CHECK(stand.penstock.urgent(stand.at()));
+    CHECK(stand.agent.urgent(stand.at()));
     const auto told = stand.sync();
     STRCMP_EQUAL("a/1 finished", Stand::endings(told).c_str());
-    CHECK_FALSE(stand.penstock.urgent(stand.at()));
+    CHECK_FALSE(stand.agent.urgent(stand.at()));
     stand.callsIn(1500);
     LONGS_EQUAL(0, stand.looked({active("b")}, {ended(1, "a")}).lastSeen);
     STRCMP_EQUAL("a/1 finished", stand.endings().c_str());  // told again, and once
@@ -460,60 +460,60 @@
     LONGS_EQUAL(1, stand.looked({active("b")}).lastSeen);
 }
 
-TEST(PenstockEndings, areClosedInTheirOrderOnly) {
+TEST(AgentEndings, areClosedInTheirOrderOnly) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
     stand.beginWith("b", 2);
     stand.calls();
     stand.looked({active("b")}, {ended(1, "a")});
-    const auto first = stand.penstock.report(stand.at());
+    const auto first = stand.agent.report(stand.at());
     stand.callsIn(1500);
     stand.looked({}, {ended(1, "a"), ended(2, "b", EndingKind::failed)});
-    const auto second = stand.penstock.report(stand.at());
+    const auto second = stand.agent.report(stand.at());
     STRCMP_EQUAL("a/1 finished, b/1 failed", Stand::endings(second).c_str());
-    stand.penstock.answered(second, stand.answer({}, 1), stand.at(), stand.at());
+    stand.agent.answered(second, stand.answer({}, 1), stand.at(), stand.at());
     STRCMP_EQUAL("b/1 failed", stand.endings().c_str());
-    stand.penstock.answered(first, stand.answer({}, 1), stand.at(), stand.at());  // overtaken
+    stand.agent.answered(first, stand.answer({}, 1), stand.at(), stand.at());  // overtaken
     STRCMP_EQUAL("b/1 failed", stand.endings().c_str());
-    stand.penstock.answered(second, stand.answer({}, 2), stand.at(), stand.at());
+    stand.agent.answered(second, stand.answer({}, 2), stand.at(), stand.at());
     STRCMP_EQUAL("", stand.endings().c_str());
     stand.beginWith("c", 3);
     stand.calls();
     LONGS_EQUAL(2, stand.looked({active("c")}).lastSeen);
 }
 
-TEST(PenstockEndings, ofOlderLeadersAnswersCloseNothing) {
+TEST(AgentEndings, ofOlderLeadersAnswersCloseNothing) {
     Stand stand;
     stand.begin();
     stand.beginWith("a");
     stand.calls();
     stand.looked({}, {ended(1, "a")});
-    stand.epoch = Epoch{6};
+    stand.term = Term{6};
     stand.sync({}, 1);
     STRCMP_EQUAL("a/1 finished", stand.endings().c_str());
 }
 
 // Those of no number have nothing to wait for; those with one go first.
-TEST(PenstockEndings, thatNeverBeganStandBehindTheNumbered) {
+TEST(AgentEndings, thatNeverBeganStandBehindTheNumbered) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
     stand.sync({start(2, "b"), stop(3, "b")});
     stand.calls();
     stand.looked({}, {ended(1, "a")});
-    const auto report = stand.penstock.report(stand.at());
+    const auto report = stand.agent.report(stand.at());
     STRCMP_EQUAL("a/1 finished, b/1 unstarted", Stand::endings(report).c_str());
-    stand.penstock.answered(report, stand.answer({}, 2), stand.at(), stand.at());
+    stand.agent.answered(report, stand.answer({}, 2), stand.at(), stand.at());
     STRCMP_EQUAL("", stand.endings().c_str());
 }
 
-TEST(PenstockEndings, goFiveHundredAtATime) {
+TEST(AgentEndings, goFiveHundredAtATime) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
     stand.calls();
-    std::vector<MinionReply::Ended> many;
+    std::vector<WorkerReply::Ended> many;
     for (std::uint64_t number = 1; number <= 700; ++number) many.push_back(ended(number, "job" + std::to_string(number)));
     stand.looked({active("a")}, many);
     LONGS_EQUAL(500, stand.sync({}, 500).namedEndings.size());
@@ -522,7 +522,7 @@
     LONGS_EQUAL(700, stand.looked({active("a")}).lastSeen);
 }
 
-TEST(PenstockEndings, checkpointsAreToldOnceEach) {
+TEST(AgentEndings, checkpointsAreToldOnceEach) {
     Stand stand;
     stand.begin();
     stand.beginWith("a");
@@ -538,15 +538,15 @@
     lookSeeing("");
     STRCMP_EQUAL("", saves(stand.sync()).c_str());
     lookSeeing("x1");
-    STRCMP_EQUAL("a/1 x1", saves(stand.penstock.report(stand.at())).c_str());  // this sync is lost
+    STRCMP_EQUAL("a/1 x1", saves(stand.agent.report(stand.at())).c_str());  // this sync is lost
     STRCMP_EQUAL("a/1 x1", saves(stand.sync()).c_str());
     STRCMP_EQUAL("", saves(stand.sync()).c_str());
     lookSeeing("x1");
     STRCMP_EQUAL("", saves(stand.sync()).c_str());
     lookSeeing("x2");
-    const auto told = stand.penstock.report(stand.at());
+    const auto told = stand.agent.report(stand.at());
     lookSeeing("x3");
-    stand.penstock.answered(told, stand.answer({}), stand.at(), stand.at());  // says nothing of x3
+    stand.agent.answered(told, stand.answer({}), stand.at(), stand.at());  // says nothing of x3
     STRCMP_EQUAL("a/1 x3", saves(stand.sync()).c_str());
     stand.calls();
     auto over = ended(1, "a", EndingKind::stopped);
@@ -558,10 +558,10 @@
     STRCMP_EQUAL("x4", last.namedEndings.at(0).saved.c_str());
 }
 
-TEST_GROUP(PenstockBegunAnew){};
+TEST_GROUP(AgentBegunAnew){};
 
 // docs/design.md 5.8: killed and empty, it learns from both lists what runs, and neither stops nor starts any of it again.
-TEST(PenstockBegunAnew, learnsWhatRunsAndTouchesNoneOfIt) {
+TEST(AgentBegunAnew, learnsWhatRunsAndTouchesNoneOfIt) {
     Stand stand;
     CHECK(stand.beat());
     stand.sync({start(5, "a"), start(6, "d")});  // given to the process before, and carried out by it
@@ -569,9 +569,9 @@
     LONGS_EQUAL(0, stand.open.back().lastSeen);
     stand.reply(CallKind::start, ReplyKind::done, "a");  // it is there already
     stand.reply(CallKind::start, ReplyKind::old, "d");   // it has ended
-    const std::vector<MinionReply::Ended> over{ended(3, "d"), ended(4, "e", EndingKind::failed)};
+    const std::vector<WorkerReply::Ended> over{ended(3, "d"), ended(4, "e", EndingKind::failed)};
     stand.looked({active("a"), active("c", "x1")}, over);
-    const auto report = stand.penstock.report(stand.at());
+    const auto report = stand.agent.report(stand.at());
     STRCMP_EQUAL("d/1 finished, e/1 failed", Stand::endings(report).c_str());
     LONGS_EQUAL(6, report.lastOrder.value);
     LONGS_EQUAL(1, report.saves.size());
@@ -586,7 +586,7 @@
     CHECK(stand.calls().find("stop c/1") != std::string::npos);
 }
 
-TEST(PenstockBegunAnew, asksAgainWhenTheFirstLookIsLost) {
+TEST(AgentBegunAnew, asksAgainWhenTheFirstLookIsLost) {
     Stand stand;
     CHECK(stand.beat());
     stand.sync();
@@ -594,11 +594,11 @@
     stand.reply(CallKind::look, ReplyKind::lost);
     STRCMP_EQUAL("look", stand.callsIn(100).c_str());
     stand.looked({active("a")});
-    LONGS_EQUAL(1, stand.penstock.running());
+    LONGS_EQUAL(1, stand.agent.running());
 }
 
-// An order for a run that ended and was closed before the kill: the minion turns it away, and nothing runs.
-TEST(PenstockBegunAnew, doesNotRunAgainWhatWasClosed) {
+// An order for a run that ended and was closed before the kill: the worker turns it away, and nothing runs.
+TEST(AgentBegunAnew, doesNotRunAgainWhatWasClosed) {
     Stand stand;
     CHECK(stand.beat());
     stand.sync({start(5, "a")});
@@ -615,15 +615,15 @@
     STRCMP_EQUAL("", stand.callsIn(300).c_str());
 }
 
-TEST_GROUP(PenstockOrders){};
+TEST_GROUP(AgentOrders){};
 
-TEST(PenstockOrders, mayBeginAnywhereForANewProcessAndAreCarriedOutOnce) {
+TEST(AgentOrders, mayBeginAnywhereForANewProcessAndAreCarriedOutOnce) {
     Stand stand;
     stand.begin();
     stand.sync({start(41, "a"), start(42, "b")});
     STRCMP_EQUAL("start a/1, start b/1", stand.calls().c_str());
     LONGS_EQUAL(40, stand.applied());
-    LONGS_EQUAL(42, stand.penstock.report(stand.at()).received.value);
+    LONGS_EQUAL(42, stand.agent.report(stand.at()).received.value);
     stand.sync({start(41, "a"), start(42, "b")});
     STRCMP_EQUAL("", stand.calls().c_str());
     stand.reply(CallKind::start, ReplyKind::done, "b");
@@ -635,99 +635,99 @@
 }
 
 // An answer that was overtaken repeats what was long carried out, told and closed.
-TEST(PenstockOrders, areNotRepeatedAfterTheirRunIsClosed) {
+TEST(AgentOrders, areNotRepeatedAfterTheirRunIsClosed) {
     Stand stand;
     stand.begin();
-    const auto overtaken = stand.penstock.report(stand.at());
+    const auto overtaken = stand.agent.report(stand.at());
     stand.beginWith("a", 1);
     stand.calls();
     stand.looked({}, {ended(1, "a")});
     stand.sync({}, 1);
-    stand.penstock.answered(overtaken, stand.answer({start(1, "a")}), stand.at(), stand.at());
+    stand.agent.answered(overtaken, stand.answer({start(1, "a")}), stand.at(), stand.at());
     STRCMP_EQUAL("", stand.callsIn(30).c_str());
     LONGS_EQUAL(1, stand.applied());
 }
 
-TEST(PenstockOrders, ofAnOlderEpochAreIgnored) {
+TEST(AgentOrders, ofAnOlderTermAreIgnored) {
     Stand stand;
     stand.begin();
-    const auto report = stand.penstock.report(stand.at());
-    stand.epoch = Epoch{8};
+    const auto report = stand.agent.report(stand.at());
+    stand.term = Term{8};
     stand.sync();
-    stand.epoch = Epoch{7};
-    stand.penstock.answered(report, stand.answer({start(1, "a")}), stand.at(), stand.at());
+    stand.term = Term{7};
+    stand.agent.answered(report, stand.answer({start(1, "a")}), stand.at(), stand.at());
     STRCMP_EQUAL("", stand.calls().c_str());
-    LONGS_EQUAL(0, stand.penstock.report(stand.at()).received.value);
+    LONGS_EQUAL(0, stand.agent.report(stand.at()).received.value);
 }
 
-TEST(PenstockOrders, inAnAnswerPastItsTermAreIgnored) {
+TEST(AgentOrders, inAnAnswerPastItsLeaseAreIgnored) {
     Stand stand;
     stand.begin();
-    const auto report = stand.penstock.report(stand.at());
-    const Instant sentAt = stand.at();
+    const auto report = stand.agent.report(stand.at());
+    const MonotonicTime sentAt = stand.at();
     stand.now += 6000;
-    stand.penstock.answered(report, stand.answer({start(1, "a")}), sentAt, stand.at());
+    stand.agent.answered(report, stand.answer({start(1, "a")}), sentAt, stand.at());
     STRCMP_EQUAL("", stand.calls().c_str());
-    LONGS_EQUAL(0, stand.penstock.report(stand.at()).received.value);
+    LONGS_EQUAL(0, stand.agent.report(stand.at()).received.value);
     stand.sync({start(1, "a")});  // they come again
     CHECK(stand.calls().find("start a/1") != std::string::npos);
 }
 
-TEST(PenstockOrders, ofAnotherLifeAreIgnored) {
+TEST(AgentOrders, ofAnotherLifeAreIgnored) {
     Stand stand;
     stand.begin();
-    const auto report = stand.penstock.report(stand.at());
+    const auto report = stand.agent.report(stand.at());
     stand.life = "life-2";
     CHECK(stand.beat());
-    stand.penstock.answered(report, stand.answer({start(1, "a")}), stand.at(), stand.at());
+    stand.agent.answered(report, stand.answer({start(1, "a")}), stand.at(), stand.at());
     CHECK(stand.calls().find("start") == std::string::npos);
 }
 
-TEST_GROUP(PenstockLeases){};
+TEST_GROUP(AgentLeases){};
 
-// Whatever the latencies and the minion's clock, what is held there is over when the lease is, or before. docs/design.md 5.4.
-TEST(PenstockLeases, deadlinesAreNeverLaterThanTheLease) {
+// Whatever the latencies and the worker's clock, what is held there is over when the lease is, or before. docs/design.md 5.4.
+TEST(AgentLeases, deadlinesAreNeverLaterThanTheLease) {
     for (double rate : {0.98, 0.985, 0.99, 1.0})
         for (std::uint64_t seed = 1; seed <= 50; ++seed) {
-            Draw draw(seed);
+            Random random(seed);
             Stand stand;
             stand.rate = rate;
             stand.begin();
             std::int64_t leaseUntil = stand.now - 30 + 6000, calls = 0;
             std::uint64_t number = 0;
             for (int count = 0; count < 200; ++count) {
-                stand.now += draw.between(0, 300);
-                if (draw.chance(0.1)) {  // heard late
+                stand.now += random.between(0, 300);
+                if (random.chance(0.1)) {  // heard late
                     auto account = stand.account();
-                    account.clock = stand.minionClock(stand.now - draw.between(0, 900));
-                    stand.penstock.known(account, stand.at());
+                    account.clock = stand.workerClock(stand.now - random.between(0, 900));
+                    stand.agent.known(account, stand.at());
                 }
-                if (draw.chance(0.2)) {
-                    const Instant sentAt = stand.at();
-                    const auto report = stand.penstock.report(sentAt);
+                if (random.chance(0.2)) {
+                    const MonotonicTime sentAt = stand.at();
+                    const auto report = stand.agent.report(sentAt);
                     ++number;
-                    stand.now += draw.between(0, 1500);
-                    stand.penstock.answered(report, stand.answer({start(number, "job" + std::to_string(number))}), sentAt, stand.at());
+                    stand.now += random.between(0, 1500);
+                    stand.agent.answered(report, stand.answer({start(number, "job" + std::to_string(number))}), sentAt, stand.at());
                     leaseUntil = std::max(leaseUntil, sentAt.milliseconds + 6000);
                 }
-                for (const auto& call : stand.penstock.takeCalls(stand.at())) {
+                for (const auto& call : stand.agent.takeCalls(stand.at())) {
                     if (call.deadline) {
                         ++calls;
                         const double until = double(call.deadline->milliseconds - 5'000'000) / rate + 100'000;
                         CHECK_TEXT(until <= double(leaseUntil) + 1, "a deadline past the lease");
                     }
-                    MinionReply reply;
-                    reply.kind = draw.chance(0.2) ? ReplyKind::lost : ReplyKind::done;
-                    if (reply.kind == ReplyKind::done) reply.clock = stand.minionClock(stand.now);
-                    stand.now += draw.between(0, 50);
-                    stand.penstock.replied(call, reply, stand.at());
+                    WorkerReply reply;
+                    reply.kind = random.chance(0.2) ? ReplyKind::lost : ReplyKind::done;
+                    if (reply.kind == ReplyKind::done) reply.clock = stand.workerClock(stand.now);
+                    stand.now += random.between(0, 50);
+                    stand.agent.replied(call, reply, stand.at());
                 }
             }
             CHECK(calls > 20);
         }
 }
 
-TEST(PenstockLeases, areUsedNearlyWhole) {
+TEST(AgentLeases, areUsedNearlyWhole) {
     Stand stand;
     stand.begin();
     stand.now += 500;
@@ -735,32 +735,32 @@
     stand.calls();
     const auto call = stand.reply(CallKind::start, ReplyKind::done);
     CHECK(call.deadline.has_value());
-    CHECK(*call.deadline > stand.minionClock(stand.now + 5800));
+    CHECK(*call.deadline > stand.workerClock(stand.now + 5800));
 }
 
-TEST(PenstockLeases, anAccountHeardLateSetsNoClockBack) {
+TEST(AgentLeases, anAccountHeardLateSetsNoClockBack) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
     auto late = stand.account();
-    late.clock = stand.minionClock(stand.now - 2000);
-    CHECK(stand.penstock.known(late, stand.at()));
+    late.clock = stand.workerClock(stand.now - 2000);
+    CHECK(stand.agent.known(late, stand.at()));
     stand.calls();
-    CHECK(*stand.take(CallKind::start).deadline > stand.minionClock(stand.now + 5800));
+    CHECK(*stand.take(CallKind::start).deadline > stand.workerClock(stand.now + 5800));
 }
 
-TEST(PenstockLeases, noCallGoesPastTheMinionsOwnLimit) {
+TEST(AgentLeases, noCallGoesPastTheWorkersOwnLimit) {
     Stand stand;
-    stand.term = Span{60'000};
+    stand.lease = Duration{60'000};
     stand.begin();
     stand.sync({start(1, "a")});
     stand.calls();
     const auto call = stand.reply(CallKind::start, ReplyKind::done);
-    CHECK(*call.deadline <= stand.minionClock(stand.now + 6000));
+    CHECK(*call.deadline <= stand.workerClock(stand.now + 6000));
 }
 
 // What ended and was not confirmed when the hold ran out is void; nothing starts before a look tells. docs/design.md 5.5.
-TEST(PenstockLeases, aHoldThatLapsedVoidsWhatWasUnconfirmed) {
+TEST(AgentLeases, aHoldThatLapsedVoidsWhatWasUnconfirmed) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
@@ -778,7 +778,7 @@
     STRCMP_EQUAL("start c/1", stand.callsIn(30).c_str());
 }
 
-TEST(PenstockLeases, aHoldThatIsKeptUpVoidsNothing) {
+TEST(AgentLeases, aHoldThatIsKeptUpVoidsNothing) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
@@ -794,7 +794,7 @@
 }
 
 // What was confirmed before the lapse stays closed, and a failure stays one.
-TEST(PenstockLeases, aLapseTouchesNothingElse) {
+TEST(AgentLeases, aLapseTouchesNothingElse) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
@@ -808,18 +808,18 @@
 }
 
 // With a hold of 2 s, as at the platform: a look waits half of it, and when it is lost two more fit in before the hold runs out.
-TEST(PenstockLeases, aLostLookLeavesTimeForOthersWhateverTheHold) {
+TEST(AgentLeases, aLostLookLeavesTimeForOthersWhateverTheHold) {
     for (const std::int64_t hold : {1500, 2000, 3000, 6000}) {
         Stand stand;
-        PenstockOptions options;
-        options.hold = Span{hold};
-        stand.penstock = Penstock{options};
+        NodeAgentOptions options;
+        options.hold = Duration{hold};
+        stand.agent = NodeAgent{options};
         stand.begin();
         stand.beginWith("a");
         STRCMP_EQUAL("look", stand.calls().c_str());
         const std::int64_t begun = stand.now;
-        const Span wait = stand.open.back().wait, within = stand.open.back().within;
-        CHECK_TEXT(hold != 2000 || wait == Span{1000}, "a look may wait a second");
+        const Duration wait = stand.open.back().wait, within = stand.open.back().within;
+        CHECK_TEXT(hold != 2000 || wait == Duration{1000}, "a look may wait a second");
         stand.now += within.milliseconds;
         stand.reply(CallKind::look, ReplyKind::lost);
         int others = 0;
@@ -837,9 +837,9 @@
 }
 
 // A lease of 3 s is renewed once a sync, so only a second of it may be left when a look begins.
-TEST(PenstockLeases, noLookWaitsPastWhatIsLeftOfTheLease) {
+TEST(AgentLeases, noLookWaitsPastWhatIsLeftOfTheLease) {
     Stand stand;
-    stand.term = Span{3000};
+    stand.lease = Duration{3000};
     stand.begin();
     stand.beginWith("a");
     const std::int64_t begun = stand.now;
@@ -849,24 +849,24 @@
         if (calls.empty()) continue;
         STRCMP_EQUAL("look", calls.c_str());
         const auto look = stand.looked({active("a")});
-        CHECK_TEXT(look.wait <= std::max(Span{750}, Span{3000 - gone - 1000}), "the look may outlast the hold");
+        CHECK_TEXT(look.wait <= std::max(Duration{750}, Duration{3000 - gone - 1000}), "the look may outlast the hold");
     }
 }
 
-TEST_GROUP(PenstockLives){};
+TEST_GROUP(AgentLives){};
 
-TEST(PenstockLives, leavingStartsNothingAndIsTold) {
+TEST(AgentLives, leavingStartsNothingAndIsTold) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
-    CHECK_FALSE(stand.penstock.urgent(stand.at()));
+    CHECK_FALSE(stand.agent.urgent(stand.at()));
     CHECK(stand.beat(true));
-    CHECK(stand.penstock.urgent(stand.at()));
-    CHECK_FALSE(stand.penstock.leavingTold());
+    CHECK(stand.agent.urgent(stand.at()));
+    CHECK_FALSE(stand.agent.leavingTold());
     const auto report = stand.sync({start(2, "b")});
     CHECK(report.leaving);
     LONGS_EQUAL(2000, report.leaveWithin.milliseconds);
-    CHECK(stand.penstock.leavingTold());
+    CHECK(stand.agent.leavingTold());
     const std::string calls = stand.calls();
     CHECK_TEXT(calls.find("start") == std::string::npos && calls.find("stop") == std::string::npos, calls.c_str());
     STRCMP_EQUAL("b/1 unstarted", stand.endings().c_str());
@@ -874,7 +874,7 @@
     CHECK(stand.sync().leaving);
 }
 
-TEST(PenstockLives, leavingStopsAStartThatGotNoAnswer) {
+TEST(AgentLives, leavingStopsAStartThatGotNoAnswer) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -889,7 +889,7 @@
     STRCMP_EQUAL("a/1 unstarted", stand.endings().c_str());
 }
 
-TEST(PenstockLives, anotherLifeKnowsNothingOfTheFormer) {
+TEST(AgentLives, anotherLifeKnowsNothingOfTheFormer) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
@@ -899,9 +899,9 @@
     stand.callsIn(1500);  // a look that the former life answers too late
     stand.life = "life-2";
     CHECK(stand.beat());
-    LONGS_EQUAL(0, stand.penstock.running());
+    LONGS_EQUAL(0, stand.agent.running());
     stand.looked({active("a")}, {ended(6, "c")});
-    LONGS_EQUAL(0, stand.penstock.running());
+    LONGS_EQUAL(0, stand.agent.running());
     const auto report = stand.sync({start(1, "d")});
     STRCMP_EQUAL("life-2", report.id.value.c_str());
     STRCMP_EQUAL("", Stand::endings(report).c_str());
@@ -911,47 +911,47 @@
     LONGS_EQUAL(0, stand.open.back().lastSeen);
     stand.life = "life-1";
     CHECK_FALSE(stand.beat());  // its last words come late
-    STRCMP_EQUAL("life-2", stand.penstock.life().value.c_str());
+    STRCMP_EQUAL("life-2", stand.agent.life().value.c_str());
 }
 
-TEST(PenstockLives, anotherLifeIsStillFencedByTheNewestLeader) {
+TEST(AgentLives, anotherLifeIsStillFencedByTheNewestLeader) {
     Stand stand;
     stand.begin();
     stand.life = "life-2";
     CHECK(stand.beat());
-    stand.epoch = Epoch{6};
+    stand.term = Term{6};
     stand.sync({start(1, "a")});
     STRCMP_EQUAL("", stand.calls().c_str());
 }
 
-TEST(PenstockLives, oneThatLeftIsCalledNoMore) {
+TEST(AgentLives, oneThatLeftIsCalledNoMore) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
-    stand.penstock.left(MinionId{"life-1"});
+    stand.agent.left(WorkerId{"life-1"});
     stand.beat();  // overtaken by its last word
-    CHECK_FALSE(stand.penstock.mayReport());
+    CHECK_FALSE(stand.agent.mayReport());
     STRCMP_EQUAL("", stand.callsIn(30).c_str());
     stand.sync({start(2, "b")});  // one that was under way
     STRCMP_EQUAL("", stand.callsIn(30).c_str());
     stand.life = "life-2";
     CHECK(stand.beat());
-    CHECK(stand.penstock.mayReport());
+    CHECK(stand.agent.mayReport());
 }
 
 // The leader holds this life for gone: all that runs there dies with its hold before it is used again.
-TEST(PenstockLives, replacedWaitsUntilTheHoldIsSurelyOver) {
+TEST(AgentLives, replacedWaitsUntilTheHoldIsSurelyOver) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
     stand.calls();
     stand.looked({active("a")});
-    const auto before = stand.penstock.report(stand.at());
+    const auto before = stand.agent.report(stand.at());
     const std::int64_t replacedAt = stand.now;
-    stand.penstock.replaced(stand.at());
-    LONGS_EQUAL(0, stand.penstock.running());
-    stand.penstock.answered(before, stand.answer({start(2, "b")}), stand.at(), stand.at());  // to the former incarnation
-    auto report = stand.penstock.report(stand.at());
+    stand.agent.replaced(stand.at());
+    LONGS_EQUAL(0, stand.agent.running());
+    stand.agent.answered(before, stand.answer({start(2, "b")}), stand.at(), stand.at());  // to the former incarnation
+    auto report = stand.agent.report(stand.at());
     LONGS_EQUAL(before.incarnation.value + 1, report.incarnation.value);
     LONGS_EQUAL(0, report.lastOrder.value);
     STRCMP_EQUAL("", Stand::endings(report).c_str());
@@ -968,23 +968,23 @@
 
 // Two syncs wait at the leader, and it gives each order in one answer only. The later answer may come first; the orders of the
 // earlier one are not lost by that, and never said to be carried out. docs/design.md 5.3.
-TEST(PenstockOrders, anAnswerThatOvertakesAnotherLosesNothing) {
+TEST(AgentOrders, anAnswerThatOvertakesAnotherLosesNothing) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
-    const auto patient = stand.penstock.report(stand.at()), urgent = stand.penstock.report(stand.at());
-    stand.penstock.answered(urgent, stand.answer({start(4, "d")}), stand.at(), stand.at());
+    const auto patient = stand.agent.report(stand.at()), urgent = stand.agent.report(stand.at());
+    stand.agent.answered(urgent, stand.answer({start(4, "d")}), stand.at(), stand.at());
     const auto applied = stand.applied();
     CHECK_TEXT(applied < 2, "orders that never came are said to be carried out");
-    stand.penstock.answered(patient, stand.answer({start(2, "b"), start(3, "c")}), stand.at(), stand.at());
+    stand.agent.answered(patient, stand.answer({start(2, "b"), start(3, "c")}), stand.at(), stand.at());
     stand.sync({start(2, "b"), start(3, "c"), start(4, "d")});  // whatever is still not applied comes again
     const std::string calls = stand.calls();
     for (const char* wanted : {"start b/1", "start c/1", "start d/1"}) CHECK_TEXT(calls.find(wanted) != std::string::npos, calls.c_str());
 }
 
-// The minion's clock may be slow: what may have lapsed has not surely lapsed. An ending that was called void may not be kept alive
+// The worker's clock may be slow: what may have lapsed has not surely lapsed. An ending that was called void may not be kept alive
 // by a call that extends the hold, or it is confirmed later and its task has been started again. docs/design.md 5.5.
-TEST(PenstockLeases, nothingIsCalledVoidWhileTheHoldMayStillBeExtended) {
+TEST(AgentLeases, nothingIsCalledVoidWhileTheHoldMayStillBeExtended) {
     for (std::int64_t away = 5500; away < 6200; away += 20) {
         Stand stand;
         stand.rate = 0.98;
@@ -1002,23 +1002,23 @@
         stand.calls();
         bool extended = false;
         for (const auto& call : stand.open) extended = extended || call.deadline;
-        const bool lapsed = stand.minionClock(stand.now) >= std::max(*held, *heldByLook);
+        const bool lapsed = stand.workerClock(stand.now) >= std::max(*held, *heldByLook);
         CHECK_TEXT(!isVoid || !extended || lapsed, ("void, and extended, " + std::to_string(away) + " ms after the last call").c_str());
     }
 }
 
 // Until then the leader hears nothing of the new incarnation: it would give it work at once, and that would lie there for 7 s.
-TEST(PenstockLives, replacedIsNotReportedBeforeItCanWork) {
+TEST(AgentLives, replacedIsNotReportedBeforeItCanWork) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
-    CHECK(stand.penstock.mayReport());
-    stand.penstock.replaced(stand.at());
-    CHECK_FALSE(stand.penstock.mayReport());
+    CHECK(stand.agent.mayReport());
+    stand.agent.replaced(stand.at());
+    CHECK_FALSE(stand.agent.mayReport());
 }
 
-// A stop brings its minion no deadline, so it keeps nothing there alive. docs/design.md 5.4.
-TEST(PenstockLeases, aStopExtendsNoHold) {
+// A stop brings its worker no deadline, so it keeps nothing there alive. docs/design.md 5.4.
+TEST(AgentLeases, aStopExtendsNoHold) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
@@ -1035,7 +1035,7 @@
 }
 
 // Whoever asks for a report first, a lapse is noted before anything is told.
-TEST(PenstockLeases, aReportAfterTheLapseTellsNothingVoid) {
+TEST(AgentLeases, aReportAfterTheLapseTellsNothingVoid) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
@@ -1046,7 +1046,7 @@
 }
 
 // The answer to a look that was given before the lapse tells nothing of it.
-TEST(PenstockLeases, aLookAnsweredBeforeTheLapseDoesNotEndIt) {
+TEST(AgentLeases, aLookAnsweredBeforeTheLapseDoesNotEndIt) {
     Stand stand;
     stand.begin();
     stand.beginWith("a", 1);
@@ -1056,7 +1056,7 @@
     const auto early = stand.lists({active("a")}, {});
     stand.now += 600;  // it comes late, when the hold has run out
     STRCMP_EQUAL("", stand.calls().c_str());
-    stand.penstock.replied(stand.take(CallKind::look), early, stand.at());
+    stand.agent.replied(stand.take(CallKind::look), early, stand.at());
     stand.sync({start(2, "b")});
     const std::string calls = stand.calls();
     CHECK_TEXT(calls.find("start") == std::string::npos, calls.c_str());
@@ -1066,7 +1066,7 @@
 
 // The orders that a new process gets first may have been carried out by the one before: the run may be there, or a start of it be
 // under way still. It is fenced and looked for before it is said that it never began.
-TEST(PenstockBegunAnew, doesNotCallUnstartedWhatTheProcessBeforeMayHaveStarted) {
+TEST(AgentBegunAnew, doesNotCallUnstartedWhatTheProcessBeforeMayHaveStarted) {
     for (const bool leaves : {false, true}) {
         Stand stand;
         CHECK(stand.beat(leaves));
@@ -1074,7 +1074,7 @@
         else stand.sync({start(5, "a"), stop(6, "a")});
         stand.calls();  // the look
         STRCMP_EQUAL("", stand.endings().c_str());
-        CHECK(std::any_of(stand.open.begin(), stand.open.end(), [](const MinionCall& call) { return call.kind == CallKind::stop; }));
+        CHECK(std::any_of(stand.open.begin(), stand.open.end(), [](const WorkerCall& call) { return call.kind == CallKind::stop; }));
         stand.reply(CallKind::stop, ReplyKind::done);
         stand.looked({active("a")});
         stand.callsIn(300);
@@ -1083,7 +1083,7 @@
     }
 }
 
-TEST(PenstockBegunAnew, stopsWhatIsTurnedAwayForRoomToo) {
+TEST(AgentBegunAnew, stopsWhatIsTurnedAwayForRoomToo) {
     Stand stand;
     CHECK(stand.beat());
     stand.sync({start(5, "a")});
@@ -1095,7 +1095,7 @@
 
 // An order is carried out when its run's ending can be told with it: killed in between, the next process would know of neither
 // order nor run, for what never began is on no list, and the leader would hold it for running or stopping for ever.
-TEST(PenstockStops, areNotAppliedBeforeTheirRunsEndingIsKnown) {
+TEST(AgentStops, areNotAppliedBeforeTheirRunsEndingIsKnown) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -1104,16 +1104,16 @@
     stand.sync({stop(2, "a")});
     stand.calls();
     stand.reply(CallKind::stop, ReplyKind::done);
-    auto report = stand.penstock.report(stand.at());
+    auto report = stand.agent.report(stand.at());
     CHECK_TEXT(report.lastOrder.value < 1 || !report.namedEndings.empty(), "applied, and no ending is told");
     stand.callsIn(30);
     stand.looked();
-    report = stand.penstock.report(stand.at());
+    report = stand.agent.report(stand.at());
     LONGS_EQUAL(2, report.lastOrder.value);
     STRCMP_EQUAL("a/1 unstarted", Stand::endings(report).c_str());
 }
 
-TEST(PenstockStarts, turnedAwayForRoomAfterSilenceAreNotAppliedBeforeThatIsTold) {
+TEST(AgentStarts, turnedAwayForRoomAfterSilenceAreNotAppliedBeforeThatIsTold) {
     Stand stand;
     stand.begin();
     stand.sync({start(1, "a")});
@@ -1127,53 +1127,53 @@
 }
 
 // What a leader gave up comes as a stop; while that is in an answer yet to come the start it takes back is not begun. docs/incidents.md 12.
-TEST(PenstockOrders, nothingIsStartedWhileOrdersAreKnownToBeMissing) {
+TEST(AgentOrders, nothingIsStartedWhileOrdersAreKnownToBeMissing) {
     Stand stand;
     stand.beat();
     stand.sync({start(1, "a")});
     stand.now += 20'000;  // cut off before the start was sent; the lease is long over and the leader has begun the work elsewhere
     stand.beat();
-    auto first = stand.penstock.report(stand.at());
+    auto first = stand.agent.report(stand.at());
     stand.now += 5;
-    auto second = stand.penstock.report(stand.at());
+    auto second = stand.agent.report(stand.at());
     auto later = stand.answer({});
     later.after = OrderNumber{2};
-    stand.penstock.answered(second, later, stand.at(), stand.at());
-    for (const auto& call : stand.penstock.takeCalls(stand.at())) CHECK(call.kind != CallKind::start);
+    stand.agent.answered(second, later, stand.at(), stand.at());
+    for (const auto& call : stand.agent.takeCalls(stand.at())) CHECK(call.kind != CallKind::start);
     auto earlier = stand.answer({stop(2, "a")});
     earlier.after = OrderNumber{1};
-    stand.penstock.answered(first, earlier, stand.at(), stand.at());
-    for (const auto& call : stand.penstock.takeCalls(stand.at())) CHECK(call.kind != CallKind::start);
+    stand.agent.answered(first, earlier, stand.at(), stand.at());
+    for (const auto& call : stand.agent.takeCalls(stand.at())) CHECK(call.kind != CallKind::start);
 }
 
-// The word that the minion is deaf stands until a leader has heard one that was given after it.
-TEST(PenstockOrders, anEarlierWordDoesNotTakeBackThatTheMinionIsDeaf) {
+// The word that the worker is unresponsive stands until a leader has heard one that was given after it.
+TEST(AgentOrders, anEarlierWordDoesNotTakeBackThatTheWorkerIsUnresponsive) {
     Stand stand;
     stand.beat();
     stand.sync();
-    const auto before = stand.penstock.report(stand.at());  // its answer is long in coming
-    const Instant sentAt = stand.at();
+    const auto before = stand.agent.report(stand.at());  // its answer is long in coming
+    const MonotonicTime sentAt = stand.at();
     stand.now += 10;
-    for (const auto& call : stand.penstock.takeCalls(stand.at())) stand.penstock.replied(call, MinionReply{}, stand.at());
+    for (const auto& call : stand.agent.takeCalls(stand.at())) stand.agent.replied(call, WorkerReply{}, stand.at());
     stand.now += 800;
-    const auto deaf = stand.penstock.report(stand.at());
-    CHECK(deaf.deaf);
-    CHECK(before.reportedAt < deaf.reportedAt);
+    const auto unresponsive = stand.agent.report(stand.at());
+    CHECK(unresponsive.unresponsive);
+    CHECK(before.reportedAt < unresponsive.reportedAt);
     stand.now += 5;
     stand.beat();  // it answers again
-    for (const auto& call : stand.penstock.takeCalls(stand.at())) {
-        MinionReply heard;
+    for (const auto& call : stand.agent.takeCalls(stand.at())) {
+        WorkerReply heard;
         heard.kind = ReplyKind::done;
-        heard.clock = stand.minionClock(stand.now);
-        stand.penstock.replied(call, heard, stand.at());
+        heard.clock = stand.workerClock(stand.now);
+        stand.agent.replied(call, heard, stand.at());
     }
-    stand.penstock.answered(before, stand.answer({start(1, "a")}), sentAt, stand.at());
-    for (const auto& call : stand.penstock.takeCalls(stand.at())) CHECK(call.kind != CallKind::start);
+    stand.agent.answered(before, stand.answer({start(1, "a")}), sentAt, stand.at());
+    for (const auto& call : stand.agent.takeCalls(stand.at())) CHECK(call.kind != CallKind::start);
     stand.now += 5;
-    const auto after = stand.penstock.report(stand.at());
-    CHECK(!after.deaf);
-    stand.penstock.answered(after, stand.answer({}), stand.at(), stand.at());
+    const auto after = stand.agent.report(stand.at());
+    CHECK(!after.unresponsive);
+    stand.agent.answered(after, stand.answer({}), stand.at(), stand.at());
     std::size_t starts = 0;
-    for (const auto& call : stand.penstock.takeCalls(stand.at())) starts += call.kind == CallKind::start;
+    for (const auto& call : stand.agent.takeCalls(stand.at())) starts += call.kind == CallKind::start;
     LONGS_EQUAL(1, starts);
 }
--- a/tests/penstock_world_tests.cpp
+++ b/tests/node_agent_world_tests.cpp
@@ -1,14 +1,14 @@
-// A penstock, a minion that keeps the platform's promises and breaks none, and a leader, in virtual time with one seed: calls are
-// lost, late and done all the same, the leader goes away, the penstock is killed. docs/design.md 5.5, 5.8.
-#include "penstock.hpp"
+// An agent, a worker that keeps the platform's promises and breaks none, and a leader, in virtual time with one seed: calls are
+// lost, late and done all the same, the leader goes away, the agent is killed. docs/design.md 5.5, 5.8.
+#include "agent/node_agent.hpp"
 #include <CppUTest/TestHarness.h>
 
 using namespace aniseline;
 
 namespace {
 
-using CallKind = MinionCall::Kind;
-using ReplyKind = MinionReply::Kind;
+using CallKind = WorkerCall::Kind;
+using ReplyKind = WorkerReply::Kind;
 
 struct Broken {
     std::string text;
@@ -17,9 +17,9 @@
     }
 };
 
-// What the platform says of its minions: fences, holds, runs that rise, endings that come until they are passed.
-struct MinionModel {
-    Draw& draw;
+// What the platform says of its workers: fences, holds, runs that rise, endings that come until they are passed.
+struct WorkerModel {
+    Random& random;
     Broken& broken;
     double rate;
     std::int64_t now = 0;
@@ -42,7 +42,7 @@
     std::map<RunName, EndingKind> endings;      // all that ever ended
     std::set<RunName> begun;
 
-    MinionModel(Draw& draw, Broken& broken, double rate) : draw(draw), broken(broken), rate(rate) {}
+    WorkerModel(Random& random, Broken& broken, double rate) : random(random), broken(broken), rate(rate) {}
     std::int64_t clock() const { return 1'000'000 + std::int64_t(double(now) * rate); }
     void end(const RunName& name, EndingKind kind) {
         highest[name.job] = std::max(highest[name.job], name.run);
@@ -62,13 +62,13 @@
                 run = active.erase(run);
             } else ++run;
     }
-    MinionReply take(const MinionCall& call) {
-        MinionReply reply;
-        if (draw.chance(0.03)) {
+    WorkerReply take(const WorkerCall& call) {
+        WorkerReply reply;
+        if (random.chance(0.03)) {
             reply.kind = ReplyKind::sick;
             return reply;
         }
-        reply.clock = MinionTime{clock()};
+        reply.clock = WorkerTime{clock()};
         if (call.fence.value < fence) {
             reply.kind = ReplyKind::fenced;
             return reply;
@@ -85,10 +85,10 @@
             else {
                 if (noted.count(call.name.job)) broken.note(now, "started after a clean ending was noted", call.name);
                 begun.insert(call.name);
-                active[call.name] = {now + draw.between(50, 4000), draw.chance(0.8) ? EndingKind::finished : EndingKind::failed};
+                active[call.name] = {now + random.between(50, 4000), random.chance(0.8) ? EndingKind::finished : EndingKind::failed};
             }
         } else if (call.kind == CallKind::stop) {
-            if (auto run = active.find(call.name); run != active.end()) run->second = {std::min(run->second.endAt, now + draw.between(1, 400)), run->second.endAt <= now ? run->second.kind : EndingKind::stopped};
+            if (auto run = active.find(call.name); run != active.end()) run->second = {std::min(run->second.endAt, now + random.between(1, 400)), run->second.endAt <= now ? run->second.kind : EndingKind::stopped};
             else highest[call.name.job] = std::max(highest[call.name.job], call.name.run);
         } else {
             std::erase_if(over, [&](const Over& row) {
@@ -108,13 +108,13 @@
 };
 
 struct World {
-    Draw draw;
+    Random random;
     Broken broken;
     std::int64_t now = 1000;
-    MinionModel minion;
-    Penstock penstock{PenstockOptions{}};
+    WorkerModel worker;
+    NodeAgent agent{NodeAgentOptions{}};
     // The leader: each job one task, ordered again until a run of it ended well.
-    std::uint64_t epoch = 1, lastOrder = 0, applied = 0;
+    std::uint64_t term = 1, lastOrder = 0, applied = 0;
     std::deque<Order> orders;
     std::map<JobId, std::uint32_t> running;  // the run that is open
     std::set<RunName> stopped, closed;
@@ -128,7 +128,7 @@
     std::uint64_t process = 0;  // an answer to a killed process goes nowhere
     bool syncing = false;
 
-    World(std::uint64_t seed, double rate) : draw(seed), minion(draw, broken, rate) {}
+    World(std::uint64_t seed, double rate) : random(seed), worker(random, broken, rate) {}
 
     void later(std::int64_t span, std::function<void()> then) { flights.push_back({now + span, std::move(then)}); }
     void order(OrderKind kind, const RunName& name) {
@@ -144,12 +144,12 @@
         order(OrderKind::start, RunName{job, 0, 0, 0, run});
     }
     // What the leader folds of a report, and what it answers.
-    SyncAnswer hear(const SyncReport& report) {
+    SyncResponse hear(const SyncReport& report) {
         if (report.lastOrder.value > applied) applied = std::min(report.lastOrder.value, lastOrder);
         while (!orders.empty() && orders.front().number.value <= applied) orders.pop_front();
-        SyncAnswer answer;
-        answer.epoch = Epoch{epoch};
-        answer.term = Span{6000};
+        SyncResponse answer;
+        answer.term = Term{term};
+        answer.lease = Duration{6000};
         for (const auto& ending : report.namedEndings) {
             ++answer.closed;
             const RunName& name = ending.name;
@@ -157,9 +157,9 @@
                 if (RunName::of(order) == name) order.kind = OrderKind::stop;
             if (!closed.insert(name).second) continue;
             const bool never = ending.kind == EndingKind::unstarted || ending.kind == EndingKind::refused;
-            if (never && minion.begun.count(name)) broken.note(now, "told as never begun, but it had", name);
-            if (!never && !minion.endings.count(name)) broken.note(now, "told as ended, but it had not", name);
-            if (ending.kind == EndingKind::finished && minion.endings[name] != EndingKind::finished) broken.note(now, "told as clean, but it was not", name);
+            if (never && worker.begun.count(name)) broken.note(now, "told as never begun, but it had", name);
+            if (!never && !worker.endings.count(name)) broken.note(now, "told as ended, but it had not", name);
+            if (ending.kind == EndingKind::finished && worker.endings[name] != EndingKind::finished) broken.note(now, "told as clean, but it was not", name);
             auto open = running.find(name.job);
             if (open == running.end() || open->second != name.run) continue;
             running.erase(open);
@@ -171,45 +171,45 @@
         return answer;
     }
     void sync(bool calm) {
-        if (!penstock.mayReport() || syncing) return;
+        if (!agent.mayReport() || syncing) return;
         syncing = true;
-        const auto report = penstock.report(Instant{now});
+        const auto report = agent.report(MonotonicTime{now});
         const std::int64_t sentAt = now;
         const auto asker = process;
-        const bool lost = !calm && draw.chance(0.1);
-        later(draw.between(1, 30), [=, this] {
+        const bool lost = !calm && random.chance(0.1);
+        later(random.between(1, 30), [=, this] {
             if (now < awayUntil) {
                 later(200, [=, this] { if (asker == process) syncing = false; });
                 return;
             }
             const auto answer = hear(report);
-            later(draw.between(1, 30), [=, this] {
+            later(random.between(1, 30), [=, this] {
                 if (asker != process) return;
                 syncing = false;
-                if (!lost) penstock.answered(report, answer, Instant{sentAt}, Instant{now});
+                if (!lost) agent.answered(report, answer, MonotonicTime{sentAt}, MonotonicTime{now});
             });
         });
     }
-    void call(const MinionCall& call, bool calm) {
+    void call(const WorkerCall& call, bool calm) {
         const auto asker = process;
-        auto reply = [this, asker, call](const MinionReply& reply) {
-            if (asker == process) penstock.replied(call, reply, Instant{now});
+        auto reply = [this, asker, call](const WorkerReply& reply) {
+            if (asker == process) agent.replied(call, reply, MonotonicTime{now});
         };
-        if (!calm && draw.chance(0.15)) {  // no answer: it is never done, or done, or done seconds later
-            if (draw.chance(0.6)) later(draw.between(1, draw.chance(0.5) ? 100 : 4000), [this, call] { minion.take(call); });
-            later(500, [reply] { reply(MinionReply{}); });
+        if (!calm && random.chance(0.15)) {  // no answer: it is never done, or done, or done seconds later
+            if (random.chance(0.6)) later(random.between(1, random.chance(0.5) ? 100 : 4000), [this, call] { worker.take(call); });
+            later(500, [reply] { reply(WorkerReply{}); });
             return;
         }
-        later(draw.between(1, 20), [this, call, reply] {
-            const auto made = minion.take(call);
-            later(draw.between(1, 20), [reply, made] { reply(made); });
+        later(random.between(1, 20), [this, call, reply] {
+            const auto made = worker.take(call);
+            later(random.between(1, 20), [reply, made] { reply(made); });
         });
     }
     void beat() {
-        MinionAccount account;
-        account.life = MinionId{"life"};
-        account.clock = MinionTime{minion.clock()};
-        penstock.known(account, Instant{now});
+        WorkerAccount account;
+        account.life = WorkerId{"life"};
+        account.clock = WorkerTime{worker.clock()};
+        agent.known(account, MonotonicTime{now});
     }
     std::string run(std::int64_t trouble) {
         beat();
@@ -219,22 +219,22 @@
         while (now < last) {
             now += 5;
             const bool calm = now >= until;
-            minion.step(now);
+            worker.step(now);
             if (!calm) {
-                if (draw.chance(0.0004)) awayUntil = now + draw.between(100, 9000);
-                if (draw.chance(0.0004)) ++epoch;
-                if (draw.chance(0.0006)) {  // killed; a new one knows nothing
+                if (random.chance(0.0004)) awayUntil = now + random.between(100, 9000);
+                if (random.chance(0.0004)) ++term;
+                if (random.chance(0.0006)) {  // killed; a new one knows nothing
                     ++process;
                     syncing = false;
-                    penstock = Penstock{PenstockOptions{}};
+                    agent = NodeAgent{NodeAgentOptions{}};
                     beat();
                 }
-                if (draw.chance(0.003) && !running.empty()) {
-                    auto open = std::next(running.begin(), std::ptrdiff_t(draw.next() % running.size()));
+                if (random.chance(0.003) && !running.empty()) {
+                    auto open = std::next(running.begin(), std::ptrdiff_t(random.next() % running.size()));
                     const RunName name{open->first, 0, 0, 0, open->second};
                     if (stopped.insert(name).second) order(OrderKind::stop, name);
                 }
-                if (draw.chance(0.004)) begin(JobId{"more" + std::to_string(now)}, 1);
+                if (random.chance(0.004)) begin(JobId{"more" + std::to_string(now)}, 1);
             }
             for (std::size_t place = 0; place < flights.size();) {
                 if (flights[place].at > now) {
@@ -249,25 +249,25 @@
                 beat();
                 nextBeat += 1500;
             }
-            for (const auto& made : penstock.takeCalls(Instant{now})) call(made, calm);
-            if (penstock.urgent(Instant{now}) || draw.chance(0.02)) sync(calm);
+            for (const auto& made : agent.takeCalls(MonotonicTime{now})) call(made, calm);
+            if (agent.urgent(MonotonicTime{now}) || random.chance(0.02)) sync(calm);
             if (!broken.text.empty()) return broken.text;
         }
-        for (const auto& name : minion.begun)
+        for (const auto& name : worker.begun)
             if (!closed.count(name)) return "began and was never told to have ended: " + name.job.value + "/" + std::to_string(name.run);
         if (!running.empty()) return "never ended well: " + running.begin()->first.value + "/" + std::to_string(running.begin()->second);
         for (const auto& name : closed)
-            if (!minion.begun.count(name)) continue;
-            else if (!minion.endings.count(name)) return "closed, yet not ended: " + name.job.value;
+            if (!worker.begun.count(name)) continue;
+            else if (!worker.endings.count(name)) return "closed, yet not ended: " + name.job.value;
         return "";
     }
 };
 
 }  // namespace
 
-TEST_GROUP(PenstockWorld){};
+TEST_GROUP(AgentWorld){};
 
-TEST(PenstockWorld, keepsItsPromisesUnderFaults) {
+TEST(AgentWorld, keepsItsPromisesUnderFaults) {
     for (std::uint64_t seed = 1; seed <= 100; ++seed) {
         World world(seed, 1.0);
         const std::string broken = world.run(30'000);
