--- a/programs/history_check.cpp
+++ b/programs/history_check.cpp
@@ -1,4 +1,5 @@
-// history_check: checks the never-rules from the histories that callers and workers witnessed. docs/design.md 11.
+// history_check: checks the never-rules from the histories that callers and workers witnessed.
+// docs/design.md 11.
 #include "net/history_file.hpp"
 #include "net/options.hpp"
 #include "state/api_request.hpp"
@@ -9,37 +10,50 @@
 using namespace aniseline;
 
 int main(int count, char** values) {
-    std::string folder, configFile;
-    std::int64_t slack = 300;
-    OptionSet options("history_check", "checks aniseline's never-rules from witnessed histories (*.witness, *.submissions in a folder)");
-    options.text("folder", folder, "the folder with the histories", true);
-    options.text("config", configFile, "the config in force, for the queues' retries");
-    options.whole("slack-ms", slack, "allowed for the witnesses' own clock readings", 0, 10'000);
-    options.read(count, values);
+  std::string folder, configFile;
+  std::int64_t slack = 300;
+  OptionSet options("history_check",
+                    "checks aniseline's never-rules from witnessed histories (*.witness, "
+                    "*.submissions in a folder)");
+  options.text("folder", folder, "the folder with the histories", true);
+  options.text("config", configFile, "the config in force, for the queues' retries");
+  options.whole("slack-ms", slack, "allowed for the witnesses' own clock readings", 0, 10'000);
+  options.read(count, values);
 
-    auto read = readFolder(folder);
-    if (!read) {
-        std::cerr << "history_check: " << read.error().message() << "\n";
-        return 2;
+  auto read = readFolder(folder);
+  if (!read) {
+    std::cerr << "history_check: " << read.error().message() << "\n";
+    return 2;
+  }
+  const auto& history = read.value().witnessed;
+  const auto& submissions = read.value().submissions;
+  InvariantOptions promises;
+  promises.slack = slack;
+  if (!configFile.empty()) {
+    std::ifstream stream(configFile);
+    auto config = ClusterConfig::parse(std::string((std::istreambuf_iterator<char>(stream)), {}));
+    if (!config) {
+      std::cerr << "history_check: " << configFile << ": " << config.error().text() << "\n";
+      return 2;
     }
-    const auto& history = read.value().witnessed;
-    const auto& submissions = read.value().submissions;
-    InvariantOptions promises;
-    promises.slack = slack;
-    if (!configFile.empty()) {
-        std::ifstream stream(configFile);
-        auto config = ClusterConfig::parse(std::string((std::istreambuf_iterator<char>(stream)), {}));
-        if (!config) {
-            std::cerr << "history_check: " << configFile << ": " << config.error().text() << "\n";
-            return 2;
-        }
-        for (const auto& [name, queue] : config.value().queues) promises.retriesOf[name.value] = queue.retries;
-    }
-    std::size_t starts = 0;
-    for (const auto& witness : history) starts += witness.kind == HistoryEvent::Kind::started;
-    const auto findings = checkInvariants(history, submissions, promises);
-    for (const auto& promise : findings.limits) std::cout << "limit of rule " << promise.rule << " at " << promise.at << ": " << promise.text << "\n";
-    for (const auto& promise : findings.broken) std::cout << "rule " << promise.rule << " at " << promise.at << ": " << promise.text << "\n";
-    std::cout << json(picojson::object{{"lines", json(history.size())}, {"jobs", json(submissions.size())}, {"starts", json(starts)}, {"limits", json(findings.limits.size())}, {"broken", json(findings.broken.size())}}).serialize() << std::endl;
-    return findings.broken.empty() ? 0 : 1;
+    for (const auto& [name, queue] : config.value().queues)
+      promises.retriesOf[name.value] = queue.retries;
+  }
+  std::size_t starts = 0;
+  for (const auto& witness : history)
+    starts += witness.kind == HistoryEvent::Kind::started;
+  const auto findings = checkInvariants(history, submissions, promises);
+  for (const auto& promise : findings.limits)
+    std::cout << "limit of rule " << promise.rule << " at " << promise.at << ": " << promise.text
+              << "\n";
+  for (const auto& promise : findings.broken)
+    std::cout << "rule " << promise.rule << " at " << promise.at << ": " << promise.text << "\n";
+  std::cout << json(picojson::object{{"lines", json(history.size())},
+                                     {"jobs", json(submissions.size())},
+                                     {"starts", json(starts)},
+                                     {"limits", json(findings.limits.size())},
+                                     {"broken", json(findings.broken.size())}})
+                   .serialize()
+            << std::endl;
+  return findings.broken.empty() ? 0 : 1;
 }
--- a/programs/simulate.cpp
+++ b/programs/simulate.cpp
@@ -1,4 +1,5 @@
-// simulate: seeded runs of the whole cluster in virtual time, with faults; shrinks what fails. docs/operations.md 8.
+// simulate: seeded runs of the whole cluster in virtual time, with faults; shrinks what fails.
+// docs/operations.md 8.
 #include "net/options.hpp"
 #include "simulator/campaign.hpp"
 #include "simulator/faults.hpp"
@@ -12,143 +13,177 @@
 namespace {
 
 void show(const CampaignResult& result) {
-    for (const auto& fault : result.faults) std::cout << "  fault " << fault << "\n";
-    std::map<int, std::size_t> shown;  // the first few of each rule
-    for (const auto& promise : result.broken)
-        if (++shown[promise.rule] <= 8) std::cout << "  broken rule " << promise.rule << " at " << promise.at - World::calendar << ": " << promise.text << "\n";
-    for (const auto& [rule, count] : shown)
-        if (count > 8) std::cout << "  broken rule " << rule << ", " << count - 8 << " more\n";
-    for (const auto& limit : result.limits) std::cout << "  limit of rule " << limit.rule << " at " << limit.at - World::calendar << ": " << limit.text << "\n";
-    for (const auto& left : result.unfinished) std::cout << "  unfinished " << left << "\n";
+  for (const auto& fault : result.faults)
+    std::cout << "  fault " << fault << "\n";
+  std::map<int, std::size_t> shown;  // the first few of each rule
+  for (const auto& promise : result.broken)
+    if (++shown[promise.rule] <= 8)
+      std::cout << "  broken rule " << promise.rule << " at " << promise.at - World::calendar
+                << ": " << promise.text << "\n";
+  for (const auto& [rule, count] : shown)
+    if (count > 8)
+      std::cout << "  broken rule " << rule << ", " << count - 8 << " more\n";
+  for (const auto& limit : result.limits)
+    std::cout << "  limit of rule " << limit.rule << " at " << limit.at - World::calendar << ": "
+              << limit.text << "\n";
+  for (const auto& left : result.unfinished)
+    std::cout << "  unfinished " << left << "\n";
 }
 
 // Leaves out one fault after the other while the run still fails.
 CampaignOptions shrink(CampaignOptions options) {
-    if (options.only.empty()) {
-        options.only.resize(options.faults);
-        std::iota(options.only.begin(), options.only.end(), 0);
+  if (options.only.empty()) {
+    options.only.resize(options.faults);
+    std::iota(options.only.begin(), options.only.end(), 0);
+  }
+  for (bool smaller = true; smaller;) {
+    smaller = false;
+    for (std::size_t place = 0; place < options.only.size() && options.only.size() > 1; ++place) {
+      auto fewer = options;
+      fewer.only.erase(fewer.only.begin() + std::ptrdiff_t(place));
+      if (runCampaign(fewer).good())
+        continue;
+      options = fewer;
+      smaller = true;
+      break;
     }
-    for (bool smaller = true; smaller;) {
-        smaller = false;
-        for (std::size_t place = 0; place < options.only.size() && options.only.size() > 1; ++place) {
-            auto fewer = options;
-            fewer.only.erase(fewer.only.begin() + std::ptrdiff_t(place));
-            if (runCampaign(fewer).good()) continue;
-            options = fewer;
-            smaller = true;
-            break;
-        }
-    }
-    return options;
+  }
+  return options;
 }
 
 }  // namespace
 
 int main(int count, char** values) {
-    std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, called = 0, voters = 3, controllers = 3, threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
-    bool verbose = false, shrinks = false, cost = false, failovers = false, views = false, everyKind = false;
-    std::string only;
-    OptionSet options("simulate", "seeded runs of the whole cluster in virtual time, with faults");
-    options.whole("from", from, "the first seed", 0, 1'000'000'000);
-    options.whole("seeds", seeds, "how many seeds", 1, 10'000'000);
-    options.whole("length-ms", length, "virtual time before all is healed", 20'000, 86'400'000);
-    options.whole("faults", faults, "faults a run", 0, 1000);
-    options.whole("called", called, "workers that are called, each with its agent, beside the others", 0, 100);
-    options.whole("voters", voters, "controllers that vote: two for each that may be lost at once, and one", 3, 9);
-    options.whole("controllers", controllers, "controllers in all, by turns in the zones; no fewer than vote", 3, 15);
-    options.whole("threads", threads, "runs at the same time", 1, 256);
-    options.text("only", only, "keep only these faults of the schedule, by number, with commas");
-    options.flag("verbose", verbose, "tell all that happens");
-    options.flag("shrink", shrinks, "shorten the schedule of the first seed that fails");
-    options.flag("every-kind", everyKind, "a kind of fault that never took effect is a failure");
-    options.flag("plan-cost", cost, "measure plans instead, by tasks waiting and by workers");
-    options.flag("view-cost", views, "measure the writing of a whole view instead, by jobs kept");
-    options.flag("failover", failovers, "measure the loss of a leader instead");
-    options.read(count, values);
-    if (voters % 2 == 0 || controllers < voters) {
-        std::cerr << "simulate: --voters: must be odd and no more than --controllers\n";
-        return 2;
-    }
-    if (failovers || cost || views) {
-        if (failovers)
-            for (const bool freezes : {false, true}) std::cout << json(measureFailover(from, seeds, freezes)).serialize() << std::endl;
-        if (cost) {
-            for (std::size_t waiting : {100, 1000, 5000, 10'000}) std::cout << json(measurePlan(waiting, 11)).serialize() << std::endl;
-            for (std::size_t workers : {50, 200}) std::cout << json(measurePlan(1000, workers)).serialize() << std::endl;
-        }
-        if (views)
-            for (std::size_t kept : {1000, 10'000, 50'000, 300'000})
-                for (const bool whole : {true, false}) std::cout << json(measureView(kept, whole)).serialize() << std::endl;
-        return 0;
+  std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, called = 0, voters = 3,
+               controllers = 3,
+               threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
+  bool verbose = false, shrinks = false, cost = false, failovers = false, views = false,
+       everyKind = false;
+  std::string only;
+  OptionSet options("simulate", "seeded runs of the whole cluster in virtual time, with faults");
+  options.whole("from", from, "the first seed", 0, 1'000'000'000);
+  options.whole("seeds", seeds, "how many seeds", 1, 10'000'000);
+  options.whole("length-ms", length, "virtual time before all is healed", 20'000, 86'400'000);
+  options.whole("faults", faults, "faults a run", 0, 1000);
+  options.whole("called", called, "workers that are called, each with its agent, beside the others",
+                0, 100);
+  options.whole("voters", voters,
+                "controllers that vote: two for each that may be lost at once, and one", 3, 9);
+  options.whole("controllers", controllers,
+                "controllers in all, by turns in the zones; no fewer than vote", 3, 15);
+  options.whole("threads", threads, "runs at the same time", 1, 256);
+  options.text("only", only, "keep only these faults of the schedule, by number, with commas");
+  options.flag("verbose", verbose, "tell all that happens");
+  options.flag("shrink", shrinks, "shorten the schedule of the first seed that fails");
+  options.flag("every-kind", everyKind, "a kind of fault that never took effect is a failure");
+  options.flag("plan-cost", cost, "measure plans instead, by tasks waiting and by workers");
+  options.flag("view-cost", views, "measure the writing of a whole view instead, by jobs kept");
+  options.flag("failover", failovers, "measure the loss of a leader instead");
+  options.read(count, values);
+  if (voters % 2 == 0 || controllers < voters) {
+    std::cerr << "simulate: --voters: must be odd and no more than --controllers\n";
+    return 2;
+  }
+  if (failovers || cost || views) {
+    if (failovers)
+      for (const bool freezes : {false, true})
+        std::cout << json(measureFailover(from, seeds, freezes)).serialize() << std::endl;
+    if (cost) {
+      for (std::size_t waiting : {100, 1000, 5000, 10'000})
+        std::cout << json(measurePlan(waiting, 11)).serialize() << std::endl;
+      for (std::size_t workers : {50, 200})
+        std::cout << json(measurePlan(1000, workers)).serialize() << std::endl;
     }
+    if (views)
+      for (std::size_t kept : {1000, 10'000, 50'000, 300'000})
+        for (const bool whole : {true, false})
+          std::cout << json(measureView(kept, whole)).serialize() << std::endl;
+    return 0;
+  }
 
-    CampaignOptions base;
-    base.length = length;
-    base.faults = std::size_t(faults);
-    base.called = std::size_t(called);
-    base.voters = std::size_t(voters);
-    base.controllers = std::size_t(controllers);
-    base.verbose = verbose;
-    std::istringstream numbers(only);
-    for (std::string number; std::getline(numbers, number, ',');) base.only.push_back(std::strtoull(number.c_str(), nullptr, 10));
-
-    std::vector<CampaignResult> results{std::size_t(seeds)};
-    std::atomic<std::int64_t> next{0};
-    std::vector<std::thread> workers;
-    for (std::int64_t worker = 0; worker < std::min(threads, seeds); ++worker)
-        workers.emplace_back([&] {
-            for (std::int64_t place; (place = next++) < seeds;) {
-                auto own = base;
-                own.seed = std::uint64_t(from + place);
-                results[std::size_t(place)] = runCampaign(own);
-            }
-        });
-    for (auto& worker : workers) worker.join();
+  CampaignOptions base;
+  base.length = length;
+  base.faults = std::size_t(faults);
+  base.called = std::size_t(called);
+  base.voters = std::size_t(voters);
+  base.controllers = std::size_t(controllers);
+  base.verbose = verbose;
+  std::istringstream numbers(only);
+  for (std::string number; std::getline(numbers, number, ',');)
+    base.only.push_back(std::strtoull(number.c_str(), nullptr, 10));
 
-    std::size_t failed = 0, jobs = 0, starts = 0;
-    std::vector<std::int64_t> recoveries;
-    std::map<std::string, double> counters;
-    std::map<std::string, std::size_t> effects, limits;
-    for (const auto& kind : FaultDeck::kinds(called > 0, voters > 4)) effects[kind] = 0;
-    std::uint64_t hash = 0;
-    std::optional<std::uint64_t> firstFailed;
-    for (std::size_t place = 0; place < results.size(); ++place) {
-        const auto& result = results[place];
-        jobs += result.jobs;
-        starts += result.starts;
-        hash = hash * 31 + result.hash;
-        recoveries.push_back(result.recovery);
-        for (const auto& [name, value] : result.counters) counters[name] += value;
-        for (const auto& [name, count] : result.effects) effects[name] += count;
-        for (const auto& limit : result.limits) ++limits["rule " + std::to_string(limit.rule)];
-        if (result.good()) continue;
-        ++failed;
-        if (!firstFailed) firstFailed = std::uint64_t(from) + place;
-        std::cout << "seed " << std::uint64_t(from) + place << " FAILED\n";
-        show(result);
-    }
-    if (shrinks && firstFailed) {
+  std::vector<CampaignResult> results{std::size_t(seeds)};
+  std::atomic<std::int64_t> next{0};
+  std::vector<std::thread> workers;
+  for (std::int64_t worker = 0; worker < std::min(threads, seeds); ++worker)
+    workers.emplace_back([&] {
+      for (std::int64_t place; (place = next++) < seeds;) {
         auto own = base;
-        own.seed = *firstFailed;
-        own = shrink(own);
-        std::cout << "seed " << *firstFailed << " still fails with only these faults:\n";
-        show(runCampaign(own));
+        own.seed = std::uint64_t(from + place);
+        results[std::size_t(place)] = runCampaign(own);
+      }
+    });
+  for (auto& worker : workers)
+    worker.join();
+
+  std::size_t failed = 0, jobs = 0, starts = 0;
+  std::vector<std::int64_t> recoveries;
+  std::map<std::string, double> counters;
+  std::map<std::string, std::size_t> effects, limits;
+  for (const auto& kind : FaultDeck::kinds(called > 0, voters > 4))
+    effects[kind] = 0;
+  std::uint64_t hash = 0;
+  std::optional<std::uint64_t> firstFailed;
+  for (std::size_t place = 0; place < results.size(); ++place) {
+    const auto& result = results[place];
+    jobs += result.jobs;
+    starts += result.starts;
+    hash = hash * 31 + result.hash;
+    recoveries.push_back(result.recovery);
+    for (const auto& [name, value] : result.counters)
+      counters[name] += value;
+    for (const auto& [name, count] : result.effects)
+      effects[name] += count;
+    for (const auto& limit : result.limits)
+      ++limits["rule " + std::to_string(limit.rule)];
+    if (result.good())
+      continue;
+    ++failed;
+    if (!firstFailed)
+      firstFailed = std::uint64_t(from) + place;
+    std::cout << "seed " << std::uint64_t(from) + place << " FAILED\n";
+    show(result);
+  }
+  if (shrinks && firstFailed) {
+    auto own = base;
+    own.seed = *firstFailed;
+    own = shrink(own);
+    std::cout << "seed " << *firstFailed << " still fails with only these faults:\n";
+    show(runCampaign(own));
+  }
+  std::sort(recoveries.begin(), recoveries.end());
+  picojson::object shown{{"seeds", json(seeds)},
+                         {"failed", json(failed)},
+                         {"jobs", json(jobs)},
+                         {"starts", json(starts)},
+                         {"hash", json(std::to_string(hash))},
+                         {"recovery_p50_ms", json(recoveries[recoveries.size() / 2])},
+                         {"recovery_max_ms", json(recoveries.back())}};
+  for (const auto& [name, value] : counters)
+    shown[name] = json(value);
+  picojson::object tookEffect, unlifted;
+  for (const auto& [name, count] : effects)
+    tookEffect[name] = json(count);
+  for (const auto& [name, count] : limits)
+    unlifted[name] = json(count);
+  shown["took_effect"] = json(tookEffect);
+  shown["limits"] = json(unlifted);
+  std::cout << json(shown).serialize() << "\n";
+  for (const auto& [name, count] : effects)
+    if (everyKind && count == 0) {
+      std::cout << "no run had: " << name << "\n";
+      ++failed;
     }
-    std::sort(recoveries.begin(), recoveries.end());
-    picojson::object shown{{"seeds", json(seeds)}, {"failed", json(failed)}, {"jobs", json(jobs)}, {"starts", json(starts)}, {"hash", json(std::to_string(hash))},
-                           {"recovery_p50_ms", json(recoveries[recoveries.size() / 2])}, {"recovery_max_ms", json(recoveries.back())}};
-    for (const auto& [name, value] : counters) shown[name] = json(value);
-    picojson::object tookEffect, unlifted;
-    for (const auto& [name, count] : effects) tookEffect[name] = json(count);
-    for (const auto& [name, count] : limits) unlifted[name] = json(count);
-    shown["took_effect"] = json(tookEffect);
-    shown["limits"] = json(unlifted);
-    std::cout << json(shown).serialize() << "\n";
-    for (const auto& [name, count] : effects)
-        if (everyKind && count == 0) {
-            std::cout << "no run had: " << name << "\n";
-            ++failed;
-        }
-    std::cout << seeds - std::int64_t(failed) << " passed, " << failed << " failed" << std::endl;
-    return failed ? 1 : 0;
+  std::cout << seeds - std::int64_t(failed) << " passed, " << failed << " failed" << std::endl;
+  return failed ? 1 : 0;
 }
--- a/programs/worker_stub.cpp
+++ b/programs/worker_stub.cpp
@@ -1,4 +1,5 @@
-// worker_stub: a stand-in worker, on the worker library or called by an agent. Its tasks are timers. docs/operations.md 7.
+// worker_stub: a stand-in worker, on the worker library or called by an agent. Its tasks are
+// timers. docs/operations.md 7.
 #include "agent/called_worker_session.hpp"
 #include "net/client.hpp"
 #include "net/history_file.hpp"
@@ -13,287 +14,329 @@
 namespace {
 
 struct Settings {
-    std::string id, zone, rack, witness, from;
-    std::vector<Address> gateways;
-    std::int64_t cores = 16, memory = 32 * 1024, seed = 1, leaveWithin = 2000;
-    double slow = 1, fail = 0;
-    bool unguarded = false, leaseless = false, quiet = false, called = false;
-    Address listen, agent;
+  std::string id, zone, rack, witness, from;
+  std::vector<Address> gateways;
+  std::int64_t cores = 16, memory = 32 * 1024, seed = 1, leaveWithin = 2000;
+  double slow = 1, fail = 0;
+  bool unguarded = false, leaseless = false, quiet = false, called = false;
+  Address listen, agent;
 };
 
 // What the two ways of working need of each other's options.
 std::string faultOf(const Settings& settings) {
-    if (!settings.called) return settings.gateways.empty() ? "--gateways: is missing" : "";
-    if (settings.listen.value.empty()) return "--listen: is missing";
-    if (settings.agent.value.empty()) return "--agent: is missing";
-    return settings.leaseless ? "--leaseless: is no option of a worker that is called" : "";
+  if (!settings.called)
+    return settings.gateways.empty() ? "--gateways: is missing" : "";
+  if (settings.listen.value.empty())
+    return "--listen: is missing";
+  if (settings.agent.value.empty())
+    return "--agent: is missing";
+  return settings.leaseless ? "--leaseless: is no option of a worker that is called" : "";
 }
 
 // The tasks as timers, and the history of what really ran.
 class Timers {
-public:
-    explicit Timers(const Settings& settings) : settings(settings), random(std::uint64_t(settings.seed)), history(settings.witness) {
-        // What an earlier process of this name ran ended with it.
-        write(HistoryEvent::Kind::vanished, {});
-        HistoryEvent witness;
-        witness.kind = HistoryEvent::Kind::capacity;
-        witness.worker = settings.id;
-        witness.cores = std::uint32_t(settings.cores * 1000);
-        witness.memory = std::uint64_t(settings.memory);
-        witness.guards = !settings.unguarded;
-        if (settings.leaseless) witness.detail = "leaseless";
-        history.write(std::move(witness));
+ public:
+  explicit Timers(const Settings& settings)
+      : settings(settings), random(std::uint64_t(settings.seed)), history(settings.witness) {
+    // What an earlier process of this name ran ended with it.
+    write(HistoryEvent::Kind::vanished, {});
+    HistoryEvent witness;
+    witness.kind = HistoryEvent::Kind::capacity;
+    witness.worker = settings.id;
+    witness.cores = std::uint32_t(settings.cores * 1000);
+    witness.memory = std::uint64_t(settings.memory);
+    witness.guards = !settings.unguarded;
+    if (settings.leaseless)
+      witness.detail = "leaseless";
+    history.write(std::move(witness));
+  }
+  Capacity capacity() const {
+    return Capacity{std::uint32_t(settings.cores * 1000),
+                    std::uint64_t(settings.memory),
+                    ZoneName{settings.zone},
+                    settings.rack,
+                    !settings.leaseless,
+                    !settings.unguarded};
+  }
+  void write(HistoryEvent::Kind kind, const Order& order, std::string detail = {}) {
+    HistoryEvent witness;
+    witness.kind = kind;
+    witness.worker = settings.id;
+    if (order.attempt.value) {
+      witness.job = order.job.value;
+      witness.task = order.task;
+      witness.attempt = std::to_string(order.attempt.value);
+      witness.cores = order.cores;
+      witness.memory = order.memory;
+      witness.trial = order.quantum.milliseconds > 0;
     }
-    Capacity capacity() const {
-        return Capacity{std::uint32_t(settings.cores * 1000), std::uint64_t(settings.memory), ZoneName{settings.zone}, settings.rack, !settings.leaseless, !settings.unguarded};
-    }
-    void write(HistoryEvent::Kind kind, const Order& order, std::string detail = {}) {
-        HistoryEvent witness;
-        witness.kind = kind;
-        witness.worker = settings.id;
-        if (order.attempt.value) {
-            witness.job = order.job.value;
-            witness.task = order.task;
-            witness.attempt = std::to_string(order.attempt.value);
-            witness.cores = order.cores;
-            witness.memory = order.memory;
-            witness.trial = order.quantum.milliseconds > 0;
-        }
-        witness.detail = std::move(detail);
-        history.write(std::move(witness));
-    }
-    void follow(const HandEffect& effect) {
-        auto found = tasks.find(effect.attempt);
-        const MonotonicTime now = monotonicNow();
-        if (effect.kind == HandEffect::Kind::start) {
-            tasks[effect.attempt] = Running{effect.order, now, really(effect.order), true};
-            write(HistoryEvent::Kind::started, effect.order);
-        } else if (found == tasks.end()) return;
-        else if (effect.kind == HandEffect::Kind::hold) {
-            found->second.left = found->second.left - (now - found->second.since);
-            found->second.active = false;
-            write(HistoryEvent::Kind::held, found->second.order);
-        } else if (effect.kind == HandEffect::Kind::resume) {
-            found->second.since = now;
-            found->second.active = true;
-            write(HistoryEvent::Kind::resumed, found->second.order);
-        } else {
-            write(HistoryEvent::Kind::ended, found->second.order, found->second.order.quantum.milliseconds > 0 && spent(found->second, now) ? "ran_out" : "stopped");
-            tasks.erase(found);
-        }
-    }
-    std::vector<AttemptNumber> due() const {
-        const MonotonicTime now = monotonicNow();
-        std::vector<AttemptNumber> due;
-        for (const auto& [attempt, task] : tasks)
-            if (task.active && now - task.since >= task.left) due.push_back(attempt);
-        return due;
-    }
-    // Whether it ended well.
-    bool finish(AttemptNumber attempt) {
-        const bool well = !random.chance(settings.fail);
-        write(HistoryEvent::Kind::ended, tasks[attempt].order, well ? "finished" : "failed");
-        tasks.erase(attempt);
-        return well;
-    }
-    [[noreturn]] void close() {
-        log(LogLevel::info, "stopped");
-        // Whatever still runs ends with this process.
-        write(HistoryEvent::Kind::vanished, {});
-        history.close();
-        std::_Exit(0);
+    witness.detail = std::move(detail);
+    history.write(std::move(witness));
+  }
+  void follow(const HandEffect& effect) {
+    auto found = tasks.find(effect.attempt);
+    const MonotonicTime now = monotonicNow();
+    if (effect.kind == HandEffect::Kind::start) {
+      tasks[effect.attempt] = Running{effect.order, now, really(effect.order), true};
+      write(HistoryEvent::Kind::started, effect.order);
+    } else if (found == tasks.end())
+      return;
+    else if (effect.kind == HandEffect::Kind::hold) {
+      found->second.left = found->second.left - (now - found->second.since);
+      found->second.active = false;
+      write(HistoryEvent::Kind::held, found->second.order);
+    } else if (effect.kind == HandEffect::Kind::resume) {
+      found->second.since = now;
+      found->second.active = true;
+      write(HistoryEvent::Kind::resumed, found->second.order);
+    } else {
+      write(HistoryEvent::Kind::ended, found->second.order,
+            found->second.order.quantum.milliseconds > 0 && spent(found->second, now) ? "ran_out"
+                                                                                      : "stopped");
+      tasks.erase(found);
     }
+  }
+  std::vector<AttemptNumber> due() const {
+    const MonotonicTime now = monotonicNow();
+    std::vector<AttemptNumber> due;
+    for (const auto& [attempt, task] : tasks)
+      if (task.active && now - task.since >= task.left)
+        due.push_back(attempt);
+    return due;
+  }
+  // Whether it ended well.
+  bool finish(AttemptNumber attempt) {
+    const bool well = !random.chance(settings.fail);
+    write(HistoryEvent::Kind::ended, tasks[attempt].order, well ? "finished" : "failed");
+    tasks.erase(attempt);
+    return well;
+  }
+  [[noreturn]] void close() {
+    log(LogLevel::info, "stopped");
+    // Whatever still runs ends with this process.
+    write(HistoryEvent::Kind::vanished, {});
+    history.close();
+    std::_Exit(0);
+  }
 
-private:
-    struct Running {
-        Order order;
-        MonotonicTime since;
-        Duration left;
-        bool active = true;
-    };
-    // A payload "run=250" says what the task really takes; else it takes what was requested.
-    Duration really(const Order& order) const {
-        std::int64_t run = order.runtime.milliseconds;
-        if (order.payload.starts_with("run=")) run = std::strtoll(order.payload.c_str() + 4, nullptr, 10);
-        return Duration{std::int64_t(double(run) * settings.slow)};
-    }
-    bool spent(const Running& task, MonotonicTime now) const {
-        const Duration ran = really(task.order) - task.left + (task.active ? now - task.since : Duration{0});
-        return ran >= task.order.quantum;
-    }
-    const Settings& settings;
-    Random random;
-    HistoryFile history;
-    std::map<AttemptNumber, Running> tasks;
+ private:
+  struct Running {
+    Order order;
+    MonotonicTime since;
+    Duration left;
+    bool active = true;
+  };
+  // A payload "run=250" says what the task really takes; else it takes what was requested.
+  Duration really(const Order& order) const {
+    std::int64_t run = order.runtime.milliseconds;
+    if (order.payload.starts_with("run="))
+      run = std::strtoll(order.payload.c_str() + 4, nullptr, 10);
+    return Duration{std::int64_t(double(run) * settings.slow)};
+  }
+  bool spent(const Running& task, MonotonicTime now) const {
+    const Duration ran =
+        really(task.order) - task.left + (task.active ? now - task.since : Duration{0});
+    return ran >= task.order.quantum;
+  }
+  const Settings& settings;
+  Random random;
+  HistoryFile history;
+  std::map<AttemptNumber, Running> tasks;
 };
 
 Incarnation drawnIncarnation() {
-    std::random_device device;
-    return Incarnation{((std::uint64_t(device()) << 32) | device()) | 1};
+  std::random_device device;
+  return Incarnation{((std::uint64_t(device()) << 32) | device()) | 1};
 }
 
 // A worker that calls gateways. docs/api.md 3.
 class CallingWorker {
-public:
-    explicit CallingWorker(Settings given) : settings(std::move(given)), timers(settings) {}
-    int run() {
-        WorkerSession::Options options;
-        options.id = WorkerId{settings.id};
-        options.capacity = timers.capacity();
-        client = std::make_unique<WorkerClient>(loop, options, drawnIncarnation(), settings.gateways);
-        client->confirmed.connect([this](const Order& order, EndingKind kind) { timers.write(HistoryEvent::Kind::confirmed, order, name(kind)); });
-        client->rejected.connect([](const std::string& words) { log(LogLevel::warning, "the centre rejects this worker", {{"why", json(words)}}); });
-        client->effect.connect([this](const HandEffect& effect) { timers.follow(effect); });
-        std::atomic<bool> over{false};
-        spawn([this, &over] { client->run(over); });
-        StopSignal stop(loop);
-        log(LogLevel::info, "started", {{"worker", json(settings.id)}});
-        while (!stop.requested()) {
-            pause(Duration{2});
-            finishDue();
-        }
-        // docs/operations.md 4: it says that it leaves, lets its work end for a while, then goes.
-        client->leave(Duration{settings.leaveWithin});
-        timers.write(HistoryEvent::Kind::leaving, {});
-        log(LogLevel::info, "leaving");
-        const MonotonicTime until = monotonicNow() + Duration{settings.leaveWithin + 1500};
-        while (!client->hand().empty() && monotonicNow() < until) {
-            pause(Duration{2});
-            finishDue();
-        }
-        pause(Duration{200});
-        over = true;
-        timers.close();
+ public:
+  explicit CallingWorker(Settings given) : settings(std::move(given)), timers(settings) {}
+  int run() {
+    WorkerSession::Options options;
+    options.id = WorkerId{settings.id};
+    options.capacity = timers.capacity();
+    client = std::make_unique<WorkerClient>(loop, options, drawnIncarnation(), settings.gateways);
+    client->confirmed.connect([this](const Order& order, EndingKind kind) {
+      timers.write(HistoryEvent::Kind::confirmed, order, name(kind));
+    });
+    client->rejected.connect([](const std::string& words) {
+      log(LogLevel::warning, "the centre rejects this worker", {{"why", json(words)}});
+    });
+    client->effect.connect([this](const HandEffect& effect) { timers.follow(effect); });
+    std::atomic<bool> over{false};
+    spawn([this, &over] { client->run(over); });
+    StopSignal stop(loop);
+    log(LogLevel::info, "started", {{"worker", json(settings.id)}});
+    while (!stop.requested()) {
+      pause(Duration{2});
+      finishDue();
+    }
+    // docs/operations.md 4: it says that it leaves, lets its work end for a while, then goes.
+    client->leave(Duration{settings.leaveWithin});
+    timers.write(HistoryEvent::Kind::leaving, {});
+    log(LogLevel::info, "leaving");
+    const MonotonicTime until = monotonicNow() + Duration{settings.leaveWithin + 1500};
+    while (!client->hand().empty() && monotonicNow() < until) {
+      pause(Duration{2});
+      finishDue();
     }
+    pause(Duration{200});
+    over = true;
+    timers.close();
+  }
 
-private:
-    void finishDue() {
-        for (auto attempt : timers.due()) {
-            if (client->hand().lapsed()) return;  // held by a lapsed lease: nothing ends now
-            client->ended(attempt, timers.finish(attempt));
-        }
+ private:
+  void finishDue() {
+    for (auto attempt : timers.due()) {
+      if (client->hand().lapsed())
+        return;  // held by a lapsed lease: nothing ends now
+      client->ended(attempt, timers.finish(attempt));
     }
-    Settings settings;
-    Timers timers;
-    Loop loop;
-    std::unique_ptr<WorkerClient> client;
+  }
+  Settings settings;
+  Timers timers;
+  Loop loop;
+  std::unique_ptr<WorkerClient> client;
 };
 
 // A worker that its agent calls. docs/api.md 5.
 class CalledWorker {
-public:
-    explicit CalledWorker(Settings given) : settings(std::move(given)), timers(settings), hand(options(), nextLife()) {}
-    int run() {
-        HttpServer server(loop, HttpLimits{64 * 1024, 50, Duration{60'000}, Duration{2000}}, [this](const HttpRequest& request) { return called(request); });
-        if (auto listening = server.listen(settings.listen, false); !listening) {
-            log(LogLevel::error, listening.error().text);
-            return 1;
-        }
-        StopSignal stop(loop);
-        log(LogLevel::info, "started", {{"worker", json(settings.id)}, {"life", json(hand.currentLife().value)}});
-        spawn([this] {
-            for (;; pause(Duration{300})) account();
-        });
-        while (!stop.requested()) turn();
-        // It says that it leaves; what runs may go on for a while, then it goes.
-        leaving = true;
-        timers.write(HistoryEvent::Kind::leaving, {});
-        log(LogLevel::info, "leaving");
-        const MonotonicTime until = monotonicNow() + Duration{settings.leaveWithin + 1500};
-        while ((!told || !hand.empty()) && monotonicNow() < until) turn();
-        HttpClient client(loop);
-        if (auto left = client.ask(settings.agent, writeLeave(hand.currentLife()), Duration{1500}); !left) log(LogLevel::warning, "the agent was not told of the end", {{"why", json(left.error().text)}});
-        hand.replaced(nextLife());
-        deliver();
-        timers.close();
+ public:
+  explicit CalledWorker(Settings given)
+      : settings(std::move(given)), timers(settings), hand(options(), nextLife()) {}
+  int run() {
+    HttpServer server(loop, HttpLimits{64 * 1024, 50, Duration{60'000}, Duration{2000}},
+                      [this](const HttpRequest& request) { return called(request); });
+    if (auto listening = server.listen(settings.listen, false); !listening) {
+      log(LogLevel::error, listening.error().text);
+      return 1;
     }
+    StopSignal stop(loop);
+    log(LogLevel::info, "started",
+        {{"worker", json(settings.id)}, {"life", json(hand.currentLife().value)}});
+    spawn([this] {
+      for (;; pause(Duration{300}))
+        account();
+    });
+    while (!stop.requested())
+      turn();
+    // It says that it leaves; what runs may go on for a while, then it goes.
+    leaving = true;
+    timers.write(HistoryEvent::Kind::leaving, {});
+    log(LogLevel::info, "leaving");
+    const MonotonicTime until = monotonicNow() + Duration{settings.leaveWithin + 1500};
+    while ((!told || !hand.empty()) && monotonicNow() < until)
+      turn();
+    HttpClient client(loop);
+    if (auto left = client.ask(settings.agent, writeLeave(hand.currentLife()), Duration{1500});
+        !left)
+      log(LogLevel::warning, "the agent was not told of the end",
+          {{"why", json(left.error().text)}});
+    hand.replaced(nextLife());
+    deliver();
+    timers.close();
+  }
 
-private:
-    CalledWorkerSession::Options options() const {
-        CalledWorkerSession::Options made;
-        made.capacity = timers.capacity();
-        made.capacity.honoursLeases = made.capacity.lapses = true;
-        made.capacity.pauses = false;
-        return made;
-    }
-    WorkerId nextLife() const { return WorkerId{settings.id + "." + std::to_string(drawnIncarnation().value)}; }
-    WorkerTime steadyNow() const { return WorkerTime{monotonicNow().milliseconds}; }
-    void deliver() {
-        for (const auto& [order, kind] : hand.takeConfirmed()) timers.write(HistoryEvent::Kind::confirmed, order, name(kind));
-        for (const auto& effect : hand.takeEffects()) timers.follow(effect);
+ private:
+  CalledWorkerSession::Options options() const {
+    CalledWorkerSession::Options made;
+    made.capacity = timers.capacity();
+    made.capacity.honoursLeases = made.capacity.lapses = true;
+    made.capacity.pauses = false;
+    return made;
+  }
+  WorkerId nextLife() const {
+    return WorkerId{settings.id + "." + std::to_string(drawnIncarnation().value)};
+  }
+  WorkerTime steadyNow() const { return WorkerTime{monotonicNow().milliseconds}; }
+  void deliver() {
+    for (const auto& [order, kind] : hand.takeConfirmed())
+      timers.write(HistoryEvent::Kind::confirmed, order, name(kind));
+    for (const auto& effect : hand.takeEffects())
+      timers.follow(effect);
+  }
+  void turn() {
+    pause(Duration{2});
+    hand.tick(steadyNow());
+    deliver();  // what the lapsed hold killed has no end of its own
+    for (auto attempt : timers.due())
+      hand.ended(attempt, timers.finish(attempt), steadyNow());
+  }
+  ApiResponse called(const HttpRequest& request) {
+    auto call = readWorkerCall(request);
+    if (!call)
+      return ApiResponse::from(call.error());
+    const MonotonicTime until = monotonicNow() + call.value().wait;
+    auto reply = hand.take(call.value(), steadyNow());
+    deliver();
+    while (call.value().kind == WorkerCall::Kind::look && reply.kind == WorkerReply::Kind::done &&
+           reply.ended.empty() && monotonicNow() < until) {
+      pause(Duration{5});
+      reply = hand.take(call.value(), steadyNow());
+      deliver();
     }
-    void turn() {
-        pause(Duration{2});
-        hand.tick(steadyNow());
-        deliver();  // what the lapsed hold killed has no end of its own
-        for (auto attempt : timers.due()) hand.ended(attempt, timers.finish(attempt), steadyNow());
-    }
-    ApiResponse called(const HttpRequest& request) {
-        auto call = readWorkerCall(request);
-        if (!call) return ApiResponse::from(call.error());
-        const MonotonicTime until = monotonicNow() + call.value().wait;
-        auto reply = hand.take(call.value(), steadyNow());
-        deliver();
-        while (call.value().kind == WorkerCall::Kind::look && reply.kind == WorkerReply::Kind::done && reply.ended.empty() && monotonicNow() < until) {
-            pause(Duration{5});
-            reply = hand.take(call.value(), steadyNow());
-            deliver();
-        }
-        return writeWorkerReply(call.value(), reply);
-    }
-    // Makes itself known. What it was told is over is over: it begins as another life.
-    void account() {
-        WorkerAccount made{hand.currentLife(), options().capacity, leaving, Duration{settings.leaveWithin}, steadyNow()};
-        const bool says = leaving;
-        auto answer = accounts.ask(settings.agent, writeAccount(made), Duration{1200});
-        if (!answer || made.life != hand.currentLife()) return;
-        if (answer.value().status == 200 && says) {
-            told = true;
-            hand.leave();
-        }
-        if (answer.value().status != 410) return;
-        hand.replaced(nextLife());
-        deliver();
-        log(LogLevel::warning, "begins as another life", {{"life", json(hand.currentLife().value)}});
+    return writeWorkerReply(call.value(), reply);
+  }
+  // Makes itself known. What it was told is over is over: it begins as another life.
+  void account() {
+    WorkerAccount made{hand.currentLife(), options().capacity, leaving,
+                       Duration{settings.leaveWithin}, steadyNow()};
+    const bool says = leaving;
+    auto answer = accounts.ask(settings.agent, writeAccount(made), Duration{1200});
+    if (!answer || made.life != hand.currentLife())
+      return;
+    if (answer.value().status == 200 && says) {
+      told = true;
+      hand.leave();
     }
+    if (answer.value().status != 410)
+      return;
+    hand.replaced(nextLife());
+    deliver();
+    log(LogLevel::warning, "begins as another life", {{"life", json(hand.currentLife().value)}});
+  }
 
-    Settings settings;
-    Timers timers;
-    CalledWorkerSession hand;
-    Loop loop;
-    HttpClient accounts{loop};
-    bool leaving = false, told = false;
+  Settings settings;
+  Timers timers;
+  CalledWorkerSession hand;
+  Loop loop;
+  HttpClient accounts{loop};
+  bool leaving = false, told = false;
 };
 
 }  // namespace
 
 int main(int count, char** values) {
-    Settings settings;
-    OptionSet options("worker_stub", "a stand-in worker for aniseline");
-    options.text("id", settings.id, "the worker's id", true);
-    options.text("zone", settings.zone, "the zone of this machine", true);
-    options.text("rack", settings.rack, "the rack of this machine");
-    options.addresses("gateways", settings.gateways, "outer addresses of gateways, for first contact");
-    options.flag("called", settings.called, "an agent calls it; it calls no gateway");
-    options.address("listen", settings.listen, "where its agent calls it");
-    options.address("agent", settings.agent, "where it makes itself known to its agent");
-    options.text("from", settings.from, "the IP number to connect from, on a machine with several");
-    options.whole("cores", settings.cores, "cores", 1, 65'536);
-    options.whole("memory-mb", settings.memory, "memory", 1, 1'000'000'000);
-    options.whole("seed", settings.seed, "of the draws for failures", 0, 1'000'000'000);
-    options.whole("leave-within-ms", settings.leaveWithin, "how long its work may go on when it leaves", 0, 3'600'000);
-    options.real("slow", settings.slow, "its tasks take this many times as long", 0.01, 1000);
-    options.real("fail", settings.fail, "this part of its tasks fails", 0, 1);
-    options.flag("unguarded", settings.unguarded, "it does not guard its room");
-    options.flag("leaseless", settings.leaseless, "it does not honour leases");
-    options.text("witness", settings.witness, "a file for the history of what really ran");
-    options.flag("quiet", settings.quiet, "no logs");
-    options.read(count, values);
-    if (const auto fault = faultOf(settings); !fault.empty()) {
-        std::cerr << "worker_stub: " << fault << "\n";
-        return 2;
-    }
-    Loop::source = settings.from;
-    startLog("worker_stub", settings.id, settings.quiet);
-    return settings.called ? CalledWorker(settings).run() : CallingWorker(settings).run();
+  Settings settings;
+  OptionSet options("worker_stub", "a stand-in worker for aniseline");
+  options.text("id", settings.id, "the worker's id", true);
+  options.text("zone", settings.zone, "the zone of this machine", true);
+  options.text("rack", settings.rack, "the rack of this machine");
+  options.addresses("gateways", settings.gateways,
+                    "outer addresses of gateways, for first contact");
+  options.flag("called", settings.called, "an agent calls it; it calls no gateway");
+  options.address("listen", settings.listen, "where its agent calls it");
+  options.address("agent", settings.agent, "where it makes itself known to its agent");
+  options.text("from", settings.from, "the IP number to connect from, on a machine with several");
+  options.whole("cores", settings.cores, "cores", 1, 65'536);
+  options.whole("memory-mb", settings.memory, "memory", 1, 1'000'000'000);
+  options.whole("seed", settings.seed, "of the draws for failures", 0, 1'000'000'000);
+  options.whole("leave-within-ms", settings.leaveWithin,
+                "how long its work may go on when it leaves", 0, 3'600'000);
+  options.real("slow", settings.slow, "its tasks take this many times as long", 0.01, 1000);
+  options.real("fail", settings.fail, "this part of its tasks fails", 0, 1);
+  options.flag("unguarded", settings.unguarded, "it does not guard its room");
+  options.flag("leaseless", settings.leaseless, "it does not honour leases");
+  options.text("witness", settings.witness, "a file for the history of what really ran");
+  options.flag("quiet", settings.quiet, "no logs");
+  options.read(count, values);
+  if (const auto fault = faultOf(settings); !fault.empty()) {
+    std::cerr << "worker_stub: " << fault << "\n";
+    return 2;
+  }
+  Loop::source = settings.from;
+  startLog("worker_stub", settings.id, settings.quiet);
+  return settings.called ? CalledWorker(settings).run() : CallingWorker(settings).run();
 }
--- a/source/base/archive.hpp
+++ b/source/base/archive.hpp
@@ -1,6 +1,7 @@
 // Archives of Boost.Serialization over bytes in memory. docs/design.md 9.3.
-// Boost's binary archives set up a stream, a locale and a registry of types and objects for each record, and know each variant
-// by its class and its object. These hold values only: no class ids, versions or tracking; numbers as they stand in memory.
+// Boost's binary archives set up a stream, a locale and a registry of types and objects for each
+// record, and know each variant by its class and its object. These hold values only: no class ids,
+// versions or tracking; numbers as they stand in memory.
 #pragma once
 #include <cstdint>
 #include <cstring>
@@ -24,95 +25,127 @@
 concept PlainNumber = std::is_arithmetic_v<Value> || std::is_enum_v<Value>;
 
 class OutputArchive {
-public:
-    using is_saving = boost::mpl::true_;
-    using is_loading = boost::mpl::false_;
-    boost::serialization::library_version_type get_library_version() const { return boost::serialization::library_version_type(18); }
+ public:
+  using is_saving = boost::mpl::true_;
+  using is_loading = boost::mpl::false_;
+  boost::serialization::library_version_type get_library_version() const {
+    return boost::serialization::library_version_type(18);
+  }
 
-    template <class Value> OutputArchive& operator&(const Value& value) { return *this << value; }
-    template <class Value> OutputArchive& operator<<(const Value& value) {
-        if constexpr (PlainNumber<Value>) bytes.append(reinterpret_cast<const char*>(&value), sizeof value);
-        else boost::serialization::serialize_adl(*this, const_cast<Value&>(value), 0);
-        return *this;
-    }
-    template <class Value> OutputArchive& operator<<(const boost::serialization::nvp<Value>& named) { return *this << named.const_value(); }
-    template <class... Kinds> OutputArchive& operator<<(const boost::variant<Kinds...>& value) {
-        *this << std::uint32_t(value.which());
-        boost::apply_visitor([&](const auto& kind) { *this << kind; }, value);
-        return *this;
-    }
-    OutputArchive& operator<<(const std::string& text) {
-        *this << std::uint64_t(text.size());
-        bytes += text;
-        return *this;
-    }
-    OutputArchive& operator<<(const boost::serialization::collection_size_type& size) { return *this << std::uint64_t(size); }
-    OutputArchive& operator<<(const boost::serialization::item_version_type&) { return *this; }
+  template <class Value>
+  OutputArchive& operator&(const Value& value) {
+    return *this << value;
+  }
+  template <class Value>
+  OutputArchive& operator<<(const Value& value) {
+    if constexpr (PlainNumber<Value>)
+      bytes.append(reinterpret_cast<const char*>(&value), sizeof value);
+    else
+      boost::serialization::serialize_adl(*this, const_cast<Value&>(value), 0);
+    return *this;
+  }
+  template <class Value>
+  OutputArchive& operator<<(const boost::serialization::nvp<Value>& named) {
+    return *this << named.const_value();
+  }
+  template <class... Kinds>
+  OutputArchive& operator<<(const boost::variant<Kinds...>& value) {
+    *this << std::uint32_t(value.which());
+    boost::apply_visitor([&](const auto& kind) { *this << kind; }, value);
+    return *this;
+  }
+  OutputArchive& operator<<(const std::string& text) {
+    *this << std::uint64_t(text.size());
+    bytes += text;
+    return *this;
+  }
+  OutputArchive& operator<<(const boost::serialization::collection_size_type& size) {
+    return *this << std::uint64_t(size);
+  }
+  OutputArchive& operator<<(const boost::serialization::item_version_type&) { return *this; }
 
-    std::string bytes;
+  std::string bytes;
 };
 
 // Bytes that end too early or name what there is not are an exception.
 class InputArchive {
-public:
-    using is_saving = boost::mpl::false_;
-    using is_loading = boost::mpl::true_;
-    explicit InputArchive(std::string_view bytes) : rest(bytes) {}
-    boost::serialization::library_version_type get_library_version() const { return boost::serialization::library_version_type(18); }
-    void reset_object_address(const void*, const void*) {}  // objects are not tracked
+ public:
+  using is_saving = boost::mpl::false_;
+  using is_loading = boost::mpl::true_;
+  explicit InputArchive(std::string_view bytes) : rest(bytes) {}
+  boost::serialization::library_version_type get_library_version() const {
+    return boost::serialization::library_version_type(18);
+  }
+  void reset_object_address(const void*, const void*) {}  // objects are not tracked
 
-    template <class Value> InputArchive& operator&(Value& value) { return *this >> value; }
-    template <class Value> InputArchive& operator>>(Value& value) {
-        if constexpr (PlainNumber<Value>) std::memcpy(&value, take(sizeof value).data(), sizeof value);
-        else boost::serialization::serialize_adl(*this, value, 0);
-        return *this;
-    }
-    template <class Value> InputArchive& operator>>(const boost::serialization::nvp<Value>& named) { return *this >> named.value(); }
-    template <class... Kinds> InputArchive& operator>>(boost::variant<Kinds...>& value) {
-        using Variant = boost::variant<Kinds...>;
-        static constexpr void (*loads[])(InputArchive&, Variant&) = {&InputArchive::load<Variant, Kinds>...};
-        std::uint32_t which = 0;
-        *this >> which;
-        if (which >= sizeof...(Kinds)) throw std::runtime_error("kind " + std::to_string(which) + " is not known");
-        loads[which](*this, value);
-        return *this;
-    }
-    InputArchive& operator>>(bool& flag) {
-        std::uint8_t byte = 0;
-        *this >> byte;
-        if (byte > 1) throw std::runtime_error("a flag is neither true nor false");
-        flag = byte == 1;
-        return *this;
-    }
-    InputArchive& operator>>(std::string& text) {
-        std::uint64_t size = 0;
-        *this >> size;
-        text = take(size);
-        return *this;
-    }
-    // Every item takes a byte at least, so a false size reserves no room for what can't come.
-    InputArchive& operator>>(boost::serialization::collection_size_type& size) {
-        std::uint64_t count = 0;
-        *this >> count;
-        if (count > rest.size()) throw std::runtime_error("the bytes end too early");
-        size = boost::serialization::collection_size_type(count);
-        return *this;
-    }
-    InputArchive& operator>>(boost::serialization::item_version_type&) { return *this; }
+  template <class Value>
+  InputArchive& operator&(Value& value) {
+    return *this >> value;
+  }
+  template <class Value>
+  InputArchive& operator>>(Value& value) {
+    if constexpr (PlainNumber<Value>)
+      std::memcpy(&value, take(sizeof value).data(), sizeof value);
+    else
+      boost::serialization::serialize_adl(*this, value, 0);
+    return *this;
+  }
+  template <class Value>
+  InputArchive& operator>>(const boost::serialization::nvp<Value>& named) {
+    return *this >> named.value();
+  }
+  template <class... Kinds>
+  InputArchive& operator>>(boost::variant<Kinds...>& value) {
+    using Variant = boost::variant<Kinds...>;
+    static constexpr void (*loads[])(InputArchive&,
+                                     Variant&) = {&InputArchive::load<Variant, Kinds>...};
+    std::uint32_t which = 0;
+    *this >> which;
+    if (which >= sizeof...(Kinds))
+      throw std::runtime_error("kind " + std::to_string(which) + " is not known");
+    loads[which](*this, value);
+    return *this;
+  }
+  InputArchive& operator>>(bool& flag) {
+    std::uint8_t byte = 0;
+    *this >> byte;
+    if (byte > 1)
+      throw std::runtime_error("a flag is neither true nor false");
+    flag = byte == 1;
+    return *this;
+  }
+  InputArchive& operator>>(std::string& text) {
+    std::uint64_t size = 0;
+    *this >> size;
+    text = take(size);
+    return *this;
+  }
+  // Every item takes a byte at least, so a false size reserves no room for what can't come.
+  InputArchive& operator>>(boost::serialization::collection_size_type& size) {
+    std::uint64_t count = 0;
+    *this >> count;
+    if (count > rest.size())
+      throw std::runtime_error("the bytes end too early");
+    size = boost::serialization::collection_size_type(count);
+    return *this;
+  }
+  InputArchive& operator>>(boost::serialization::item_version_type&) { return *this; }
 
-private:
-    template <class Variant, class Kind> static void load(InputArchive& archive, Variant& value) {
-        Kind kind{};
-        archive >> kind;
-        value = std::move(kind);
-    }
-    std::string_view take(std::uint64_t size) {
-        if (size > rest.size()) throw std::runtime_error("the bytes end too early");
-        const auto taken = rest.substr(0, size);
-        rest.remove_prefix(size);
-        return taken;
-    }
-    std::string_view rest;
+ private:
+  template <class Variant, class Kind>
+  static void load(InputArchive& archive, Variant& value) {
+    Kind kind{};
+    archive >> kind;
+    value = std::move(kind);
+  }
+  std::string_view take(std::uint64_t size) {
+    if (size > rest.size())
+      throw std::runtime_error("the bytes end too early");
+    const auto taken = rest.substr(0, size);
+    rest.remove_prefix(size);
+    return taken;
+  }
+  std::string_view rest;
 };
 
 }  // namespace aniseline
--- a/source/base/types.hpp
+++ b/source/base/types.hpp
@@ -41,13 +41,16 @@
 // StrongId types (docs/design.md 2.1): each id, version and time is its own type.
 template <class Tag, class Value = std::uint64_t>
 struct StrongId {
-    Value value{};
-    StrongId() = default;
-    explicit StrongId(Value given) : value(std::move(given)) {}
-    auto operator<=>(const StrongId&) const = default;
-    bool operator==(const StrongId&) const = default;
-    StrongId next() const requires std::is_integral_v<Value> { return StrongId{value + 1}; }
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & value; }
+  Value value{};
+  StrongId() = default;
+  explicit StrongId(Value given) : value(std::move(given)) {}
+  auto operator<=>(const StrongId&) const = default;
+  bool operator==(const StrongId&) const = default;
+  StrongId next() const requires std::is_integral_v<Value> { return StrongId{value + 1}; }
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& value;
+  }
 };
 
 using Term = StrongId<struct TermTag>;
@@ -69,116 +72,134 @@
 
 // A length of time in milliseconds.
 struct Duration {
-    std::int64_t milliseconds = 0;
-    Duration() = default;
-    explicit constexpr Duration(std::int64_t given) : milliseconds(given) {}
-    auto operator<=>(const Duration&) const = default;
-    bool operator==(const Duration&) const = default;
-    Duration operator+(Duration other) const { return Duration{milliseconds + other.milliseconds}; }
-    Duration operator-(Duration other) const { return Duration{milliseconds - other.milliseconds}; }
-    double hours() const { return double(milliseconds) / 3'600'000.0; }
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & milliseconds; }
+  std::int64_t milliseconds = 0;
+  Duration() = default;
+  explicit constexpr Duration(std::int64_t given) : milliseconds(given) {}
+  auto operator<=>(const Duration&) const = default;
+  bool operator==(const Duration&) const = default;
+  Duration operator+(Duration other) const { return Duration{milliseconds + other.milliseconds}; }
+  Duration operator-(Duration other) const { return Duration{milliseconds - other.milliseconds}; }
+  double hours() const { return double(milliseconds) / 3'600'000.0; }
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& milliseconds;
+  }
 };
 
 // A point on some clock; the tag keeps the clocks apart.
 template <class Clock>
 struct TimePoint {
-    std::int64_t milliseconds = 0;
-    TimePoint() = default;
-    explicit constexpr TimePoint(std::int64_t given) : milliseconds(given) {}
-    auto operator<=>(const TimePoint&) const = default;
-    bool operator==(const TimePoint&) const = default;
-    TimePoint operator+(Duration span) const { return TimePoint{milliseconds + span.milliseconds}; }
-    TimePoint operator-(Duration span) const { return TimePoint{milliseconds - span.milliseconds}; }
-    Duration operator-(TimePoint other) const { return Duration{milliseconds - other.milliseconds}; }
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & milliseconds; }
+  std::int64_t milliseconds = 0;
+  TimePoint() = default;
+  explicit constexpr TimePoint(std::int64_t given) : milliseconds(given) {}
+  auto operator<=>(const TimePoint&) const = default;
+  bool operator==(const TimePoint&) const = default;
+  TimePoint operator+(Duration span) const { return TimePoint{milliseconds + span.milliseconds}; }
+  TimePoint operator-(Duration span) const { return TimePoint{milliseconds - span.milliseconds}; }
+  Duration operator-(TimePoint other) const { return Duration{milliseconds - other.milliseconds}; }
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& milliseconds;
+  }
 };
-using MonotonicTime = TimePoint<struct MonotonicClock>;    // one process' monotonic clock
-using WallTime = TimePoint<struct WallClock>;        // one machine's calendar clock, never trusted alone
-using ClusterTime = TimePoint<struct ClusterClock>;  // agreed by the controllers, docs/design.md 3.6
+using MonotonicTime = TimePoint<struct MonotonicClock>;  // one process' monotonic clock
+using WallTime = TimePoint<struct WallClock>;  // one machine's calendar clock, never trusted alone
+using ClusterTime =
+    TimePoint<struct ClusterClock>;  // agreed by the controllers, docs/design.md 3.6
 
 // Errors of the core layer; the edges turn theirs into these (docs/design.md 2.3).
 struct ErrorDetail {
-    std::string path;
-    std::string text;
+  std::string path;
+  std::string text;
 };
 struct CoreError {
-    enum class Kind { invalid, conflict, overloaded, missing, unknown, gone };
-    Kind kind = Kind::invalid;
-    std::vector<ErrorDetail> details;
-    static CoreError at(Kind kind, std::string path, std::string text) {
-        return CoreError{kind, {ErrorDetail{std::move(path), std::move(text)}}};
-    }
-    std::string text() const {
-        std::string all;
-        for (const auto& detail : details) {
-            if (!all.empty()) all += "; ";
-            all += detail.path.empty() ? detail.text : detail.path + ": " + detail.text;
-        }
-        return all;
+  enum class Kind { invalid, conflict, overloaded, missing, unknown, gone };
+  Kind kind = Kind::invalid;
+  std::vector<ErrorDetail> details;
+  static CoreError at(Kind kind, std::string path, std::string text) {
+    return CoreError{kind, {ErrorDetail{std::move(path), std::move(text)}}};
+  }
+  std::string text() const {
+    std::string all;
+    for (const auto& detail : details) {
+      if (!all.empty())
+        all += "; ";
+      all += detail.path.empty() ? detail.text : detail.path + ": " + detail.text;
     }
+    return all;
+  }
 };
 template <class Value, class Error = CoreError>
 using Result = outcome::unchecked<Value, Error>;
 
 inline std::uint32_t checksum(std::string_view bytes) {
-    boost::crc_32_type sum;
-    sum.process_bytes(bytes.data(), bytes.size());
-    return sum.checksum();
+  boost::crc_32_type sum;
+  sum.process_bytes(bytes.data(), bytes.size());
+  return sum.checksum();
 }
 
-// The whole's format is checked once a file and once a frame, not in each record. docs/design.md 9.3.
+// The whole's format is checked once a file and once a frame, not in each record.
+// docs/design.md 9.3.
 template <class Value>
 std::string pack(const Value& value) {
-    OutputArchive archive;
-    archive << value;
-    return std::move(archive.bytes);
+  OutputArchive archive;
+  archive << value;
+  return std::move(archive.bytes);
 }
 
-// Unpacks bytes that a checksum has already vouched for; a mismatch in shape is an error, not a crash.
+// Unpacks bytes that a checksum has already vouched for; a mismatch in shape is an error, not a
+// crash.
 template <class Value>
 Result<Value> unpack(std::string_view bytes) {
-    try {
-        InputArchive archive(bytes);
-        Value value;
-        archive >> value;
-        return value;
-    } catch (const std::exception& error) {
-        return CoreError::at(CoreError::Kind::invalid, "", std::string("unreadable record: ") + error.what());
-    }
+  try {
+    InputArchive archive(bytes);
+    Value value;
+    archive >> value;
+    return value;
+  } catch (const std::exception& error) {
+    return CoreError::at(CoreError::Kind::invalid, "",
+                         std::string("unreadable record: ") + error.what());
+  }
 }
 
 // The JSON reader recurses; a text nested deeper than this is not read at all.
 inline bool nestedTooDeep(std::string_view text, int most = 32) {
-    int depth = 0;
-    bool inString = false;
-    for (std::size_t place = 0; place < text.size(); ++place) {
-        const char letter = text[place];
-        if (inString) {
-            if (letter == '\\') ++place;
-            else if (letter == '"') inString = false;
-        } else if (letter == '"') inString = true;
-        else if (letter == '[' || letter == '{') {
-            if (++depth > most) return true;
-        } else if (letter == ']' || letter == '}') --depth;
-    }
-    return false;
+  int depth = 0;
+  bool inString = false;
+  for (std::size_t place = 0; place < text.size(); ++place) {
+    const char letter = text[place];
+    if (inString) {
+      if (letter == '\\')
+        ++place;
+      else if (letter == '"')
+        inString = false;
+    } else if (letter == '"')
+      inString = true;
+    else if (letter == '[' || letter == '{') {
+      if (++depth > most)
+        return true;
+    } else if (letter == ']' || letter == '}')
+      --depth;
+  }
+  return false;
 }
 
 // splitmix64: seeded draws that are the same on every machine.
 struct Random {
-    std::uint64_t state;
-    explicit Random(std::uint64_t seed) : state(seed) {}
-    std::uint64_t next() {
-        std::uint64_t mixed = (state += 0x9e3779b97f4a7c15ull);
-        mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ull;
-        mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebull;
-        return mixed ^ (mixed >> 31);
-    }
-    std::int64_t between(std::int64_t low, std::int64_t high) {
-        return low + std::int64_t(next() % std::uint64_t(high - low + 1));
-    }
-    bool chance(double probability) { return double(next() >> 11) / 9007199254740992.0 < probability; }
+  std::uint64_t state;
+  explicit Random(std::uint64_t seed) : state(seed) {}
+  std::uint64_t next() {
+    std::uint64_t mixed = (state += 0x9e3779b97f4a7c15ull);
+    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ull;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebull;
+    return mixed ^ (mixed >> 31);
+  }
+  std::int64_t between(std::int64_t low, std::int64_t high) {
+    return low + std::int64_t(next() % std::uint64_t(high - low + 1));
+  }
+  bool chance(double probability) {
+    return double(next() >> 11) / 9007199254740992.0 < probability;
+  }
 };
 
 }  // namespace aniseline
--- a/source/checker/history.cpp
+++ b/source/checker/history.cpp
@@ -4,148 +4,141 @@
 namespace aniseline {
 
 namespace {
-constexpr const char* kindNames[] = {"submitted", "accepted", "rejected", "unknown", "shown", "cancel_acknowledged", "started", "held", "resumed",
-                                     "ended", "confirmed", "leaving", "capacity", "config_acknowledged", "config_seen", "whole", "served", "vanished",
-                                     "staying", "explained", "disturbed", "mended", "settled", "saved", "closed"};
+constexpr const char* kindNames[] = {"submitted",   "accepted",
+                                     "rejected",    "unknown",
+                                     "shown",       "cancel_acknowledged",
+                                     "started",     "held",
+                                     "resumed",     "ended",
+                                     "confirmed",   "leaving",
+                                     "capacity",    "config_acknowledged",
+                                     "config_seen", "whole",
+                                     "served",      "vanished",
+                                     "staying",     "explained",
+                                     "disturbed",   "mended",
+                                     "settled",     "saved",
+                                     "closed"};
+}
+const char* name(HistoryEvent::Kind kind) {
+  return kindNames[std::size_t(kind)];
 }
-const char* name(HistoryEvent::Kind kind) { return kindNames[std::size_t(kind)]; }
 
 std::string HistoryEvent::line() const {
-    picojson::object shown{{"at", picojson::value(double(at))}, {"kind", picojson::value(name(kind))}};
-    auto add = [&](const char* field, const std::string& text) {
-        if (!text.empty()) shown[field] = picojson::value(text);
-    };
-    auto addNumber = [&](const char* field, double number) {
-        if (number != 0) shown[field] = picojson::value(number);
-    };
-    add("job", job);
-    add("worker", worker);
-    add("attempt", attempt);
-    add("detail", detail);
-    addNumber("task", task);
-    addNumber("version", double(version));
-    addNumber("cores", cores);
-    addNumber("memory_mb", double(memory));
-    if (trial) shown["trial"] = picojson::value(true);
-    if (guards) shown["guards"] = picojson::value(true);
-    if (late) shown["late"] = picojson::value(true);
-    addNumber("accelerators", accelerators);
-    add("payload", payload);
-    add("saved", saved);
-    add("pool", pool);
-    if (!labels.empty()) {
-        picojson::array listed;
-        for (const auto& label : labels) listed.push_back(picojson::value(label));
-        shown["labels"] = picojson::value(listed);
-    }
-    return picojson::value(shown).serialize();
+  picojson::object shown{{"at", picojson::value(double(at))},
+                         {"kind", picojson::value(name(kind))}};
+  auto add = [&](const char* field, const std::string& text) {
+    if (!text.empty())
+      shown[field] = picojson::value(text);
+  };
+  auto addNumber = [&](const char* field, double number) {
+    if (number != 0)
+      shown[field] = picojson::value(number);
+  };
+  add("job", job);
+  add("worker", worker);
+  add("attempt", attempt);
+  add("detail", detail);
+  addNumber("task", task);
+  addNumber("version", double(version));
+  addNumber("cores", cores);
+  addNumber("memory_mb", double(memory));
+  if (trial)
+    shown["trial"] = picojson::value(true);
+  if (guards)
+    shown["guards"] = picojson::value(true);
+  if (late)
+    shown["late"] = picojson::value(true);
+  addNumber("accelerators", accelerators);
+  add("payload", payload);
+  add("saved", saved);
+  add("pool", pool);
+  if (!labels.empty()) {
+    picojson::array listed;
+    for (const auto& label : labels)
+      listed.push_back(picojson::value(label));
+    shown["labels"] = picojson::value(listed);
+  }
+  return picojson::value(shown).serialize();
 }
 
 std::optional<HistoryEvent> HistoryEvent::parse(const std::string& line) {
-    picojson::value root;
-    if (!picojson::parse(root, line).empty() || !root.is<picojson::object>()) return std::nullopt;
-    const auto& object = root.get<picojson::object>();
-    auto words = [&](const char* field) {
-        auto found = object.find(field);
-        return found != object.end() && found->second.is<std::string>() ? found->second.get<std::string>() : std::string();
-    };
-    auto number = [&](const char* field) {
-        auto found = object.find(field);
-        return found != object.end() && found->second.is<double>() ? found->second.get<double>() : 0.0;
-    };
-    auto flag = [&](const char* field) {
-        auto found = object.find(field);
-        return found != object.end() && found->second.is<bool>() && found->second.get<bool>();
-    };
-    HistoryEvent witness;
-    const std::string kind = words("kind");
-    std::size_t place = 0;
-    while (place < std::size(kindNames) && kind != kindNames[place]) ++place;
-    if (place == std::size(kindNames)) return std::nullopt;
-    witness.kind = Kind(place);
-    witness.at = std::int64_t(number("at"));
-    witness.job = words("job");
-    witness.task = std::uint32_t(number("task"));
-    witness.worker = words("worker");
-    witness.attempt = words("attempt");
-    witness.detail = words("detail");
-    witness.version = std::uint64_t(number("version"));
-    witness.cores = std::uint32_t(number("cores"));
-    witness.memory = std::uint64_t(number("memory_mb"));
-    witness.trial = flag("trial");
-    witness.guards = flag("guards");
-    witness.late = flag("late");
-    witness.accelerators = std::uint32_t(number("accelerators"));
-    witness.payload = words("payload");
-    witness.saved = words("saved");
-    witness.pool = words("pool");
-    if (auto found = object.find("labels"); found != object.end() && found->second.is<picojson::array>())
-        for (const auto& label : found->second.get<picojson::array>()) witness.labels.push_back(label.to_str());
-    return witness;
+  picojson::value root;
+  if (!picojson::parse(root, line).empty() || !root.is<picojson::object>())
+    return std::nullopt;
+  const auto& object = root.get<picojson::object>();
+  auto words = [&](const char* field) {
+    auto found = object.find(field);
+    return found != object.end() && found->second.is<std::string>()
+               ? found->second.get<std::string>()
+               : std::string();
+  };
+  auto number = [&](const char* field) {
+    auto found = object.find(field);
+    return found != object.end() && found->second.is<double>() ? found->second.get<double>() : 0.0;
+  };
+  auto flag = [&](const char* field) {
+    auto found = object.find(field);
+    return found != object.end() && found->second.is<bool>() && found->second.get<bool>();
+  };
+  HistoryEvent witness;
+  const std::string kind = words("kind");
+  std::size_t place = 0;
+  while (place < std::size(kindNames) && kind != kindNames[place])
+    ++place;
+  if (place == std::size(kindNames))
+    return std::nullopt;
+  witness.kind = Kind(place);
+  witness.at = std::int64_t(number("at"));
+  witness.job = words("job");
+  witness.task = std::uint32_t(number("task"));
+  witness.worker = words("worker");
+  witness.attempt = words("attempt");
+  witness.detail = words("detail");
+  witness.version = std::uint64_t(number("version"));
+  witness.cores = std::uint32_t(number("cores"));
+  witness.memory = std::uint64_t(number("memory_mb"));
+  witness.trial = flag("trial");
+  witness.guards = flag("guards");
+  witness.late = flag("late");
+  witness.accelerators = std::uint32_t(number("accelerators"));
+  witness.payload = words("payload");
+  witness.saved = words("saved");
+  witness.pool = words("pool");
+  if (auto found = object.find("labels");
+      found != object.end() && found->second.is<picojson::array>())
+    for (const auto& label : found->second.get<picojson::array>())
+      witness.labels.push_back(label.to_str());
+  return witness;
 }
 
-Result<std::vector<HistoryEvent>, HistoryError> readHistory(const std::string& file, const std::string& text, bool atWork) {
-    std::vector<HistoryEvent> history;
-    std::istringstream stream(text);
-    std::size_t number = 0, torn = 0;
-    for (std::string line; std::getline(stream, line);) {
-        ++number;
-        if (line.empty()) continue;
-        auto witness = HistoryEvent::parse(line);
-        if (torn && (!witness || witness->kind != HistoryEvent::Kind::vanished)) return HistoryError{file, torn, "is no witness' line"};
-        if (!witness) {
-            torn = number;
-            continue;
-        }
-        torn = 0;
-        // A writer notes what it saw in the order in which it saw it; its clock may be set a little.
-        if (!history.empty() && witness->at + 1000 < history.back().at) return HistoryError{file, number, "stands after a later line: the history is out of order"};
-        history.push_back(std::move(*witness));
+Result<std::vector<HistoryEvent>, HistoryError> readHistory(const std::string& file,
+                                                            const std::string& text, bool atWork) {
+  std::vector<HistoryEvent> history;
+  std::istringstream stream(text);
+  std::size_t number = 0, torn = 0;
+  for (std::string line; std::getline(stream, line);) {
+    ++number;
+    if (line.empty())
+      continue;
+    auto witness = HistoryEvent::parse(line);
+    if (torn && (!witness || witness->kind != HistoryEvent::Kind::vanished))
+      return HistoryError{file, torn, "is no witness' line"};
+    if (!witness) {
+      torn = number;
+      continue;
     }
-    if (torn && !atWork) return HistoryError{file, torn, "is no witness' line"};
-    if (history.empty()) return HistoryError{file, 0, "holds no history"};
-    if (!atWork && history.back().kind != HistoryEvent::Kind::closed) return HistoryError{file, number, "is cut off: the writer's closing line is missing"};
-    return history;
+    torn = 0;
+    // A writer notes what it saw in the order in which it saw it; its clock may be set a little.
+    if (!history.empty() && witness->at + 1000 < history.back().at)
+      return HistoryError{file, number, "stands after a later line: the history is out of order"};
+    history.push_back(std::move(*witness));
+  }
+  if (torn && !atWork)
+    return HistoryError{file, torn, "is no witness' line"};
+  if (history.empty())
+    return HistoryError{file, 0, "holds no history"};
+  if (!atWork && history.back().kind != HistoryEvent::Kind::closed)
+    return HistoryError{file, number, "is cut off: the writer's closing line is missing"};
+  return history;
 }
 
 }  // namespace aniseline
-
-#ifdef ANISELINE_TESTS
-#include <CppUTest/TestHarness.h>
-using namespace aniseline;
-
-TEST_GROUP(HistoryTests){};
-
-TEST(HistoryTests, aLineSurvivesItsWriting) {
-    HistoryEvent given;
-    given.kind = HistoryEvent::Kind::started;
-    given.at = 20;
-    given.job = "a";
-    given.worker = "m";
-    given.cores = 3;
-    given.trial = given.late = true;
-    given.payload = "run=5";
-    given.labels = {"a", "rack1"};
-    STRCMP_EQUAL(given.line().c_str(), HistoryEvent::parse(given.line())->line().c_str());
-    CHECK(!HistoryEvent::parse("{\"at\":1,\"kind\":\"sung\"}"));
-}
-
-TEST(HistoryTests, whatIsNoWholeHistoryIsAnErrorByLine) {
-    auto at = [](std::int64_t time, HistoryEvent::Kind kind) {
-        HistoryEvent given;
-        given.at = time;
-        given.kind = kind;
-        return given.line() + "\n";
-    };
-    using K = HistoryEvent::Kind;
-    auto fault = [](const std::string& text) {
-        auto read = readHistory("f", text);
-        return read ? std::string("good") : read.error().message();
-    };
-    STRCMP_EQUAL("f: holds no history", fault("").c_str());
-    STRCMP_EQUAL("f:1: is cut off: the writer's closing line is missing", fault(at(1, K::submitted)).c_str());
-    STRCMP_EQUAL("f:2: is no witness' line", fault(at(1, K::submitted) + "{\"at\":\n" + at(2, K::closed)).c_str());
-    STRCMP_EQUAL("f:2: stands after a later line: the history is out of order", fault(at(5000, K::submitted) + at(1, K::closed)).c_str());
-    STRCMP_EQUAL("good", fault(at(1, K::started) + "{\"at\":\n" + at(2, K::vanished) + at(3, K::closed)).c_str());
-}
-#endif
--- a/source/cli/cluster_commands.cpp
+++ b/source/cli/cluster_commands.cpp
@@ -7,26 +7,47 @@
 namespace {
 
 ExitCode replace(Session& session, const Words& words) {
-    return askAndShow(session, {"POST", "/v1/controllers/" + words[0] + "/replace", ""},
-                      [](const picojson::value& answer) { return "controller " + printable(textIn(answer, "replacing")) + ": a learner takes its place as soon as one has caught up\n"; });
+  return askAndShow(session, {"POST", "/v1/controllers/" + words[0] + "/replace", ""},
+                    [](const picojson::value& answer) {
+                      return "controller " + printable(textIn(answer, "replacing")) +
+                             ": a learner takes its place as soon as one has caught up\n";
+                    });
 }
 ExitCode found(Session& session, const Words& words) {
-    if (auto endpoint = endpointOf(Address{words[0]}); !endpoint) return failUsage(session, "found: " + endpoint.error().text());
-    auto answer = session.found(Address{words[0]});
-    if (!answer) return fail(session, answer.error());
-    const ApiResponse& told = answer.value();
-    if (told.status >= 400) return fail(session, ClientError{ClientError::Kind::rejected, told.status, told.body, Duration{0}});
-    session.out << told.body << "\n";
-    return ExitCode::done;
+  if (auto endpoint = endpointOf(Address{words[0]}); !endpoint)
+    return failUsage(session, "found: " + endpoint.error().text());
+  auto answer = session.found(Address{words[0]});
+  if (!answer)
+    return fail(session, answer.error());
+  const ApiResponse& told = answer.value();
+  if (told.status >= 400)
+    return fail(session,
+                ClientError{ClientError::Kind::rejected, told.status, told.body, Duration{0}});
+  session.out << told.body << "\n";
+  return ExitCode::done;
 }
 
 }  // namespace
 
 std::vector<Command> clusterCommands() {
-    return {
-        {"replace", "CONTROLLER", "let a learner take this voter's place", "It is remembered through changes of leader. The leader itself can't be replaced: stop it first.", {}, false, replace},
-        {"found", "PEER-ADDRESS", "found a cluster on one blank controller", "Once, before anything else; asks that controller itself, so needs no gateways.", {}, false, found, false},
-    };
+  return {
+      {"replace",
+       "CONTROLLER",
+       "let a learner take this voter's place",
+       "It is remembered through changes of leader. The leader itself can't be replaced: stop it "
+       "first.",
+       {},
+       false,
+       replace},
+      {"found",
+       "PEER-ADDRESS",
+       "found a cluster on one blank controller",
+       "Once, before anything else; asks that controller itself, so needs no gateways.",
+       {},
+       false,
+       found,
+       false},
+  };
 }
 
 }  // namespace aniseline
--- a/source/cli/command.cpp
+++ b/source/cli/command.cpp
@@ -8,101 +8,133 @@
 namespace {
 
 std::size_t countWords(const std::string& text, bool needed) {
-    std::istringstream stream(text);
-    std::size_t count = 0;
-    for (std::string word; stream >> word;) count += !needed || word.front() != '[';
-    return count;
+  std::istringstream stream(text);
+  std::size_t count = 0;
+  for (std::string word; stream >> word;)
+    count += !needed || word.front() != '[';
+  return count;
 }
-// Ids stand in a request's target as they are; no id of ours holds what would change the target's meaning.
+// Ids stand in a request's target as they are; no id of ours holds what would change the target's
+// meaning.
 bool fitsTarget(const std::string& word) {
-    return !word.empty() && std::none_of(word.begin(), word.end(), [](char letter) { return std::uint8_t(letter) <= 0x20 || letter == 0x7f || std::strchr("/?#%", letter); });
+  return !word.empty() && std::none_of(word.begin(), word.end(), [](char letter) {
+    return std::uint8_t(letter) <= 0x20 || letter == 0x7f || std::strchr("/?#%", letter);
+  });
+}
+bool namesId(const std::string& argument) {
+  return argument == "JOB" || argument == "WORKER" || argument == "CONTROLLER";
 }
-bool namesId(const std::string& argument) { return argument == "JOB" || argument == "WORKER" || argument == "CONTROLLER"; }
 
-std::optional<std::string> faultOf(const Command& command, const Words& arguments, const std::vector<std::string>& given) {
-    if (arguments.size() < command.least() || arguments.size() > command.most()) return "it is: aniselinectl " + command.name + " " + command.arguments;
-    std::istringstream shape(command.arguments);
-    std::string argument;
-    for (const auto& word : arguments)
-        if (shape >> argument && namesId(argument) && !fitsTarget(word)) return "'" + printable(word) + "' can't be an id";
-    for (const auto& option : given) {
-        const auto& common = commonOptions();
-        if (!std::count(common.begin(), common.end(), option) && !std::count(command.options.begin(), command.options.end(), option)) return "--" + option + ": is no option of this command";
-    }
-    return std::nullopt;
+std::optional<std::string> faultOf(const Command& command, const Words& arguments,
+                                   const std::vector<std::string>& given) {
+  if (arguments.size() < command.least() || arguments.size() > command.most())
+    return "it is: aniselinectl " + command.name + " " + command.arguments;
+  std::istringstream shape(command.arguments);
+  std::string argument;
+  for (const auto& word : arguments)
+    if (shape >> argument && namesId(argument) && !fitsTarget(word))
+      return "'" + printable(word) + "' can't be an id";
+  for (const auto& option : given) {
+    const auto& common = commonOptions();
+    if (!std::count(common.begin(), common.end(), option) &&
+        !std::count(command.options.begin(), command.options.end(), option))
+      return "--" + option + ": is no option of this command";
+  }
+  return std::nullopt;
 }
 
 }  // namespace
 
-std::size_t Command::least() const { return countWords(arguments, true); }
-std::size_t Command::most() const { return arguments.ends_with("...") ? 100 : countWords(arguments, false); }
+std::size_t Command::least() const {
+  return countWords(arguments, true);
+}
+std::size_t Command::most() const {
+  return arguments.ends_with("...") ? 100 : countWords(arguments, false);
+}
 
 const std::vector<std::string>& commonOptions() {
-    static const std::vector<std::string> names{"gateways", "within-ms", "json"};
-    return names;
+  static const std::vector<std::string> names{"gateways", "within-ms", "json"};
+  return names;
 }
 
 const std::vector<Command>& allCommands() {
-    static const std::vector<Command> commands = [] {
-        std::vector<Command> all;
-        for (auto part : {lookCommands(), jobCommands(), workerCommands(), configCommands(), clusterCommands(), watchCommands()}) all.insert(all.end(), part.begin(), part.end());
-        return all;
-    }();
-    return commands;
+  static const std::vector<Command> commands = [] {
+    std::vector<Command> all;
+    for (auto part : {lookCommands(), jobCommands(), workerCommands(), configCommands(),
+                      clusterCommands(), watchCommands()})
+      all.insert(all.end(), part.begin(), part.end());
+    return all;
+  }();
+  return commands;
 }
 
 const Command* commandOf(const Words& words, std::size_t& taken) {
-    static const std::map<std::string, std::string> otherNames{{"list", "jobs"}};
-    for (taken = std::min<std::size_t>(2, words.size()); taken > 0; --taken) {
-        std::string name = taken == 2 ? words[0] + " " + words[1] : words[0];
-        if (auto other = otherNames.find(name); other != otherNames.end()) name = other->second;
-        for (const auto& command : allCommands())
-            if (command.name == name) return &command;
-    }
-    return nullptr;
+  static const std::map<std::string, std::string> otherNames{{"list", "jobs"}};
+  for (taken = std::min<std::size_t>(2, words.size()); taken > 0; --taken) {
+    std::string name = taken == 2 ? words[0] + " " + words[1] : words[0];
+    if (auto other = otherNames.find(name); other != otherNames.end())
+      name = other->second;
+    for (const auto& command : allCommands())
+      if (command.name == name)
+        return &command;
+  }
+  return nullptr;
 }
 
 ExitCode runWords(Session& session, const Words& words, const std::vector<std::string>& given) {
-    std::size_t taken = 0;
-    const Command* command = commandOf(words, taken);
-    if (!command) return failUsage(session, "the words make no command; `aniselinectl help` lists those that do");
-    const Words arguments(words.begin() + std::ptrdiff_t(taken), words.end());
-    std::vector<std::string> own = given;
-    // What `watch` repeats has options of its own.
-    if (std::size_t inner = 0; command->name == "watch")
-        if (const Command* repeated = commandOf(arguments, inner)) std::erase_if(own, [&](const std::string& option) { return std::count(repeated->options.begin(), repeated->options.end(), option) > 0; });
-    if (auto fault = faultOf(*command, arguments, own)) return failUsage(session, command->name + ": " + *fault);
-    if (command->asks && !session.ask) return failUsage(session, "--gateways: is missing, and ANISELINECTL_GATEWAYS is not set");
-    return command->run(session, arguments);
+  std::size_t taken = 0;
+  const Command* command = commandOf(words, taken);
+  if (!command)
+    return failUsage(session, "the words make no command; `aniselinectl help` lists those that do");
+  const Words arguments(words.begin() + std::ptrdiff_t(taken), words.end());
+  std::vector<std::string> own = given;
+  // What `watch` repeats has options of its own.
+  if (std::size_t inner = 0; command->name == "watch")
+    if (const Command* repeated = commandOf(arguments, inner))
+      std::erase_if(own, [&](const std::string& option) {
+        return std::count(repeated->options.begin(), repeated->options.end(), option) > 0;
+      });
+  if (auto fault = faultOf(*command, arguments, own))
+    return failUsage(session, command->name + ": " + *fault);
+  if (command->asks && !session.ask)
+    return failUsage(session, "--gateways: is missing, and ANISELINECTL_GATEWAYS is not set");
+  return command->run(session, arguments);
 }
 
 ExitCode show(Session& session, const picojson::value& answer, const View& view) {
-    if (!session.choices.json) session.out << view(answer);
-    else session.out << answer.serialize(!session.choices.compact) << (session.choices.compact ? "\n" : "");
-    return ExitCode::done;
+  if (!session.choices.json)
+    session.out << view(answer);
+  else
+    session.out << answer.serialize(!session.choices.compact)
+                << (session.choices.compact ? "\n" : "");
+  return ExitCode::done;
 }
 ExitCode askAndShow(Session& session, const HttpRequest& request, const View& view) {
-    auto answer = session.ask(request);
-    if (!answer) return fail(session, answer.error());
-    picojson::value root;
-    const std::string& body = answer.value().body;
-    if (nestedTooDeep(body) || !picojson::parse(root, body).empty()) return fail(session, ClientError{ClientError::Kind::unknown, 0, "the answer is not JSON", Duration{0}});
-    return show(session, root, view);
+  auto answer = session.ask(request);
+  if (!answer)
+    return fail(session, answer.error());
+  picojson::value root;
+  const std::string& body = answer.value().body;
+  if (nestedTooDeep(body) || !picojson::parse(root, body).empty())
+    return fail(session,
+                ClientError{ClientError::Kind::unknown, 0, "the answer is not JSON", Duration{0}});
+  return show(session, root, view);
 }
 ExitCode fail(Session& session, const ClientError& error) {
-    session.err << (session.choices.json ? errorJson(error) + "\n" : errorText(error));
-    return exitCodeOf(error);
+  session.err << (session.choices.json ? errorJson(error) + "\n" : errorText(error));
+  return exitCodeOf(error);
 }
 ExitCode failUsage(Session& session, const std::string& text) {
-    session.err << "aniselinectl: " << text << "\n";
-    return ExitCode::usage;
+  session.err << "aniselinectl: " << text << "\n";
+  return ExitCode::usage;
 }
 std::optional<std::string> readWhole(Session& session, const std::string& file) {
-    std::ifstream stream(file);
-    std::string text((std::istreambuf_iterator<char>(stream)), {});
-    if (stream.is_open() && !stream.bad()) return text;
-    session.err << "aniselinectl: " << file << ": can't be read\n";
-    return std::nullopt;
+  std::ifstream stream(file);
+  std::string text((std::istreambuf_iterator<char>(stream)), {});
+  if (stream.is_open() && !stream.bad())
+    return text;
+  session.err << "aniselinectl: " << file << ": can't be read\n";
+  return std::nullopt;
 }
 
 }  // namespace aniseline
--- a/source/cli/job_commands.cpp
+++ b/source/cli/job_commands.cpp
@@ -6,30 +6,60 @@
 namespace {
 
 ExitCode jobs(Session& session, const Words&) {
-    static const std::set<std::string> states{"", "timed", "open", "cancelling", "finished", "failed", "cancelled"};
-    const std::string& state = session.choices.state;
-    if (!states.count(state)) return failUsage(session, "--state: must be timed, open, cancelling, finished, failed or cancelled");
-    return askAndShow(session, {"GET", "/v1/jobs?limit=" + std::to_string(session.choices.limit) + (state.empty() ? "" : "&state=" + state), ""}, jobsView);
+  static const std::set<std::string> states{"",         "timed",  "open",     "cancelling",
+                                            "finished", "failed", "cancelled"};
+  const std::string& state = session.choices.state;
+  if (!states.count(state))
+    return failUsage(session,
+                     "--state: must be timed, open, cancelling, finished, failed or cancelled");
+  return askAndShow(session,
+                    {"GET",
+                     "/v1/jobs?limit=" + std::to_string(session.choices.limit) +
+                         (state.empty() ? "" : "&state=" + state),
+                     ""},
+                    jobsView);
+}
+ExitCode showJob(Session& session, const Words& words) {
+  return askAndShow(session, {"GET", "/v1/jobs/" + words[0], ""}, jobView);
 }
-ExitCode showJob(Session& session, const Words& words) { return askAndShow(session, {"GET", "/v1/jobs/" + words[0], ""}, jobView); }
 ExitCode submit(Session& session, const Words& words) {
-    auto text = readWhole(session, words[0]);
-    if (!text) return ExitCode::usage;
-    return askAndShow(session, {"POST", "/v1/jobs", *text}, [](const picojson::value& answer) { return "job " + printable(textIn(answer, "id")) + ": accepted\n"; });
+  auto text = readWhole(session, words[0]);
+  if (!text)
+    return ExitCode::usage;
+  return askAndShow(session, {"POST", "/v1/jobs", *text}, [](const picojson::value& answer) {
+    return "job " + printable(textIn(answer, "id")) + ": accepted\n";
+  });
 }
 ExitCode cancel(Session& session, const Words& words) {
-    return askAndShow(session, {"DELETE", "/v1/jobs/" + words[0], ""}, [](const picojson::value& answer) { return "job " + printable(textIn(answer, "id")) + ": " + printable(textIn(answer, "state")) + "\n"; });
+  return askAndShow(session, {"DELETE", "/v1/jobs/" + words[0], ""},
+                    [](const picojson::value& answer) {
+                      return "job " + printable(textIn(answer, "id")) + ": " +
+                             printable(textIn(answer, "state")) + "\n";
+                    });
 }
 
 }  // namespace
 
 std::vector<Command> jobCommands() {
-    return {
-        {"jobs", "", "jobs by id", "`list` is the same.", {"state", "limit"}, true, jobs},
-        {"show", "JOB", "a job, its state and its first 200 tasks", "", {}, true, showJob},
-        {"submit", "FILE", "submit the job that the file describes", "Safe to repeat: the same id with the same content gets the same answer, with other content a conflict.", {}, false, submit},
-        {"cancel", "JOB", "cancel a job", "Safe to repeat. The answer is its state: cancelling, or how it ended.", {}, false, cancel},
-    };
+  return {
+      {"jobs", "", "jobs by id", "`list` is the same.", {"state", "limit"}, true, jobs},
+      {"show", "JOB", "a job, its state and its first 200 tasks", "", {}, true, showJob},
+      {"submit",
+       "FILE",
+       "submit the job that the file describes",
+       "Safe to repeat: the same id with the same content gets the same answer, with other content "
+       "a conflict.",
+       {},
+       false,
+       submit},
+      {"cancel",
+       "JOB",
+       "cancel a job",
+       "Safe to repeat. The answer is its state: cancelling, or how it ended.",
+       {},
+       false,
+       cancel},
+  };
 }
 
 }  // namespace aniseline
--- a/source/cli/look_commands.cpp
+++ b/source/cli/look_commands.cpp
@@ -5,31 +5,69 @@
 
 namespace {
 
-ExitCode cluster(Session& session, const Words&) { return askAndShow(session, {"GET", "/v1/cluster", ""}, clusterView); }
-ExitCode workers(Session& session, const Words&) { return askAndShow(session, {"GET", "/v1/workers", ""}, workersView); }
-ExitCode plan(Session& session, const Words&) { return askAndShow(session, {"GET", "/v1/plan", ""}, planView); }
-ExitCode counters(Session& session, const Words&) { return askAndShow(session, {"GET", "/v1/counters", ""}, countersView); }
+ExitCode cluster(Session& session, const Words&) {
+  return askAndShow(session, {"GET", "/v1/cluster", ""}, clusterView);
+}
+ExitCode workers(Session& session, const Words&) {
+  return askAndShow(session, {"GET", "/v1/workers", ""}, workersView);
+}
+ExitCode plan(Session& session, const Words&) {
+  return askAndShow(session, {"GET", "/v1/plan", ""}, planView);
+}
+ExitCode counters(Session& session, const Words&) {
+  return askAndShow(session, {"GET", "/v1/counters", ""}, countersView);
+}
 ExitCode queues(Session& session, const Words&) {
-    auto config = session.ask({"GET", "/v1/config", ""});
-    if (!config) return fail(session, config.error());
-    auto jobs = session.ask({"GET", "/v1/jobs?state=open&limit=1000", ""});
-    if (!jobs) return fail(session, jobs.error());
-    picojson::value configRoot, jobsRoot;
-    if (!picojson::parse(configRoot, config.value().body).empty() || !picojson::parse(jobsRoot, jobs.value().body).empty())
-        return fail(session, ClientError{ClientError::Kind::unknown, 0, "the answer is not JSON", Duration{0}});
-    return show(session, queuesOf(configRoot, jobsRoot), queuesView);
+  auto config = session.ask({"GET", "/v1/config", ""});
+  if (!config)
+    return fail(session, config.error());
+  auto jobs = session.ask({"GET", "/v1/jobs?state=open&limit=1000", ""});
+  if (!jobs)
+    return fail(session, jobs.error());
+  picojson::value configRoot, jobsRoot;
+  if (!picojson::parse(configRoot, config.value().body).empty() ||
+      !picojson::parse(jobsRoot, jobs.value().body).empty())
+    return fail(session,
+                ClientError{ClientError::Kind::unknown, 0, "the answer is not JSON", Duration{0}});
+  return show(session, queuesOf(configRoot, jobsRoot), queuesView);
 }
 
 }  // namespace
 
 std::vector<Command> lookCommands() {
-    return {
-        {"cluster", "", "controllers, their roles and lag, gateways", "BEHIND counts records of the log that a controller lacks; UNHEARD is how long the leader has not heard it.", {}, true, cluster},
-        {"workers", "", "workers, their room and standing", "RUNS and HELD count attempts, ORDERS those not yet applied; BLAME rises with failed work (design.md 5.6).", {}, true, workers},
-        {"plan", "", "who waits and why, and the reserved start", "By rank: the first line would start first.", {}, true, plan},
-        {"queues", "", "queues in force with their open jobs", "A queue that the config no longer names runs its open jobs out and is shown as closed.", {}, true, queues},
-        {"counters", "", "counts since the cluster was founded", "", {}, true, counters},
-    };
+  return {
+      {"cluster",
+       "",
+       "controllers, their roles and lag, gateways",
+       "BEHIND counts records of the log that a controller lacks; UNHEARD is how long the leader "
+       "has not heard it.",
+       {},
+       true,
+       cluster},
+      {"workers",
+       "",
+       "workers, their room and standing",
+       "RUNS and HELD count attempts, ORDERS those not yet applied; BLAME rises with failed work "
+       "(design.md 5.6).",
+       {},
+       true,
+       workers},
+      {"plan",
+       "",
+       "who waits and why, and the reserved start",
+       "By rank: the first line would start first.",
+       {},
+       true,
+       plan},
+      {"queues",
+       "",
+       "queues in force with their open jobs",
+       "A queue that the config no longer names runs its open jobs out and is shown as closed.",
+       {},
+       true,
+       queues},
+      {"counters", "", "counts since the cluster was founded", "", {}, true, counters},
+  };
 }
 
 }  // namespace aniseline
--- a/source/cli/outcome.cpp
+++ b/source/cli/outcome.cpp
@@ -6,50 +6,69 @@
 namespace {
 
 std::optional<picojson::value> errorIn(const ClientError& error) {
-    picojson::value root;
-    if (nestedTooDeep(error.text) || !picojson::parse(root, error.text).empty() || !fieldIn(root, "text").is<std::string>()) return std::nullopt;
-    return root;
+  picojson::value root;
+  if (nestedTooDeep(error.text) || !picojson::parse(root, error.text).empty() ||
+      !fieldIn(root, "text").is<std::string>())
+    return std::nullopt;
+  return root;
 }
 
 }  // namespace
 
 ExitCode exitCodeOf(const ClientError& error) {
-    switch (error.status) {
-        case 404: return ExitCode::missing;
-        case 409: case 412: return ExitCode::conflict;
-        case 429: return ExitCode::overloaded;
-    }
-    switch (error.kind) {
-        case ClientError::Kind::missing: return ExitCode::missing;
-        case ClientError::Kind::unknown: return ExitCode::unknown;
-        case ClientError::Kind::rejected: return ExitCode::refused;
-    }
-    return ExitCode::refused;
+  switch (error.status) {
+    case 404:
+      return ExitCode::missing;
+    case 409:
+    case 412:
+      return ExitCode::conflict;
+    case 429:
+      return ExitCode::overloaded;
+  }
+  switch (error.kind) {
+    case ClientError::Kind::missing:
+      return ExitCode::missing;
+    case ClientError::Kind::unknown:
+      return ExitCode::unknown;
+    case ClientError::Kind::rejected:
+      return ExitCode::refused;
+  }
+  return ExitCode::refused;
 }
 
 std::string errorText(const ClientError& error) {
-    const std::string status = error.status ? std::to_string(error.status) + " " : "";
-    const auto root = errorIn(error);
-    if (!root) return "aniselinectl: " + status + printable(error.text) + "\n";
-    std::string text = "aniselinectl: " + status + printable(textIn(*root, "error", "error")) + ": ";
-    const auto& details = listIn(*root, "details");
-    if (details.empty()) return text + printable(textIn(*root, "text")) + "\n";
-    for (const auto& detail : details) {
-        const std::string path = textIn(detail, "path", "");
-        text += (details.size() > 1 ? "\n  " : "") + (path.empty() ? "" : printable(path) + ": ") + printable(textIn(detail, "text"));
-    }
-    return text + "\n";
+  const std::string status = error.status ? std::to_string(error.status) + " " : "";
+  const auto root = errorIn(error);
+  if (!root)
+    return "aniselinectl: " + status + printable(error.text) + "\n";
+  std::string text = "aniselinectl: " + status + printable(textIn(*root, "error", "error")) + ": ";
+  const auto& details = listIn(*root, "details");
+  if (details.empty())
+    return text + printable(textIn(*root, "text")) + "\n";
+  for (const auto& detail : details) {
+    const std::string path = textIn(detail, "path", "");
+    text += (details.size() > 1 ? "\n  " : "") + (path.empty() ? "" : printable(path) + ": ") +
+            printable(textIn(detail, "text"));
+  }
+  return text + "\n";
 }
 std::string errorJson(const ClientError& error) {
-    if (auto root = errorIn(error)) return root->serialize();
-    return json(picojson::object{{"error", json(error.kind == ClientError::Kind::unknown ? "unknown" : "refused")}, {"text", json(error.text)}}).serialize();
+  if (auto root = errorIn(error))
+    return root->serialize();
+  return json(picojson::object{
+                  {"error", json(error.kind == ClientError::Kind::unknown ? "unknown" : "refused")},
+                  {"text", json(error.text)}})
+      .serialize();
 }
 
 std::string errorText(const std::string& where, const CoreError& error) {
-    std::string text;
-    for (const auto& fault : error.details) text += where + ": " + (fault.path.empty() ? "" : fault.path + ": ") + fault.text + "\n";
-    return text;
+  std::string text;
+  for (const auto& fault : error.details)
+    text += where + ": " + (fault.path.empty() ? "" : fault.path + ": ") + fault.text + "\n";
+  return text;
+}
+std::string errorJson(const CoreError& error) {
+  return ApiResponse::from(error).body;
 }
-std::string errorJson(const CoreError& error) { return ApiResponse::from(error).body; }
 
 }  // namespace aniseline
--- a/source/cli/views.hpp
+++ b/source/cli/views.hpp
@@ -10,10 +10,11 @@
 std::string jobsView(const picojson::value& answer);
 std::string jobView(const picojson::value& answer);
 std::string planView(const picojson::value& answer);
-std::string queuesView(const picojson::value& queues);   // of queuesOf
+std::string queuesView(const picojson::value& queues);  // of queuesOf
 std::string configView(const picojson::value& answer);
 
-// The queues of a config with the open jobs of each, from the answers of /v1/config and /v1/jobs?state=open.
+// The queues of a config with the open jobs of each, from the answers of /v1/config and
+// /v1/jobs?state=open.
 picojson::value queuesOf(const picojson::value& config, const picojson::value& openJobs);
 
 }  // namespace aniseline
--- a/source/cli/watch.cpp
+++ b/source/cli/watch.cpp
@@ -7,30 +7,49 @@
 
 namespace {
 
-double calendarNow() { return double(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()); }
+double calendarNow() {
+  return double(std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count());
+}
 
 // A turn that fails is told and the next one is taken; the last one's code is the command's.
 ExitCode watch(Session& session, const Words& words) {
-    std::size_t taken = 0;
-    const Command* command = commandOf(words, taken);
-    if (!command || !command->watchable) return failUsage(session, "watch: what it repeats must only look: cluster, workers, plan, queues, counters, jobs, show JOB or config show");
-    session.choices.compact = true;
-    ExitCode code = ExitCode::done;
-    for (std::int64_t turn = 1; turn <= session.choices.times; ++turn) {
-        if (turn > 1) session.rest(Duration{session.choices.every});
-        if (session.terminal && !session.choices.json) session.out << "\x1b[H\x1b[2J";
-        if (!session.choices.json) session.out << (turn > 1 && !session.terminal ? "\n" : "") << "-- " << timeText(calendarNow()) << ", " << turn << " of " << session.choices.times << "\n";
-        code = runWords(session, words, {});
-        session.out.flush();
-        if (code == ExitCode::usage) return code;
-    }
-    return code;
+  std::size_t taken = 0;
+  const Command* command = commandOf(words, taken);
+  if (!command || !command->watchable)
+    return failUsage(session,
+                     "watch: what it repeats must only look: cluster, workers, plan, queues, "
+                     "counters, jobs, show JOB or config show");
+  session.choices.compact = true;
+  ExitCode code = ExitCode::done;
+  for (std::int64_t turn = 1; turn <= session.choices.times; ++turn) {
+    if (turn > 1)
+      session.rest(Duration{session.choices.every});
+    if (session.terminal && !session.choices.json)
+      session.out << "\x1b[H\x1b[2J";
+    if (!session.choices.json)
+      session.out << (turn > 1 && !session.terminal ? "\n" : "") << "-- " << timeText(calendarNow())
+                  << ", " << turn << " of " << session.choices.times << "\n";
+    code = runWords(session, words, {});
+    session.out.flush();
+    if (code == ExitCode::usage)
+      return code;
+  }
+  return code;
 }
 
 }  // namespace
 
 std::vector<Command> watchCommands() {
-    return {{"watch", "COMMAND...", "repeat a command that only looks", "With --json each turn gives one line.", {"times", "every-ms"}, false, watch, false}};
+  return {{"watch",
+           "COMMAND...",
+           "repeat a command that only looks",
+           "With --json each turn gives one line.",
+           {"times", "every-ms"},
+           false,
+           watch,
+           false}};
 }
 
 }  // namespace aniseline
--- a/source/cli/worker_commands.cpp
+++ b/source/cli/worker_commands.cpp
@@ -6,21 +6,42 @@
 namespace {
 
 ExitCode order(Session& session, const std::string& worker, const std::string& verb) {
-    return askAndShow(session, {"POST", "/v1/workers/" + worker + "/" + verb, ""},
-                      [](const picojson::value& answer) { return "worker " + printable(textIn(answer, "worker")) + ": " + printable(textIn(answer, "state")) + "\n"; });
+  return askAndShow(session, {"POST", "/v1/workers/" + worker + "/" + verb, ""},
+                    [](const picojson::value& answer) {
+                      return "worker " + printable(textIn(answer, "worker")) + ": " +
+                             printable(textIn(answer, "state")) + "\n";
+                    });
+}
+ExitCode drain(Session& session, const Words& words) {
+  return order(session, words[0], "drain?within_ms=" + std::to_string(session.choices.drainWithin));
+}
+ExitCode undrain(Session& session, const Words& words) {
+  return order(session, words[0], "undrain");
+}
+ExitCode declareGone(Session& session, const Words& words) {
+  return order(session, words[0], "gone");
 }
-ExitCode drain(Session& session, const Words& words) { return order(session, words[0], "drain?within_ms=" + std::to_string(session.choices.drainWithin)); }
-ExitCode undrain(Session& session, const Words& words) { return order(session, words[0], "undrain"); }
-ExitCode declareGone(Session& session, const Words& words) { return order(session, words[0], "gone"); }
 
 }  // namespace
 
 std::vector<Command> workerCommands() {
-    return {
-        {"drain", "WORKER", "no new work for it; what runs may go on for a while", "After --drain-within-ms what still runs is stopped and waits again.", {"drain-within-ms"}, false, drain},
-        {"undrain", "WORKER", "give it work again", "", {}, false, undrain},
-        {"declare-gone", "WORKER", "its tasks may be started elsewhere", "Say it only when the machine is really off: else a task may run twice at once.", {}, false, declareGone},
-    };
+  return {
+      {"drain",
+       "WORKER",
+       "no new work for it; what runs may go on for a while",
+       "After --drain-within-ms what still runs is stopped and waits again.",
+       {"drain-within-ms"},
+       false,
+       drain},
+      {"undrain", "WORKER", "give it work again", "", {}, false, undrain},
+      {"declare-gone",
+       "WORKER",
+       "its tasks may be started elsewhere",
+       "Say it only when the machine is really off: else a task may run twice at once.",
+       {},
+       false,
+       declareGone},
+  };
 }
 
 }  // namespace aniseline
--- /dev/null
+++ b/source/controller/admission.cpp
@@ -0,0 +1,114 @@
+// Admission of jobs: limits, reserves and turning away what would come too late. docs/design.md 10.
+#include "controller/controller.hpp"
+
+namespace aniseline {
+
+// docs/design.md 10: the config in force says which queues are urgent.
+bool Controller::hasRoomFor(const ApiRequest& request) const {
+  const auto* queue = committedState.config.queue(request.job.queue);
+  const bool plain = request.kind == RequestKind::submitJob && !(queue && queue->urgency > 0);
+  return roomFor(request.kind, plain, requests.size(), options.maxPendingRequests);
+}
+
+void Controller::handleSubmit(PendingRequest& record) {
+  const JobSubmission& job = record.request.job;
+  auto accepted = [&] {
+    return ApiResponse::of(202, {{"id", json(job.id.value)}, {"accepted", json(true)}});
+  };
+  auto found = speculative().jobs.find(job.id);
+  if (found != speculative().jobs.end()) {
+    if (found->second.digest == job.digest())
+      return decide(record, accepted(), false);
+    return decide(
+        record,
+        ApiResponse::error(409, "conflict", "job " + job.id.value + " exists with other content"),
+        false);
+  }
+  const auto* queue = speculative().config.queue(job.queue);
+  if (!queue || queue->closed)
+    return decide(record,
+                  ApiResponse::from(CoreError::at(CoreError::Kind::invalid, "/queue",
+                                                  "the config has no queue " + job.queue.value)),
+                  false);
+  for (std::size_t step = 0; step < job.steps.size() && !record.request.byEntrance(); ++step)
+    if (auto never = speculative().neverFits(job, job.steps[step]))
+      return decide(record,
+                    ApiResponse::from(CoreError::at(CoreError::Kind::invalid,
+                                                    "/steps/" + std::to_string(step), *never)),
+                    false);
+  // docs/design.md 10: the whole is bounded, and what is reserved to other queues is not for this
+  // one.
+  std::uint64_t heldBack = 0;
+  for (const auto& [name, options] : speculative().config.queues) {
+    if (name == job.queue)
+      continue;
+    const auto open = speculative().openByQueue[name];
+    heldBack += options.reserved > open ? options.reserved - open : 0;
+  }
+  const auto limit = speculative().config.planner.openLimit;
+  const bool full = speculative().open.size() + heldBack >= limit ||
+                    speculative().openByQueue[job.queue] >= queue->openLimit;
+  if (full)
+    return decide(record,
+                  ApiResponse::error(429, "overloaded", "queue " + job.queue.value + " is full",
+                                     Duration{1000}),
+                  false);
+  if (const Duration wait = hopelessWait(job, *queue); wait.milliseconds)
+    return decide(record,
+                  ApiResponse::error(429, "overloaded",
+                                     "what waits before it would keep it past all use", wait),
+                  false);
+  append(JobAccepted{job});
+  if (queue->urgency > 0)
+    planAtOnce = true;
+  decide(record, accepted(), true);
+}
+
+// What waits in each pool, in core-milliseconds by urgency, and the cores there are for it.
+// docs/design.md 10.
+void Controller::weighBacklog() {
+  if (now - backlog.at < Duration{200})
+    return;
+  backlog = Backlog{};
+  backlog.at = now;
+  for (const auto& [id, worker] : speculative().workers)
+    if (worker.open())
+      backlog.cores[worker.capacity.pool] += worker.capacity.cores;
+  for (const auto& id : speculative().open) {
+    const Job& job = speculative().jobs.at(id);
+    const auto* queue = speculative().config.queue(job.submission.queue);
+    if (!queue || job.state != JobState::open)
+      continue;
+    double& waiting = backlog.waiting[{queue->pool, queue->urgency}];
+    for (const auto& task : job.tasks)
+      if (task.state == TaskState::waiting)
+        waiting += double(job.request(task).cores) * double(job.request(task).runtime.milliseconds);
+  }
+}
+
+// Not 0: a job of this queue would begin so late that it is of no use any more; when to come back.
+// Only where aims are known.
+Duration Controller::hopelessWait(const JobSubmission& job, const QueueOptions& queue) {
+  if (queue.target.milliseconds <= 0 || job.timed())
+    return Duration{0};
+  weighBacklog();
+  const auto cores = backlog.cores.find(queue.pool);
+  if (cores == backlog.cores.end())
+    return Duration{0};
+  double before = 0, own = 0;
+  for (const auto& [key, waiting] : backlog.waiting)
+    if (key.first == queue.pool && key.second >= queue.urgency)
+      before += waiting;
+  for (const auto& step : job.steps)
+    for (const auto& task : step.tasks)
+      own += double(task.cores) * double(task.runtime.milliseconds);
+  const double delay = before / cores->second;
+  const double aim =
+      queue.extend * double(job.longestChain().milliseconds) + double(queue.target.milliseconds);
+  if (delay > 3 * aim)
+    return Duration{std::clamp<std::int64_t>(std::int64_t(delay - 2 * aim), 500, 3000)};
+  backlog.waiting[{queue.pool, queue.urgency}] += own;
+  return Duration{0};
+}
+
+}  // namespace aniseline
--- /dev/null
+++ b/source/controller/membership.cpp
@@ -0,0 +1,126 @@
+// Which controllers vote and learn: repair after a loss. docs/design.md 3.5.
+#include "controller/controller.hpp"
+
+namespace aniseline {
+
+// One change at a time, each logged; a learner is promoted when it has caught up.
+// docs/design.md 3.5.
+void Controller::reviewMembership() {
+  // A learner has caught up when it holds what was committed a moment ago: under load it is never
+  // level.
+  if (committedLately.empty() || now - committedAt >= Duration{250}) {
+    committedLately.push_back(raft.commitIndex());
+    if (committedLately.size() > 2)
+      committedLately.pop_front();
+    committedAt = now;
+  }
+  if (!raft.membersSettled())
+    return;
+  Members members = raft.members();
+  auto isDead = [&](const Member& member) {
+    if (member.id == raft.self().id)
+      return false;
+    if (speculative().toReplace.count(member.id))
+      return true;
+    const Duration unheard = now - std::max(leaderSince, raft.heardFrom(member.id));
+    // A new identity that answers at its very address is proof that its disk is gone: no need to
+    // wait for more.
+    const bool supplanted = std::any_of(members.begin(), members.end(), [&](const Member& other) {
+      return other.id != member.id && other.peer == member.peer &&
+             now - raft.heardFrom(other.id) < Duration{1000};
+    });
+    return unheard > options.replaceAfter || (supplanted && unheard > Duration{2000});
+  };
+  auto change = [&](const char* what, const Member& member) {
+    if (raft.proposeMembers(members, now))
+      emitLogEvent("members change", {{"change", json(what)},
+                                      {"member", json(member.id.value)},
+                                      {"zone", json(member.zone.value)}});
+  };
+  std::size_t voters = 0, dead = 0;
+  for (const auto& member : members) {
+    voters += member.voter;
+    dead += member.voter && isDead(member);
+  }
+  // One learner stands ready for the next voter that is lost, and one for each place that is open
+  // now.
+  raft.wantLearners(1 + options.voters - std::min(options.voters, voters - dead));
+  auto votersIn = [&](const ZoneName& zone) {
+    return std::count_if(members.begin(), members.end(),
+                         [&](const Member& other) { return other.voter && other.zone == zone; });
+  };
+  // One voter more than wanted may make a majority larger, so that stage is left at once: the one
+  // unheard for longest goes, or, where the old one came back meanwhile, one that an operator named
+  // or else the latest of the zone that has the most.
+  ControllerId surplus;
+  if (voters > options.voters) {
+    Duration longest{2000};
+    for (const auto& member : members) {
+      const Duration unheard = now - std::max(leaderSince, raft.heardFrom(member.id));
+      if (!member.voter || member.id == raft.self().id || unheard <= longest)
+        continue;
+      longest = unheard;
+      surplus = member.id;
+    }
+    std::ptrdiff_t most = 0;
+    for (const auto& member : members) {
+      if (longest > Duration{2000} || now - leaderSince <= Duration{4000} || !member.voter ||
+          member.id == raft.self().id)
+        continue;
+      const bool named = speculative().toReplace.count(member.id);
+      const auto together = named ? std::ptrdiff_t(members.size()) + 1 : votersIn(member.zone);
+      if (together < most)
+        continue;
+      most = together;
+      surplus = member.id;
+    }
+  }
+  for (std::size_t place = 0; place < members.size(); ++place) {
+    const Member member = members[place];
+    const bool lostState = raft.lostState(member.id);
+    const bool superfluous = member.voter && member.id == surplus;
+    const bool deadLearner = !member.voter && isDead(member);
+    if (!(lostState && (!member.voter || voters > 1)) && !superfluous && !deadLearner)
+      continue;
+    members.erase(members.begin() + std::ptrdiff_t(place));
+    if (speculative().toReplace.count(member.id))
+      append(ControllerReplacementRequested{member.id, true});
+    return change(lostState ? "lost state" : "removed", member);
+  }
+  if (voters > options.voters)
+    return;
+  // The learner that has caught up and whose zone has the fewest voters that live.
+  Member* best = nullptr;
+  std::ptrdiff_t fewest = 0;
+  for (auto& member : members) {
+    if (member.voter || now - raft.heardFrom(member.id) > Duration{1000})
+      continue;
+    if (raft.matchOf(member.id) < committedLately.front())
+      continue;
+    const auto inZone = std::count_if(members.begin(), members.end(), [&](const Member& other) {
+      return other.voter && other.zone == member.zone && !isDead(other);
+    });
+    if (best && inZone >= fewest)
+      continue;
+    best = &member;
+    fewest = inZone;
+  }
+  if (!best)
+    return;
+  // Nobody is missing: only a zone's surplus goes, and only while all are heard, since who is not
+  // would go in its place.
+  if (voters == options.voters && dead == 0) {
+    const bool allHeard = std::all_of(members.begin(), members.end(), [&](const Member& member) {
+      return !member.voter || now - raft.heardFrom(member.id) <= Duration{1000};
+    });
+    const bool better = std::any_of(members.begin(), members.end(), [&](const Member& member) {
+      return member.voter && votersIn(member.zone) >= fewest + 2;
+    });
+    if (!better || !allHeard || now - leaderSince <= Duration{4000})
+      return;
+  }
+  best->voter = true;
+  change("voter", *best);
+}
+
+}  // namespace aniseline
--- a/source/controller/snapshot_writer.cpp
+++ b/source/controller/snapshot_writer.cpp
@@ -3,40 +3,17 @@
 namespace aniseline {
 
 std::optional<PackedSnapshot> SnapshotWriter::work(const SnapshotWork& work) {
-    if (work.restart) {
-        auto read = unpack<ClusterState>(*work.restart);
-        clusterState = read ? std::move(read.value()) : ClusterState{};  // one that can't be read has stopped the core already
-    }
-    for (const auto& payload : work.records)
-        if (auto record = unpack<LogRecord>(payload)) clusterState.apply(record.value());
-    if (!work.pack) return std::nullopt;
-    return PackedSnapshot{*work.pack, pack(clusterState)};
+  if (work.restart) {
+    auto read = unpack<ClusterState>(*work.restart);
+    clusterState = read ? std::move(read.value())
+                        : ClusterState{};  // one that can't be read has stopped the core already
+  }
+  for (const auto& payload : work.records)
+    if (auto record = unpack<LogRecord>(payload))
+      clusterState.apply(record.value());
+  if (!work.pack)
+    return std::nullopt;
+  return PackedSnapshot{*work.pack, pack(clusterState)};
 }
 
 }  // namespace aniseline
-
-#ifdef ANISELINE_TESTS
-#include <CppUTest/TestHarness.h>
-using namespace aniseline;
-
-TEST_GROUP(SnapshotWriterTests){};
-
-// The view is the fold of just what was handed over, and a restart leaves nothing of what was before.
-TEST(SnapshotWriterTests, packsWhatItWasGivenAndBeginsAnew) {
-    auto allowed = [](const char* id) {
-        JobSubmission job;
-        job.id = JobId{id};
-        job.queue = QueueName{"q"};
-        job.steps = {{"s", {}, false, {TaskRequest{}}}};
-        return pack(LogRecord{ClusterTime{5}, JobAccepted{job}});
-    };
-    SnapshotWriter keeper;
-    CHECK(!keeper.work({std::nullopt, {allowed("a")}, std::nullopt}));
-    const auto first = keeper.work({std::nullopt, {allowed("b")}, LogIndex{2}});
-    LONGS_EQUAL(2, first->index.value);
-    LONGS_EQUAL(2, unpack<ClusterState>(first->state).value().jobs.size());
-    const auto second = keeper.work({pack(ClusterState{}), {allowed("c")}, LogIndex{9}});
-    LONGS_EQUAL(1, unpack<ClusterState>(second->state).value().jobs.count(JobId{"c"}));
-    LONGS_EQUAL(1, unpack<ClusterState>(second->state).value().jobs.size());
-}
-#endif
--- a/source/controller/snapshot_writer.hpp
+++ b/source/controller/snapshot_writer.hpp
@@ -1,4 +1,5 @@
-// Keeps a fold of its own from which whole views are packed, off the thread that leads and plans. docs/design.md 3.4.
+// Keeps a fold of its own from which whole views are packed, off the thread that leads and plans.
+// docs/design.md 3.4.
 #pragma once
 #include "state/cluster_state.hpp"
 
@@ -6,22 +7,22 @@
 
 // What the core hands over, in the order in which it came about.
 struct SnapshotWork {
-    std::optional<std::string> restart;  // a view to begin from
-    std::vector<std::string> records;    // committed since
-    std::optional<LogIndex> pack;        // wanted: the view of all that up to here
-    bool empty() const { return !restart && records.empty() && !pack; }
+  std::optional<std::string> restart;  // a view to begin from
+  std::vector<std::string> records;    // committed since
+  std::optional<LogIndex> pack;        // wanted: the view of all that up to here
+  bool empty() const { return !restart && records.empty() && !pack; }
 };
 struct PackedSnapshot {
-    LogIndex index;
-    std::string state;
+  LogIndex index;
+  std::string state;
 };
 
 class SnapshotWriter {
-public:
-    std::optional<PackedSnapshot> work(const SnapshotWork& work);
+ public:
+  std::optional<PackedSnapshot> work(const SnapshotWork& work);
 
-private:
-    ClusterState clusterState;
+ private:
+  ClusterState clusterState;
 };
 
 }  // namespace aniseline
--- a/source/daemons/agent_daemon.cpp
+++ b/source/daemons/agent_daemon.cpp
@@ -7,147 +7,178 @@
 namespace {
 
 class Program {
-public:
-    explicit Program(AgentSettings settings)
-        : settings(std::move(settings)), core(this->settings.options), relay(loop, [this] { return route; }, this->settings.seeds, [] { return false; }) {}
+ public:
+  explicit Program(AgentSettings settings)
+      : settings(std::move(settings)),
+        core(this->settings.options),
+        relay(
+            loop, [this] { return route; }, this->settings.seeds, [] { return false; }) {}
 
-    int run() {
-        HttpServer http(loop, HttpLimits{64 * 1024, 50, Duration{60'000}, Duration{2000}}, [this](const HttpRequest& request) { return hear(request); });
-        if (auto listening = http.listen(settings.listen, false); !listening) {
-            log(LogLevel::error, listening.error().text);
-            return 1;
-        }
-        log(LogLevel::info, "started", {{"listen", json(settings.listen.value)}, {"worker", json(settings.worker.value)}});
-        StopSignal stop(loop);
-        ReloadSignal reload(loop, [this] { renewSeeds(); });
-        spawn([this] { learnRoute(); });
-        while (!stop.requested()) {
-            const MonotonicTime now = monotonicNow();
-            for (auto& call : core.takeCalls(now)) spawn([this, call = std::move(call)] { perform(call); });
-            if (core.mayReport() && !patientBusy) spawnSync(true);
-            if (core.urgent(now) && !urgentBusy) spawnSync(false);
-            std::unique_lock lock(wakeMutex);
-            const Duration rest = std::clamp(core.nextDue(now) - now, Duration{1}, Duration{500});
-            wake.wait_for(lock, std::chrono::milliseconds(rest.milliseconds), [&] { return woken; });
-            woken = false;
-        }
-        // What runs goes on under its hold; the next process finds it by looking. docs/operations.md 4.
-        log(LogLevel::info, "stopped");
-        std::_Exit(0);
+  int run() {
+    HttpServer http(loop, HttpLimits{64 * 1024, 50, Duration{60'000}, Duration{2000}},
+                    [this](const HttpRequest& request) { return hear(request); });
+    if (auto listening = http.listen(settings.listen, false); !listening) {
+      log(LogLevel::error, listening.error().text);
+      return 1;
+    }
+    log(LogLevel::info, "started",
+        {{"listen", json(settings.listen.value)}, {"worker", json(settings.worker.value)}});
+    StopSignal stop(loop);
+    ReloadSignal reload(loop, [this] { renewSeeds(); });
+    spawn([this] { learnRoute(); });
+    while (!stop.requested()) {
+      const MonotonicTime now = monotonicNow();
+      for (auto& call : core.takeCalls(now))
+        spawn([this, call = std::move(call)] { perform(call); });
+      if (core.mayReport() && !patientBusy)
+        spawnSync(true);
+      if (core.urgent(now) && !urgentBusy)
+        spawnSync(false);
+      std::unique_lock lock(wakeMutex);
+      const Duration rest = std::clamp(core.nextDue(now) - now, Duration{1}, Duration{500});
+      wake.wait_for(lock, std::chrono::milliseconds(rest.milliseconds), [&] { return woken; });
+      woken = false;
     }
+    // What runs goes on under its hold; the next process finds it by looking. docs/operations.md 4.
+    log(LogLevel::info, "stopped");
+    std::_Exit(0);
+  }
 
-private:
-    void renewSeeds() {
-        if (!settings.seedsNow) return;
-        if (auto seeds = settings.seedsNow(); !seeds.empty()) settings.seeds = seeds;
-        relay.useSeeds(settings.seeds);
+ private:
+  void renewSeeds() {
+    if (!settings.seedsNow)
+      return;
+    if (auto seeds = settings.seedsNow(); !seeds.empty())
+      settings.seeds = seeds;
+    relay.useSeeds(settings.seeds);
+  }
+  void nudge() {
+    std::unique_lock lock(wakeMutex);
+    woken = true;
+    wake.notify_one();
+  }
+  ApiResponse hear(const HttpRequest& request) {
+    auto word = settings.words.hear(request);
+    if (!word)
+      return ApiResponse::error(404, "missing", "an agent hears its worker only");
+    const MonotonicTime now = monotonicNow();
+    if (word->left) {
+      core.left(word->account.life);
+      ApiRequest gone;
+      gone.kind = RequestKind::declareGone;
+      gone.id = word->account.life.value;
+      const ApiResponse told = relay.relay(gone);
+      return told.status < 500 ? ApiResponse::of(200, {}) : told;
     }
-    void nudge() {
-        std::unique_lock lock(wakeMutex);
-        woken = true;
-        wake.notify_one();
+    const bool isNew = core.life() != word->account.life;
+    if (!core.known(word->account, now))
+      return ApiResponse::error(410, "gone", "another life of this worker has begun since");
+    if (isNew)
+      log(LogLevel::info, "worker",
+          {{"life", json(word->account.life.value)},
+           {"cores", json(word->account.capacity.cores / 1000.0)}});
+    if (word->account.leaving && !core.leavingTold()) {
+      log(LogLevel::info, "worker leaves",
+          {{"life", json(word->account.life.value)},
+           {"within_ms", json(word->account.leaveWithin.milliseconds)}});
+      nudge();
+      // Acknowledged only once it is logged. docs/design.md 5.7.
+      while (!core.leavingTold() && core.life() == word->account.life &&
+             monotonicNow() - now < settings.tellWithin)
+        pause(Duration{5});
+      if (!core.leavingTold())
+        return ApiResponse::notTaken("no leader heard of it yet");
     }
-    ApiResponse hear(const HttpRequest& request) {
-        auto word = settings.words.hear(request);
-        if (!word) return ApiResponse::error(404, "missing", "an agent hears its worker only");
-        const MonotonicTime now = monotonicNow();
-        if (word->left) {
-            core.left(word->account.life);
-            ApiRequest gone;
-            gone.kind = RequestKind::declareGone;
-            gone.id = word->account.life.value;
-            const ApiResponse told = relay.relay(gone);
-            return told.status < 500 ? ApiResponse::of(200, {}) : told;
-        }
-        const bool isNew = core.life() != word->account.life;
-        if (!core.known(word->account, now)) return ApiResponse::error(410, "gone", "another life of this worker has begun since");
-        if (isNew) log(LogLevel::info, "worker", {{"life", json(word->account.life.value)}, {"cores", json(word->account.capacity.cores / 1000.0)}});
-        if (word->account.leaving && !core.leavingTold()) {
-            log(LogLevel::info, "worker leaves", {{"life", json(word->account.life.value)}, {"within_ms", json(word->account.leaveWithin.milliseconds)}});
-            nudge();
-            // Acknowledged only once it is logged. docs/design.md 5.7.
-            while (!core.leavingTold() && core.life() == word->account.life && monotonicNow() - now < settings.tellWithin) pause(Duration{5});
-            if (!core.leavingTold()) return ApiResponse::notTaken("no leader heard of it yet");
-        }
-        if (isNew) nudge();
-        return ApiResponse::of(200, {});
+    if (isNew)
+      nudge();
+    return ApiResponse::of(200, {});
+  }
+  void perform(const WorkerCall& call) {
+    std::unique_ptr<HttpClient> client;
+    if (idle.empty())
+      client = std::make_unique<HttpClient>(loop);
+    else {
+      client = std::move(idle.back());
+      idle.pop_back();
     }
-    void perform(const WorkerCall& call) {
-        std::unique_ptr<HttpClient> client;
-        if (idle.empty()) client = std::make_unique<HttpClient>(loop);
-        else {
-            client = std::move(idle.back());
-            idle.pop_back();
-        }
-        auto answer = client->ask(settings.worker, settings.words.render(call), call.within);
-        core.replied(call, settings.words.read(call, answer), monotonicNow());
-        idle.push_back(std::move(client));
-        nudge();
-    }
-    void spawnSync(bool patient) {
-        (patient ? patientBusy : urgentBusy) = true;
-        spawn([this, patient] {
-            sync(patient);
-            (patient ? patientBusy : urgentBusy) = false;
-            nudge();
-        });
+    auto answer = client->ask(settings.worker, settings.words.render(call), call.within);
+    core.replied(call, settings.words.read(call, answer), monotonicNow());
+    idle.push_back(std::move(client));
+    nudge();
+  }
+  void spawnSync(bool patient) {
+    (patient ? patientBusy : urgentBusy) = true;
+    spawn([this, patient] {
+      sync(patient);
+      (patient ? patientBusy : urgentBusy) = false;
+      nudge();
+    });
+  }
+  void sync(bool patient) {
+    ApiRequest apiRequest;
+    apiRequest.kind = RequestKind::sync;
+    const MonotonicTime sentAt = monotonicNow();
+    apiRequest.report = core.report(sentAt);
+    apiRequest.report.wait = patient ? settings.patience : Duration{0};
+    apiRequest.id = apiRequest.report.id.value;
+    ApiResponse answer = relay.relay(apiRequest);
+    const MonotonicTime now = monotonicNow();
+    if (answer.status == 200) {
+      if (auto told = unpack<SyncResponse>(answer.body))
+        core.answered(apiRequest.report, told.value(), sentAt, now);
+      return;
     }
-    void sync(bool patient) {
-        ApiRequest apiRequest;
-        apiRequest.kind = RequestKind::sync;
-        const MonotonicTime sentAt = monotonicNow();
-        apiRequest.report = core.report(sentAt);
-        apiRequest.report.wait = patient ? settings.patience : Duration{0};
-        apiRequest.id = apiRequest.report.id.value;
-        ApiResponse answer = relay.relay(apiRequest);
-        const MonotonicTime now = monotonicNow();
-        if (answer.status == 200) {
-            if (auto told = unpack<SyncResponse>(answer.body)) core.answered(apiRequest.report, told.value(), sentAt, now);
-            return;
-        }
-        if (answer.status == 410 && apiRequest.report.id == core.life()) {
-            log(LogLevel::warning, "the leader holds this worker for gone", {{"life", json(apiRequest.report.id.value)}});
-            core.replaced(now);
-        }
-        pause(Duration{100});
+    if (answer.status == 410 && apiRequest.report.id == core.life()) {
+      log(LogLevel::warning, "the leader holds this worker for gone",
+          {{"life", json(apiRequest.report.id.value)}});
+      core.replaced(now);
     }
-    // Which controllers there are; which of them leads is learned by asking. docs/design.md 9.2.
-    void learnRoute() {
-        std::map<Address, std::shared_ptr<WireCaller>> callers;
-        for (std::size_t turn = 0;; ++turn) {
-            const auto& known = route.controllers.empty() ? settings.seeds : route.controllers;
-            const Address target = known.empty() ? Address{} : known[turn % known.size()];  // each in turn: one of them may be frozen
-            bool learned = false;
-            if (!target.value.empty()) {
-                auto& caller = callers[target];
-                if (!caller) caller = std::make_shared<WireCaller>(loop, target);
-                auto answered = caller->call(RouteQuery{}, Duration{250});
-                auto* told = answered ? boost::get<RouteReply>(&answered.value().body) : nullptr;
-                if (told && !told->blank) {
-                    route.takeNewer(told->view);
-                    learned = true;
-                    route.gateways.clear();
-                }
-            }
-            if (!learned) renewSeeds();
-            // One that is silent costs no more than its wait: the next is asked at once. docs/incidents.md 7.
-            pause(!learned ? Duration{20} : route.leader.value.empty() ? Duration{100} : Duration{300});
+    pause(Duration{100});
+  }
+  // Which controllers there are; which of them leads is learned by asking. docs/design.md 9.2.
+  void learnRoute() {
+    std::map<Address, std::shared_ptr<WireCaller>> callers;
+    for (std::size_t turn = 0;; ++turn) {
+      const auto& known = route.controllers.empty() ? settings.seeds : route.controllers;
+      const Address target =
+          known.empty() ? Address{}
+                        : known[turn % known.size()];  // each in turn: one of them may be frozen
+      bool learned = false;
+      if (!target.value.empty()) {
+        auto& caller = callers[target];
+        if (!caller)
+          caller = std::make_shared<WireCaller>(loop, target);
+        auto answered = caller->call(RouteQuery{}, Duration{250});
+        auto* told = answered ? boost::get<RouteReply>(&answered.value().body) : nullptr;
+        if (told && !told->blank) {
+          route.takeNewer(told->view);
+          learned = true;
+          route.gateways.clear();
         }
+      }
+      if (!learned)
+        renewSeeds();
+      // One that is silent costs no more than its wait: the next is asked at once.
+      // docs/incidents.md 7.
+      pause(!learned ? Duration{20} : route.leader.value.empty() ? Duration{100} : Duration{300});
     }
+  }
 
-    AgentSettings settings;
-    Loop loop;
-    NodeAgent core;
-    RouteView route;
-    Relay relay;
-    std::vector<std::unique_ptr<HttpClient>> idle;
-    bool patientBusy = false, urgentBusy = false, woken = false;
-    boost::fibers::mutex wakeMutex;
-    boost::fibers::condition_variable wake;
+  AgentSettings settings;
+  Loop loop;
+  NodeAgent core;
+  RouteView route;
+  Relay relay;
+  std::vector<std::unique_ptr<HttpClient>> idle;
+  bool patientBusy = false, urgentBusy = false, woken = false;
+  boost::fibers::mutex wakeMutex;
+  boost::fibers::condition_variable wake;
 };
 
 }  // namespace
 
-int runAgent(AgentSettings settings) { return Program(std::move(settings)).run(); }
+int runAgent(AgentSettings settings) {
+  return Program(std::move(settings)).run();
+}
 
 }  // namespace aniseline
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -12,404 +12,490 @@
 
 // Works off what it is handed, in order, off consensus's thread. docs/design.md 9.1.
 class WorkThread {
-public:
-    WorkThread() : thread([this] { run(); }) {}
-    ~WorkThread() {
-        hand({});
-        thread.join();
-    }
-    void hand(std::function<void()> work) {  // an empty one ends it
-        {
-            std::lock_guard lock(mutex);
-            waiting.push_back(std::move(work));
-        }
-        some.notify_one();
+ public:
+  WorkThread() : thread([this] { run(); }) {}
+  ~WorkThread() {
+    hand({});
+    thread.join();
+  }
+  void hand(std::function<void()> work) {  // an empty one ends it
+    {
+      std::lock_guard lock(mutex);
+      waiting.push_back(std::move(work));
     }
+    some.notify_one();
+  }
 
-private:
-    void run() {
-        for (;;) {
-            std::function<void()> work;
-            {
-                std::unique_lock lock(mutex);
-                some.wait(lock, [&] { return !waiting.empty(); });
-                work = std::move(waiting.front());
-                waiting.pop_front();
-            }
-            if (!work) return;
-            work();
-        }
+ private:
+  void run() {
+    for (;;) {
+      std::function<void()> work;
+      {
+        std::unique_lock lock(mutex);
+        some.wait(lock, [&] { return !waiting.empty(); });
+        work = std::move(waiting.front());
+        waiting.pop_front();
+      }
+      if (!work)
+        return;
+      work();
     }
-    std::mutex mutex;
-    std::condition_variable some;
-    std::deque<std::function<void()>> waiting;
-    std::thread thread;
+  }
+  std::mutex mutex;
+  std::condition_variable some;
+  std::deque<std::function<void()>> waiting;
+  std::thread thread;
 };
 
 class Program {
-public:
-    explicit Program(ControllerSettings settings) : settings(std::move(settings)), folder(this->settings.data) {}
+ public:
+  explicit Program(ControllerSettings settings)
+      : settings(std::move(settings)), folder(this->settings.data) {}
 
-    int run() {
-        if (!openCore()) return 1;
-        if (!listenPeers()) return 1;
-        HttpServer http(loop, HttpLimits{64 * 1024, 100, Duration{30'000}, Duration{2000}}, [this](const HttpRequest& request) { return readiness(request); });
-        if (!settings.http.value.empty())
-            if (auto listening = http.listen(settings.http, false); !listening) {
-                log(LogLevel::error, listening.error().text);
-                return 1;
-            }
-        // What an adapter serves here beside the product's own interface. docs/design.md 9.6.
-        Relay relay(loop, [this] { return way(); }, settings.seeds, [] { return false; });
-        const Serve serve = [&relay](const ApiRequest& apiRequest) { return relay.relay(apiRequest); };
-        HttpServer outer(loop, settings.outer.limits, [&](const HttpRequest& request) { return settings.outer.handle(request, serve); });
-        if (settings.outer.handle)
-            if (auto listening = outer.listen(settings.outer.address, false); !listening) {
-                log(LogLevel::error, listening.error().text);
-                return 1;
-            }
-        disk = std::make_unique<WorkThread>();
-        views = std::make_unique<WorkThread>();
-        spawn([this] { seekCluster(); });
-        log(LogLevel::info, "started", {{"identity", json(identity.value)}, {"peer", json(settings.peer.value)}, {"zone", json(settings.zone)}, {"seeds", json(joined(settings.seeds))}});
-        StopSignal stop(loop);
-        ReloadSignal reload(loop, [&] { renewSeeds(relay); });
-        lookForSeeds = [&] { renewSeeds(relay); };
-        MonotonicTime transferAt{0}, stopBy{0};
-        while (true) {
-            stepped.store(monotonicNow().milliseconds);
-            core->step(monotonicNow(), wallNow());
-            drive();
-            if (core->raftNode().removedFromCluster() && !renew()) return 1;
-            if (core->damaged()) {
-                log(LogLevel::error, "the state can't be read by this version; stopping, nothing is changed", {{"data", json(settings.data)}});
-                broken = true;
-            }
-            if (broken) std::_Exit(1);
-            if (stop.requested()) {
-                // SIGTERM hands leadership over before the process ends. docs/operations.md 4.
-                if (stopBy == MonotonicTime{0}) {
-                    stopBy = monotonicNow() + Duration{1500};
-                    log(LogLevel::info, "stopping");
-                }
-                if (!core->raftNode().leads() || monotonicNow() >= stopBy) break;
-                if (monotonicNow() >= transferAt) {
-                    core->transferLeadership(monotonicNow());
-                    transferAt = monotonicNow() + Duration{700};
-                }
-            }
-            std::unique_lock lock(wakeMutex);
-            wake.wait_for(lock, std::chrono::milliseconds(core->raftNode().blank() ? 100 : 10), [&] { return woken; });
-            woken = false;
-        }
-        http.stop();
-        outer.stop();
-        disk.reset();
-        views.reset();
-        log(LogLevel::info, "stopped");
-        std::_Exit(0);  // fibers that wait on sockets end with the process
-    }
-
-private:
-    bool stores() const { return !settings.data.empty(); }
-    static std::string joined(const std::vector<Address>& addresses) {
-        std::string text;
-        for (const auto& address : addresses) text += (text.empty() ? "" : ",") + address.value;
-        return text;
-    }
-    bool openCore() {
-        if (!stores()) {
-            std::random_device device;
-            identity = ControllerId{"no-disk-" + std::to_string(device())};
-            makeCore({});
-            return true;
+  int run() {
+    if (!openCore())
+      return 1;
+    if (!listenPeers())
+      return 1;
+    HttpServer http(loop, HttpLimits{64 * 1024, 100, Duration{30'000}, Duration{2000}},
+                    [this](const HttpRequest& request) { return readiness(request); });
+    if (!settings.http.value.empty())
+      if (auto listening = http.listen(settings.http, false); !listening) {
+        log(LogLevel::error, listening.error().text);
+        return 1;
+      }
+    // What an adapter serves here beside the product's own interface. docs/design.md 9.6.
+    Relay relay(
+        loop, [this] { return way(); }, settings.seeds, [] { return false; });
+    const Serve serve = [&relay](const ApiRequest& apiRequest) {
+      return relay.relay(apiRequest);
+    };
+    HttpServer outer(loop, settings.outer.limits, [&](const HttpRequest& request) {
+      return settings.outer.handle(request, serve);
+    });
+    if (settings.outer.handle)
+      if (auto listening = outer.listen(settings.outer.address, false); !listening) {
+        log(LogLevel::error, listening.error().text);
+        return 1;
+      }
+    disk = std::make_unique<WorkThread>();
+    views = std::make_unique<WorkThread>();
+    spawn([this] { seekCluster(); });
+    log(LogLevel::info, "started",
+        {{"identity", json(identity.value)},
+         {"peer", json(settings.peer.value)},
+         {"zone", json(settings.zone)},
+         {"seeds", json(joined(settings.seeds))}});
+    StopSignal stop(loop);
+    ReloadSignal reload(loop, [&] { renewSeeds(relay); });
+    lookForSeeds = [&] {
+      renewSeeds(relay);
+    };
+    MonotonicTime transferAt{0}, stopBy{0};
+    while (true) {
+      stepped.store(monotonicNow().milliseconds);
+      core->step(monotonicNow(), wallNow());
+      drive();
+      if (core->raftNode().removedFromCluster() && !renew())
+        return 1;
+      if (core->damaged()) {
+        log(LogLevel::error,
+            "the state can't be read by this version; stopping, nothing is changed",
+            {{"data", json(settings.data)}});
+        broken = true;
+      }
+      if (broken)
+        std::_Exit(1);
+      if (stop.requested()) {
+        // SIGTERM hands leadership over before the process ends. docs/operations.md 4.
+        if (stopBy == MonotonicTime{0}) {
+          stopBy = monotonicNow() + Duration{1500};
+          log(LogLevel::info, "stopping");
         }
-        auto opened = folder.open();
-        DiskResult<std::vector<WriteAheadRecord>> restored = std::vector<WriteAheadRecord>{};
-        if (opened) restored = folder.load();
-        if (!opened || !restored) {
-            const auto& error = opened ? restored.error() : opened.error();
-            log(LogLevel::error, "the data folder can't be used", {{"why", json(error.message())}});
-            if (error.text.find("in use") != std::string::npos || error.text.find("ermission") != std::string::npos) return false;
-            // docs/design.md 3.5: damaged state never votes; this machine goes on as a new identity.
-            auto aside = folder.setAside();
-            if (!aside) {
-                log(LogLevel::error, "the data folder can't be set aside", {{"why", json(aside.error().message())}});
-                return false;
-            }
-            opened = folder.openHeld();
-            if (!opened) return false;
-            restored = std::vector<WriteAheadRecord>{};
-            log(LogLevel::warning, "began as a new identity; the damaged state is kept aside", {{"identity", json(opened.value().value)}});
+        if (!core->raftNode().leads() || monotonicNow() >= stopBy)
+          break;
+        if (monotonicNow() >= transferAt) {
+          core->transferLeadership(monotonicNow());
+          transferAt = monotonicNow() + Duration{700};
         }
-        identity = opened.value();
-        makeCore(restored.value());
-        return true;
-    }
-    void makeCore(const std::vector<WriteAheadRecord>& restored) {
-        ControllerOptions options;
-        options.raft.heartbeat = Duration{settings.heartbeat};
-        options.raft.electionLow = Duration{settings.electionLow};
-        options.raft.electionHigh = Duration{settings.electionHigh};
-        options.replaceAfter = Duration{settings.replaceAfter};
-        options.voters = std::size_t(settings.voters);
-        options.lease = Duration{settings.lease};
-        options.margin = Duration{settings.margin};
-        options.snapshotVersions = std::uint64_t(settings.snapshotVersions);
-        std::random_device device;
-        core = std::make_unique<Controller>(Member{identity, settings.advertise, ZoneName{settings.zone}, false}, options, (std::uint64_t(device()) << 32) | device(), restored, monotonicNow());
-        keeper = std::make_shared<SnapshotWriter>();
-        core->logEvent.connect([](const LogEvent& note) { log(LogLevel::info, note.what, note.fields); });
+      }
+      std::unique_lock lock(wakeMutex);
+      wake.wait_for(lock, std::chrono::milliseconds(core->raftNode().blank() ? 100 : 10),
+                    [&] { return woken; });
+      woken = false;
     }
-    bool renew() {
-        log(LogLevel::warning, "this identity is no member any more; beginning anew", {{"identity", json(identity.value)}});
-        disk.reset();
-        views.reset();
-        if (!folder.setAside()) return false;
-        auto opened = folder.openHeld();
-        if (!opened) return false;
-        identity = opened.value();
-        makeCore({});
-        disk = std::make_unique<WorkThread>();
-        views = std::make_unique<WorkThread>();
-        return true;
-    }
-    void written(const DiskResult<bool>& result, DiskVersion version) {
-        if (!result) {
-            log(LogLevel::error, "a write to disk failed; stopping rather than vouch for it", {{"why", json(result.error().message())}});
-            broken = true;
-        } else core->synced(version, monotonicNow());
-        nudge();
+    http.stop();
+    outer.stop();
+    disk.reset();
+    views.reset();
+    log(LogLevel::info, "stopped");
+    std::_Exit(0);  // fibers that wait on sockets end with the process
+  }
+
+ private:
+  bool stores() const { return !settings.data.empty(); }
+  static std::string joined(const std::vector<Address>& addresses) {
+    std::string text;
+    for (const auto& address : addresses)
+      text += (text.empty() ? "" : ",") + address.value;
+    return text;
+  }
+  bool openCore() {
+    if (!stores()) {
+      std::random_device device;
+      identity = ControllerId{"no-disk-" + std::to_string(device())};
+      makeCore({});
+      return true;
     }
-    // The seeds may have changed, with or without a signal.
-    void renewSeeds(Relay& relay) {
-        if (!settings.seedsNow) return;
-        if (auto seeds = settings.seedsNow(); !seeds.empty()) settings.seeds = seeds;
-        relay.useSeeds(settings.seeds);
+    auto opened = folder.open();
+    DiskResult<std::vector<WriteAheadRecord>> restored = std::vector<WriteAheadRecord>{};
+    if (opened)
+      restored = folder.load();
+    if (!opened || !restored) {
+      const auto& error = opened ? restored.error() : opened.error();
+      log(LogLevel::error, "the data folder can't be used", {{"why", json(error.message())}});
+      if (error.text.find("in use") != std::string::npos ||
+          error.text.find("ermission") != std::string::npos)
+        return false;
+      // docs/design.md 3.5: damaged state never votes; this machine goes on as a new identity.
+      auto aside = folder.setAside();
+      if (!aside) {
+        log(LogLevel::error, "the data folder can't be set aside",
+            {{"why", json(aside.error().message())}});
+        return false;
+      }
+      opened = folder.openHeld();
+      if (!opened)
+        return false;
+      restored = std::vector<WriteAheadRecord>{};
+      log(LogLevel::warning, "began as a new identity; the damaged state is kept aside",
+          {{"identity", json(opened.value().value)}});
     }
-    void nudge() {
-        std::unique_lock lock(wakeMutex);
-        woken = true;
-        wake.notify_one();
+    identity = opened.value();
+    makeCore(restored.value());
+    return true;
+  }
+  void makeCore(const std::vector<WriteAheadRecord>& restored) {
+    ControllerOptions options;
+    options.raft.heartbeat = Duration{settings.heartbeat};
+    options.raft.electionLow = Duration{settings.electionLow};
+    options.raft.electionHigh = Duration{settings.electionHigh};
+    options.replaceAfter = Duration{settings.replaceAfter};
+    options.voters = std::size_t(settings.voters);
+    options.lease = Duration{settings.lease};
+    options.margin = Duration{settings.margin};
+    options.snapshotVersions = std::uint64_t(settings.snapshotVersions);
+    std::random_device device;
+    core = std::make_unique<Controller>(
+        Member{identity, settings.advertise, ZoneName{settings.zone}, false}, options,
+        (std::uint64_t(device()) << 32) | device(), restored, monotonicNow());
+    keeper = std::make_shared<SnapshotWriter>();
+    core->logEvent.connect(
+        [](const LogEvent& note) { log(LogLevel::info, note.what, note.fields); });
+  }
+  bool renew() {
+    log(LogLevel::warning, "this identity is no member any more; beginning anew",
+        {{"identity", json(identity.value)}});
+    disk.reset();
+    views.reset();
+    if (!folder.setAside())
+      return false;
+    auto opened = folder.openHeld();
+    if (!opened)
+      return false;
+    identity = opened.value();
+    makeCore({});
+    disk = std::make_unique<WorkThread>();
+    views = std::make_unique<WorkThread>();
+    return true;
+  }
+  void written(const DiskResult<bool>& result, DiskVersion version) {
+    if (!result) {
+      log(LogLevel::error, "a write to disk failed; stopping rather than vouch for it",
+          {{"why", json(result.error().message())}});
+      broken = true;
+    } else
+      core->synced(version, monotonicNow());
+    nudge();
+  }
+  // The seeds may have changed, with or without a signal.
+  void renewSeeds(Relay& relay) {
+    if (!settings.seedsNow)
+      return;
+    if (auto seeds = settings.seedsNow(); !seeds.empty())
+      settings.seeds = seeds;
+    relay.useSeeds(settings.seeds);
+  }
+  void nudge() {
+    std::unique_lock lock(wakeMutex);
+    woken = true;
+    wake.notify_one();
+  }
+  void drive() {
+    if (auto record = core->takeWrite())
+      disk->hand([this, record = std::move(*record), keeper = keeper] {
+        auto result = folder.write(record);
+        asio::post(loop.context, [this, result, keeper, version = record.version] {
+          if (keeper == this->keeper)
+            written(result, version);
+        });
+      });
+    if (auto work = core->takeSnapshotWork(); !work.empty())
+      views->hand([this, work = std::move(work), keeper = keeper] {
+        if (auto view = keeper->work(work))
+          asio::post(loop.context, [this, keeper, view = std::move(*view)]() mutable {
+            if (keeper != this->keeper)
+              return;  // of an identity that is no more
+            core->packed(std::move(view));
+            nudge();
+          });
+      });
+    for (auto& message : core->takeMessages()) {
+      if (message.toAddress.value.empty())
+        continue;
+      auto& queue = outbox[message.toAddress];
+      if (!queue) {
+        queue = std::make_shared<Outbox>();
+        spawn([this, queue, address = message.toAddress] { sendTo(address, *queue); });
+      }
+      std::unique_lock lock(queue->mutex);
+      if (queue->messages.size() < 2000)
+        queue->messages.push_back(std::move(message));
+      queue->some.notify_one();
     }
-    void drive() {
-        if (auto record = core->takeWrite())
-            disk->hand([this, record = std::move(*record), keeper = keeper] {
-                auto result = folder.write(record);
-                asio::post(loop.context, [this, result, keeper, version = record.version] {
-                    if (keeper == this->keeper) written(result, version);
-                });
-            });
-        if (auto work = core->takeSnapshotWork(); !work.empty())
-            views->hand([this, work = std::move(work), keeper = keeper] {
-                if (auto view = keeper->work(work))
-                    asio::post(loop.context, [this, keeper, view = std::move(*view)]() mutable {
-                        if (keeper != this->keeper) return;  // of an identity that is no more
-                        core->packed(std::move(view));
-                        nudge();
-                    });
-            });
-        for (auto& message : core->takeMessages()) {
-            if (message.toAddress.value.empty()) continue;
-            auto& queue = outbox[message.toAddress];
-            if (!queue) {
-                queue = std::make_shared<Outbox>();
-                spawn([this, queue, address = message.toAddress] { sendTo(address, *queue); });
-            }
-            std::unique_lock lock(queue->mutex);
-            if (queue->messages.size() < 2000) queue->messages.push_back(std::move(message));
-            queue->some.notify_one();
-        }
-        for (auto& [number, answer] : core->takeAnswers()) {
-            auto found = askers.find(number);
-            if (found == askers.end()) continue;
-            found->second.first->send(encode(WireMessage{found->second.second, std::move(answer)}));
-            askers.erase(found);
-        }
+    for (auto& [number, answer] : core->takeAnswers()) {
+      auto found = askers.find(number);
+      if (found == askers.end())
+        continue;
+      found->second.first->send(encode(WireMessage{found->second.second, std::move(answer)}));
+      askers.erase(found);
     }
-    struct Outbox {
-        boost::fibers::mutex mutex;
-        boost::fibers::condition_variable some;
-        std::deque<PeerMessage> messages;
-    };
-    void sendTo(const Address& address, Outbox& queue) {
-        WireCaller caller(loop, address);
-        for (;;) {
-            PeerMessage message;
-            {
-                std::unique_lock lock(queue.mutex);
-                queue.some.wait(lock, [&] { return !queue.messages.empty(); });
-                message = std::move(queue.messages.front());
-                queue.messages.pop_front();
-            }
-            caller.post(WireMessage{0, std::move(message)});  // a lost one is made good by consensus
-        }
+  }
+  struct Outbox {
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable some;
+    std::deque<PeerMessage> messages;
+  };
+  void sendTo(const Address& address, Outbox& queue) {
+    WireCaller caller(loop, address);
+    for (;;) {
+      PeerMessage message;
+      {
+        std::unique_lock lock(queue.mutex);
+        queue.some.wait(lock, [&] { return !queue.messages.empty(); });
+        message = std::move(queue.messages.front());
+        queue.messages.pop_front();
+      }
+      caller.post(WireMessage{0, std::move(message)});  // a lost one is made good by consensus
     }
-    bool listenPeers() {
-        auto endpoint = endpointOf(settings.peer);
-        auto acceptor = std::make_shared<tcp::acceptor>(loop.context);
-        IoError error;
-        acceptor->open(endpoint.value().protocol(), error);
-        acceptor->set_option(tcp::acceptor::reuse_address(true), error);
-        acceptor->bind(endpoint.value(), error);
-        if (!error) acceptor->listen(256, error);
-        if (error) {
-            log(LogLevel::error, "can't listen", {{"address", json(settings.peer.value)}, {"why", json(error.message())}});
-            return false;
-        }
-        spawn([this, acceptor] {
-            for (;;) {
-                auto socket = std::make_shared<tcp::socket>(loop.context);
-                if (await([&](auto done) { acceptor->async_accept(*socket, done); }).error) {
-                    pause(Duration{10});
-                    continue;
-                }
-                spawn([this, socket] { servePeer(socket); });
-            }
-        });
-        return true;
+  }
+  bool listenPeers() {
+    auto endpoint = endpointOf(settings.peer);
+    auto acceptor = std::make_shared<tcp::acceptor>(loop.context);
+    IoError error;
+    acceptor->open(endpoint.value().protocol(), error);
+    acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor->bind(endpoint.value(), error);
+    if (!error)
+      acceptor->listen(256, error);
+    if (error) {
+      log(LogLevel::error, "can't listen",
+          {{"address", json(settings.peer.value)}, {"why", json(error.message())}});
+      return false;
     }
-    void servePeer(std::shared_ptr<tcp::socket> socket) {
-        IoError ignored;
-        socket->set_option(tcp::no_delay(true), ignored);
-        auto writer = std::make_shared<WireWriter>(socket);
-        spawn([writer] { writer->run(); });
-        for (;;) {
-            auto message = readMessage(*socket);
-            if (!message) {
-                if (message.error().kind == WireError::Kind::garbled) log(LogLevel::warning, "a peer's message was not taken", {{"why", json(message.error().text)}});
-                writer->close();
-                std::erase_if(askers, [&](const auto& entry) { return entry.second.first == writer; });
-                return;
-            }
-            const auto correlation = message.value().correlation;
-            if (auto* peer = boost::get<PeerMessage>(&message.value().body)) core->receive(*peer, monotonicNow());
-            else if (auto* apiRequest = boost::get<ApiRequest>(&message.value().body)) {
-                const RequestNumber number{++lastRequest};
-                askers[number] = {writer, correlation};
-                core->take(number, std::move(*apiRequest), monotonicNow());
-            } else if (auto* ask = boost::get<RouteQuery>(&message.value().body)) {
-                if (!ask->gateway.address.value.empty()) core->recordGateway(ask->gateway, monotonicNow());
-                // Where no seed has a disk one of them names the controller that founds, once and for all. docs/design.md 3.7.
-                if (!stores() && named.value.empty() && ask->mayFound) named = ask->controller;
-                if (core->raftNode().blank() && !ask->controller.value.empty() && visitors.size() < 32) visitors.insert(ask->controller);
-                writer->send(encode(WireMessage{correlation, tell()}));
-            } else if (boost::get<BootstrapRequest>(&message.value().body)) {
-                const bool blank = core->raftNode().blank() && stores();
-                if (blank) core->found(monotonicNow());
-                writer->send(encode(WireMessage{correlation, blank ? ApiResponse::of(202, {{"founded", json(identity.value)}})
-                                                                  : ApiResponse::error(409, "conflict", stores() ? "this controller has a cluster already" : "this controller has no disk")}));
-            }
-            nudge();
+    spawn([this, acceptor] {
+      for (;;) {
+        auto socket = std::make_shared<tcp::socket>(loop.context);
+        if (await([&](auto done) { acceptor->async_accept(*socket, done); }).error) {
+          pause(Duration{10});
+          continue;
         }
+        spawn([this, socket] { servePeer(socket); });
+      }
+    });
+    return true;
+  }
+  void servePeer(std::shared_ptr<tcp::socket> socket) {
+    IoError ignored;
+    socket->set_option(tcp::no_delay(true), ignored);
+    auto writer = std::make_shared<WireWriter>(socket);
+    spawn([writer] { writer->run(); });
+    for (;;) {
+      auto message = readMessage(*socket);
+      if (!message) {
+        if (message.error().kind == WireError::Kind::garbled)
+          log(LogLevel::warning, "a peer's message was not taken",
+              {{"why", json(message.error().text)}});
+        writer->close();
+        std::erase_if(askers, [&](const auto& entry) { return entry.second.first == writer; });
+        return;
+      }
+      const auto correlation = message.value().correlation;
+      if (auto* peer = boost::get<PeerMessage>(&message.value().body))
+        core->receive(*peer, monotonicNow());
+      else if (auto* apiRequest = boost::get<ApiRequest>(&message.value().body)) {
+        const RequestNumber number{++lastRequest};
+        askers[number] = {writer, correlation};
+        core->take(number, std::move(*apiRequest), monotonicNow());
+      } else if (auto* ask = boost::get<RouteQuery>(&message.value().body)) {
+        if (!ask->gateway.address.value.empty())
+          core->recordGateway(ask->gateway, monotonicNow());
+        // Where no seed has a disk one of them names the controller that founds, once and for all.
+        // docs/design.md 3.7.
+        if (!stores() && named.value.empty() && ask->mayFound)
+          named = ask->controller;
+        if (core->raftNode().blank() && !ask->controller.value.empty() && visitors.size() < 32)
+          visitors.insert(ask->controller);
+        writer->send(encode(WireMessage{correlation, tell()}));
+      } else if (boost::get<BootstrapRequest>(&message.value().body)) {
+        const bool blank = core->raftNode().blank() && stores();
+        if (blank)
+          core->found(monotonicNow());
+        writer->send(encode(WireMessage{
+            correlation, blank
+                             ? ApiResponse::of(202, {{"founded", json(identity.value)}})
+                             : ApiResponse::error(409, "conflict",
+                                                  stores() ? "this controller has a cluster already"
+                                                           : "this controller has no disk")}));
+      }
+      nudge();
     }
-    // One that belongs to no cluster tells of the cluster that it has heard of. docs/design.md 9.7.
-    RouteView way() const { return core->raftNode().blank() ? heardOf : core->route(monotonicNow()); }
-    RouteReply tell() const {
-        RouteReply told;
-        told.view = way();
-        told.id = identity;
-        told.peer = settings.advertise;
-        told.zone = ZoneName{settings.zone};
-        told.blank = core->raftNode().blank() && heardOf.controllers.empty();
-        told.leads = core->raftNode().leads();
-        told.stores = stores();
-        told.founder = named;
-        return told;
-    }
-    // A blank controller looks for a cluster through its seeds and whom they name, and asks to join it. docs/design.md 3.5.
-    void seekCluster() {
-        std::map<Address, std::shared_ptr<WireCaller>> callers;
-        for (;; pause(heardOf.controllers.empty() ? Duration{200} : Duration{400})) {
-            if (lookForSeeds && way().leader.value.empty()) lookForSeeds();
-            if (!core->raftNode().blank()) {
-                heardOf = RouteView{};
-                visitors.clear();
-                meetSeeds(callers);
-                pause(Duration{1000});
-                continue;
-            }
-            ClusterBootstrap founding(settings.advertise, stores(), settings.seeds);
-            std::vector<Address> asked = settings.seeds;
-            for (const auto& address : heardOf.controllers)
-                if (!std::count(asked.begin(), asked.end(), address)) asked.push_back(address);
-            for (const auto& address : visitors)
-                if (!std::count(asked.begin(), asked.end(), address)) asked.push_back(address);
-            for (const auto& address : asked) {
-                if (address == settings.advertise) continue;
-                auto& caller = callers[address];
-                if (!caller) caller = std::make_shared<WireCaller>(loop, address);
-                auto answered = caller->call(RouteQuery{{}, settings.advertise, settings.found && stores()}, Duration{500});
-                auto* told = answered ? boost::get<RouteReply>(&answered.value().body) : nullptr;
-                if (!told) {
-                    // docs/design.md 9.5: a seed may be a gateway; it names the controllers.
-                    for (const auto& controller : controllersBy(loop, address)) joinAt(controller);
-                    continue;
-                }
-                if (told->blank) {
-                    founding.hear(address, told->stores, told->founder);
-                    continue;
-                }
-                heardOf.takeNewer(told->view);
-                if (!told->view.leader.value.empty()) joinAt(told->view.leader);
-                else if (!told->view.controllers.empty()) joinAt(told->view.controllers.front());
-            }
-            if (!heardOf.leader.value.empty()) joinAt(heardOf.leader);
-            if (settings.found && core->raftNode().blank() && heardOf.controllers.empty() && founding.may()) {
-                log(LogLevel::info, "founds a cluster");
-                core->found(monotonicNow());
-                nudge();
-            }
+  }
+  // One that belongs to no cluster tells of the cluster that it has heard of. docs/design.md 9.7.
+  RouteView way() const { return core->raftNode().blank() ? heardOf : core->route(monotonicNow()); }
+  RouteReply tell() const {
+    RouteReply told;
+    told.view = way();
+    told.id = identity;
+    told.peer = settings.advertise;
+    told.zone = ZoneName{settings.zone};
+    told.blank = core->raftNode().blank() && heardOf.controllers.empty();
+    told.leads = core->raftNode().leads();
+    told.stores = stores();
+    told.founder = named;
+    return told;
+  }
+  // A blank controller looks for a cluster through its seeds and whom they name, and asks to join
+  // it. docs/design.md 3.5.
+  void seekCluster() {
+    std::map<Address, std::shared_ptr<WireCaller>> callers;
+    for (;; pause(heardOf.controllers.empty() ? Duration{200} : Duration{400})) {
+      if (lookForSeeds && way().leader.value.empty())
+        lookForSeeds();
+      if (!core->raftNode().blank()) {
+        heardOf = RouteView{};
+        visitors.clear();
+        meetSeeds(callers);
+        pause(Duration{1000});
+        continue;
+      }
+      ClusterBootstrap founding(settings.advertise, stores(), settings.seeds);
+      std::vector<Address> asked = settings.seeds;
+      for (const auto& address : heardOf.controllers)
+        if (!std::count(asked.begin(), asked.end(), address))
+          asked.push_back(address);
+      for (const auto& address : visitors)
+        if (!std::count(asked.begin(), asked.end(), address))
+          asked.push_back(address);
+      for (const auto& address : asked) {
+        if (address == settings.advertise)
+          continue;
+        auto& caller = callers[address];
+        if (!caller)
+          caller = std::make_shared<WireCaller>(loop, address);
+        auto answered = caller->call(RouteQuery{{}, settings.advertise, settings.found && stores()},
+                                     Duration{500});
+        auto* told = answered ? boost::get<RouteReply>(&answered.value().body) : nullptr;
+        if (!told) {
+          // docs/design.md 9.5: a seed may be a gateway; it names the controllers.
+          for (const auto& controller : controllersBy(loop, address))
+            joinAt(controller);
+          continue;
         }
-    }
-    // A seed may belong to no cluster and have no disk, and others begin there: it must learn of us, also after it began anew.
-    // docs/design.md 9.7, docs/incidents.md 8.
-    void meetSeeds(std::map<Address, std::shared_ptr<WireCaller>>& callers) {
-        const auto known = core->raftNode().members();
-        for (const auto& seed : std::vector<Address>(settings.seeds)) {
-            if (std::any_of(known.begin(), known.end(), [&](const Member& member) { return member.peer == seed; })) continue;
-            auto& caller = callers[seed];
-            if (!caller) caller = std::make_shared<WireCaller>(loop, seed);
-            [[maybe_unused]] const auto met = caller->call(RouteQuery{{}, settings.advertise, false}, Duration{300});
+        if (told->blank) {
+          founding.hear(address, told->stores, told->founder);
+          continue;
         }
+        heardOf.takeNewer(told->view);
+        if (!told->view.leader.value.empty())
+          joinAt(told->view.leader);
+        else if (!told->view.controllers.empty())
+          joinAt(told->view.controllers.front());
+      }
+      if (!heardOf.leader.value.empty())
+        joinAt(heardOf.leader);
+      if (settings.found && core->raftNode().blank() && heardOf.controllers.empty() &&
+          founding.may()) {
+        log(LogLevel::info, "founds a cluster");
+        core->found(monotonicNow());
+        nudge();
+      }
     }
-    void joinAt(const Address& leader) {
-        if (stores()) core->join(leader);
+  }
+  // A seed may belong to no cluster and have no disk, and others begin there: it must learn of us,
+  // also after it began anew. docs/design.md 9.7, docs/incidents.md 8.
+  void meetSeeds(std::map<Address, std::shared_ptr<WireCaller>>& callers) {
+    const auto known = core->raftNode().members();
+    for (const auto& seed : std::vector<Address>(settings.seeds)) {
+      if (std::any_of(known.begin(), known.end(),
+                      [&](const Member& member) { return member.peer == seed; }))
+        continue;
+      auto& caller = callers[seed];
+      if (!caller)
+        caller = std::make_shared<WireCaller>(loop, seed);
+      [[maybe_unused]] const auto met =
+          caller->call(RouteQuery{{}, settings.advertise, false}, Duration{300});
     }
-    ApiResponse readiness(const HttpRequest& request) {
-        const bool alive = monotonicNow().milliseconds - stepped.load() < 2000;
-        if (request.target == "/healthz") return ApiResponse::of(alive ? 200 : 503, {{"alive", json(alive)}});
-        if (request.target == "/readyz") {
-            const bool ready = alive && !core->raftNode().blank() && (core->raftNode().serves() || !core->raftNode().leader().value.empty());
-            return ApiResponse::of(ready ? 200 : 503, {{"ready", json(ready)}, {"role", json(name(core->raftNode().role()))}, {"term", json(core->raftNode().term().value)},
-                                                  {"identity", json(identity.value)}, {"config", json(core->committed().config.version.value)}});
-        }
-        if (auto contacts = contactsAnswer(request, way())) return *contacts;
-        return ApiResponse::error(404, "missing", "a controller serves /healthz, /readyz and /v1/contacts here; all else is at the gateways");
+  }
+  void joinAt(const Address& leader) {
+    if (stores())
+      core->join(leader);
+  }
+  ApiResponse readiness(const HttpRequest& request) {
+    const bool alive = monotonicNow().milliseconds - stepped.load() < 2000;
+    if (request.target == "/healthz")
+      return ApiResponse::of(alive ? 200 : 503, {{"alive", json(alive)}});
+    if (request.target == "/readyz") {
+      const bool ready = alive && !core->raftNode().blank() &&
+                         (core->raftNode().serves() || !core->raftNode().leader().value.empty());
+      return ApiResponse::of(ready ? 200 : 503,
+                             {{"ready", json(ready)},
+                              {"role", json(name(core->raftNode().role()))},
+                              {"term", json(core->raftNode().term().value)},
+                              {"identity", json(identity.value)},
+                              {"config", json(core->committed().config.version.value)}});
     }
+    if (auto contacts = contactsAnswer(request, way()))
+      return *contacts;
+    return ApiResponse::error(
+        404, "missing",
+        "a controller serves /healthz, /readyz and /v1/contacts here; all else is at the gateways");
+  }
 
-    ControllerSettings settings;
-    Loop loop;
-    DataFolder folder;
-    ControllerId identity;
-    std::unique_ptr<Controller> core;
-    std::shared_ptr<SnapshotWriter> keeper;
-    std::unique_ptr<WorkThread> disk, views;
-    std::map<Address, std::shared_ptr<Outbox>> outbox;
-    std::map<RequestNumber, std::pair<std::shared_ptr<WireWriter>, std::uint64_t>> askers;
-    std::uint64_t lastRequest = 0;
-    RouteView heardOf;  // while it belongs to no cluster: the one it has heard of
-    std::set<Address> visitors;  // and the controllers that asked it meanwhile
-    Address named;             // to found a cluster, by one that has no disk
-    std::atomic<std::int64_t> stepped{0};
-    std::function<void()> lookForSeeds;
-    bool broken = false, woken = false;
-    boost::fibers::mutex wakeMutex;
-    boost::fibers::condition_variable wake;
+  ControllerSettings settings;
+  Loop loop;
+  DataFolder folder;
+  ControllerId identity;
+  std::unique_ptr<Controller> core;
+  std::shared_ptr<SnapshotWriter> keeper;
+  std::unique_ptr<WorkThread> disk, views;
+  std::map<Address, std::shared_ptr<Outbox>> outbox;
+  std::map<RequestNumber, std::pair<std::shared_ptr<WireWriter>, std::uint64_t>> askers;
+  std::uint64_t lastRequest = 0;
+  RouteView heardOf;           // while it belongs to no cluster: the one it has heard of
+  std::set<Address> visitors;  // and the controllers that asked it meanwhile
+  Address named;               // to found a cluster, by one that has no disk
+  std::atomic<std::int64_t> stepped{0};
+  std::function<void()> lookForSeeds;
+  bool broken = false, woken = false;
+  boost::fibers::mutex wakeMutex;
+  boost::fibers::condition_variable wake;
 };
 
 }  // namespace
 
-int runController(ControllerSettings settings) { return Program(std::move(settings)).run(); }
+int runController(ControllerSettings settings) {
+  return Program(std::move(settings)).run();
+}
 
 }  // namespace aniseline
--- a/source/daemons/controller_daemon.hpp
+++ b/source/daemons/controller_daemon.hpp
@@ -5,14 +5,16 @@
 namespace aniseline {
 
 struct ControllerSettings {
-    Address peer, http, advertise;
-    std::string zone, data;  // without a data folder it stores nothing and never votes: it leads the way only. docs/design.md 9.7
-    std::vector<Address> seeds;
-    bool found = false, quiet = false;
-    std::int64_t heartbeat = 100, electionLow = 500, electionHigh = 1000, replaceAfter = 30'000, snapshotVersions = 1000, voters = 3;
-    std::int64_t lease = 3000, margin = 1000;  // of workers' leases, in milliseconds
-    OuterInterface outer;
-    SeedSource seedsNow;
+  Address peer, http, advertise;
+  std::string zone, data;  // without a data folder it stores nothing and never votes: it leads the
+                           // way only. docs/design.md 9.7
+  std::vector<Address> seeds;
+  bool found = false, quiet = false;
+  std::int64_t heartbeat = 100, electionLow = 500, electionHigh = 1000, replaceAfter = 30'000,
+               snapshotVersions = 1000, voters = 3;
+  std::int64_t lease = 3000, margin = 1000;  // of workers' leases, in milliseconds
+  OuterInterface outer;
+  SeedSource seedsNow;
 };
 
 // Serves until it is told to stop; the process' exit status.
--- a/source/gateway/leader_call.cpp
+++ b/source/gateway/leader_call.cpp
@@ -3,111 +3,84 @@
 namespace aniseline {
 
 namespace {
-// A submission, cancel, config or order about a worker that may have been taken is never sent twice by a gateway.
+// A submission, cancel, config or order about a worker that may have been taken is never sent twice
+// by a gateway.
 bool readsOnly(RequestKind kind) {
-    switch (kind) {
-        case RequestKind::sync:
-        case RequestKind::showJob:
-        case RequestKind::listJobs:
-        case RequestKind::showConfig:
-        case RequestKind::listWorkers:
-        case RequestKind::showCluster:
-        case RequestKind::showPlan:
-        case RequestKind::showCounters:
-        case RequestKind::showPhase:
-        case RequestKind::countWaiting:
-        case RequestKind::readConfig:
-        case RequestKind::exportState: return true;
-        default: return false;
-    }
+  switch (kind) {
+    case RequestKind::sync:
+    case RequestKind::showJob:
+    case RequestKind::listJobs:
+    case RequestKind::showConfig:
+    case RequestKind::listWorkers:
+    case RequestKind::showCluster:
+    case RequestKind::showPlan:
+    case RequestKind::showCounters:
+    case RequestKind::showPhase:
+    case RequestKind::countWaiting:
+    case RequestKind::readConfig:
+    case RequestKind::exportState:
+      return true;
+    default:
+      return false;
+  }
 }
 }  // namespace
 
-LeaderCall::LeaderCall(const ApiRequest& request, Route route, const std::vector<Address>& seeds, MonotonicTime now)
-    : route(std::move(route)), seeds(seeds), mayRepeat(readsOnly(request.kind)),
-      deadline(now + (request.kind == RequestKind::sync ? request.report.wait + Duration{1500} : std::min(request.patience, Duration{2500}))), seekUntil(now + std::min(request.patience, Duration{2000})) {}
+LeaderCall::LeaderCall(const ApiRequest& request, Route route, const std::vector<Address>& seeds,
+                       MonotonicTime now)
+    : route(std::move(route)),
+      seeds(seeds),
+      mayRepeat(readsOnly(request.kind)),
+      deadline(now + (request.kind == RequestKind::sync
+                          ? request.report.wait + Duration{1500}
+                          : std::min(request.patience, Duration{2500}))),
+      seekUntil(now + std::min(request.patience, Duration{2000})) {}
 
-LeaderCall::Step LeaderCall::done(ApiResponse answer) { return Step{Step::Kind::answer, {}, {}, std::move(answer)}; }
+LeaderCall::Step LeaderCall::done(ApiResponse answer) {
+  return Step{Step::Kind::answer, {}, {}, std::move(answer)};
+}
 
 LeaderCall::Step LeaderCall::ask(MonotonicTime now) {
-    if (now >= deadline) return done(ApiResponse::notTaken("no leader of the controllers is known"));
-    Address target = std::exchange(hint, Address{});
-    if (target.value.empty()) {
-        const RouteView view = route();
-        const std::vector<Address>& known = view.controllers.empty() ? seeds : view.controllers;
-        if (!view.leader.value.empty() && view.leader != passedOver) target = view.leader;
-        else {
-            target = known[turn % known.size()];
-            if (target == passedOver) target = known[++turn % known.size()];
-        }
+  if (now >= deadline)
+    return done(ApiResponse::notTaken("no leader of the controllers is known"));
+  Address target = std::exchange(hint, Address{});
+  if (target.value.empty()) {
+    const RouteView view = route();
+    const std::vector<Address>& known = view.controllers.empty() ? seeds : view.controllers;
+    if (!view.leader.value.empty() && view.leader != passedOver)
+      target = view.leader;
+    else {
+      target = known[turn % known.size()];
+      if (target == passedOver)
+        target = known[++turn % known.size()];
     }
-    asked = target;
-    return Step{Step::Kind::ask, target, deadline - now, {}};
+  }
+  asked = target;
+  return Step{Step::Kind::ask, target, deadline - now, {}};
 }
 
 LeaderCall::Step LeaderCall::next(MonotonicTime now) {
-    passedOver = asked;
-    if (now >= seekUntil) return done(ApiResponse::notTaken("no leader of the controllers is known"));
-    if (!hint.value.empty() && hints++ < 3) return ask(now);
-    hint = Address{};
-    ++turn;
-    return Step{Step::Kind::wait, {}, Duration{turn < 4 ? 20 : 60}, {}};
+  passedOver = asked;
+  if (now >= seekUntil)
+    return done(ApiResponse::notTaken("no leader of the controllers is known"));
+  if (!hint.value.empty() && hints++ < 3)
+    return ask(now);
+  hint = Address{};
+  ++turn;
+  return Step{Step::Kind::wait, {}, Duration{turn < 4 ? 20 : 60}, {}};
 }
 
 LeaderCall::Step LeaderCall::answered(const ApiResponse& answer, MonotonicTime now) {
-    if (!answer.notLeader) return done(answer);
-    hint = answer.leader;
-    return next(now);
+  if (!answer.notLeader)
+    return done(answer);
+  hint = answer.leader;
+  return next(now);
 }
 
 LeaderCall::Step LeaderCall::failed(Loss loss, MonotonicTime now) {
-    if (loss != Loss::unreachable && !mayRepeat) return done(ApiResponse::unknown("the leader was lost while this was under way; ask again"));
-    return next(now);
+  if (loss != Loss::unreachable && !mayRepeat)
+    return done(ApiResponse::unknown("the leader was lost while this was under way; ask again"));
+  return next(now);
 }
 
 }  // namespace aniseline
-
-#ifdef ANISELINE_TESTS
-#include <CppUTest/TestHarness.h>
-using namespace aniseline;
-
-TEST_GROUP(LeaderCallTests) {
-    std::vector<Address> seeds{Address{"s:1"}, Address{"s:2"}};
-    RouteView view;
-    LeaderCall course(RequestKind kind) {
-        ApiRequest request;
-        request.kind = kind;
-        return LeaderCall(request, [this] { return view; }, seeds, MonotonicTime{0});
-    }
-};
-
-// What may have been taken is neither sent again nor called rejected.
-TEST(LeaderCallTests, aSubmissionLostOnTheWayIsUnknown) {
-    view.leader = Address{"r:1"};
-    auto submit = course(RequestKind::submitJob);
-    STRCMP_EQUAL("r:1", submit.begin(MonotonicTime{0}).target.value.c_str());
-    auto step = submit.failed(LeaderCall::Loss::lost, MonotonicTime{5});
-    CHECK(step.kind == LeaderCall::Step::Kind::answer);
-    LONGS_EQUAL(503, step.answer.status);
-    auto read = course(RequestKind::showJob);
-    read.begin(MonotonicTime{0});
-    CHECK(read.failed(LeaderCall::Loss::lost, MonotonicTime{5}).kind == LeaderCall::Step::Kind::wait);
-    // One that did not serve is passed over; a leader that the route names meanwhile is asked at once.
-    view.controllers = {Address{"r:1"}, Address{"r:2"}};
-    STRCMP_EQUAL("r:2", read.waited(MonotonicTime{30}).target.value.c_str());
-    view.leader = Address{"r:3"};
-    read.failed(LeaderCall::Loss::late, MonotonicTime{40});
-    STRCMP_EQUAL("r:3", read.waited(MonotonicTime{50}).target.value.c_str());
-}
-
-TEST(LeaderCallTests, followsTheHintAndGivesUpInTime) {
-    auto submit = course(RequestKind::submitJob);
-    STRCMP_EQUAL("s:1", submit.begin(MonotonicTime{0}).target.value.c_str());
-    ApiResponse notLeader;
-    notLeader.notLeader = true;
-    notLeader.leader = Address{"r:2"};
-    STRCMP_EQUAL("r:2", submit.answered(notLeader, MonotonicTime{1}).target.value.c_str());
-    CHECK(submit.failed(LeaderCall::Loss::unreachable, MonotonicTime{2}).kind == LeaderCall::Step::Kind::wait);
-    CHECK(submit.failed(LeaderCall::Loss::unreachable, MonotonicTime{2000}).kind == LeaderCall::Step::Kind::answer);
-}
-#endif
--- a/source/gateway/leader_directory.cpp
+++ b/source/gateway/leader_directory.cpp
@@ -16,61 +16,33 @@
 namespace aniseline {
 
 LeaderDirectory::LeaderDirectory() : current(new RouteView) {}
-LeaderDirectory::~LeaderDirectory() { delete current.load(); }
-RouteReader::RouteReader() { rcu_register_thread(); }
-RouteReader::~RouteReader() { rcu_unregister_thread(); }
-void LeaderDirectory::lockRead() { rcu_read_lock(); }
+LeaderDirectory::~LeaderDirectory() {
+  delete current.load();
+}
+RouteReader::RouteReader() {
+  rcu_register_thread();
+}
+RouteReader::~RouteReader() {
+  rcu_unregister_thread();
+}
+void LeaderDirectory::lockRead() {
+  rcu_read_lock();
+}
 void LeaderDirectory::unlockRead() {
-    ANISELINE_GRACE_RELEASE();
-    rcu_read_unlock();
+  ANISELINE_GRACE_RELEASE();
+  rcu_read_unlock();
 }
 
 bool LeaderDirectory::publish(const RouteView& view) {
-    const RouteView* before = current.load(std::memory_order_acquire);
-    auto next = std::make_unique<RouteView>(*before);
-    if (!next->takeNewer(view)) return false;
-    current.store(next.release(), std::memory_order_release);
-    synchronize_rcu();
-    ANISELINE_GRACE_ACQUIRE();
-    delete before;
-    return true;
+  const RouteView* before = current.load(std::memory_order_acquire);
+  auto next = std::make_unique<RouteView>(*before);
+  if (!next->takeNewer(view))
+    return false;
+  current.store(next.release(), std::memory_order_release);
+  synchronize_rcu();
+  ANISELINE_GRACE_ACQUIRE();
+  delete before;
+  return true;
 }
 
 }  // namespace aniseline
-
-#ifdef ANISELINE_TESTS
-#include <CppUTest/TestHarness.h>
-#include <thread>
-using namespace aniseline;
-
-TEST_GROUP(LeaderDirectoryTests){};
-
-// Under the thread sanitizer this fails when a view is freed under a reader.
-TEST(LeaderDirectoryTests, readersNeverSeeAFreedOrOlderView) {
-    LeaderDirectory board;
-    std::atomic<bool> over{false};
-    std::atomic<int> slips{0};
-    std::vector<std::thread> readers;
-    for (int count = 0; count < 3; ++count)
-        readers.emplace_back([&] {
-            RouteReader reader;
-            std::uint64_t seen = 0;
-            while (!over) {
-                const auto term = board.read([](const RouteView& view) { return view.term.value + view.controllers.size() * 0; });
-                if (term < seen) ++slips;
-                seen = term;
-            }
-        });
-    for (std::uint64_t term = 1; term <= 300; ++term) {
-        RouteView view;
-        view.term = Term{term};
-        view.controllers.assign(3, Address{"127.0.0.1:1"});
-        CHECK(board.publish(view));
-        view.term = Term{term - 1};
-        CHECK(!board.publish(view));
-    }
-    over = true;
-    for (auto& reader : readers) reader.join();
-    LONGS_EQUAL(0, slips.load());
-}
-#endif
--- a/source/gateway/peer_directory.hpp
+++ b/source/gateway/peer_directory.hpp
@@ -1,24 +1,26 @@
-// Whom to ask next: the gateways given for first contact, and those learned since. Sans-IO. docs/design.md 9.5.
+// Whom to ask next: the gateways given for first contact, and those learned since. Sans-IO.
+// docs/design.md 9.5.
 #pragma once
 #include "base/types.hpp"
 
 namespace aniseline {
 
 class PeerDirectory {
-public:
-    // Starts anywhere among the seeds, so that many do not begin with the same one.
-    PeerDirectory(std::vector<Address> seeds, std::uint64_t spread);
-    // Those in force, the preferred first. Seeds stay a last resort: they may all be gone by then, or all that is left.
-    void learn(const std::vector<Address>& inForce);
-    const Address& current(MonotonicTime now);
-    void failed(MonotonicTime now);  // the current one was silent or not able
-    std::size_t seedCount() const { return seeds.size(); }
-    bool knowsMore() const { return !learned.empty(); }
+ public:
+  // Starts anywhere among the seeds, so that many do not begin with the same one.
+  PeerDirectory(std::vector<Address> seeds, std::uint64_t spread);
+  // Those in force, the preferred first. Seeds stay a last resort: they may all be gone by then, or
+  // all that is left.
+  void learn(const std::vector<Address>& inForce);
+  const Address& current(MonotonicTime now);
+  void failed(MonotonicTime now);  // the current one was silent or not able
+  std::size_t seedCount() const { return seeds.size(); }
+  bool knowsMore() const { return !learned.empty(); }
 
-private:
-    std::vector<Address> seeds, learned;
-    std::size_t place = 0, seedTurn;
-    MonotonicTime failedAt;
+ private:
+  std::vector<Address> seeds, learned;
+  std::size_t place = 0, seedTurn;
+  MonotonicTime failedAt;
 };
 
 }  // namespace aniseline
--- a/source/net/link_proxy.hpp
+++ b/source/net/link_proxy.hpp
@@ -1,25 +1,27 @@
-// Relays between processes of a fleet on one machine, through which a zone can be cut off. docs/operations.md 6.
+// Relays between processes of a fleet on one machine, through which a zone can be cut off.
+// docs/operations.md 6.
 #pragma once
 #include "net/loop.hpp"
 
 namespace aniseline {
 
 class LinkProxy {
-public:
-    // The zone of whoever connects from an IP number; empty: from outside of all zones, never cut.
-    using ZoneOf = std::function<std::string(const std::string& ip)>;
-    LinkProxy(Loop& loop, ZoneOf zoneOf) : loop(loop), zoneOf(std::move(zoneOf)) {}
-    // Takes connections at one address and passes them on to another, in the zone named.
-    Result<bool> open(const Address& at, const Address& target, std::string zone);
-    // A cut zone neither hears nor is heard; what was under way waits, as on a real wire.
-    void cut(const std::string& zone, bool cut);
+ public:
+  // The zone of whoever connects from an IP number; empty: from outside of all zones, never cut.
+  using ZoneOf = std::function<std::string(const std::string& ip)>;
+  LinkProxy(Loop& loop, ZoneOf zoneOf) : loop(loop), zoneOf(std::move(zoneOf)) {}
+  // Takes connections at one address and passes them on to another, in the zone named.
+  Result<bool> open(const Address& at, const Address& target, std::string zone);
+  // A cut zone neither hears nor is heard; what was under way waits, as on a real wire.
+  void cut(const std::string& zone, bool cut);
 
-private:
-    bool blocked(const std::string& from, const std::string& to) const;
-    void pass(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to, std::string fromZone, std::string toZone);
-    Loop& loop;
-    ZoneOf zoneOf;
-    std::set<std::string> zonesCut;
+ private:
+  bool blocked(const std::string& from, const std::string& to) const;
+  void pass(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to,
+            std::string fromZone, std::string toZone);
+  Loop& loop;
+  ZoneOf zoneOf;
+  std::set<std::string> zonesCut;
 };
 
 }  // namespace aniseline
--- a/source/net/loop.cpp
+++ b/source/net/loop.cpp
@@ -3,18 +3,26 @@
 namespace aniseline {
 
 Result<tcp::endpoint> endpointOf(const Address& address) {
-    auto fail = [&] { return CoreError::at(CoreError::Kind::invalid, "", "'" + address.value + "' is not an IP number and port such as 127.0.0.1:8000"); };
-    const auto colon = address.value.rfind(':');
-    if (colon == std::string::npos) return fail();
-    std::string host = address.value.substr(0, colon);
-    const std::string port = address.value.substr(colon + 1);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
-    if (port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos) return fail();
-    const int number = std::stoi(port);
-    IoError error;
-    const auto parsed = asio::ip::make_address(host, error);
-    if (error || number < 1 || number > 65535) return fail();
-    return tcp::endpoint(parsed, static_cast<unsigned short>(number));
+  auto fail = [&] {
+    return CoreError::at(
+        CoreError::Kind::invalid, "",
+        "'" + address.value + "' is not an IP number and port such as 127.0.0.1:8000");
+  };
+  const auto colon = address.value.rfind(':');
+  if (colon == std::string::npos)
+    return fail();
+  std::string host = address.value.substr(0, colon);
+  const std::string port = address.value.substr(colon + 1);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    host = host.substr(1, host.size() - 2);
+  if (port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos)
+    return fail();
+  const int number = std::stoi(port);
+  IoError error;
+  const auto parsed = asio::ip::make_address(host, error);
+  if (error || number < 1 || number > 65535)
+    return fail();
+  return tcp::endpoint(parsed, static_cast<unsigned short>(number));
 }
 
 }  // namespace aniseline
