--- a/source/net/loop.hpp
+++ b/source/net/loop.hpp
@@ -13,90 +13,111 @@
 using tcp = asio::ip::tcp;
 using IoError = boost::system::error_code;
 
-// When no fiber of the thread is ready the thread waits in the Asio context, whose handlers make fibers ready.
+// When no fiber of the thread is ready the thread waits in the Asio context, whose handlers make
+// fibers ready.
 class LoopScheduler : public boost::fibers::algo::algorithm {
-public:
-    explicit LoopScheduler(asio::io_context& context) : context(context) {}
-    void awakened(boost::fibers::context* fiber) noexcept override { fiber->ready_link(queue); }
-    boost::fibers::context* pick_next() noexcept override {
-        if (queue.empty()) return nullptr;
-        auto* fiber = &queue.front();
-        queue.pop_front();
-        return fiber;
-    }
-    bool has_ready_fibers() const noexcept override { return !queue.empty(); }
-    void suspend_until(std::chrono::steady_clock::time_point const& until) noexcept override {
-        if (context.stopped()) context.restart();
-        if (until == std::chrono::steady_clock::time_point::max()) context.run_one();
-        else context.run_one_until(until);
-        context.poll();
-    }
-    void notify() noexcept override {
-        asio::post(context, [] {});
-    }
+ public:
+  explicit LoopScheduler(asio::io_context& context) : context(context) {}
+  void awakened(boost::fibers::context* fiber) noexcept override { fiber->ready_link(queue); }
+  boost::fibers::context* pick_next() noexcept override {
+    if (queue.empty())
+      return nullptr;
+    auto* fiber = &queue.front();
+    queue.pop_front();
+    return fiber;
+  }
+  bool has_ready_fibers() const noexcept override { return !queue.empty(); }
+  void suspend_until(std::chrono::steady_clock::time_point const& until) noexcept override {
+    if (context.stopped())
+      context.restart();
+    if (until == std::chrono::steady_clock::time_point::max())
+      context.run_one();
+    else
+      context.run_one_until(until);
+    context.poll();
+  }
+  void notify() noexcept override {
+    asio::post(context, [] {});
+  }
 
-private:
-    asio::io_context& context;
-    boost::fibers::scheduler::ready_queue_type queue;
+ private:
+  asio::io_context& context;
+  boost::fibers::scheduler::ready_queue_type queue;
 };
 
 class Loop {
-public:
-    Loop() : guard(asio::make_work_guard(context)) { boost::fibers::use_scheduling_algorithm<LoopScheduler>(context); }
-    asio::io_context context;
-    // Opens a socket that connects from the given IP number, where a machine has several. Empty: the system chooses.
-    IoError openFrom(tcp::socket& socket, const tcp::endpoint& target) const {
-        IoError error;
-        socket.open(target.protocol(), error);
-        if (!error && !source.empty()) socket.bind(tcp::endpoint(asio::ip::make_address(source, error), 0), error);
-        return error;
-    }
-    static inline std::string source;  // of the whole process, set once before anything connects
+ public:
+  Loop() : guard(asio::make_work_guard(context)) {
+    boost::fibers::use_scheduling_algorithm<LoopScheduler>(context);
+  }
+  asio::io_context context;
+  // Opens a socket that connects from the given IP number, where a machine has several. Empty: the
+  // system chooses.
+  IoError openFrom(tcp::socket& socket, const tcp::endpoint& target) const {
+    IoError error;
+    socket.open(target.protocol(), error);
+    if (!error && !source.empty())
+      socket.bind(tcp::endpoint(asio::ip::make_address(source, error), 0), error);
+    return error;
+  }
+  static inline std::string source;  // of the whole process, set once before anything connects
 
-private:
-    asio::executor_work_guard<asio::io_context::executor_type> guard;
+ private:
+  asio::executor_work_guard<asio::io_context::executor_type> guard;
 };
 
 struct IoResult {
-    IoError error;
-    std::size_t bytes = 0;
+  IoError error;
+  std::size_t bytes = 0;
 };
 
-// Starts an asynchronous operation of this thread's context and lets other fibers run until it is done.
+// Starts an asynchronous operation of this thread's context and lets other fibers run until it is
+// done.
 template <class Start>
 IoResult await(Start&& start) {
-    boost::fibers::promise<IoResult> promise;
-    auto future = promise.get_future();
-    start([&promise](IoError error, std::size_t bytes = 0) { promise.set_value(IoResult{error, bytes}); });
-    return future.get();
+  boost::fibers::promise<IoResult> promise;
+  auto future = promise.get_future();
+  start([&promise](IoError error, std::size_t bytes = 0) {
+    promise.set_value(IoResult{error, bytes});
+  });
+  return future.get();
 }
 
 template <class Work>
 void spawn(Work&& work) {
-    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, boost::fibers::fixedsize_stack(256 * 1024), std::forward<Work>(work)).detach();
+  boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                       boost::fibers::fixedsize_stack(256 * 1024), std::forward<Work>(work))
+      .detach();
 }
 
 template <class Work>
 void after(Duration span, Work&& work) {
-    spawn([span, work = std::forward<Work>(work)] {
-        boost::this_fiber::sleep_for(std::chrono::milliseconds(span.milliseconds));
-        work();
-    });
+  spawn([span, work = std::forward<Work>(work)] {
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(span.milliseconds));
+    work();
+  });
 }
 
 inline MonotonicTime monotonicNow() {
-    return MonotonicTime{std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count()};
+  return MonotonicTime{std::chrono::duration_cast<std::chrono::milliseconds>(
+                           std::chrono::steady_clock::now().time_since_epoch())
+                           .count()};
 }
 inline WallTime wallNow() {
-    return WallTime{std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()};
+  return WallTime{std::chrono::duration_cast<std::chrono::milliseconds>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count()};
+}
+inline void pause(Duration span) {
+  boost::this_fiber::sleep_for(std::chrono::milliseconds(span.milliseconds));
 }
-inline void pause(Duration span) { boost::this_fiber::sleep_for(std::chrono::milliseconds(span.milliseconds)); }
 
 inline std::string ipOf(const Address& address) {
-    const auto colon = address.value.rfind(':');
-    std::string ip = address.value.substr(0, colon);
-    if (ip.size() > 1 && ip.front() == '[') ip = ip.substr(1, ip.size() - 2);
-    return ip == "0.0.0.0" || ip == "::" ? std::string() : ip;
+  const auto colon = address.value.rfind(':');
+  std::string ip = address.value.substr(0, colon);
+  if (ip.size() > 1 && ip.front() == '[')
+    ip = ip.substr(1, ip.size() - 2);
+  return ip == "0.0.0.0" || ip == "::" ? std::string() : ip;
 }
 
 // IP numbers only: 127.0.0.1:8000 or [::1]:8000.
--- a/source/net/options.hpp
+++ b/source/net/options.hpp
@@ -1,4 +1,5 @@
-// Command lines (TCLAP) over an options file (JSON): every fault is named by file and field. docs/operations.md 2.
+// Command lines (TCLAP) over an options file (JSON): every fault is named by file and field.
+// docs/operations.md 2.
 #pragma once
 #include "state/api_request.hpp"
 #include <tclap/CmdLine.h>
@@ -7,49 +8,56 @@
 
 // A program's options: each has a name that is a flag and a field of the options file; a flag wins.
 class OptionSet {
-public:
-    OptionSet(std::string program, std::string purpose);
-    void text(const std::string& name, std::string& target, const std::string& help, bool needed = false);
-    void address(const std::string& name, Address& target, const std::string& help, bool needed = false);
-    void addresses(const std::string& name, std::vector<Address>& target, const std::string& help, bool needed = false);
-    void whole(const std::string& name, std::int64_t& target, const std::string& help, std::int64_t low, std::int64_t high);
-    void real(const std::string& name, double& target, const std::string& help, double low, double high);
-    void flag(const std::string& name, bool& target, const std::string& help);
-    // Words that are no flags; at most this many.
-    void words(std::vector<std::string>& target, const std::string& help);
-    // An option not given otherwise is taken from this variable of the environment; a list's values are parted by commas or blanks.
-    void environment(const std::string& name, const std::string& variable);
-    // Takes the place of the help that TCLAP would print: it is handed the words, prints and returns, and the process ends.
-    void help(std::function<void(const std::vector<std::string>& words)> show);
-    // An aligned line for each of these options; of all if none is named.
-    std::string describe(const std::vector<std::string>& names = {}) const;
-    // The options that were flags of the command line.
-    std::vector<std::string> onLine() const;
-    // Reads all; ends the process with status 2 and a plain line for each fault.
-    void read(int count, char** values);
+ public:
+  OptionSet(std::string program, std::string purpose);
+  void text(const std::string& name, std::string& target, const std::string& help,
+            bool needed = false);
+  void address(const std::string& name, Address& target, const std::string& help,
+               bool needed = false);
+  void addresses(const std::string& name, std::vector<Address>& target, const std::string& help,
+                 bool needed = false);
+  void whole(const std::string& name, std::int64_t& target, const std::string& help,
+             std::int64_t low, std::int64_t high);
+  void real(const std::string& name, double& target, const std::string& help, double low,
+            double high);
+  void flag(const std::string& name, bool& target, const std::string& help);
+  // Words that are no flags; at most this many.
+  void words(std::vector<std::string>& target, const std::string& help);
+  // An option not given otherwise is taken from this variable of the environment; a list's values
+  // are parted by commas or blanks.
+  void environment(const std::string& name, const std::string& variable);
+  // Takes the place of the help that TCLAP would print: it is handed the words, prints and returns,
+  // and the process ends.
+  void help(std::function<void(const std::vector<std::string>& words)> show);
+  // An aligned line for each of these options; of all if none is named.
+  std::string describe(const std::vector<std::string>& names = {}) const;
+  // The options that were flags of the command line.
+  std::vector<std::string> onLine() const;
+  // Reads all; ends the process with status 2 and a plain line for each fault.
+  void read(int count, char** values);
 
-private:
-    struct Entry {
-        std::string name, help;
-        bool needed = false, isFlag = false, isList = false;
-        std::function<std::optional<std::string>(const std::string&)> take;
-        std::shared_ptr<TCLAP::Arg> arg;
-        std::function<std::vector<std::string>()> given;
-        bool set = false, onLine = false;
-        std::string variable{};  // of the environment
-    };
-    void add(Entry entry);
-    Entry* find(const std::string& name);
-    void readLine(int count, char** values, std::string& file);
-    void readFile(const std::string& file);
-    void readField(const std::string& where, const picojson::value& value, Entry& entry);
-    void readEnvironment();
-    std::string program, purpose;
-    std::vector<Entry> entries;
-    std::vector<std::string>* wordsTarget = nullptr;
-    std::string wordsHelp;
-    std::function<void(const std::vector<std::string>&)> showHelp;
-    std::vector<std::string> faults;
+ private:
+  struct Entry {
+    std::string name, help;
+    bool needed = false, isFlag = false, isList = false;
+    std::function<std::optional<std::string>(const std::string&)> take;
+    std::shared_ptr<TCLAP::Arg> arg;
+    std::function<std::vector<std::string>()> given;
+    bool set = false, onLine = false;
+    std::string variable{};  // of the environment
+  };
+  void add(Entry entry);
+  Entry* find(const std::string& name);
+  void readLine(int count, char** values, std::string& file);
+  void readFile(const std::string& file);
+  void readField(const std::string& where, const picojson::value& value, Entry& entry);
+  void readEnvironment();
+  std::string program, purpose;
+  std::vector<Entry> entries;
+  std::vector<std::string>* wordsTarget = nullptr;
+  std::string wordsHelp;
+  std::function<void(const std::vector<std::string>&)> showHelp;
+  std::vector<std::string> faults;
 };
 
 }  // namespace aniseline
--- a/source/net/relay.hpp
+++ b/source/net/relay.hpp
@@ -14,29 +14,33 @@
 using SeedSource = std::function<std::vector<Address>()>;
 
 struct OuterInterface {
-    Address address;
-    HttpLimits limits;
-    std::function<ApiResponse(const HttpRequest&, const Serve&)> handle;
+  Address address;
+  HttpLimits limits;
+  std::function<ApiResponse(const HttpRequest&, const Serve&)> handle;
 };
 
 class Relay {
-public:
-    // givingUp: this process ends, and what is under way gets its last answer now.
-    Relay(Loop& loop, std::function<RouteView()> route, std::vector<Address> seeds, std::function<bool()> givingUp)
-        : loop(loop), route(std::move(route)), seeds(std::move(seeds)), givingUp(std::move(givingUp)) {}
-    ApiResponse relay(const ApiRequest& apiRequest);
-    void useSeeds(std::vector<Address> given) { seeds = std::move(given); }
-    // Whoever served last; empty before anyone did.
-    const Address& served() const { return lastServed; }
+ public:
+  // givingUp: this process ends, and what is under way gets its last answer now.
+  Relay(Loop& loop, std::function<RouteView()> route, std::vector<Address> seeds,
+        std::function<bool()> givingUp)
+      : loop(loop),
+        route(std::move(route)),
+        seeds(std::move(seeds)),
+        givingUp(std::move(givingUp)) {}
+  ApiResponse relay(const ApiRequest& apiRequest);
+  void useSeeds(std::vector<Address> given) { seeds = std::move(given); }
+  // Whoever served last; empty before anyone did.
+  const Address& served() const { return lastServed; }
 
-private:
-    WireCaller& callerTo(const Address& address);
-    Loop& loop;
-    std::function<RouteView()> route;
-    std::vector<Address> seeds;
-    std::function<bool()> givingUp;
-    Address lastServed;
-    std::map<Address, std::unique_ptr<WireCaller>> callers;
+ private:
+  WireCaller& callerTo(const Address& address);
+  Loop& loop;
+  std::function<RouteView()> route;
+  std::vector<Address> seeds;
+  std::function<bool()> givingUp;
+  Address lastServed;
+  std::map<Address, std::unique_ptr<WireCaller>> callers;
 };
 
 }  // namespace aniseline
--- a/source/net/signals.hpp
+++ b/source/net/signals.hpp
@@ -6,34 +6,40 @@
 namespace aniseline {
 
 class StopSignal {
-public:
-    explicit StopSignal(Loop& loop) : signals(loop.context, SIGTERM, SIGINT) {
-        signals.async_wait([this](IoError error, int) {
-            if (!error) stop = true;
-        });
-    }
-    bool requested() const { return stop; }
+ public:
+  explicit StopSignal(Loop& loop) : signals(loop.context, SIGTERM, SIGINT) {
+    signals.async_wait([this](IoError error, int) {
+      if (!error)
+        stop = true;
+    });
+  }
+  bool requested() const { return stop; }
 
-private:
-    asio::signal_set signals;
-    std::atomic<bool> stop{false};
+ private:
+  asio::signal_set signals;
+  std::atomic<bool> stop{false};
 };
 
 // SIGHUP: the options of this process have changed where they are kept.
 class ReloadSignal {
-public:
-    ReloadSignal(Loop& loop, std::function<void()> reload) : signals(loop.context, SIGHUP), reload(std::move(reload)) { wait(); }
+ public:
+  ReloadSignal(Loop& loop, std::function<void()> reload)
+      : signals(loop.context, SIGHUP), reload(std::move(reload)) {
+    wait();
+  }
 
-private:
-    void wait() {
-        signals.async_wait([this](IoError error, int) {
-            if (error) return;
-            if (reload) reload();
-            wait();
-        });
-    }
-    asio::signal_set signals;
-    std::function<void()> reload;
+ private:
+  void wait() {
+    signals.async_wait([this](IoError error, int) {
+      if (error)
+        return;
+      if (reload)
+        reload();
+      wait();
+    });
+  }
+  asio::signal_set signals;
+  std::function<void()> reload;
 };
 
 }  // namespace aniseline
--- a/source/net/wire.hpp
+++ b/source/net/wire.hpp
@@ -1,4 +1,5 @@
-// What our own processes say to each other: framed, checksummed Boost.Serialization over TCP. docs/design.md 9.3.
+// What our own processes say to each other: framed, checksummed Boost.Serialization over TCP.
+// docs/design.md 9.3.
 #pragma once
 #include "net/loop.hpp"
 #include "controller/controller.hpp"
@@ -6,84 +7,99 @@
 namespace aniseline {
 
 struct RouteQuery {
-    Contact gateway;         // of a gateway that asks, else empty
-    Address controller;      // of a controller that asks, so that whoever is asked learns of it; else empty
-    bool mayFound = false;  // it is blank and may found a cluster. docs/design.md 3.7
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & gateway & controller & mayFound; }
+  Contact gateway;  // of a gateway that asks, else empty
+  Address
+      controller;  // of a controller that asks, so that whoever is asked learns of it; else empty
+  bool mayFound = false;  // it is blank and may found a cluster. docs/design.md 3.7
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& gateway& controller& mayFound;
+  }
 };
 struct RouteReply {
-    RouteView view;
-    ControllerId id;
-    Address peer;
-    ZoneName zone;
-    bool blank = false;   // it knows of no cluster
-    bool leads = false;
-    bool stores = true;   // it has a disk, so it may found and vote
-    Address founder;      // of one that has none: the controller that it named to found
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & view & id & peer & zone & blank & leads & stores & founder; }
+  RouteView view;
+  ControllerId id;
+  Address peer;
+  ZoneName zone;
+  bool blank = false;  // it knows of no cluster
+  bool leads = false;
+  bool stores = true;  // it has a disk, so it may found and vote
+  Address founder;     // of one that has none: the controller that it named to found
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& view& id& peer& zone& blank& leads& stores& founder;
+  }
 };
 struct BootstrapRequest {  // an operator's word: found a new cluster here
-    template <class Archive> void serialize(Archive&, unsigned) {}
+  template <class Archive>
+  void serialize(Archive&, unsigned) {}
 };
-using WireBody = boost::variant<PeerMessage, ApiRequest, ApiResponse, RouteQuery, RouteReply, BootstrapRequest>;
+using WireBody =
+    boost::variant<PeerMessage, ApiRequest, ApiResponse, RouteQuery, RouteReply, BootstrapRequest>;
 struct WireMessage {
-    std::uint64_t correlation = 0;
-    WireBody body;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & correlation & body; }
+  std::uint64_t correlation = 0;
+  WireBody body;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& correlation& body;
+  }
 };
 
 struct WireError {
-    enum class Kind { unreachable, lost, late, garbled } kind = Kind::unreachable;
-    std::string text;
+  enum class Kind { unreachable, lost, late, garbled } kind = Kind::unreachable;
+  std::string text;
 };
 
 constexpr std::uint32_t wireFormat = 4;
 std::string encode(const WireMessage& message);
-// Reads one message; a peer that speaks another format, or garbles, is an error and its connection ends.
+// Reads one message; a peer that speaks another format, or garbles, is an error and its connection
+// ends.
 Result<WireMessage, WireError> readMessage(tcp::socket& socket);
 // Writes queued bytes in order on one socket. Owned jointly by the fibers of its connection.
 class WireWriter {
-public:
-    explicit WireWriter(std::shared_ptr<tcp::socket> socket) : socket(std::move(socket)) {}
-    bool send(std::string bytes);  // false: the queue is full or the connection is over
-    void run();                    // the writing fiber
-    void close();
+ public:
+  explicit WireWriter(std::shared_ptr<tcp::socket> socket) : socket(std::move(socket)) {}
+  bool send(std::string bytes);  // false: the queue is full or the connection is over
+  void run();                    // the writing fiber
+  void close();
 
-private:
-    std::shared_ptr<tcp::socket> socket;
-    std::deque<std::string> queue;
-    std::size_t queued = 0;
-    bool closed = false;
-    boost::fibers::mutex mutex;
-    boost::fibers::condition_variable some;
+ private:
+  std::shared_ptr<tcp::socket> socket;
+  std::deque<std::string> queue;
+  std::size_t queued = 0;
+  bool closed = false;
+  boost::fibers::mutex mutex;
+  boost::fibers::condition_variable some;
 };
 
-// A connection that asks and is answered; reconnects when used after a loss. For the fibers of one thread.
+// A connection that asks and is answered; reconnects when used after a loss. For the fibers of one
+// thread.
 class WireCaller {
-public:
-    WireCaller(Loop& loop, Address address) : loop(loop), address(std::move(address)) {}
-    // An error of kind `unreachable` means that nothing was sent.
-    // `abandoned` is asked now and then whether to wait on; true ends the wait as late.
-    Result<WireMessage, WireError> call(WireBody body, Duration within, const std::function<bool()>& abandoned = {});
-    bool post(WireMessage message);  // without an answer; lost when it can't be sent
+ public:
+  WireCaller(Loop& loop, Address address) : loop(loop), address(std::move(address)) {}
+  // An error of kind `unreachable` means that nothing was sent.
+  // `abandoned` is asked now and then whether to wait on; true ends the wait as late.
+  Result<WireMessage, WireError> call(WireBody body, Duration within,
+                                      const std::function<bool()>& abandoned = {});
+  bool post(WireMessage message);  // without an answer; lost when it can't be sent
 
-private:
-    struct Waiting {
-        boost::fibers::promise<Result<WireMessage, WireError>> promise;
-    };
-    struct Connection {
-        std::shared_ptr<tcp::socket> socket;
-        std::shared_ptr<WireWriter> writer;
-        std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
-        bool open = true;
-    };
-    std::shared_ptr<Connection> connection(Duration within);
-    Loop& loop;
-    Address address;
-    std::shared_ptr<Connection> current;
-    bool connecting = false;
-    MonotonicTime notBefore{0};
-    std::uint64_t nextCorrelation = 1;
+ private:
+  struct Waiting {
+    boost::fibers::promise<Result<WireMessage, WireError>> promise;
+  };
+  struct Connection {
+    std::shared_ptr<tcp::socket> socket;
+    std::shared_ptr<WireWriter> writer;
+    std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
+    bool open = true;
+  };
+  std::shared_ptr<Connection> connection(Duration within);
+  Loop& loop;
+  Address address;
+  std::shared_ptr<Connection> current;
+  bool connecting = false;
+  MonotonicTime notBefore{0};
+  std::uint64_t nextCorrelation = 1;
 };
 
 }  // namespace aniseline
--- a/source/net/worker_protocol.hpp
+++ b/source/net/worker_protocol.hpp
@@ -1,4 +1,5 @@
-// The product's own words for workers that are called: an agent's side, and a worker's. docs/api.md 5.
+// The product's own words for workers that are called: an agent's side, and a worker's.
+// docs/api.md 5.
 #pragma once
 #include "daemons/agent_daemon.hpp"
 
--- a/source/raft/node.hpp
+++ b/source/raft/node.hpp
@@ -1,273 +1,316 @@
-// The controllers' raft on one log: terms, votes, replication, membership. Sans-IO. docs/design.md 3.
+// The controllers' raft on one log: terms, votes, replication, membership. Sans-IO.
+// docs/design.md 3.
 #pragma once
 #include "base/types.hpp"
 
 namespace aniseline {
 
 struct Member {
-    ControllerId id;
-    Address peer;  // where other processes of the system reach it
-    ZoneName zone;
-    bool voter = false;
-    bool operator==(const Member&) const = default;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & id & peer & zone & voter; }
+  ControllerId id;
+  Address peer;  // where other processes of the system reach it
+  ZoneName zone;
+  bool voter = false;
+  bool operator==(const Member&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& id& peer& zone& voter;
+  }
 };
 using Members = std::vector<Member>;
 
 struct LogEntry {
-    Term term;
-    bool members = false;  // the payload is a packed Members list, in force from the moment it is in the log
-    std::string payload;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & term & members & payload; }
+  Term term;
+  bool members =
+      false;  // the payload is a packed Members list, in force from the moment it is in the log
+  std::string payload;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& members& payload;
+  }
 };
 
 // Everything up to an index, folded. docs/design.md 3.4.
 struct Snapshot {
-    LogIndex index;
-    Term term;
-    Members members;
-    std::string state;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & index & term & members & state; }
+  LogIndex index;
+  Term term;
+  Members members;
+  std::string state;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& index& term& members& state;
+  }
 };
 
 // One version of a controller's durable state, one file on disk. docs/design.md 3.3.
 struct WriteAheadRecord {
-    DiskVersion version;
-    bool whole = false;  // holds a view and the whole log after it; else only what follows `first`
-    Term term;
-    ControllerId vote;
-    Snapshot snapshot;
-    LogIndex first;
-    std::vector<LogEntry> entries;
-    template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & version & whole & term & vote & snapshot & first & entries;
-    }
+  DiskVersion version;
+  bool whole = false;  // holds a view and the whole log after it; else only what follows `first`
+  Term term;
+  ControllerId vote;
+  Snapshot snapshot;
+  LogIndex first;
+  std::vector<LogEntry> entries;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& version& whole& term& vote& snapshot& first& entries;
+  }
 };
 
 struct RequestVote {
-    Term term;
-    bool trial = false;     // a pre-vote: would you?
-    bool leaderTransfer = false;  // the leader itself asked for this election
-    LogIndex last;
-    Term lastTerm;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & term & trial & leaderTransfer & last & lastTerm; }
+  Term term;
+  bool trial = false;           // a pre-vote: would you?
+  bool leaderTransfer = false;  // the leader itself asked for this election
+  LogIndex last;
+  Term lastTerm;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& trial& leaderTransfer& last& lastTerm;
+  }
 };
 struct RequestVoteReply {
-    Term term;
-    bool trial = false;
-    bool given = false;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & term & trial & given; }
+  Term term;
+  bool trial = false;
+  bool given = false;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& trial& given;
+  }
 };
 struct AppendEntries {
-    Term term;
-    LogIndex previous;
-    Term previousTerm;
-    std::vector<LogEntry> entries;
-    LogIndex commit;
-    RoundNumber round;
-    template <class Archive> void serialize(Archive& archive, unsigned) {
-        archive & term & previous & previousTerm & entries & commit & round;
-    }
+  Term term;
+  LogIndex previous;
+  Term previousTerm;
+  std::vector<LogEntry> entries;
+  LogIndex commit;
+  RoundNumber round;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& previous& previousTerm& entries& commit& round;
+  }
 };
 struct AppendEntriesReply {
-    Term term;
-    bool matched = false;
-    LogIndex match;  // synced up to here; of a mismatch: try from here
-    LogIndex last;
-    RoundNumber round;
-    WallTime wall;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & term & matched & match & last & round & wall; }
+  Term term;
+  bool matched = false;
+  LogIndex match;  // synced up to here; of a mismatch: try from here
+  LogIndex last;
+  RoundNumber round;
+  WallTime wall;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& matched& match& last& round& wall;
+  }
 };
 struct InstallSnapshot {
-    Term term;
-    Snapshot snapshot;
-    RoundNumber round;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & term & snapshot & round; }
+  Term term;
+  Snapshot snapshot;
+  RoundNumber round;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& snapshot& round;
+  }
 };
 struct TimeoutNow {
-    Term term;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & term; }
+  Term term;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term;
+  }
 };
 struct Join {  // a new identity asks to learn
-    Member member;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & member; }
+  Member member;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& member;
+  }
 };
-struct RemovedFromCluster {  // the leader tells an identity that it is no member any more, docs/design.md 3.5
-    Term term;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & term; }
+struct RemovedFromCluster {  // the leader tells an identity that it is no member any more,
+                             // docs/design.md 3.5
+  Term term;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term;
+  }
 };
-using PeerBody = boost::variant<RequestVote, RequestVoteReply, AppendEntries, AppendEntriesReply, InstallSnapshot, TimeoutNow, Join, RemovedFromCluster>;
+using PeerBody = boost::variant<RequestVote, RequestVoteReply, AppendEntries, AppendEntriesReply,
+                                InstallSnapshot, TimeoutNow, Join, RemovedFromCluster>;
 struct PeerMessage {
-    ControllerId from;
-    ControllerId to;  // an identity, never just an address; empty only for Join
-    Address toAddress;
-    PeerBody body;
-    Address fromAddress;
-    template <class Archive> void serialize(Archive& archive, unsigned) { archive & from & to & toAddress & body & fromAddress; }
+  ControllerId from;
+  ControllerId to;  // an identity, never just an address; empty only for Join
+  Address toAddress;
+  PeerBody body;
+  Address fromAddress;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& from& to& toAddress& body& fromAddress;
+  }
 };
 
 struct RaftOptions {
-    Duration heartbeat{100};
-    Duration electionLow{500};
-    Duration electionHigh{1000};
-    std::size_t batchBytes = 512 * 1024;
-    std::uint64_t roundsAtOnce = 3;  // not yet confirmed by a majority
-    std::size_t keepEntries = 2000;  // kept behind a view for followers that are a little late
+  Duration heartbeat{100};
+  Duration electionLow{500};
+  Duration electionHigh{1000};
+  std::size_t batchBytes = 512 * 1024;
+  std::uint64_t roundsAtOnce = 3;  // not yet confirmed by a majority
+  std::size_t keepEntries = 2000;  // kept behind a view for followers that are a little late
 };
 
 enum class Role : std::uint8_t { learner, follower, candidate, leader };
 const char* name(Role role);
 
 class RaftNode {
-public:
-    RaftNode(Member self, RaftOptions options, std::uint64_t seed, const std::vector<WriteAheadRecord>& restored, MonotonicTime now);
+ public:
+  RaftNode(Member self, RaftOptions options, std::uint64_t seed,
+           const std::vector<WriteAheadRecord>& restored, MonotonicTime now);
 
-    void tick(MonotonicTime now, WallTime wall);
-    void receive(const PeerMessage& message, MonotonicTime now);
-    void synced(DiskVersion version, MonotonicTime now);
-    LogIndex propose(std::string payload, MonotonicTime now);
-    bool proposeMembers(const Members& members, MonotonicTime now);
-    // Makes the founding entry: a cluster of this one voter. Only for a blank identity.
-    void found(MonotonicTime now);
-    void transferLeadership(MonotonicTime now);
-    void compact(LogIndex index, std::string state);
-    void join(const Address& address);
-    // How many learners may be members at a time: each costs a copy of the log. docs/design.md 3.5.
-    void wantLearners(std::size_t count) { learnersWanted = count; }
-    RoundNumber startRound(MonotonicTime now);
+  void tick(MonotonicTime now, WallTime wall);
+  void receive(const PeerMessage& message, MonotonicTime now);
+  void synced(DiskVersion version, MonotonicTime now);
+  LogIndex propose(std::string payload, MonotonicTime now);
+  bool proposeMembers(const Members& members, MonotonicTime now);
+  // Makes the founding entry: a cluster of this one voter. Only for a blank identity.
+  void found(MonotonicTime now);
+  void transferLeadership(MonotonicTime now);
+  void compact(LogIndex index, std::string state);
+  void join(const Address& address);
+  // How many learners may be members at a time: each costs a copy of the log. docs/design.md 3.5.
+  void wantLearners(std::size_t count) { learnersWanted = count; }
+  RoundNumber startRound(MonotonicTime now);
 
-    // Effects, taken by whoever drives this.
-    std::vector<PeerMessage> takeMessages() { return std::exchange(outgoing, {}); }
-    std::optional<WriteAheadRecord> takeWrite();
-    bool takeInstalled() { return std::exchange(installed, false); }
+  // Effects, taken by whoever drives this.
+  std::vector<PeerMessage> takeMessages() { return std::exchange(outgoing, {}); }
+  std::optional<WriteAheadRecord> takeWrite();
+  bool takeInstalled() { return std::exchange(installed, false); }
 
-    Role role() const { return currentRole; }
-    bool leads() const { return currentRole == Role::leader; }
-    // Leader with an entry of its own term committed: it knows all that was ever committed.
-    bool serves() const { return leads() && commit >= openedAt && !transferringLeadership; }
-    Term term() const { return currentTerm; }
-    const ControllerId& leader() const { return knownLeader; }
-    const Members& members() const { return currentMembers; }
-    const Member& self() const { return own; }
-    bool removedFromCluster() const { return wasRemoved; }
-    bool blank() const { return currentMembers.empty() && last() == LogIndex{}; }
-    LogIndex commitIndex() const { return commit; }
-    LogIndex last() const { return LogIndex{base.index.value + log.size()}; }
-    LogIndex snapshotIndex() const { return base.index; }
-    const Snapshot& snapshot() const { return stored; }
-    const LogEntry& entry(LogIndex index) const { return log[index.value - base.index.value - 1]; }
-    RoundNumber confirmedRound() const;
-    MonotonicTime quorumContact() const;
-    MonotonicTime heardFrom(const ControllerId& id) const;
-    LogIndex matchOf(const ControllerId& id) const;
-    bool membersSettled() const { return membersIndex <= commit; }
-    bool lostState(const ControllerId& id) const;
-    std::uint64_t versionsSinceWhole() const { return sinceWhole; }
-    std::uint64_t bytesSinceWhole() const { return bytesWritten; }
-    std::optional<WallTime> agreedWall(MonotonicTime now) const;  // docs/design.md 3.6
+  Role role() const { return currentRole; }
+  bool leads() const { return currentRole == Role::leader; }
+  // Leader with an entry of its own term committed: it knows all that was ever committed.
+  bool serves() const { return leads() && commit >= openedAt && !transferringLeadership; }
+  Term term() const { return currentTerm; }
+  const ControllerId& leader() const { return knownLeader; }
+  const Members& members() const { return currentMembers; }
+  const Member& self() const { return own; }
+  bool removedFromCluster() const { return wasRemoved; }
+  bool blank() const { return currentMembers.empty() && last() == LogIndex{}; }
+  LogIndex commitIndex() const { return commit; }
+  LogIndex last() const { return LogIndex{base.index.value + log.size()}; }
+  LogIndex snapshotIndex() const { return base.index; }
+  const Snapshot& snapshot() const { return stored; }
+  const LogEntry& entry(LogIndex index) const { return log[index.value - base.index.value - 1]; }
+  RoundNumber confirmedRound() const;
+  MonotonicTime quorumContact() const;
+  MonotonicTime heardFrom(const ControllerId& id) const;
+  LogIndex matchOf(const ControllerId& id) const;
+  bool membersSettled() const { return membersIndex <= commit; }
+  bool lostState(const ControllerId& id) const;
+  std::uint64_t versionsSinceWhole() const { return sinceWhole; }
+  std::uint64_t bytesSinceWhole() const { return bytesWritten; }
+  std::optional<WallTime> agreedWall(MonotonicTime now) const;  // docs/design.md 3.6
 
-private:
-    struct Peer {
-        LogIndex next{1};
-        LogIndex match;
-        RoundNumber resetRound;  // when its place was last set back; answers to what was sent before say nothing new
-        RoundNumber matchRound;  // of the reply that raised the match
-        RoundNumber acked;
-        MonotonicTime heard;
-        MonotonicTime contact;  // when the acked round was sent
-        std::optional<std::int64_t> wallOffset;
-        bool installing = false;
-        bool lostState = false;
-        MonotonicTime installSent;
-    };
-    bool selfVotes() const;
-    std::size_t majority() const;
-    Term termAt(LogIndex index) const;
-    const Member* member(const ControllerId& id) const;
-    void become(Role role, MonotonicTime now);
-    void seeTerm(Term term, MonotonicTime now);
-    void resetElection(MonotonicTime now);
-    void askToJoin(MonotonicTime now);
-    void campaign(MonotonicTime now, bool trial, bool leaderTransfer);
-    void countVotes(MonotonicTime now);
-    void lead(MonotonicTime now);
-    void broadcast(MonotonicTime now, bool force);
-    void sendAppend(const Member& to, Peer& peer, MonotonicTime now, bool force);
-    template <class Value, class OfPeer> Value reachedByMajority(Value ofSelf, OfPeer ofPeer) const;
-    void advanceCommit();
-    void followMoves(MonotonicTime now);
-    void cutLog(LogIndex from);
-    void findMembers();
-    void mark(LogIndex from);
-    Address addressOf(const ControllerId& id) const;
-    void send(const ControllerId& to, PeerBody body);
-    void sendAfterSync(const ControllerId& to, PeerBody body);
-    void on(const PeerMessage& message, const RequestVote& body, MonotonicTime now);
-    void on(const PeerMessage& message, const RequestVoteReply& body, MonotonicTime now);
-    void on(const PeerMessage& message, const AppendEntries& body, MonotonicTime now);
-    void on(const PeerMessage& message, const AppendEntriesReply& body, MonotonicTime now);
-    void on(const PeerMessage& message, const InstallSnapshot& body, MonotonicTime now);
-    void on(const PeerMessage& message, const TimeoutNow& body, MonotonicTime now);
-    void on(const PeerMessage& message, const Join& body, MonotonicTime now);
-    void on(const PeerMessage& message, const RemovedFromCluster& body, MonotonicTime now);
-    void hearLeader(const ControllerId& leader, Term term, RoundNumber heardRound, MonotonicTime now);
-    void replyAppend(const ControllerId& to, bool matched, LogIndex match, RoundNumber round);
+ private:
+  struct Peer {
+    LogIndex next{1};
+    LogIndex match;
+    RoundNumber resetRound;  // when its place was last set back; answers to what was sent before
+                             // say nothing new
+    RoundNumber matchRound;  // of the reply that raised the match
+    RoundNumber acked;
+    MonotonicTime heard;
+    MonotonicTime contact;  // when the acked round was sent
+    std::optional<std::int64_t> wallOffset;
+    bool installing = false;
+    bool lostState = false;
+    MonotonicTime installSent;
+  };
+  bool selfVotes() const;
+  std::size_t majority() const;
+  Term termAt(LogIndex index) const;
+  const Member* member(const ControllerId& id) const;
+  void become(Role role, MonotonicTime now);
+  void seeTerm(Term term, MonotonicTime now);
+  void resetElection(MonotonicTime now);
+  void askToJoin(MonotonicTime now);
+  void campaign(MonotonicTime now, bool trial, bool leaderTransfer);
+  void countVotes(MonotonicTime now);
+  void lead(MonotonicTime now);
+  void broadcast(MonotonicTime now, bool force);
+  void sendAppend(const Member& to, Peer& peer, MonotonicTime now, bool force);
+  template <class Value, class OfPeer>
+  Value reachedByMajority(Value ofSelf, OfPeer ofPeer) const;
+  void advanceCommit();
+  void followMoves(MonotonicTime now);
+  void cutLog(LogIndex from);
+  void findMembers();
+  void mark(LogIndex from);
+  Address addressOf(const ControllerId& id) const;
+  void send(const ControllerId& to, PeerBody body);
+  void sendAfterSync(const ControllerId& to, PeerBody body);
+  void on(const PeerMessage& message, const RequestVote& body, MonotonicTime now);
+  void on(const PeerMessage& message, const RequestVoteReply& body, MonotonicTime now);
+  void on(const PeerMessage& message, const AppendEntries& body, MonotonicTime now);
+  void on(const PeerMessage& message, const AppendEntriesReply& body, MonotonicTime now);
+  void on(const PeerMessage& message, const InstallSnapshot& body, MonotonicTime now);
+  void on(const PeerMessage& message, const TimeoutNow& body, MonotonicTime now);
+  void on(const PeerMessage& message, const Join& body, MonotonicTime now);
+  void on(const PeerMessage& message, const RemovedFromCluster& body, MonotonicTime now);
+  void hearLeader(const ControllerId& leader, Term term, RoundNumber heardRound, MonotonicTime now);
+  void replyAppend(const ControllerId& to, bool matched, LogIndex match, RoundNumber round);
 
-    Member own;
-    RaftOptions options;
-    Random random;
-    Role currentRole = Role::learner;
-    Term currentTerm;
-    ControllerId vote;
-    ControllerId knownLeader;
-    Members currentMembers;
-    LogIndex membersIndex;
-    Snapshot base;    // index and term before the first entry in memory
-    Snapshot stored;  // the latest whole view
-    std::vector<LogEntry> log;
-    LogIndex commit;
-    LogIndex openedAt;
-    std::map<ControllerId, Peer> peers;
-    std::set<ControllerId> votes;
-    bool trialElection = false;
-    MonotonicTime electionAt;
-    MonotonicTime heardLeader{-1'000'000};
-    MonotonicTime nextHeartbeat, broadcastAt;
-    MonotonicTime tickedAt, readingUntil;  // until then what lay unread through a pause of our own is still being read
-    WallTime wallNow;
-    MonotonicTime wallAt;
-    RoundNumber round;
-    std::deque<std::pair<RoundNumber, MonotonicTime>> roundTimes;
-    Address leaderJoinAddress;
-    std::size_t learnersWanted = 1;
-    bool transferringLeadership = false;
-    MonotonicTime transferUntil;
-    bool wasRemoved = false;
-    bool installed = false;
+  Member own;
+  RaftOptions options;
+  Random random;
+  Role currentRole = Role::learner;
+  Term currentTerm;
+  ControllerId vote;
+  ControllerId knownLeader;
+  Members currentMembers;
+  LogIndex membersIndex;
+  Snapshot base;    // index and term before the first entry in memory
+  Snapshot stored;  // the latest whole view
+  std::vector<LogEntry> log;
+  LogIndex commit;
+  LogIndex openedAt;
+  std::map<ControllerId, Peer> peers;
+  std::set<ControllerId> votes;
+  bool trialElection = false;
+  MonotonicTime electionAt;
+  MonotonicTime heardLeader{-1'000'000};
+  MonotonicTime nextHeartbeat, broadcastAt;
+  MonotonicTime tickedAt,
+      readingUntil;  // until then what lay unread through a pause of our own is still being read
+  WallTime wallNow;
+  MonotonicTime wallAt;
+  RoundNumber round;
+  std::deque<std::pair<RoundNumber, MonotonicTime>> roundTimes;
+  Address leaderJoinAddress;
+  std::size_t learnersWanted = 1;
+  bool transferringLeadership = false;
+  MonotonicTime transferUntil;
+  bool wasRemoved = false;
+  bool installed = false;
 
-    // Disk: at most one write is under way; what comes meanwhile goes together into the next one.
-    DiskVersion nextVersion{1};
-    std::optional<WriteAheadRecord> ready;
-    struct InFlight {
-        DiskVersion version;
-        LogIndex covers;
-        bool ownVote;
-    };
-    std::optional<InFlight> inFlight;
-    MonotonicTime clockNow;
-    bool dirty = false;
-    bool wantWhole = false;
-    LogIndex dirtyFrom;
-    LogIndex syncedIndex;
-    bool ownVotePending = false;
-    std::uint64_t sinceWhole = 0, bytesWritten = 0;
-    std::vector<std::pair<DiskVersion, PeerMessage>> afterSync;
-    std::vector<PeerMessage> outgoing;
-    std::map<ControllerId, Address> addresses;  // of those heard from, members or not
-    RoundNumber lastRoundSeen;
-    ControllerId lastAppender;
-    Term lastAppendTerm;
-    LogIndex shownBy;  // up to here the log is known to be that leader's
+  // Disk: at most one write is under way; what comes meanwhile goes together into the next one.
+  DiskVersion nextVersion{1};
+  std::optional<WriteAheadRecord> ready;
+  struct InFlight {
+    DiskVersion version;
+    LogIndex covers;
+    bool ownVote;
+  };
+  std::optional<InFlight> inFlight;
+  MonotonicTime clockNow;
+  bool dirty = false;
+  bool wantWhole = false;
+  LogIndex dirtyFrom;
+  LogIndex syncedIndex;
+  bool ownVotePending = false;
+  std::uint64_t sinceWhole = 0, bytesWritten = 0;
+  std::vector<std::pair<DiskVersion, PeerMessage>> afterSync;
+  std::vector<PeerMessage> outgoing;
+  std::map<ControllerId, Address> addresses;  // of those heard from, members or not
+  RoundNumber lastRoundSeen;
+  ControllerId lastAppender;
+  Term lastAppendTerm;
+  LogIndex shownBy;  // up to here the log is known to be that leader's
 };
 
 }  // namespace aniseline
--- /dev/null
+++ b/source/raft/replication.cpp
@@ -0,0 +1,263 @@
+// Log replication: rounds of AppendEntries, quorum contact and the commit index.
+// docs/design.md 3.2, 3.4.
+#include "raft/node.hpp"
+
+namespace aniseline {
+
+void RaftNode::cutLog(LogIndex from) {
+  log.resize(from.value - base.index.value - 1);
+  syncedIndex = std::min(syncedIndex, LogIndex{from.value - 1});
+  if (inFlight)
+    inFlight->covers = std::min(inFlight->covers, LogIndex{from.value - 1});
+  mark(from);
+  if (membersIndex >= from)
+    findMembers();
+}
+
+LogIndex RaftNode::propose(std::string payload, MonotonicTime now) {
+  log.push_back(LogEntry{currentTerm, false, std::move(payload)});
+  mark(last());
+  nextHeartbeat = std::min(nextHeartbeat, now);
+  return last();
+}
+
+RoundNumber RaftNode::startRound(MonotonicTime now) {
+  nextHeartbeat = std::min(nextHeartbeat, now);
+  return round.next();
+}
+
+// The highest value that a majority of the voters has reached.
+template <class Value, class OfPeer>
+Value RaftNode::reachedByMajority(Value ofSelf, OfPeer ofPeer) const {
+  std::vector<Value> reached;
+  for (const auto& entry : currentMembers) {
+    if (!entry.voter)
+      continue;
+    auto found = peers.find(entry.id);
+    if (entry.id == own.id)
+      reached.push_back(ofSelf);
+    else
+      reached.push_back(found == peers.end() ? Value{} : ofPeer(found->second));
+  }
+  if (reached.size() < majority())
+    return Value{};
+  std::sort(reached.begin(), reached.end(), std::greater<>());
+  return reached[majority() - 1];
+}
+
+RoundNumber RaftNode::confirmedRound() const {
+  return reachedByMajority(round, [](const Peer& peer) { return peer.acked; });
+}
+
+MonotonicTime RaftNode::quorumContact() const {
+  return reachedByMajority(clockNow, [](const Peer& peer) { return peer.contact; });
+}
+
+MonotonicTime RaftNode::heardFrom(const ControllerId& id) const {
+  auto found = peers.find(id);
+  return found == peers.end() ? clockNow : found->second.heard;
+}
+
+LogIndex RaftNode::matchOf(const ControllerId& id) const {
+  auto found = peers.find(id);
+  return found == peers.end() ? LogIndex{} : found->second.match;
+}
+
+bool RaftNode::lostState(const ControllerId& id) const {
+  auto found = peers.find(id);
+  return found != peers.end() && found->second.lostState;
+}
+
+std::optional<WallTime> RaftNode::agreedWall(MonotonicTime now) const {
+  std::vector<std::int64_t> walls;
+  for (const auto& entry : currentMembers) {
+    if (!entry.voter)
+      continue;
+    if (entry.id == own.id)
+      walls.push_back(wallNow.milliseconds + (now - wallAt).milliseconds);
+    else {
+      auto found = peers.find(entry.id);
+      if (found != peers.end() && found->second.wallOffset)
+        walls.push_back(now.milliseconds + *found->second.wallOffset);
+    }
+  }
+  if (walls.size() < majority())
+    return std::nullopt;
+  std::sort(walls.begin(), walls.end());
+  return WallTime{
+      walls[(walls.size() - 1) / 2]};  // the lower median: one clock alone cannot move it ahead
+}
+
+void RaftNode::broadcast(MonotonicTime now, bool force) {
+  broadcastAt = now;
+  round = round.next();
+  roundTimes.emplace_back(round, now);
+  if (roundTimes.size() > 256)
+    roundTimes.pop_front();
+  for (const auto& entry : currentMembers)
+    if (entry.id != own.id)
+      sendAppend(entry, peers[entry.id], now, force);
+  nextHeartbeat = now + options.heartbeat;
+  advanceCommit();
+}
+
+void RaftNode::sendAppend(const Member& to, Peer& peer, MonotonicTime now, bool force) {
+  if (peer.next <= base.index) {
+    if (peer.installing && now - peer.installSent < Duration{2000}) {
+      send(to.id, AppendEntries{currentTerm, last(), termAt(last()), {}, LogIndex{}, round});
+      return;
+    }
+    peer.installing = true;
+    peer.installSent = now;
+    send(to.id, InstallSnapshot{currentTerm, stored, round});
+    return;
+  }
+  AppendEntries body;
+  body.term = currentTerm;
+  body.previous = LogIndex{peer.next.value - 1};
+  body.previousTerm = termAt(body.previous);
+  body.commit = commit;
+  body.round = round;
+  std::size_t bytes = 0;
+  for (LogIndex index = peer.next; index <= last() && bytes < options.batchBytes;
+       index = index.next()) {
+    body.entries.push_back(entry(index));
+    bytes += entry(index).payload.size() + 32;
+  }
+  if (body.entries.empty() && !force)
+    return;
+  peer.next = LogIndex{peer.next.value + body.entries.size()};
+  send(to.id, std::move(body));
+}
+
+void RaftNode::advanceCommit() {
+  const LogIndex agreed =
+      reachedByMajority(std::min(syncedIndex, last()), [](const Peer& peer) { return peer.match; });
+  if (agreed > commit && termAt(agreed) == currentTerm) {
+    commit = agreed;
+    nextHeartbeat = std::min(nextHeartbeat, clockNow + Duration{10});
+    if (!selfVotes())
+      become(Role::follower, clockNow);
+  }
+}
+
+void RaftNode::replyAppend(const ControllerId& to, bool matched, LogIndex match,
+                           RoundNumber answered) {
+  AppendEntriesReply reply;
+  reply.term = currentTerm;
+  reply.matched = matched;
+  reply.match = match;
+  reply.last = std::min(syncedIndex, last());
+  reply.round = answered;
+  reply.wall = wallNow + (clockNow - wallAt);
+  send(to, reply);
+}
+
+void RaftNode::hearLeader(const ControllerId& leader, Term term, RoundNumber heardRound,
+                          MonotonicTime now) {
+  knownLeader = leader;
+  heardLeader = now;
+  resetElection(now);
+  const bool another = lastAppender != leader || lastAppendTerm != term;
+  // docs/design.md 3.3: of what lies here only the committed part is known to be in a new leader's
+  // log.
+  if (another)
+    shownBy = commit;
+  lastRoundSeen = another ? heardRound : std::max(lastRoundSeen, heardRound);
+  lastAppender = leader;
+  lastAppendTerm = term;
+}
+
+void RaftNode::on(const PeerMessage& message, const AppendEntries& body, MonotonicTime now) {
+  if (body.term < currentTerm) {
+    replyAppend(message.from, false, LogIndex{}, RoundNumber{});
+    return;
+  }
+  seeTerm(body.term, now);
+  if (leads())
+    return;  // cannot be: one leader a term
+  if (currentRole == Role::candidate)
+    become(Role::follower, now);
+  hearLeader(message.from, body.term, body.round, now);
+  // Up to what this leader has shown the logs agree, so one answer sets it back far enough.
+  // docs/design.md 3.4.
+  if (body.previous > last())
+    return replyAppend(message.from, false, shownBy, body.round);
+  if (body.previous < base.index)
+    return replyAppend(message.from, true, std::min(syncedIndex, commit), body.round);
+  if (termAt(body.previous) != body.previousTerm)
+    return replyAppend(message.from, false, shownBy, body.round);
+  LogIndex index = body.previous;
+  bool membersChanged = false;
+  for (const auto& added : body.entries) {
+    index = index.next();
+    if (index <= last()) {
+      if (termAt(index) == added.term)
+        continue;
+      cutLog(index);
+    }
+    log.push_back(added);
+    mark(index);
+    membersChanged = membersChanged || added.members;
+  }
+  if (membersChanged) {
+    findMembers();
+    if (selfVotes() && currentRole == Role::learner)
+      currentRole = Role::follower;
+    else if (!selfVotes() && currentRole == Role::follower)
+      currentRole = Role::learner;
+  }
+  commit = std::max(commit, std::min(body.commit, index));
+  shownBy = std::max(shownBy, index);
+  replyAppend(message.from, true, std::min(index, syncedIndex), body.round);
+}
+
+void RaftNode::on(const PeerMessage& message, const AppendEntriesReply& body, MonotonicTime now) {
+  if (body.term > currentTerm)
+    return seeTerm(body.term, now);
+  if (!leads() || body.term != currentTerm)
+    return;
+  auto found = peers.find(message.from);
+  if (found == peers.end())
+    return;
+  Peer& peer = found->second;
+  peer.heard = now;
+  peer.wallOffset = body.wall.milliseconds - now.milliseconds;
+  if (body.round > peer.acked) {
+    peer.acked = body.round;
+    for (const auto& [number, sent] : roundTimes)
+      if (number == body.round)
+        peer.contact = std::max(peer.contact, sent);
+  }
+  // docs/design.md 3.5: it once acknowledged more than it now has; its disk is not the one that
+  // voted. A reply of a later round was made later; one that was merely overtaken on the way proves
+  // nothing.
+  if (body.last < peer.match) {
+    peer.lostState = peer.lostState || body.round > peer.matchRound;
+    return;
+  }
+  if (body.matched) {
+    if (body.match > peer.match) {
+      peer.match = body.match;
+      peer.matchRound = body.round;
+    }
+    if (peer.installing && body.match >= base.index)
+      peer.installing = false;
+    if (peer.next <= peer.match)
+      peer.next = peer.match.next();
+    advanceCommit();
+    if (peer.next <= last()) {
+      if (const auto* to = member(message.from))
+        sendAppend(*to, peer, now, false);
+    }
+  } else if (body.round > peer.resetRound && (!peer.installing || body.match >= base.index)) {
+    peer.installing = false;
+    peer.resetRound = round;
+    peer.next =
+        LogIndex{std::max(peer.match.value, std::min(body.match.value, peer.next.value - 1)) + 1};
+    if (const auto* to = member(message.from))
+      sendAppend(*to, peer, now, true);
+  }
+}
+
+}  // namespace aniseline
--- a/source/scheduling/planner.hpp
+++ b/source/scheduling/planner.hpp
@@ -1,36 +1,39 @@
-// The paper's LXF&W-backfill with immediate service, as a pure function of a view and a time. docs/paper.md.
+// The paper's LXF&W-backfill with immediate service, as a pure function of a view and a time.
+// docs/paper.md.
 #pragma once
 #include "state/cluster_state.hpp"
 
 namespace aniseline {
 
 struct Reason {
-    JobId job;
-    std::uint32_t step = 0;
-    double priority = 0;
-    std::string text;
+  JobId job;
+  std::uint32_t step = 0;
+  double priority = 0;
+  std::string text;
 };
 
 struct Plan {
-    PlanMade made;
-    std::vector<Reason> reasons;  // only when asked for
-    std::size_t waiting = 0;
-    // For the log: workers that take work now, those passed over, and cores in thousandths.
-    std::map<std::string, std::int64_t> urgentDemand;  // as of now, where urgency goes first
-    std::size_t usable = 0, passedOver = 0, copies = 0;
-    std::int64_t cores = 0, coresUsed = 0;
-    std::array<std::size_t, 3> standings{};
-    bool empty(const Reservation& before) const;
+  PlanMade made;
+  std::vector<Reason> reasons;  // only when asked for
+  std::size_t waiting = 0;
+  // For the log: workers that take work now, those passed over, and cores in thousandths.
+  std::map<std::string, std::int64_t> urgentDemand;  // as of now, where urgency goes first
+  std::size_t usable = 0, passedOver = 0, copies = 0;
+  std::int64_t cores = 0, coresUsed = 0;
+  std::array<std::size_t, 3> standings{};
+  bool empty(const Reservation& before) const;
 };
 
 // What the leader knows of workers and does not log: how long each has been unheard.
 using Silence = std::map<WorkerId, Duration>;
-// How long the work of a worker takes against what was requested, lately. The leader's own, as a hint; not logged.
+// How long the work of a worker takes against what was requested, lately. The leader's own, as a
+// hint; not logged.
 using Paces = std::map<WorkerId, double>;
 // What the leader has seen lately; hints, none of it logged.
 struct Hints {
-    Paces paces;
-    std::map<std::string, std::int64_t> urgentDemand;  // by pool: the cores that its most urgent queues have wanted at once
+  Paces paces;
+  std::map<std::string, std::int64_t>
+      urgentDemand;  // by pool: the cores that its most urgent queues have wanted at once
 };
 
 namespace planning {
@@ -38,23 +41,25 @@
 }
 
 class Planner {
-public:
-    Planner();
-    ~Planner();
-    Plan make(const ClusterState& clusterState, ClusterTime now, const Silence& silence, bool explain = false, const Hints& hints = {});
-    // When a plan is due though nothing was told: a trial's end, a hard limit, a retry's pause.
-    static std::optional<ClusterTime> nextDue(const ClusterState& clusterState, ClusterTime now);
-
-private:
-    struct Work;
-    struct Programs {
-        PolicyProgram rank;
-        PolicyProgram mayHold;
-    };
-    std::map<std::string, Programs> programs;
-    ConfigVersion compiled;
-    bool any = false;
-    std::vector<std::vector<planning::Projection>> spare;  // memory of the last plan's rooms, for the next one
+ public:
+  Planner();
+  ~Planner();
+  Plan make(const ClusterState& clusterState, ClusterTime now, const Silence& silence,
+            bool explain = false, const Hints& hints = {});
+  // When a plan is due though nothing was told: a trial's end, a hard limit, a retry's pause.
+  static std::optional<ClusterTime> nextDue(const ClusterState& clusterState, ClusterTime now);
+
+ private:
+  struct Work;
+  struct Programs {
+    PolicyProgram rank;
+    PolicyProgram mayHold;
+  };
+  std::map<std::string, Programs> programs;
+  ConfigVersion compiled;
+  bool any = false;
+  std::vector<std::vector<planning::Projection>>
+      spare;  // memory of the last plan's rooms, for the next one
 };
 
 }  // namespace aniseline
--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -4,16 +4,16 @@
 namespace aniseline {
 
 std::string standardConfig(const std::string& change) {
-    return R"({"policies":{"default":{"rank":"weight_wait * wait + weight_expansion * expansion","may_hold":"urgency <= 0"}},
+  return R"({"policies":{"default":{"rank":"weight_wait * wait + weight_expansion * expansion","may_hold":"urgency <= 0"}},
 "planner":{"period_ms":50,"trial_room_mb":4096},
 "queues":{"proofs":{"urgency":10,"retries":8,"reserved":300,"trial":{"quantum_ms":3000,"memory_mb":512,"minimum_run_ms":1000}},
 "dielines":{"urgency":1,"retries":8,"trial":{"quantum_ms":3000,"memory_mb":1024,"minimum_run_ms":3000}},
 "plates":{"urgency":0,"retries":12},"long":{"urgency":-1,"retries":12,"hard_limit_ms":120000},"strict":{"retries":0})" +
-           change + "}}";
+         change + "}}";
 }
 
 std::string calledConfig(const std::string& change) {
-    return R"({"policies":{"default":{"rank":"weight_wait * wait + weight_expansion * expansion","may_hold":"urgency <= 0"}},
+  return R"({"policies":{"default":{"rank":"weight_wait * wait + weight_expansion * expansion","may_hold":"urgency <= 0"}},
 "planner":{"period_ms":50,"trial_room_mb":4096,"far":2,"known_after_ms":3000},
 "pools":{"guarded":{"guards_room":true},"open":{}},
 "queues":{"proofs":{"urgency":10,"retries":8,"reserved":300,"trial":{"quantum_ms":3000,"memory_mb":512,"minimum_run_ms":1000}},
@@ -21,351 +21,485 @@
 "plates":{"urgency":0,"retries":12},"long":{"urgency":-1,"retries":12,"hard_limit_ms":120000},"strict":{"retries":0},
 "prints":{"urgency":10,"pool":"guarded","tries":4},"sheets":{"urgency":1,"pool":"open","tries":2},
 "books":{"pool":"guarded","tries":3},"maps":{"pool":"open","tries":5})" +
-           change + "}}";
+         change + "}}";
 }
 
 namespace {
 
-JobSubmission oneStep(const std::string& id, const char* queue, std::size_t tasks, std::uint32_t cores, std::uint64_t memory, std::int64_t requested, std::int64_t run, bool gang = false) {
-    JobSubmission job;
-    job.id = JobId{id};
-    job.queue = QueueName{queue};
-    job.steps = {{"only", {}, gang, std::vector<TaskRequest>(tasks, TaskRequest{cores * 1000, memory, Duration{requested}, "run=" + std::to_string(run)})}};
-    return job;
+JobSubmission oneStep(const std::string& id, const char* queue, std::size_t tasks,
+                      std::uint32_t cores, std::uint64_t memory, std::int64_t requested,
+                      std::int64_t run, bool gang = false) {
+  JobSubmission job;
+  job.id = JobId{id};
+  job.queue = QueueName{queue};
+  job.steps = {
+      {"only",
+       {},
+       gang,
+       std::vector<TaskRequest>(tasks, TaskRequest{cores * 1000, memory, Duration{requested},
+                                                   "run=" + std::to_string(run)})}};
+  return job;
 }
 
 class Campaign {
-public:
-    explicit Campaign(const CampaignOptions& options)
-        : options(options), random(options.seed * 104729 + 5), world(worldOptions(options)), deck(world, random) {
-        if (options.verbose) world.say = [this](const std::string& text) { std::fprintf(stderr, "%8lld %s\n", (long long)world.now, text.c_str()); };
-        deck.flood = [this] { flood(++floods); };
-        deck.operatorRace = [this] { operatorRace(); };
-    }
+ public:
+  explicit Campaign(const CampaignOptions& options)
+      : options(options),
+        random(options.seed * 104729 + 5),
+        world(worldOptions(options)),
+        deck(world, random) {
+    if (options.verbose)
+      world.say = [this](const std::string& text) {
+        std::fprintf(stderr, "%8lld %s\n", (long long)world.now, text.c_str());
+      };
+    deck.flood = [this] {
+      flood(++floods);
+    };
+    deck.operatorRace = [this] {
+      operatorRace();
+    };
+  }
 
-    CampaignResult run() {
-        // The centre forms, and the first config is taken.
-        world.runUntilTrue([&] { return world.voterCount() == options.voters; }, 20'000);
-        applyUntilTaken(configText(), 0);
-        world.runUntilTrue([&] { return applied >= 1; }, 10'000);
-        planWorkload();
-        if (options.called) planCalledWorkload();
-        watchConfig();
-        lookAtConfigs();
-        const std::int64_t end = world.now + options.length;
-        auto faults = planFaults();
-        world.runUntil(end);
-        over = true;
-        deck.disarm();
-        if (world.say) world.sayControllers();
-        world.healAll();
-        result.recovery = probe("probe");
-        for (const auto& worker : deck.goneForGood())
-            if (!world.isWorkerUp(worker)) declareGone(worker);
-        // Some days end with one last fault, after which nothing else moves: what is lost stays away.
-        if (options.seed % 4 == 1 && options.faults > 0) lastFault();
-        world.runUntilTrue([&] { return world.allOver(); }, 240'000);
-        tell(HistoryEvent::Kind::settled);
-        if (world.say) sayWhatIsLeft();
-        report(faults);
-        return std::move(result);
-    }
+  CampaignResult run() {
+    // The centre forms, and the first config is taken.
+    world.runUntilTrue([&] { return world.voterCount() == options.voters; }, 20'000);
+    applyUntilTaken(configText(), 0);
+    world.runUntilTrue([&] { return applied >= 1; }, 10'000);
+    planWorkload();
+    if (options.called)
+      planCalledWorkload();
+    watchConfig();
+    lookAtConfigs();
+    const std::int64_t end = world.now + options.length;
+    auto faults = planFaults();
+    world.runUntil(end);
+    over = true;
+    deck.disarm();
+    if (world.say)
+      world.sayControllers();
+    world.healAll();
+    result.recovery = probe("probe");
+    for (const auto& worker : deck.goneForGood())
+      if (!world.isWorkerUp(worker))
+        declareGone(worker);
+    // Some days end with one last fault, after which nothing else moves: what is lost stays away.
+    if (options.seed % 4 == 1 && options.faults > 0)
+      lastFault();
+    world.runUntilTrue([&] { return world.allOver(); }, 240'000);
+    tell(HistoryEvent::Kind::settled);
+    if (world.say)
+      sayWhatIsLeft();
+    report(faults);
+    return std::move(result);
+  }
 
-private:
-    std::string configText(const std::string& change = "") const { return options.called ? calledConfig(change) : standardConfig(change); }
-    static WorldOptions worldOptions(const CampaignOptions& options) {
-        const std::uint64_t seed = options.seed;
-        WorldOptions world;
-        world.called = options.called;
-        world.controllers = options.controllers;
-        world.controller.voters = options.voters;
-        if (options.called && seed % 2) world.controller.margin = Duration{350};  // a twentieth of the lease and 200 ms, as agents of called workers need no more
-        world.seed = seed;
-        // Workers without leases and workers that do not guard their room, in every mix.
-        world.leaseless = std::array<std::size_t, 4>{0, seed / 4 % 4 == 3 ? 0u : 2u, 0, 11}[seed % 4];
-        world.unguarded = std::array<std::size_t, 3>{6, 0, 11}[seed / 4 % 3];
-        world.controller.replaceAfter = Duration{6000};
-        world.controller.snapshotVersions = 60 + seed % 200;
-        world.controller.raft.keepEntries = 200;
-        return world;
-    }
+ private:
+  std::string configText(const std::string& change = "") const {
+    return options.called ? calledConfig(change) : standardConfig(change);
+  }
+  static WorldOptions worldOptions(const CampaignOptions& options) {
+    const std::uint64_t seed = options.seed;
+    WorldOptions world;
+    world.called = options.called;
+    world.controllers = options.controllers;
+    world.controller.voters = options.voters;
+    if (options.called && seed % 2)
+      world.controller.margin = Duration{
+          350};  // a twentieth of the lease and 200 ms, as agents of called workers need no more
+    world.seed = seed;
+    // Workers without leases and workers that do not guard their room, in every mix.
+    world.leaseless = std::array<std::size_t, 4>{0, seed / 4 % 4 == 3 ? 0u : 2u, 0, 11}[seed % 4];
+    world.unguarded = std::array<std::size_t, 3>{6, 0, 11}[seed / 4 % 3];
+    world.controller.replaceAfter = Duration{6000};
+    world.controller.snapshotVersions = 60 + seed % 200;
+    world.controller.raft.keepEntries = 200;
+    return world;
+  }
 
-    void applyUntilTaken(const std::string& text, std::uint64_t baseVersion) {
-        world.applyConfig(text, baseVersion, [this, text, baseVersion](int status, const std::string& body) {
-            if (world.say) world.say("config based on " + std::to_string(baseVersion) + ": " + std::to_string(status) + " " + body);
-            if (status == 200) applied = std::max(applied, baseVersion + 1);
-            else if (status != 409 && status != 400) world.after(300, [this, text, baseVersion] { applyUntilTaken(text, baseVersion); });
-        }, random.next() % 7);
-    }
-    // What is in force as any gateway tells it; an answer speaks for no earlier time than its asking.
-    void watchConfig() {
-        const std::size_t gateway = random.next() % 7;
-        const std::int64_t askedAt = world.now;
-        world.ask(gateway, "GET", "/v1/config", "", [this, askedAt](int status, const std::string& body) {
-            // One look at a time: looks that overlap may rightly tell of the change in either order.
-            world.after(random.between(300, 900), [this] { watchConfig(); });
-            picojson::value root;
-            if (status != 200 || !picojson::parse(root, body).empty()) return;
-            HistoryEvent seen;
-            seen.kind = HistoryEvent::Kind::configSeen;
-            seen.at = World::calendar + askedAt;
-            seen.detail = "the leader";
-            seen.version = std::uint64_t(root.get("version").get<double>());
-            world.witness(seen);
-            ++configsSeen;
-        });
-    }
-    void declareGone(std::string worker) {
-        world.ask(0, "POST", "/v1/workers/" + worker + "/gone", "", [this, worker](int status, const std::string&) {
-            if (status != 200 && status != 404) world.after(300, [this, worker] { declareGone(worker); });
-        });
-    }
+  void applyUntilTaken(const std::string& text, std::uint64_t baseVersion) {
+    world.applyConfig(
+        text, baseVersion,
+        [this, text, baseVersion](int status, const std::string& body) {
+          if (world.say)
+            world.say("config based on " + std::to_string(baseVersion) + ": " +
+                      std::to_string(status) + " " + body);
+          if (status == 200)
+            applied = std::max(applied, baseVersion + 1);
+          else if (status != 409 && status != 400)
+            world.after(300, [this, text, baseVersion] { applyUntilTaken(text, baseVersion); });
+        },
+        random.next() % 7);
+  }
+  // What is in force as any gateway tells it; an answer speaks for no earlier time than its asking.
+  void watchConfig() {
+    const std::size_t gateway = random.next() % 7;
+    const std::int64_t askedAt = world.now;
+    world.ask(gateway, "GET", "/v1/config", "",
+              [this, askedAt](int status, const std::string& body) {
+                // One look at a time: looks that overlap may rightly tell of the change in either
+                // order.
+                world.after(random.between(300, 900), [this] { watchConfig(); });
+                picojson::value root;
+                if (status != 200 || !picojson::parse(root, body).empty())
+                  return;
+                HistoryEvent seen;
+                seen.kind = HistoryEvent::Kind::configSeen;
+                seen.at = World::calendar + askedAt;
+                seen.detail = "the leader";
+                seen.version = std::uint64_t(root.get("version").get<double>());
+                world.witness(seen);
+                ++configsSeen;
+              });
+  }
+  void declareGone(std::string worker) {
+    world.ask(0, "POST", "/v1/workers/" + worker + "/gone", "",
+              [this, worker](int status, const std::string&) {
+                if (status != 200 && status != 404)
+                  world.after(300, [this, worker] { declareGone(worker); });
+              });
+  }
 
-    void tell(HistoryEvent::Kind kind) {
-        HistoryEvent told;
-        told.kind = kind;
-        world.witness(told);
-    }
-    // All is whole from now on: how long until a caller's job is served?
-    std::int64_t probe(const std::string& id) {
-        tell(HistoryEvent::Kind::whole);
-        const std::int64_t wholeAt = world.now;
-        world.submit(oneStep(id, "proofs", 1, 1, 256, 500, 100));
-        if (world.runUntilTrue([&] { return world.lastShown.count(id) && world.lastShown[id] == "finished"; }, 30'000)) tell(HistoryEvent::Kind::served);
-        return world.now - wholeAt;
-    }
-    void lastFault() {
-        // Any one of three or two of five may be lost, so all are there first.
-        world.runUntilTrue([&] { return world.copiesWhole() && world.voterCount() == options.voters; }, 40'000);
-        const std::size_t leader = world.leader().value_or(0);
-        std::vector<std::size_t> lost{leader};
-        for (std::size_t place = 0; place < world.controllerCount() && lost.size() < world.bearable(); ++place)
-            if (place != leader && world.isVoter(place)) lost.push_back(place);
-        world.disturb("the last fault", false);
-        switch (options.seed / 4 % 4) {
-            case 0: for (const auto place : lost) world.killController(place, true); break;
-            case 1: for (const auto place : lost) world.freezeController(place, true); break;
-            case 2:
-                if (world.copiesWhole()) for (const auto place : lost) world.loseDisk(place);
-                break;
-            default:
-                if (options.voters == 3) {  // one of three in each zone
-                    world.cutZones(leader % 3, (leader + 1) % 3, true);
-                    world.cutZones(leader % 3, (leader + 2) % 3, true);
-                } else for (const auto place : lost) world.cutController(place, true);
-        }
-        world.disturb("the last fault", true);
-        ++result.effects["one last fault"];
-        probe("last-probe");
-    }
-    void lookAtConfigs() {
-        world.lookAtConfigs();
-        if (!over) world.after(random.between(300, 700), [this] { lookAtConfigs(); });
+  void tell(HistoryEvent::Kind kind) {
+    HistoryEvent told;
+    told.kind = kind;
+    world.witness(told);
+  }
+  // All is whole from now on: how long until a caller's job is served?
+  std::int64_t probe(const std::string& id) {
+    tell(HistoryEvent::Kind::whole);
+    const std::int64_t wholeAt = world.now;
+    world.submit(oneStep(id, "proofs", 1, 1, 256, 500, 100));
+    if (world.runUntilTrue(
+            [&] { return world.lastShown.count(id) && world.lastShown[id] == "finished"; }, 30'000))
+      tell(HistoryEvent::Kind::served);
+    return world.now - wholeAt;
+  }
+  void lastFault() {
+    // Any one of three or two of five may be lost, so all are there first.
+    world.runUntilTrue([&] { return world.copiesWhole() && world.voterCount() == options.voters; },
+                       40'000);
+    const std::size_t leader = world.leader().value_or(0);
+    std::vector<std::size_t> lost{leader};
+    for (std::size_t place = 0; place < world.controllerCount() && lost.size() < world.bearable();
+         ++place)
+      if (place != leader && world.isVoter(place))
+        lost.push_back(place);
+    world.disturb("the last fault", false);
+    switch (options.seed / 4 % 4) {
+      case 0:
+        for (const auto place : lost)
+          world.killController(place, true);
+        break;
+      case 1:
+        for (const auto place : lost)
+          world.freezeController(place, true);
+        break;
+      case 2:
+        if (world.copiesWhole())
+          for (const auto place : lost)
+            world.loseDisk(place);
+        break;
+      default:
+        if (options.voters == 3) {  // one of three in each zone
+          world.cutZones(leader % 3, (leader + 1) % 3, true);
+          world.cutZones(leader % 3, (leader + 2) % 3, true);
+        } else
+          for (const auto place : lost)
+            world.cutController(place, true);
     }
+    world.disturb("the last fault", true);
+    ++result.effects["one last fault"];
+    probe("last-probe");
+  }
+  void lookAtConfigs() {
+    world.lookAtConfigs();
+    if (!over)
+      world.after(random.between(300, 700), [this] { lookAtConfigs(); });
+  }
 
-    void planWorkload() {
-        std::size_t count = 0;
-        auto every = [&](double gap, std::function<void(const std::string&)> make) {
-            for (double time = double(random.between(0, std::int64_t(gap))); time < double(options.length); time += gap * (0.5 + double(random.between(0, 1000)) / 1000.0)) {
-                const std::string id = "j" + std::to_string(++count);
-                world.after(std::int64_t(time), [make, id] { make(id); });
-            }
-        };
-        auto maybeCancel = [this]() -> std::int64_t { return random.chance(0.06) ? random.between(0, 3000) : -1; };
-        every(160, [=, this](const std::string& id) { world.submit(oneStep(id, "proofs", 1, 1, 512, 1000, 120), maybeCancel()); });
-        every(1000, [=, this](const std::string& id) {
-            auto job = oneStep(id, "dielines", 1, 2, 1024, 3000, 900);
-            world.submit(job, maybeCancel());
-            if (random.chance(0.2)) world.after(random.between(1, 4000), [this, job] { world.resubmit(job); });
-        });
-        every(5000, [=, this](const std::string& id) {
-            auto job = oneStep(id, "plates", 4, 3, 2048, 10'000, random.between(2000, 9000), true);
-            job.steps.push_back({"merge", {"only"}, false, {TaskRequest{2000, 1024, Duration{3000}, "run=800"}}});
-            world.submit(job, maybeCancel());
-        });
-        every(2500, [=, this](const std::string& id) {
-            // Some overrun what they requested by far.
-            world.submit(oneStep(id, "long", std::size_t(random.between(1, 4)), 8, 4096, 15'000, random.between(3000, 30'000)), maybeCancel());
-        });
-        every(7000, [=, this](const std::string& id) { world.submit(oneStep(id, "strict", 2, 1, 512, 2000, 700)); });
-        // One that never ends by itself, stopped by its queue's limit or its caller.
-        world.submit(oneStep("endless", "long", 1, 2, 1024, 5000, 100'000'000), options.length + 5000);
-        auto timed = oneStep("nightly", "dielines", 1, 1, 512, 1000, 300);
-        timed.timetable.first = ClusterTime{World::calendar + world.now + 8000};
-        timed.timetable.every = Duration{7000};
-        timed.timetable.count = 6;
-        world.submit(timed);
+  void planWorkload() {
+    std::size_t count = 0;
+    auto every = [&](double gap, std::function<void(const std::string&)> make) {
+      for (double time = double(random.between(0, std::int64_t(gap)));
+           time < double(options.length);
+           time += gap * (0.5 + double(random.between(0, 1000)) / 1000.0)) {
+        const std::string id = "j" + std::to_string(++count);
+        world.after(std::int64_t(time), [make, id] { make(id); });
+      }
+    };
+    auto maybeCancel = [this]() -> std::int64_t {
+      return random.chance(0.06) ? random.between(0, 3000) : -1;
+    };
+    every(160, [=, this](const std::string& id) {
+      world.submit(oneStep(id, "proofs", 1, 1, 512, 1000, 120), maybeCancel());
+    });
+    every(1000, [=, this](const std::string& id) {
+      auto job = oneStep(id, "dielines", 1, 2, 1024, 3000, 900);
+      world.submit(job, maybeCancel());
+      if (random.chance(0.2))
+        world.after(random.between(1, 4000), [this, job] { world.resubmit(job); });
+    });
+    every(5000, [=, this](const std::string& id) {
+      auto job = oneStep(id, "plates", 4, 3, 2048, 10'000, random.between(2000, 9000), true);
+      job.steps.push_back(
+          {"merge", {"only"}, false, {TaskRequest{2000, 1024, Duration{3000}, "run=800"}}});
+      world.submit(job, maybeCancel());
+    });
+    every(2500, [=, this](const std::string& id) {
+      // Some overrun what they requested by far.
+      world.submit(oneStep(id, "long", std::size_t(random.between(1, 4)), 8, 4096, 15'000,
+                           random.between(3000, 30'000)),
+                   maybeCancel());
+    });
+    every(7000, [=, this](const std::string& id) {
+      world.submit(oneStep(id, "strict", 2, 1, 512, 2000, 700));
+    });
+    // One that never ends by itself, stopped by its queue's limit or its caller.
+    world.submit(oneStep("endless", "long", 1, 2, 1024, 5000, 100'000'000), options.length + 5000);
+    auto timed = oneStep("nightly", "dielines", 1, 1, 512, 1000, 300);
+    timed.timetable.first = ClusterTime{World::calendar + world.now + 8000};
+    timed.timetable.every = Duration{7000};
+    timed.timetable.count = 6;
+    world.submit(timed);
+  }
+
+  // Work for workers that are called: labels, data's rack, apart, gangs, checkpoints, what lasts,
+  // times that overlap, what always fails and what can never fit.
+  void planCalledWorkload() {
+    std::size_t count = 0;
+    auto every = [&](double gap, std::function<void(const std::string&)> make) {
+      for (double time = double(random.between(0, std::int64_t(gap)));
+           time < double(options.length);
+           time += gap * (0.5 + double(random.between(0, 1000)) / 1000.0)) {
+        const std::string id = "c" + std::to_string(++count);
+        world.after(std::int64_t(time), [make, id] { make(id); });
+      }
+    };
+    auto maybeCancel = [this]() -> std::int64_t {
+      return random.chance(0.08) ? random.between(0, 4000) : -1;
+    };
+    auto queue = [this](const char* guarded, const char* open) {
+      return random.chance(0.5) ? guarded : open;
+    };
+    every(250, [=, this](const std::string& id) {
+      auto job = oneStep(id, queue("prints", "sheets"), std::size_t(random.between(1, 3)), 1, 512,
+                         1000, random.between(80, 900));
+      if (random.chance(0.3))
+        job.steps[0].needs.label = random.chance(0.5) ? "fine" : "plain";
+      if (random.chance(0.3))
+        job.steps[0].needs.near = "shelf" + std::to_string(random.between(1, 2));
+      if (random.chance(0.2))
+        job.steps[0].needs.redundant = true;
+      if (random.chance(0.2)) {  // one payload for all
+        job.payload = job.steps[0].tasks[0].payload;
+        for (auto& task : job.steps[0].tasks)
+          task.payload.clear();
+      }
+      world.submit(job, maybeCancel());
+      if (random.chance(0.1))
+        world.after(random.between(1, 4000), [this, job] { world.resubmit(job); });
+    });
+    every(1800, [=, this](const std::string& id) {
+      auto job =
+          oneStep(id, queue("books", "maps"), std::size_t(random.between(2, 4)),
+                  std::uint32_t(random.between(1, 6)), 2048, 4000, random.between(500, 6000), true);
+      job.steps[0].needs.saves = random.chance(0.6);
+      job.steps[0].needs.sameRack = random.chance(0.3);
+      // Two workers of a pool are enough, so that one zone may be away for good.
+      if (random.chance(0.3))
+        job.steps[0].needs.apart = job.steps[0].tasks.size() > 2 ? 2 : 1;
+      if (random.chance(0.5))
+        job.steps.push_back({"after",
+                             {"only"},
+                             false,
+                             {TaskRequest{2000, 1024, Duration{1000}, "run=300"},
+                              TaskRequest{500, 256, Duration{1000}, "run=200"}}});
+      world.submit(job, maybeCancel());
+    });
+    every(1500, [=, this](const std::string& id) {
+      auto job = oneStep(id, queue("books", "maps"), std::size_t(random.between(1, 6)), 2, 1024,
+                         3000, random.between(1000, 9000));
+      job.steps[0].needs.saves = true;
+      if (random.chance(0.5))
+        job.steps[0].needs.apart = 1;
+      if (random.chance(0.15))
+        job.steps[0].tasks[0].accelerators = 1;
+      if (random.chance(0.4))
+        job.steps.push_back(
+            {"gather",
+             {"only"},
+             true,
+             std::vector<TaskRequest>(2, TaskRequest{1000, 512, Duration{1000}, "run=600"})});
+      world.submit(job, maybeCancel());
+    });
+    every(4000, [=, this](const std::string& id) {
+      auto job = oneStep(id, queue("prints", "maps"), 2, 1, 512, 1000, 100);
+      job.steps[0].needs.lasts = true;
+      world.submit(job, random.between(2000, 20'000));
+    });
+    every(3500, [=, this](const std::string& id) {
+      auto job = oneStep(id, queue("prints", "sheets"), 2, 1, 256, 1000, random.between(50, 600));
+      job.steps[0].gang = random.chance(0.4);
+      const std::size_t poisoned = random.next() % 2;
+      for (std::size_t place = 0; place < 2; ++place)
+        if (place == poisoned || job.steps[0].gang)
+          job.steps[0].tasks[place].payload += " fail";
+      world.submit(job);
+    });
+    every(8000, [=, this](const std::string& id) {
+      auto job = oneStep(id, queue("books", "sheets"), 1, 1, 512, 1000, 100);
+      if (random.chance(0.5))
+        job.steps[0].tasks[0].cores = 900'000;
+      else
+        job.steps[0].needs.label = "none has it";
+      world.submit(job);
+    });
+    // Times that overlap, since one takes longer than the next is away.
+    for (int place = 0; place < 2; ++place) {
+      auto timed = oneStep("timed" + std::to_string(place), place ? "books" : "maps", 2, 1, 512,
+                           1500, 1500, place > 0);
+      timed.timetable.first = ClusterTime{World::calendar + world.now + random.between(2000, 9000)};
+      timed.timetable.every = Duration{random.between(500, 2000)};
+      timed.timetable.count = std::uint32_t(random.between(4, 12));
+      world.submit(timed, random.chance(0.2) ? random.between(4000, 15'000) : -1);
     }
+  }
 
-    // Work for workers that are called: labels, data's rack, apart, gangs, checkpoints, what lasts, times that overlap, what
-    // always fails and what can never fit.
-    void planCalledWorkload() {
-        std::size_t count = 0;
-        auto every = [&](double gap, std::function<void(const std::string&)> make) {
-            for (double time = double(random.between(0, std::int64_t(gap))); time < double(options.length); time += gap * (0.5 + double(random.between(0, 1000)) / 1000.0)) {
-                const std::string id = "c" + std::to_string(++count);
-                world.after(std::int64_t(time), [make, id] { make(id); });
-            }
-        };
-        auto maybeCancel = [this]() -> std::int64_t { return random.chance(0.08) ? random.between(0, 4000) : -1; };
-        auto queue = [this](const char* guarded, const char* open) { return random.chance(0.5) ? guarded : open; };
-        every(250, [=, this](const std::string& id) {
-            auto job = oneStep(id, queue("prints", "sheets"), std::size_t(random.between(1, 3)), 1, 512, 1000, random.between(80, 900));
-            if (random.chance(0.3)) job.steps[0].needs.label = random.chance(0.5) ? "fine" : "plain";
-            if (random.chance(0.3)) job.steps[0].needs.near = "shelf" + std::to_string(random.between(1, 2));
-            if (random.chance(0.2)) job.steps[0].needs.redundant = true;
-            if (random.chance(0.2)) {  // one payload for all
-                job.payload = job.steps[0].tasks[0].payload;
-                for (auto& task : job.steps[0].tasks) task.payload.clear();
-            }
-            world.submit(job, maybeCancel());
-            if (random.chance(0.1)) world.after(random.between(1, 4000), [this, job] { world.resubmit(job); });
-        });
-        every(1800, [=, this](const std::string& id) {
-            auto job = oneStep(id, queue("books", "maps"), std::size_t(random.between(2, 4)), std::uint32_t(random.between(1, 6)), 2048, 4000, random.between(500, 6000), true);
-            job.steps[0].needs.saves = random.chance(0.6);
-            job.steps[0].needs.sameRack = random.chance(0.3);
-            // Two workers of a pool are enough, so that one zone may be away for good.
-            if (random.chance(0.3)) job.steps[0].needs.apart = job.steps[0].tasks.size() > 2 ? 2 : 1;
-            if (random.chance(0.5)) job.steps.push_back({"after", {"only"}, false, {TaskRequest{2000, 1024, Duration{1000}, "run=300"}, TaskRequest{500, 256, Duration{1000}, "run=200"}}});
-            world.submit(job, maybeCancel());
-        });
-        every(1500, [=, this](const std::string& id) {
-            auto job = oneStep(id, queue("books", "maps"), std::size_t(random.between(1, 6)), 2, 1024, 3000, random.between(1000, 9000));
-            job.steps[0].needs.saves = true;
-            if (random.chance(0.5)) job.steps[0].needs.apart = 1;
-            if (random.chance(0.15)) job.steps[0].tasks[0].accelerators = 1;
-            if (random.chance(0.4)) job.steps.push_back({"gather", {"only"}, true, std::vector<TaskRequest>(2, TaskRequest{1000, 512, Duration{1000}, "run=600"})});
-            world.submit(job, maybeCancel());
+  // For whoever looks into a run: what the leader thinks of jobs that are still open.
+  void sayWhatIsLeft() {
+    world.sayControllers();
+    if (world.allOver())
+      return;
+    for (const char* target :
+         {"/v1/plan", "/v1/workers", "/v1/jobs?state=open", "/v1/jobs?state=cancelling"})
+      for (std::size_t gateway = 0; gateway < 3; ++gateway)
+        world.ask(gateway, "GET", target, "", [this, target](int, const std::string& body) {
+          world.say(std::string("LEFT ") + target + " " + body);
         });
-        every(4000, [=, this](const std::string& id) {
-            auto job = oneStep(id, queue("prints", "maps"), 2, 1, 512, 1000, 100);
-            job.steps[0].needs.lasts = true;
-            world.submit(job, random.between(2000, 20'000));
+    for (const auto& left : world.unfinished()) {
+      const std::string id = left.substr(0, left.find(' '));
+      for (std::size_t gateway = 0; gateway < 3; ++gateway)
+        world.ask(gateway, "GET", "/v1/jobs/" + id, "", [this, id](int, const std::string& body) {
+          world.say("LEFT " + id + " " + body);
         });
-        every(3500, [=, this](const std::string& id) {
-            auto job = oneStep(id, queue("prints", "sheets"), 2, 1, 256, 1000, random.between(50, 600));
-            job.steps[0].gang = random.chance(0.4);
-            const std::size_t poisoned = random.next() % 2;
-            for (std::size_t place = 0; place < 2; ++place)
-                if (place == poisoned || job.steps[0].gang) job.steps[0].tasks[place].payload += " fail";
-            world.submit(job);
-        });
-        every(8000, [=, this](const std::string& id) {
-            auto job = oneStep(id, queue("books", "sheets"), 1, 1, 512, 1000, 100);
-            if (random.chance(0.5)) job.steps[0].tasks[0].cores = 900'000;
-            else job.steps[0].needs.label = "none has it";
-            world.submit(job);
-        });
-        // Times that overlap, since one takes longer than the next is away.
-        for (int place = 0; place < 2; ++place) {
-            auto timed = oneStep("timed" + std::to_string(place), place ? "books" : "maps", 2, 1, 512, 1500, 1500, place > 0);
-            timed.timetable.first = ClusterTime{World::calendar + world.now + random.between(2000, 9000)};
-            timed.timetable.every = Duration{random.between(500, 2000)};
-            timed.timetable.count = std::uint32_t(random.between(4, 12));
-            world.submit(timed, random.chance(0.2) ? random.between(4000, 15'000) : -1);
-        }
     }
+    world.runUntil(world.now + 3000);
+  }
 
-    // For whoever looks into a run: what the leader thinks of jobs that are still open.
-    void sayWhatIsLeft() {
-        world.sayControllers();
-        if (world.allOver()) return;
-        for (const char* target : {"/v1/plan", "/v1/workers", "/v1/jobs?state=open", "/v1/jobs?state=cancelling"})
-            for (std::size_t gateway = 0; gateway < 3; ++gateway)
-                world.ask(gateway, "GET", target, "", [this, target](int, const std::string& body) { world.say(std::string("LEFT ") + target + " " + body); });
-        for (const auto& left : world.unfinished()) {
-            const std::string id = left.substr(0, left.find(' '));
-            for (std::size_t gateway = 0; gateway < 3; ++gateway)
-                world.ask(gateway, "GET", "/v1/jobs/" + id, "", [this, id](int, const std::string& body) { world.say("LEFT " + id + " " + body); });
-        }
-        world.runUntil(world.now + 3000);
+  std::vector<Fault> planFaults() {
+    std::vector<Fault> faults;
+    std::int64_t at = 0;
+    for (std::size_t count = 0; count < options.faults; ++count) {
+      // Some come at the very same instant.
+      if (!count || !random.chance(0.25))
+        at = random.between(3000, options.length - 8000);
+      faults.push_back(deck.random(at));
     }
-
-    std::vector<Fault> planFaults() {
-        std::vector<Fault> faults;
-        std::int64_t at = 0;
-        for (std::size_t count = 0; count < options.faults; ++count) {
-            // Some come at the very same instant.
-            if (!count || !random.chance(0.25)) at = random.between(3000, options.length - 8000);
-            faults.push_back(deck.random(at));
-        }
-        for (std::size_t place = 0; place < faults.size(); ++place) {
-            if (!options.only.empty() && !std::count(options.only.begin(), options.only.end(), place)) continue;
-            const Fault& fault = faults[place];
-            const std::string label = std::to_string(place) + ": " + fault.name;
-            result.faults.push_back(label + " at " + std::to_string(world.now + fault.at) + " for " + std::to_string(fault.length));
-            world.after(fault.at, [this, fault, label] {
-                if (world.say) world.say("FAULT " + label);
-                world.disturb(label, false);
-                if (fault.begin()) ++result.effects[fault.name];
-            });
-            world.after(fault.at + fault.length, [this, fault, label] {
-                if (over) return;
-                if (world.say) world.say("END OF FAULT " + label);
-                if (fault.end) fault.end();
-                world.disturb(label, true);
-            });
-        }
-        return faults;
+    for (std::size_t place = 0; place < faults.size(); ++place) {
+      if (!options.only.empty() && !std::count(options.only.begin(), options.only.end(), place))
+        continue;
+      const Fault& fault = faults[place];
+      const std::string label = std::to_string(place) + ": " + fault.name;
+      result.faults.push_back(label + " at " + std::to_string(world.now + fault.at) + " for " +
+                              std::to_string(fault.length));
+      world.after(fault.at, [this, fault, label] {
+        if (world.say)
+          world.say("FAULT " + label);
+        world.disturb(label, false);
+        if (fault.begin())
+          ++result.effects[fault.name];
+      });
+      world.after(fault.at + fault.length, [this, fault, label] {
+        if (over)
+          return;
+        if (world.say)
+          world.say("END OF FAULT " + label);
+        if (fault.end)
+          fault.end();
+        world.disturb(label, true);
+      });
     }
-    void report(const std::vector<Fault>& faults) {
-        for (const auto& fault : faults)
-            if (fault.took && *fault.took) ++result.effects[fault.name];
-        if (configsSeen < 10) result.unfinished.push_back("too few looks at the config");
-        auto findings = world.findings();
-        result.broken = std::move(findings.broken);
-        result.limits = std::move(findings.limits);
-        for (const auto& left : world.unfinished()) result.unfinished.push_back(left);
-        result.hash = world.hash();
-        result.jobs = world.submissions.size();
-        for (const auto& given : world.history) result.starts += given.kind == HistoryEvent::Kind::started;
-        if (auto leader = world.leader()) {
-            const auto& counters = world.controller(*leader)->committed().counters;
-            result.counters = {{"trials", double(counters.trials)}, {"ranOut", double(counters.trialsRanOut)}, {"holds", double(counters.holds)},
-                               {"retries", double(counters.retries)}, {"lost", double(counters.lost)}, {"failed", double(counters.failed)}, {"term", double(world.controller(*leader)->raftNode().term().value)}};
-        }
-        if (options.called) countCalled();
+    return faults;
+  }
+  void report(const std::vector<Fault>& faults) {
+    for (const auto& fault : faults)
+      if (fault.took && *fault.took)
+        ++result.effects[fault.name];
+    if (configsSeen < 10)
+      result.unfinished.push_back("too few looks at the config");
+    auto findings = world.findings();
+    result.broken = std::move(findings.broken);
+    result.limits = std::move(findings.limits);
+    for (const auto& left : world.unfinished())
+      result.unfinished.push_back(left);
+    result.hash = world.hash();
+    result.jobs = world.submissions.size();
+    for (const auto& given : world.history)
+      result.starts += given.kind == HistoryEvent::Kind::started;
+    if (auto leader = world.leader()) {
+      const auto& counters = world.controller(*leader)->committed().counters;
+      result.counters = {{"trials", double(counters.trials)},
+                         {"ranOut", double(counters.trialsRanOut)},
+                         {"holds", double(counters.holds)},
+                         {"retries", double(counters.retries)},
+                         {"lost", double(counters.lost)},
+                         {"failed", double(counters.failed)},
+                         {"term", double(world.controller(*leader)->raftNode().term().value)}};
     }
-    // What workers that are called went through, so that a run which tries none of it is seen.
-    void countCalled() {
-        for (const char* what : {"started late", "from a checkpoint", "ended lapsed", "ended alone", "ended broken", "ended stopped", "ended failed"}) result.counters[what] = 0;
-        for (const auto& given : world.history) {
-            if (given.kind == HistoryEvent::Kind::started) {
-                result.counters["started late"] += given.late;
-                result.counters["from a checkpoint"] += !given.saved.empty();
-            } else if (given.kind == HistoryEvent::Kind::ended && given.worker.starts_with("w")) {
-                if (auto known = result.counters.find("ended " + given.detail); known != result.counters.end()) ++known->second;
-            }
-        }
+    if (options.called)
+      countCalled();
+  }
+  // What workers that are called went through, so that a run which tries none of it is seen.
+  void countCalled() {
+    for (const char* what : {"started late", "from a checkpoint", "ended lapsed", "ended alone",
+                             "ended broken", "ended stopped", "ended failed"})
+      result.counters[what] = 0;
+    for (const auto& given : world.history) {
+      if (given.kind == HistoryEvent::Kind::started) {
+        result.counters["started late"] += given.late;
+        result.counters["from a checkpoint"] += !given.saved.empty();
+      } else if (given.kind == HistoryEvent::Kind::ended && given.worker.starts_with("w")) {
+        if (auto known = result.counters.find("ended " + given.detail);
+            known != result.counters.end())
+          ++known->second;
+      }
     }
-    void operatorRace() {
-        const std::uint64_t base = applied;
-        ++races;
-        for (int operatorNumber = 0; operatorNumber < 2; ++operatorNumber)
-            applyUntilTaken(configText(",\"extra" + std::to_string(races) + "x" + std::to_string(operatorNumber) + "\":{\"retries\":1}"), base);
-    }
-    void flood(std::size_t count) {
-        for (std::size_t place = 0; place < 60; ++place) {
-            const std::string id = "flood" + std::to_string(count) + "-" + std::to_string(place);
-            if (place % 3 == 0) world.submit(oneStep(id, "plates", 4, 4, 2048, 5000, 2000));
-            else if (place % 3 == 1) world.submit(oneStep(id, "proofs", 1, 1, 256, 1000, 100));
-            else world.submit(oneStep(id, "long", 1, 2000, 256, 1000, 100), 15'000);  // no worker could ever hold it
-        }
+  }
+  void operatorRace() {
+    const std::uint64_t base = applied;
+    ++races;
+    for (int operatorNumber = 0; operatorNumber < 2; ++operatorNumber)
+      applyUntilTaken(configText(",\"extra" + std::to_string(races) + "x" +
+                                 std::to_string(operatorNumber) + "\":{\"retries\":1}"),
+                      base);
+  }
+  void flood(std::size_t count) {
+    for (std::size_t place = 0; place < 60; ++place) {
+      const std::string id = "flood" + std::to_string(count) + "-" + std::to_string(place);
+      if (place % 3 == 0)
+        world.submit(oneStep(id, "plates", 4, 4, 2048, 5000, 2000));
+      else if (place % 3 == 1)
+        world.submit(oneStep(id, "proofs", 1, 1, 256, 1000, 100));
+      else
+        world.submit(oneStep(id, "long", 1, 2000, 256, 1000, 100),
+                     15'000);  // no worker could ever hold it
     }
+  }
 
-    CampaignOptions options;
-    Random random;
-    World world;
-    FaultDeck deck;
-    CampaignResult result;
-    std::uint64_t applied = 0, configsSeen = 0;
-    std::size_t floods = 0, races = 0;
-    bool over = false;
+  CampaignOptions options;
+  Random random;
+  World world;
+  FaultDeck deck;
+  CampaignResult result;
+  std::uint64_t applied = 0, configsSeen = 0;
+  std::size_t floods = 0, races = 0;
+  bool over = false;
 };
 
 }  // namespace
 
-CampaignResult runCampaign(const CampaignOptions& options) { return Campaign(options).run(); }
+CampaignResult runCampaign(const CampaignOptions& options) {
+  return Campaign(options).run();
+}
 
 }  // namespace aniseline
--- a/source/simulator/campaign.hpp
+++ b/source/simulator/campaign.hpp
@@ -5,24 +5,24 @@
 namespace aniseline {
 
 struct CampaignOptions {
-    std::uint64_t seed = 1;
-    std::int64_t length = 60'000;
-    std::size_t faults = 12;
-    std::size_t called = 0;  // workers that are called, beside the others
-    std::size_t voters = 3, controllers = 3;
-    std::vector<std::size_t> only;  // the places of the faults to keep; empty: all
-    bool verbose = false;
+  std::uint64_t seed = 1;
+  std::int64_t length = 60'000;
+  std::size_t faults = 12;
+  std::size_t called = 0;  // workers that are called, beside the others
+  std::size_t voters = 3, controllers = 3;
+  std::vector<std::size_t> only;  // the places of the faults to keep; empty: all
+  bool verbose = false;
 };
 struct CampaignResult {
-    std::vector<InvariantViolation> broken, limits;
-    std::vector<std::string> unfinished;
-    std::vector<std::string> faults;
-    std::map<std::string, std::size_t> effects;  // by kind of fault: how often it took effect
-    std::uint64_t hash = 0;
-    std::size_t jobs = 0, starts = 0;
-    std::int64_t recovery = 0;  // virtual ms from whole to served
-    std::map<std::string, double> counters;
-    bool good() const { return broken.empty() && unfinished.empty(); }
+  std::vector<InvariantViolation> broken, limits;
+  std::vector<std::string> unfinished;
+  std::vector<std::string> faults;
+  std::map<std::string, std::size_t> effects;  // by kind of fault: how often it took effect
+  std::uint64_t hash = 0;
+  std::size_t jobs = 0, starts = 0;
+  std::int64_t recovery = 0;  // virtual ms from whole to served
+  std::map<std::string, double> counters;
+  bool good() const { return broken.empty() && unfinished.empty(); }
 };
 CampaignResult runCampaign(const CampaignOptions& options);
 
--- a/source/simulator/measures.cpp
+++ b/source/simulator/measures.cpp
@@ -5,97 +5,122 @@
 namespace aniseline {
 
 picojson::object measurePlan(std::size_t waiting, std::size_t workers) {
-    ClusterState clusterState;
-    std::int64_t now = 0;
-    auto apply = [&](Event event) { clusterState.apply(LogRecord{ClusterTime{now}, std::move(event)}); };
-    auto config = ClusterConfig::parse(standardConfig());
-    config.value().version = ConfigVersion{1};
-    apply(ConfigCommitted{config.value()});
-    Silence heard;
-    for (std::size_t place = 0; place < workers; ++place) {
-        const WorkerId id{"m" + std::to_string(place)};
-        Capacity capacity;
-        capacity.cores = 16'000;
-        capacity.memory = 32 * 1024;
-        apply(WorkerRegistered{id, Incarnation{1}, capacity});
-        heard[id] = Duration{0};
-    }
-    Planner planner;
-    Random random(1);
-    auto submit = [&](std::size_t count, const char* queue, std::uint32_t cores) {
-        JobSubmission job;
-        job.id = JobId{queue + std::to_string(count)};
-        job.queue = QueueName{queue};
-        job.steps = {{"s", {}, false, {TaskRequest{cores * 1000, std::uint64_t(random.between(256, 4096)), Duration{random.between(1000, 600'000)}, ""}}}};
-        apply(JobAccepted{job});
-    };
-    for (std::size_t count = 0; count < workers * 4; ++count) submit(count, "long", 4);
-    apply(planner.make(clusterState, ClusterTime{now}, heard).made);
-    for (const auto& [id, worker] : clusterState.workers) apply(WorkerSynced{id, worker.lastOrder, {}});
-    now = 500;
-    for (std::size_t count = 0; count < waiting; ++count) submit(count, "plates", std::uint32_t(random.between(1, 8)));
-    std::vector<double> costs;
-    for (int round = 0; round < 31; ++round) {
-        const auto begun = std::clock();
-        planner.make(clusterState, ClusterTime{now + round}, heard);
-        costs.push_back(double(std::clock() - begun) * 1000.0 / CLOCKS_PER_SEC);
-    }
-    std::sort(costs.begin(), costs.end());
-    return {{"waiting", json(waiting)}, {"workers", json(workers)}, {"plan_p50_ms", json(costs[15])}, {"plan_min_ms", json(costs[0])}, {"plan_max_ms", json(costs[30])}};
+  ClusterState clusterState;
+  std::int64_t now = 0;
+  auto apply = [&](Event event) {
+    clusterState.apply(LogRecord{ClusterTime{now}, std::move(event)});
+  };
+  auto config = ClusterConfig::parse(standardConfig());
+  config.value().version = ConfigVersion{1};
+  apply(ConfigCommitted{config.value()});
+  Silence heard;
+  for (std::size_t place = 0; place < workers; ++place) {
+    const WorkerId id{"m" + std::to_string(place)};
+    Capacity capacity;
+    capacity.cores = 16'000;
+    capacity.memory = 32 * 1024;
+    apply(WorkerRegistered{id, Incarnation{1}, capacity});
+    heard[id] = Duration{0};
+  }
+  Planner planner;
+  Random random(1);
+  auto submit = [&](std::size_t count, const char* queue, std::uint32_t cores) {
+    JobSubmission job;
+    job.id = JobId{queue + std::to_string(count)};
+    job.queue = QueueName{queue};
+    job.steps = {{"s",
+                  {},
+                  false,
+                  {TaskRequest{cores * 1000, std::uint64_t(random.between(256, 4096)),
+                               Duration{random.between(1000, 600'000)}, ""}}}};
+    apply(JobAccepted{job});
+  };
+  for (std::size_t count = 0; count < workers * 4; ++count)
+    submit(count, "long", 4);
+  apply(planner.make(clusterState, ClusterTime{now}, heard).made);
+  for (const auto& [id, worker] : clusterState.workers)
+    apply(WorkerSynced{id, worker.lastOrder, {}});
+  now = 500;
+  for (std::size_t count = 0; count < waiting; ++count)
+    submit(count, "plates", std::uint32_t(random.between(1, 8)));
+  std::vector<double> costs;
+  for (int round = 0; round < 31; ++round) {
+    const auto begun = std::clock();
+    planner.make(clusterState, ClusterTime{now + round}, heard);
+    costs.push_back(double(std::clock() - begun) * 1000.0 / CLOCKS_PER_SEC);
+  }
+  std::sort(costs.begin(), costs.end());
+  return {{"waiting", json(waiting)},
+          {"workers", json(workers)},
+          {"plan_p50_ms", json(costs[15])},
+          {"plan_min_ms", json(costs[0])},
+          {"plan_max_ms", json(costs[30])}};
 }
 
 picojson::object measureFailover(std::int64_t from, std::int64_t seeds, bool freezes) {
-    std::vector<std::int64_t> spans;
-    for (std::int64_t seed = from; seed < from + seeds; ++seed) {
-        WorldOptions options;
-        options.seed = std::uint64_t(seed);
-        options.gateways = options.workers = 1;
-        World world(options);
-        if (!world.runUntilTrue([&] { return world.voterCount() == world.votersWanted(); }, 20'000)) continue;
-        world.runUntil(world.now + seed % 997);
-        const std::size_t lost = *world.leader();
-        const std::int64_t begun = world.now;
-        if (freezes) world.freezeController(lost, true);
-        else world.killController(lost, true);
-        world.runUntilTrue([&] { return world.leader().has_value(); }, 20'000);
-        spans.push_back(world.now - begun);
-    }
-    std::sort(spans.begin(), spans.end());
-    return {{"leader", json(freezes ? "frozen" : "killed")}, {"seeds", json(spans.size())}, {"p50_ms", json(spans[spans.size() / 2])},
-            {"p95_ms", json(spans[spans.size() * 95 / 100])}, {"max_ms", json(spans.back())}};
+  std::vector<std::int64_t> spans;
+  for (std::int64_t seed = from; seed < from + seeds; ++seed) {
+    WorldOptions options;
+    options.seed = std::uint64_t(seed);
+    options.gateways = options.workers = 1;
+    World world(options);
+    if (!world.runUntilTrue([&] { return world.voterCount() == world.votersWanted(); }, 20'000))
+      continue;
+    world.runUntil(world.now + seed % 997);
+    const std::size_t lost = *world.leader();
+    const std::int64_t begun = world.now;
+    if (freezes)
+      world.freezeController(lost, true);
+    else
+      world.killController(lost, true);
+    world.runUntilTrue([&] { return world.leader().has_value(); }, 20'000);
+    spans.push_back(world.now - begun);
+  }
+  std::sort(spans.begin(), spans.end());
+  return {{"leader", json(freezes ? "frozen" : "killed")},
+          {"seeds", json(spans.size())},
+          {"p50_ms", json(spans[spans.size() / 2])},
+          {"p95_ms", json(spans[spans.size() * 95 / 100])},
+          {"max_ms", json(spans.back())}};
 }
 
 picojson::object measureView(std::size_t kept, bool whole) {
-    ClusterState clusterState;
-    auto config = ClusterConfig::parse(standardConfig());
-    config.value().version = ConfigVersion{1};
-    clusterState.apply(LogRecord{ClusterTime{0}, ConfigCommitted{config.value()}});
-    JobsExpired shortened;
-    for (std::size_t count = 0; count < kept; ++count) {
-        JobSubmission job;
-        job.id = JobId{"caller-0123456789-" + std::to_string(count)};
-        job.queue = QueueName{"plates"};
-        job.steps = {{"separate", {}, false, std::vector<TaskRequest>(4, TaskRequest{2000, 2048, Duration{8000}, "run=8000"})}, {"merge", {"separate"}, false, {TaskRequest{}}}};
-        clusterState.apply(LogRecord{ClusterTime{1}, JobAccepted{job}});
-        clusterState.apply(LogRecord{ClusterTime{2}, JobCancelled{job.id}});
-        shortened.shortened.push_back(job.id);
+  ClusterState clusterState;
+  auto config = ClusterConfig::parse(standardConfig());
+  config.value().version = ConfigVersion{1};
+  clusterState.apply(LogRecord{ClusterTime{0}, ConfigCommitted{config.value()}});
+  JobsExpired shortened;
+  for (std::size_t count = 0; count < kept; ++count) {
+    JobSubmission job;
+    job.id = JobId{"caller-0123456789-" + std::to_string(count)};
+    job.queue = QueueName{"plates"};
+    job.steps = {{"separate",
+                  {},
+                  false,
+                  std::vector<TaskRequest>(4, TaskRequest{2000, 2048, Duration{8000}, "run=8000"})},
+                 {"merge", {"separate"}, false, {TaskRequest{}}}};
+    clusterState.apply(LogRecord{ClusterTime{1}, JobAccepted{job}});
+    clusterState.apply(LogRecord{ClusterTime{2}, JobCancelled{job.id}});
+    shortened.shortened.push_back(job.id);
+  }
+  if (!whole)
+    clusterState.apply(LogRecord{ClusterTime{3}, shortened});
+  auto spent = [](const std::function<void()>& work) {
+    std::vector<double> spans;
+    for (int round = 0; round < 5; ++round) {
+      const auto begun = std::clock();
+      work();
+      spans.push_back(double(std::clock() - begun) * 1000.0 / CLOCKS_PER_SEC);
     }
-    if (!whole) clusterState.apply(LogRecord{ClusterTime{3}, shortened});
-    auto spent = [](const std::function<void()>& work) {
-        std::vector<double> spans;
-        for (int round = 0; round < 5; ++round) {
-            const auto begun = std::clock();
-            work();
-            spans.push_back(double(std::clock() - begun) * 1000.0 / CLOCKS_PER_SEC);
-        }
-        std::sort(spans.begin(), spans.end());
-        return spans[2];
-    };
-    std::string packed;
-    const double packing = spent([&] { packed = pack(clusterState); });
-    const double copying = spent([&] { ClusterState copy = clusterState; });
-    const double reading = spent([&] { auto read = unpack<ClusterState>(packed); });
-    return {{"kept", json(kept)}, {"shortened", json(!whole)}, {"bytes", json(packed.size())}, {"pack_ms", json(packing)}, {"copy_ms", json(copying)}, {"read_ms", json(reading)}};
+    std::sort(spans.begin(), spans.end());
+    return spans[2];
+  };
+  std::string packed;
+  const double packing = spent([&] { packed = pack(clusterState); });
+  const double copying = spent([&] { ClusterState copy = clusterState; });
+  const double reading = spent([&] { auto read = unpack<ClusterState>(packed); });
+  return {{"kept", json(kept)},       {"shortened", json(!whole)}, {"bytes", json(packed.size())},
+          {"pack_ms", json(packing)}, {"copy_ms", json(copying)},  {"read_ms", json(reading)}};
 }
 
 }  // namespace aniseline
--- a/source/simulator/world_called.cpp
+++ b/source/simulator/world_called.cpp
@@ -4,243 +4,300 @@
 
 // What passes between two processes of one machine: no cut of the network comes between them.
 void World::nextTo(Node& to, std::function<void()> work) {
-    Node* target = &to;
-    schedule(now + random.between(0, 1), [target, generation = to.generation, work = std::move(work)] {
-        if (!target->up || target->generation != generation) return;
-        if (target->frozen) target->inbox.push_back(work);
-        else work();
-    });
+  Node* target = &to;
+  schedule(now + random.between(0, 1),
+           [target, generation = to.generation, work = std::move(work)] {
+             if (!target->up || target->generation != generation)
+               return;
+             if (target->frozen)
+               target->inbox.push_back(work);
+             else
+               work();
+           });
 }
 
-// --- agents ---------------------------------------------------------------------------------------------------
+// --- agents
+// ---------------------------------------------------------------------------------------------------
 
 void World::bootAgent(AgentNode& node) {
-    node.up = true;
-    node.frozen = node.patientBusy = node.urgentBusy = false;
-    node.beatWaitsUntil = 0;
-    node.route = RouteView{};
-    ++node.generation;
-    node.core = std::make_unique<NodeAgent>(NodeAgentOptions{});
-    learnRoute(node, node.generation);
-    tickAgent(node, node.generation);
+  node.up = true;
+  node.frozen = node.patientBusy = node.urgentBusy = false;
+  node.beatWaitsUntil = 0;
+  node.route = RouteView{};
+  ++node.generation;
+  node.core = std::make_unique<NodeAgent>(NodeAgentOptions{});
+  learnRoute(node, node.generation);
+  tickAgent(node, node.generation);
 }
 
 // One controller after the other is asked: any of them may be frozen. docs/design.md 9.2.
 void World::learnRoute(AgentNode& node, std::uint64_t generation) {
-    if (!node.up || node.generation != generation) return;
-    if (!node.frozen) {
-        const auto& known = node.route.controllers.empty() ? seeds : node.route.controllers;
-        if (auto* to = at(known[node.turn++ % known.size()]); to && to->up)
-            deliver(node, *to, [this, to, &node] {
-                if (to->core->raftNode().blank()) return;
-                auto view = to->core->route(MonotonicTime{now + to->monotonicBase});
-                deliver(*to, node, [&node, view] { node.route.takeNewer(view); });
-            });
-    }
-    const bool learned = !node.route.leader.value.empty();
-    schedule(now + (learned ? 1000 : 200), [this, &node, generation] { learnRoute(node, generation); });
+  if (!node.up || node.generation != generation)
+    return;
+  if (!node.frozen) {
+    const auto& known = node.route.controllers.empty() ? seeds : node.route.controllers;
+    if (auto* to = at(known[node.turn++ % known.size()]); to && to->up)
+      deliver(node, *to, [this, to, &node] {
+        if (to->core->raftNode().blank())
+          return;
+        auto view = to->core->route(MonotonicTime{now + to->monotonicBase});
+        deliver(*to, node, [&node, view] { node.route.takeNewer(view); });
+      });
+  }
+  const bool learned = !node.route.leader.value.empty();
+  schedule(now + (learned ? 1000 : 200),
+           [this, &node, generation] { learnRoute(node, generation); });
 }
 
 void World::tickAgent(AgentNode& node, std::uint64_t generation) {
-    if (!node.up || node.generation != generation) return;
-    if (!node.frozen) {
-        for (const auto& call : node.core->takeCalls(MonotonicTime{now})) perform(node, call);
-        if (node.core->mayReport() && !node.patientBusy) syncAgent(node, true);
-        if (!node.urgentBusy && node.core->urgent(MonotonicTime{now})) syncAgent(node, false);
-        auto& worker = *called[node.place];
-        if (node.beatWaitsUntil && (node.core->leavingTold() || now > node.beatWaitsUntil)) {
-            node.beatWaitsUntil = 0;
-            if (node.core->leavingTold())
-                nextTo(worker, [this, &worker, life = node.core->life()] {
-                    if (worker.leavingAcknowledged || worker.worker->life() != life) return;
-                    worker.leavingAcknowledged = true;
-                    auto leaving = seen(HistoryEvent::Kind::leaving, calendar + now);
-                    leaving.worker = life.value;
-                    witness(leaving);
-                });
-        }
+  if (!node.up || node.generation != generation)
+    return;
+  if (!node.frozen) {
+    for (const auto& call : node.core->takeCalls(MonotonicTime{now}))
+      perform(node, call);
+    if (node.core->mayReport() && !node.patientBusy)
+      syncAgent(node, true);
+    if (!node.urgentBusy && node.core->urgent(MonotonicTime{now}))
+      syncAgent(node, false);
+    auto& worker = *called[node.place];
+    if (node.beatWaitsUntil && (node.core->leavingTold() || now > node.beatWaitsUntil)) {
+      node.beatWaitsUntil = 0;
+      if (node.core->leavingTold())
+        nextTo(worker, [this, &worker, life = node.core->life()] {
+          if (worker.leavingAcknowledged || worker.worker->life() != life)
+            return;
+          worker.leavingAcknowledged = true;
+          auto leaving = seen(HistoryEvent::Kind::leaving, calendar + now);
+          leaving.worker = life.value;
+          witness(leaving);
+        });
     }
-    schedule(now + 5, [this, &node, generation] { tickAgent(node, generation); });
+  }
+  schedule(now + 5, [this, &node, generation] { tickAgent(node, generation); });
 }
 
 void World::syncAgent(AgentNode& node, bool patient) {
-    (patient ? node.patientBusy : node.urgentBusy) = true;
-    ApiRequest request;
-    request.kind = RequestKind::sync;
-    request.report = node.core->report(MonotonicTime{now});
-    request.report.wait = patient ? Duration{1000} : Duration{0};
-    request.id = request.report.id.value;
-    const std::int64_t sentAt = now;
-    relay(node, request, [this, &node, patient, sentAt, report = request.report](const ApiResponse& answer) {
-        auto& busy = patient ? node.patientBusy : node.urgentBusy;
-        if (answer.status == 200) {
-            if (auto told = unpack<SyncResponse>(answer.body)) node.core->answered(report, told.value(), MonotonicTime{sentAt}, MonotonicTime{now});
+  (patient ? node.patientBusy : node.urgentBusy) = true;
+  ApiRequest request;
+  request.kind = RequestKind::sync;
+  request.report = node.core->report(MonotonicTime{now});
+  request.report.wait = patient ? Duration{1000} : Duration{0};
+  request.id = request.report.id.value;
+  const std::int64_t sentAt = now;
+  relay(node, request,
+        [this, &node, patient, sentAt, report = request.report](const ApiResponse& answer) {
+          auto& busy = patient ? node.patientBusy : node.urgentBusy;
+          if (answer.status == 200) {
+            if (auto told = unpack<SyncResponse>(answer.body))
+              node.core->answered(report, told.value(), MonotonicTime{sentAt}, MonotonicTime{now});
             busy = false;
             return;
-        }
-        if (answer.status == 410 && report.id == node.core->life()) node.core->replaced(MonotonicTime{now});
-        schedule(now + 100, [&node, patient, generation = node.generation] {
-            if (node.generation == generation) (patient ? node.patientBusy : node.urgentBusy) = false;
+          }
+          if (answer.status == 410 && report.id == node.core->life())
+            node.core->replaced(MonotonicTime{now});
+          schedule(now + 100, [&node, patient, generation = node.generation] {
+            if (node.generation == generation)
+              (patient ? node.patientBusy : node.urgentBusy) = false;
+          });
         });
-    });
 }
 
-// --- what they ask of their workers --------------------------------------------------------------------------------
+// --- what they ask of their workers
+// --------------------------------------------------------------------------------
 
 void World::perform(AgentNode& node, const WorkerCall& call) {
-    auto& to = *called[node.place];
-    const std::uint64_t generation = node.generation;
-    auto told = std::make_shared<bool>(false);
-    auto tell = [this, &node, generation, told, call](WorkerReply reply) {
-        if (*told || !node.up || node.generation != generation) return;
-        *told = true;
-        auto hear = [this, &node, call, reply] { node.core->replied(call, reply, MonotonicTime{now}); };
-        if (node.frozen) node.inbox.push_back(hear);
-        else hear();
+  auto& to = *called[node.place];
+  const std::uint64_t generation = node.generation;
+  auto told = std::make_shared<bool>(false);
+  auto tell = [this, &node, generation, told, call](WorkerReply reply) {
+    if (*told || !node.up || node.generation != generation)
+      return;
+    *told = true;
+    auto hear = [this, &node, call, reply] {
+      node.core->replied(call, reply, MonotonicTime{now});
     };
-    if (!to.up) return schedule(now + 1, [tell] { tell({}); });
-    schedule(now + call.within.milliseconds, [tell] { tell({}); });
-    if (to.ordersLate && random.chance(0.85)) {
-        // No answer: it is carried out now, or seconds later and after newer ones.
-        const std::int64_t delay = random.chance(0.3) ? 0 : random.between(2000, random.chance(0.5) ? 3200 : 12'000);  // many within the lease
-        return schedule(now + delay, [this, &to, call, delay, life = to.worker->life()] {
-            if (to.up && to.worker->life() == life) to.worker->take(call, now, delay > 0);
-        });
-    }
-    nextTo(to, [this, &to, &node, call, tell] {
-        WorkerReply reply = to.worker->take(call, now, false);
-        if (to.worker->sickness == CalledWorker::Sickness::mute) return;
-        auto answer = [this, &node, tell](const WorkerReply& given) { nextTo(node, [tell, given] { tell(given); }); };
-        if (call.kind != WorkerCall::Kind::look || reply.kind != WorkerReply::Kind::done) return answer(reply);
-        if (call.wait.milliseconds > 0 && !to.worker->hasEnding(call.lastSeen)) {
-            to.looks.push_back({call, now + call.wait.milliseconds, answer});
-            return;
-        }
-        to.worker->list(reply, now);
-        answer(reply);
+    if (node.frozen)
+      node.inbox.push_back(hear);
+    else
+      hear();
+  };
+  if (!to.up)
+    return schedule(now + 1, [tell] { tell({}); });
+  schedule(now + call.within.milliseconds, [tell] { tell({}); });
+  if (to.ordersLate && random.chance(0.85)) {
+    // No answer: it is carried out now, or seconds later and after newer ones.
+    const std::int64_t delay =
+        random.chance(0.3)
+            ? 0
+            : random.between(2000, random.chance(0.5) ? 3200 : 12'000);  // many within the lease
+    return schedule(now + delay, [this, &to, call, delay, life = to.worker->life()] {
+      if (to.up && to.worker->life() == life)
+        to.worker->take(call, now, delay > 0);
     });
+  }
+  nextTo(to, [this, &to, &node, call, tell] {
+    WorkerReply reply = to.worker->take(call, now, false);
+    if (to.worker->sickness == CalledWorker::Sickness::mute)
+      return;
+    auto answer = [this, &node, tell](const WorkerReply& given) {
+      nextTo(node, [tell, given] { tell(given); });
+    };
+    if (call.kind != WorkerCall::Kind::look || reply.kind != WorkerReply::Kind::done)
+      return answer(reply);
+    if (call.wait.milliseconds > 0 && !to.worker->hasEnding(call.lastSeen)) {
+      to.looks.push_back({call, now + call.wait.milliseconds, answer});
+      return;
+    }
+    to.worker->list(reply, now);
+    answer(reply);
+  });
 }
 
-// --- workers that are called ---------------------------------------------------------------------------------------
+// --- workers that are called
+// ---------------------------------------------------------------------------------------
 
 void World::bootCalled(CalledNode& node) {
-    node.up = true;
-    node.gone = node.leavingAcknowledged = false;
-    ++node.generation;
-    node.looks.clear();
-    CalledWorkerOptions given;
-    given.life = WorkerId{"w" + std::to_string(node.place + 1) + "." + std::to_string(++node.lives)};
-    given.capacity = node.capacity;
-    given.clockRate = 0.98 + 0.02 * double(random.between(0, 1000)) / 1000.0;
-    given.clockBase = random.between(1000, 1'000'000);
-    given.gangWait = Duration{options.seed % 3 ? 3000 : 1500};
-    given.endingsAtOnce = std::size_t(std::array<int, 3>{500, 3, 40}[node.place % 3]);
-    node.worker = std::make_unique<CalledWorker>(given, meetings->gangs, random.next(), [this](const JobId& id) {
+  node.up = true;
+  node.gone = node.leavingAcknowledged = false;
+  ++node.generation;
+  node.looks.clear();
+  CalledWorkerOptions given;
+  given.life = WorkerId{"w" + std::to_string(node.place + 1) + "." + std::to_string(++node.lives)};
+  given.capacity = node.capacity;
+  given.clockRate = 0.98 + 0.02 * double(random.between(0, 1000)) / 1000.0;
+  given.clockBase = random.between(1000, 1'000'000);
+  given.gangWait = Duration{options.seed % 3 ? 3000 : 1500};
+  given.endingsAtOnce = std::size_t(std::array<int, 3>{500, 3, 40}[node.place % 3]);
+  node.worker = std::make_unique<CalledWorker>(
+      given, meetings->gangs, random.next(),
+      [this](const JobId& id) {
         auto found = submissions.find(id.value);
         return found == submissions.end() ? nullptr : &found->second;
-    }, [this](HistoryEvent told) {
+      },
+      [this](HistoryEvent told) {
         told.at = calendar + now;
         witness(std::move(told));
-    }, now);
-    node.worker->sickness = node.sickness;
-    auto capacity = seen(HistoryEvent::Kind::capacity, calendar + now);
-    capacity.worker = given.life.value;
-    capacity.cores = node.capacity.cores;
-    capacity.memory = node.capacity.memory;
-    capacity.accelerators = node.capacity.accelerators;
-    capacity.guards = node.capacity.guardsRoom;
-    capacity.detail = "called";
-    capacity.pool = node.capacity.pool;
-    capacity.labels = node.capacity.labels;
-    witness(capacity);
-    node.beatAt = now + random.between(0, 300);
-    tickCalled(node, node.generation);
+      },
+      now);
+  node.worker->sickness = node.sickness;
+  auto capacity = seen(HistoryEvent::Kind::capacity, calendar + now);
+  capacity.worker = given.life.value;
+  capacity.cores = node.capacity.cores;
+  capacity.memory = node.capacity.memory;
+  capacity.accelerators = node.capacity.accelerators;
+  capacity.guards = node.capacity.guardsRoom;
+  capacity.detail = "called";
+  capacity.pool = node.capacity.pool;
+  capacity.labels = node.capacity.labels;
+  witness(capacity);
+  node.beatAt = now + random.between(0, 300);
+  tickCalled(node, node.generation);
 }
 
 void World::tickCalled(CalledNode& node, std::uint64_t generation) {
-    if (!node.up || node.generation != generation) return;
-    node.worker->tick(now);
-    std::erase_if(node.looks, [&](const CalledNode::Look& look) {
-        if (now < look.until && !node.worker->hasEnding(look.call.lastSeen)) return false;
-        WorkerReply reply;
-        reply.kind = WorkerReply::Kind::done;
-        node.worker->list(reply, now);
-        look.reply(reply);
-        return true;
-    });
-    if (now >= node.beatAt) {
-        node.beatAt = now + 500;
-        beat(node);
-    }
-    schedule(now + 5, [this, &node, generation] { tickCalled(node, generation); });
+  if (!node.up || node.generation != generation)
+    return;
+  node.worker->tick(now);
+  std::erase_if(node.looks, [&](const CalledNode::Look& look) {
+    if (now < look.until && !node.worker->hasEnding(look.call.lastSeen))
+      return false;
+    WorkerReply reply;
+    reply.kind = WorkerReply::Kind::done;
+    node.worker->list(reply, now);
+    look.reply(reply);
+    return true;
+  });
+  if (now >= node.beatAt) {
+    node.beatAt = now + 500;
+    beat(node);
+  }
+  schedule(now + 5, [this, &node, generation] { tickCalled(node, generation); });
 }
 
 void World::beat(CalledNode& node) {
-    auto& agent = *agents[node.place];
-    if (!agent.up) return;
-    nextTo(agent, [this, &agent, account = node.worker->account(now)] {
-        if (!agent.core->known(account, MonotonicTime{now})) return;
-        if (account.leaving) agent.beatWaitsUntil = now + 900;
-    });
+  auto& agent = *agents[node.place];
+  if (!agent.up)
+    return;
+  nextTo(agent, [this, &agent, account = node.worker->account(now)] {
+    if (!agent.core->known(account, MonotonicTime{now}))
+      return;
+    if (account.leaving)
+      agent.beatWaitsUntil = now + 900;
+  });
 }
 
 void World::endCalled(CalledNode& node) {
-    if (!node.up) return;
-    node.worker->vanish();
-    node.up = false;
-    ++node.generation;
-    node.looks.clear();
-    auto vanished = seen(HistoryEvent::Kind::vanished, calendar + now);
-    vanished.worker = node.worker->life().value;
-    witness(vanished);
+  if (!node.up)
+    return;
+  node.worker->vanish();
+  node.up = false;
+  ++node.generation;
+  node.looks.clear();
+  auto vanished = seen(HistoryEvent::Kind::vanished, calendar + now);
+  vanished.worker = node.worker->life().value;
+  witness(vanished);
 }
 
 void World::killAgent(std::size_t place) {
-    auto& node = *agents[place];
-    if (!node.up) return;
-    node.up = node.frozen = false;
-    ++node.generation;
-    node.inbox.clear();
+  auto& node = *agents[place];
+  if (!node.up)
+    return;
+  node.up = node.frozen = false;
+  ++node.generation;
+  node.inbox.clear();
 }
 void World::restartAgent(std::size_t place) {
-    if (!agents[place]->up) bootAgent(*agents[place]);
+  if (!agents[place]->up)
+    bootAgent(*agents[place]);
+}
+void World::freezeAgent(std::size_t place, bool frozen) {
+  freeze(*agents[place], frozen);
+}
+void World::cutAgent(std::size_t place, bool cut) {
+  agents[place]->cut = cut;
+}
+void World::killCalled(std::size_t place) {
+  endCalled(*called[place]);
 }
-void World::freezeAgent(std::size_t place, bool frozen) { freeze(*agents[place], frozen); }
-void World::cutAgent(std::size_t place, bool cut) { agents[place]->cut = cut; }
-void World::killCalled(std::size_t place) { endCalled(*called[place]); }
 void World::restartCalled(std::size_t place) {
-    if (!called[place]->up) bootCalled(*called[place]);
+  if (!called[place]->up)
+    bootCalled(*called[place]);
 }
 void World::sickenCalled(std::size_t place, Sickness sickness) {
-    auto& node = *called[place];
-    node.sickness = CalledWorker::Sickness(sickness);
-    node.worker->sickness = node.sickness;
+  auto& node = *called[place];
+  node.sickness = CalledWorker::Sickness(sickness);
+  node.worker->sickness = node.sickness;
+}
+void World::delayOrders(std::size_t place, bool delayed) {
+  called[place]->ordersLate = delayed;
 }
-void World::delayOrders(std::size_t place, bool delayed) { called[place]->ordersLate = delayed; }
 
-// It says that it leaves, serves on until then, says that it is gone, and ends; another life begins later.
+// It says that it leaves, serves on until then, says that it is gone, and ends; another life begins
+// later.
 void World::leaveCalled(std::size_t place, std::int64_t within, std::int64_t awayFor) {
-    auto& node = *called[place];
-    if (!node.up || node.worker->leaving) return;
-    node.worker->leaving = true;
-    node.worker->leaveWithin = Duration{within};
-    node.beatAt = now;
-    const std::uint64_t generation = node.generation;
-    after(within + 500, [this, &node, generation, awayFor] {
-        if (!node.up || node.generation != generation) return;
-        auto& agent = *agents[node.place];
-        // Nothing runs there any more when it says so.
-        endCalled(node);
-        after(awayFor, [this, &node] { restartCalled(node.place); });
-        if (agent.up)
-            nextTo(agent, [this, &agent, life = node.worker->life()] {
-                agent.core->left(life);
-                ApiRequest gone;
-                gone.kind = RequestKind::declareGone;
-                gone.id = life.value;
-                relay(agent, gone, [](const ApiResponse&) {});
-            });
-    });
+  auto& node = *called[place];
+  if (!node.up || node.worker->leaving)
+    return;
+  node.worker->leaving = true;
+  node.worker->leaveWithin = Duration{within};
+  node.beatAt = now;
+  const std::uint64_t generation = node.generation;
+  after(within + 500, [this, &node, generation, awayFor] {
+    if (!node.up || node.generation != generation)
+      return;
+    auto& agent = *agents[node.place];
+    // Nothing runs there any more when it says so.
+    endCalled(node);
+    after(awayFor, [this, &node] { restartCalled(node.place); });
+    if (agent.up)
+      nextTo(agent, [this, &agent, life = node.worker->life()] {
+        agent.core->left(life);
+        ApiRequest gone;
+        gone.kind = RequestKind::declareGone;
+        gone.id = life.value;
+        relay(agent, gone, [](const ApiResponse&) {});
+      });
+  });
 }
 
 }  // namespace aniseline
--- a/source/state/api_request.cpp
+++ b/source/state/api_request.cpp
@@ -4,457 +4,547 @@
 namespace aniseline {
 
 const char* name(RequestKind kind) {
-    static const char* const names[] = {"submit", "cancel", "show-job", "list-jobs", "apply-config", "show-config", "sync", "leave", "drain",
-                                        "undrain", "declare-gone", "workers", "cluster", "plan", "counters", "replace", "export", "phase", "waiting", "read-config"};
-    return names[std::size_t(kind)];
+  static const char* const names[] = {
+      "submit",   "cancel",  "show-job", "list-jobs",    "apply-config", "show-config", "sync",
+      "leave",    "drain",   "undrain",  "declare-gone", "workers",      "cluster",     "plan",
+      "counters", "replace", "export",   "phase",        "waiting",      "read-config"};
+  return names[std::size_t(kind)];
 }
 
-bool RouteView::hasRoomFor(const ApiRequest& request, std::size_t underWay, std::size_t most) const {
-    return roomFor(request.kind, request.kind == RequestKind::submitJob && !std::count(urgent.begin(), urgent.end(), request.job.queue), underWay, most);
+bool RouteView::hasRoomFor(const ApiRequest& request, std::size_t underWay,
+                           std::size_t most) const {
+  return roomFor(request.kind,
+                 request.kind == RequestKind::submitJob &&
+                     !std::count(urgent.begin(), urgent.end(), request.job.queue),
+                 underWay, most);
 }
-std::vector<Address> preferred(const std::vector<Contact>& contacts, const ZoneName& zone, std::uint64_t spread) {
-    std::vector<Address> near, far;
-    for (const auto& contact : contacts) (contact.zone == zone ? near : far).push_back(contact.address);
-    for (auto* some : {&near, &far})
-        if (!some->empty()) std::rotate(some->begin(), some->begin() + std::ptrdiff_t(spread % some->size()), some->end());
-    near.insert(near.end(), far.begin(), far.end());
-    return near;
+std::vector<Address> preferred(const std::vector<Contact>& contacts, const ZoneName& zone,
+                               std::uint64_t spread) {
+  std::vector<Address> near, far;
+  for (const auto& contact : contacts)
+    (contact.zone == zone ? near : far).push_back(contact.address);
+  for (auto* some : {&near, &far})
+    if (!some->empty())
+      std::rotate(some->begin(), some->begin() + std::ptrdiff_t(spread % some->size()),
+                  some->end());
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
 }
 bool roomFor(RequestKind kind, bool plain, std::size_t underWay, std::size_t most) {
-    if (kind == RequestKind::sync) return true;  // as many as there are workers, and without them nothing ends
-    return underWay < (plain ? most - most / 5 : most);
+  if (kind == RequestKind::sync)
+    return true;  // as many as there are workers, and without them nothing ends
+  return underWay < (plain ? most - most / 5 : most);
 }
 
 ApiResponse ApiResponse::of(int status, const picojson::object& body) {
-    ApiResponse answer;
-    answer.status = status;
-    answer.body = picojson::value(body).serialize();
-    return answer;
+  ApiResponse answer;
+  answer.status = status;
+  answer.body = picojson::value(body).serialize();
+  return answer;
 }
-ApiResponse ApiResponse::error(int status, const std::string& kind, const std::string& text, Duration retryAfter) {
-    ApiResponse answer = of(status, {{"error", json(kind)}, {"text", json(text)}});
-    answer.retryAfter = retryAfter;
-    answer.kind = kind;
-    return answer;
+ApiResponse ApiResponse::error(int status, const std::string& kind, const std::string& text,
+                               Duration retryAfter) {
+  ApiResponse answer = of(status, {{"error", json(kind)}, {"text", json(text)}});
+  answer.retryAfter = retryAfter;
+  answer.kind = kind;
+  return answer;
+}
+ApiResponse ApiResponse::unknown(const std::string& text) {
+  return error(503, "unknown", text, Duration{500});
+}
+ApiResponse ApiResponse::notTaken(const std::string& text) {
+  return error(503, "not_taken", text + "; nothing was taken, ask again", Duration{300});
 }
-ApiResponse ApiResponse::unknown(const std::string& text) { return error(503, "unknown", text, Duration{500}); }
-ApiResponse ApiResponse::notTaken(const std::string& text) { return error(503, "not_taken", text + "; nothing was taken, ask again", Duration{300}); }
 ApiResponse ApiResponse::from(const CoreError& error) {
-    int status = 400;
-    const char* kind = "invalid";
-    Duration retryAfter{0};
-    switch (error.kind) {
-        case CoreError::Kind::invalid: break;
-        case CoreError::Kind::conflict: status = 409, kind = "conflict"; break;
-        case CoreError::Kind::overloaded: status = 429, kind = "overloaded", retryAfter = Duration{1000}; break;
-        case CoreError::Kind::missing: status = 404, kind = "missing"; break;
-        case CoreError::Kind::unknown: status = 503, kind = "unknown", retryAfter = Duration{500}; break;
-        case CoreError::Kind::gone: status = 410, kind = "gone"; break;
-    }
-    picojson::array details;
-    for (const auto& detail : error.details) details.push_back(json(picojson::object{{"path", json(detail.path)}, {"text", json(detail.text)}}));
-    ApiResponse answer = of(status, {{"error", json(kind)}, {"text", json(error.text())}, {"details", json(details)}});
-    answer.retryAfter = retryAfter;
-    answer.kind = kind;
-    return answer;
+  int status = 400;
+  const char* kind = "invalid";
+  Duration retryAfter{0};
+  switch (error.kind) {
+    case CoreError::Kind::invalid:
+      break;
+    case CoreError::Kind::conflict:
+      status = 409, kind = "conflict";
+      break;
+    case CoreError::Kind::overloaded:
+      status = 429, kind = "overloaded", retryAfter = Duration{1000};
+      break;
+    case CoreError::Kind::missing:
+      status = 404, kind = "missing";
+      break;
+    case CoreError::Kind::unknown:
+      status = 503, kind = "unknown", retryAfter = Duration{500};
+      break;
+    case CoreError::Kind::gone:
+      status = 410, kind = "gone";
+      break;
+  }
+  picojson::array details;
+  for (const auto& detail : error.details)
+    details.push_back(
+        json(picojson::object{{"path", json(detail.path)}, {"text", json(detail.text)}}));
+  ApiResponse answer =
+      of(status, {{"error", json(kind)}, {"text", json(error.text())}, {"details", json(details)}});
+  answer.retryAfter = retryAfter;
+  answer.kind = kind;
+  return answer;
 }
 
 namespace {
 
 // Strict reading of a body: each field is of its kind and none is unknown.
 struct Fields {
-    std::string path;
-    std::vector<ErrorDetail>& faults;
-    const picojson::object* object = nullptr;
-    std::set<std::string> asked;
-    Fields(const picojson::value& value, std::string given, std::vector<ErrorDetail>& faults) : path(std::move(given)), faults(faults) {
-        if (value.is<picojson::object>()) object = &value.get<picojson::object>();
-        else faults.push_back({path, "must be an object"});
-    }
-    ~Fields() {
-        if (object)
-            for (const auto& [field, value] : *object)
-                if (!asked.count(field)) faults.push_back({path + "/" + field, "is not a known field"});
-    }
-    const picojson::value* find(const std::string& field, bool needed = false) {
-        asked.insert(field);
-        if (!object) return nullptr;
-        auto found = object->find(field);
-        if (found != object->end()) return &found->second;
-        if (needed) faults.push_back({path + "/" + field, "is missing"});
-        return nullptr;
-    }
-    std::string words(const std::string& field, bool needed = false) {
-        const auto* value = find(field, needed);
-        if (!value) return "";
-        if (value->is<std::string>()) return value->get<std::string>();
-        faults.push_back({path + "/" + field, "must be a string"});
-        return "";
-    }
-    bool flag(const std::string& field) {
-        const auto* value = find(field);
-        if (!value) return false;
-        if (value->is<bool>()) return value->get<bool>();
-        faults.push_back({path + "/" + field, "must be true or false"});
-        return false;
-    }
-    std::uint64_t whole(const std::string& field, bool needed, std::uint64_t otherwise = 0) {
-        const auto* value = find(field, needed);
-        if (!value) return otherwise;
-        const double number = value->is<double>() ? value->get<double>() : -1;
-        if (number >= 0 && number <= 9007199254740992.0 && number == std::floor(number)) return std::uint64_t(number);
-        faults.push_back({path + "/" + field, "must be a whole number from 0 on"});
-        return otherwise;
-    }
-    std::uint32_t thousandths(const std::string& field, bool needed) {  // a number with up to three decimals
-        const auto* value = find(field, needed);
-        if (!value) return needed ? 1 : 0;
-        const double number = value->is<double>() ? value->get<double>() * 1000 : -1;
-        if (number >= 0 && number <= 4e9 && std::abs(number - std::round(number)) < 1e-4) return std::uint32_t(std::llround(number));
-        faults.push_back({path + "/" + field, "must be a number from 0 on with at most three decimals"});
-        return needed ? 1 : 0;
-    }
-    std::uint64_t number(const std::string& field, bool needed) {  // 64 bits, as decimal digits in a string
-        const std::string text = words(field, needed);
-        if (text.empty()) return 0;
-        if (text.size() <= 20 && text.find_first_not_of("0123456789") == std::string::npos) {
-            errno = 0;
-            const auto parsed = std::strtoull(text.c_str(), nullptr, 10);
-            if (errno == 0) return parsed;
-        }
-        faults.push_back({path + "/" + field, "must be a number of 64 bits written as a string of digits"});
-        return 0;
-    }
-    const picojson::array* list(const std::string& field, bool needed = false) {
-        const auto* value = find(field, needed);
-        if (!value) return nullptr;
-        if (value->is<picojson::array>()) return &value->get<picojson::array>();
-        faults.push_back({path + "/" + field, "must be a list"});
-        return nullptr;
+  std::string path;
+  std::vector<ErrorDetail>& faults;
+  const picojson::object* object = nullptr;
+  std::set<std::string> asked;
+  Fields(const picojson::value& value, std::string given, std::vector<ErrorDetail>& faults)
+      : path(std::move(given)), faults(faults) {
+    if (value.is<picojson::object>())
+      object = &value.get<picojson::object>();
+    else
+      faults.push_back({path, "must be an object"});
+  }
+  ~Fields() {
+    if (object)
+      for (const auto& [field, value] : *object)
+        if (!asked.count(field))
+          faults.push_back({path + "/" + field, "is not a known field"});
+  }
+  const picojson::value* find(const std::string& field, bool needed = false) {
+    asked.insert(field);
+    if (!object)
+      return nullptr;
+    auto found = object->find(field);
+    if (found != object->end())
+      return &found->second;
+    if (needed)
+      faults.push_back({path + "/" + field, "is missing"});
+    return nullptr;
+  }
+  std::string words(const std::string& field, bool needed = false) {
+    const auto* value = find(field, needed);
+    if (!value)
+      return "";
+    if (value->is<std::string>())
+      return value->get<std::string>();
+    faults.push_back({path + "/" + field, "must be a string"});
+    return "";
+  }
+  bool flag(const std::string& field) {
+    const auto* value = find(field);
+    if (!value)
+      return false;
+    if (value->is<bool>())
+      return value->get<bool>();
+    faults.push_back({path + "/" + field, "must be true or false"});
+    return false;
+  }
+  std::uint64_t whole(const std::string& field, bool needed, std::uint64_t otherwise = 0) {
+    const auto* value = find(field, needed);
+    if (!value)
+      return otherwise;
+    const double number = value->is<double>() ? value->get<double>() : -1;
+    if (number >= 0 && number <= 9007199254740992.0 && number == std::floor(number))
+      return std::uint64_t(number);
+    faults.push_back({path + "/" + field, "must be a whole number from 0 on"});
+    return otherwise;
+  }
+  std::uint32_t thousandths(const std::string& field,
+                            bool needed) {  // a number with up to three decimals
+    const auto* value = find(field, needed);
+    if (!value)
+      return needed ? 1 : 0;
+    const double number = value->is<double>() ? value->get<double>() * 1000 : -1;
+    if (number >= 0 && number <= 4e9 && std::abs(number - std::round(number)) < 1e-4)
+      return std::uint32_t(std::llround(number));
+    faults.push_back(
+        {path + "/" + field, "must be a number from 0 on with at most three decimals"});
+    return needed ? 1 : 0;
+  }
+  std::uint64_t number(const std::string& field,
+                       bool needed) {  // 64 bits, as decimal digits in a string
+    const std::string text = words(field, needed);
+    if (text.empty())
+      return 0;
+    if (text.size() <= 20 && text.find_first_not_of("0123456789") == std::string::npos) {
+      errno = 0;
+      const auto parsed = std::strtoull(text.c_str(), nullptr, 10);
+      if (errno == 0)
+        return parsed;
     }
+    faults.push_back(
+        {path + "/" + field, "must be a number of 64 bits written as a string of digits"});
+    return 0;
+  }
+  const picojson::array* list(const std::string& field, bool needed = false) {
+    const auto* value = find(field, needed);
+    if (!value)
+      return nullptr;
+    if (value->is<picojson::array>())
+      return &value->get<picojson::array>();
+    faults.push_back({path + "/" + field, "must be a list"});
+    return nullptr;
+  }
 };
 
-std::uint32_t narrow(std::uint64_t number) { return std::uint32_t(std::min<std::uint64_t>(number, 0xffffffffu)); }
-Duration spanOf(std::uint64_t number) { return Duration{std::int64_t(std::min<std::uint64_t>(number, 1ull << 53))}; }
+std::uint32_t narrow(std::uint64_t number) {
+  return std::uint32_t(std::min<std::uint64_t>(number, 0xffffffffu));
+}
+Duration spanOf(std::uint64_t number) {
+  return Duration{std::int64_t(std::min<std::uint64_t>(number, 1ull << 53))};
+}
 
 JobSubmission parseJob(const picojson::value& root, std::vector<ErrorDetail>& faults) {
-    JobSubmission job;
-    Fields fields(root, "", faults);
-    job.id = JobId{fields.words("id", true)};
-    job.queue = QueueName{fields.words("queue", true)};
-    job.payload = fields.words("payload");
-    std::size_t total = 0;
-    if (const auto* steps = fields.list("steps", true))
-        for (std::size_t place = 0; place < steps->size() && place < 1000; ++place) {
-            Fields step((*steps)[place], "/steps/" + std::to_string(place), faults);
-            StepRequest request;
-            request.name = step.words("name");
-            if (request.name.empty()) request.name = std::to_string(place);
-            request.gang = step.flag("gang");
-            request.needs.label = step.words("label");
-            request.needs.near = step.words("near");
-            request.needs.apart = narrow(step.whole("apart", false));
-            request.needs.sameRack = step.flag("same_rack");
-            request.needs.redundant = step.flag("redundant");
-            request.needs.lasts = step.flag("lasts");
-            request.needs.saves = step.flag("saves");
-            if (const auto* after = step.list("after"))
-                for (const auto& before : *after) {
-                    if (before.is<std::string>()) request.after.push_back(before.get<std::string>());
-                    else faults.push_back({step.path + "/after", "must hold names of steps"});
-                }
-            if (const auto* tasks = step.list("tasks", true))
-                for (std::size_t within = 0; within < tasks->size() && total <= 2000; ++within) {
-                    Fields task((*tasks)[within], step.path + "/tasks/" + std::to_string(within), faults);
-                    TaskRequest taskRequest;
-                    taskRequest.cores = task.thousandths("cores", true);
-                    taskRequest.memory = task.whole("memory_mb", true, 1);
-                    taskRequest.runtime = spanOf(task.whole("runtime_ms", true, 1));
-                    taskRequest.accelerators = narrow(task.whole("accelerators", false));
-                    taskRequest.payload = task.words("payload");
-                    const auto count = task.whole("count", false, 1);
-                    if (count < 1 || count > 2000) faults.push_back({task.path + "/count", "must be from 1 to 2000"});
-                    else
-                        for (std::uint64_t copy = 0; copy < count && total <= 2000; ++copy, ++total) request.tasks.push_back(taskRequest);
-                }
-            job.steps.push_back(std::move(request));
+  JobSubmission job;
+  Fields fields(root, "", faults);
+  job.id = JobId{fields.words("id", true)};
+  job.queue = QueueName{fields.words("queue", true)};
+  job.payload = fields.words("payload");
+  std::size_t total = 0;
+  if (const auto* steps = fields.list("steps", true))
+    for (std::size_t place = 0; place < steps->size() && place < 1000; ++place) {
+      Fields step((*steps)[place], "/steps/" + std::to_string(place), faults);
+      StepRequest request;
+      request.name = step.words("name");
+      if (request.name.empty())
+        request.name = std::to_string(place);
+      request.gang = step.flag("gang");
+      request.needs.label = step.words("label");
+      request.needs.near = step.words("near");
+      request.needs.apart = narrow(step.whole("apart", false));
+      request.needs.sameRack = step.flag("same_rack");
+      request.needs.redundant = step.flag("redundant");
+      request.needs.lasts = step.flag("lasts");
+      request.needs.saves = step.flag("saves");
+      if (const auto* after = step.list("after"))
+        for (const auto& before : *after) {
+          if (before.is<std::string>())
+            request.after.push_back(before.get<std::string>());
+          else
+            faults.push_back({step.path + "/after", "must hold names of steps"});
         }
-    if (const auto* timetable = fields.find("timetable")) {
-        Fields timed(*timetable, "/timetable", faults);
-        job.timetable.first = ClusterTime{spanOf(timed.whole("first_ms", true)).milliseconds};
-        if (job.timetable.first.milliseconds == 0) faults.push_back({"/timetable/first_ms", "must be a calendar time above 0"});
-        job.timetable.every = spanOf(timed.whole("every_ms", false));
-        job.timetable.count = narrow(timed.whole("count", false, 1));
+      if (const auto* tasks = step.list("tasks", true))
+        for (std::size_t within = 0; within < tasks->size() && total <= 2000; ++within) {
+          Fields task((*tasks)[within], step.path + "/tasks/" + std::to_string(within), faults);
+          TaskRequest taskRequest;
+          taskRequest.cores = task.thousandths("cores", true);
+          taskRequest.memory = task.whole("memory_mb", true, 1);
+          taskRequest.runtime = spanOf(task.whole("runtime_ms", true, 1));
+          taskRequest.accelerators = narrow(task.whole("accelerators", false));
+          taskRequest.payload = task.words("payload");
+          const auto count = task.whole("count", false, 1);
+          if (count < 1 || count > 2000)
+            faults.push_back({task.path + "/count", "must be from 1 to 2000"});
+          else
+            for (std::uint64_t copy = 0; copy < count && total <= 2000; ++copy, ++total)
+              request.tasks.push_back(taskRequest);
+        }
+      job.steps.push_back(std::move(request));
     }
-    if (faults.empty()) faults = job.faults();
-    return job;
+  if (const auto* timetable = fields.find("timetable")) {
+    Fields timed(*timetable, "/timetable", faults);
+    job.timetable.first = ClusterTime{spanOf(timed.whole("first_ms", true)).milliseconds};
+    if (job.timetable.first.milliseconds == 0)
+      faults.push_back({"/timetable/first_ms", "must be a calendar time above 0"});
+    job.timetable.every = spanOf(timed.whole("every_ms", false));
+    job.timetable.count = narrow(timed.whole("count", false, 1));
+  }
+  if (faults.empty())
+    faults = job.faults();
+  return job;
 }
 
-SyncReport parseReport(const picojson::value& root, const std::string& id, std::vector<ErrorDetail>& faults) {
-    SyncReport report;
-    report.id = WorkerId{id};
-    if (id.empty() || id.size() > 64) faults.push_back({"", "a worker's id holds 1 to 64 characters"});
-    Fields fields(root, "", faults);
-    report.incarnation = Incarnation{fields.number("incarnation", true)};
-    if (!report.incarnation.value) faults.push_back({"/incarnation", "must not be 0"});
-    report.capacity.cores = fields.thousandths("cores", true);
-    report.capacity.memory = fields.whole("memory_mb", true);
-    if (!report.capacity.cores || report.capacity.cores > 65'536'000) faults.push_back({"/cores", "must be from 0.001 to 65536"});
-    if (!report.capacity.memory || report.capacity.memory > 1'000'000'000) faults.push_back({"/memory_mb", "must be from 1 to 1000000000"});
-    report.capacity.zone = ZoneName{fields.words("zone")};
-    report.capacity.rack = fields.words("rack");
-    report.capacity.honoursLeases = fields.flag("honours_leases");
-    report.capacity.guardsRoom = fields.flag("guards_room");
-    report.capacity.accelerators = narrow(fields.whole("accelerators", false));
-    report.capacity.pool = fields.words("pool");
-    if (const auto* labels = fields.list("labels"))
-        for (const auto& label : *labels) {
-            if (label.is<std::string>()) report.capacity.labels.push_back(label.get<std::string>());
-            else faults.push_back({"/labels", "must hold strings"});
-        }
-    report.lastOrder = OrderNumber{fields.number("last_order", true)};
-    report.leaving = fields.flag("leaving");
-    report.leaveWithin = spanOf(fields.whole("leave_within_ms", false));
-    report.wait = spanOf(std::min<std::uint64_t>(fields.whole("wait_ms", false), 2000));
-    if (const auto* endings = fields.list("endings"))
-        for (std::size_t place = 0; place < endings->size() && place < 10'000; ++place) {
-            Fields ending((*endings)[place], "/endings/" + std::to_string(place), faults);
-            const auto attempt = ending.number("attempt", true);
-            const auto kind = endingKind(ending.words("kind", true));
-            if (!kind) faults.push_back({ending.path + "/kind", "is not a known kind of ending"});
-            else report.endings.push_back({AttemptNumber{attempt}, *kind});
-        }
-    return report;
+SyncReport parseReport(const picojson::value& root, const std::string& id,
+                       std::vector<ErrorDetail>& faults) {
+  SyncReport report;
+  report.id = WorkerId{id};
+  if (id.empty() || id.size() > 64)
+    faults.push_back({"", "a worker's id holds 1 to 64 characters"});
+  Fields fields(root, "", faults);
+  report.incarnation = Incarnation{fields.number("incarnation", true)};
+  if (!report.incarnation.value)
+    faults.push_back({"/incarnation", "must not be 0"});
+  report.capacity.cores = fields.thousandths("cores", true);
+  report.capacity.memory = fields.whole("memory_mb", true);
+  if (!report.capacity.cores || report.capacity.cores > 65'536'000)
+    faults.push_back({"/cores", "must be from 0.001 to 65536"});
+  if (!report.capacity.memory || report.capacity.memory > 1'000'000'000)
+    faults.push_back({"/memory_mb", "must be from 1 to 1000000000"});
+  report.capacity.zone = ZoneName{fields.words("zone")};
+  report.capacity.rack = fields.words("rack");
+  report.capacity.honoursLeases = fields.flag("honours_leases");
+  report.capacity.guardsRoom = fields.flag("guards_room");
+  report.capacity.accelerators = narrow(fields.whole("accelerators", false));
+  report.capacity.pool = fields.words("pool");
+  if (const auto* labels = fields.list("labels"))
+    for (const auto& label : *labels) {
+      if (label.is<std::string>())
+        report.capacity.labels.push_back(label.get<std::string>());
+      else
+        faults.push_back({"/labels", "must hold strings"});
+    }
+  report.lastOrder = OrderNumber{fields.number("last_order", true)};
+  report.leaving = fields.flag("leaving");
+  report.leaveWithin = spanOf(fields.whole("leave_within_ms", false));
+  report.wait = spanOf(std::min<std::uint64_t>(fields.whole("wait_ms", false), 2000));
+  if (const auto* endings = fields.list("endings"))
+    for (std::size_t place = 0; place < endings->size() && place < 10'000; ++place) {
+      Fields ending((*endings)[place], "/endings/" + std::to_string(place), faults);
+      const auto attempt = ending.number("attempt", true);
+      const auto kind = endingKind(ending.words("kind", true));
+      if (!kind)
+        faults.push_back({ending.path + "/kind", "is not a known kind of ending"});
+      else
+        report.endings.push_back({AttemptNumber{attempt}, *kind});
+    }
+  return report;
 }
 
 }  // namespace
 
-Result<ApiRequest> ApiRequest::parse(const std::string& method, const std::string& target, const std::string& body) {
-    auto fail = [](CoreError::Kind kind, std::string path, std::string text) { return CoreError::at(kind, std::move(path), std::move(text)); };
-    std::string path = target.substr(0, target.find('?'));
-    std::map<std::string, std::string> query;
-    if (path.size() < target.size()) {
-        std::istringstream stream(target.substr(path.size() + 1));
-        for (std::string pair; std::getline(stream, pair, '&');) query[pair.substr(0, pair.find('='))] = pair.find('=') == std::string::npos ? "" : pair.substr(pair.find('=') + 1);
-    }
-    std::vector<std::string> parts;
-    {
-        std::istringstream stream(path);
-        for (std::string part; std::getline(stream, part, '/');)
-            if (!part.empty()) parts.push_back(part);
-    }
-    const std::string noun = parts.size() > 1 && parts[0] == "v1" ? parts[1] : "";
-    const std::string id = parts.size() > 2 ? parts[2] : "";
-    const std::string verb = parts.size() > 3 ? parts[3] : "";
-    ApiRequest request;
-    request.id = id;
-    bool wantsBody = false;
-    const std::string shape = method + " " + noun + (id.empty() ? "" : "/*") + (verb.empty() ? "" : "/" + verb);
-    static const std::map<std::string, std::pair<RequestKind, bool>> shapes = {
-        {"POST jobs", {RequestKind::submitJob, true}},           {"DELETE jobs/*", {RequestKind::cancelJob, false}},
-        {"GET jobs/*", {RequestKind::showJob, false}},           {"GET jobs", {RequestKind::listJobs, false}},
-        {"PUT config", {RequestKind::applyConfig, true}},          {"GET config", {RequestKind::showConfig, false}},
-        {"POST workers/*/sync", {RequestKind::sync, true}},      {"POST workers/*/leave", {RequestKind::leave, false}},
-        {"POST workers/*/drain", {RequestKind::drain, false}},   {"POST workers/*/undrain", {RequestKind::undrain, false}},
-        {"POST workers/*/gone", {RequestKind::declareGone, false}}, {"GET workers", {RequestKind::listWorkers, false}},
-        {"GET cluster", {RequestKind::showCluster, false}},      {"GET plan", {RequestKind::showPlan, false}},
-        {"GET counters", {RequestKind::showCounters, false}},    {"POST controllers/*/replace", {RequestKind::replaceController, false}},
-        {"GET state", {RequestKind::exportState, false}},         {"GET jobs/*/phase", {RequestKind::showPhase, false}},
-    };
-    auto found = parts.size() <= 4 ? shapes.find(shape) : shapes.end();
-    if (found == shapes.end()) return fail(CoreError::Kind::missing, "", "there is no " + method + " " + path);
-    request.kind = found->second.first;
-    wantsBody = found->second.second;
-    if (query.count("state")) request.text = query["state"];
-    if (query.count("limit")) request.limit = std::min<std::uint64_t>(1000, std::strtoull(query["limit"].c_str(), nullptr, 10));
-    request.within = Duration{30'000};
-    if (query.count("within_ms")) request.within = Duration{std::min<std::int64_t>(86'400'000, std::max<std::int64_t>(0, std::strtoll(query["within_ms"].c_str(), nullptr, 10)))};
-    if (!wantsBody) return request;
-    if (nestedTooDeep(body)) return fail(CoreError::Kind::invalid, "", "the body is nested too deep");
-    picojson::value root;
-    std::string parseError;
-    auto end = picojson::parse(root, body.begin(), body.end(), &parseError);
-    if (parseError.empty() && std::any_of(end, body.end(), [](char letter) { return !std::isspace((unsigned char)letter); })) parseError = "more follows the value";
-    if (!parseError.empty()) return fail(CoreError::Kind::invalid, "", "the body is not JSON: " + parseError);
-    std::vector<ErrorDetail> faults;
-    if (request.kind == RequestKind::submitJob) request.job = parseJob(root, faults);
-    if (request.kind == RequestKind::sync) request.report = parseReport(root, id, faults);
-    if (request.kind == RequestKind::applyConfig) {
-        Fields fields(root, "", faults);
-        request.baseVersion = ConfigVersion{fields.whole("based_on", true)};
-        if (const auto* config = fields.find("config", true)) request.text = config->serialize();
-    }
-    if (!faults.empty()) return CoreError{CoreError::Kind::invalid, std::move(faults)};
+Result<ApiRequest> ApiRequest::parse(const std::string& method, const std::string& target,
+                                     const std::string& body) {
+  auto fail = [](CoreError::Kind kind, std::string path, std::string text) {
+    return CoreError::at(kind, std::move(path), std::move(text));
+  };
+  std::string path = target.substr(0, target.find('?'));
+  std::map<std::string, std::string> query;
+  if (path.size() < target.size()) {
+    std::istringstream stream(target.substr(path.size() + 1));
+    for (std::string pair; std::getline(stream, pair, '&');)
+      query[pair.substr(0, pair.find('='))] =
+          pair.find('=') == std::string::npos ? "" : pair.substr(pair.find('=') + 1);
+  }
+  std::vector<std::string> parts;
+  {
+    std::istringstream stream(path);
+    for (std::string part; std::getline(stream, part, '/');)
+      if (!part.empty())
+        parts.push_back(part);
+  }
+  const std::string noun = parts.size() > 1 && parts[0] == "v1" ? parts[1] : "";
+  const std::string id = parts.size() > 2 ? parts[2] : "";
+  const std::string verb = parts.size() > 3 ? parts[3] : "";
+  ApiRequest request;
+  request.id = id;
+  bool wantsBody = false;
+  const std::string shape =
+      method + " " + noun + (id.empty() ? "" : "/*") + (verb.empty() ? "" : "/" + verb);
+  static const std::map<std::string, std::pair<RequestKind, bool>> shapes = {
+      {"POST jobs", {RequestKind::submitJob, true}},
+      {"DELETE jobs/*", {RequestKind::cancelJob, false}},
+      {"GET jobs/*", {RequestKind::showJob, false}},
+      {"GET jobs", {RequestKind::listJobs, false}},
+      {"PUT config", {RequestKind::applyConfig, true}},
+      {"GET config", {RequestKind::showConfig, false}},
+      {"POST workers/*/sync", {RequestKind::sync, true}},
+      {"POST workers/*/leave", {RequestKind::leave, false}},
+      {"POST workers/*/drain", {RequestKind::drain, false}},
+      {"POST workers/*/undrain", {RequestKind::undrain, false}},
+      {"POST workers/*/gone", {RequestKind::declareGone, false}},
+      {"GET workers", {RequestKind::listWorkers, false}},
+      {"GET cluster", {RequestKind::showCluster, false}},
+      {"GET plan", {RequestKind::showPlan, false}},
+      {"GET counters", {RequestKind::showCounters, false}},
+      {"POST controllers/*/replace", {RequestKind::replaceController, false}},
+      {"GET state", {RequestKind::exportState, false}},
+      {"GET jobs/*/phase", {RequestKind::showPhase, false}},
+  };
+  auto found = parts.size() <= 4 ? shapes.find(shape) : shapes.end();
+  if (found == shapes.end())
+    return fail(CoreError::Kind::missing, "", "there is no " + method + " " + path);
+  request.kind = found->second.first;
+  wantsBody = found->second.second;
+  if (query.count("state"))
+    request.text = query["state"];
+  if (query.count("limit"))
+    request.limit =
+        std::min<std::uint64_t>(1000, std::strtoull(query["limit"].c_str(), nullptr, 10));
+  request.within = Duration{30'000};
+  if (query.count("within_ms"))
+    request.within = Duration{std::min<std::int64_t>(
+        86'400'000,
+        std::max<std::int64_t>(0, std::strtoll(query["within_ms"].c_str(), nullptr, 10)))};
+  if (!wantsBody)
     return request;
+  if (nestedTooDeep(body))
+    return fail(CoreError::Kind::invalid, "", "the body is nested too deep");
+  picojson::value root;
+  std::string parseError;
+  auto end = picojson::parse(root, body.begin(), body.end(), &parseError);
+  if (parseError.empty() && std::any_of(end, body.end(), [](char letter) {
+        return !std::isspace((unsigned char)letter);
+      }))
+    parseError = "more follows the value";
+  if (!parseError.empty())
+    return fail(CoreError::Kind::invalid, "", "the body is not JSON: " + parseError);
+  std::vector<ErrorDetail> faults;
+  if (request.kind == RequestKind::submitJob)
+    request.job = parseJob(root, faults);
+  if (request.kind == RequestKind::sync)
+    request.report = parseReport(root, id, faults);
+  if (request.kind == RequestKind::applyConfig) {
+    Fields fields(root, "", faults);
+    request.baseVersion = ConfigVersion{fields.whole("based_on", true)};
+    if (const auto* config = fields.find("config", true))
+      request.text = config->serialize();
+  }
+  if (!faults.empty())
+    return CoreError{CoreError::Kind::invalid, std::move(faults)};
+  return request;
 }
 
 std::string renderReport(const SyncReport& report) {
-    picojson::array endings;
-    for (const auto& ending : report.endings)
-        endings.push_back(json(picojson::object{{"attempt", json(std::to_string(ending.attempt.value))}, {"kind", json(name(ending.kind))}}));
-    picojson::object shown{{"incarnation", json(std::to_string(report.incarnation.value))},
-                                 {"cores", json(report.capacity.cores / 1000.0)},
-                                 {"memory_mb", json(report.capacity.memory)},
-                                 {"zone", json(report.capacity.zone.value)},
-                                 {"rack", json(report.capacity.rack)},
-                                 {"honours_leases", json(report.capacity.honoursLeases)},
-                                 {"guards_room", json(report.capacity.guardsRoom)},
-                                 {"last_order", json(std::to_string(report.lastOrder.value))},
-                                 {"leaving", json(report.leaving)},
-                                 {"leave_within_ms", json(report.leaveWithin.milliseconds)},
-                                 {"wait_ms", json(report.wait.milliseconds)},
-                                 {"endings", json(endings)}};
-    if (report.capacity.accelerators) shown["accelerators"] = json(report.capacity.accelerators);
-    if (!report.capacity.pool.empty()) shown["pool"] = json(report.capacity.pool);
-    if (!report.capacity.labels.empty()) {
-        picojson::array labels;
-        for (const auto& label : report.capacity.labels) labels.push_back(json(label));
-        shown["labels"] = json(labels);
-    }
-    return json(shown).serialize();
+  picojson::array endings;
+  for (const auto& ending : report.endings)
+    endings.push_back(json(picojson::object{{"attempt", json(std::to_string(ending.attempt.value))},
+                                            {"kind", json(name(ending.kind))}}));
+  picojson::object shown{{"incarnation", json(std::to_string(report.incarnation.value))},
+                         {"cores", json(report.capacity.cores / 1000.0)},
+                         {"memory_mb", json(report.capacity.memory)},
+                         {"zone", json(report.capacity.zone.value)},
+                         {"rack", json(report.capacity.rack)},
+                         {"honours_leases", json(report.capacity.honoursLeases)},
+                         {"guards_room", json(report.capacity.guardsRoom)},
+                         {"last_order", json(std::to_string(report.lastOrder.value))},
+                         {"leaving", json(report.leaving)},
+                         {"leave_within_ms", json(report.leaveWithin.milliseconds)},
+                         {"wait_ms", json(report.wait.milliseconds)},
+                         {"endings", json(endings)}};
+  if (report.capacity.accelerators)
+    shown["accelerators"] = json(report.capacity.accelerators);
+  if (!report.capacity.pool.empty())
+    shown["pool"] = json(report.capacity.pool);
+  if (!report.capacity.labels.empty()) {
+    picojson::array labels;
+    for (const auto& label : report.capacity.labels)
+      labels.push_back(json(label));
+    shown["labels"] = json(labels);
+  }
+  return json(shown).serialize();
 }
 
 std::string renderJob(const JobSubmission& job) {
-    picojson::array steps;
-    for (const auto& step : job.steps) {
-        picojson::array tasks, after;
-        for (const auto& before : step.after) after.push_back(json(before));
-        for (const auto& task : step.tasks) {
-            picojson::object shown{{"cores", json(task.cores / 1000.0)}, {"memory_mb", json(task.memory)}, {"runtime_ms", json(task.runtime.milliseconds)}};
-            if (!task.payload.empty()) shown["payload"] = json(task.payload);
-            if (task.accelerators) shown["accelerators"] = json(task.accelerators);
-            tasks.push_back(json(shown));
-        }
-        picojson::object shownStep{{"name", json(step.name)}, {"gang", json(step.gang)}, {"after", json(after)}, {"tasks", json(tasks)}};
-        if (!step.needs.label.empty()) shownStep["label"] = json(step.needs.label);
-        if (!step.needs.near.empty()) shownStep["near"] = json(step.needs.near);
-        if (step.needs.apart) shownStep["apart"] = json(step.needs.apart);
-        for (const auto& [field, flag] : {std::pair{"same_rack", step.needs.sameRack}, {"redundant", step.needs.redundant}, {"lasts", step.needs.lasts}, {"saves", step.needs.saves}})
-            if (flag) shownStep[field] = json(flag);
-        steps.push_back(json(shownStep));
+  picojson::array steps;
+  for (const auto& step : job.steps) {
+    picojson::array tasks, after;
+    for (const auto& before : step.after)
+      after.push_back(json(before));
+    for (const auto& task : step.tasks) {
+      picojson::object shown{{"cores", json(task.cores / 1000.0)},
+                             {"memory_mb", json(task.memory)},
+                             {"runtime_ms", json(task.runtime.milliseconds)}};
+      if (!task.payload.empty())
+        shown["payload"] = json(task.payload);
+      if (task.accelerators)
+        shown["accelerators"] = json(task.accelerators);
+      tasks.push_back(json(shown));
     }
-    picojson::object shown{{"id", json(job.id.value)}, {"queue", json(job.queue.value)}, {"steps", json(steps)}};
-    if (!job.payload.empty()) shown["payload"] = json(job.payload);
-    if (job.timed())
-        shown["timetable"] = json(picojson::object{{"first_ms", json(job.timetable.first.milliseconds)},
-                                                   {"every_ms", json(job.timetable.every.milliseconds)},
-                                                   {"count", json(job.timetable.count)}});
-    return json(shown).serialize();
+    picojson::object shownStep{{"name", json(step.name)},
+                               {"gang", json(step.gang)},
+                               {"after", json(after)},
+                               {"tasks", json(tasks)}};
+    if (!step.needs.label.empty())
+      shownStep["label"] = json(step.needs.label);
+    if (!step.needs.near.empty())
+      shownStep["near"] = json(step.needs.near);
+    if (step.needs.apart)
+      shownStep["apart"] = json(step.needs.apart);
+    for (const auto& [field, flag] : {std::pair{"same_rack", step.needs.sameRack},
+                                      {"redundant", step.needs.redundant},
+                                      {"lasts", step.needs.lasts},
+                                      {"saves", step.needs.saves}})
+      if (flag)
+        shownStep[field] = json(flag);
+    steps.push_back(json(shownStep));
+  }
+  picojson::object shown{
+      {"id", json(job.id.value)}, {"queue", json(job.queue.value)}, {"steps", json(steps)}};
+  if (!job.payload.empty())
+    shown["payload"] = json(job.payload);
+  if (job.timed())
+    shown["timetable"] = json(picojson::object{{"first_ms", json(job.timetable.first.milliseconds)},
+                                               {"every_ms", json(job.timetable.every.milliseconds)},
+                                               {"count", json(job.timetable.count)}});
+  return json(shown).serialize();
 }
 
 picojson::object SyncResponse::render() const {
-    picojson::array listed, ended, known;
-    for (const auto& order : orders) {
-        picojson::object shown{{"number", json(std::to_string(order.number.value))},
-                               {"kind", json(name(order.kind))},
-                               {"attempt", json(std::to_string(order.attempt.value))}};
-        if (order.kind == OrderKind::start || order.kind == OrderKind::stage) {
-            shown["job"] = json(order.job.value);
-            shown["task"] = json(order.task);
-            shown["cores"] = json(order.cores / 1000.0);
-            shown["memory_mb"] = json(order.memory);
-            shown["runtime_ms"] = json(order.runtime.milliseconds);
-            if (order.quantum.milliseconds) shown["quantum_ms"] = json(order.quantum.milliseconds);
-            if (!order.payload.empty()) shown["payload"] = json(order.payload);
-        }
-        listed.push_back(json(shown));
+  picojson::array listed, ended, known;
+  for (const auto& order : orders) {
+    picojson::object shown{{"number", json(std::to_string(order.number.value))},
+                           {"kind", json(name(order.kind))},
+                           {"attempt", json(std::to_string(order.attempt.value))}};
+    if (order.kind == OrderKind::start || order.kind == OrderKind::stage) {
+      shown["job"] = json(order.job.value);
+      shown["task"] = json(order.task);
+      shown["cores"] = json(order.cores / 1000.0);
+      shown["memory_mb"] = json(order.memory);
+      shown["runtime_ms"] = json(order.runtime.milliseconds);
+      if (order.quantum.milliseconds)
+        shown["quantum_ms"] = json(order.quantum.milliseconds);
+      if (!order.payload.empty())
+        shown["payload"] = json(order.payload);
     }
-    for (const auto& attempt : confirmed) ended.push_back(json(std::to_string(attempt.value)));
-    for (const auto& address : gateways) known.push_back(json(address.value));
-    return {{"term", json(std::to_string(term.value))}, {"orders", json(listed)}, {"confirmed", json(ended)},
-            {"lease_ms", json(lease.milliseconds)}, {"gateways", json(known)}};
+    listed.push_back(json(shown));
+  }
+  for (const auto& attempt : confirmed)
+    ended.push_back(json(std::to_string(attempt.value)));
+  for (const auto& address : gateways)
+    known.push_back(json(address.value));
+  return {{"term", json(std::to_string(term.value))},
+          {"orders", json(listed)},
+          {"confirmed", json(ended)},
+          {"lease_ms", json(lease.milliseconds)},
+          {"gateways", json(known)}};
 }
 
 Result<SyncResponse> SyncResponse::parse(const std::string& body) {
-    if (nestedTooDeep(body)) return CoreError::at(CoreError::Kind::invalid, "", "the answer is nested too deep");
-    picojson::value root;
-    const std::string parseError = picojson::parse(root, body);
-    if (!parseError.empty()) return CoreError::at(CoreError::Kind::invalid, "", "the answer is not JSON: " + parseError);
-    std::vector<ErrorDetail> faults;
-    SyncResponse answer;
-    {
-        Fields fields(root, "", faults);
-        answer.term = Term{fields.number("term", true)};
-        answer.lease = spanOf(fields.whole("lease_ms", true));
-        if (const auto* orders = fields.list("orders", true))
-            for (std::size_t place = 0; place < orders->size(); ++place) {
-                Fields shown((*orders)[place], "/orders/" + std::to_string(place), faults);
-                Order order;
-                order.number = OrderNumber{shown.number("number", true)};
-                const auto kind = orderKind(shown.words("kind", true));
-                if (!kind) faults.push_back({shown.path + "/kind", "is not a known kind of order"});
-                else order.kind = *kind;
-                order.attempt = AttemptNumber{shown.number("attempt", true)};
-                order.job = JobId{shown.words("job")};
-                order.task = narrow(shown.whole("task", false));
-                order.cores = shown.thousandths("cores", false);
-                order.memory = shown.whole("memory_mb", false);
-                order.runtime = spanOf(shown.whole("runtime_ms", false));
-                order.quantum = spanOf(shown.whole("quantum_ms", false));
-                order.payload = shown.words("payload");
-                answer.orders.push_back(std::move(order));
-            }
-        if (const auto* confirmed = fields.list("confirmed", true))
-            for (const auto& attempt : *confirmed)
-                if (attempt.is<std::string>()) answer.confirmed.push_back(AttemptNumber{std::strtoull(attempt.get<std::string>().c_str(), nullptr, 10)});
-        if (const auto* gateways = fields.list("gateways"))
-            for (const auto& address : *gateways)
-                if (address.is<std::string>()) answer.gateways.push_back(Address{address.get<std::string>()});
-    }
-    if (!faults.empty()) return CoreError{CoreError::Kind::invalid, std::move(faults)};
-    return answer;
+  if (nestedTooDeep(body))
+    return CoreError::at(CoreError::Kind::invalid, "", "the answer is nested too deep");
+  picojson::value root;
+  const std::string parseError = picojson::parse(root, body);
+  if (!parseError.empty())
+    return CoreError::at(CoreError::Kind::invalid, "", "the answer is not JSON: " + parseError);
+  std::vector<ErrorDetail> faults;
+  SyncResponse answer;
+  {
+    Fields fields(root, "", faults);
+    answer.term = Term{fields.number("term", true)};
+    answer.lease = spanOf(fields.whole("lease_ms", true));
+    if (const auto* orders = fields.list("orders", true))
+      for (std::size_t place = 0; place < orders->size(); ++place) {
+        Fields shown((*orders)[place], "/orders/" + std::to_string(place), faults);
+        Order order;
+        order.number = OrderNumber{shown.number("number", true)};
+        const auto kind = orderKind(shown.words("kind", true));
+        if (!kind)
+          faults.push_back({shown.path + "/kind", "is not a known kind of order"});
+        else
+          order.kind = *kind;
+        order.attempt = AttemptNumber{shown.number("attempt", true)};
+        order.job = JobId{shown.words("job")};
+        order.task = narrow(shown.whole("task", false));
+        order.cores = shown.thousandths("cores", false);
+        order.memory = shown.whole("memory_mb", false);
+        order.runtime = spanOf(shown.whole("runtime_ms", false));
+        order.quantum = spanOf(shown.whole("quantum_ms", false));
+        order.payload = shown.words("payload");
+        answer.orders.push_back(std::move(order));
+      }
+    if (const auto* confirmed = fields.list("confirmed", true))
+      for (const auto& attempt : *confirmed)
+        if (attempt.is<std::string>())
+          answer.confirmed.push_back(
+              AttemptNumber{std::strtoull(attempt.get<std::string>().c_str(), nullptr, 10)});
+    if (const auto* gateways = fields.list("gateways"))
+      for (const auto& address : *gateways)
+        if (address.is<std::string>())
+          answer.gateways.push_back(Address{address.get<std::string>()});
+  }
+  if (!faults.empty())
+    return CoreError{CoreError::Kind::invalid, std::move(faults)};
+  return answer;
 }
 
 }  // namespace aniseline
-
-#ifdef ANISELINE_TESTS
-#include <CppUTest/TestHarness.h>
-using namespace aniseline;
-
-TEST_GROUP(ExchangeTests){};
-
-TEST(ExchangeTests, badBodiesAreNamedAndNothingElse) {
-    struct Case { const char* method; const char* target; const char* body; const char* part; };
-    const Case cases[] = {
-        {"POST", "/v1/jobs", "{", "not JSON"},
-        {"POST", "/v1/jobs", "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[", "nested too deep"},
-        {"POST", "/v1/jobs", "[]", "must be an object"},
-        {"POST", "/v1/jobs", R"({"id":"a","queue":"q","steps":[{"tasks":[{"cores":0,"memory_mb":1,"runtime_ms":1}]}]})", "/steps/0/tasks/0/cores"},
-        {"POST", "/v1/jobs", R"({"id":"a","queue":"q","colour":1,"steps":[{"tasks":[{"cores":1,"memory_mb":1,"runtime_ms":1}]}]})", "/colour"},
-        {"POST", "/v1/jobs", R"({"id":"a","queue":"q","steps":[{"tasks":[{"cores":1e99,"memory_mb":1,"runtime_ms":1}]}]})", "/steps/0/tasks/0/cores"},
-        {"POST", "/v1/jobs", R"({"id":"a","queue":"q","steps":[{"tasks":[{"count":1000000,"cores":1,"memory_mb":1,"runtime_ms":1}]}]})", "/count"},
-        {"POST", "/v1/workers/m/sync", R"({"incarnation":"99999999999999999999","cores":1,"memory_mb":1,"last_order":"0"})", "/incarnation"},
-        {"PUT", "/v1/config", R"({"config":{}})", "/based_on"},
-        {"PATCH", "/v1/jobs", "", "there is no"},
-        {"GET", "/v1/jobs/a/b/c", "", "there is no"},
-    };
-    for (const auto& bad : cases) {
-        auto parsed = ApiRequest::parse(bad.method, bad.target, bad.body);
-        CHECK_TEXT(!parsed.has_value(), bad.body);
-        CHECK_TEXT(parsed.error().text().find(bad.part) != std::string::npos, parsed.error().text().c_str());
-    }
-}
-
-TEST(ExchangeTests, aFloodOfOtherWorkLeavesRoomForUrgent) {
-    RouteView view;
-    view.urgent = {QueueName{"proofs"}};
-    ApiRequest plain, urgent, sync;
-    plain.kind = urgent.kind = RequestKind::submitJob;
-    plain.job.queue = QueueName{"plates"};
-    urgent.job.queue = QueueName{"proofs"};
-    sync.kind = RequestKind::sync;
-    CHECK(view.hasRoomFor(plain, 79, 100));
-    CHECK(!view.hasRoomFor(plain, 80, 100));
-    CHECK(view.hasRoomFor(urgent, 99, 100));
-    CHECK(!view.hasRoomFor(urgent, 100, 100));
-    CHECK(view.hasRoomFor(sync, 1000, 100));
-}
-
-TEST(ExchangeTests, aJobSurvivesItsOwnRendering) {
-    auto parsed = ApiRequest::parse("POST", "/v1/jobs", R"({"id":"a","queue":"q","steps":[{"name":"x","gang":true,"tasks":[{"count":3,"cores":2,"memory_mb":5,"runtime_ms":7,"payload":"p"}]}]})");
-    CHECK(parsed.has_value());
-    auto again = ApiRequest::parse("POST", "/v1/jobs", renderJob(parsed.value().job));
-    CHECK(again.has_value());
-    LONGS_EQUAL(parsed.value().job.digest(), again.value().job.digest());
-}
-#endif
