--- a/tests/planner_reference_tests.cpp
+++ b/tests/planner_reference_tests.cpp
@@ -1,5 +1,6 @@
-// The planner plans what the plain one under tests/reference plans, whatever the cluster state: cluster states made by random events, every field
-// of every plan compared. ANISELINE_PLANNER_STATES asks for more of them than a common run takes.
+// The planner plans what the plain one under tests/reference plans, whatever the cluster state:
+// cluster states made by random events, every field of every plan compared.
+// ANISELINE_PLANNER_STATES asks for more of them than a common run takes.
 #include "scheduling/planner.hpp"
 #include "reference/planner.hpp"
 #include <CppUTest/TestHarness.h>
@@ -10,246 +11,319 @@
 
 template <class SomePlan>
 std::string textOf(const SomePlan& plan) {
-    std::ostringstream text;
-    text.precision(17);
-    text << "number " << plan.made.number.value << " waiting " << plan.waiting << " usable " << plan.usable << " passed over " << plan.passedOver << " copies " << plan.copies
-         << " cores " << plan.cores << "/" << plan.coresUsed << " standings " << plan.standings[0] << "," << plan.standings[1] << "," << plan.standings[2] << "\n";
-    for (const auto& action : plan.made.actions)
-        text << "action " << int(action.kind) << " attempt " << action.attempt.value << " job " << action.job.value << " task " << action.task << " on " << action.worker.value << " trial "
-             << action.trial << " quantum " << action.quantum.milliseconds << " memory " << action.memory << " held for " << action.heldFor.value << " run " << action.run << " twin "
-             << action.twin << " " << action.reason << "\n";
-    const auto& reservation = plan.made.reservation;
-    text << "reservation " << reservation.job.value << " " << reservation.step << " at " << reservation.start.milliseconds << " moved " << reservation.moved;
-    for (const auto& placement : reservation.placements) text << " " << placement.task << " on " << placement.worker.value;
-    text << "\n";
-    for (const auto& [pool, cores] : plan.urgentDemand) text << "urgent '" << pool << "' " << cores << "\n";
-    for (const auto& reason : plan.reasons) text << "reason " << reason.job.value << " " << reason.step << " " << reason.priority << " " << reason.text << "\n";
-    return text.str();
+  std::ostringstream text;
+  text.precision(17);
+  text << "number " << plan.made.number.value << " waiting " << plan.waiting << " usable "
+       << plan.usable << " passed over " << plan.passedOver << " copies " << plan.copies
+       << " cores " << plan.cores << "/" << plan.coresUsed << " standings " << plan.standings[0]
+       << "," << plan.standings[1] << "," << plan.standings[2] << "\n";
+  for (const auto& action : plan.made.actions)
+    text << "action " << int(action.kind) << " attempt " << action.attempt.value << " job "
+         << action.job.value << " task " << action.task << " on " << action.worker.value
+         << " trial " << action.trial << " quantum " << action.quantum.milliseconds << " memory "
+         << action.memory << " held for " << action.heldFor.value << " run " << action.run
+         << " twin " << action.twin << " " << action.reason << "\n";
+  const auto& reservation = plan.made.reservation;
+  text << "reservation " << reservation.job.value << " " << reservation.step << " at "
+       << reservation.start.milliseconds << " moved " << reservation.moved;
+  for (const auto& placement : reservation.placements)
+    text << " " << placement.task << " on " << placement.worker.value;
+  text << "\n";
+  for (const auto& [pool, cores] : plan.urgentDemand)
+    text << "urgent '" << pool << "' " << cores << "\n";
+  for (const auto& reason : plan.reasons)
+    text << "reason " << reason.job.value << " " << reason.step << " " << reason.priority << " "
+         << reason.text << "\n";
+  return text.str();
 }
 
 // What the plans of a run did in all, so that the comparison can't come to be of nothing.
 struct Seen {
-    std::map<std::string, std::size_t> counts;
-    void note(const Plan& plan, const Reservation& before) {
-        static const char* const names[] = {"start", "stage", "go", "hold", "stop"};
-        std::set<std::tuple<std::string, std::uint32_t>> parts;
-        for (const auto& action : plan.made.actions) {
-            ++counts[names[int(action.kind)]];
-            if (action.trial) ++counts["trial"];
-            if (action.twin) ++counts["twin"];
-            if (!action.reason.empty()) ++counts[action.reason];
-            if (action.run) ++counts["assembling"];
-        }
-        if (plan.made.reservation.placements.size() == 1) ++counts["reservation"];
-        if (plan.made.reservation.placements.size() > 1) ++counts["reservation of a gang"];
-        if (plan.made.reservation.moved > before.moved) ++counts["moved"];
-        if (plan.passedOver) ++counts["passed over"];
-        for (std::size_t standing = 1; standing < 3; ++standing)
-            if (plan.standings[standing]) ++counts["standing " + std::to_string(standing)];
-        for (const auto& reason : plan.reasons) ++counts[reason.text.starts_with("holds") ? "holds" : reason.text];
+  std::map<std::string, std::size_t> counts;
+  void note(const Plan& plan, const Reservation& before) {
+    static const char* const names[] = {"start", "stage", "go", "hold", "stop"};
+    std::set<std::tuple<std::string, std::uint32_t>> parts;
+    for (const auto& action : plan.made.actions) {
+      ++counts[names[int(action.kind)]];
+      if (action.trial)
+        ++counts["trial"];
+      if (action.twin)
+        ++counts["twin"];
+      if (!action.reason.empty())
+        ++counts[action.reason];
+      if (action.run)
+        ++counts["assembling"];
     }
+    if (plan.made.reservation.placements.size() == 1)
+      ++counts["reservation"];
+    if (plan.made.reservation.placements.size() > 1)
+      ++counts["reservation of a gang"];
+    if (plan.made.reservation.moved > before.moved)
+      ++counts["moved"];
+    if (plan.passedOver)
+      ++counts["passed over"];
+    for (std::size_t standing = 1; standing < 3; ++standing)
+      if (plan.standings[standing])
+        ++counts["standing " + std::to_string(standing)];
+    for (const auto& reason : plan.reasons)
+      ++counts[reason.text.starts_with("holds") ? "holds" : reason.text];
+  }
 };
 
 class RandomWorld {
-public:
-    RandomWorld(std::uint64_t seed, Seen& seen) : random(seed), seed(seed), seen(seen) {
-        small = random.chance(0.3);  // few workers and much work: all is full
-        takeConfig();
-        for (auto count = small ? random.between(1, 4) : random.between(3, 14); count > 0; --count) newWorker();
-    }
-    void round() {
-        now += std::int64_t(random.chance(0.3) ? random.between(1000, 8000) : random.between(1, 900));
-        for (auto count = random.chance(0.1) ? random.between(5, 20) : random.between(0, 3); count > 0; --count) submit();
-        if (random.chance(0.03)) takeConfig();
-        if (random.chance(0.25)) disturbWorker();
-        if (random.chance(0.1)) disturbJob();
-        drawHints();
-        for (int plans = random.chance(0.2) ? 2 : 1; plans > 0; --plans) {
-            compare();
-            now += random.between(0, 50);
-        }
-        for (const auto& [id, worker] : std::map<WorkerId, Worker>(clusterState.workers))
-            if (worker.state != WorkerState::gone && !random.chance(0.15)) sync(worker);
+ public:
+  RandomWorld(std::uint64_t seed, Seen& seen) : random(seed), seed(seed), seen(seen) {
+    small = random.chance(0.3);  // few workers and much work: all is full
+    takeConfig();
+    for (auto count = small ? random.between(1, 4) : random.between(3, 14); count > 0; --count)
+      newWorker();
+  }
+  void round() {
+    now += std::int64_t(random.chance(0.3) ? random.between(1000, 8000) : random.between(1, 900));
+    for (auto count = random.chance(0.1) ? random.between(5, 20) : random.between(0, 3); count > 0;
+         --count)
+      submit();
+    if (random.chance(0.03))
+      takeConfig();
+    if (random.chance(0.25))
+      disturbWorker();
+    if (random.chance(0.1))
+      disturbJob();
+    drawHints();
+    for (int plans = random.chance(0.2) ? 2 : 1; plans > 0; --plans) {
+      compare();
+      now += random.between(0, 50);
     }
+    for (const auto& [id, worker] : std::map<WorkerId, Worker>(clusterState.workers))
+      if (worker.state != WorkerState::gone && !random.chance(0.15))
+        sync(worker);
+  }
 
-private:
-    Random random;
-    std::uint64_t seed;
-    Seen& seen;
-    bool small = false;
-    ClusterState clusterState;
-    Planner planner;
-    reference::Planner plain;
-    Silence silence;
-    Hints hints;
-    std::int64_t now = 1000, lastWorker = 0, lastJob = 0, rounds = 0;
-    std::uint64_t version = 0;
+ private:
+  Random random;
+  std::uint64_t seed;
+  Seen& seen;
+  bool small = false;
+  ClusterState clusterState;
+  Planner planner;
+  reference::Planner plain;
+  Silence silence;
+  Hints hints;
+  std::int64_t now = 1000, lastWorker = 0, lastJob = 0, rounds = 0;
+  std::uint64_t version = 0;
 
-    void apply(Event event) { clusterState.apply(LogRecord{ClusterTime{now}, std::move(event)}); }
-    template <class Value>
-    Value oneOf(std::initializer_list<Value> values) {
-        return *(values.begin() + random.between(0, std::int64_t(values.size()) - 1));
-    }
-    std::string pool() { return oneOf<std::string>({"", "", "press", "store"}); }
-    std::string rack() { return oneOf<std::string>({"", "A", "B", "C"}); }
+  void apply(Event event) { clusterState.apply(LogRecord{ClusterTime{now}, std::move(event)}); }
+  template <class Value>
+  Value oneOf(std::initializer_list<Value> values) {
+    return *(values.begin() + random.between(0, std::int64_t(values.size()) - 1));
+  }
+  std::string pool() { return oneOf<std::string>({"", "", "press", "store"}); }
+  std::string rack() { return oneOf<std::string>({"", "A", "B", "C"}); }
 
-    void takeConfig() {
-        const char* const flags[] = {"false", "true"};
-        std::ostringstream text;
-        text << R"({"pools":{"press":{},"store":{}},"policies":{"equal":{"rank":"1","may_hold":"slowdown < 4"},"wide":{"rank":"cores + 0.001 * memory","may_hold":"running > 0.001"},)"
-             << R"("urgent":{"rank":"urgency * 10 + expansion"}},"planner":{"trials":)" << flags[random.chance(0.6)] << R"(,"urgency_first":)" << flags[random.chance(0.5)]
-             << R"(,"far":)" << oneOf({1.0, 1.5, 4.0}) << R"(,"trial_room_mb":)" << oneOf({0, 0, 500, 3000}) << "},\"queues\":{";
-        for (int queue = 0; queue < 4; ++queue) {
-            text << (queue ? "," : "") << "\"q" << queue << R"(":{"urgency":)" << random.between(-1, 2) << (random.chance(0.5) ? R"(,"tries":)" : R"(,"retries":)") << random.between(1, 6)
-                 << R"(,"hard_limit_ms":)" << oneOf({0, 0, 6000}) << R"(,"target_ms":)" << oneOf({0, 800, 4000}) << R"(,"extend":)" << oneOf({0.5, 1.0, 2.5}) << R"(,"policy":")"
-                 << oneOf<std::string>({"default", "default", "equal", "wide", "urgent"}) << R"(","trial":{"quantum_ms":)" << oneOf({200, 1000, 3000}) << R"(,"memory_mb":)"
-                 << oneOf({100, 1024}) << R"(,"minimum_run_ms":)" << oneOf({0, 500, 4000}) << "}";
-            if (const auto named = pool(); !named.empty()) text << R"(,"pool":")" << named << "\"";
-            text << "}";
-        }
-        text << "}}";
-        auto config = ClusterConfig::parse(text.str());
-        CHECK_TEXT(config.has_value(), config ? "" : config.error().text().c_str());
-        config.value().version = ConfigVersion{++version};
-        apply(ConfigCommitted{config.value()});
-    }
-    Capacity drawCapacity() {
-        Capacity capacity;
-        capacity.cores = std::uint32_t(random.between(1, 12) * 1000);
-        capacity.memory = std::uint64_t(random.between(4, 60) * 100);
-        capacity.rack = rack();
-        capacity.pool = pool();
-        capacity.accelerators = std::uint32_t(random.chance(0.3) ? random.between(1, 3) : 0);
-        for (const char* label : {"colour", "foil"})
-            if (random.chance(0.4)) capacity.labels.push_back(label);
-        if (!capacity.rack.empty()) capacity.labels.push_back(capacity.rack);
-        capacity.honoursLeases = random.chance(0.7);
-        capacity.pauses = random.chance(0.6);
-        capacity.lapses = random.chance(0.3);
-        capacity.assembles = random.chance(0.6);
-        return capacity;
-    }
-    void newWorker() {
-        const WorkerId id{"m" + std::to_string((lastWorker++ * 7) % 23)};
-        apply(WorkerRegistered{id, Incarnation{std::uint64_t(lastWorker)}, drawCapacity()});
-        silence[id] = Duration{0};
-    }
-    const Worker* someWorker() {
-        auto found = clusterState.workers.begin();
-        std::advance(found, random.between(0, std::int64_t(clusterState.workers.size()) - 1));
-        return &found->second;
+  void takeConfig() {
+    const char* const flags[] = {"false", "true"};
+    std::ostringstream text;
+    text
+        << R"({"pools":{"press":{},"store":{}},"policies":{"equal":{"rank":"1","may_hold":"slowdown < 4"},"wide":{"rank":"cores + 0.001 * memory","may_hold":"running > 0.001"},)"
+        << R"("urgent":{"rank":"urgency * 10 + expansion"}},"planner":{"trials":)"
+        << flags[random.chance(0.6)] << R"(,"urgency_first":)" << flags[random.chance(0.5)]
+        << R"(,"far":)" << oneOf({1.0, 1.5, 4.0}) << R"(,"trial_room_mb":)"
+        << oneOf({0, 0, 500, 3000}) << "},\"queues\":{";
+    for (int queue = 0; queue < 4; ++queue) {
+      text << (queue ? "," : "") << "\"q" << queue << R"(":{"urgency":)" << random.between(-1, 2)
+           << (random.chance(0.5) ? R"(,"tries":)" : R"(,"retries":)") << random.between(1, 6)
+           << R"(,"hard_limit_ms":)" << oneOf({0, 0, 6000}) << R"(,"target_ms":)"
+           << oneOf({0, 800, 4000}) << R"(,"extend":)" << oneOf({0.5, 1.0, 2.5}) << R"(,"policy":")"
+           << oneOf<std::string>({"default", "default", "equal", "wide", "urgent"})
+           << R"(","trial":{"quantum_ms":)" << oneOf({200, 1000, 3000}) << R"(,"memory_mb":)"
+           << oneOf({100, 1024}) << R"(,"minimum_run_ms":)" << oneOf({0, 500, 4000}) << "}";
+      if (const auto named = pool(); !named.empty())
+        text << R"(,"pool":")" << named << "\"";
+      text << "}";
     }
-    void disturbWorker() {
-        const Worker worker = *someWorker();
-        const auto what = random.between(0, 8);
-        if (what <= 1) newWorker();
-        else if (what == 2) apply(WorkerLeaves{worker.id, Duration{random.between(0, 3000)}, random.chance(0.5)});
-        else if (what == 3) apply(WorkerLeaveOver{worker.id});
-        else if (what == 4) apply(WorkerGone{worker.id, "test"});
-        else if (what == 5) {
-            WorkerSilent silent{worker.id, {}};
-            for (auto number : clusterState.attemptsOn(worker.id))
-                if (random.chance(0.7)) silent.givenUp.push_back(number);
-            apply(silent);
-        } else if (what == 6) silence[worker.id] = Duration{random.between(0, 4000)};
-        else if (what == 7 && random.chance(0.5)) silence.erase(worker.id);
-        else if (worker.state != WorkerState::gone) {
-            apply(WorkerRegistered{worker.id, worker.incarnation, drawCapacity()});
-            apply(WorkerReturned{worker.id});
-            silence[worker.id] = Duration{0};
-        }
+    text << "}}";
+    auto config = ClusterConfig::parse(text.str());
+    CHECK_TEXT(config.has_value(), config ? "" : config.error().text().c_str());
+    config.value().version = ConfigVersion{++version};
+    apply(ConfigCommitted{config.value()});
+  }
+  Capacity drawCapacity() {
+    Capacity capacity;
+    capacity.cores = std::uint32_t(random.between(1, 12) * 1000);
+    capacity.memory = std::uint64_t(random.between(4, 60) * 100);
+    capacity.rack = rack();
+    capacity.pool = pool();
+    capacity.accelerators = std::uint32_t(random.chance(0.3) ? random.between(1, 3) : 0);
+    for (const char* label : {"colour", "foil"})
+      if (random.chance(0.4))
+        capacity.labels.push_back(label);
+    if (!capacity.rack.empty())
+      capacity.labels.push_back(capacity.rack);
+    capacity.honoursLeases = random.chance(0.7);
+    capacity.pauses = random.chance(0.6);
+    capacity.lapses = random.chance(0.3);
+    capacity.assembles = random.chance(0.6);
+    return capacity;
+  }
+  void newWorker() {
+    const WorkerId id{"m" + std::to_string((lastWorker++ * 7) % 23)};
+    apply(WorkerRegistered{id, Incarnation{std::uint64_t(lastWorker)}, drawCapacity()});
+    silence[id] = Duration{0};
+  }
+  const Worker* someWorker() {
+    auto found = clusterState.workers.begin();
+    std::advance(found, random.between(0, std::int64_t(clusterState.workers.size()) - 1));
+    return &found->second;
+  }
+  void disturbWorker() {
+    const Worker worker = *someWorker();
+    const auto what = random.between(0, 8);
+    if (what <= 1)
+      newWorker();
+    else if (what == 2)
+      apply(WorkerLeaves{worker.id, Duration{random.between(0, 3000)}, random.chance(0.5)});
+    else if (what == 3)
+      apply(WorkerLeaveOver{worker.id});
+    else if (what == 4)
+      apply(WorkerGone{worker.id, "test"});
+    else if (what == 5) {
+      WorkerSilent silent{worker.id, {}};
+      for (auto number : clusterState.attemptsOn(worker.id))
         if (random.chance(0.7))
-            for (const auto& [id, other] : clusterState.workers)
-                if (other.state != WorkerState::gone && random.chance(0.6)) {
-                    apply(WorkerReturned{id});
-                    silence[id] = Duration{0};
-                }
-    }
-    void disturbJob() {
-        if (clusterState.jobs.empty()) return;
-        auto found = clusterState.jobs.begin();
-        std::advance(found, random.between(0, std::int64_t(clusterState.jobs.size()) - 1));
-        const JobId id = found->first;
-        if (found->second.over()) {
-            const auto open = clusterState.attemptsOf(id, false);  // one that was given up may outlive its job
-            if (open.empty()) apply(random.chance(0.5) ? JobsExpired{{id}, {}, {}} : JobsExpired{{}, {id}, {}});
-        } else if (found->second.state == JobState::timed) apply(OccurrenceFired{id});
-        else if (random.chance(0.5)) apply(JobCancelled{id});
-    }
-    void drawHints() {
-        if (random.chance(0.3)) {
-            hints = Hints{};
-            for (const auto& [id, worker] : clusterState.workers)
-                if (random.chance(0.8)) hints.paces[id] = double(random.chance(0.2) ? random.between(15, 40) : random.between(8, 14)) / 10;
-            for (const char* named : {"", "press", "store"})
-                if (random.chance(0.5)) hints.urgentDemand[named] = random.between(0, 20'000);
-        }
-    }
-    TaskRequest drawTask() {
-        TaskRequest task;
-        task.cores = std::uint32_t(random.chance(0.3) ? random.between(1, 14) * 1000 : random.between(1, 6) * 500);
-        task.memory = std::uint64_t(random.chance(0.1) ? random.between(3000, 6000) : random.between(1, 8) * 100);
-        task.runtime = Duration{random.chance(0.5) ? random.between(1, 3) * 1000 : random.between(1, 60'000)};
-        task.accelerators = random.chance(0.08) ? 1 : 0;
-        return task;
+          silent.givenUp.push_back(number);
+      apply(silent);
+    } else if (what == 6)
+      silence[worker.id] = Duration{random.between(0, 4000)};
+    else if (what == 7 && random.chance(0.5))
+      silence.erase(worker.id);
+    else if (worker.state != WorkerState::gone) {
+      apply(WorkerRegistered{worker.id, worker.incarnation, drawCapacity()});
+      apply(WorkerReturned{worker.id});
+      silence[worker.id] = Duration{0};
     }
-    void submit() {
-        JobSubmission job;
-        job.id = JobId{"job" + std::to_string((++lastJob * 37) % 1000)};
-        job.queue = QueueName{"q" + std::to_string(random.between(0, 3))};
-        if (random.chance(0.02)) job.timetable.first = ClusterTime{now};
-        const auto steps = random.between(1, 3);
-        for (std::int64_t place = 0; place < steps; ++place) {
-            StepRequest step;
-            step.name = std::to_string(place);
-            if (place > 0 && random.chance(0.6)) step.after = {std::to_string(random.between(0, place - 1))};
-            step.gang = random.chance(0.25);
-            const auto tasks = random.chance(0.5) ? 1 : random.between(1, step.gang ? 5 : 12);
-            const bool alike = random.chance(0.7);
-            for (std::int64_t task = 0; task < tasks; ++task) step.tasks.push_back(alike && task ? step.tasks.back() : drawTask());
-            auto& needs = step.needs;
-            if (random.chance(0.2)) needs.label = oneOf<std::string>({"colour", "foil"});
-            if (random.chance(0.15)) needs.near = rack();
-            if (random.chance(0.15)) needs.apart = std::uint32_t(random.between(1, 2));
-            needs.sameRack = random.chance(0.15);
-            needs.redundant = !step.gang && random.chance(0.3);
-            needs.lasts = random.chance(0.03);
-            needs.saves = random.chance(0.2);
-            job.steps.push_back(std::move(step));
+    if (random.chance(0.7))
+      for (const auto& [id, other] : clusterState.workers)
+        if (other.state != WorkerState::gone && random.chance(0.6)) {
+          apply(WorkerReturned{id});
+          silence[id] = Duration{0};
         }
-        if (!clusterState.jobs.count(job.id)) apply(JobAccepted{std::move(job)});
+  }
+  void disturbJob() {
+    if (clusterState.jobs.empty())
+      return;
+    auto found = clusterState.jobs.begin();
+    std::advance(found, random.between(0, std::int64_t(clusterState.jobs.size()) - 1));
+    const JobId id = found->first;
+    if (found->second.over()) {
+      const auto open =
+          clusterState.attemptsOf(id, false);  // one that was given up may outlive its job
+      if (open.empty())
+        apply(random.chance(0.5) ? JobsExpired{{id}, {}, {}} : JobsExpired{{}, {id}, {}});
+    } else if (found->second.state == JobState::timed)
+      apply(OccurrenceFired{id});
+    else if (random.chance(0.5))
+      apply(JobCancelled{id});
+  }
+  void drawHints() {
+    if (random.chance(0.3)) {
+      hints = Hints{};
+      for (const auto& [id, worker] : clusterState.workers)
+        if (random.chance(0.8))
+          hints.paces[id] =
+              double(random.chance(0.2) ? random.between(15, 40) : random.between(8, 14)) / 10;
+      for (const char* named : {"", "press", "store"})
+        if (random.chance(0.5))
+          hints.urgentDemand[named] = random.between(0, 20'000);
     }
-    void compare() {
-        reference::Hints plainHints{hints.paces, hints.urgentDemand};
-        const bool explain = random.chance(0.5);
-        auto made = planner.make(clusterState, ClusterTime{now}, silence, explain, hints);
-        const auto expected = plain.make(clusterState, ClusterTime{now}, silence, explain, plainHints);
-        const std::string where = "seed " + std::to_string(seed) + " plan " + std::to_string(++rounds);
-        STRCMP_EQUAL_TEXT(textOf(expected).c_str(), textOf(made).c_str(), where.c_str());
-        CHECK_EQUAL_TEXT(expected.empty(clusterState.reservation), made.empty(clusterState.reservation), where.c_str());
-        CHECK_TEXT(reference::Planner::nextDue(clusterState, ClusterTime{now}) == Planner::nextDue(clusterState, ClusterTime{now}), where.c_str());
-        seen.note(made, clusterState.reservation);
-        if (!random.chance(0.05)) apply(std::move(made.made));
+  }
+  TaskRequest drawTask() {
+    TaskRequest task;
+    task.cores = std::uint32_t(random.chance(0.3) ? random.between(1, 14) * 1000
+                                                  : random.between(1, 6) * 500);
+    task.memory =
+        std::uint64_t(random.chance(0.1) ? random.between(3000, 6000) : random.between(1, 8) * 100);
+    task.runtime =
+        Duration{random.chance(0.5) ? random.between(1, 3) * 1000 : random.between(1, 60'000)};
+    task.accelerators = random.chance(0.08) ? 1 : 0;
+    return task;
+  }
+  void submit() {
+    JobSubmission job;
+    job.id = JobId{"job" + std::to_string((++lastJob * 37) % 1000)};
+    job.queue = QueueName{"q" + std::to_string(random.between(0, 3))};
+    if (random.chance(0.02))
+      job.timetable.first = ClusterTime{now};
+    const auto steps = random.between(1, 3);
+    for (std::int64_t place = 0; place < steps; ++place) {
+      StepRequest step;
+      step.name = std::to_string(place);
+      if (place > 0 && random.chance(0.6))
+        step.after = {std::to_string(random.between(0, place - 1))};
+      step.gang = random.chance(0.25);
+      const auto tasks = random.chance(0.5) ? 1 : random.between(1, step.gang ? 5 : 12);
+      const bool alike = random.chance(0.7);
+      for (std::int64_t task = 0; task < tasks; ++task)
+        step.tasks.push_back(alike && task ? step.tasks.back() : drawTask());
+      auto& needs = step.needs;
+      if (random.chance(0.2))
+        needs.label = oneOf<std::string>({"colour", "foil"});
+      if (random.chance(0.15))
+        needs.near = rack();
+      if (random.chance(0.15))
+        needs.apart = std::uint32_t(random.between(1, 2));
+      needs.sameRack = random.chance(0.15);
+      needs.redundant = !step.gang && random.chance(0.3);
+      needs.lasts = random.chance(0.03);
+      needs.saves = random.chance(0.2);
+      job.steps.push_back(std::move(step));
     }
-    void sync(const Worker& worker) {
-        WorkerSynced synced{worker.id, random.chance(0.8) ? worker.lastOrder : worker.applied, {}};
-        const bool slow = random.chance(0.1), bad = random.chance(0.1);
-        for (auto number : clusterState.attemptsOn(worker.id)) {
-            const Attempt& attempt = clusterState.attempts.at(number);
-            const bool due = attempt.ranBy(ClusterTime{now}) > (attempt.trial() ? attempt.quantum : attempt.runtime);
-            if (attempt.state == AttemptState::stopping && random.chance(0.7)) synced.endings.push_back({number, EndingKind::stopped});
-            else if (attempt.state == AttemptState::ordered && random.chance(0.03)) synced.endings.push_back({number, oneOf({EndingKind::refused, EndingKind::unstarted})});
-            else if (attempt.state == AttemptState::running && attempt.trial() && due) synced.endings.push_back({number, EndingKind::ranOut});
-            else if (attempt.state == AttemptState::running && bad && random.chance(0.5)) synced.endings.push_back({number, EndingKind::failed});
-            else if (attempt.state == AttemptState::running && random.chance(slow ? 0.02 : due ? 0.6 : 0.05)) synced.endings.push_back({number, random.chance(0.1) ? EndingKind::failed : EndingKind::finished});
-        }
-        apply(std::move(synced));
+    if (!clusterState.jobs.count(job.id))
+      apply(JobAccepted{std::move(job)});
+  }
+  void compare() {
+    reference::Hints plainHints{hints.paces, hints.urgentDemand};
+    const bool explain = random.chance(0.5);
+    auto made = planner.make(clusterState, ClusterTime{now}, silence, explain, hints);
+    const auto expected = plain.make(clusterState, ClusterTime{now}, silence, explain, plainHints);
+    const std::string where = "seed " + std::to_string(seed) + " plan " + std::to_string(++rounds);
+    STRCMP_EQUAL_TEXT(textOf(expected).c_str(), textOf(made).c_str(), where.c_str());
+    CHECK_EQUAL_TEXT(expected.empty(clusterState.reservation), made.empty(clusterState.reservation),
+                     where.c_str());
+    CHECK_TEXT(reference::Planner::nextDue(clusterState, ClusterTime{now}) ==
+                   Planner::nextDue(clusterState, ClusterTime{now}),
+               where.c_str());
+    seen.note(made, clusterState.reservation);
+    if (!random.chance(0.05))
+      apply(std::move(made.made));
+  }
+  void sync(const Worker& worker) {
+    WorkerSynced synced{worker.id, random.chance(0.8) ? worker.lastOrder : worker.applied, {}};
+    const bool slow = random.chance(0.1), bad = random.chance(0.1);
+    for (auto number : clusterState.attemptsOn(worker.id)) {
+      const Attempt& attempt = clusterState.attempts.at(number);
+      const bool due =
+          attempt.ranBy(ClusterTime{now}) > (attempt.trial() ? attempt.quantum : attempt.runtime);
+      if (attempt.state == AttemptState::stopping && random.chance(0.7))
+        synced.endings.push_back({number, EndingKind::stopped});
+      else if (attempt.state == AttemptState::ordered && random.chance(0.03))
+        synced.endings.push_back({number, oneOf({EndingKind::refused, EndingKind::unstarted})});
+      else if (attempt.state == AttemptState::running && attempt.trial() && due)
+        synced.endings.push_back({number, EndingKind::ranOut});
+      else if (attempt.state == AttemptState::running && bad && random.chance(0.5))
+        synced.endings.push_back({number, EndingKind::failed});
+      else if (attempt.state == AttemptState::running && random.chance(slow  ? 0.02
+                                                                       : due ? 0.6
+                                                                             : 0.05))
+        synced.endings.push_back(
+            {number, random.chance(0.1) ? EndingKind::failed : EndingKind::finished});
     }
+    apply(std::move(synced));
+  }
 };
 
 std::size_t statesWanted() {
-    const char* asked = std::getenv("ANISELINE_PLANNER_STATES");
-    return asked ? std::size_t(std::strtoull(asked, nullptr, 10)) : 600;
+  const char* asked = std::getenv("ANISELINE_PLANNER_STATES");
+  return asked ? std::size_t(std::strtoull(asked, nullptr, 10)) : 600;
 }
 
 }  // namespace
@@ -257,16 +331,39 @@
 TEST_GROUP(PlannerReference){};
 
 TEST(PlannerReference, plansWhatThePlainPlannerPlans) {
-    Seen seen;
-    const std::size_t rounds = 40;
-    for (std::uint64_t seed = 1; seed * rounds <= statesWanted() + rounds - 1; ++seed) {
-        RandomWorld world(seed, seen);
-        for (std::size_t round = 0; round < rounds; ++round) world.round();
-    }
-    if (std::getenv("ANISELINE_PLANNER_STATES"))
-        for (const auto& [what, count] : seen.counts) std::printf("%s: %zu\n", what.c_str(), count);
-    for (const char* what : {"start", "stage", "go", "hold", "stop", "trial", "twin", "trial", "hard limit", "staging", "alone", "assembling", "reservation", "reservation of a gang", "moved", "passed over",
-                             "standing 1", "standing 2", "holds", "starts in this plan", "gets its trial in this plan", "leaves room that urgent work has wanted lately",
-                             "would delay the reserved start, or no worker has room", "no worker that is here now could ever hold it"})
-        CHECK_TEXT(seen.counts[what] > 0, what);
+  Seen seen;
+  const std::size_t rounds = 40;
+  for (std::uint64_t seed = 1; seed * rounds <= statesWanted() + rounds - 1; ++seed) {
+    RandomWorld world(seed, seen);
+    for (std::size_t round = 0; round < rounds; ++round)
+      world.round();
+  }
+  if (std::getenv("ANISELINE_PLANNER_STATES"))
+    for (const auto& [what, count] : seen.counts)
+      std::printf("%s: %zu\n", what.c_str(), count);
+  for (const char* what : {"start",
+                           "stage",
+                           "go",
+                           "hold",
+                           "stop",
+                           "trial",
+                           "twin",
+                           "trial",
+                           "hard limit",
+                           "staging",
+                           "alone",
+                           "assembling",
+                           "reservation",
+                           "reservation of a gang",
+                           "moved",
+                           "passed over",
+                           "standing 1",
+                           "standing 2",
+                           "holds",
+                           "starts in this plan",
+                           "gets its trial in this plan",
+                           "leaves room that urgent work has wanted lately",
+                           "would delay the reserved start, or no worker has room",
+                           "no worker that is here now could ever hold it"})
+    CHECK_TEXT(seen.counts[what] > 0, what);
 }
--- /dev/null
+++ b/tests/raft/node_tests.cpp
@@ -0,0 +1,120 @@
+#include "raft/node.hpp"
+
+#include <CppUTest/TestHarness.h>
+using namespace aniseline;
+
+namespace {
+const Members three{{ControllerId{"a"}, Address{"a:1"}, ZoneName{"x"}, true},
+                    {ControllerId{"b"}, Address{"b:1"}, ZoneName{"y"}, true},
+                    {ControllerId{"c"}, Address{"c:1"}, ZoneName{"z"}, true}};
+// A follower whose disk holds the members and entries of term 1 that no majority ever had.
+WriteAheadRecord heldBy(std::size_t entries) {
+  WriteAheadRecord record;
+  record.version = DiskVersion{1};
+  record.whole = true;
+  record.term = Term{1};
+  record.first = LogIndex{1};
+  record.entries.push_back({Term{1}, true, pack(three)});
+  for (std::size_t count = 0; count < entries; ++count)
+    record.entries.push_back({Term{1}, false, "lost"});
+  return record;
+}
+std::vector<AppendEntriesReply> repliesOf(RaftNode& raft) {
+  std::vector<AppendEntriesReply> replies;
+  for (auto& message : raft.takeMessages())
+    if (auto* reply = boost::get<AppendEntriesReply>(&message.body))
+      replies.push_back(*reply);
+  return replies;
+}
+PeerMessage fromC(PeerBody body) {
+  return PeerMessage{ControllerId{"c"}, ControllerId{"b"}, Address{"b:1"}, std::move(body),
+                     Address{"c:1"}};
+}
+}  // namespace
+
+TEST_GROUP(RaftTests) {
+  RaftNode follower{three[1], {}, 1, {heldBy(5)}, MonotonicTime{0}};
+  void sync(std::int64_t now) {
+    while (auto record = follower.takeWrite())
+      follower.synced(record->version, MonotonicTime{now});
+  }
+};
+
+// docs/design.md 3.3: what lies on disk is claimed only up to where it is known to be the leader's.
+TEST(RaftTests, aFollowerClaimsNoEntriesThatItsLeaderHasNotShown) {
+  AppendEntries heartbeat;
+  heartbeat.term = Term{2};
+  heartbeat.previous = LogIndex{1};
+  heartbeat.previousTerm = Term{1};
+  heartbeat.round = RoundNumber{1};
+  follower.receive(fromC(heartbeat), MonotonicTime{10});
+  sync(12);
+  for (const auto& reply : repliesOf(follower))
+    LONGS_EQUAL(1, reply.match.value);
+}
+
+// docs/design.md 3.4: however its log differs, one answer tells the leader where to go on from.
+TEST(RaftTests, oneMismatchTellsWhereTheLogsAgree) {
+  AppendEntries ahead;
+  ahead.term = Term{2};
+  ahead.previous = LogIndex{9};
+  ahead.previousTerm = Term{2};
+  ahead.round = RoundNumber{1};
+  follower.receive(fromC(ahead), MonotonicTime{10});
+  auto replies = repliesOf(follower);
+  CHECK(!replies.empty() && !replies[0].matched);
+  AppendEntries again = ahead;
+  again.previous = replies[0].match;
+  again.previousTerm = again.previous.value > 1 ? Term{2}
+                       : again.previous.value   ? Term{1}
+                                                : Term{};  // the leader's own from 2 on
+  again.entries.assign(9 - again.previous.value, LogEntry{Term{2}, false, "kept"});
+  follower.receive(fromC(again), MonotonicTime{12});
+  replies = repliesOf(follower);
+  CHECK(!replies.empty() && replies.back().matched);
+  LONGS_EQUAL(9, follower.last().value);
+}
+
+// docs/design.md 3.2: a candidate behind in terms learns it from the refusal; else no one could
+// ever be elected.
+TEST(RaftTests, aRefusedTrialTellsTheTerm) {
+  AppendEntries seen;
+  seen.term = Term{47};
+  follower.receive(fromC(seen), MonotonicTime{10});
+  follower.takeMessages();
+  RequestVote ask{Term{33}, true, false, LogIndex{99}, Term{32}};
+  follower.receive(fromC(ask), MonotonicTime{5000});
+  const auto messages = follower.takeMessages();
+  LONGS_EQUAL(1, messages.size());
+  const auto& answer = boost::get<RequestVoteReply>(messages[0].body);
+  CHECK(!answer.given);
+  LONGS_EQUAL(47, answer.term.value);
+}
+
+// A learner that was put out while it was away asks to learn again; it would stay out for ever.
+// docs/design.md 3.5.
+TEST(RaftTests, aLearnerThatHearsNoLeaderAsksToJoin) {
+  auto record = heldBy(1);
+  Members members = three;
+  members[1].voter = false;
+  record.entries[0].payload = pack(members);
+  RaftNode learner(three[1], {}, 1, {record}, MonotonicTime{0});
+  for (std::int64_t now = 0; now < 4000; now += 100)
+    learner.tick(MonotonicTime{now}, WallTime{now});
+  std::size_t asked = 0;
+  for (const auto& message : learner.takeMessages())
+    asked += message.body.type() == typeid(Join);
+  CHECK(asked > 0);
+}
+
+// A view counts only once it is synced; what lay on the disk before it is another log.
+TEST(RaftTests, anInstalledViewIsClaimedOnlyWhenItIsSynced) {
+  InstallSnapshot install{Term{2}, Snapshot{LogIndex{4}, Term{2}, three, "state"}, RoundNumber{1}};
+  follower.receive(fromC(install), MonotonicTime{10});
+  for (const auto& reply : repliesOf(follower))
+    CHECK(reply.match.value < 4);
+  sync(12);
+  const auto after = repliesOf(follower);
+  CHECK(!after.empty());
+  LONGS_EQUAL(4, after.back().match.value);
+}
--- a/tests/raft_tests.cpp
+++ b/tests/raft_tests.cpp
@@ -5,125 +5,144 @@
 using namespace aniseline;
 
 TEST_GROUP(LeaderTests) {
-    Members members{{ControllerId{"a"}, Address{"a:1"}, ZoneName{"x"}, true}, {ControllerId{"b"}, Address{"b:1"}, ZoneName{"y"}, true}, {ControllerId{"c"}, Address{"c:1"}, ZoneName{"z"}, true}};
-    std::int64_t now = 0;
-    std::map<std::string, std::unique_ptr<RaftNode>> nodes;
-    std::vector<PeerMessage> unread;  // for the leader, while it is busy
-    std::string leader;
+  Members members{{ControllerId{"a"}, Address{"a:1"}, ZoneName{"x"}, true},
+                  {ControllerId{"b"}, Address{"b:1"}, ZoneName{"y"}, true},
+                  {ControllerId{"c"}, Address{"c:1"}, ZoneName{"z"}, true}};
+  std::int64_t now = 0;
+  std::map<std::string, std::unique_ptr<RaftNode>> nodes;
+  std::vector<PeerMessage> unread;  // for the leader, while it is busy
+  std::string leader;
 
-    void setup() override {
-        WriteAheadRecord record;
-        record.version = DiskVersion{1};
-        record.whole = true;
-        record.term = Term{1};
-        record.first = LogIndex{1};
-        record.entries.push_back({Term{1}, true, pack(members)});
-        std::uint64_t seed = 1;
-        for (const auto& member : members) nodes[member.id.value] = std::make_unique<RaftNode>(member, RaftOptions{}, seed++, std::vector<WriteAheadRecord>{record}, MonotonicTime{0});
-        while (leader.empty() && now < 10'000) {
-            run(10);
-            for (const auto& [id, node] : nodes)
-                if (node->leads()) leader = id;
-        }
-        run(300);
+  void setup() override {
+    WriteAheadRecord record;
+    record.version = DiskVersion{1};
+    record.whole = true;
+    record.term = Term{1};
+    record.first = LogIndex{1};
+    record.entries.push_back({Term{1}, true, pack(members)});
+    std::uint64_t seed = 1;
+    for (const auto& member : members)
+      nodes[member.id.value] = std::make_unique<RaftNode>(
+          member, RaftOptions{}, seed++, std::vector<WriteAheadRecord>{record}, MonotonicTime{0});
+    while (leader.empty() && now < 10'000) {
+      run(10);
+      for (const auto& [id, node] : nodes)
+        if (node->leads())
+          leader = id;
     }
-    // Everyone but `busy` lives on; what is sent to it lies unread. With `cut` nothing reaches it at all.
-    void run(std::int64_t span, const std::string& busy = "", bool cut = false) {
-        for (const std::int64_t end = now + span; now < end; now += 10) {
-            std::vector<PeerMessage> sent;
-            for (auto& [id, node] : nodes) {
-                if (id != busy) node->tick(MonotonicTime{now}, WallTime{now});
-                while (auto record = node->takeWrite()) node->synced(record->version, MonotonicTime{now});
-                for (auto& message : node->takeMessages()) sent.push_back(std::move(message));
-            }
-            for (auto& message : sent)
-                if (message.to.value != busy) nodes[message.to.value]->receive(message, MonotonicTime{now});
-                else if (!cut) unread.push_back(std::move(message));
-        }
-    }
-    void read() {
-        for (const auto& message : std::exchange(unread, {})) nodes[leader]->receive(message, MonotonicTime{now});
+    run(300);
+  }
+  // Everyone but `busy` lives on; what is sent to it lies unread. With `cut` nothing reaches it at
+  // all.
+  void run(std::int64_t span, const std::string& busy = "", bool cut = false) {
+    for (const std::int64_t end = now + span; now < end; now += 10) {
+      std::vector<PeerMessage> sent;
+      for (auto& [id, node] : nodes) {
+        if (id != busy)
+          node->tick(MonotonicTime{now}, WallTime{now});
+        while (auto record = node->takeWrite())
+          node->synced(record->version, MonotonicTime{now});
+        for (auto& message : node->takeMessages())
+          sent.push_back(std::move(message));
+      }
+      for (auto& message : sent)
+        if (message.to.value != busy)
+          nodes[message.to.value]->receive(message, MonotonicTime{now});
+        else if (!cut)
+          unread.push_back(std::move(message));
     }
+  }
+  void read() {
+    for (const auto& message : std::exchange(unread, {}))
+      nodes[leader]->receive(message, MonotonicTime{now});
+  }
 };
 
-// Its own step took 1.2 s (longer than any election time), and the first thing it does is to tick; the answers are read next.
+// Its own step took 1.2 s (longer than any election time), and the first thing it does is to tick;
+// the answers are read next.
 TEST(LeaderTests, oneThatWasBusyReadsBeforeItStepsDown) {
-    nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
-    const auto requests = nodes[leader]->takeMessages();
-    for (const auto& message : requests) nodes[message.to.value]->receive(message, MonotonicTime{now});
-    for (auto& [id, node] : nodes)
-        if (id != leader)
-            for (auto& message : node->takeMessages()) unread.push_back(std::move(message));
-    now += 1200;
-    nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
-    CHECK(nodes[leader]->leads());
-    read();
-    nodes[leader]->tick(MonotonicTime{now + 10}, WallTime{now});
-    CHECK(nodes[leader]->leads());
+  nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
+  const auto requests = nodes[leader]->takeMessages();
+  for (const auto& message : requests)
+    nodes[message.to.value]->receive(message, MonotonicTime{now});
+  for (auto& [id, node] : nodes)
+    if (id != leader)
+      for (auto& message : node->takeMessages())
+        unread.push_back(std::move(message));
+  now += 1200;
+  nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
+  CHECK(nodes[leader]->leads());
+  read();
+  nodes[leader]->tick(MonotonicTime{now + 10}, WallTime{now});
+  CHECK(nodes[leader]->leads());
 }
 
 // Cut off but not busy it steps down in time.
 TEST(LeaderTests, oneThatIsCutOffStepsDown) {
-    for (std::int64_t count = 0; count < 120 && nodes[leader]->leads(); ++count, now += 10) {
-        nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
-        nodes[leader]->takeMessages();
-    }
-    CHECK(!nodes[leader]->leads());
+  for (std::int64_t count = 0; count < 120 && nodes[leader]->leads(); ++count, now += 10) {
+    nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
+    nodes[leader]->takeMessages();
+  }
+  CHECK(!nodes[leader]->leads());
 }
 
 // Busy again and again it can't put that off for ever.
 TEST(LeaderTests, oneThatIsCutOffAndBusyStepsDownToo) {
-    const std::int64_t begun = now;
-    while (nodes[leader]->leads() && now - begun < 20'000) {
-        now += 400;
-        nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
-        nodes[leader]->takeMessages();
-    }
-    CHECK(now - begun <= 6000);
+  const std::int64_t begun = now;
+  while (nodes[leader]->leads() && now - begun < 20'000) {
+    now += 400;
+    nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
+    nodes[leader]->takeMessages();
+  }
+  CHECK(now - begun <= 6000);
 }
 
 // One that was frozen meanwhile learns of its successor and leads no more.
 TEST(LeaderTests, oneThatWasFrozenGivesWay) {
-    run(3000, leader);
-    std::size_t others = 0;
-    for (const auto& [id, node] : nodes) others += id != leader && node->leads();
-    LONGS_EQUAL(1, others);
-    nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
-    read();
-    CHECK(!nodes[leader]->leads());
+  run(3000, leader);
+  std::size_t others = 0;
+  for (const auto& [id, node] : nodes)
+    others += id != leader && node->leads();
+  LONGS_EQUAL(1, others);
+  nodes[leader]->tick(MonotonicTime{now}, WallTime{now});
+  read();
+  CHECK(!nodes[leader]->leads());
 }
 
-// Requests come a thousand a second and the others answer late, being busy too: what is under way stays bounded, and the leader leads.
+// Requests come a thousand a second and the others answer late, being busy too: what is under way
+// stays bounded, and the leader leads.
 TEST(LeaderTests, manyRoundsDoNotHideTheAnswers) {
-    constexpr std::int64_t way = 200;
-    std::deque<std::pair<std::int64_t, PeerMessage>> underWay;
-    std::size_t requests = 0;
-    const std::int64_t begun = now;
-    for (; now - begun < 3000; ++now) {
-        nodes[leader]->startRound(MonotonicTime{now});
-        for (auto& [id, node] : nodes) {
-            node->tick(MonotonicTime{now}, WallTime{now});
-            while (auto record = node->takeWrite()) node->synced(record->version, MonotonicTime{now});
-            for (auto& message : node->takeMessages()) {
-                requests += id == leader;
-                underWay.emplace_back(now + way, std::move(message));
-            }
-        }
-        while (!underWay.empty() && underWay.front().first <= now) {
-            nodes[underWay.front().second.to.value]->receive(underWay.front().second, MonotonicTime{now});
-            underWay.pop_front();
-        }
-        CHECK(nodes[leader]->leads());
-        if (!nodes[leader]->leads()) return;
+  constexpr std::int64_t way = 200;
+  std::deque<std::pair<std::int64_t, PeerMessage>> underWay;
+  std::size_t requests = 0;
+  const std::int64_t begun = now;
+  for (; now - begun < 3000; ++now) {
+    nodes[leader]->startRound(MonotonicTime{now});
+    for (auto& [id, node] : nodes) {
+      node->tick(MonotonicTime{now}, WallTime{now});
+      while (auto record = node->takeWrite())
+        node->synced(record->version, MonotonicTime{now});
+      for (auto& message : node->takeMessages()) {
+        requests += id == leader;
+        underWay.emplace_back(now + way, std::move(message));
+      }
     }
-    CHECK(requests < 2 * 3000 / 25);
+    while (!underWay.empty() && underWay.front().first <= now) {
+      nodes[underWay.front().second.to.value]->receive(underWay.front().second, MonotonicTime{now});
+      underWay.pop_front();
+    }
+    CHECK(nodes[leader]->leads());
+    if (!nodes[leader]->leads())
+      return;
+  }
+  CHECK(requests < 2 * 3000 / 25);
 }
 
 // Where answers come at once nothing waits for the heartbeat.
 TEST(LeaderTests, aRoundIsConfirmedAsSoonAsTheOthersAnswer) {
-    for (std::size_t count = 0; count < 50; ++count) {
-        const RoundNumber wanted = nodes[leader]->startRound(MonotonicTime{now});
-        run(30);
-        CHECK(nodes[leader]->confirmedRound() >= wanted);
-    }
+  for (std::size_t count = 0; count < 50; ++count) {
+    const RoundNumber wanted = nodes[leader]->startRound(MonotonicTime{now});
+    run(30);
+    CHECK(nodes[leader]->confirmedRound() >= wanted);
+  }
 }
--- /dev/null
+++ b/tests/state/job_tests.cpp
@@ -0,0 +1,21 @@
+#include "state/job.hpp"
+
+#include <CppUTest/TestHarness.h>
+using namespace aniseline;
+
+TEST_GROUP(JobTests){};
+
+TEST(JobTests, refusesCirclesUnknownStepsAndZeros) {
+  JobSubmission job;
+  job.id = JobId{"a"};
+  job.queue = QueueName{"q"};
+  TaskRequest zero;
+  zero.cores = 0;
+  job.steps = {{"one", {"two"}, false, {TaskRequest{}}},
+               {"two", {"one"}, false, {zero}},
+               {"three", {"nine"}, false, {TaskRequest{}}}};
+  std::string all = CoreError{CoreError::Kind::invalid, job.faults()}.text();
+  CHECK(all.find("circle") != std::string::npos);
+  CHECK(all.find("unknown step nine") != std::string::npos);
+  CHECK(all.find("/steps/1/tasks/0/cores") != std::string::npos);
+}
--- a/tests/voters_tests.cpp
+++ b/tests/voters_tests.cpp
@@ -6,53 +6,72 @@
 namespace {
 
 WorldOptions five() {
-    WorldOptions options;
-    options.controllers = 7;
-    options.controller.voters = 5;
-    return options;
+  WorldOptions options;
+  options.controllers = 7;
+  options.controller.voters = 5;
+  return options;
 }
 
 struct Centre : Script {
-    std::vector<std::string> changes;  // of members, as the leaders tell of them
-    explicit Centre(std::int64_t replaceAfter = 5000) : Script(five(), replaceAfter) {
-        run(8000);  // until no zone has too many
-        world->onLogEvent = [this](std::size_t, const LogEvent& note) {
-            if (note.what == "members change") changes.push_back(note.fields.at("change").to_str() + " " + note.fields.at("member").to_str());
-        };
-    }
-    const RaftNode& raftNode() const { return world->controller(*world->leader())->raftNode(); }
-    std::string identity(std::size_t place) const { return world->controller(place)->raftNode().self().id.value; }
-    std::size_t membersThat(bool vote) const {
-        if (!world->leader()) return 0;
-        return std::size_t(std::count_if(raftNode().members().begin(), raftNode().members().end(), [&](const Member& member) { return member.voter == vote; }));
-    }
-    std::size_t blanks() const {
-        std::size_t count = 0;
-        for (std::size_t place = 0; place < world->controllerCount(); ++place) count += world->controller(place) && world->controller(place)->raftNode().blank();
-        return count;
-    }
-    std::size_t mostInAnZone() const {
-        std::map<ZoneName, std::size_t> zones;
-        for (const auto& member : raftNode().members()) zones[member.zone] += member.voter;
-        return std::max_element(zones.begin(), zones.end(), [](const auto& left, const auto& right) { return left.second < right.second; })->second;
-    }
-    // Voters, the leader first.
-    std::vector<std::size_t> voters() const {
-        std::vector<std::size_t> found{*world->leader()};
-        for (std::size_t place = 0; place < world->controllerCount(); ++place)
-            if (place != found[0] && world->isVoter(place)) found.push_back(place);
-        return found;
-    }
-    void serves(const std::string& id, std::int64_t within) {
-        world->submit(typed(job(id, 300)));
-        untilFinished(id, within);
-    }
-    // Five that vote and are there, one that stands ready; the seventh stays blank or keeps what it learnt without being a member.
-    bool whole() const { return world->copiesWhole() && world->voterCount() == 5 && membersThat(true) == 5 && membersThat(false) == 1; }
-    void untilWhole(std::int64_t within) { CHECK(world->runUntilTrue([&] { return whole(); }, within)); }
-    void nothingBroken() {
-        for (const auto& promise : world->findings().broken) FAIL(promise.text.c_str());
-    }
+  std::vector<std::string> changes;  // of members, as the leaders tell of them
+  explicit Centre(std::int64_t replaceAfter = 5000) : Script(five(), replaceAfter) {
+    run(8000);  // until no zone has too many
+    world->onLogEvent = [this](std::size_t, const LogEvent& note) {
+      if (note.what == "members change")
+        changes.push_back(note.fields.at("change").to_str() + " " +
+                          note.fields.at("member").to_str());
+    };
+  }
+  const RaftNode& raftNode() const { return world->controller(*world->leader())->raftNode(); }
+  std::string identity(std::size_t place) const {
+    return world->controller(place)->raftNode().self().id.value;
+  }
+  std::size_t membersThat(bool vote) const {
+    if (!world->leader())
+      return 0;
+    return std::size_t(std::count_if(raftNode().members().begin(), raftNode().members().end(),
+                                     [&](const Member& member) { return member.voter == vote; }));
+  }
+  std::size_t blanks() const {
+    std::size_t count = 0;
+    for (std::size_t place = 0; place < world->controllerCount(); ++place)
+      count += world->controller(place) && world->controller(place)->raftNode().blank();
+    return count;
+  }
+  std::size_t mostInAnZone() const {
+    std::map<ZoneName, std::size_t> zones;
+    for (const auto& member : raftNode().members())
+      zones[member.zone] += member.voter;
+    return std::max_element(
+               zones.begin(), zones.end(),
+               [](const auto& left, const auto& right) { return left.second < right.second; })
+        ->second;
+  }
+  // Voters, the leader first.
+  std::vector<std::size_t> voters() const {
+    std::vector<std::size_t> found{*world->leader()};
+    for (std::size_t place = 0; place < world->controllerCount(); ++place)
+      if (place != found[0] && world->isVoter(place))
+        found.push_back(place);
+    return found;
+  }
+  void serves(const std::string& id, std::int64_t within) {
+    world->submit(typed(job(id, 300)));
+    untilFinished(id, within);
+  }
+  // Five that vote and are there, one that stands ready; the seventh stays blank or keeps what it
+  // learnt without being a member.
+  bool whole() const {
+    return world->copiesWhole() && world->voterCount() == 5 && membersThat(true) == 5 &&
+           membersThat(false) == 1;
+  }
+  void untilWhole(std::int64_t within) {
+    CHECK(world->runUntilTrue([&] { return whole(); }, within));
+  }
+  void nothingBroken() {
+    for (const auto& promise : world->findings().broken)
+      FAIL(promise.text.c_str());
+  }
 };
 
 }  // namespace
@@ -60,175 +79,198 @@
 TEST_GROUP(Voters){};
 
 TEST(Voters, fiveVoteOneStandsReadyTheOthersStayBlank) {
-    Centre centre;
-    CHECK(centre.whole());
-    LONGS_EQUAL(1, centre.blanks());
-    centre.run(20'000);
-    CHECK(centre.whole());
-    LONGS_EQUAL(1, centre.blanks());
-    LONGS_EQUAL(0, centre.changes.size());
-    CHECK(centre.mostInAnZone() <= 2);
+  Centre centre;
+  CHECK(centre.whole());
+  LONGS_EQUAL(1, centre.blanks());
+  centre.run(20'000);
+  CHECK(centre.whole());
+  LONGS_EQUAL(1, centre.blanks());
+  LONGS_EQUAL(0, centre.changes.size());
+  CHECK(centre.mostInAnZone() <= 2);
 }
 
 TEST(Voters, twoKilledAtOnceAreReplacedAndStandByWhenBack) {
-    Centre centre;
-    const auto voters = centre.voters();
-    const std::vector<std::size_t> lost{voters[0], voters[1]};
-    const std::vector<std::string> before{centre.identity(lost[0]), centre.identity(lost[1])};
-    centre.world->disturb("two lost", false);
-    for (const auto place : lost) centre.world->killController(place, true);
-    const std::int64_t begun = centre.world->now;
-    centre.serves("a", 4000);
-    // 5 s until they count as dead, after the new leader's beginning; then the two that stand by come in one by one.
-    CHECK(centre.world->runUntilTrue([&] { return centre.world->voterCount() == 5 && centre.membersThat(true) == 5; }, begun + 10'000 - centre.world->now));
-    centre.serves("b", 4000);
-    for (const auto place : lost) centre.world->restartController(place);
-    centre.untilWhole(8000);
-    for (const auto place : {0, 1}) {
-        CHECK(centre.identity(lost[std::size_t(place)]) != before[std::size_t(place)]);
-        CHECK(!centre.world->isVoter(lost[std::size_t(place)]));
-    }
-    centre.world->disturb("two lost", true);
-    centre.run(10'000);
-    CHECK(centre.whole());
-    centre.nothingBroken();
+  Centre centre;
+  const auto voters = centre.voters();
+  const std::vector<std::size_t> lost{voters[0], voters[1]};
+  const std::vector<std::string> before{centre.identity(lost[0]), centre.identity(lost[1])};
+  centre.world->disturb("two lost", false);
+  for (const auto place : lost)
+    centre.world->killController(place, true);
+  const std::int64_t begun = centre.world->now;
+  centre.serves("a", 4000);
+  // 5 s until they count as dead, after the new leader's beginning; then the two that stand by come
+  // in one by one.
+  CHECK(centre.world->runUntilTrue(
+      [&] { return centre.world->voterCount() == 5 && centre.membersThat(true) == 5; },
+      begun + 10'000 - centre.world->now));
+  centre.serves("b", 4000);
+  for (const auto place : lost)
+    centre.world->restartController(place);
+  centre.untilWhole(8000);
+  for (const auto place : {0, 1}) {
+    CHECK(centre.identity(lost[std::size_t(place)]) != before[std::size_t(place)]);
+    CHECK(!centre.world->isVoter(lost[std::size_t(place)]));
+  }
+  centre.world->disturb("two lost", true);
+  centre.run(10'000);
+  CHECK(centre.whole());
+  centre.nothingBroken();
 }
 
 TEST(Voters, aJobAcknowledgedBeforeTwoDisksAreLostRunsOnce) {
-    for (const std::int64_t delay : {0, 1, 3}) {
-        Centre centre;
-        bool struck = false;
-        std::vector<std::size_t> lost;
-        centre.world->answering = [&](std::size_t, const ApiRequest& request, const ApiResponse& answer) {
-            if (struck || request.kind != RequestKind::submitJob || answer.status >= 300) return;
-            struck = true;
-            centre.world->disturb("two disks lost", false);
-            centre.world->after(delay, [&] {
-                const auto voters = centre.voters();
-                lost = {voters[0], voters[1]};
-                for (const auto place : lost) centre.world->loseDisk(place);
-            });
-        };
-        centre.world->submit(typed(job("a", 300)));
-        CHECK(centre.world->runUntilTrue([&] { return !lost.empty(); }, 2000));
-        centre.run(1500);
-        for (const auto place : lost) centre.world->restartController(place);
-        centre.untilFinished("a");
-        centre.untilWhole(12'000);
-        centre.world->disturb("two disks lost", true);
-        centre.run(3000);
-        LONGS_EQUAL(1, centre.world->startsOf("a"));
-        centre.nothingBroken();
-    }
+  for (const std::int64_t delay : {0, 1, 3}) {
+    Centre centre;
+    bool struck = false;
+    std::vector<std::size_t> lost;
+    centre.world->answering = [&](std::size_t, const ApiRequest& request,
+                                  const ApiResponse& answer) {
+      if (struck || request.kind != RequestKind::submitJob || answer.status >= 300)
+        return;
+      struck = true;
+      centre.world->disturb("two disks lost", false);
+      centre.world->after(delay, [&] {
+        const auto voters = centre.voters();
+        lost = {voters[0], voters[1]};
+        for (const auto place : lost)
+          centre.world->loseDisk(place);
+      });
+    };
+    centre.world->submit(typed(job("a", 300)));
+    CHECK(centre.world->runUntilTrue([&] { return !lost.empty(); }, 2000));
+    centre.run(1500);
+    for (const auto place : lost)
+      centre.world->restartController(place);
+    centre.untilFinished("a");
+    centre.untilWhole(12'000);
+    centre.world->disturb("two disks lost", true);
+    centre.run(3000);
+    LONGS_EQUAL(1, centre.world->startsOf("a"));
+    centre.nothingBroken();
+  }
 }
 
 // At every moment about the one at which it would be replaced.
 TEST(Voters, oneThatComesBackInTimeStaysAndSixNeverStay) {
-    for (std::int64_t away = 4600; away <= 5600; away += 50) {
-        Centre centre;
-        const auto victim = centre.voters()[2];
-        const std::string before = centre.identity(victim);
-        centre.world->killController(victim, true);
-        centre.run(away);
-        centre.world->restartController(victim);
-        centre.run(200);  // until it is heard again
-        const bool replaced = !centre.changes.empty();
-        if (away <= 4700) CHECK(!replaced);
-        if (away >= 5300) CHECK(replaced);
-        std::int64_t sixSince = 0;
-        for (const std::int64_t until = centre.world->now + 10'000; centre.world->now < until; centre.run(10)) {
-            if (centre.membersThat(true) <= 5) sixSince = centre.world->now;
-            CHECK(centre.world->now - sixSince < 1500);
-        }
-        CHECK(centre.whole());
-        if (!replaced) {
-            STRCMP_EQUAL(before.c_str(), centre.identity(victim).c_str());
-            CHECK(centre.world->isVoter(victim));
-            LONGS_EQUAL(0, centre.changes.size());
-        }
+  for (std::int64_t away = 4600; away <= 5600; away += 50) {
+    Centre centre;
+    const auto victim = centre.voters()[2];
+    const std::string before = centre.identity(victim);
+    centre.world->killController(victim, true);
+    centre.run(away);
+    centre.world->restartController(victim);
+    centre.run(200);  // until it is heard again
+    const bool replaced = !centre.changes.empty();
+    if (away <= 4700)
+      CHECK(!replaced);
+    if (away >= 5300)
+      CHECK(replaced);
+    std::int64_t sixSince = 0;
+    for (const std::int64_t until = centre.world->now + 10'000; centre.world->now < until;
+         centre.run(10)) {
+      if (centre.membersThat(true) <= 5)
+        sixSince = centre.world->now;
+      CHECK(centre.world->now - sixSince < 1500);
+    }
+    CHECK(centre.whole());
+    if (!replaced) {
+      STRCMP_EQUAL(before.c_str(), centre.identity(victim).c_str());
+      CHECK(centre.world->isVoter(victim));
+      LONGS_EQUAL(0, centre.changes.size());
     }
+  }
 }
 
 TEST(Voters, threeAwayForLessThanTheWaitLoseNothingAndStay) {
-    Centre centre(30'000);
-    const auto voters = centre.voters();
-    std::vector<std::string> before;
-    for (const auto place : voters) before.push_back(centre.identity(place));
-    centre.world->submit(typed(job("a", 8000, "plates")));
-    CHECK(centre.world->runUntilTrue([&] { return centre.world->startsOf("a") == 1; }, 3000));
-    centre.world->disturb("three away", false);
-    centre.world->cutController(voters[0], true);
-    centre.world->cutController(voters[1], true);
-    centre.world->freezeController(voters[2], true);
-    centre.run(2000);
-    CHECK(!centre.world->leader());
-    centre.world->submit(typed(job("b", 300)));
-    centre.run(18'000);
-    CHECK(!centre.world->leader());
-    centre.world->cutController(voters[0], false);
-    centre.world->cutController(voters[1], false);
-    centre.world->freezeController(voters[2], false);
-    centre.world->disturb("three away", true);
-    centre.untilFinished("a", 20'000);
-    centre.untilFinished("b");
-    centre.run(10'000);
-    CHECK(centre.whole());
-    LONGS_EQUAL(0, centre.changes.size());
-    for (std::size_t place = 0; place < voters.size(); ++place) {
-        CHECK(centre.world->isVoter(voters[place]));
-        STRCMP_EQUAL(before[place].c_str(), centre.identity(voters[place]).c_str());
-    }
-    centre.nothingBroken();
+  Centre centre(30'000);
+  const auto voters = centre.voters();
+  std::vector<std::string> before;
+  for (const auto place : voters)
+    before.push_back(centre.identity(place));
+  centre.world->submit(typed(job("a", 8000, "plates")));
+  CHECK(centre.world->runUntilTrue([&] { return centre.world->startsOf("a") == 1; }, 3000));
+  centre.world->disturb("three away", false);
+  centre.world->cutController(voters[0], true);
+  centre.world->cutController(voters[1], true);
+  centre.world->freezeController(voters[2], true);
+  centre.run(2000);
+  CHECK(!centre.world->leader());
+  centre.world->submit(typed(job("b", 300)));
+  centre.run(18'000);
+  CHECK(!centre.world->leader());
+  centre.world->cutController(voters[0], false);
+  centre.world->cutController(voters[1], false);
+  centre.world->freezeController(voters[2], false);
+  centre.world->disturb("three away", true);
+  centre.untilFinished("a", 20'000);
+  centre.untilFinished("b");
+  centre.run(10'000);
+  CHECK(centre.whole());
+  LONGS_EQUAL(0, centre.changes.size());
+  for (std::size_t place = 0; place < voters.size(); ++place) {
+    CHECK(centre.world->isVoter(voters[place]));
+    STRCMP_EQUAL(before[place].c_str(), centre.identity(voters[place]).c_str());
+  }
+  centre.nothingBroken();
 }
 
 TEST(Voters, allPowerLostAndTwoDisksWiped) {
-    for (const bool leaderToo : {false, true}) {
-        Centre centre;
-        const auto voters = centre.voters();
-        for (int count = 0; count < 20; ++count) centre.world->submit(typed(job("j" + std::to_string(count), 1500)));
-        CHECK(centre.world->runUntilTrue([&] { return centre.world->startsOf("j19") == 1; }, 5000));
-        centre.world->disturb("all power lost", false);
-        for (std::size_t place = 0; place < centre.world->controllerCount(); ++place) centre.world->killController(place, true);
-        centre.world->loseDisk(voters[leaderToo ? 0 : 1]);
-        centre.world->loseDisk(voters[2]);
-        centre.run(1000);
-        for (std::size_t place = 0; place < centre.world->controllerCount(); ++place) centre.world->restartController(place);
-        for (int count = 0; count < 20; ++count) centre.untilFinished("j" + std::to_string(count), 15'000);
-        centre.untilWhole(15'000);
-        centre.world->disturb("all power lost", true);
-        centre.run(3000);
-        centre.nothingBroken();
-    }
+  for (const bool leaderToo : {false, true}) {
+    Centre centre;
+    const auto voters = centre.voters();
+    for (int count = 0; count < 20; ++count)
+      centre.world->submit(typed(job("j" + std::to_string(count), 1500)));
+    CHECK(centre.world->runUntilTrue([&] { return centre.world->startsOf("j19") == 1; }, 5000));
+    centre.world->disturb("all power lost", false);
+    for (std::size_t place = 0; place < centre.world->controllerCount(); ++place)
+      centre.world->killController(place, true);
+    centre.world->loseDisk(voters[leaderToo ? 0 : 1]);
+    centre.world->loseDisk(voters[2]);
+    centre.run(1000);
+    for (std::size_t place = 0; place < centre.world->controllerCount(); ++place)
+      centre.world->restartController(place);
+    for (int count = 0; count < 20; ++count)
+      centre.untilFinished("j" + std::to_string(count), 15'000);
+    centre.untilWhole(15'000);
+    centre.world->disturb("all power lost", true);
+    centre.run(3000);
+    centre.nothingBroken();
+  }
 }
 
-// What was lost with a zone is replaced from the others; when it is back no zone keeps so many that its loss stops all.
+// What was lost with a zone is replaced from the others; when it is back no zone keeps so many that
+// its loss stops all.
 TEST(Voters, votersSpreadAgainWhenAnZoneIsBack) {
-    for (std::size_t zone = 0; zone < 3; ++zone) {
-        Centre centre;
-        for (std::size_t place = zone; place < centre.world->controllerCount(); place += 3) centre.world->killController(place, true);
-        CHECK(centre.world->runUntilTrue([&] { return centre.membersThat(true) == 5 && !centre.changes.empty(); }, 12'000));
-        centre.run(8000);
-        for (std::size_t place = zone; place < centre.world->controllerCount(); place += 3) centre.world->restartController(place);
-        centre.run(15'000);
-        CHECK(centre.whole());
-        CHECK(centre.mostInAnZone() <= 2);
-        const auto changes = centre.changes.size();
-        centre.run(20'000);
-        LONGS_EQUAL(changes, centre.changes.size());
-    }
+  for (std::size_t zone = 0; zone < 3; ++zone) {
+    Centre centre;
+    for (std::size_t place = zone; place < centre.world->controllerCount(); place += 3)
+      centre.world->killController(place, true);
+    CHECK(centre.world->runUntilTrue(
+        [&] { return centre.membersThat(true) == 5 && !centre.changes.empty(); }, 12'000));
+    centre.run(8000);
+    for (std::size_t place = zone; place < centre.world->controllerCount(); place += 3)
+      centre.world->restartController(place);
+    centre.run(15'000);
+    CHECK(centre.whole());
+    CHECK(centre.mostInAnZone() <= 2);
+    const auto changes = centre.changes.size();
+    centre.run(20'000);
+    LONGS_EQUAL(changes, centre.changes.size());
+  }
 }
 
 // An operator names one that lives: it goes, not the one that came for it.
 TEST(Voters, aLivingVoterThatIsNamedIsReplacedOnce) {
-    Centre centre;
-    const auto victim = centre.voters()[2];
-    const std::string named = centre.identity(victim);
-    int status = 0;
-    centre.askQuietly("POST", "/v1/controllers/" + named + "/replace", "", [&](int given) { status = given; });
-    centre.run(15'000);
-    LONGS_EQUAL(202, status);
-    LONGS_EQUAL(1, std::count(centre.changes.begin(), centre.changes.end(), "removed " + named));
-    LONGS_EQUAL(2, centre.changes.size());
-    CHECK(centre.whole());
-    CHECK(centre.identity(victim) != named);
+  Centre centre;
+  const auto victim = centre.voters()[2];
+  const std::string named = centre.identity(victim);
+  int status = 0;
+  centre.askQuietly("POST", "/v1/controllers/" + named + "/replace", "",
+                    [&](int given) { status = given; });
+  centre.run(15'000);
+  LONGS_EQUAL(202, status);
+  LONGS_EQUAL(1, std::count(centre.changes.begin(), centre.changes.end(), "removed " + named));
+  LONGS_EQUAL(2, centre.changes.size());
+  CHECK(centre.whole());
+  CHECK(centre.identity(victim) != named);
 }
