--- a/tests/run.sh
+++ b/tests/run.sh
@@ -3,6 +3,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build/aniseline_tests
+# A clean build needs the packages that deploy/system.toml lists, and no others.
+bash tests/packages.sh
 # Nothing outside platform/ knows of it, and the core compiles alone.
 bash tests/layout.sh
 # Seeded faults on the whole cluster in virtual time; a fixed set of seeds, so the verdict is the same every time.
