--- /dev/null
+++ b/tests/checker/linearizability_tests.cpp
@@ -0,0 +1,457 @@
+// The linearizability checker: what it must find, what it must let pass, and that it agrees
+// with trying every order.
+#include "checker/linearizability.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace aniseline;
+
+namespace {
+
+using Verdict = Violation::Verdict;
+using Configurations = std::vector<ConfigurationModel::Operation>;
+using Jobs = std::vector<JobModel::Operation>;
+
+ConfigurationModel::Operation configuration(std::int64_t invokedAt,
+                                            std::optional<std::int64_t> returnedAt) {
+  ConfigurationModel::Operation made;
+  made.key = "configuration";
+  made.invokedAt = invokedAt;
+  made.returnedAt = returnedAt;
+  made.outcome = returnedAt ? Outcome::ok : Outcome::unknown;
+  return made;
+}
+
+ConfigurationModel::Operation apply(
+    std::int64_t invokedAt, std::optional<std::int64_t> returnedAt, std::uint64_t base,
+    const std::string& digest,
+    ConfigurationOutput::Kind answer = ConfigurationOutput::Kind::applied,
+    std::uint64_t version = 0) {
+  auto made = configuration(invokedAt, returnedAt);
+  made.input.kind = ConfigurationInput::Kind::apply;
+  made.input.order = ConfigurationOrder{version, base, digest};
+  made.output.kind = answer;
+  return made;
+}
+
+ConfigurationModel::Operation refusal(std::int64_t invokedAt, std::int64_t returnedAt,
+                                      std::uint64_t base, const std::string& digest,
+                                      std::uint64_t version = 0) {
+  return apply(invokedAt, returnedAt, base, digest, ConfigurationOutput::Kind::refused, version);
+}
+
+ConfigurationModel::Operation lost(std::int64_t invokedAt, std::uint64_t base,
+                                   const std::string& digest) {
+  return apply(invokedAt, std::nullopt, base, digest);
+}
+
+ConfigurationModel::Operation read(std::int64_t invokedAt, std::int64_t returnedAt,
+                                   std::uint64_t version, const std::string& digest) {
+  auto made = configuration(invokedAt, returnedAt);
+  made.output = ConfigurationOutput{ConfigurationOutput::Kind::shown, version, digest};
+  return made;
+}
+
+JobModel::Operation job(JobInput::Kind asked, std::int64_t invokedAt,
+                        std::optional<std::int64_t> returnedAt) {
+  JobModel::Operation made;
+  made.key = "job";
+  made.invokedAt = invokedAt;
+  made.returnedAt = returnedAt;
+  made.outcome = returnedAt ? Outcome::ok : Outcome::unknown;
+  made.input.kind = asked;
+  return made;
+}
+
+JobModel::Operation submit(std::int64_t invokedAt, std::optional<std::int64_t> returnedAt,
+                           JobOutput::Kind answer = JobOutput::Kind::accepted,
+                           const std::string& digest = "content") {
+  auto made = job(JobInput::Kind::submit, invokedAt, returnedAt);
+  made.input.digest = digest;
+  made.output.kind = answer;
+  return made;
+}
+
+JobModel::Operation show(std::int64_t invokedAt, std::int64_t returnedAt, JobPhase phase) {
+  auto made = job(JobInput::Kind::show, invokedAt, returnedAt);
+  made.output.phase = phase;
+  return made;
+}
+
+JobModel::Operation cancel(std::int64_t invokedAt, std::optional<std::int64_t> returnedAt,
+                           JobPhase phase = JobPhase::over) {
+  auto made = job(JobInput::Kind::cancel, invokedAt, returnedAt);
+  made.output = JobOutput{JobOutput::Kind::acknowledged, phase};
+  return made;
+}
+
+JobModel::Operation ran(std::int64_t at) {
+  auto made = job(JobInput::Kind::run, at, at);
+  made.output.kind = JobOutput::Kind::ran;
+  return made;
+}
+
+std::optional<Violation> check(const Configurations& operations) {
+  return checkLinearizable(ConfigurationModel(), operations);
+}
+std::optional<Violation> check(const Jobs& operations) {
+  return checkLinearizable(JobModel(), operations);
+}
+
+template <class Operations>
+void passes(const Operations& operations) {
+  const auto violation = check(operations);
+  if (violation)
+    FAIL(violation->text.c_str());
+}
+
+// The history is refuted, and the last operation of the smallest prefix is the one at that
+// place.
+template <class Operations>
+void failsAt(std::size_t place, const Operations& operations) {
+  const auto violation = check(operations);
+  CHECK(violation.has_value());
+  CHECK(violation->verdict == Verdict::notLinearizable);
+  LONGS_EQUAL(place, violation->prefix.back());
+}
+
+}  // namespace
+
+TEST_GROUP(Linearizability){};
+
+TEST(Linearizability, anEmptyHistoryPasses) {
+  passes(Configurations{});
+  passes(Jobs{});
+}
+
+TEST(Linearizability, configurationsTakenOneAfterTheOtherPass) {
+  passes(Configurations{read(0, 1, 0, ""), apply(2, 3, 0, "a"), read(4, 5, 1, "a"),
+                        apply(6, 7, 1, "b"), read(8, 9, 2, "b")});
+}
+
+TEST(Linearizability, whatOverlapsMayTakeEffectInEitherOrder) {
+  passes(Configurations{apply(0, 10, 0, "a"), read(1, 2, 0, ""), read(3, 4, 1, "a")});
+  passes(Configurations{apply(0, 10, 0, "a"), read(0, 10, 1, "a"), read(0, 10, 0, "")});
+  // The invocation of one at the very time of the other's return is no order.
+  passes(Configurations{apply(0, 5, 0, "a"), read(5, 6, 0, "")});
+}
+
+TEST(Linearizability, aStaleReadIsFound) {
+  failsAt(1, Configurations{apply(0, 1, 0, "a"), read(2, 3, 0, "")});
+  failsAt(2, Configurations{apply(0, 10, 0, "a"), read(1, 2, 1, "a"), read(3, 4, 0, "")});
+  failsAt(1, Configurations{apply(0, 1, 0, "a"), read(2, 3, 1, "b")});
+}
+
+TEST(Linearizability, twoConfirmedConfigurationsUponOneBaseAreFound) {
+  failsAt(1, Configurations{apply(0, 1, 0, "a"), apply(2, 3, 0, "b")});
+  failsAt(1, Configurations{apply(0, 3, 0, "a"), apply(0, 4, 0, "b")});
+}
+
+TEST(Linearizability, aTakenOrderIsAppliedOnEveryResend) {
+  passes(Configurations{apply(0, 1, 0, "a"), apply(2, 3, 0, "a")});
+  // Also when others were taken since.
+  passes(Configurations{apply(0, 1, 0, "a"), apply(2, 3, 1, "b"), apply(4, 5, 0, "a"),
+                        read(6, 7, 2, "b")});
+  passes(Configurations{lost(0, 0, "a"), apply(2, 3, 1, "b"), apply(4, 5, 0, "a")});
+}
+
+TEST(Linearizability, aTakenOrderRefusedOnResendIsFound) {
+  failsAt(1, Configurations{apply(0, 1, 0, "a"), refusal(2, 3, 0, "a")});
+  // The answer was lost, but a later reading shows that it was taken.
+  failsAt(2, Configurations{lost(0, 0, "a"), read(2, 3, 1, "a"), refusal(4, 5, 0, "a")});
+  failsAt(2, Configurations{apply(0, 1, 0, "a"), apply(2, 3, 1, "b"), refusal(4, 5, 0, "a")});
+  // What only the refusal contradicts: nobody else could have made the base of the second.
+  failsAt(2, Configurations{lost(0, 0, "a"), apply(2, 3, 1, "b"), refusal(4, 5, 0, "a")});
+}
+
+TEST(Linearizability, aRefusalNeedsItsCause) {
+  passes(Configurations{apply(0, 1, 0, "a"), refusal(2, 3, 0, "b")});
+  failsAt(0, Configurations{refusal(0, 1, 0, "a")});
+  // A version that is not above the one in force.
+  passes(Configurations{apply(0, 1, 0, "a", ConfigurationOutput::Kind::applied, 7),
+                        refusal(2, 3, 7, "b", 7)});
+  failsAt(1, Configurations{apply(0, 1, 0, "a", ConfigurationOutput::Kind::applied, 7),
+                            refusal(2, 3, 7, "b", 8)});
+  failsAt(1, Configurations{apply(0, 1, 0, "a", ConfigurationOutput::Kind::applied, 7),
+                            apply(2, 3, 7, "b", ConfigurationOutput::Kind::applied, 7)});
+}
+
+TEST(Linearizability, theVersionTheAnswerTellsIsHeldAgainstTheModel) {
+  auto told = apply(0, 1, 0, "a");
+  told.output.version = 1;
+  passes(Configurations{told});
+  told.output.version = 2;
+  failsAt(0, Configurations{told});
+  auto refused = refusal(2, 3, 0, "b");
+  refused.output.version = 1;
+  passes(Configurations{apply(0, 1, 0, "a"), refused});
+  refused.output.version = 0;
+  failsAt(1, Configurations{apply(0, 1, 0, "a"), refused});
+}
+
+TEST(Linearizability, whatWasNotAnsweredMayTakeEffectLateOrNever) {
+  passes(Configurations{lost(0, 0, "a"), read(2, 3, 0, ""), read(100, 101, 1, "a")});
+  passes(
+      Configurations{lost(0, 0, "a"), read(2, 3, 0, ""), apply(4, 5, 0, "b"), read(6, 7, 1, "b")});
+  // But not twice, nor before it was asked for.
+  failsAt(3, Configurations{lost(0, 0, "a"), read(2, 3, 1, "a"), apply(4, 5, 1, "b"),
+                            read(6, 7, 1, "a")});
+  failsAt(0, Configurations{read(0, 1, 1, "a"), lost(2, 0, "a")});
+}
+
+TEST(Linearizability, theSmallestPrefixEndsWhereNoOrderIsLeft) {
+  const Configurations history{apply(0, 1, 0, "a"), read(2, 3, 1, "a"), read(4, 5, 0, ""),
+                               read(6, 7, 1, "a"), apply(8, 9, 1, "b")};
+  const auto violation = check(history);
+  CHECK(violation.has_value());
+  LONGS_EQUAL(3, violation->prefix.size());
+  LONGS_EQUAL(2, violation->prefix.back());
+  LONGS_EQUAL(5, violation->at);
+  STRCMP_EQUAL(
+      "configuration: the first 3 operations can't be linearised: [0, 1] apply a upon 0 -> "
+      "applied; [2, 3] read -> 1 a; "
+      "[4, 5] read -> 0 ",
+      violation->text.c_str());
+}
+
+TEST(Linearizability, eachKeyIsSearchedByItself) {
+  Configurations history{apply(0, 1, 0, "a"), read(2, 3, 0, "")};
+  history[1].key = "another";
+  passes(history);
+  history.push_back(read(4, 5, 3, "c"));
+  history.back().key = "another";
+  const auto violation = check(history);
+  CHECK(violation.has_value());
+  STRCMP_EQUAL("another", violation->key.c_str());
+}
+
+TEST(Linearizability, aSearchThatMeetsItsLimitIsUndecidedAndNoPass) {
+  Configurations history;
+  for (int place = 0; place < 12; ++place)
+    history.push_back(lost(0, std::uint64_t(place % 4), "d" + std::to_string(place)));
+  history.push_back(read(1, 2, 4, "none of these"));
+  const auto decided = check(history);
+  CHECK(decided.has_value());
+  CHECK(decided->verdict == Verdict::notLinearizable);
+  const auto undecided = checkLinearizable(ConfigurationModel(), history, SearchLimits{20});
+  CHECK(undecided.has_value());
+  CHECK(undecided->verdict == Verdict::undecided);
+  // What is refuted goes before what was not decided.
+  Configurations both = history;
+  both.push_back(refusal(0, 1, 0, "z"));
+  both.back().key = "later key";
+  const auto first = checkLinearizable(ConfigurationModel(), both, SearchLimits{20});
+  CHECK(first.has_value());
+  STRCMP_EQUAL("later key", first->key.c_str());
+}
+
+TEST(Linearizability, aJobsWholeLifePasses) {
+  passes(Jobs{show(0, 1, JobPhase::missing), submit(2, 3), show(4, 5, JobPhase::pending), ran(6),
+              show(7, 8, JobPhase::open), show(9, 10, JobPhase::running),
+              show(11, 12, JobPhase::done), show(13, 14, JobPhase::done), submit(15, 16)});
+  passes(Jobs{submit(0, 1), show(2, 3, JobPhase::failed)});
+}
+
+TEST(Linearizability, aForgottenJobIsFound) {
+  failsAt(1, Jobs{submit(0, 1), show(2, 3, JobPhase::missing)});
+  failsAt(2, Jobs{submit(0, std::nullopt), ran(5), show(6, 7, JobPhase::missing)});
+  failsAt(1, Jobs{submit(0, 1), cancel(2, 3, JobPhase::missing)});
+  failsAt(1, Jobs{submit(0, 1), submit(2, 3, JobOutput::Kind::accepted, "other content")});
+}
+
+TEST(Linearizability, aTurnedAwayJobThatRanIsFound) {
+  failsAt(1, Jobs{submit(0, 1, JobOutput::Kind::turnedAway), ran(2)});
+  failsAt(1, Jobs{submit(0, 1, JobOutput::Kind::overloaded), ran(2)});
+  failsAt(1, Jobs{submit(0, 1, JobOutput::Kind::turnedAway), show(2, 3, JobPhase::open)});
+  failsAt(0, Jobs{ran(2)});
+  // Its answer may have been lost on another try.
+  passes(Jobs{submit(0, std::nullopt), submit(1, 2, JobOutput::Kind::turnedAway), ran(3)});
+  passes(Jobs{submit(0, 1, JobOutput::Kind::overloaded), submit(2, 3), ran(4)});
+}
+
+TEST(Linearizability, aTakenJobTurnedAwayOnResendIsFound) {
+  failsAt(1, Jobs{submit(0, 1), submit(2, 3, JobOutput::Kind::turnedAway)});
+  passes(Jobs{submit(0, 1), submit(2, 3, JobOutput::Kind::turnedAway, "other content")});
+  passes(Jobs{submit(0, 1), submit(2, 3, JobOutput::Kind::overloaded)});
+}
+
+TEST(Linearizability, aPhaseThatGoesBackIsFound) {
+  failsAt(2, Jobs{submit(0, 1), show(2, 3, JobPhase::done), show(4, 5, JobPhase::open)});
+  failsAt(2, Jobs{submit(0, 1), show(2, 3, JobPhase::done), show(4, 5, JobPhase::failed)});
+  failsAt(2, Jobs{submit(0, 1), show(2, 3, JobPhase::running), show(4, 5, JobPhase::pending)});
+  failsAt(2, Jobs{submit(0, 1), ran(2), show(4, 5, JobPhase::pending)});
+  passes(Jobs{submit(0, 1), show(2, 5, JobPhase::done), show(4, 6, JobPhase::open)});
+}
+
+TEST(Linearizability, afterACancelNothingButItsEndIsShown) {
+  for (const JobPhase phase :
+       {JobPhase::cancelling, JobPhase::cancelled, JobPhase::done, JobPhase::failed})
+    passes(Jobs{submit(0, 1), cancel(2, 3), show(4, 5, phase)});
+  for (const JobPhase phase :
+       {JobPhase::pending, JobPhase::running, JobPhase::open, JobPhase::missing})
+    failsAt(2, Jobs{submit(0, 1), cancel(2, 3), show(4, 5, phase)});
+  passes(Jobs{submit(0, 1), cancel(2, 6), show(4, 5, JobPhase::open)});
+  passes(Jobs{submit(0, 1), show(2, 3, JobPhase::done), cancel(4, 5), show(6, 7, JobPhase::done)});
+  failsAt(3, Jobs{submit(0, 1), show(2, 3, JobPhase::done), cancel(4, 5),
+                  show(6, 7, JobPhase::cancelled)});
+  // Told as cancelling, it had not ended before.
+  failsAt(2, Jobs{submit(0, 1), cancel(2, 3, JobPhase::cancelling), show(4, 5, JobPhase::done)});
+  failsAt(3, Jobs{submit(0, 1), cancel(2, 3), show(4, 5, JobPhase::cancelling),
+                  show(6, 7, JobPhase::failed)});
+  passes(Jobs{submit(0, 1), cancel(2, 3, JobPhase::done), show(4, 5, JobPhase::done)});
+}
+
+TEST(Linearizability, nothingIsCancelledWithoutACancel) {
+  failsAt(1, Jobs{submit(0, 1), show(2, 3, JobPhase::cancelled)});
+  failsAt(1, Jobs{submit(0, 1), show(2, 3, JobPhase::cancelling)});
+  passes(Jobs{submit(0, 1), cancel(2, std::nullopt), show(4, 5, JobPhase::open),
+              show(6, 7, JobPhase::cancelled)});
+  failsAt(1, Jobs{cancel(0, 1, JobPhase::missing), show(2, 3, JobPhase::open)});
+}
+
+namespace {
+
+// Every order of the operations that took effect, tried one by one: slow, and plainly right.
+template <class Model>
+bool someOrderHolds(const Model& model, const std::vector<typename Model::Operation>& operations,
+                    std::set<std::size_t> left, const typename Model::State& state) {
+  std::int64_t earliest = std::numeric_limits<std::int64_t>::max();
+  bool answeredLeft = false;
+  for (const std::size_t place : left) {
+    if (operations[place].outcome == Outcome::unknown)
+      continue;
+    earliest = std::min(earliest, *operations[place].returnedAt);
+    answeredLeft = true;
+  }
+  if (!answeredLeft)
+    return true;
+  for (const std::size_t place : left) {
+    const auto& operation = operations[place];
+    if (operation.invokedAt > earliest)
+      continue;
+    std::optional<typename Model::State> next = model.applyUnanswered(state, operation);
+    if (operation.outcome == Outcome::ok)
+      next = model.apply(state, operation);
+    auto rest = left;
+    rest.erase(place);
+    if (next && someOrderHolds(model, operations, rest, *next))
+      return true;
+  }
+  return false;
+}
+
+template <class Model>
+bool someOrderHolds(const Model& model, const std::vector<typename Model::Operation>& operations) {
+  std::set<std::size_t> all;
+  for (std::size_t place = 0; place < operations.size(); ++place)
+    all.insert(place);
+  return someOrderHolds(model, operations, all, model.initial());
+}
+
+// The history as it stood when only the first of the prefix, that many, had returned.
+template <class Operations>
+Operations atReturn(Operations history, const std::vector<std::size_t>& prefix, std::size_t count) {
+  const std::set<std::size_t> returned(prefix.begin(), prefix.begin() + std::ptrdiff_t(count));
+  const std::int64_t until = *history[prefix[count - 1]].returnedAt;
+  for (std::size_t place = 0; place < history.size(); ++place) {
+    if (!returned.count(place))
+      history[place].outcome = Outcome::unknown;
+  }
+  std::erase_if(history, [&](const auto& operation) { return operation.invokedAt > until; });
+  return history;
+}
+
+struct Agreeing {
+  std::size_t passed = 0, failed = 0;
+
+  template <class Model>
+  void compare(const Model& model, const std::vector<typename Model::Operation>& history) {
+    const auto violation = checkLinearizable(model, history);
+    CHECK_EQUAL(someOrderHolds(model, history), !violation.has_value());
+    ++(violation ? failed : passed);
+    if (!violation)
+      return;
+    CHECK(violation->verdict == Verdict::notLinearizable);
+    const auto& prefix = violation->prefix;
+    CHECK(!someOrderHolds(model, atReturn(history, prefix, prefix.size())));
+    if (prefix.size() > 1)
+      CHECK(someOrderHolds(model, atReturn(history, prefix, prefix.size() - 1)));
+  }
+};
+
+Configurations drawnConfigurations(Draw& draw) {
+  Configurations history;
+  const auto count = draw.between(2, 7);
+  for (std::int64_t place = 0; place < count; ++place) {
+    const std::int64_t invokedAt = draw.between(0, 30);
+    const std::int64_t returnedAt = invokedAt + draw.between(0, 14);
+    const std::uint64_t version = std::uint64_t(draw.between(0, 2));
+    const std::string digest(1, char('a' + draw.between(0, 1)));
+    switch (draw.between(0, 5)) {
+      case 0:
+        history.push_back(lost(invokedAt, version, digest));
+        break;
+      case 1:
+        history.push_back(refusal(invokedAt, returnedAt, version, digest));
+        break;
+      case 2:
+      case 3:
+        history.push_back(apply(invokedAt, returnedAt, version, digest));
+        break;
+      default:
+        history.push_back(read(invokedAt, returnedAt, version, version ? digest : ""));
+    }
+  }
+  return history;
+}
+
+Jobs drawnJobs(Draw& draw) {
+  static constexpr JobPhase phases[] = {JobPhase::missing, JobPhase::open, JobPhase::cancelling,
+                                        JobPhase::cancelled, JobPhase::done};
+  Jobs history{submit(0, 3)};
+  const auto count = draw.between(2, 6);
+  for (std::int64_t place = 0; place < count; ++place) {
+    const std::int64_t invokedAt = draw.between(0, 30);
+    const std::int64_t returnedAt = invokedAt + draw.between(0, 14);
+    switch (draw.between(0, 6)) {
+      case 0:
+        history.push_back(submit(invokedAt, std::nullopt));
+        break;
+      case 1:
+        history.push_back(
+            submit(invokedAt, returnedAt,
+                   draw.chance(0.8) ? JobOutput::Kind::accepted : JobOutput::Kind::turnedAway));
+        break;
+      case 2:
+        history.push_back(
+            cancel(invokedAt, draw.chance(0.5) ? std::optional(returnedAt) : std::nullopt));
+        break;
+      case 3:
+        history.push_back(ran(invokedAt));
+        break;
+      default:
+        history.push_back(show(invokedAt, returnedAt, phases[draw.next() % 5]));
+    }
+  }
+  return history;
+}
+
+}  // namespace
+
+TEST(Linearizability, itAgreesWithTryingEveryOrderOfConfigurations) {
+  Draw draw(11);
+  Agreeing agreeing;
+  for (int trial = 0; trial < 4000; ++trial)
+    agreeing.compare(ConfigurationModel(), drawnConfigurations(draw));
+  CHECK(agreeing.passed > 200);
+  CHECK(agreeing.failed > 200);
+}
+
+TEST(Linearizability, itAgreesWithTryingEveryOrderOfJobs) {
+  Draw draw(12);
+  Agreeing agreeing;
+  for (int trial = 0; trial < 4000; ++trial)
+    agreeing.compare(JobModel(), drawnJobs(draw));
+  CHECK(agreeing.passed > 200);
+  CHECK(agreeing.failed > 200);
+}
