--- a/source/checker/linearizability.cpp
+++ b/source/checker/linearizability.cpp
@@ -326,7 +326,11 @@
   ConfigurationModel::State changed = state;
   changed.version = order.version ? order.version : state.version + 1;
   changed.digest = order.digest;
-  changed.taken.emplace(order, changed.version);
+  auto taken = std::make_shared<ConfigurationModel::Taken>(*state.taken);
+  taken->emplace(order, changed.version);
+  changed.taken = std::move(taken);
+  mix(changed.takenHash, std::hash<std::string>()(order.digest));
+  mix(changed.takenHash, changed.version);
   return changed;
 }
 
@@ -337,7 +341,7 @@
 std::optional<ConfigurationModel::State> afterApplied(const ConfigurationModel::State& state,
                                                       const ConfigurationOrder& order,
                                                       const ConfigurationOutput& output) {
-  if (const auto before = state.taken.find(order); before != state.taken.end()) {
+  if (const auto before = state.taken->find(order); before != state.taken->end()) {
     if (!tells(output, before->second))
       return std::nullopt;
     return state;
@@ -352,7 +356,7 @@
 
 bool mayBeRefused(const ConfigurationModel::State& state, const ConfigurationOrder& order,
                   const ConfigurationOutput& output) {
-  return !state.taken.count(order) && !mayBeTaken(state, order) && tells(output, state.version);
+  return !state.taken->count(order) && !mayBeTaken(state, order) && tells(output, state.version);
 }
 
 bool mayBeRead(const ConfigurationModel::State& state, const ConfigurationOutput& output) {
@@ -441,6 +445,12 @@
 
 }  // namespace
 
+bool ConfigurationModel::State::operator==(const State& other) const {
+  if (version != other.version || digest != other.digest)
+    return false;
+  return taken == other.taken || *taken == *other.taken;
+}
+
 std::optional<ConfigurationModel::State> ConfigurationModel::apply(
     const State& state, const Operation& operation) const {
   const auto& [key, client, invokedAt, returnedAt, input, output, outcome] = operation;
@@ -464,7 +474,7 @@
   const ConfigurationOrder& order = operation.input.order;
   if (operation.input.kind == ConfigurationInput::Kind::read)
     return state;
-  if (state.taken.count(order) || !mayBeTaken(state, order))
+  if (state.taken->count(order) || !mayBeTaken(state, order))
     return state;
   return afterTaking(state, order);
 }
@@ -472,9 +482,7 @@
 std::size_t ConfigurationModel::hash(const State& state) const {
   std::size_t seed = state.version;
   mix(seed, std::hash<std::string>()(state.digest));
-  mix(seed, state.taken.size());
-  for (const auto& [order, version] : state.taken)
-    mix(seed, std::hash<std::string>()(order.digest) + version);
+  mix(seed, state.takenHash);
   return seed;
 }
 
--- a/source/checker/linearizability.hpp
+++ b/source/checker/linearizability.hpp
@@ -61,11 +61,16 @@
  public:
   using Operation = aniseline::Operation<ConfigurationInput, ConfigurationOutput>;
 
+  // With the version each was taken as.
+  using Taken = std::map<ConfigurationOrder, std::uint64_t>;
+
   struct State {
     std::uint64_t version = 0;
     std::string digest;
-    std::map<ConfigurationOrder, std::uint64_t> taken;  // with the version each was taken as
-    bool operator==(const State&) const = default;
+    // Shared by the states between two orders that were taken: there are many of these.
+    std::shared_ptr<const Taken> taken = std::make_shared<const Taken>();
+    std::size_t takenHash = 0;  // versions only rise, so equal contents have equal hashes
+    bool operator==(const State& other) const;
   };
 
   State initial() const { return {}; }
--- a/tests/checker/linearizability_tests.cpp
+++ b/tests/checker/linearizability_tests.cpp
@@ -379,15 +379,15 @@
   }
 };
 
-Configurations drawnConfigurations(Draw& draw) {
+Configurations drawnConfigurations(Random& random) {
   Configurations history;
-  const auto count = draw.between(2, 7);
+  const auto count = random.between(2, 7);
   for (std::int64_t place = 0; place < count; ++place) {
-    const std::int64_t invokedAt = draw.between(0, 30);
-    const std::int64_t returnedAt = invokedAt + draw.between(0, 14);
-    const std::uint64_t version = std::uint64_t(draw.between(0, 2));
-    const std::string digest(1, char('a' + draw.between(0, 1)));
-    switch (draw.between(0, 5)) {
+    const std::int64_t invokedAt = random.between(0, 30);
+    const std::int64_t returnedAt = invokedAt + random.between(0, 14);
+    const std::uint64_t version = std::uint64_t(random.between(0, 2));
+    const std::string digest(1, char('a' + random.between(0, 1)));
+    switch (random.between(0, 5)) {
       case 0:
         history.push_back(lost(invokedAt, version, digest));
         break;
@@ -405,32 +405,32 @@
   return history;
 }
 
-Jobs drawnJobs(Draw& draw) {
+Jobs drawnJobs(Random& random) {
   static constexpr JobPhase phases[] = {JobPhase::missing, JobPhase::open, JobPhase::cancelling,
                                         JobPhase::cancelled, JobPhase::done};
   Jobs history{submit(0, 3)};
-  const auto count = draw.between(2, 6);
+  const auto count = random.between(2, 6);
   for (std::int64_t place = 0; place < count; ++place) {
-    const std::int64_t invokedAt = draw.between(0, 30);
-    const std::int64_t returnedAt = invokedAt + draw.between(0, 14);
-    switch (draw.between(0, 6)) {
+    const std::int64_t invokedAt = random.between(0, 30);
+    const std::int64_t returnedAt = invokedAt + random.between(0, 14);
+    switch (random.between(0, 6)) {
       case 0:
         history.push_back(submit(invokedAt, std::nullopt));
         break;
       case 1:
         history.push_back(
             submit(invokedAt, returnedAt,
-                   draw.chance(0.8) ? JobOutput::Kind::accepted : JobOutput::Kind::turnedAway));
+                   random.chance(0.8) ? JobOutput::Kind::accepted : JobOutput::Kind::turnedAway));
         break;
       case 2:
         history.push_back(
-            cancel(invokedAt, draw.chance(0.5) ? std::optional(returnedAt) : std::nullopt));
+            cancel(invokedAt, random.chance(0.5) ? std::optional(returnedAt) : std::nullopt));
         break;
       case 3:
         history.push_back(ran(invokedAt));
         break;
       default:
-        history.push_back(show(invokedAt, returnedAt, phases[draw.next() % 5]));
+        history.push_back(show(invokedAt, returnedAt, phases[random.next() % 5]));
     }
   }
   return history;
@@ -439,19 +439,19 @@
 }  // namespace
 
 TEST(Linearizability, itAgreesWithTryingEveryOrderOfConfigurations) {
-  Draw draw(11);
+  Random random(11);
   Agreeing agreeing;
   for (int trial = 0; trial < 4000; ++trial)
-    agreeing.compare(ConfigurationModel(), drawnConfigurations(draw));
+    agreeing.compare(ConfigurationModel(), drawnConfigurations(random));
   CHECK(agreeing.passed > 200);
   CHECK(agreeing.failed > 200);
 }
 
 TEST(Linearizability, itAgreesWithTryingEveryOrderOfJobs) {
-  Draw draw(12);
+  Random random(12);
   Agreeing agreeing;
   for (int trial = 0; trial < 4000; ++trial)
-    agreeing.compare(JobModel(), drawnJobs(draw));
+    agreeing.compare(JobModel(), drawnJobs(random));
   CHECK(agreeing.passed > 200);
   CHECK(agreeing.failed > 200);
 }
