--- a/source/raft/node.cpp
+++ b/source/raft/node.cpp
@@ -91,6 +91,7 @@
   if (now - tickedAt > Duration{2 * options.heartbeat.milliseconds})
     readingUntil = now + options.electionLow;
   tickedAt = now;
+  dropIdleTransfers();
   if (leads()) {
     // A leader that has not heard from a majority for the longest election time may have been
     // replaced. docs/design.md 3.2.
--- a/source/raft/node.hpp
+++ b/source/raft/node.hpp
@@ -29,6 +29,11 @@
   }
 };
 
+// What an entry takes of memory and of a link: its payload and about as much as its head.
+inline std::size_t bytesOf(const LogEntry& entry) {
+  return entry.payload.size() + sizeof(LogEntry);
+}
+
 // Everything up to an index, folded. docs/design.md 3.4.
 struct Snapshot {
   LogIndex index;
@@ -100,13 +105,66 @@
     archive& term& matched& match& last& round& wall;
   }
 };
-struct InstallSnapshot {
+// Which snapshot a chunk is of. What was received of it may be continued by whoever sends the same.
+struct SnapshotIdentity {
+  LogIndex index;
   Term term;
-  Snapshot snapshot;
+  std::uint64_t size = 0;  // of the packed Snapshot, in bytes
+  std::uint32_t sum = 0;   // its checksum
+  bool operator==(const SnapshotIdentity&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& index& term& size& sum;
+  }
+};
+struct InstallSnapshot {  // one chunk; without data it asks how far the transfer is
+  Term term;
+  SnapshotIdentity snapshot;
+  std::uint64_t offset = 0;
+  std::string data;
+  RoundNumber round;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& snapshot& offset& data& round;
+  }
+};
+struct InstallSnapshotReply {
+  Term term;
+  SnapshotIdentity snapshot;
+  std::uint64_t next = 0;  // the offset from which on nothing is there yet
+  RoundNumber round;
+  WallTime wall;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& snapshot& next& round& wall;
+  }
+};
+struct AppendEntryChunk {  // of one entry that is larger than what may be under way at once
+  Term term;
+  LogIndex previous;
+  Term previousTerm;
+  LogIndex commit;
+  Term entryTerm;
+  bool members = false;
+  std::uint64_t size = 0;  // of the entry's payload
+  std::uint64_t offset = 0;
+  std::string data;
+  RoundNumber round;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& previous& previousTerm& commit& entryTerm& members& size& offset& data& round;
+  }
+};
+struct AppendEntryChunkReply {
+  Term term;
+  LogIndex index;
+  Term entryTerm;
+  std::uint64_t next = 0;  // the offset from which on nothing is there yet
   RoundNumber round;
+  WallTime wall;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& term& snapshot& round;
+    archive& term& index& entryTerm& next& round& wall;
   }
 };
 struct TimeoutNow {
@@ -132,7 +190,8 @@
   }
 };
 using PeerBody = boost::variant<RequestVote, RequestVoteReply, AppendEntries, AppendEntriesReply,
-                                InstallSnapshot, TimeoutNow, Join, RemovedFromCluster>;
+                                InstallSnapshot, InstallSnapshotReply, AppendEntryChunk,
+                                AppendEntryChunkReply, TimeoutNow, Join, RemovedFromCluster>;
 struct PeerMessage {
   ControllerId from;
   ControllerId to;  // an identity, never just an address; empty only for Join
@@ -144,6 +203,8 @@
     archive& from& to& toAddress& body& fromAddress;
   }
 };
+// What a message takes of memory and of a link, but for its head.
+std::size_t payloadBytes(const PeerMessage& message);
 
 struct RaftOptions {
   Duration heartbeat{100};
@@ -151,7 +212,15 @@
   Duration electionHigh{1000};
   std::size_t batchBytes = 512 * 1024;
   std::uint64_t roundsAtOnce = 3;  // not yet confirmed by a majority
-  std::size_t keepEntries = 2000;  // kept behind a view for followers that are a little late
+  // Kept behind a snapshot for followers that are late: so many entries, and more for a member that
+  // is being caught up, but never more than so many bytes. docs/design.md 3.4.
+  std::size_t keepEntries = 2000;
+  std::size_t keepBytes = 16 * 1024 * 1024;
+  // Sent to a follower and not acknowledged, at most; a larger entry goes in chunks.
+  std::size_t unacknowledgedBytes = 1024 * 1024;
+  // Of a snapshot or a large entry at a time, so that a heartbeat waits 65 ms behind one at 2
+  // Mbit/s; also the smallest window of a slow link.
+  std::size_t chunkBytes = 16 * 1024;
 };
 
 enum class Role : std::uint8_t { learner, follower, candidate, leader };
@@ -207,6 +276,31 @@
   std::optional<WallTime> agreedWall(MonotonicTime now) const;  // docs/design.md 3.6
 
  private:
+  // How much may be under way to a peer: halved when rounds return later than the link explains,
+  // doubled when they are quick and it was used up. docs/design.md 3.4.
+  struct SendWindow {
+    std::size_t bytes = 0;
+    bool usedUp = false;
+    std::optional<Duration> quickest;
+  };
+  struct ChunkProgress {
+    std::uint64_t acknowledged = 0;
+    std::uint64_t sent = 0;
+    RoundNumber sentRound;  // of the latest chunk
+    void answered(std::uint64_t next, RoundNumber round);
+  };
+  struct SnapshotProgress {
+    SnapshotIdentity identity;
+    ChunkProgress chunks;
+  };
+  struct EntryProgress {
+    LogIndex index;
+    ChunkProgress chunks;
+  };
+  struct UnacknowledgedBatch {
+    LogIndex last;
+    std::size_t bytes = 0;
+  };
   struct Peer {
     LogIndex next{1};
     LogIndex match;
@@ -217,9 +311,26 @@
     MonotonicTime heard;
     MonotonicTime contact;  // when the acked round was sent
     std::optional<std::int64_t> wallOffset;
-    bool installing = false;
     bool lostState = false;
-    MonotonicTime installSent;
+    std::optional<SnapshotProgress> installing;
+    std::optional<EntryProgress> largeEntry;
+    std::deque<UnacknowledgedBatch> unacknowledged;
+    std::size_t unacknowledgedBytes = 0;
+    SendWindow window;
+  };
+  // The one snapshot that a leader sends, for as long as the entries after it are kept.
+  struct OutgoingSnapshot {
+    SnapshotIdentity identity;
+    std::string bytes;
+  };
+  struct IncomingSnapshot {
+    SnapshotIdentity identity;
+    std::string bytes;
+  };
+  struct IncomingEntry {
+    LogIndex index;
+    Term term;
+    std::string bytes;
   };
   bool selfVotes() const;
   std::size_t majority() const;
@@ -233,7 +344,26 @@
   void countVotes(MonotonicTime now);
   void lead(MonotonicTime now);
   void broadcast(MonotonicTime now, bool force);
-  void sendAppend(const Member& to, Peer& peer, MonotonicTime now, bool force);
+  void sendAppend(const Member& to, Peer& peer, bool force);
+  std::size_t windowOf(Peer& peer) const;
+  void noteContact(Peer& peer, RoundNumber answered, WallTime wall, MonotonicTime now);
+  void adaptWindow(Peer& peer, Duration roundTrip) const;
+  static void dropAcknowledged(Peer& peer);
+  static void forgetUnacknowledged(Peer& peer);
+  LogIndex keptFrom(LogIndex folded) const;
+  Members membersAt(LogIndex index) const;
+  void openTransfer();
+  void dropIdleTransfers();
+  void sendSnapshot(const Member& to, Peer& peer, bool force);
+  void sendLargeEntry(const Member& to, Peer& peer, bool force);
+  template <class Chunk>
+  void sendChunks(const Member& to, Peer& peer, ChunkProgress& progress, const std::string& bytes,
+                  Chunk chunk, bool force);
+  Peer* noteChunkReply(const PeerMessage& message, Term term, RoundNumber round, WallTime wall,
+                       MonotonicTime now);
+  bool hearChunk(const PeerMessage& message, Term term, RoundNumber round, MonotonicTime now);
+  std::optional<Snapshot> takeChunk(const InstallSnapshot& body);
+  void install(Snapshot snapshot);
   template <class Value, class OfPeer>
   Value reachedByMajority(Value ofSelf, OfPeer ofPeer) const;
   void advanceCommit();
@@ -249,6 +379,9 @@
   void on(const PeerMessage& message, const AppendEntries& body, MonotonicTime now);
   void on(const PeerMessage& message, const AppendEntriesReply& body, MonotonicTime now);
   void on(const PeerMessage& message, const InstallSnapshot& body, MonotonicTime now);
+  void on(const PeerMessage& message, const InstallSnapshotReply& body, MonotonicTime now);
+  void on(const PeerMessage& message, const AppendEntryChunk& body, MonotonicTime now);
+  void on(const PeerMessage& message, const AppendEntryChunkReply& body, MonotonicTime now);
   void on(const PeerMessage& message, const TimeoutNow& body, MonotonicTime now);
   void on(const PeerMessage& message, const Join& body, MonotonicTime now);
   void on(const PeerMessage& message, const RemovedFromCluster& body, MonotonicTime now);
@@ -266,6 +399,9 @@
   LogIndex membersIndex;
   Snapshot base;    // index and term before the first entry in memory
   Snapshot stored;  // the latest whole view
+  std::optional<OutgoingSnapshot> outgoingSnapshot;
+  std::optional<IncomingSnapshot> incomingSnapshot;
+  std::optional<IncomingEntry> incomingEntry;
   std::vector<LogEntry> log;
   LogIndex commit;
   LogIndex openedAt;
--- a/source/raft/persistence.cpp
+++ b/source/raft/persistence.cpp
@@ -29,7 +29,7 @@
     record.first = dirtyFrom;
     for (LogIndex index = dirtyFrom; index <= last(); index = index.next()) {
       record.entries.push_back(entry(index));
-      bytesWritten += entry(index).payload.size() + 32;
+      bytesWritten += bytesOf(entry(index));
     }
     ++sinceWhole;
   }
--- a/source/raft/replication.cpp
+++ b/source/raft/replication.cpp
@@ -4,6 +4,11 @@
 
 namespace aniseline {
 
+namespace {
+// Sent before anything is known of the link: a quarter of a second at 2 Mbit/s, bytes.
+constexpr std::size_t firstWindow = 64 * 1024;
+}  // namespace
+
 void RaftNode::cutLog(LogIndex from) {
   log.resize(from.value - base.index.value - 1);
   syncedIndex = std::min(syncedIndex, LogIndex{from.value - 1});
@@ -96,22 +101,66 @@
     roundTimes.pop_front();
   for (const auto& entry : currentMembers)
     if (entry.id != own.id)
-      sendAppend(entry, peers[entry.id], now, force);
+      sendAppend(entry, peers[entry.id], force);
   nextHeartbeat = now + options.heartbeat;
   advanceCommit();
 }
 
-void RaftNode::sendAppend(const Member& to, Peer& peer, MonotonicTime now, bool force) {
-  if (peer.next <= base.index) {
-    if (peer.installing && now - peer.installSent < Duration{2000}) {
-      send(to.id, AppendEntries{currentTerm, last(), termAt(last()), {}, LogIndex{}, round});
-      return;
-    }
-    peer.installing = true;
-    peer.installSent = now;
-    send(to.id, InstallSnapshot{currentTerm, stored, round});
-    return;
+std::size_t payloadBytes(const PeerMessage& message) {
+  if (const auto* append = boost::get<AppendEntries>(&message.body)) {
+    std::size_t bytes = 0;
+    for (const auto& entry : append->entries)
+      bytes += bytesOf(entry);
+    return bytes;
   }
+  if (const auto* install = boost::get<InstallSnapshot>(&message.body))
+    return install->data.size();
+  const auto* chunk = boost::get<AppendEntryChunk>(&message.body);
+  return chunk ? chunk->data.size() : 0;
+}
+
+std::size_t RaftNode::windowOf(Peer& peer) const {
+  if (!peer.window.bytes)
+    peer.window.bytes = std::min(firstWindow, options.unacknowledgedBytes);
+  return peer.window.bytes;
+}
+
+// A round that returns later than the link's own delay explains waited behind what was sent before
+// it: less at a time keeps heartbeats timely on a slow link. docs/design.md 3.4.
+void RaftNode::adaptWindow(Peer& peer, Duration roundTrip) const {
+  SendWindow& window = peer.window;
+  const std::size_t bytes = windowOf(peer);
+  window.quickest = std::min(window.quickest.value_or(roundTrip), roundTrip);
+  const bool late = roundTrip - *window.quickest > options.heartbeat;
+  if (late)
+    window.bytes = std::max(std::min(options.chunkBytes, bytes), bytes / 2);
+  else if (window.usedUp)
+    window.bytes = std::min(options.unacknowledgedBytes, bytes * 2);
+  window.usedUp = false;
+}
+
+void RaftNode::dropAcknowledged(Peer& peer) {
+  while (!peer.unacknowledged.empty() && peer.unacknowledged.front().last <= peer.match) {
+    peer.unacknowledgedBytes -= peer.unacknowledged.front().bytes;
+    peer.unacknowledged.pop_front();
+  }
+}
+
+void RaftNode::forgetUnacknowledged(Peer& peer) {
+  peer.unacknowledged.clear();
+  peer.unacknowledgedBytes = 0;
+}
+
+void RaftNode::sendAppend(const Member& to, Peer& peer, bool force) {
+  if (peer.next <= base.index)
+    return sendSnapshot(to, peer, force);
+  const std::size_t window = windowOf(peer);
+  if (peer.largeEntry && peer.largeEntry->index != peer.next)
+    peer.largeEntry.reset();
+  const bool large =
+      peer.unacknowledged.empty() && peer.next <= last() && bytesOf(entry(peer.next)) > window;
+  if (peer.largeEntry || large)
+    return sendLargeEntry(to, peer, force);
   AppendEntries body;
   body.term = currentTerm;
   body.previous = LogIndex{peer.next.value - 1};
@@ -119,14 +168,23 @@
   body.commit = commit;
   body.round = round;
   std::size_t bytes = 0;
-  for (LogIndex index = peer.next; index <= last() && bytes < options.batchBytes;
-       index = index.next()) {
+  for (LogIndex index = peer.next; index <= last(); index = index.next()) {
+    const std::size_t grown = bytes + bytesOf(entry(index));
+    const std::size_t underWay = peer.unacknowledgedBytes + grown;
+    if (underWay > window)
+      peer.window.usedUp = true;
+    if (underWay > window || (!body.entries.empty() && grown > options.batchBytes))
+      break;
     body.entries.push_back(entry(index));
-    bytes += entry(index).payload.size() + 32;
+    bytes = grown;
   }
   if (body.entries.empty() && !force)
     return;
-  peer.next = LogIndex{peer.next.value + body.entries.size()};
+  if (!body.entries.empty()) {
+    peer.next = LogIndex{peer.next.value + body.entries.size()};
+    peer.unacknowledged.push_back({LogIndex{peer.next.value - 1}, bytes});
+    peer.unacknowledgedBytes += bytes;
+  }
   send(to.id, std::move(body));
 }
 
@@ -208,10 +266,25 @@
       currentRole = Role::learner;
   }
   commit = std::max(commit, std::min(body.commit, index));
+  if (incomingSnapshot && incomingSnapshot->identity.index <= commit)
+    incomingSnapshot.reset();
   shownBy = std::max(shownBy, index);
   replyAppend(message.from, true, std::min(index, syncedIndex), body.round);
 }
 
+void RaftNode::noteContact(Peer& peer, RoundNumber answered, WallTime wall, MonotonicTime now) {
+  peer.heard = now;
+  peer.wallOffset = wall.milliseconds - now.milliseconds;
+  if (answered <= peer.acked)
+    return;
+  peer.acked = answered;
+  for (const auto& [number, sent] : roundTimes)
+    if (number == answered) {
+      peer.contact = std::max(peer.contact, sent);
+      adaptWindow(peer, now - sent);
+    }
+}
+
 void RaftNode::on(const PeerMessage& message, const AppendEntriesReply& body, MonotonicTime now) {
   if (body.term > currentTerm)
     return seeTerm(body.term, now);
@@ -221,14 +294,7 @@
   if (found == peers.end())
     return;
   Peer& peer = found->second;
-  peer.heard = now;
-  peer.wallOffset = body.wall.milliseconds - now.milliseconds;
-  if (body.round > peer.acked) {
-    peer.acked = body.round;
-    for (const auto& [number, sent] : roundTimes)
-      if (number == body.round)
-        peer.contact = std::max(peer.contact, sent);
-  }
+  noteContact(peer, body.round, body.wall, now);
   // docs/design.md 3.5: it once acknowledged more than it now has; its disk is not the one that
   // voted. A reply of a later round was made later; one that was merely overtaken on the way proves
   // nothing.
@@ -241,22 +307,25 @@
       peer.match = body.match;
       peer.matchRound = body.round;
     }
-    if (peer.installing && body.match >= base.index)
-      peer.installing = false;
+    if (body.match >= base.index)
+      peer.installing.reset();
     if (peer.next <= peer.match)
       peer.next = peer.match.next();
+    dropAcknowledged(peer);
     advanceCommit();
     if (peer.next <= last()) {
       if (const auto* to = member(message.from))
-        sendAppend(*to, peer, now, false);
+        sendAppend(*to, peer, false);
     }
   } else if (body.round > peer.resetRound && (!peer.installing || body.match >= base.index)) {
-    peer.installing = false;
+    peer.installing.reset();
+    peer.largeEntry.reset();
+    forgetUnacknowledged(peer);
     peer.resetRound = round;
     peer.next =
         LogIndex{std::max(peer.match.value, std::min(body.match.value, peer.next.value - 1)) + 1};
     if (const auto* to = member(message.from))
-      sendAppend(*to, peer, now, true);
+      sendAppend(*to, peer, true);
   }
 }
 
--- a/tests/packing_tests.cpp
+++ b/tests/packing_tests.cpp
@@ -124,7 +124,7 @@
 
 std::vector<PeerBody> peerBodyOfEachKind() {
   const Member member{ControllerId{"r"}, Address{"r:1"}, ZoneName{"zone"}, true};
-  const Snapshot view{LogIndex{8}, Term{2}, {member}, everyByte()};
+  const SnapshotIdentity identity{LogIndex{8}, Term{2}, 300, 12345};
   return {RequestVote{Term{1}, true, false, LogIndex{2}, Term{3}},
           RequestVoteReply{Term{1}, false, true},
           AppendEntries{Term{3},
@@ -135,7 +135,11 @@
                         LogIndex{4},
                         RoundNumber{9}},
           AppendEntriesReply{Term{1}, true, LogIndex{2}, LogIndex{3}, RoundNumber{4}, WallTime{5}},
-          InstallSnapshot{Term{3}, view, RoundNumber{2}},
+          InstallSnapshot{Term{3}, identity, 3, everyByte(), RoundNumber{2}},
+          InstallSnapshotReply{Term{3}, identity, 4, RoundNumber{2}, WallTime{5}},
+          AppendEntryChunk{Term{3}, LogIndex{4}, Term{2}, LogIndex{3}, Term{2}, true, 600, 7,
+                           everyByte(), RoundNumber{2}},
+          AppendEntryChunkReply{Term{3}, LogIndex{5}, Term{2}, 263, RoundNumber{2}, WallTime{5}},
           TimeoutNow{Term{7}},
           Join{member},
           RemovedFromCluster{Term{6}}};
--- /dev/null
+++ b/tests/raft/node_links.hpp
@@ -0,0 +1,164 @@
+// Consensus nodes with links of a given bandwidth between them, in virtual time: what is sent
+// waits its turn on the link, as in one TCP connection, and a cut loses what is on the way.
+#pragma once
+#include "raft/node.hpp"
+
+#include <functional>
+
+namespace aniseline {
+
+class NodeLinks {
+ public:
+  static constexpr std::int64_t step = 10;         // milliseconds between ticks
+  static constexpr std::int64_t propagation = 15;  // milliseconds one way
+
+  // Milliseconds that a message spends on the wire; 0 where bandwidth is not what is looked at.
+  std::function<std::int64_t(const PeerMessage&)> onWire = [](const PeerMessage&) {
+    return 0;
+  };
+  std::function<void(const PeerMessage&)> delivered = [](const PeerMessage&) {
+  };
+  std::function<void(PeerMessage&)> damage = [](PeerMessage&) {
+  };
+  std::size_t snapshotBytes = 8 * 1024 * 1024;  // as ControllerOptions::snapshotBytes
+  std::size_t stateBytes = 1000;
+  std::int64_t now = 0;
+  RaftOptions options;
+  Members members;
+  std::map<ControllerId, std::unique_ptr<RaftNode>> nodes;
+  std::map<ControllerId, std::vector<WriteAheadRecord>> disks;
+  std::set<ControllerId> cutOff, down;
+  std::size_t mostRetained = 0;
+
+  explicit NodeLinks(std::size_t voters, RaftOptions options = {}) : options(options) {
+    for (std::size_t place = 0; place < voters; ++place) {
+      const std::string name(1, char('a' + place));
+      members.push_back({ControllerId{name}, Address{name + ":1"}, ZoneName{name}, true});
+    }
+    WriteAheadRecord founding;
+    founding.version = DiskVersion{1};
+    founding.whole = true;
+    founding.term = Term{1};
+    founding.first = LogIndex{1};
+    founding.entries.push_back({Term{1}, true, pack(members)});
+    for (const auto& member : members) {
+      disks[member.id] = {founding};
+      boot(member.id);
+    }
+  }
+
+  void boot(const ControllerId& id) {
+    for (const auto& member : members)
+      if (member.id == id)
+        nodes[id] =
+            std::make_unique<RaftNode>(member, options, ++seed, disks[id], MonotonicTime{now});
+    down.erase(id);
+  }
+  // What was not yet written is lost, and all that is on the way to and from it.
+  void kill(const ControllerId& id) {
+    down.insert(id);
+    dropOnTheWay(id);
+  }
+  void cut(const ControllerId& id, bool away) {
+    if (!away)
+      cutOff.erase(id);
+    else if (cutOff.insert(id).second)
+      dropOnTheWay(id);
+  }
+
+  RaftNode* leader() {
+    RaftNode* found = nullptr;
+    for (const auto& [id, node] : nodes)
+      if (!down.count(id) && node->leads() && (!found || node->term() > found->term()))
+        found = node.get();
+    return found;
+  }
+  RaftNode& node(const char* name) { return *nodes.at(ControllerId{name}); }
+
+  bool runUntil(const std::function<bool()>& condition, std::int64_t within) {
+    for (const std::int64_t end = now + within; now < end;) {
+      if (condition())
+        return true;
+      run(step);
+    }
+    return condition();
+  }
+  void run(std::int64_t span) {
+    for (const std::int64_t end = now + span; now < end; now += step)
+      pass();
+  }
+  static std::size_t retained(const RaftNode& node) {
+    std::size_t bytes = 0;
+    for (LogIndex index = node.snapshotIndex().next(); index <= node.last(); index = index.next())
+      bytes += node.entry(index).payload.size();
+    return bytes;
+  }
+
+ private:
+  struct OnTheWay {
+    std::int64_t at;
+    PeerMessage message;
+  };
+  using Link = std::pair<ControllerId, ControllerId>;
+
+  void pass() {
+    for (auto& [id, node] : nodes) {
+      if (down.count(id))
+        continue;
+      node->tick(MonotonicTime{now}, WallTime{now});
+      write(id, *node);
+      compact(*node);
+      for (auto& message : node->takeMessages())
+        put(std::move(message));
+    }
+    for (auto& [link, queue] : links)
+      while (!queue.empty() && queue.front().at <= now) {
+        PeerMessage message = std::move(queue.front().message);
+        queue.pop_front();
+        if (down.count(message.to))
+          continue;
+        damage(message);
+        delivered(message);
+        nodes.at(message.to)->receive(message, MonotonicTime{now});
+      }
+  }
+  void write(const ControllerId& id, RaftNode& node) {
+    while (auto record = node.takeWrite()) {
+      const DiskVersion version = record->version;
+      if (record->whole)
+        disks[id].clear();
+      disks[id].push_back(std::move(*record));
+      node.synced(version, MonotonicTime{now});
+    }
+  }
+  // As the controller does it, but for the time that packing takes.
+  void compact(RaftNode& node) {
+    node.takeInstalled();
+    mostRetained = std::max(mostRetained, retained(node));
+    if (node.bytesSinceWhole() < snapshotBytes || node.commitIndex() <= node.snapshot().index)
+      return;
+    std::string state = std::to_string(node.commitIndex().value);
+    state.resize(std::max(state.size(), stateBytes), 's');
+    node.compact(node.commitIndex(), std::move(state));
+  }
+  void put(PeerMessage message) {
+    if (cutOff.count(message.from) || cutOff.count(message.to) || down.count(message.to))
+      return;
+    const Link link{message.from, message.to};
+    std::int64_t& free = freeAt[link];
+    free = std::max(free, now) + onWire(message);
+    links[link].push_back({free + propagation, std::move(message)});
+  }
+  void dropOnTheWay(const ControllerId& id) {
+    for (auto& [link, queue] : links)
+      if (link.first == id || link.second == id) {
+        queue.clear();
+        freeAt[link] = now;
+      }
+  }
+  std::map<Link, std::deque<OnTheWay>> links;
+  std::map<Link, std::int64_t> freeAt;
+  std::uint64_t seed = 0;
+};
+
+}  // namespace aniseline
--- a/tests/raft/node_tests.cpp
+++ b/tests/raft/node_tests.cpp
@@ -109,7 +109,9 @@
 
 // A view counts only once it is synced; what lay on the disk before it is another log.
 TEST(RaftTests, anInstalledViewIsClaimedOnlyWhenItIsSynced) {
-  InstallSnapshot install{Term{2}, Snapshot{LogIndex{4}, Term{2}, three, "state"}, RoundNumber{1}};
+  const std::string whole = pack(Snapshot{LogIndex{4}, Term{2}, three, "state"});
+  const SnapshotIdentity identity{LogIndex{4}, Term{2}, whole.size(), checksum(whole)};
+  const InstallSnapshot install{Term{2}, identity, 0, whole, RoundNumber{1}};
   follower.receive(fromC(install), MonotonicTime{10});
   for (const auto& reply : repliesOf(follower))
     CHECK(reply.match.value < 4);
