Disk: what a start reads is made durable before it is claimed; all crashes tried

Cause: a process that is killed between the rename of a version and the sync of its folder leaves a version that the next start reads and claims to others, though a loss of power may still take its name away.

Now the folder's operations go through FileSystem; DataFolder::load syncs the folder first; errors are of kind damage or system, and only damage is put aside.

disk_crash_tests: a model of a folder with names that are durable only when synced; the process killed or the power lost after each step, each subset of unsynced changes, two lives one after another.

--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -154,9 +154,8 @@
     if (!opened || !restored) {
       const auto& error = opened ? restored.error() : opened.error();
       log(LogLevel::error, "the data folder can't be used", {{"why", json(error.message())}});
-      if (error.text.find("in use") != std::string::npos ||
-          error.text.find("ermission") != std::string::npos)
-        return false;
+      if (error.kind == DiskError::Kind::system)
+        return false;  // the state may be sound; it is tried again with the next start
       // docs/design.md 3.5: damaged state never votes; this machine goes on as a new identity.
       auto aside = folder.setAside();
       if (!aside) {
--- a/source/net/disk.cpp
+++ b/source/net/disk.cpp
@@ -1,40 +1,36 @@
 #include "net/disk.hpp"
 #include <cerrno>
 #include <fcntl.h>
-#include <filesystem>
-#include <fstream>
 #include <sys/file.h>
 #include <unistd.h>
 
 namespace aniseline {
 
-namespace fs = std::filesystem;
-
 namespace {
 constexpr char frameMark[8] = {'A', 'N', 'I', 'S',
                                'E', '0', '0', '4'};  // the last three are the format's number
 
+constexpr std::string_view partialEnding = ".partial";
+
 std::string nameOf(const WriteAheadRecord& record) {
   char name[64];
   std::snprintf(name, sizeof name, "%s-%020llu", record.whole ? "snapshot" : "log",
                 (unsigned long long)record.version.value);
   return name;
 }
-std::string systemText() {
-  return std::strerror(errno);
-}
 
-struct Descriptor {
-  int number;
-  explicit Descriptor(int number) : number(number) {}
-  ~Descriptor() {
-    if (number >= 0)
-      ::close(number);
-  }
+// What a file of the folder is by its name; the others are none of the state.
+struct VersionFile {
+  std::uint64_t version = 0;
+  bool snapshot = false;
 };
-bool syncFolder(const std::string& path) {
-  Descriptor folder(::open(path.c_str(), O_RDONLY | O_DIRECTORY));
-  return folder.number >= 0 && ::fsync(folder.number) == 0;
+std::optional<VersionFile> versionFile(const std::string& name) {
+  constexpr std::string_view snapshotName = "snapshot-", logName = "log-";
+  const bool snapshot = name.starts_with(snapshotName);
+  if ((!snapshot && !name.starts_with(logName)) || name.ends_with(partialEnding))
+    return std::nullopt;
+  const std::size_t head = snapshot ? snapshotName.size() : logName.size();
+  return VersionFile{std::strtoull(name.c_str() + head, nullptr, 10), snapshot};
 }
 }  // namespace
 
@@ -69,41 +65,27 @@
   return body;
 }
 
+// Whole or absent: it gets its name only once its content is durable, and counts as written only
+// once the name is.
 DiskResult<bool> DataFolder::writeFile(const std::string& name, const std::string& bytes) {
-  const std::string aside = path + "/" + name + ".partial", target = path + "/" + name;
-  {
-    Descriptor file(::open(aside.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644));
-    if (file.number < 0)
-      return DiskError{aside, 0, systemText()};
-    for (std::size_t written = 0; written < bytes.size();) {
-      const auto count = ::write(file.number, bytes.data() + written, bytes.size() - written);
-      if (count < 0 && errno == EINTR)
-        continue;
-      if (count < 0)
-        return DiskError{aside, written, systemText()};
-      written += std::size_t(count);
-    }
-    if (::fsync(file.number) != 0)
-      return DiskError{aside, 0, systemText()};
-  }
-  if (::rename(aside.c_str(), target.c_str()) != 0)
-    return DiskError{target, 0, systemText()};
-  if (!syncFolder(path))
-    return DiskError{path, 0, systemText()};
-  return true;
+  const std::string target = path + "/" + name;
+  const std::string aside = target + std::string(partialEnding);
+  if (auto written = files->writeSynced(aside, bytes); !written)
+    return written;
+  if (auto renamed = files->rename(aside, target); !renamed)
+    return renamed;
+  return files->syncFolder(path);
 }
 
 DiskResult<ControllerId> DataFolder::open() {
-  std::error_code error;
-  fs::create_directories(path, error);
-  if (error)
-    return DiskError{path, 0, error.message()};
+  if (auto made = files->makeFolder(path); !made)
+    return made.error();
   const int lock = ::open((path + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
   if (lock < 0)
-    return DiskError{path + "/lock", 0, systemText()};
+    return DiskError{path + "/lock", 0, std::strerror(errno), DiskError::Kind::system};
   if (::flock(lock, LOCK_EX | LOCK_NB) != 0) {
     ::close(lock);
-    return DiskError{path, 0, "is in use by another process"};
+    return DiskError{path, 0, "is in use by another process", DiskError::Kind::system};
   }
   // The lock is kept for the life of the process.
   return openHeld();
@@ -111,12 +93,13 @@
 
 DiskResult<ControllerId> DataFolder::openHeld() {
   const std::string file = path + "/identity";
-  if (!fs::exists(file)) {
-    for (const auto& entry : fs::directory_iterator(path)) {
-      const std::string name = entry.path().filename();
-      if (name.starts_with("log-") || name.starts_with("snapshot-"))
+  if (!files->exists(file)) {
+    auto names = files->list(path);
+    if (!names)
+      return names.error();
+    for (const auto& name : names.value())
+      if (versionFile(name))
         return DiskError{file, 0, "is missing, but the folder holds state"};
-    }
     std::random_device device;
     char text[40];
     std::snprintf(text, sizeof text, "%08x%08x", device(), device());
@@ -124,48 +107,59 @@
       return written.error();
     return ControllerId{text};
   }
-  std::ifstream stream(file, std::ios::binary);
-  std::string bytes((std::istreambuf_iterator<char>(stream)), {});
-  auto body = unframe(file, bytes);
+  auto bytes = files->read(file);
+  if (!bytes)
+    return bytes.error();
+  auto body = unframe(file, bytes.value());
   if (!body)
     return body.error();
   return ControllerId{body.value()};
 }
 
 DiskResult<std::vector<WriteAheadRecord>> DataFolder::load() {
-  for (const auto& entry : fs::directory_iterator(path))
-    if (entry.path().extension() == ".partial")
-      fs::remove(entry.path());
-  return loadFrom(path);
+  auto names = files->list(path);
+  if (!names)
+    return names.error();
+  for (const auto& name : names.value())
+    if (name.ends_with(partialEnding))
+      if (auto removed = files->remove(path + "/" + name); !removed)
+        return removed.error();
+  // A process that was killed may have left a version whose name is not durable yet. It is about to
+  // be claimed to others, so first it is made so.
+  if (auto synced = files->syncFolder(path); !synced)
+    return synced.error();
+  return loadFrom(path, *files);
 }
 
-DiskResult<std::vector<WriteAheadRecord>> DataFolder::loadFrom(const std::string& path) {
-  std::map<std::uint64_t, std::string> files;
+DiskResult<std::vector<WriteAheadRecord>> DataFolder::loadFrom(const std::string& path,
+                                                               FileSystem& files) {
+  auto names = files.list(path);
+  if (!names)
+    return names.error();
+  std::map<std::uint64_t, std::string> versions;
   std::uint64_t latestSnapshot = 0;
-  std::error_code listError;
-  for (const auto& entry : fs::directory_iterator(path, listError)) {
-    const std::string name = entry.path().filename();
-    const bool snapshot = name.starts_with("snapshot-");
-    if ((!snapshot && !name.starts_with("log-")) || name.ends_with(".partial"))
+  for (const auto& name : names.value()) {
+    const auto found = versionFile(name);
+    if (!found)
       continue;
-    const std::uint64_t version = std::strtoull(name.c_str() + (snapshot ? 9 : 4), nullptr, 10);
-    if (!files.emplace(version, entry.path()).second)
-      return DiskError{entry.path(), 0, "a version stands twice"};
-    if (snapshot)
-      latestSnapshot = std::max(latestSnapshot, version);
+    if (!versions.emplace(found->version, path + "/" + name).second)
+      return DiskError{path + "/" + name, 0, "a version stands twice"};
+    if (found->snapshot)
+      latestSnapshot = std::max(latestSnapshot, found->version);
   }
-  if (listError)
-    return DiskError{path, 0, listError.message()};
-  files.erase(files.begin(), files.lower_bound(latestSnapshot));
+  // Older ones are there when their removal was not durable. They are of no use: when the newest
+  // snapshot can't be read, nothing tells whether they hold all that was acknowledged.
+  versions.erase(versions.begin(), versions.lower_bound(latestSnapshot));
   std::vector<WriteAheadRecord> records;
   std::uint64_t expected = latestSnapshot ? latestSnapshot : 1;
-  for (const auto& [version, file] : files) {
+  for (const auto& [version, file] : versions) {
     if (version != expected++)
       return DiskError{file, 0,
                        "version " + std::to_string(expected - 1) + " before it is missing"};
-    std::ifstream stream(file, std::ios::binary);
-    std::string bytes((std::istreambuf_iterator<char>(stream)), {});
-    auto body = unframe(file, bytes);
+    auto bytes = files.read(file);
+    if (!bytes)
+      return bytes.error();
+    auto body = unframe(file, bytes.value());
     if (!body)
       return body.error();
     auto record = unpack<WriteAheadRecord>(body.value());
@@ -182,44 +176,47 @@
   auto written = writeFile(nameOf(record), frame(pack(record)));
   if (!written || !record.whole)
     return written;
-  // Older versions go only now that the whole one is synced.
-  for (const auto& entry : fs::directory_iterator(path)) {
-    const std::string name = entry.path().filename();
-    const bool snapshot = name.starts_with("snapshot-");
-    if (!snapshot && !name.starts_with("log-"))
+  return removeOlder(record.version);
+}
+
+// Only now that the whole version is durable, its name included. One that comes back after a loss
+// of power lies below it and is not read.
+DiskResult<bool> DataFolder::removeOlder(DiskVersion version) {
+  auto names = files->list(path);
+  if (!names)
+    return true;  // they are removed with the next snapshot
+  for (const auto& name : names.value()) {
+    const auto found = versionFile(name);
+    if (!found || found->version >= version.value)
       continue;
-    if (std::strtoull(name.c_str() + (snapshot ? 9 : 4), nullptr, 10) < record.version.value) {
-      std::error_code ignored;
-      fs::remove(entry.path(), ignored);
-    }
+    [[maybe_unused]] const auto removed = files->remove(path + "/" + name);
   }
   return true;
 }
 
 DiskResult<bool> DataFolder::setAside() {
-  std::error_code error;
-  std::string target;
-  for (int count = 1;; ++count) {
-    target = path + "/aside-" + std::to_string(count);
-    if (!fs::exists(target))
-      break;
-  }
-  fs::create_directory(target, error);
+  int count = 1;
+  while (files->exists(path + "/aside-" + std::to_string(count)))
+    ++count;
+  const std::string target = path + "/aside-" + std::to_string(count);
+  if (auto made = files->makeFolder(target); !made)
+    return made;
   // The identity goes first: without it the rest is never taken for a voter's state.
-  if (fs::exists(path + "/identity"))
-    fs::rename(path + "/identity", target + "/identity", error);
-  if (!syncFolder(path))
-    return DiskError{path, 0, systemText()};
-  for (const auto& entry : fs::directory_iterator(path)) {
-    const std::string name = entry.path().filename();
-    if (name.starts_with("log-") || name.starts_with("snapshot-"))
-      fs::rename(entry.path(), target + "/" + name, error);
-  }
-  if (error)
-    return DiskError{path, 0, error.message()};
-  if (!syncFolder(path))
-    return DiskError{path, 0, systemText()};
-  return true;
+  if (files->exists(path + "/identity"))
+    if (auto moved = files->rename(path + "/identity", target + "/identity"); !moved)
+      return moved;
+  if (auto synced = files->syncFolder(path); !synced)
+    return synced;
+  auto names = files->list(path);
+  if (!names)
+    return names.error();
+  for (const auto& name : names.value())
+    if (versionFile(name))
+      if (auto moved = files->rename(path + "/" + name, target + "/" + name); !moved)
+        return moved;
+  if (auto synced = files->syncFolder(target); !synced)
+    return synced;
+  return files->syncFolder(path);
 }
 
 }  // namespace aniseline
