Members: out only by a committed change; each change's preconditions in one place

A leader that could not commit retired voters: on(RequestVote) sent RemovedFromCluster as soon as the asker was missing in the newest members, committed or not. The new test aRemovalThatCannotCommitRetiresNobody failed before: membership_tests.cpp:128: error: Failure in TEST(Membership, aRemovalThatCannotCommitRetiresNobody) CHECK(!removed.removedFromCluster()) failed Now a serving leader says it, of committed members only, with the entry's term and index and the members since; whoever is told checks that it is not named, that the teller votes, and that the entry is later than the last change in its own log. The term of the teller is no longer compared: a committed change stays true, and one that had asked for votes in vain could never be told.

The same fault elsewhere: an operator's replacement was called done in the log before the removal (anOrderIsDoneOnlyAfterTheRemoval: "CHECK(done > removed) failed" with the old order). It is done now once the committed members are without it. Looked at and left: advanceCommit, countVotes, quorumContact, confirmedRound (the newest members are right there while one voter differs at most), followMoves and Join (propose only from settled members), compact (committed entries only).

Preconditions stand in raft/membership_change: own term, settled, one voter at most, leader stays, successor holds the log, those who stay are a majority of the old voters by themselves, the new ones have theirs. Refusals are typed and told of once. AppendEntries tells each how far the others hold the log, for a stop that waits.

--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -92,7 +92,7 @@
     ordersSent.clear();
     unresponsive.clear();
     reported.clear();
-    committedLately.clear();
+    refusedChange.clear();
     backlog = Backlog{};
     paces.clear();
     urgentDemand.clear();
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -95,6 +95,8 @@
   void answerPolls();
   void answerDecided();
   void reviewMembership();
+  void closeReplacements();
+  bool changeMembers(const Members& members, const char* what, const Member& member);
   void requestSnapshot();
   bool answerPoll(const PendingRequest& record, RoundNumber confirmed);
   void dropRequest(std::uint64_t place);
@@ -172,9 +174,7 @@
   std::map<std::string, Demand> urgentDemand;  // by pool: the most wanted at once, fading
   void recordDemand(const Plan& plan);
   MonotonicTime nextHopeless, nextOccupancy, nextDueLook;
-  std::deque<LogIndex> committedLately;  // the commit index a quarter of a second ago and, behind
-                                         // it, the last one noted
-  MonotonicTime committedAt;
+  std::string refusedChange;  // of members, the last that was told of
   struct Backlog {
     MonotonicTime at{-1'000'000};
     std::map<std::string, double> cores;                             // by pool
--- a/source/controller/membership.cpp
+++ b/source/controller/membership.cpp
@@ -1,21 +1,48 @@
 // Which controllers vote and learn: repair after a loss. docs/design.md 3.5.
 #include "controller/controller.hpp"
+#include "raft/membership_change.hpp"
 
 namespace aniseline {
 
-// One change at a time, each logged; a learner is promoted when it has caught up.
-// docs/design.md 3.5.
-void Controller::reviewMembership() {
-  // A learner has caught up when it holds what was committed a moment ago: under load it is never
-  // level.
-  if (committedLately.empty() || now - committedAt >= Duration{250}) {
-    committedLately.push_back(raft.commitIndex());
-    if (committedLately.size() > 2)
-      committedLately.pop_front();
-    committedAt = now;
+// What an operator ordered to be replaced is done when the committed members are without it; said
+// earlier, a change that is never committed would take the order with it.
+void Controller::closeReplacements() {
+  std::vector<ControllerId> done;
+  for (const auto& id : speculative().toReplace) {
+    const bool there = std::any_of(raft.members().begin(), raft.members().end(),
+                                   [&](const Member& member) { return member.id == id; });
+    if (!there)
+      done.push_back(id);
+  }
+  for (const auto& id : done)
+    append(ControllerReplacementRequested{id, true});
+}
+
+bool Controller::changeMembers(const Members& members, const char* what, const Member& member) {
+  const auto refusal = raft.refusalOfMembers(members, now);
+  picojson::object fields{
+      {"change", json(what)}, {"member", json(member.id.value)}, {"zone", json(member.zone.value)}};
+  if (!refusal && raft.proposeMembers(members, now)) {
+    refusedChange.clear();
+    emitLogEvent("members change", std::move(fields));
+    return true;
+  }
+  const std::string why = refusal ? name(*refusal) : "";
+  const std::string told = member.id.value + " " + what + " " + why;
+  if (refusedChange != told) {
+    fields["why"] = json(why);
+    emitLogEvent("members change refused", std::move(fields));
   }
+  refusedChange = told;
+  return false;
+}
+
+// One change at a time, each logged; a learner is promoted when it has caught up. What may be
+// changed is judged by raft/membership_change.hpp, what should be here. docs/design.md 3.5.
+void Controller::reviewMembership() {
   if (!raft.membersSettled())
     return;
+  closeReplacements();
   Members members = raft.members();
   auto isDead = [&](const Member& member) {
     if (member.id == raft.self().id)
@@ -31,12 +58,6 @@
     });
     return unheard > options.replaceAfter || (supplanted && unheard > Duration{2000});
   };
-  auto change = [&](const char* what, const Member& member) {
-    if (raft.proposeMembers(members, now))
-      emitLogEvent("members change", {{"change", json(what)},
-                                      {"member", json(member.id.value)},
-                                      {"zone", json(member.zone.value)}});
-  };
   std::size_t voters = 0, dead = 0;
   for (const auto& member : members) {
     voters += member.voter;
@@ -82,10 +103,10 @@
     const bool deadLearner = !member.voter && isDead(member);
     if (!(lostState && (!member.voter || voters > 1)) && !superfluous && !deadLearner)
       continue;
-    members.erase(members.begin() + std::ptrdiff_t(place));
-    if (speculative().toReplace.count(member.id))
-      append(ControllerReplacementRequested{member.id, true});
-    return change(lostState ? "lost state" : "removed", member);
+    Members fewer = members;
+    fewer.erase(fewer.begin() + std::ptrdiff_t(place));
+    if (changeMembers(fewer, lostState ? "lost state" : "removed", member))
+      return;
   }
   if (voters > options.voters)
     return;
@@ -95,7 +116,7 @@
   for (auto& member : members) {
     if (member.voter || now - raft.heardFrom(member.id) > Duration{1000})
       continue;
-    if (raft.matchOf(member.id) < committedLately.front())
+    if (!raft.caughtUp(member.id))
       continue;
     const auto inZone = std::count_if(members.begin(), members.end(), [&](const Member& other) {
       return other.voter && other.zone == member.zone && !isDead(other);
@@ -120,7 +141,7 @@
       return;
   }
   best->voter = true;
-  change("voter", *best);
+  changeMembers(members, "voter", *best);
 }
 
 }  // namespace aniseline
--- a/source/raft/election.cpp
+++ b/source/raft/election.cpp
@@ -20,6 +20,8 @@
 }
 
 void RaftNode::become(Role role, MonotonicTime now) {
+  if (leads())
+    heldByOthers = std::max(heldByOthers, std::min(heldWithout(own.id), commit));
   currentRole = role;
   votes.clear();
   trialElection = false;
@@ -85,6 +87,8 @@
       peer.heard = peer.contact = now;
     }
   openedAt = last().next();  // the owner proposes its opening entry at once
+  caughtUpFrom = nextCaughtUpFrom = openedAt;
+  commitNotedAt = now;
   nextHeartbeat = now;
 }
 
@@ -106,10 +110,8 @@
 
 void RaftNode::on(const PeerMessage& message, const RequestVote& body, MonotonicTime now) {
   const auto* candidate = member(message.from);
-  if (!candidate && body.term > currentTerm && leads()) {
-    send(message.from, RemovedFromCluster{currentTerm});
-    return;
-  }
+  if (!candidate && serves() && membersSettled())
+    return tellRemoved(message.from);
   // One that hears a leader does not help to unseat it. docs/design.md 3.2.
   const bool content = leads() || (now - heardLeader < options.electionLow);
   if (content && !body.leaderTransfer) {
--- a/source/raft/membership.cpp
+++ b/source/raft/membership.cpp
@@ -1,5 +1,5 @@
 // Membership: joining, changes of members, removal. docs/design.md 3.5.
-#include "raft/node.hpp"
+#include "raft/membership_change.hpp"
 
 namespace aniseline {
 
@@ -35,8 +35,19 @@
   nextHeartbeat = now + Duration{500};
 }
 
+std::optional<MembershipChangeRefusal> RaftNode::refusalOfMembers(const Members& members,
+                                                                  MonotonicTime now) const {
+  const auto holdsLog = [&](const ControllerId& id) {
+    return caughtUp(id) && !lostState(id) && now - heardFrom(id) <= options.electionHigh;
+  };
+  const auto lost = [&](const ControllerId& id) {
+    return lostState(id);
+  };
+  return refusalOf({currentMembers, members, own.id, serves(), membersSettled(), holdsLog, lost});
+}
+
 bool RaftNode::proposeMembers(const Members& members, MonotonicTime now) {
-  if (!serves() || !membersSettled())
+  if (refusalOfMembers(members, now))
     return false;
   log.push_back(LogEntry{currentTerm, true, pack(members)});
   mark(last());
@@ -86,9 +97,24 @@
     proposeMembers(moved, now);
 }
 
+// Only of members that are committed: what is not may never come to be, and then the asker is
+// needed. docs/design.md 3.5.
+void RaftNode::tellRemoved(const ControllerId& id) {
+  send(id, RemovedFromCluster{termAt(membersIndex), membersIndex, currentMembers});
+}
+
+// The word of one leader is enough, since a committed entry is itself the word of a majority of the
+// members it names, and stays true whatever the term. What must be ruled out is an old word that
+// comes late: whoever was taken in again holds the entry that did it, which is a later one.
 void RaftNode::on(const PeerMessage& message, const RemovedFromCluster& body, MonotonicTime) {
-  // Only a leader of a later or the same term, once a member with us, can retire us.
-  if (body.term >= currentTerm && message.from != own.id && !leads())
+  const auto named = [&](const ControllerId& id, bool voting) {
+    return std::any_of(body.members.begin(), body.members.end(), [&](const Member& entry) {
+      return entry.id == id && (entry.voter || !voting);
+    });
+  };
+  const bool later = std::make_tuple(body.entryTerm, body.index) >
+                     std::make_tuple(termAt(membersIndex), membersIndex);
+  if (later && named(message.from, true) && !named(own.id, false))
     wasRemoved = true;
 }
 
--- a/source/raft/node.cpp
+++ b/source/raft/node.cpp
@@ -101,6 +101,7 @@
       become(Role::follower, now);
       return;
     }
+    noteCommit(now);
     if (transferringLeadership && now > transferUntil)
       transferringLeadership = false;
     // A few rounds at a time: where the others are slow what is wanted meanwhile goes together into
--- a/source/raft/node.hpp
+++ b/source/raft/node.hpp
@@ -83,9 +83,11 @@
   std::vector<LogEntry> entries;
   LogIndex commit;
   RoundNumber round;
+  LogIndex heldByOthers{};  // up to here a majority of the voters holds the log, not counting the
+                            // one that is told
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& term& previous& previousTerm& entries& commit& round;
+    archive& term& previous& previousTerm& entries& commit& round& heldByOthers;
   }
 };
 struct AppendEntriesReply {
@@ -123,12 +125,15 @@
     archive& member;
   }
 };
-struct RemovedFromCluster {  // the leader tells an identity that it is no member any more,
-                             // docs/design.md 3.5
-  Term term;
+// A leader tells an identity that it is no member any more. It says which committed change shows
+// it, so that whoever is told can check it against its own log. docs/design.md 3.5.
+struct RemovedFromCluster {
+  Term entryTerm;  // of the committed membership entry
+  LogIndex index{};
+  Members members{};  // in force since that entry
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& term;
+    archive& entryTerm& index& members;
   }
 };
 using PeerBody = boost::variant<RequestVote, RequestVoteReply, AppendEntries, AppendEntriesReply,
@@ -154,6 +159,8 @@
   std::size_t keepEntries = 2000;  // kept behind a view for followers that are a little late
 };
 
+enum class MembershipChangeRefusal : std::uint8_t;  // raft/membership_change.hpp
+
 enum class Role : std::uint8_t { learner, follower, candidate, leader };
 const char* name(Role role);
 
@@ -167,6 +174,9 @@
   void synced(DiskVersion version, MonotonicTime now);
   LogIndex propose(std::string payload, MonotonicTime now);
   bool proposeMembers(const Members& members, MonotonicTime now);
+  // Why that change would not be proposed now; nothing where it would be. docs/design.md 3.5.
+  std::optional<MembershipChangeRefusal> refusalOfMembers(const Members& members,
+                                                          MonotonicTime now) const;
   // Makes the founding entry: a cluster of this one voter. Only for a blank identity.
   void found(MonotonicTime now);
   void transferLeadership(MonotonicTime now);
@@ -202,6 +212,11 @@
   LogIndex matchOf(const ControllerId& id) const;
   bool membersSettled() const { return membersIndex <= commit; }
   bool lostState(const ControllerId& id) const;
+  // Holds what was committed a moment ago: under load nobody is ever level.
+  bool caughtUp(const ControllerId& id) const;
+  // Whether this one may stop without its copy being missed: a majority of the voters holds all
+  // that it knows to be committed, itself not counted. docs/design.md 3.5.
+  bool othersHoldCommitted() const;
   std::uint64_t versionsSinceWhole() const { return sinceWhole; }
   std::uint64_t bytesSinceWhole() const { return bytesWritten; }
   std::optional<WallTime> agreedWall(MonotonicTime now) const;  // docs/design.md 3.6
@@ -236,7 +251,10 @@
   void sendAppend(const Member& to, Peer& peer, MonotonicTime now, bool force);
   template <class Value, class OfPeer>
   Value reachedByMajority(Value ofSelf, OfPeer ofPeer) const;
+  LogIndex heldWithout(const ControllerId& id) const;
   void advanceCommit();
+  void noteCommit(MonotonicTime now);
+  void tellRemoved(const ControllerId& id);
   void followMoves(MonotonicTime now);
   void cutLog(LogIndex from);
   void findMembers();
@@ -269,6 +287,10 @@
   std::vector<LogEntry> log;
   LogIndex commit;
   LogIndex openedAt;
+  LogIndex heldByOthers;      // a majority of the voters holds that much, this one not counted
+  LogIndex caughtUpFrom;      // who holds that much has caught up
+  LogIndex nextCaughtUpFrom;  // what it becomes next
+  MonotonicTime commitNotedAt;
   std::map<ControllerId, Peer> peers;
   std::set<ControllerId> votes;
   bool trialElection = false;
--- a/source/raft/replication.cpp
+++ b/source/raft/replication.cpp
@@ -63,6 +63,42 @@
   return found == peers.end() ? LogIndex{} : found->second.match;
 }
 
+bool RaftNode::caughtUp(const ControllerId& id) const {
+  if (id == own.id)
+    return syncedIndex >= caughtUpFrom;
+  return matchOf(id) >= caughtUpFrom;
+}
+
+// How far back "a moment ago" is: once to twice this. Longer than a round on the slowest links that
+// a leader keeps its followers on, shorter than any wait for an election.
+constexpr Duration commitNotedEach{250};
+
+void RaftNode::noteCommit(MonotonicTime now) {
+  if (now - commitNotedAt < commitNotedEach)
+    return;
+  caughtUpFrom = std::max(caughtUpFrom, nextCaughtUpFrom);
+  nextCaughtUpFrom = commit;
+  commitNotedAt = now;
+}
+
+LogIndex RaftNode::heldWithout(const ControllerId& id) const {
+  std::vector<LogIndex> held;
+  for (const auto& entry : currentMembers)
+    if (entry.voter && entry.id != id)
+      held.push_back(entry.id == own.id ? std::min(syncedIndex, last()) : matchOf(entry.id));
+  if (held.size() < majority())
+    return LogIndex{};
+  std::sort(held.begin(), held.end(), std::greater<>());
+  return held[majority() - 1];
+}
+
+bool RaftNode::othersHoldCommitted() const {
+  if (!selfVotes() || currentMembers.size() == 1)
+    return true;
+  const LogIndex held = leads() ? heldWithout(own.id) : heldByOthers;
+  return held >= commit;
+}
+
 bool RaftNode::lostState(const ControllerId& id) const {
   auto found = peers.find(id);
   return found != peers.end() && found->second.lostState;
@@ -118,6 +154,7 @@
   body.previousTerm = termAt(body.previous);
   body.commit = commit;
   body.round = round;
+  body.heldByOthers = std::min(heldWithout(to.id), commit);
   std::size_t bytes = 0;
   for (LogIndex index = peer.next; index <= last() && bytes < options.batchBytes;
        index = index.next()) {
@@ -208,6 +245,7 @@
       currentRole = Role::learner;
   }
   commit = std::max(commit, std::min(body.commit, index));
+  heldByOthers = std::max(heldByOthers, body.heldByOthers);
   shownBy = std::max(shownBy, index);
   replyAppend(message.from, true, std::min(index, syncedIndex), body.round);
 }
--- a/tests/packing_tests.cpp
+++ b/tests/packing_tests.cpp
@@ -133,12 +133,13 @@
                         {LogEntry{Term{3}, false, everyByte()},
                          LogEntry{Term{3}, true, pack(Members{member})}},
                         LogIndex{4},
-                        RoundNumber{9}},
+                        RoundNumber{9},
+                        LogIndex{3}},
           AppendEntriesReply{Term{1}, true, LogIndex{2}, LogIndex{3}, RoundNumber{4}, WallTime{5}},
           InstallSnapshot{Term{3}, view, RoundNumber{2}},
           TimeoutNow{Term{7}},
           Join{member},
-          RemovedFromCluster{Term{6}}};
+          RemovedFromCluster{Term{6}, LogIndex{3}, {member}}};
 }
 
 SyncReport report() {
--- /dev/null
+++ b/tests/raft/membership_tests.cpp
@@ -0,0 +1,350 @@
+// Changes of membership: who may be told that it is out, and which changes a leader refuses.
+// docs/design.md 3.5.
+#include "raft/membership_change.hpp"
+
+#include <CppUTest/TestHarness.h>
+using namespace aniseline;
+
+namespace {
+
+Member voter(const std::string& id) {
+  return {ControllerId{id}, Address{id + ":1"}, ZoneName{"zone-" + id}, true};
+}
+Members voters(const std::vector<std::string>& ids) {
+  Members members;
+  for (const auto& id : ids)
+    members.push_back(voter(id));
+  return members;
+}
+Members without(Members members, const std::string& id) {
+  std::erase_if(members, [&](const Member& member) { return member.id.value == id; });
+  return members;
+}
+Members promoted(Members members, const std::string& id) {
+  for (auto& member : members)
+    member.voter = member.voter || member.id.value == id;
+  return members;
+}
+
+// Nodes on one clock, a network with cuts, and disks that sync at once. Leaders open their terms as
+// the controller does.
+struct Cluster {
+  std::int64_t now = 0;
+  std::map<std::string, std::unique_ptr<RaftNode>> nodes;
+  std::map<std::string, Term> opened;
+  std::set<std::set<std::string>> cuts;
+  std::set<std::string> down;
+
+  explicit Cluster(const std::vector<std::string>& ids) {
+    WriteAheadRecord record;
+    record.version = DiskVersion{1};
+    record.whole = true;
+    record.term = Term{1};
+    record.first = LogIndex{1};
+    record.entries.push_back({Term{1}, true, pack(voters(ids))});
+    for (const auto& id : ids)
+      add(id, {record});
+  }
+  void add(const std::string& id, const std::vector<WriteAheadRecord>& disk) {
+    nodes[id] = std::make_unique<RaftNode>(voter(id), RaftOptions{}, nodes.size() + 1, disk,
+                                           MonotonicTime{now});
+  }
+  void cut(const std::vector<std::string>& left, const std::vector<std::string>& right) {
+    for (const auto& one : left)
+      for (const auto& other : right)
+        cuts.insert({one, other});
+  }
+  bool reaches(const PeerMessage& message) const {
+    const std::string& to = message.to.value;
+    return nodes.count(to) && !down.count(to) && !down.count(message.from.value) &&
+           !cuts.count({message.from.value, to});
+  }
+  void openTerms() {
+    for (auto& [id, node] : nodes)
+      if (node->leads() && opened[id] != node->term()) {
+        opened[id] = node->term();
+        node->propose("opened", MonotonicTime{now});
+      }
+  }
+  std::vector<PeerMessage> step() {
+    std::vector<PeerMessage> sent;
+    openTerms();
+    for (auto& [id, node] : nodes) {
+      if (down.count(id))
+        continue;
+      node->tick(MonotonicTime{now}, WallTime{now});
+      while (auto record = node->takeWrite())
+        node->synced(record->version, MonotonicTime{now});
+      for (auto& message : node->takeMessages())
+        sent.push_back(std::move(message));
+    }
+    return sent;
+  }
+  void run(std::int64_t span) {
+    for (const std::int64_t end = now + span; now < end; now += 10)
+      for (const auto& message : step())
+        if (reaches(message))
+          nodes[message.to.value]->receive(message, MonotonicTime{now});
+  }
+  std::string leader() const {
+    for (const auto& [id, node] : nodes)
+      if (!down.count(id) && node->serves())
+        return id;
+    return "";
+  }
+  std::string elect() {
+    for (int count = 0; count < 1000 && leader().empty(); ++count)
+      run(10);
+    run(300);
+    return leader();
+  }
+  RaftNode& at(const std::string& id) { return *nodes[id]; }
+};
+
+// The leader of these and the others in their order.
+std::vector<std::string> leaderFirst(Cluster& cluster) {
+  std::vector<std::string> order{cluster.elect()};
+  for (const auto& [id, node] : cluster.nodes)
+    if (id != order[0])
+      order.push_back(id);
+  return order;
+}
+
+}  // namespace
+
+TEST_GROUP(Membership){};
+
+// Four vote. The leader and x are cut off from the other two, so what the leader proposes can't be
+// committed: x is one of four still, and without its copy two of four could never go on.
+TEST(Membership, aRemovalThatCannotCommitRetiresNobody) {
+  Cluster cluster({"a", "b", "c", "d"});
+  const auto order = leaderFirst(cluster);
+  RaftNode& leader = cluster.at(order[0]);
+  RaftNode& removed = cluster.at(order[1]);
+  cluster.cut({order[0], order[1]}, {order[2], order[3]});
+  CHECK(leader.proposeMembers(without(leader.members(), order[1]), MonotonicTime{cluster.now}));
+  cluster.run(5000);
+  CHECK(!leader.membersSettled());
+  CHECK(!removed.removedFromCluster());
+  // The leader is lost for good: the three that are left are a majority of the committed four.
+  cluster.down.insert(order[0]);
+  cluster.cuts.clear();
+  CHECK(!cluster.elect().empty());
+}
+
+// Once it is committed the removed one learns of it, from the leader that it asks for a vote.
+TEST(Membership, aCommittedRemovalIsTold) {
+  Cluster cluster({"a", "b", "c", "d"});
+  const auto order = leaderFirst(cluster);
+  RaftNode& leader = cluster.at(order[0]);
+  CHECK(leader.proposeMembers(without(leader.members(), order[3]), MonotonicTime{cluster.now}));
+  cluster.run(5000);
+  CHECK(leader.membersSettled());
+  CHECK(cluster.at(order[3]).removedFromCluster());
+  for (const auto& id : {order[0], order[1], order[2]})
+    CHECK(!cluster.at(id).removedFromCluster());
+}
+
+// Whoever is told checks it: by its own log and by what the word itself says.
+TEST(Membership, aWordOfRemovalIsChecked) {
+  WriteAheadRecord record;
+  record.version = DiskVersion{1};
+  record.whole = true;
+  record.term = Term{9};
+  record.first = LogIndex{1};
+  record.entries.push_back({Term{1}, true, pack(voters({"a", "b"}))});
+  record.entries.push_back({Term{3}, true, pack(voters({"a", "b", "x"}))});
+  const auto told = [&](const std::string& from, const RemovedFromCluster& word) {
+    RaftNode x(voter("x"), {}, 1, {record}, MonotonicTime{0});
+    x.receive({ControllerId{from}, ControllerId{"x"}, Address{"x:1"}, word, Address{from + ":1"}},
+              MonotonicTime{10});
+    return x.removedFromCluster();
+  };
+  const Members others = voters({"a", "b"});
+  CHECK(told("a", {Term{3}, LogIndex{3}, others}));
+  // Its own term counts for nothing: it may have asked for votes in vain meanwhile.
+  CHECK(told("a", {Term{4}, LogIndex{2}, others}));
+  // It was taken in again since.
+  CHECK(!told("a", {Term{3}, LogIndex{1}, others}));
+  CHECK(!told("a", {Term{2}, LogIndex{7}, others}));
+  CHECK(!told("a", {Term{3}, LogIndex{2}, others}));
+  CHECK(!told("a", {Term{3}, LogIndex{3}, voters({"a", "b", "x"})}));
+  CHECK(!told("c", {Term{3}, LogIndex{3}, others}));
+}
+
+namespace {
+
+const char* refused(const std::string& from, const std::string& to, const std::string& holding,
+                    const std::string& lost = "") {
+  // A letter a voter, the leader is l; capitals learn.
+  const auto list = [](const std::string& letters) {
+    Members members;
+    for (const char letter : letters) {
+      members.push_back(voter(std::string(1, char(std::tolower(letter)))));
+      members.back().voter = std::islower(letter);
+    }
+    return members;
+  };
+  const Members before = list(from), after = list(to);
+  const auto in = [](const std::string& letters) {
+    return [&](const ControllerId& id) {
+      return letters.find(id.value) != std::string::npos;
+    };
+  };
+  const auto refusal =
+      refusalOf({before, after, ControllerId{"l"}, true, true, in(holding), in(lost)});
+  return refusal ? name(*refusal) : "";
+}
+
+}  // namespace
+
+TEST(Membership, aChangeNeedsALeaderOfItsOwnTermAndACommittedOneBefore) {
+  const Members from = voters({"l", "a"}), to = voters({"l", "a"});
+  const auto all = [](const ControllerId&) {
+    return true;
+  };
+  const auto none = [](const ControllerId&) {
+    return false;
+  };
+  CHECK(refusalOf({from, to, ControllerId{"l"}, false, true, all, none}) ==
+        MembershipChangeRefusal::notServing);
+  CHECK(refusalOf({from, to, ControllerId{"l"}, true, false, all, none}) ==
+        MembershipChangeRefusal::changeUnderWay);
+  CHECK(!refusalOf({from, to, ControllerId{"l"}, true, true, all, none}));
+}
+
+TEST(Membership, atMostOneVoterDiffersAndTheLeaderStays) {
+  STRCMP_EQUAL("several voters", refused("labC", "labcd", "labcd"));
+  STRCMP_EQUAL("several voters", refused("labC", "lac", "labc"));
+  STRCMP_EQUAL("several voters", refused("labcd", "lab", "labcd"));
+  STRCMP_EQUAL("the leader would leave", refused("lab", "ab", "lab"));
+  STRCMP_EQUAL("the leader would leave", refused("lab", "Lab", "lab"));
+  STRCMP_EQUAL("listed twice", refused("lab", "labb", "lab"));
+  STRCMP_EQUAL("", refused("labC", "labD", "lab"));  // learners are in no majority
+}
+
+// One is dead: it is replaced by one who holds the log, who comes first; then the dead one goes.
+TEST(Membership, theSuccessorHoldsTheLogBeforeItVotesAndBeforeTheOldCopyGoes) {
+  STRCMP_EQUAL("the successor is behind", refused("labC", "labc", "la"));
+  STRCMP_EQUAL("", refused("labC", "labc", "lac"));
+  STRCMP_EQUAL("too few of the old voters hold the log", refused("labc", "lac", "la"));
+  STRCMP_EQUAL("", refused("labc", "lac", "lac"));
+  // Five, two of them dead.
+  STRCMP_EQUAL("the successor is behind", refused("labcdE", "labcde", "lab"));
+  STRCMP_EQUAL("", refused("labcdE", "labcde", "labe"));
+  STRCMP_EQUAL("too few of the old voters hold the log", refused("labcde", "labce", "lab"));
+  STRCMP_EQUAL("", refused("labcde", "labce", "labe"));
+}
+
+TEST(Membership, noMajorityIsLeftWaiting) {
+  STRCMP_EQUAL("too few of the old voters hold the log", refused("labC", "labc", "lc"));
+  STRCMP_EQUAL("too few of the old voters hold the log", refused("la", "l", "la"));
+  // From three to five and back, one at a time, with one of them away.
+  STRCMP_EQUAL("", refused("labCD", "labcD", "labc"));
+  STRCMP_EQUAL("", refused("labcd", "labc", "labc"));
+  STRCMP_EQUAL("too few of the old voters hold the log", refused("labcd", "labc", "lad"));
+  STRCMP_EQUAL("", refused("labc", "lab", "lab"));
+}
+
+// What one that lost its state once acknowledged is gone: it is missed whether it stays or not.
+TEST(Membership, whoLostItsStateIsNotCounted) {
+  STRCMP_EQUAL("", refused("lax", "la", "la", "x"));
+  STRCMP_EQUAL("", refused("lx", "l", "l", "x"));
+  STRCMP_EQUAL("", refused("lxB", "lxb", "lb", "x"));
+  STRCMP_EQUAL("too few of the new voters hold the log", refused("lxyB", "lxyb", "lb", "xy"));
+  STRCMP_EQUAL("too few of the old voters hold the log", refused("lax", "la", "l", "x"));
+}
+
+// The leader's own judgement: one that it does not hear counts for nothing, however much it once
+// held.
+TEST(Membership, aLeaderRefusesWhatWouldWaitForOneThatIsAway) {
+  Cluster cluster({"a", "b", "c", "d"});
+  const auto order = leaderFirst(cluster);
+  RaftNode& leader = cluster.at(order[0]);
+  cluster.cut({order[0], order[1], order[2]}, {order[3]});
+  cluster.run(3000);
+  CHECK(leader.serves());
+  const MonotonicTime now{cluster.now};
+  CHECK(leader.refusalOfMembers(without(leader.members(), order[1]), now) ==
+        MembershipChangeRefusal::oldMajority);
+  CHECK(!leader.proposeMembers(without(leader.members(), order[1]), now));
+  CHECK(leader.proposeMembers(without(leader.members(), order[3]), now));
+  CHECK(leader.refusalOfMembers(leader.members(), now) == MembershipChangeRefusal::changeUnderWay);
+  cluster.run(1000);
+  CHECK(leader.membersSettled());
+}
+
+TEST(Membership, aLearnerVotesOnlyOnceItHasCaughtUp) {
+  Cluster cluster({"a", "b", "c"});
+  const auto order = leaderFirst(cluster);
+  RaftNode& leader = cluster.at(order[0]);
+  cluster.add("n", {});
+  Members members = leader.members();
+  members.push_back(voter("n"));
+  members.back().voter = false;
+  cluster.down.insert("n");
+  CHECK(leader.proposeMembers(members, MonotonicTime{cluster.now}));
+  cluster.run(100);
+  CHECK(leader.refusalOfMembers(promoted(members, "n"), MonotonicTime{cluster.now}) ==
+        MembershipChangeRefusal::successorBehind);
+  cluster.down.clear();
+  cluster.run(1000);
+  CHECK(leader.caughtUp(ControllerId{"n"}));
+  CHECK(leader.proposeMembers(promoted(members, "n"), MonotonicTime{cluster.now}));
+  cluster.run(500);
+  CHECK(cluster.at("n").role() == Role::follower);
+}
+
+TEST_GROUP(StopOfAController){};
+
+// One of three is cut off, so the leader and the one that it hears hold the only full copies:
+// neither may stop until a third holds all.
+TEST(StopOfAController, theLastFullCopiesAreMissed) {
+  Cluster cluster({"a", "b", "c"});
+  const auto order = leaderFirst(cluster);
+  RaftNode& leader = cluster.at(order[0]);
+  RaftNode& second = cluster.at(order[1]);
+  CHECK(leader.othersHoldCommitted());
+  CHECK(second.othersHoldCommitted());
+  cluster.cut({order[0], order[1]}, {order[2]});
+  cluster.run(50);
+  const LogIndex written = leader.propose("written", MonotonicTime{cluster.now});
+  cluster.run(500);
+  CHECK(leader.commitIndex() >= written);
+  CHECK(second.commitIndex() >= written);
+  CHECK(!leader.othersHoldCommitted());
+  CHECK(!second.othersHoldCommitted());
+  cluster.cuts.clear();
+  cluster.run(3000);
+  CHECK(cluster.at(order[2]).commitIndex() >= written);
+  for (const auto& id : order)
+    CHECK(cluster.at(id).othersHoldCommitted());
+}
+
+// A leader that hands over has not handed on what it alone and one other hold.
+TEST(StopOfAController, handingOverIsNotEnough) {
+  Cluster cluster({"a", "b", "c"});
+  const auto order = leaderFirst(cluster);
+  RaftNode& leader = cluster.at(order[0]);
+  cluster.cut({order[0], order[1]}, {order[2]});
+  cluster.run(50);
+  leader.propose("written", MonotonicTime{cluster.now});
+  cluster.run(300);
+  leader.transferLeadership(MonotonicTime{cluster.now});
+  cluster.run(1000);
+  CHECK(cluster.at(order[1]).serves());
+  CHECK(!leader.leads());
+  CHECK(!leader.othersHoldCommitted());
+  cluster.cuts.clear();
+  cluster.run(3000);
+  CHECK(leader.othersHoldCommitted());
+}
+
+// Nobody else is there, or its copy counts for nothing.
+TEST(StopOfAController, aLoneOneOrALearnerIsNotWaitedFor) {
+  Cluster alone({"a"});
+  CHECK_EQUAL(std::string("a"), alone.elect());
+  CHECK(alone.at("a").othersHoldCommitted());
+  RaftNode blank(voter("n"), {}, 1, {}, MonotonicTime{0});
+  CHECK(blank.othersHoldCommitted());
+}
--- /dev/null
+++ b/tests/replacement_tests.cpp
@@ -0,0 +1,217 @@
+// Losses that follow a replacement at once, and losses in the midst of one. docs/design.md 3.5.
+#include "script.hpp"
+
+using namespace aniseline;
+
+namespace {
+
+struct Site {
+  std::size_t voters, controllers;
+  std::int64_t replaceAfter;  // as platform/main.cpp reckons it from the bound
+  std::int64_t replacedWithin;
+};
+// The two sizes of site, with spares for a second loss of as many as may be lost at once.
+constexpr Site small{3, 6, 2500, 4000};
+constexpr Site grown{5, 10, 3750, 6000};
+constexpr std::uint64_t seeds = 40;
+
+WorldOptions optionsOf(const Site& site, std::uint64_t seed) {
+  WorldOptions options;
+  options.seed = seed;
+  options.controllers = site.controllers;
+  options.controller.voters = site.voters;
+  options.controller.raft.heartbeat = Duration{75};
+  options.controller.raft.electionLow = Duration{300};
+  options.controller.raft.electionHigh = Duration{600};
+  return options;
+}
+
+struct Replacement : Script {
+  Site site;
+  std::size_t submitted = 0;
+  bool submitting = true;
+  std::set<std::size_t> lost;
+
+  Replacement(const Site& site, std::uint64_t seed)
+      : Script(optionsOf(site, seed), site.replaceAfter), site(site) {
+    run(8000);  // until no zone has too many
+    untilVoters(site.voters, 10'000);
+    keepSubmitting();
+  }
+  ~Replacement() { world->onLogEvent = nullptr; }
+  void keepSubmitting() {
+    if (!submitting)
+      return;
+    world->submit(typed(job("j" + std::to_string(submitted++), 200)));
+    world->after(150, [this] { keepSubmitting(); });
+  }
+  std::set<std::size_t> voters() const {
+    std::set<std::size_t> found;
+    for (std::size_t place = 0; place < world->controllerCount(); ++place)
+      if (world->isVoter(place) && !lost.count(place))
+        found.insert(place);
+    return found;
+  }
+  void lose(std::size_t place) {
+    lost.insert(place);
+    world->loseDisk(place);
+  }
+  // Who goes: the leader; one of `preferred`; any other.
+  std::size_t victim(std::uint64_t draw, const std::set<std::size_t>& preferred) const {
+    const auto leader = world->leader();
+    if (draw % 3 == 0 && leader)
+      return *leader;
+    for (const auto place : draw % 3 == 1 ? preferred : voters())
+      if (!lost.count(place) && (!leader || place != *leader))
+        return place;
+    return *voters().begin();
+  }
+  std::int64_t untilReplaced(std::int64_t within) {
+    const std::int64_t begun = world->now;
+    CHECK(world->runUntilTrue([&] { return replaced(); }, within));
+    return world->now - begun;
+  }
+  // By the committed members of the leader as many vote as should, and each is there.
+  bool replaced() const {
+    if (!world->leader())
+      return false;
+    const RaftNode& leader = world->controller(*world->leader())->raftNode();
+    if (!leader.serves() || !leader.membersSettled())
+      return false;
+    std::size_t voting = 0, there = 0;
+    for (const auto& member : leader.members()) {
+      voting += member.voter;
+      there += member.voter && isThere(member.id);
+    }
+    return voting == site.voters && there == voting;
+  }
+  bool isThere(const ControllerId& id) const {
+    for (std::size_t place = 0; place < world->controllerCount(); ++place)
+      if (const auto* controller = world->controller(place))
+        if (controller->raftNode().self().id == id)
+          return true;
+    return false;
+  }
+  void bringBack() {
+    for (const auto place : std::exchange(lost, {}))
+      world->restartController(place);
+  }
+  void end() {
+    submitting = false;
+    world->submit(typed(job("last", 200)));
+    untilFinished("last", 6000);
+    bringBack();
+    CHECK(world->runUntilTrue([&] { return world->allOver() && world->copiesWhole(); }, 20'000));
+    world->disturb("losses", true);
+    run(3000);
+    for (std::size_t count = 0; count < submitted; ++count)
+      LONGS_EQUAL(1, world->startsOf("j" + std::to_string(count)));
+    for (const auto& promise : world->findings().broken)
+      FAIL(promise.text.c_str());
+  }
+};
+
+// As many as may be lost at once are lost for good; the moment that they are replaced (and up to
+// 40 ms later) as many again.
+void loseAgainRightAfterARepair(const Site& site, std::uint64_t seed) {
+  Replacement run(site, seed);
+  const std::size_t bearable = run.world->bearable();
+  const auto before = run.voters();
+  run.world->disturb("losses", false);
+  for (std::size_t count = 0; count < bearable; ++count)
+    run.lose(run.victim(seed + count, before));
+  const std::int64_t took = run.untilReplaced(10'000);
+  CHECK(took <= site.replacedWithin);
+  std::set<std::size_t> successors;
+  for (const auto place : run.voters())
+    if (!before.count(place))
+      successors.insert(place);
+  run.run(std::int64_t(seed % 41));
+  for (std::size_t count = 0; count < bearable; ++count)
+    run.lose(run.victim(seed / 3 + count, successors));
+  CHECK(run.untilReplaced(10'000) <= site.replacedWithin);
+  run.end();
+}
+
+// One more is killed at the very moment at which members change, and is back with its disk later:
+// nothing is lost, whoever is out by then.
+void killWhileMembersChange(const Site& site, std::uint64_t seed) {
+  Replacement run(site, seed);
+  const auto before = run.voters();
+  bool struck = false;
+  std::optional<std::size_t> away;
+  run.world->onLogEvent = [&](std::size_t, const LogEvent& note) {
+    if (struck || note.what != "members change")
+      return;
+    struck = true;
+    run.world->after(std::int64_t(seed % 15), [&] {
+      away = run.victim(seed, before);
+      run.world->killController(*away, true);
+    });
+  };
+  run.world->disturb("losses", false);
+  run.lose(run.victim(seed + 1, before));
+  CHECK(run.world->runUntilTrue([&] { return away.has_value(); }, 10'000));
+  run.run(1000);
+  run.world->restartController(*away);
+  run.untilReplaced(12'000);
+  run.end();
+}
+
+}  // namespace
+
+TEST_GROUP(Replacements){};
+
+TEST(Replacements, aSecondLossRightAfterARepairOfThreeLosesNothing) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    loseAgainRightAfterARepair(small, seed);
+}
+
+TEST(Replacements, aSecondLossRightAfterARepairOfFiveLosesNothing) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    loseAgainRightAfterARepair(grown, seed);
+}
+
+TEST(Replacements, aLossWhileThreeChangeLosesNothing) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    killWhileMembersChange(small, seed);
+}
+
+TEST(Replacements, aLossWhileFiveChangeLosesNothing) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    killWhileMembersChange(grown, seed);
+}
+
+// An operator's order is done when the removal is committed. Said before it, the order would be
+// lost with a removal that never is.
+TEST(Replacements, anOrderIsDoneOnlyAfterTheRemoval) {
+  Replacement run(small, 1);
+  const std::size_t named = run.victim(2, {});
+  const ControllerId id = run.world->controller(named)->raftNode().self().id;
+  run.askQuietly("POST", "/v1/controllers/" + id.value + "/replace", "", [](int) {});
+  LogIndex removed, done;
+  const auto seen = [&] {
+    const RaftNode& raft = run.world->controller(*run.world->leader())->raftNode();
+    bool wasThere = false;
+    for (LogIndex at = raft.snapshotIndex().next(); at <= raft.commitIndex(); at = at.next()) {
+      const LogEntry& entry = raft.entry(at);
+      if (entry.members) {
+        const Members members = unpack<Members>(entry.payload).value();
+        const bool there = std::any_of(members.begin(), members.end(),
+                                       [&](const Member& member) { return member.id == id; });
+        if (wasThere && !there)
+          removed = at;
+        wasThere = there;
+        continue;
+      }
+      const LogRecord record = unpack<LogRecord>(entry.payload).value();
+      const auto* order = boost::get<ControllerReplacementRequested>(&record.event);
+      if (order && order->controller == id && order->over)
+        done = at;
+    }
+    return removed.value > 0 && done.value > 0;
+  };
+  CHECK(run.world->runUntilTrue(seen, 15'000));
+  CHECK(done > removed);
+  run.end();
+}
