--- a/source/simulator/nodes.hpp
+++ b/source/simulator/nodes.hpp
@@ -27,6 +27,7 @@
   std::int64_t stalledUntil = 0, slow = 0, wallOffset = 0, monotonicBase = 0;
   bool stepping = false, full = false;
   std::int64_t seekAt = 0;
+  std::optional<std::size_t> voters;  // its own setting, if another than the others'
   std::map<std::uint64_t, std::function<void()>> onDeath;  // who is told when the process ends
 };
 
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -41,6 +41,7 @@
   // Faults.
   void killController(std::size_t place, bool losesUnsynced);  // restart brings it back
   void restartController(std::size_t place);
+  void setVoters(std::size_t place, std::size_t voters);  // its setting, from its next start on
   void loseDisk(std::size_t place);        // with the kill; the restart is a new identity
   void moveController(std::size_t place);  // its next start is at a new address
   void freezeController(std::size_t place, bool frozen);
--- a/source/simulator/world_controllers.cpp
+++ b/source/simulator/world_controllers.cpp
@@ -12,7 +12,9 @@
   const Member self{node.identity, node.address, ZoneName{"zone" + std::to_string(node.zone + 1)},
                     false};
   node.keeper = SnapshotWriter();
-  node.core = std::make_unique<Controller>(self, options.controller, random.next(), node.disk,
+  ControllerOptions settings = options.controller;
+  settings.voters = node.voters.value_or(settings.voters);
+  node.core = std::make_unique<Controller>(self, settings, random.next(), node.disk,
                                            MonotonicTime{now + node.monotonicBase});
   node.core->logEvent.connect([this, &node](const LogEvent& note) {
     if (onLogEvent)
@@ -155,6 +157,9 @@
   if (!controllers[place]->up)
     bootController(*controllers[place]);
 }
+void World::setVoters(std::size_t place, std::size_t voters) {
+  controllers[place]->voters = voters;
+}
 void World::loseDisk(std::size_t place) {
   killController(place, true);
   controllers[place]->disk.clear();
--- a/tests/replacement_tests.cpp
+++ b/tests/replacement_tests.cpp
@@ -72,7 +72,8 @@
     return world->now - begun;
   }
   // By the committed members of the leader as many vote as should, and each is there.
-  bool replaced() const {
+  bool replaced() const { return vote(site.voters); }
+  bool vote(std::size_t wanted) const {
     if (!world->leader())
       return false;
     const RaftNode& leader = world->controller(*world->leader())->raftNode();
@@ -83,7 +84,7 @@
       voting += member.voter;
       there += member.voter && isThere(member.id);
     }
-    return voting == site.voters && there == voting;
+    return voting == wanted && there == voting;
   }
   bool isThere(const ControllerId& id) const {
     for (std::size_t place = 0; place < world->controllerCount(); ++place)
@@ -215,3 +216,30 @@
   CHECK(done > removed);
   run.end();
 }
+
+// The setting differs between controllers while they are started anew with another one, and who
+// leads changes meanwhile: the voters follow the leader's setting one by one, nothing is lost.
+TEST(Replacements, theVotersGoFromThreeToFiveAndBackWhileSettingsDiffer) {
+  const Site site{3, 7, 2500, 4000};
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Replacement run(site, seed);
+    run.world->disturb("losses", false);
+    for (const std::size_t wanted : {5, 3}) {
+      for (std::size_t place = 0; place < site.controllers; ++place) {
+        run.world->killController(place, true);
+        run.world->setVoters(place, wanted);
+        run.run(300);
+        run.world->restartController(place);
+        run.run(1500);
+        const RaftNode& raft = run.world->controller(place)->raftNode();
+        const auto voting = std::count_if(raft.members().begin(), raft.members().end(),
+                                          [](const Member& member) { return member.voter; });
+        CHECK(raft.blank() || (voting >= 3 && voting <= 6));
+      }
+      CHECK(run.world->runUntilTrue([&] { return run.vote(wanted); }, 15'000));
+      run.run(5000);
+      CHECK(run.vote(wanted));
+    }
+    run.end();
+  }
+}
