Stop of a controller: it waits until another leads and its copy is not missed

A controller that was told to stop ended as soon as it did not lead, after 1.5 s at the latest: also one that, with the leader, held the only full copies. The leader tells each in AppendEntries how far the others hold the log.

With othersHoldCommitted() true for whoever does not lead, theLastFullCopiesAreMissed and handingOverIsNotEnough fail.

--- a/programs/controller.cpp
+++ b/programs/controller.cpp
@@ -28,6 +28,8 @@
                 "how many controllers vote: two for each that may be lost at once, and one", 1, 15);
   options.whole("replace-after-ms", settings.replaceAfter,
                 "a silent voter is replaced by a learner after this", 1000, 86'400'000);
+  options.whole("stop-within-ms", settings.stopWithin,
+                "a stop waits this long for another leader and other full copies", 0, 600'000);
   options.whole("snapshot-versions", settings.snapshotVersions,
                 "versions on disk between whole views", 10, 1'000'000);
   options.flag("quiet", settings.quiet, "no logs");
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -107,14 +107,15 @@
       if (broken)
         std::_Exit(1);
       if (stop.requested()) {
-        // SIGTERM hands leadership over before the process ends. docs/operations.md 4.
+        // SIGTERM hands leadership over before the process ends, and waits until its copy is not
+        // missed. docs/operations.md 4.
         if (stopBy == MonotonicTime{0}) {
-          stopBy = monotonicNow() + Duration{1500};
+          stopBy = monotonicNow() + Duration{settings.stopWithin};
           log(LogLevel::info, "stopping");
         }
-        if (!core->raftNode().leads() || monotonicNow() >= stopBy)
+        if (mayStop() || monotonicNow() >= stopBy)
           break;
-        if (monotonicNow() >= transferAt) {
+        if (core->raftNode().leads() && monotonicNow() >= transferAt) {
           core->transferLeadership(monotonicNow());
           transferAt = monotonicNow() + Duration{700};
         }
@@ -128,12 +129,17 @@
     outer.stop();
     disk.reset();
     views.reset();
-    log(LogLevel::info, "stopped");
+    log(LogLevel::info, "stopped",
+        {{"led", json(core->raftNode().leads())},
+         {"others_hold_all", json(core->raftNode().othersHoldCommitted())}});
     std::_Exit(0);  // fibers that wait on sockets end with the process
   }
 
  private:
   bool stores() const { return !settings.data.empty(); }
+  bool mayStop() const {
+    return !core->raftNode().leads() && core->raftNode().othersHoldCommitted();
+  }
   static std::string joined(const std::vector<Address>& addresses) {
     std::string text;
     for (const auto& address : addresses)
--- a/source/daemons/controller_daemon.hpp
+++ b/source/daemons/controller_daemon.hpp
@@ -12,6 +12,10 @@
   bool found = false, quiet = false;
   std::int64_t heartbeat = 100, electionLow = 500, electionHigh = 1000, replaceAfter = 30'000,
                snapshotVersions = 1000, voters = 3;
+  // How long a stop waits for another leader and for other full copies, in milliseconds. As long as
+  // two elections and a lost message take.
+  static constexpr std::int64_t defaultStopWithin = 3000;
+  std::int64_t stopWithin = defaultStopWithin;
   std::int64_t lease = 3000, margin = 1000;  // of workers' leases, in milliseconds
   OuterInterface outer;
   SeedSource seedsNow;
--- a/source/raft/election.cpp
+++ b/source/raft/election.cpp
@@ -21,7 +21,7 @@
 
 void RaftNode::become(Role role, MonotonicTime now) {
   if (leads())
-    heldByOthers = std::max(heldByOthers, std::min(heldWithout(own.id), commit));
+    heldByOthers = std::min(heldWithout(own.id), commit);
   currentRole = role;
   votes.clear();
   trialElection = false;
--- a/source/raft/node.hpp
+++ b/source/raft/node.hpp
@@ -83,8 +83,8 @@
   std::vector<LogEntry> entries;
   LogIndex commit;
   RoundNumber round;
-  LogIndex heldByOthers{};  // up to here a majority of the voters holds the log, not counting the
-                            // one that is told
+  LogIndex heldByOthers{};  // up to here a majority of the voters, heard lately and without the
+                            // one that is told, holds the log
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
     archive& term& previous& previousTerm& entries& commit& round& heldByOthers;
@@ -214,8 +214,8 @@
   bool lostState(const ControllerId& id) const;
   // Holds what was committed a moment ago: under load nobody is ever level.
   bool caughtUp(const ControllerId& id) const;
-  // Whether this one may stop without its copy being missed: a majority of the voters holds all
-  // that it knows to be committed, itself not counted. docs/design.md 3.5.
+  // Whether this one may stop without its copy being missed: a majority of the voters, heard lately
+  // and without it, holds all that it knows to be committed. docs/design.md 3.5.
   bool othersHoldCommitted() const;
   std::uint64_t versionsSinceWhole() const { return sinceWhole; }
   std::uint64_t bytesSinceWhole() const { return bytesWritten; }
--- a/source/raft/replication.cpp
+++ b/source/raft/replication.cpp
@@ -81,11 +81,18 @@
   commitNotedAt = now;
 }
 
+// One that is not heard may have lost its disk: its copy is not counted on.
 LogIndex RaftNode::heldWithout(const ControllerId& id) const {
   std::vector<LogIndex> held;
-  for (const auto& entry : currentMembers)
-    if (entry.voter && entry.id != id)
-      held.push_back(entry.id == own.id ? std::min(syncedIndex, last()) : matchOf(entry.id));
+  for (const auto& entry : currentMembers) {
+    if (!entry.voter || entry.id == id)
+      continue;
+    const bool heard = clockNow - heardFrom(entry.id) <= options.electionHigh;
+    if (entry.id == own.id)
+      held.push_back(std::min(syncedIndex, last()));
+    else if (heard && !lostState(entry.id))
+      held.push_back(matchOf(entry.id));
+  }
   if (held.size() < majority())
     return LogIndex{};
   std::sort(held.begin(), held.end(), std::greater<>());
@@ -245,7 +252,7 @@
       currentRole = Role::learner;
   }
   commit = std::max(commit, std::min(body.commit, index));
-  heldByOthers = std::max(heldByOthers, body.heldByOthers);
+  heldByOthers = body.heldByOthers;
   shownBy = std::max(shownBy, index);
   replyAppend(message.from, true, std::min(index, syncedIndex), body.round);
 }
--- a/tests/raft/membership_tests.cpp
+++ b/tests/raft/membership_tests.cpp
@@ -340,6 +340,22 @@
   CHECK(leader.othersHoldCommitted());
 }
 
+// One that is gone may have taken its disk along: however much it held, it stands for nothing until
+// it is heard again.
+TEST(StopOfAController, aCopyThatIsNotHeardIsNotCounted) {
+  Cluster cluster({"a", "b", "c"});
+  const auto order = leaderFirst(cluster);
+  CHECK(cluster.at(order[0]).othersHoldCommitted());
+  cluster.down.insert(order[2]);
+  cluster.run(2000);
+  CHECK(!cluster.at(order[0]).othersHoldCommitted());
+  CHECK(!cluster.at(order[1]).othersHoldCommitted());
+  cluster.down.clear();
+  cluster.run(500);
+  CHECK(cluster.at(order[0]).othersHoldCommitted());
+  CHECK(cluster.at(order[1]).othersHoldCommitted());
+}
+
 // Nobody else is there, or its copy counts for nothing.
 TEST(StopOfAController, aLoneOneOrALearnerIsNotWaitedFor) {
   Cluster alone({"a"});
--- a/tests/replacement_tests.cpp
+++ b/tests/replacement_tests.cpp
@@ -159,10 +159,36 @@
   run.end();
 }
 
+// The one that stands ready is lost with them: whoever is blank has to learn first.
+std::int64_t loseTheReadyOneToo(const Site& site, std::uint64_t seed) {
+  Replacement run(site, seed);
+  const auto before = run.voters();
+  const RaftNode& leader = run.world->controller(*run.world->leader())->raftNode();
+  std::set<std::size_t> victims{run.victim(seed, before)};
+  for (std::size_t place = 0; place < run.world->controllerCount(); ++place)
+    for (const auto& member : leader.members())
+      if (!member.voter && run.world->controller(place)->raftNode().self().id == member.id)
+        victims.insert(place);
+  CHECK_EQUAL(std::size_t(2), victims.size());
+  run.world->disturb("losses", false);
+  for (const auto place : victims)
+    run.lose(place);
+  const std::int64_t took = run.untilReplaced(10'000);
+  run.end();
+  return took;
+}
+
 }  // namespace
 
 TEST_GROUP(Replacements){};
 
+TEST(Replacements, aVoterIsReplacedInTimeThoughTheReadyOneIsLostToo) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    CHECK(loseTheReadyOneToo(small, seed) <= small.replacedWithin);
+    CHECK(loseTheReadyOneToo(grown, seed) <= grown.replacedWithin);
+  }
+}
+
 TEST(Replacements, aSecondLossRightAfterARepairOfThreeLosesNothing) {
   for (std::uint64_t seed = 1; seed <= seeds; ++seed)
     loseAgainRightAfterARepair(small, seed);
