--- a/source/raft/replication.cpp
+++ b/source/raft/replication.cpp
@@ -68,6 +68,49 @@
   return found == peers.end() ? LogIndex{} : found->second.match;
 }
 
+bool RaftNode::caughtUp(const ControllerId& id) const {
+  if (id == own.id)
+    return syncedIndex >= caughtUpFrom;
+  return matchOf(id) >= caughtUpFrom;
+}
+
+// How far back "a moment ago" is: once to twice this. Longer than a round on the slowest links that
+// a leader keeps its followers on, shorter than any wait for an election.
+constexpr Duration commitNotedEach{250};
+
+void RaftNode::noteCommit(MonotonicTime now) {
+  if (now - commitNotedAt < commitNotedEach)
+    return;
+  caughtUpFrom = std::max(caughtUpFrom, nextCaughtUpFrom);
+  nextCaughtUpFrom = commit;
+  commitNotedAt = now;
+}
+
+// One that is not heard may have lost its disk: its copy is not counted on.
+LogIndex RaftNode::heldWithout(const ControllerId& id) const {
+  std::vector<LogIndex> held;
+  for (const auto& entry : currentMembers) {
+    if (!entry.voter || entry.id == id)
+      continue;
+    const bool heard = clockNow - heardFrom(entry.id) <= options.electionHigh;
+    if (entry.id == own.id)
+      held.push_back(std::min(syncedIndex, last()));
+    else if (heard && !lostState(entry.id))
+      held.push_back(matchOf(entry.id));
+  }
+  if (held.size() < majority())
+    return LogIndex{};
+  std::sort(held.begin(), held.end(), std::greater<>());
+  return held[majority() - 1];
+}
+
+bool RaftNode::othersHoldCommitted() const {
+  if (!selfVotes() || currentMembers.size() == 1)
+    return true;
+  const LogIndex held = leads() ? heldWithout(own.id) : heldByOthers;
+  return held >= commit;
+}
+
 bool RaftNode::lostState(const ControllerId& id) const {
   auto found = peers.find(id);
   return found != peers.end() && found->second.lostState;
@@ -167,6 +210,7 @@
   body.previousTerm = termAt(body.previous);
   body.commit = commit;
   body.round = round;
+  body.heldByOthers = std::min(heldWithout(to.id), commit);
   std::size_t bytes = 0;
   for (LogIndex index = peer.next; index <= last(); index = index.next()) {
     const std::size_t grown = bytes + bytesOf(entry(index));
@@ -268,6 +312,7 @@
   commit = std::max(commit, std::min(body.commit, index));
   if (incomingSnapshot && incomingSnapshot->identity.index <= commit)
     incomingSnapshot.reset();
+  heldByOthers = body.heldByOthers;
   shownBy = std::max(shownBy, index);
   replyAppend(message.from, true, std::min(index, syncedIndex), body.round);
 }
--- a/tests/packing_tests.cpp
+++ b/tests/packing_tests.cpp
@@ -133,7 +133,8 @@
                         {LogEntry{Term{3}, false, everyByte()},
                          LogEntry{Term{3}, true, pack(Members{member})}},
                         LogIndex{4},
-                        RoundNumber{9}},
+                        RoundNumber{9},
+                        LogIndex{3}},
           AppendEntriesReply{Term{1}, true, LogIndex{2}, LogIndex{3}, RoundNumber{4}, WallTime{5}},
           InstallSnapshot{Term{3}, identity, 3, everyByte(), RoundNumber{2}},
           InstallSnapshotReply{Term{3}, identity, 4, RoundNumber{2}, WallTime{5}},
@@ -142,7 +143,7 @@
           AppendEntryChunkReply{Term{3}, LogIndex{5}, Term{2}, 263, RoundNumber{2}, WallTime{5}},
           TimeoutNow{Term{7}},
           Join{member},
-          RemovedFromCluster{Term{6}}};
+          RemovedFromCluster{Term{6}, LogIndex{3}, {member}}};
 }
 
 SyncReport report() {
