Config orders are answered by what they are, not by what is in force

Cause: `handleConfig` knew only the config in force. An order that was taken and whose answer was lost was refused (409, on the platform 412) when it came again after another had been taken: A (7 on 5), B (9 on 7), A once more.

The replicated state now keeps each order that was taken: version, base and a digest of its text (the name-based UUID, 122 bits of SHA-1; a checksum of 32 bits would take two texts for one after some ten thousand). What is older than all that is kept gets no clear answer (503, unknown) in place of a refusal.

Ruled out: losing the order in the log. The loser of a race was always refused and one order confirmed; only the answer to the resend was wrong.

Formats: wire 5, disk 5.

--- a/source/controller/config_orders.cpp
+++ b/source/controller/config_orders.cpp
@@ -9,33 +9,43 @@
                     : unpack<ClusterConfig>(record.request.parsedConfig);
   if (!parsed)
     return decide(record, ApiResponse::from(parsed.error()), false);
+  const ConfigVersion base = record.request.baseVersion;
   const ConfigVersion current = speculative().config.version;
-  ClusterConfig config = std::move(parsed.value());
-  auto taken = [](ConfigVersion version) {
-    return ApiResponse::of(200, {{"version", json(version.value)}});
+  ConfigCommitted event(std::move(parsed.value()));
+  ConfigVersion& version = event.config.version;
+  auto taken = [](ConfigVersion number) {
+    return ApiResponse::of(200, {{"version", json(number.value)}});
   };
-  if ((record.request.baseVersion.next() == current || config.version == current) &&
-      current.value && config.text == speculative().config.text)
-    return decide(record, taken(current), false);
-  if (record.request.baseVersion != current) {
-    ApiResponse answer =
+  // One that was taken is acknowledged again, whatever came after it: its answer may have been
+  // lost.
+  const auto before = speculative().configHistory.find({version, base, event.digest});
+  if (before.outcome == ConfigHistory::Outcome::taken)
+    return decide(record, taken(before.version), false);
+  if (before.outcome == ConfigHistory::Outcome::forgotten)
+    return decide(record,
+                  ApiResponse::unknown("this order is older than those that are kept: whether it "
+                                       "was taken is not known any more"),
+                  false);
+  if (base != current) {
+    const ApiResponse conflict =
         ApiResponse::of(409, {{"error", json("conflict")},
                               {"text", json("config " + std::to_string(current.value) +
                                             " is newer than the one this is based on")},
                               {"version", json(current.value)}});
-    return decide(record, answer, false);
+    return decide(record, conflict, false);
   }
-  if (config.version.value && config.version <= current)
+  if (version.value && version <= current)
     return decide(record,
                   ApiResponse::from(CoreError::at(
                       CoreError::Kind::invalid, "/version",
                       "must be above the current one, " + std::to_string(current.value))),
                   false);
-  if (!config.version.value)
-    config.version = current.next();
-  append(ConfigCommitted{config});
-  decide(record, taken(config.version), true);
-  emitLogEvent("config taken", {{"version", json(config.version.value)}});
+  if (!version.value)
+    version = current.next();
+  const ApiResponse answer = taken(version);
+  emitLogEvent("config taken", {{"version", json(version.value)}});
+  append(std::move(event));
+  decide(record, answer, true);
 }
 
 }  // namespace aniseline
--- a/source/net/disk.cpp
+++ b/source/net/disk.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 constexpr char frameMark[8] = {'A', 'N', 'I', 'S',
-                               'E', '0', '0', '4'};  // the last three are the format's number
+                               'E', '0', '0', '5'};  // the last three are the format's number
 
 std::string nameOf(const WriteAheadRecord& record) {
   char name[64];
--- a/source/net/wire.hpp
+++ b/source/net/wire.hpp
@@ -50,7 +50,7 @@
   std::string text;
 };
 
-constexpr std::uint32_t wireFormat = 4;
+constexpr std::uint32_t wireFormat = 5;
 std::string encode(const WireMessage& message);
 // Reads one message; a peer that speaks another format, or garbles, is an error and its connection
 // ends.
--- a/source/state/cluster_state.cpp
+++ b/source/state/cluster_state.cpp
@@ -517,6 +517,7 @@
   void operator()(const ConfigCommitted& event) {
     auto before = std::move(clusterState.config);
     clusterState.config = event.config;
+    clusterState.configHistory.record({event.config.version, before.version, event.digest});
     // docs/design.md 6.4: a queue that is no longer named but has open jobs runs them out and takes
     // nothing new.
     for (auto& [name, options] : before.queues)
--- a/source/state/cluster_state.hpp
+++ b/source/state/cluster_state.hpp
@@ -19,6 +19,7 @@
  public:
   ClusterTime now;  // the latest record's time; cluster time never goes back
   ClusterConfig config;
+  ConfigHistory configHistory;  // the orders that brought it and those before it
   std::map<JobId, Job> jobs;
   std::set<JobId> open;  // jobs with work to do, timetables too
   std::map<QueueName, std::uint64_t> openByQueue;
@@ -28,7 +29,7 @@
   PlanNumber plan;
   Reservation reservation;
   Counters counters;
-  std::set<ControllerId> toReplace;  // by an operator's word
+  std::set<ControllerId> toReplace;   // by an operator's word
   ClusterTime
       capacityChangedAt;  // when a worker was last seen for the first time, or with another room
   std::set<std::pair<ClusterTime, JobId>> ended;  // jobs that are over, the earliest first; derived
@@ -49,8 +50,8 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& now& config& jobs& open& openByQueue& workers& attempts& lastAttempt& plan&
-        reservation& counters& toReplace& capacityChangedAt;
+    archive& now& config& configHistory& jobs& open& openByQueue& workers& attempts& lastAttempt&
+        plan& reservation& counters& toReplace& capacityChangedAt;
     if constexpr (Archive::is_loading::value)
       derive();
   }
--- /dev/null
+++ b/source/state/config_history.hpp
@@ -0,0 +1,66 @@
+// Which configs were taken, so that an order which is sent again after its answer was lost is
+// answered by what it is and not by what is in force meanwhile. docs/design.md 6.1.
+#pragma once
+#include "base/types.hpp"
+#include <deque>
+
+namespace aniseline {
+
+// Tells texts apart: the name-based UUID of the text (RFC 9562, version 5: 122 bits of its SHA-1).
+// Two different texts share one by accident about once in 2^61 texts, which a checksum of 32 bits
+// would reach after some ten thousand.
+struct TextDigest {
+  std::uint64_t high = 0, low = 0;
+  static TextDigest of(const std::string& text);
+  bool operator==(const TextDigest&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& high& low;
+  }
+};
+
+// An operator's order to put a config in force: what makes it the same order when it comes again.
+struct ConfigOrder {
+  ConfigVersion version;  // 0: the order leaves the number to us
+  ConfigVersion base;     // the version that it builds on
+  TextDigest digest;      // of the text as the operator wrote it
+  bool operator==(const ConfigOrder&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& version& base& digest;
+  }
+};
+
+// The orders that were taken, the latest of them; part of the replicated state. Versions rise, and
+// each order builds on the version before it, so that both its versions and its bases are sorted,
+// and a version or a base belongs to one order at most.
+class ConfigHistory {
+ public:
+  // Orders kept: an operator gives up long before so many others were taken after its own. At 32
+  // bytes each they add 128 KiB to a snapshot at most.
+  static constexpr std::size_t keptOrders = 4096;
+
+  enum class Outcome : std::uint8_t {
+    taken,     // this very order, under the version that is told with it
+    notTaken,  // surely not
+    forgotten  // older than all that is kept: nobody can tell any more
+  };
+  struct Finding {
+    Outcome outcome = Outcome::notTaken;
+    ConfigVersion version;
+  };
+
+  void record(const ConfigOrder& order);
+  Finding find(const ConfigOrder& order) const;
+  const std::deque<ConfigOrder>& orders() const { return kept; }
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& kept;
+  }
+
+ private:
+  std::deque<ConfigOrder> kept;  // the earliest first
+};
+
+}  // namespace aniseline
--- a/source/state/event.hpp
+++ b/source/state/event.hpp
@@ -1,5 +1,6 @@
 // What the replicated log holds; views are folds of these. docs/design.md 3.2.
 #pragma once
+#include "state/config_history.hpp"
 #include "state/worker.hpp"
 
 namespace aniseline {
@@ -10,9 +11,13 @@
 };
 struct ConfigCommitted {
   ClusterConfig config;
+  TextDigest digest;  // of its text
+  ConfigCommitted() = default;
+  explicit ConfigCommitted(ClusterConfig given)
+      : config(std::move(given)), digest(TextDigest::of(config.text)) {}
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& config;
+    archive& config& digest;
   }
 };
 struct JobAccepted {
--- /dev/null
+++ b/tests/controller/controller_cluster.hpp
@@ -0,0 +1,122 @@
+// Controllers that pass each other their messages in memory, with their disks: for tests of what is
+// answered over changes of leaders, restarts and cuts.
+#pragma once
+#include "controller/controller.hpp"
+
+namespace aniseline {
+
+class ControllerCluster {
+ public:
+  // So many voters, and learners after them.
+  explicit ControllerCluster(std::size_t voters, std::size_t learners = 0,
+                             ControllerOptions given = {})
+      : options(given) {
+    options.voters = voters;
+    Members members;
+    for (std::size_t place = 0; place < voters + learners; ++place)
+      members.push_back(memberAt(place, place < voters));
+    WriteAheadRecord founding;
+    founding.version = DiskVersion{1};
+    founding.whole = true;
+    founding.term = Term{1};
+    founding.snapshot = Snapshot{LogIndex{1}, Term{1}, members, pack(ClusterState{})};
+    founding.first = LogIndex{2};
+    nodes.resize(members.size());
+    for (std::size_t place = 0; place < nodes.size(); ++place) {
+      nodes[place].disk = {founding};
+      start(place);
+    }
+    run(3000);
+  }
+
+  std::size_t size() const { return nodes.size(); }
+  Controller& at(std::size_t place) { return *nodes[place].core; }
+  // The one that serves; of several the one with the latest term.
+  std::size_t leader() const {
+    std::size_t found = nodes.size();
+    for (std::size_t place = 0; place < nodes.size(); ++place) {
+      const auto& core = nodes[place].core;
+      if (core && core->raftNode().serves() &&
+          (found == nodes.size() || core->raftNode().term() > nodes[found].core->raftNode().term()))
+        found = place;
+    }
+    return found;
+  }
+  void start(std::size_t place) {
+    Node& node = nodes[place];
+    node.writer = SnapshotWriter{};
+    node.core = std::make_unique<Controller>(memberAt(place, false), options, place + 1, node.disk,
+                                             MonotonicTime{now});
+  }
+  void kill(std::size_t place) { nodes[place].core.reset(); }
+  void cut(std::size_t place, bool isCut) { nodes[place].cut = isCut; }
+
+  void run(std::int64_t span) {
+    for (const std::int64_t end = now + span; now < end; now += 10)
+      for (auto& node : nodes)
+        if (node.core)
+          step(node);
+  }
+  RequestNumber ask(std::size_t place, const ApiRequest& request) {
+    const RequestNumber number{++lastRequest};
+    at(place).take(number, request, MonotonicTime{now});
+    return number;
+  }
+  // Nothing while there is no answer yet.
+  std::optional<ApiResponse> answer(RequestNumber number) const {
+    const auto found = answers.find(number);
+    return found == answers.end() ? std::nullopt : std::optional(found->second);
+  }
+  // Asks the one that leads and waits for its answer.
+  ApiResponse served(const ApiRequest& request) {
+    for (int tries = 0; leader() == nodes.size() && tries < 100; ++tries)
+      run(100);
+    const RequestNumber number = ask(leader(), request);
+    for (int tries = 0; !answers.count(number) && tries < 500; ++tries)
+      run(10);
+    return answers.at(number);
+  }
+
+ private:
+  struct Node {
+    std::unique_ptr<Controller> core;
+    std::vector<WriteAheadRecord> disk;
+    SnapshotWriter writer;
+    bool cut = false;
+  };
+  static Member memberAt(std::size_t place, bool voter) {
+    const std::string name = "c" + std::to_string(place);
+    return Member{ControllerId{name}, Address{name + ":1"}, ZoneName{name}, voter};
+  }
+  void step(Node& node) {
+    Controller& core = *node.core;
+    core.step(MonotonicTime{now}, WallTime{now});
+    while (auto record = core.takeWrite()) {
+      const DiskVersion version = record->version;
+      if (record->whole)
+        node.disk.clear();
+      node.disk.push_back(std::move(*record));
+      core.synced(version, MonotonicTime{now});
+    }
+    if (auto work = core.takeSnapshotWork(); !work.empty())
+      if (auto view = node.writer.work(work))
+        core.packed(std::move(*view));
+    for (const auto& message : core.takeMessages())
+      deliver(node, message);
+    for (auto& [number, given] : core.takeAnswers())
+      answers[number] = std::move(given);
+  }
+  void deliver(const Node& from, const PeerMessage& message) {
+    for (auto& to : nodes)
+      if (to.core && !from.cut && !to.cut && to.core->raftNode().self().peer == message.toAddress)
+        to.core->receive(message, MonotonicTime{now});
+  }
+
+  ControllerOptions options;
+  std::vector<Node> nodes;
+  std::map<RequestNumber, ApiResponse> answers;
+  std::uint64_t lastRequest = 0;
+  std::int64_t now = 1000;
+};
+
+}  // namespace aniseline
