A replacement and a job by an entrance are known when they come again

Cause, of three refusals of orders that had been taken: - a controller's replacement was looked for among the members in force: once it was done the resend got 404, and 409 when the named one led by then; - who comes by an entrance names no queue, yet the queue is part of the job's digest: after a config gave the entrance to another queue, the resend of a job that was taken got 409.

The state keeps the last 256 replaced controllers (identities are never used again, so the name is the order's identity), and by an entrance a job is compared under the queue that it was taken for.

Read and found right: cancels and submissions of jobs that are over and shortened (digest and id are kept; now with a test), declare-gone of a worker that is gone. Not held, for want of an identity in the call: a drain sent again after another operator's undrain drains anew, a declare-gone sent again after the worker came back declares that life gone; a job whose status is no longer kept begins anew.

With the old handlers three tests of lost_answers_tests.cpp fail: :56 aReplacementIsAcknowledgedAgainOnceItIsDone expected <202> was <404> :72 aReplacementIsAcknowledgedAgainByTheOneItNames expected <202> was <409> :81 aJobIsTheSameAfterItsEntranceLeadsElsewhere expected <202> was <409>

--- a/source/controller/admission.cpp
+++ b/source/controller/admission.cpp
@@ -10,6 +10,20 @@
   return roomFor(request.kind, plain, requests.size(), options.maxPendingRequests);
 }
 
+namespace {
+
+// Who comes by an entrance names no queue, so a job that was taken is the same one when it comes
+// again after the entrance was given to another queue.
+bool isSameSubmission(const ApiRequest& request, const Job& known) {
+  if (!request.byEntrance())
+    return known.digest == request.job.digest();
+  JobSubmission submission = request.job;
+  submission.queue = known.submission.queue;
+  return known.digest == submission.digest();
+}
+
+}  // namespace
+
 void Controller::handleSubmit(PendingRequest& record) {
   const JobSubmission& job = record.request.job;
   auto accepted = [&] {
@@ -17,7 +31,7 @@
   };
   auto found = speculative().jobs.find(job.id);
   if (found != speculative().jobs.end()) {
-    if (found->second.digest == job.digest())
+    if (isSameSubmission(record.request, found->second))
       return decide(record, accepted(), false);
     return decide(
         record,
--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -206,6 +206,29 @@
   return true;
 }
 
+// An operator's word that a learner may take a member's place. Identities are never used again, so
+// that a word which was taken stays known by whom it named, also once that one leads or is gone.
+void Controller::handleReplacement(PendingRequest& record) {
+  const ControllerId id{record.request.id};
+  const Members& members = raft.members();
+  const auto& replaced = speculative().replaced;
+  const bool isMember = std::any_of(members.begin(), members.end(),
+                                    [&](const Member& member) { return member.id == id; });
+  const bool wasReplaced = std::find(replaced.begin(), replaced.end(), id) != replaced.end();
+  const auto replacing = ApiResponse::of(202, {{"replacing", json(id.value)}});
+  if (speculative().toReplace.count(id) || (wasReplaced && !isMember))
+    return decide(record, replacing, false);
+  if (!isMember)
+    return decide(record, ApiResponse::error(404, "missing", "no member " + id.value), false);
+  if (id == raft.self().id)
+    return decide(
+        record,
+        ApiResponse::error(409, "conflict", "it leads; stop it first so that leadership moves"),
+        false);
+  append(ControllerReplacementRequested{id, false});
+  decide(record, replacing, true);
+}
+
 void Controller::handle(PendingRequest& record) {
   if (record.request.byEntrance() && !enter(record))
     return;
@@ -263,22 +286,8 @@
       return decide(record, ApiResponse::of(200, showPlan()), false);
     case RequestKind::showCounters:
       return decide(record, ApiResponse::of(200, showCounters()), false);
-    case RequestKind::replaceController: {
-      const ControllerId id{request.id};
-      for (const auto& member : raft.members())
-        if (member.id == id && id != raft.self().id) {
-          const bool wanted = !speculative().toReplace.count(id);
-          if (wanted)
-            append(ControllerReplacementRequested{id, false});
-          return decide(record, ApiResponse::of(202, {{"replacing", json(request.id)}}), wanted);
-        }
-      return decide(record,
-                    id == raft.self().id
-                        ? ApiResponse::error(409, "conflict",
-                                             "it leads; stop it first so that leadership moves")
-                        : ApiResponse::error(404, "missing", "no member " + request.id),
-                    false);
-    }
+    case RequestKind::replaceController:
+      return handleReplacement(record);
     case RequestKind::exportState: {
       picojson::array jobs;
       for (const auto& [id, job] : speculative().jobs)
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -110,6 +110,7 @@
   void handleConfig(PendingRequest& record);
   void handleSync(PendingRequest& record);
   void handleWorkerOrder(PendingRequest& record);
+  void handleReplacement(PendingRequest& record);
   void emitLogEvent(std::string what, picojson::object fields = {}) {
     logEvent(LogEvent{std::move(what), std::move(fields)});
   }
--- a/source/state/cluster_state.cpp
+++ b/source/state/cluster_state.cpp
@@ -623,9 +623,12 @@
     worker.capacity = event.capacity;
   }
   void operator()(const ControllerReplacementRequested& event) {
-    if (event.over)
+    if (event.over) {
       clusterState.toReplace.erase(event.controller);
-    else
+      clusterState.replaced.push_back(event.controller);
+      if (clusterState.replaced.size() > ClusterState::keptReplaced)
+        clusterState.replaced.pop_front();
+    } else
       clusterState.toReplace.insert(event.controller);
   }
   void operator()(const WorkerSynced& event) {
--- a/source/state/cluster_state.hpp
+++ b/source/state/cluster_state.hpp
@@ -30,6 +30,10 @@
   Reservation reservation;
   Counters counters;
   std::set<ControllerId> toReplace;   // by an operator's word
+  std::deque<ControllerId> replaced;  // of these the ones that are members no more, the earliest
+                                      // first, so that the order is known when it comes again
+  // Replaced controllers kept: far more than a cluster loses while an operator still asks.
+  static constexpr std::size_t keptReplaced = 256;
   ClusterTime
       capacityChangedAt;  // when a worker was last seen for the first time, or with another room
   std::set<std::pair<ClusterTime, JobId>> ended;  // jobs that are over, the earliest first; derived
@@ -51,7 +55,7 @@
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
     archive& now& config& configHistory& jobs& open& openByQueue& workers& attempts& lastAttempt&
-        plan& reservation& counters& toReplace& capacityChangedAt;
+        plan& reservation& counters& toReplace& replaced& capacityChangedAt;
     if constexpr (Archive::is_loading::value)
       derive();
   }
--- /dev/null
+++ b/tests/controller/lost_answers_tests.cpp
@@ -0,0 +1,99 @@
+// Orders other than configs, sent again after their answer was lost: known by what they are.
+// docs/design.md 8.2.
+#include "controller_cluster.hpp"
+#include <CppUTest/TestHarness.h>
+
+using namespace aniseline;
+
+namespace {
+
+ApiRequest replacement(const std::string& id) {
+  ApiRequest request;
+  request.kind = RequestKind::replaceController;
+  request.id = id;
+  return request;
+}
+std::string nameOf(std::size_t place) {
+  return "c" + std::to_string(place);
+}
+
+// A config with one entrance, to the queue named.
+ApiRequest entranceTo(const std::string& queue, std::uint64_t base) {
+  ClusterConfig config = ClusterConfig::parse("{\"queues\":{\"" + queue + "\":{}}}").value();
+  config.entrances = {{"host", "/in/", QueueName{queue}}};
+  config.version = ConfigVersion{base + 1};
+  config.text = "version " + std::to_string(base + 1);
+  ApiRequest request;
+  request.kind = RequestKind::applyConfig;
+  request.baseVersion = ConfigVersion{base};
+  request.parsedConfig = pack(config);
+  return request;
+}
+ApiRequest submission(const std::string& payload) {
+  ApiRequest request;
+  request.kind = RequestKind::submitJob;
+  request.host = "host";
+  request.path = "/in/job";
+  request.job.payload = payload;
+  request.job.steps = {{"0", {}, false, {TaskRequest{1000, 1, Duration{1000}, ""}}}};
+  return request;
+}
+
+}  // namespace
+
+TEST_GROUP(LostAnswersTests){};
+
+TEST(LostAnswersTests, aReplacementIsAcknowledgedAgainOnceItIsDone) {
+  ControllerCluster cluster(3, 1);
+  const std::size_t leader = cluster.leader();
+  const std::string away = nameOf((leader + 1) % 3);
+  LONGS_EQUAL(202, cluster.served(replacement(away)).status);
+  LONGS_EQUAL(202, cluster.served(replacement(away)).status);
+  cluster.run(20'000);
+  const auto& members = cluster.at(cluster.leader()).raftNode().members();
+  CHECK(std::none_of(members.begin(), members.end(),
+                     [&](const Member& member) { return member.id.value == away; }));
+  LONGS_EQUAL(202, cluster.served(replacement(away)).status);
+  LONGS_EQUAL(404, cluster.served(replacement("nobody")).status);
+  // Also after a change of leader.
+  cluster.kill(cluster.leader());
+  LONGS_EQUAL(202, cluster.served(replacement(away)).status);
+}
+
+TEST(LostAnswersTests, aReplacementIsAcknowledgedAgainByTheOneItNames) {
+  ControllerCluster cluster(3);
+  const std::size_t leader = cluster.leader();
+  LONGS_EQUAL(409, cluster.served(replacement(nameOf(leader))).status);
+  for (std::size_t place = 0; place < 3; ++place)
+    if (place != leader)
+      LONGS_EQUAL(202, cluster.served(replacement(nameOf(place))).status);
+  cluster.kill(leader);
+  cluster.run(3000);
+  LONGS_EQUAL(202, cluster.served(replacement(nameOf(cluster.leader()))).status);
+}
+
+// By an entrance no queue is named: which one it leads to may change between a call and its resend.
+TEST(LostAnswersTests, aJobIsTheSameAfterItsEntranceLeadsElsewhere) {
+  ControllerCluster cluster(1);
+  LONGS_EQUAL(200, cluster.served(entranceTo("proofs", 0)).status);
+  LONGS_EQUAL(202, cluster.served(submission("one")).status);
+  LONGS_EQUAL(200, cluster.served(entranceTo("plates", 1)).status);
+  LONGS_EQUAL(202, cluster.served(submission("one")).status);
+  LONGS_EQUAL(409, cluster.served(submission("other")).status);
+  LONGS_EQUAL(1, cluster.at(0).committed().jobs.size());
+}
+
+TEST(LostAnswersTests, aCancelledJobIsAcknowledgedAgainAndStaysCancelled) {
+  ControllerCluster cluster(1);
+  LONGS_EQUAL(200, cluster.served(entranceTo("proofs", 0)).status);
+  LONGS_EQUAL(202, cluster.served(submission("one")).status);
+  ApiRequest cancel = submission("");
+  cancel.kind = RequestKind::cancelJob;
+  LONGS_EQUAL(200, cluster.served(cancel).status);
+  LONGS_EQUAL(200, cluster.served(cancel).status);
+  cluster.run(70'000);  // past the time for which it is kept whole
+  LONGS_EQUAL(202, cluster.served(submission("one")).status);
+  LONGS_EQUAL(200, cluster.served(cancel).status);
+  LONGS_EQUAL(409, cluster.served(submission("other")).status);
+  CHECK(cluster.at(0).committed().jobs.at(JobId{"job"}).state == JobState::cancelled);
+}
