Campaigns with two operators, lost answers and lost leaders; orders checked

The usual campaigns have the lost answers and late resends too, but no more faults than before, so that what is judged only in calm is judged as often.

The checker judged versions only: one acknowledged after a higher one was wrong. That is too strict now, since a taken order may be acknowledged again later, and too weak, since it saw no texts. In its place: of different orders on a base or under a version one is confirmed; none is acknowledged after its refusal or refused after its acknowledgement; none is acknowledged that was first sent after a higher version was acknowledged. At the end refusals and acknowledgements are compared with what the leader holds as taken.

--- a/programs/simulate.cpp
+++ b/programs/simulate.cpp
@@ -58,7 +58,7 @@
                controllers = 3,
                threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
   bool verbose = false, shrinks = false, cost = false, failovers = false, views = false,
-       everyKind = false;
+       everyKind = false, operators = false;
   std::string only;
   OptionSet options("simulate", "seeded runs of the whole cluster in virtual time, with faults");
   options.whole("from", from, "the first seed", 0, 1'000'000'000);
@@ -75,6 +75,8 @@
   options.text("only", only, "keep only these faults of the schedule, by number, with commas");
   options.flag("verbose", verbose, "tell all that happens");
   options.flag("shrink", shrinks, "shorten the schedule of the first seed that fails");
+  options.flag("operators", operators,
+               "two operators at work all the time, whose answers and leaders are lost");
   options.flag("every-kind", everyKind, "a kind of fault that never took effect is a failure");
   options.flag("plan-cost", cost, "measure plans instead, by tasks waiting and by workers");
   options.flag("view-cost", views, "measure the writing of a whole view instead, by jobs kept");
@@ -107,6 +109,7 @@
   base.called = std::size_t(called);
   base.voters = std::size_t(voters);
   base.controllers = std::size_t(controllers);
+  base.operators = operators;
   base.verbose = verbose;
   std::istringstream numbers(only);
   for (std::string number; std::getline(numbers, number, ',');)
--- /dev/null
+++ b/source/checker/config_orders.hpp
@@ -0,0 +1,29 @@
+// Rules for operators' orders, as the operators see them: of different ones on a base or under a
+// version one is confirmed, ever; one that was taken is never refused. docs/design.md 6.1.
+#pragma once
+#include "checker/history.hpp"
+#include <map>
+#include <optional>
+
+namespace aniseline {
+
+class ConfigOrderChecker {
+ public:
+  // What is wrong with this order or answer, after all that was seen before it.
+  std::optional<std::string> see(const HistoryEvent& event);
+
+ private:
+  struct Order {
+    std::uint64_t newestAtFirst = 0;  // the newest version acknowledged before it was first sent
+    std::uint64_t version = 0;        // under which it was acknowledged; 0: it was not
+    bool refused = false;
+  };
+  std::optional<std::string> acknowledged(const HistoryEvent& event, Order& order);
+  std::optional<std::string> refused(const HistoryEvent& event, Order& order);
+  std::map<std::string, Order> orders;                  // by their identity
+  std::map<std::uint64_t, std::string> orderOfVersion;  // of those acknowledged
+  std::map<std::string, std::string> orderOfBase;
+  std::uint64_t newest = 0;
+};
+
+}  // namespace aniseline
--- a/source/checker/history.cpp
+++ b/source/checker/history.cpp
@@ -4,19 +4,20 @@
 namespace aniseline {
 
 namespace {
-constexpr const char* kindNames[] = {"submitted",   "accepted",
-                                     "rejected",    "unknown",
-                                     "shown",       "cancel_acknowledged",
-                                     "started",     "held",
-                                     "resumed",     "ended",
-                                     "confirmed",   "leaving",
-                                     "capacity",    "config_acknowledged",
-                                     "config_seen", "whole",
-                                     "served",      "vanished",
-                                     "staying",     "explained",
-                                     "disturbed",   "mended",
-                                     "settled",     "saved",
-                                     "closed"};
+constexpr const char* kindNames[] = {"submitted",     "accepted",
+                                     "rejected",      "unknown",
+                                     "shown",         "cancel_acknowledged",
+                                     "started",       "held",
+                                     "resumed",       "ended",
+                                     "confirmed",     "leaving",
+                                     "capacity",      "config_acknowledged",
+                                     "config_seen",   "whole",
+                                     "served",        "vanished",
+                                     "staying",       "explained",
+                                     "disturbed",     "mended",
+                                     "settled",       "saved",
+                                     "closed",        "config_ordered",
+                                     "config_refused"};
 }
 const char* name(HistoryEvent::Kind kind) {
   return kindNames[std::size_t(kind)];
@@ -51,6 +52,7 @@
   add("payload", payload);
   add("saved", saved);
   add("pool", pool);
+  add("base", base);
   if (!labels.empty()) {
     picojson::array listed;
     for (const auto& label : labels)
@@ -103,6 +105,7 @@
   witness.payload = words("payload");
   witness.saved = words("saved");
   witness.pool = words("pool");
+  witness.base = words("base");
   if (auto found = object.find("labels");
       found != object.end() && found->second.is<picojson::array>())
     for (const auto& label : found->second.get<picojson::array>())
--- a/source/checker/history.hpp
+++ b/source/checker/history.hpp
@@ -29,10 +29,12 @@
     staying,    // a worker is undrained
     explained,  // why an open job waits, as the centre says
     disturbed,
-    mended,   // the keeper: a fault begins, ends
-    settled,  // the keeper: time enough has passed for every job
-    saved,    // a worker made a checkpoint
-    closed    // a writer's last line
+    mended,         // the keeper: a fault begins, ends
+    settled,        // the keeper: time enough has passed for every job
+    saved,          // a worker made a checkpoint
+    closed,         // a writer's last line
+    configOrdered,  // an operator sends a config, for the first time or again
+    configRefused   // and is told that it is not taken
   };
   Kind kind = Kind::submitted;
   std::int64_t at = 0;
@@ -51,6 +53,8 @@
   std::uint32_t accelerators = 0;
   std::string payload, saved;  // of a start what it was given; `saved` also of a checkpoint made
   std::string pool;            // of a capacity
+  std::string base;  // of an order for a config and its answers: the version that it builds on; its
+                     // text's digest is the detail
   std::vector<std::string> labels;
   std::string line() const;
   static std::optional<HistoryEvent> parse(const std::string& line);
--- a/source/checker/invariants.cpp
+++ b/source/checker/invariants.cpp
@@ -1,4 +1,5 @@
 #include "checker/invariants.hpp"
+#include "checker/config_orders.hpp"
 
 namespace aniseline {
 
@@ -478,12 +479,12 @@
         capacities[witness.worker] = witness;
         leavingSince.erase(witness.worker);
         break;
+      case HistoryEvent::Kind::configOrdered:
+      case HistoryEvent::Kind::configRefused:
+        judgeOrder(witness);
+        break;
       case HistoryEvent::Kind::configAcknowledged:
-        if (witness.version <= lastConfig)
-          broken(11, witness.at,
-                 "config " + std::to_string(witness.version) + " was acknowledged after " +
-                     std::to_string(lastConfig));
-        lastConfig = witness.version;
+        judgeOrder(witness);
         configs.emplace_back(witness.at, witness.version);
         break;
       case HistoryEvent::Kind::configSeen: {
@@ -731,6 +732,11 @@
                  std::to_string(memory) + " MB, more than it holds");
   }
 
+  void judgeOrder(const HistoryEvent& witness) {
+    if (auto fault = configOrders.see(witness))
+      broken(11, witness.at, *fault);
+  }
+
   std::vector<HistoryEvent> history;
   const std::map<std::string, JobSubmission>& submissions;
   const InvariantOptions& options;
@@ -742,7 +748,7 @@
       broughtBy;  // by gang and run: the checkpoint its members bring
   std::vector<std::pair<std::int64_t, std::uint64_t>> configs;
   std::map<std::string, std::uint64_t> seenConfig;
-  std::uint64_t lastConfig = 0;
+  ConfigOrderChecker configOrders;
   std::optional<std::int64_t> wholeSince, settledAt;
   std::map<std::string, std::int64_t> vanishedAt;
   std::vector<std::pair<std::int64_t, std::int64_t>> disturbances;
--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -46,6 +46,7 @@
   explicit Campaign(const CampaignOptions& options)
       : options(options),
         random(options.seed * 104729 + 5),
+        operators(options.seed * 15485863 + 7),
         world(worldOptions(options)),
         deck(world, random) {
     if (options.verbose)
@@ -68,6 +69,8 @@
     planWorkload();
     if (options.called)
       planCalledWorkload();
+    if (options.operators)
+      planOperators();
     watchConfig();
     lookAtConfigs();
     const std::int64_t end = world.now + options.length;
@@ -116,19 +119,58 @@
     return world;
   }
 
+  // An operator: it sends the same again until it gets a clear answer. Answers may be lost on their
+  // way to it, and an order may arrive once more long after, when others were taken.
   void applyUntilTaken(const std::string& text, std::uint64_t baseVersion) {
+    const std::size_t gateway = operators.next() % 7;
     world.applyConfig(
         text, baseVersion,
         [this, text, baseVersion](int status, const std::string& body) {
           if (world.say)
             world.say("config based on " + std::to_string(baseVersion) + ": " +
                       std::to_string(status) + " " + body);
-          if (status == 200)
-            applied = std::max(applied, baseVersion + 1);
-          else if (status != 409 && status != 400)
-            world.after(300, [this, text, baseVersion] { applyUntilTaken(text, baseVersion); });
+          operatorAnswered(text, baseVersion, status);
         },
-        random.next() % 7);
+        gateway);
+  }
+  void operatorAnswered(const std::string& text, std::uint64_t baseVersion, int status) {
+    if (status == 200) {
+      resentLater += applied > baseVersion + 1;
+      applied = std::max(applied, baseVersion + 1);
+    }
+    const bool clear = status == 200 || status == 409 || status == 400;
+    const bool lost = !over && operators.chance(0.3);
+    if (!clear || lost)
+      return world.after(300, [this, text, baseVersion] { applyUntilTaken(text, baseVersion); });
+    if (!over && operators.chance(0.4))
+      world.after(operators.between(500, 8000), [this, text, baseVersion] {
+        if (!over)
+          applyUntilTaken(text, baseVersion);
+      });
+  }
+  // Two operators at a time, over and over, beside whatever fails.
+  void planOperators() {
+    for (std::int64_t time = 500; time < options.length; time += operators.between(1500, 6000))
+      world.after(time, [this] {
+        if (operators.chance(0.3))
+          loseLeaderSoon();
+        operatorRace();
+      });
+  }
+  // The leader's process ends while the orders are under way, and is soon back.
+  void loseLeaderSoon() {
+    world.after(operators.between(0, 40), [this] {
+      const auto place = world.leader();
+      if (!place || over || !world.copiesWhole())
+        return;
+      world.disturb("the operators' leader", false);
+      world.killController(*place, false);
+      ++result.effects["operators' leader lost"];
+      world.after(500, [this, place = *place] {
+        world.restartController(place);
+        world.disturb("the operators' leader", true);
+      });
+    });
   }
   // What is in force as any gateway tells it; an answer speaks for no earlier time than its asking.
   void watchConfig() {
@@ -432,6 +474,8 @@
     result.limits = std::move(findings.limits);
     for (const auto& left : world.unfinished())
       result.unfinished.push_back(left);
+    for (const auto& misjudged : world.misjudgedOrders())
+      result.broken.push_back({11, World::calendar + world.now, misjudged});
     result.hash = world.hash();
     result.jobs = world.submissions.size();
     for (const auto& given : world.history)
@@ -446,6 +490,7 @@
                          {"failed", double(counters.failed)},
                          {"term", double(world.controller(*leader)->raftNode().term().value)}};
     }
+    result.counters["orders resent later"] = double(resentLater);
     if (options.called)
       countCalled();
   }
@@ -467,11 +512,13 @@
   }
   void operatorRace() {
     const std::uint64_t base = applied;
+    const bool identical = operators.chance(0.2);
     ++races;
-    for (int operatorNumber = 0; operatorNumber < 2; ++operatorNumber)
-      applyUntilTaken(configText(",\"extra" + std::to_string(races) + "x" +
-                                 std::to_string(operatorNumber) + "\":{\"retries\":1}"),
-                      base);
+    for (int operatorNumber = 0; operatorNumber < 2; ++operatorNumber) {
+      const std::string name =
+          "extra" + std::to_string(races) + "x" + std::to_string(identical ? 0 : operatorNumber);
+      applyUntilTaken(configText(",\"" + name + "\":{\"retries\":1}"), base);
+    }
   }
   void flood(std::size_t count) {
     for (std::size_t place = 0; place < 60; ++place) {
@@ -488,10 +535,12 @@
 
   CampaignOptions options;
   Random random;
+  Random operators;  // of its own, so that what operators do leaves the faults as they are
   World world;
   FaultDeck deck;
   CampaignResult result;
   std::uint64_t applied = 0, configsSeen = 0;
+  std::uint64_t resentLater = 0;  // acknowledged again after another was taken
   std::size_t floods = 0, races = 0;
   bool over = false;
 };
--- a/source/simulator/campaign.hpp
+++ b/source/simulator/campaign.hpp
@@ -11,6 +11,7 @@
   std::size_t called = 0;  // workers that are called, beside the others
   std::size_t voters = 3, controllers = 3;
   std::vector<std::size_t> only;  // the places of the faults to keep; empty: all
+  bool operators = false;         // two operators at work all the time, and leaders lost meanwhile
   bool verbose = false;
 };
 struct CampaignResult {
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -111,6 +111,9 @@
   // members is under way.
   std::optional<std::size_t> copiesLost() const;
   bool copiesWhole() const { return copiesLost() == std::size_t(0); }
+  // The orders for configs that a refusal was sent for, by digest and base, though the cluster took
+  // them; and acknowledged ones that it does not hold.
+  std::vector<std::string> misjudgedOrders() const;
   bool allOver() const;  // every job that was accepted has been shown as over
   std::vector<std::string> unfinished() const;
   CheckReport findings() const;
@@ -173,6 +176,7 @@
   void beat(CalledNode& node);
   void endCalled(CalledNode& node);
   void nextTo(Node& to, std::function<void()> work);
+  void witnessOrder(HistoryEvent::Kind kind, const ConfigOrder& order);
   void trySubmit(std::shared_ptr<CallerState> state);
   void tryCancel(std::shared_ptr<CallerState> state);
   void watch(std::shared_ptr<CallerState> state);
--- a/source/simulator/world_callers.cpp
+++ b/source/simulator/world_callers.cpp
@@ -112,25 +112,62 @@
   if (auto parsed = ClusterConfig::parse(text))
     for (const auto& [name, queue] : parsed.value().queues)
       poolsOf[name.value].insert(queue.pool);
-  askGateway(*outside, gateway, "PUT", "/v1/config",
-             "{\"based_on\":" + std::to_string(baseVersion) + ",\"config\":" + text + "}", 3000,
-             [this, follower = std::move(follower), text](int status, const std::string& body) {
-               if (status == 200) {
-                 picojson::value root;
-                 picojson::parse(root, body);
-                 auto given = seen(HistoryEvent::Kind::configAcknowledged, calendar + now);
-                 given.version = std::uint64_t(root.get("version").get<double>());
-                 witness(given);
-                 auto parsed = ClusterConfig::parse(text);
-                 if (parsed)
-                   for (const auto& [name, queue] : parsed.value().queues) {
-                     auto& most = queue.tries ? tries[name.value] : retries[name.value];
-                     most = std::max(most, queue.tries ? queue.tries : queue.retries);
-                   }
-               }
-               if (follower)
-                 follower(status, body);
-             });
+  const std::string body =
+      "{\"based_on\":" + std::to_string(baseVersion) + ",\"config\":" + text + "}";
+  ConfigOrder order;
+  order.base = ConfigVersion{baseVersion};
+  if (auto request = ApiRequest::parse("PUT", "/v1/config", body))
+    order.digest = TextDigest::of(request.value().text);
+  witnessOrder(HistoryEvent::Kind::configOrdered, order);
+  askGateway(
+      *outside, gateway, "PUT", "/v1/config", body, 3000,
+      [this, follower = std::move(follower), text, order](int status, const std::string& answer) {
+        if (status == 200) {
+          picojson::value root;
+          picojson::parse(root, answer);
+          ConfigOrder taken = order;
+          taken.version = ConfigVersion{std::uint64_t(root.get("version").get<double>())};
+          witnessOrder(HistoryEvent::Kind::configAcknowledged, taken);
+          auto parsed = ClusterConfig::parse(text);
+          if (parsed)
+            for (const auto& [name, queue] : parsed.value().queues) {
+              auto& most = queue.tries ? tries[name.value] : retries[name.value];
+              most = std::max(most, queue.tries ? queue.tries : queue.retries);
+            }
+        } else if (status == 400 || status == 409)
+          witnessOrder(HistoryEvent::Kind::configRefused, order);
+        if (follower)
+          follower(status, answer);
+      });
+}
+
+void World::witnessOrder(HistoryEvent::Kind kind, const ConfigOrder& order) {
+  HistoryEvent given;
+  given.kind = kind;
+  given.at = calendar + now;
+  given.version = order.version.value;
+  given.base = std::to_string(order.base.value);
+  given.detail = std::to_string(order.digest.high) + "-" + std::to_string(order.digest.low);
+  witness(given);
+}
+
+std::vector<std::string> World::misjudgedOrders() const {
+  const auto leading = leader();
+  if (!leading)
+    return {"nobody leads"};
+  std::set<std::string> held;
+  for (const auto& order : controllers[*leading]->core->committed().configHistory.orders())
+    held.insert(std::to_string(order.digest.high) + "-" + std::to_string(order.digest.low) +
+                " on " + std::to_string(order.base.value));
+  std::vector<std::string> found;
+  for (const auto& event : history) {
+    const std::string order = event.detail + " on " + event.base;
+    if (event.kind == HistoryEvent::Kind::configRefused && held.count(order))
+      found.push_back("the config " + order + " was taken and refused");
+    if (event.kind == HistoryEvent::Kind::configAcknowledged && !held.count(order))
+      found.push_back("the config " + order + " was acknowledged and is not held");
+  }
+  return found;
 }
 
 std::optional<std::size_t> World::leader() const {
--- /dev/null
+++ b/tests/simulator/operators_tests.cpp
@@ -0,0 +1,25 @@
+// Two operators at work all the time, whose answers and leaders are lost, beside faults of every
+// kind: of different orders one is confirmed, and none that was taken is refused.
+#include "simulator/campaign.hpp"
+#include <CppUTest/TestHarness.h>
+
+using namespace aniseline;
+
+TEST_GROUP(OperatorsCampaignTests){};
+
+TEST(OperatorsCampaignTests, oneIsConfirmedAndNoneThatWasTakenIsRefused) {
+  double resentLater = 0;
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    CampaignOptions options;
+    options.seed = seed;
+    options.length = 25'000;
+    options.faults = 5;
+    options.operators = true;
+    const auto result = runCampaign(options);
+    for (const auto& violation : result.broken)
+      FAIL(violation.text.c_str());
+    CHECK(result.unfinished.empty());
+    resentLater += result.counters.at("orders resent later");
+  }
+  CHECK(resentLater >= 4);
+}
