A connection to a dark leader is given up as soon as another leads

Cause: a relayed call gives up a silent leader once another is known to lead, but asked so only when the connection stood. While it was being made it waited its whole second.

The connection is now looked at every 25 ms and given up with its call. Nothing was sent then, so the call goes on to the new leader.

--- a/source/net/wire.cpp
+++ b/source/net/wire.cpp
@@ -90,11 +90,58 @@
   socket->close(ignored);
 }
 
-std::shared_ptr<WireCaller::Connection> WireCaller::connection(Duration within) {
+namespace {
+
+// How often a connection that is being made is looked at: a small part of an election, after which
+// another leads and this one is not waited for.
+constexpr Duration connectLook{25};
+// A connection takes a round trip, or a second and more when its first packet is lost.
+constexpr Duration longestConnect{1000};
+
+// Closes a socket that connects once its time is over or whoever waits for it does so no longer.
+class ConnectWatch : public std::enable_shared_from_this<ConnectWatch> {
+ public:
+  ConnectWatch(Loop& loop, std::shared_ptr<tcp::socket> socket, MonotonicTime until,
+               const std::function<bool()>& abandoned)
+      : timer(loop.context), socket(std::move(socket)), until(until), abandoned(abandoned) {}
+  void begin() {
+    timer.expires_after(std::chrono::milliseconds(connectLook.milliseconds));
+    timer.async_wait([self = shared_from_this()](IoError) {
+      if (!self->over)
+        self->look();
+    });
+  }
+  void end() {
+    over = true;
+    timer.cancel();
+  }
+
+ private:
+  void look() {
+    if (monotonicNow() < until && !(abandoned && abandoned()))
+      return begin();
+    IoError ignored;
+    socket->close(ignored);
+  }
+  asio::steady_timer timer;
+  std::shared_ptr<tcp::socket> socket;
+  MonotonicTime until;
+  std::function<bool()> abandoned;
+  bool over = false;
+};
+
+}  // namespace
+
+std::shared_ptr<WireCaller::Connection> WireCaller::connection(
+    Duration within, const std::function<bool()>& abandoned) {
   if (current && current->open)
     return current;
-  while (connecting)
+  const MonotonicTime until = monotonicNow() + std::min(within, longestConnect);
+  while (connecting) {
+    if (monotonicNow() >= until || (abandoned && abandoned()))
+      return nullptr;
     pause(Duration{5});
+  }
   if (current && current->open)
     return current;
   if (monotonicNow() < notBefore)
@@ -105,17 +152,13 @@
   connecting = true;
   auto made = std::make_shared<Connection>();
   made->socket = std::make_shared<tcp::socket>(loop.context);
-  auto timer = std::make_shared<asio::steady_timer>(
-      loop.context, std::chrono::milliseconds(std::min<std::int64_t>(within.milliseconds, 1000)));
-  timer->async_wait([socket = made->socket](IoError error) {
-    IoError ignored;
-    if (!error)
-      socket->close(ignored);
-  });
   IoResult connected{loop.openFrom(*made->socket, endpoint.value()), 0};
-  if (!connected.error)
+  auto watch = std::make_shared<ConnectWatch>(loop, made->socket, until, abandoned);
+  if (!connected.error) {
+    watch->begin();
     connected = await([&](auto done) { made->socket->async_connect(endpoint.value(), done); });
-  timer->cancel();
+  }
+  watch->end();
   connecting = false;
   if (connected.error) {
     notBefore = monotonicNow() + Duration{50};
@@ -150,7 +193,7 @@
 
 Result<WireMessage, WireError> WireCaller::call(WireBody body, Duration within,
                                                 const std::function<bool()>& abandoned) {
-  auto link = connection(within);
+  auto link = connection(within, abandoned);
   if (!link)
     return WireError{WireError::Kind::unreachable, address.value + " can't be reached"};
   const std::uint64_t correlation = nextCorrelation++;
--- a/source/net/wire.hpp
+++ b/source/net/wire.hpp
@@ -78,7 +78,8 @@
  public:
   WireCaller(Loop& loop, Address address) : loop(loop), address(std::move(address)) {}
   // An error of kind `unreachable` means that nothing was sent.
-  // `abandoned` is asked now and then whether to wait on; true ends the wait as late.
+  // `abandoned` is asked now and then whether to wait on; true ends the wait as late, or as
+  // unreachable while there is no connection yet.
   Result<WireMessage, WireError> call(WireBody body, Duration within,
                                       const std::function<bool()>& abandoned = {});
   bool post(WireMessage message);  // without an answer; lost when it can't be sent
@@ -93,7 +94,8 @@
     std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
     bool open = true;
   };
-  std::shared_ptr<Connection> connection(Duration within);
+  std::shared_ptr<Connection> connection(Duration within,
+                                         const std::function<bool()>& abandoned = {});
   Loop& loop;
   Address address;
   std::shared_ptr<Connection> current;
