--- a/source/net/disk.cpp
+++ b/source/net/disk.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 constexpr char frameMark[8] = {'A', 'N', 'I', 'S',
-                               'E', '0', '0', '4'};  // the last three are the format's number
+                               'E', '0', '0', '5'};  // the last three are the format's number
 
 constexpr std::string_view partialEnding = ".partial";
 
--- a/source/simulator/world_callers.cpp
+++ b/source/simulator/world_callers.cpp
@@ -132,13 +132,18 @@
   if (auto parsed = ClusterConfig::parse(text))
     for (const auto& [name, queue] : parsed.value().queues)
       poolsOf[name.value].insert(queue.pool);
+  const std::string body =
+      "{\"based_on\":" + std::to_string(baseVersion) + ",\"config\":" + text + "}";
   auto asked = seen(HistoryEvent::Kind::configAsked, calendar + now);
   asked.base = baseVersion;
   asked.digest = configDigest(text);
+  ConfigOrder& order = configOrders[{asked.base, asked.digest}];
+  order.base = ConfigVersion{baseVersion};
+  if (auto request = ApiRequest::parse("PUT", "/v1/config", body))
+    order.digest = TextDigest::of(request.value().text);
   witness(asked);
   askGateway(
-      *outside, gateway, "PUT", "/v1/config",
-      "{\"based_on\":" + std::to_string(baseVersion) + ",\"config\":" + text + "}", 3000,
+      *outside, gateway, "PUT", "/v1/config", body, 3000,
       [this, follower = std::move(follower), text, asked](int status, const std::string& body) {
         // Of a text with faults the answer says nothing of the config in force.
         if (status == 200 || status == 409 || (status == 400 && ClusterConfig::parse(text))) {
@@ -166,6 +171,29 @@
       });
 }
 
+std::vector<std::string> World::misjudgedOrders() const {
+  const auto leading = leader();
+  if (!leading)
+    return {"nobody leads"};
+  const ConfigHistory& taken = controllers[*leading]->core->committed().configHistory;
+  std::vector<std::string> found;
+  for (const auto& event : history) {
+    const auto sent = configOrders.find({event.base, event.digest});
+    if (sent == configOrders.end())
+      continue;
+    const auto& orders = taken.orders();
+    const bool isHeld = std::any_of(orders.begin(), orders.end(), [&](const ConfigOrder& order) {
+      return order.base == sent->second.base && order.digest == sent->second.digest;
+    });
+    const std::string order = event.digest + " on " + std::to_string(event.base);
+    if (event.kind == HistoryEvent::Kind::configRefused && isHeld)
+      found.push_back("the config " + order + " was taken and refused");
+    if (event.kind == HistoryEvent::Kind::configAcknowledged && !isHeld)
+      found.push_back("the config " + order + " was acknowledged and is not held");
+  }
+  return found;
+}
+
 std::optional<std::size_t> World::leader() const {
   std::optional<std::size_t> found;
   for (const auto& node : controllers)
