Simulator: called workers that leave first and serve on, late and overtaken accounts

Half of the workers that leave now send only a leave, go on saying `up`, serve on from the acknowledgement for the stated time and up to 9 s more, and end without one after 5 s. Accounts carry a rising sequence; six of a hundred come up to 6 s late, also after their life's end.

Before, the stand-in ended before it sent its leave, so nothing could run on.

--- a/source/agent/node_agent.hpp
+++ b/source/agent/node_agent.hpp
@@ -15,6 +15,7 @@
   bool leaving = false;
   Duration leaveWithin{0};
   std::optional<WorkerTime> clock;
+  std::uint64_t sequence = 0;  // rises with each account of one life; 0: it is not counted
 };
 
 struct WorkerCall {
--- a/source/simulator/nodes.hpp
+++ b/source/simulator/nodes.hpp
@@ -78,6 +78,18 @@
   CalledWorker::Sickness sickness = CalledWorker::Sickness::none;
   std::int64_t beatAt = 0;
   bool ordersLate = false, gone = false, leavingAcknowledged = false;
+  std::uint64_t beats = 0;  // of this life
+  // A leaving under way: announced by `draining`, or by a leave with beats that go on saying `up`.
+  struct Leaving {
+    bool byLeave = false;
+    std::int64_t since = 0;       // when it was first announced
+    std::int64_t sayAgainAt = 0;  // a leave that got no acknowledgement is sent again then
+    std::int64_t servesOn = 0;    // from the acknowledgement to its end
+    std::int64_t endsAt = 0;      // 0: not known yet
+    std::int64_t awayFor = 0;     // from its end to the start of the next life
+    bool lastWordSaid = false;
+  };
+  std::optional<Leaving> leaving;
 };
 
 struct World::Meetings {
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -172,6 +172,10 @@
   void tickCalled(CalledNode& node, std::uint64_t generation);
   void beat(CalledNode& node);
   void endCalled(CalledNode& node);
+  void sayLeave(CalledNode& node);
+  void hearLeave(AgentNode& agent, const WorkerId& life);
+  void acknowledgeLeaving(std::size_t place, const WorkerId& life);
+  void leaveStep(CalledNode& node);
   void nextTo(Node& to, std::function<void()> work);
   void trySubmit(std::shared_ptr<CallerState> state);
   void tryCancel(std::shared_ptr<CallerState> state);
--- a/source/simulator/world_called.cpp
+++ b/source/simulator/world_called.cpp
@@ -59,18 +59,10 @@
       syncAgent(node, true);
     if (!node.urgentBusy && node.core->urgent(MonotonicTime{now}))
       syncAgent(node, false);
-    auto& worker = *called[node.place];
     if (node.beatWaitsUntil && (node.core->leavingTold() || now > node.beatWaitsUntil)) {
       node.beatWaitsUntil = 0;
       if (node.core->leavingTold())
-        nextTo(worker, [this, &worker, life = node.core->life()] {
-          if (worker.leavingAcknowledged || worker.worker->life() != life)
-            return;
-          worker.leavingAcknowledged = true;
-          auto leaving = seen(HistoryEvent::Kind::leaving, calendar + now);
-          leaving.worker = life.value;
-          witness(leaving);
-        });
+        acknowledgeLeaving(node.place, node.core->life());
     }
   }
   schedule(now + 5, [this, &node, generation] { tickAgent(node, generation); });
@@ -161,6 +153,8 @@
   node.gone = node.leavingAcknowledged = false;
   ++node.generation;
   node.looks.clear();
+  node.leaving.reset();
+  node.beats = 0;
   CalledWorkerOptions given;
   given.life = WorkerId{"w" + std::to_string(node.place + 1) + "." + std::to_string(++node.lives)};
   given.capacity = node.capacity;
@@ -211,18 +205,26 @@
     node.beatAt = now + 500;
     beat(node);
   }
+  if (node.leaving)
+    leaveStep(node);
   schedule(now + 5, [this, &node, generation] { tickCalled(node, generation); });
 }
 
+// Some beats come seconds late, behind newer ones and after the end of the life that sent them.
 void World::beat(CalledNode& node) {
-  auto& agent = *agents[node.place];
-  if (!agent.up)
-    return;
-  nextTo(agent, [this, &agent, account = node.worker->account(now)] {
-    if (!agent.core->known(account, MonotonicTime{now}))
+  constexpr double lateShare = 0.06;
+  auto account = node.worker->account(now);
+  account.sequence = ++node.beats;
+  const std::int64_t delay = random.chance(lateShare) ? random.between(500, 6000) : 0;
+  schedule(now + delay, [this, &agent = *agents[node.place], account] {
+    if (!agent.up)
       return;
-    if (account.leaving)
-      agent.beatWaitsUntil = now + 900;
+    nextTo(agent, [this, &agent, account] {
+      if (!agent.core->known(account, MonotonicTime{now}))
+        return;
+      if (account.leaving)
+        agent.beatWaitsUntil = now + 900;
+    });
   });
 }
 
@@ -272,31 +274,83 @@
   called[place]->ordersLate = delayed;
 }
 
-// It says that it leaves, serves on until then, says that it is gone, and ends; another life begins
-// later.
+// --- leavings
+// ---------------------------------------------------------------------------------------------------
+
+// It announces its end, serves on from the acknowledgement, and ends; with no acknowledgement it
+// ends all the same, some seconds later. Another life begins after that. docs/design.md 12.4.
 void World::leaveCalled(std::size_t place, std::int64_t within, std::int64_t awayFor) {
   auto& node = *called[place];
-  if (!node.up || node.worker->leaving)
+  if (!node.up || node.leaving)
     return;
-  node.worker->leaving = true;
-  node.worker->leaveWithin = Duration{within};
-  node.beatAt = now;
-  const std::uint64_t generation = node.generation;
-  after(within + 500, [this, &node, generation, awayFor] {
-    if (!node.up || node.generation != generation)
+  CalledNode::Leaving leaving;
+  leaving.byLeave = random.chance(0.5);
+  leaving.since = leaving.sayAgainAt = now;
+  leaving.servesOn =
+      within + (random.chance(0.3) ? random.between(2000, 9000) : random.between(0, 1500));
+  leaving.awayFor = awayFor;
+  node.leaving = leaving;
+  if (!leaving.byLeave) {
+    node.worker->leaving = true;
+    node.worker->leaveWithin = Duration{within};
+    node.beatAt = now;
+  }
+}
+
+void World::leaveStep(CalledNode& node) {
+  constexpr std::int64_t endsWithoutAnswerAfter = 5000, saysAgainAfter = 1000;
+  auto& leaving = *node.leaving;
+  if (leaving.byLeave && !node.leavingAcknowledged && now >= leaving.sayAgainAt) {
+    leaving.sayAgainAt = now + saysAgainAfter;
+    sayLeave(node);
+  }
+  if (!leaving.endsAt && node.leavingAcknowledged)
+    leaving.endsAt = now + leaving.servesOn;
+  if (!leaving.endsAt && now - leaving.since >= endsWithoutAnswerAfter)
+    leaving.endsAt = now;
+  if (!leaving.endsAt || now < leaving.endsAt)
+    return;
+  if (!leaving.byLeave && !leaving.lastWordSaid) {
+    leaving.lastWordSaid = true;
+    leaving.endsAt = now + random.between(0, 400);
+    return sayLeave(node);
+  }
+  const std::int64_t awayFor = leaving.awayFor;
+  const std::string what = "the end of a called worker that leaves " + std::to_string(now);
+  endCalled(node);
+  disturb(what, false);
+  after(awayFor, [this, &node, what] {
+    restartCalled(node.place);
+    disturb(what, true);
+  });
+}
+
+void World::sayLeave(CalledNode& node) {
+  auto& agent = *agents[node.place];
+  if (agent.up)
+    nextTo(agent, [this, &agent, life = node.worker->life()] { hearLeave(agent, life); });
+}
+
+void World::hearLeave(AgentNode& agent, const WorkerId& life) {
+  agent.core->left(life);
+  ApiRequest gone;
+  gone.kind = RequestKind::declareGone;
+  gone.id = life.value;
+  relay(agent, gone, [this, &agent, life](const ApiResponse& answer) {
+    if (answer.status < 500)
+      acknowledgeLeaving(agent.place, life);
+  });
+}
+
+void World::acknowledgeLeaving(std::size_t place, const WorkerId& life) {
+  auto& node = *called[place];
+  nextTo(node, [this, &node, life] {
+    if (node.leavingAcknowledged || node.worker->life() != life)
       return;
-    auto& agent = *agents[node.place];
-    // Nothing runs there any more when it says so.
-    endCalled(node);
-    after(awayFor, [this, &node] { restartCalled(node.place); });
-    if (agent.up)
-      nextTo(agent, [this, &agent, life = node.worker->life()] {
-        agent.core->left(life);
-        ApiRequest gone;
-        gone.kind = RequestKind::declareGone;
-        gone.id = life.value;
-        relay(agent, gone, [](const ApiResponse&) {});
-      });
+    node.leavingAcknowledged = true;
+    auto leaving = seen(HistoryEvent::Kind::leaving, calendar + now);
+    leaving.worker = life.value;
+    witness(leaving);
   });
 }
 
