--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -176,6 +176,11 @@
   void tickCalled(CalledNode& node, std::uint64_t generation);
   void beat(CalledNode& node);
   void endCalled(CalledNode& node);
+  void sayLeave(CalledNode& node);
+  void hearLeave(AgentNode& agent, const WorkerId& life);
+  void awaitLeavingTold(AgentNode& agent, const WorkerId& life);
+  void acknowledgeLeaving(std::size_t place, const WorkerId& life);
+  void leaveStep(CalledNode& node);
   void nextTo(Node& to, std::function<void()> work);
   // The orders sent, by base and by the digest that histories name them by.
   std::map<std::pair<std::uint64_t, std::string>, ConfigOrder> configOrders;
