Worker: an answer to a replaced incarnation's sync is not followed

Cause: WorkerClient keeps two syncs under way. When the patient one is told 410 the session begins a new incarnation, and the urgent one's answer to the old incarnation's report, coming after, was followed: its orders are numbered from 1 in each incarnation, so they were taken for the new one's and started, and its lease and its confirmations were credited too.

Mend: WorkerSession::answered is told which incarnation asked and ignores an answer to another. Ruled out: the agent's side (NodeAgent::answered compares life and incarnation already).

--- a/source/agent/worker_session.cpp
+++ b/source/agent/worker_session.cpp
@@ -22,8 +22,12 @@
   return report;
 }
 
-bool WorkerSession::answered(const SyncResponse& answer, MonotonicTime sentAt, MonotonicTime now) {
+bool WorkerSession::answered(Incarnation asked, const SyncResponse& answer, MonotonicTime sentAt,
+                             MonotonicTime now) {
   tick(now);
+  // Orders are counted anew for each incarnation: another's would be taken for this one's.
+  if (asked != incarnation)
+    return false;
   // docs/design.md 5.3: an order from a superseded leader, or under a lease that is over, is not
   // followed.
   if (answer.term < seenTerm || now >= sentAt + answer.lease)
--- a/source/agent/worker_session.hpp
+++ b/source/agent/worker_session.hpp
@@ -24,8 +24,10 @@
 
   // The next sync's report; a lease granted in its answer counts from this moment.
   SyncReport report(MonotonicTime now);
-  // False: the answer came too late or from a leader that is superseded, and was not followed.
-  bool answered(const SyncResponse& answer, MonotonicTime sentAt, MonotonicTime now);
+  // The answer to a report of the incarnation named. False: it came too late, from a leader that is
+  // superseded or for an incarnation that has been replaced, and was not followed.
+  bool answered(Incarnation asked, const SyncResponse& answer, MonotonicTime sentAt,
+                MonotonicTime now);
   // The centre says this incarnation is replaced: all stops, and a new one begins.
   void replaced(Incarnation next);
   // Lapses the lease when it is due: every running task is held in place.
--- a/source/net/client.cpp
+++ b/source/net/client.cpp
@@ -116,7 +116,7 @@
                        Duration{1500});
         if (result && result.value().status == 200) {
           if (auto answer = SyncResponse::parse(result.value().body))
-            core.answered(answer.value(), sentAt, monotonicNow());
+            core.answered(report.incarnation, answer.value(), sentAt, monotonicNow());
           deliver();
         } else
           pause(Duration{50});
@@ -142,7 +142,7 @@
     if (result && result.value().status == 200) {
       auto answer = SyncResponse::parse(result.value().body);
       if (answer)
-        core.answered(answer.value(), sentAt, monotonicNow());
+        core.answered(report.incarnation, answer.value(), sentAt, monotonicNow());
       deliver();
       if (!answer)
         pause(Duration{100});
--- a/source/simulator/world_workers.cpp
+++ b/source/simulator/world_workers.cpp
@@ -75,7 +75,8 @@
                }
                if (status == 200) {
                  if (auto answer = SyncResponse::parse(body))
-                   node.hand->answered(answer.value(), MonotonicTime{sentAt}, MonotonicTime{now});
+                   node.hand->answered(incarnation, answer.value(), MonotonicTime{sentAt},
+                                       MonotonicTime{now});
                  followEffects(node);
                } else if (status == 410) {
                  node.hand->replaced(Incarnation{random.next() | 1});
