Hops: an answer is only its own request's, at every byte of it; a call that comes twice runs once

ByteFaultProxy (tests/net) stands between a caller and a counting server and cuts, resets, stalls or replays at one byte. hops_tests.cpp does each at every byte of a request and of an answer, on a fresh and on a kept connection, with the real HttpClient/HttpServer and WireCaller/WireReader, and checks that a call is carried out at most once, is told its own answer or that it is unknown, and that the next two calls of the same client get their own.

Mends: a connection is out of the client's hands while a call uses it, comes back only after a whole answer with nothing behind it, and is used again only while nothing waits on it. Requests carry Request-Number, rising on their connection: our servers carry each out once there and repeat it, the client drops what is an earlier request's and takes nothing unnumbered from who numbers. WireReader hands a rising correlation out once; WireCaller retires a connection on which calls went unanswered for 2 s (those who wait on it go on waiting) and closes its connection at its end. readMessage is cut into parts of which decode() is made, for the fuzzers.

Ruled out: correlations after a reconnect (they rise for the life of a caller and are looked up on their own connection only); askers in the controller (numbers are never reused, and all of a closed connection go with it); a connection after a time-out (never kept, before too); `unreachable` is told only before anything was handed to a connection.

Not held: a request whose bytes come again on another connection is another request; what bears its own identity (job, cancel, config) is safe then, an order about a worker is not.

--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -320,8 +320,9 @@
     socket->set_option(tcp::no_delay(true), ignored);
     auto writer = std::make_shared<WireWriter>(socket);
     spawn([writer] { writer->run(); });
+    WireReader reader(socket);
     for (;;) {
-      auto message = readMessage(*socket);
+      auto message = reader.next();
       if (!message) {
         if (message.error().kind == WireError::Kind::garbled)
           log(LogLevel::warning, "a peer's message was not taken",
--- a/source/net/http.cpp
+++ b/source/net/http.cpp
@@ -1,6 +1,7 @@
 #include "net/http.hpp"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 namespace aniseline {
 
@@ -8,11 +9,28 @@
 namespace http = beast::http;
 
 struct HttpClient::Connection {
-  explicit Connection(asio::io_context& context) : stream(context) {}
+  Connection(asio::io_context& context, Address address)
+      : stream(context), address(std::move(address)) {}
+  // Nothing waits to be read: neither an answer that is nobody's nor the other side's end.
+  bool quiet() {
+    char byte;
+    return buffer.size() == 0 &&
+           ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  Address address;
+  bool numbered = false;  // the other side repeats requests' numbers
 };
 
+namespace {
+template <class Message>
+std::uint64_t numberOf(const Message& message) {
+  return std::strtoull(std::string(message[requestNumberField]).c_str(), nullptr, 10);
+}
+}  // namespace
+
 Result<bool, HttpError> HttpServer::listen(const Address& address, bool shared) {
   auto endpoint = endpointOf(address);
   if (!endpoint)
@@ -64,6 +82,7 @@
   socket.set_option(tcp::no_delay(true), ignored);
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer;
+  std::uint64_t lastNumber = 0;
   for (bool keep = true; keep && !stopping;) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(limits.bodyBytes);
@@ -72,6 +91,15 @@
     const auto read = await([&](auto done) { http::async_read(stream, buffer, parser, done); });
     ApiResponse answer;
     bool bad = false;
+    std::uint64_t number = 0;
+    if (!read.error) {
+      // A client numbers its requests upwards: one that stands twice on its connection was asked
+      // once, and its answer is on its way.
+      number = numberOf(parser.get());
+      if (number && number <= lastNumber)
+        continue;
+      lastNumber = std::max(lastNumber, number);
+    }
     if (read.error == http::error::body_limit)
       answer = ApiResponse::error(
           413, "invalid", "the body is larger than " + std::to_string(limits.bodyBytes) + " bytes"),
@@ -112,6 +140,8 @@
                    std::to_string((answer.retryAfter.milliseconds + 999) / 1000));
       response.set("Retry-After-Ms", std::to_string(answer.retryAfter.milliseconds));
     }
+    if (number)
+      response.set(requestNumberField, std::to_string(number));
     response.keep_alive(keep);
     response.body() = std::move(answer.body);
     response.prepare_payload();
@@ -158,72 +188,92 @@
 
 HttpClient::~HttpClient() = default;
 
-Result<HttpResponse, HttpError> HttpClient::ask(const Address& address, const HttpRequest& given,
-                                                Duration within) {
+std::shared_ptr<HttpClient::Connection> HttpClient::takeKept(const Address& address) {
+  auto taken = std::exchange(kept, nullptr);
+  return taken && taken->address == address && taken->quiet() ? taken : nullptr;
+}
+
+Result<std::shared_ptr<HttpClient::Connection>, HttpError> HttpClient::connect(
+    const Address& address, Duration within) {
   auto endpoint = endpointOf(address);
   if (!endpoint)
     return HttpError{HttpError::Kind::unreachable, endpoint.error().text()};
-  if (connectedTo != address)
-    connection.reset();
+  auto made = std::make_shared<Connection>(loop.context, address);
+  made->stream.expires_after(
+      std::chrono::milliseconds(std::min<std::int64_t>(within.milliseconds, 1000)));
+  IoResult connected{loop.openFrom(made->stream.socket(), endpoint.value()), 0};
+  if (!connected.error)
+    connected = await([&](auto done) { made->stream.async_connect(endpoint.value(), done); });
+  if (connected.error)
+    return HttpError{HttpError::Kind::unreachable, connected.error.message()};
+  IoError ignored;
+  made->stream.socket().set_option(tcp::no_delay(true), ignored);
+  return made;
+}
+
+// One request and its answer. The connection is kept only after a whole answer: what comes late or
+// behind it would be read as the answer to the next request.
+Result<HttpResponse, HttpError> HttpClient::exchange(const std::shared_ptr<Connection>& connection,
+                                                     const HttpRequest& given, Deadline deadline) {
   http::request<http::string_body> request{http::string_to_verb(given.method), given.target, 11};
-  request.set(http::field::host, address.value);
+  request.set(http::field::host, connection->address.value);
   for (const auto& [name, value] : given.fields)
     request.set(name, value);
   request.set(http::field::content_type, "application/json");
+  const std::uint64_t number = ++lastNumber;
+  request.set(requestNumberField, std::to_string(number));
   request.body() = given.body;
   request.keep_alive(true);
   request.prepare_payload();
-  const auto deadline =
+  connection->stream.expires_at(deadline);
+  auto result = await([&](auto done) { http::async_write(connection->stream, request, done); });
+  http::response<http::string_body> response;
+  while (!result.error) {
+    response = {};
+    result = await([&](auto done) {
+      http::async_read(connection->stream, connection->buffer, response, done);
+    });
+    // An interim answer, as 100, is followed by the one that counts; so is an earlier request's
+    // that came twice.
+    const bool interim =
+        http::to_status_class(response.result()) == http::status_class::informational;
+    const bool earlier = numberOf(response) && numberOf(response) < number;
+    if (!interim && !earlier)
+      break;
+  }
+  if (result.error == beast::error::timeout)
+    return HttpError{HttpError::Kind::late, "no answer in time"};
+  if (result.error)
+    return HttpError{HttpError::Kind::lost, result.error.message()};
+  // A server that repeats numbers repeats every one: what has none was said to no request of ours.
+  connection->numbered = connection->numbered || response.count(requestNumberField);
+  if (connection->numbered && numberOf(response) != number)
+    return HttpError{HttpError::Kind::lost, "the answer is another request's"};
+  HttpResponse answer;
+  answer.status = int(response.result_int());
+  answer.body = std::move(response.body());
+  answer.retryAfter =
+      Duration{std::strtoll(std::string(response["Retry-After-Ms"]).c_str(), nullptr, 10)};
+  if (response.keep_alive() && connection->buffer.size() == 0)
+    kept = connection;
+  return answer;
+}
+
+Result<HttpResponse, HttpError> HttpClient::ask(const Address& address, const HttpRequest& request,
+                                                Duration within) {
+  const Deadline deadline =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(within.milliseconds);
-  for (bool again = true; again;) {
-    const bool kept = connection != nullptr;
-    again = false;
-    if (!connection) {
-      connection = std::make_shared<Connection>(loop.context);
-      connectedTo = address;
-      connection->stream.expires_after(
-          std::chrono::milliseconds(std::min<std::int64_t>(within.milliseconds, 1000)));
-      IoResult connected{loop.openFrom(connection->stream.socket(), endpoint.value()), 0};
-      if (!connected.error)
-        connected =
-            await([&](auto done) { connection->stream.async_connect(endpoint.value(), done); });
-      if (connected.error) {
-        connection.reset();
-        return HttpError{HttpError::Kind::unreachable, connected.error.message()};
-      }
-      IoError ignored;
-      connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-    }
-    auto used = connection;
-    used->stream.expires_at(deadline);
-    http::response<http::string_body> response;
-    auto result = await([&](auto done) { http::async_write(used->stream, request, done); });
-    if (!result.error)
-      result =
-          await([&](auto done) { http::async_read(used->stream, used->buffer, response, done); });
-    if (result.error) {
-      connection.reset();
-      if (result.error == beast::error::timeout)
-        return HttpError{HttpError::Kind::late, "no answer in time"};
-      // A kept connection that the other side had closed meanwhile: its end came before any byte of
-      // an answer.
-      if (kept && result.error == http::error::end_of_stream && given.method == "GET")
-        again = true;
-      else
-        return HttpError{HttpError::Kind::lost, result.error.message()};
-      continue;
-    }
-    HttpResponse answer;
-    answer.status = int(response.result_int());
-    answer.body = std::move(response.body());
-    const auto retry = response.find("Retry-After-Ms");
-    if (retry != response.end())
-      answer.retryAfter = Duration{std::strtoll(std::string(retry->value()).c_str(), nullptr, 10)};
-    if (!response.keep_alive())
-      connection.reset();
-    return answer;
+  if (auto used = takeKept(address)) {
+    auto answer = exchange(used, request, deadline);
+    // A kept connection may end as the request leaves. Whether that was taken can't be known: only
+    // what changes nothing is asked again.
+    if (answer || answer.error().kind != HttpError::Kind::lost || request.method != "GET")
+      return answer;
   }
-  return HttpError{HttpError::Kind::lost, "the connection was lost"};
+  auto made = connect(address, within);
+  if (!made)
+    return made.error();
+  return exchange(made.value(), request, deadline);
 }
 
 }  // namespace aniseline
--- a/source/net/http.hpp
+++ b/source/net/http.hpp
@@ -59,19 +59,30 @@
 // another. docs/design.md 9.5.
 std::optional<ApiResponse> contactsAnswer(const HttpRequest& request, const RouteView& view);
 
-// One kept connection to one address.
+// Carries a request's number on its connection; the answer repeats it. docs/design.md 9.3.
+constexpr const char* requestNumberField = "Request-Number";
+
+// Asks one address at a time and keeps the connection for the next call. What ties an answer to its
+// request: the connection is used by one call at a time, is kept only after a whole answer with
+// nothing behind it, and our own servers repeat the request's number.
 class HttpClient {
  public:
   explicit HttpClient(Loop& loop) : loop(loop) {}
   ~HttpClient();
+  // An error of kind `unreachable` means that nothing was sent. Only a GET is ever sent twice.
   Result<HttpResponse, HttpError> ask(const Address& address, const HttpRequest& request,
                                       Duration within);
 
  private:
   struct Connection;
+  using Deadline = std::chrono::steady_clock::time_point;
+  std::shared_ptr<Connection> takeKept(const Address& address);
+  Result<std::shared_ptr<Connection>, HttpError> connect(const Address& address, Duration within);
+  Result<HttpResponse, HttpError> exchange(const std::shared_ptr<Connection>& connection,
+                                           const HttpRequest& request, Deadline deadline);
   Loop& loop;
-  Address connectedTo;
-  std::shared_ptr<Connection> connection;
+  std::shared_ptr<Connection> kept;  // of no call at present
+  std::uint64_t lastNumber = 0;
 };
 
 // The controllers that the process at an outer address knows of; none if it knows none or is
--- a/source/net/wire.cpp
+++ b/source/net/wire.cpp
@@ -18,21 +18,55 @@
   return std::string(reinterpret_cast<const char*>(&head), sizeof head) + body;
 }
 
+namespace {
+
+WireError garbled(std::string text) {
+  return WireError{WireError::Kind::garbled, std::move(text)};
+}
+
+// Why a head can't be followed by a message of ours.
+std::optional<WireError> faultOf(const Head& head) {
+  if (head.mark != wireMark)
+    return garbled("the peer does not speak our protocol");
+  if (head.format != wireFormat)
+    return garbled("the peer speaks format " + std::to_string(head.format) + ", we speak " +
+                   std::to_string(wireFormat));
+  if (head.size > largest)
+    return garbled("a message of " + std::to_string(head.size) + " bytes is too large");
+  return std::nullopt;
+}
+
+Result<WireMessage, WireError> decodeBody(const Head& head, const std::string& body) {
+  if (checksum(body) != head.sum)
+    return garbled("a message's checksum does not match");
+  auto message = unpack<WireMessage>(body);
+  if (!message)
+    return garbled(message.error().text());
+  return std::move(message.value());
+}
+
+}  // namespace
+
+Result<WireMessage, WireError> decode(const std::string& bytes) {
+  Head head;
+  if (bytes.size() < sizeof head)
+    return garbled("the head is not whole");
+  std::memcpy(&head, bytes.data(), sizeof head);
+  if (auto fault = faultOf(head))
+    return *fault;
+  if (bytes.size() - sizeof head != head.size)
+    return garbled("the message is not whole");
+  return decodeBody(head, bytes.substr(sizeof head));
+}
+
 Result<WireMessage, WireError> readMessage(tcp::socket& socket) {
   Head head;
   auto read =
       await([&](auto done) { asio::async_read(socket, asio::buffer(&head, sizeof head), done); });
   if (read.error)
     return WireError{WireError::Kind::lost, read.error.message()};
-  if (head.mark != wireMark)
-    return WireError{WireError::Kind::garbled, "the peer does not speak our protocol"};
-  if (head.format != wireFormat)
-    return WireError{WireError::Kind::garbled, "the peer speaks format " +
-                                                   std::to_string(head.format) + ", we speak " +
-                                                   std::to_string(wireFormat)};
-  if (head.size > largest)
-    return WireError{WireError::Kind::garbled,
-                     "a message of " + std::to_string(head.size) + " bytes is too large"};
+  if (auto fault = faultOf(head))
+    return *fault;
   std::string body;
   // The buffer grows with what really comes, so a false size costs the peer, not us.
   while (body.size() < head.size) {
@@ -45,12 +79,19 @@
     if (read.error)
       return WireError{WireError::Kind::lost, read.error.message()};
   }
-  if (checksum(body) != head.sum)
-    return WireError{WireError::Kind::garbled, "a message's checksum does not match"};
-  auto message = unpack<WireMessage>(body);
-  if (!message)
-    return WireError{WireError::Kind::garbled, message.error().text()};
-  return std::move(message.value());
+  return decodeBody(head, body);
+}
+
+Result<WireMessage, WireError> WireReader::next() {
+  for (;;) {
+    auto message = readMessage(*socket);
+    if (!message || message.value().correlation == 0)
+      return message;
+    if (message.value().correlation > lastCorrelation) {
+      lastCorrelation = message.value().correlation;
+      return message;
+    }
+  }
 }
 
 bool WireWriter::send(std::string bytes) {
@@ -90,6 +131,25 @@
   socket->close(ignored);
 }
 
+WireCaller::~WireCaller() {
+  if (current)
+    current->writer->close();
+}
+
+void WireCaller::Connection::closeIfDone() {
+  if (retired && waiting.empty())
+    writer->close();
+}
+
+void WireCaller::retireIfSilent(const std::shared_ptr<Connection>& link) {
+  if (link->unansweredSince && monotonicNow() - *link->unansweredSince >= silentAfter) {
+    link->retired = true;
+    if (current == link)
+      current.reset();
+  }
+  link->closeIfDone();
+}
+
 std::shared_ptr<WireCaller::Connection> WireCaller::connection(Duration within) {
   if (current && current->open)
     return current;
@@ -136,12 +196,14 @@
         made->waiting.clear();
         return;
       }
+      made->unansweredSince.reset();
       auto found = made->waiting.find(message.value().correlation);
       if (found == made->waiting.end())
         continue;
       auto waiting = found->second;
       made->waiting.erase(found);
       waiting->promise.set_value(std::move(message.value()));
+      made->closeIfDone();
     }
   });
   current = made;
@@ -161,7 +223,9 @@
     link->waiting.erase(correlation);
     return WireError{WireError::Kind::unreachable, "the link to " + address.value + " is full"};
   }
-  const MonotonicTime until = monotonicNow() + within;
+  const MonotonicTime sentAt = monotonicNow(), until = sentAt + within;
+  if (!link->unansweredSince)
+    link->unansweredSince = sentAt;
   while (monotonicNow() < until && !(abandoned && abandoned())) {
     const Duration slice = std::min(abandoned ? Duration{50} : within, until - monotonicNow());
     if (future.wait_for(std::chrono::milliseconds(slice.milliseconds)) ==
@@ -169,6 +233,7 @@
       return future.get();
   }
   link->waiting.erase(correlation);
+  retireIfSilent(link);
   return WireError{WireError::Kind::late, address.value + " did not answer in time"};
 }
 
--- a/source/net/wire.hpp
+++ b/source/net/wire.hpp
@@ -52,9 +52,22 @@
 
 constexpr std::uint32_t wireFormat = 4;
 std::string encode(const WireMessage& message);
+// One whole message, as encode gives it.
+Result<WireMessage, WireError> decode(const std::string& bytes);
 // Reads one message; a peer that speaks another format, or garbles, is an error and its connection
 // ends.
 Result<WireMessage, WireError> readMessage(tcp::socket& socket);
+// Reads what one peer sends on one connection. A caller's correlations only rise there, so a
+// request whose bytes come twice is handed out once; the second ends the connection.
+class WireReader {
+ public:
+  explicit WireReader(std::shared_ptr<tcp::socket> socket) : socket(std::move(socket)) {}
+  Result<WireMessage, WireError> next();
+
+ private:
+  std::shared_ptr<tcp::socket> socket;
+  std::uint64_t lastCorrelation = 0;
+};
 // Writes queued bytes in order on one socket. Owned jointly by the fibers of its connection.
 class WireWriter {
  public:
@@ -76,7 +89,12 @@
 // thread.
 class WireCaller {
  public:
-  WireCaller(Loop& loop, Address address) : loop(loop), address(std::move(address)) {}
+  // A connection on which calls went unanswered this long carries no new ones: its far end may be
+  // gone without a word, and TCP would go on trying for minutes.
+  static constexpr Duration silentLimit{2000};
+  WireCaller(Loop& loop, Address address, Duration silentAfter = silentLimit)
+      : loop(loop), address(std::move(address)), silentAfter(silentAfter) {}
+  ~WireCaller();
   // An error of kind `unreachable` means that nothing was sent.
   // `abandoned` is asked now and then whether to wait on; true ends the wait as late.
   Result<WireMessage, WireError> call(WireBody body, Duration within,
@@ -91,11 +109,15 @@
     std::shared_ptr<tcp::socket> socket;
     std::shared_ptr<WireWriter> writer;
     std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
-    bool open = true;
+    bool open = true, retired = false;
+    std::optional<MonotonicTime> unansweredSince;  // a call left and nothing was heard since
+    void closeIfDone();  // retired: as soon as nobody waits for an answer on it
   };
+  void retireIfSilent(const std::shared_ptr<Connection>& link);
   std::shared_ptr<Connection> connection(Duration within);
   Loop& loop;
   Address address;
+  Duration silentAfter;
   std::shared_ptr<Connection> current;
   bool connecting = false;
   MonotonicTime notBefore{0};
