Caller: an order about a worker or a controller is never sent twice after a loss

Cause: Caller::ask (library, command line, local_cluster) took every request for idempotent and sent it again, through the next gateway, after a reset, a silence or a 503 `unknown`. Jobs, cancels and configs bear their own identity; drain, undrain, declare-gone and replace bear none. A declare-gone repeated up to 10 s later strikes a worker that has come back meanwhile: its tasks run twice. A drain or undrain repeated undoes what another operator said in between.

--- a/source/net/client.cpp
+++ b/source/net/client.cpp
@@ -13,6 +13,20 @@
     inForce.push_back(Address{address.to_str()});
   return inForce;
 }
+
+// What has its own identity or changes nothing may be asked again after a loss: a job by its id and
+// content, a cancel by the job's, a config by its base and content. An order about a worker or a
+// controller has none: asked again it could undo what another operator said meanwhile, or declare
+// gone a worker that has come back.
+bool mayRepeat(const HttpRequest& request) {
+  return !(request.method == "POST" && (request.target.starts_with("/v1/workers/") ||
+                                        request.target.starts_with("/v1/controllers/")));
+}
+bool surelyNotTaken(const HttpResponse& answer) {
+  picojson::value root;
+  return picojson::parse(root, answer.body).empty() && root.is<picojson::object>() &&
+         root.get("error").to_str() == "not_taken";
+}
 }  // namespace
 
 Result<HttpResponse, HttpError> Caller::once(const HttpRequest& request, Duration within) {
@@ -48,9 +62,10 @@
   ClientError last{ClientError::Kind::unknown, 0, "no gateway answers", Duration{0}};
   learn();
   while (monotonicNow() < until) {
-    // A gateway that is silent for longer is left for the next; what it may have taken is asked
-    // again with the same id.
-    auto result = once(request, std::min(Duration{1500}, until - monotonicNow()));
+    // A gateway that is silent for longer is left for the next, where the request may be repeated;
+    // otherwise there is no other answer to wait for.
+    const Duration left = until - monotonicNow();
+    auto result = once(request, mayRepeat(request) ? std::min(Duration{1500}, left) : left);
     if (result) {
       if (result.value().status < 400)
         return result.value();
@@ -60,9 +75,14 @@
                          result.value().status, result.value().body, result.value().retryAfter};
       if (last.kind != ClientError::Kind::unknown)
         return last;
+      if (!mayRepeat(request) && !surelyNotTaken(result.value()))
+        return last;
       contacts.failed(monotonicNow());
-    } else
-      last.text = result.error().text;
+    } else {
+      last = ClientError{ClientError::Kind::unknown, 0, result.error().text, Duration{0}};
+      if (!mayRepeat(request) && result.error().kind != HttpError::Kind::unreachable)
+        return last;
+    }
     pause(Duration{std::clamp<std::int64_t>(last.retryAfter.milliseconds, 50, 500)});
   }
   return last;
--- a/source/net/client.hpp
+++ b/source/net/client.hpp
@@ -22,8 +22,8 @@
       : client(loop), contacts(std::move(gateways), 0), zone(std::move(zone)) {}
   // One try at one gateway.
   Result<HttpResponse, HttpError> once(const HttpRequest& request, Duration within);
-  // Tries until there is an answer other than `unknown`, or the time is over. Safe for every
-  // request: all are idempotent.
+  // Tries until there is an answer other than `unknown`, or the time is over. What may not be
+  // repeated is sent again only while it surely was not taken; else it ends as unknown.
   Result<HttpResponse, ClientError> ask(const HttpRequest& request, Duration within);
   Result<HttpResponse, ClientError> submit(const JobSubmission& job, Duration within) {
     return ask({"POST", "/v1/jobs", renderJob(job)}, within);
--- a/tests/net/hops_tests.cpp
+++ b/tests/net/hops_tests.cpp
@@ -330,3 +330,42 @@
     return faults;
   });
 }
+
+// The rule of every hop: once the first byte may have left, what can't be repeated is not sent
+// again.
+TEST(HopsTests, aCallerRepeatsOnlyWhatHasItsOwnIdentity) {
+  onLoop([](Loop& loop) {
+    std::string faults;
+    CountingHttpServer server(loop);
+    ByteFaultProxy proxy(loop, server.address);
+    struct Case {
+      const char* target;
+      Kind kind;
+      int carriedOut;  // with its answer lost at the first gateway
+    };
+    int calls = 0;
+    for (const Case& given :
+         {Case{"/v1/jobs", Kind::cut, 2}, Case{"/v1/workers/w/gone", Kind::cut, 1},
+          Case{"/v1/workers/w/drain", Kind::reset, 1},
+          Case{"/v1/controllers/c/replace", Kind::halt, 1}}) {
+      Caller caller(loop, {proxy.address(), server.address});
+      proxy.arm({given.kind, Way::answer, 0});
+      const std::string name = nameOf(++calls);
+      const bool repeated = given.carriedOut > 1;
+      auto answer = caller.ask({"POST", given.target, name}, repeated ? patient : Duration{300});
+      if (server.carriedOut[name] != given.carriedOut)
+        faults += std::string(given.target) + " carried out " +
+                  std::to_string(server.carriedOut[name]) + " times\n";
+      if (answer.has_value() != repeated ||
+          (!answer && answer.error().kind != ClientError::Kind::unknown))
+        faults += std::string(given.target) + " was told something else\n";
+    }
+    // Nothing left: the next gateway is asked, whatever it is.
+    Caller caller(loop, {anyFreeAddress(), server.address});
+    if (!caller.ask({"POST", "/v1/workers/w/gone", nameOf(++calls)}, patient))
+      faults += "an unreachable gateway ended the call\n";
+    proxy.close();
+    pause(Duration{20});
+    return faults;
+  });
+}
