--- /dev/null
+++ b/source/checker/model/describe.cpp
@@ -0,0 +1,103 @@
+#include "checker/model/describe.hpp"
+
+namespace aniseline::model {
+
+namespace {
+
+std::string number(const auto& strongId) {
+  return std::to_string(strongId.value);
+}
+
+std::string describeEntry(const LogEntry& entry) {
+  if (!entry.members)
+    return number(entry.term) + ":'" + entry.payload + "'";
+  std::string text = number(entry.term) + ":{";
+  const Members members = unpack<Members>(entry.payload).value();
+  for (const auto& member : members)
+    text += (text.back() == '{' ? "" : " ") + member.id.value + (member.voter ? "" : "?");
+  return text + "}";
+}
+
+std::string describeEntries(const std::vector<LogEntry>& entries) {
+  std::string text = "[";
+  for (const auto& entry : entries)
+    text += (text.size() > 1 ? ", " : "") + describeEntry(entry);
+  return text + "]";
+}
+
+struct BodyText {
+  using result_type = std::string;
+  std::string operator()(const RequestVote& body) const {
+    return std::string(body.trial ? "pre-vote" : "RequestVote") + " term " + number(body.term) +
+           ", last " + number(body.last) + " of term " + number(body.lastTerm) +
+           (body.leaderTransfer ? ", by transfer" : "");
+  }
+  std::string operator()(const RequestVoteReply& body) const {
+    return std::string(body.trial ? "pre-vote" : "vote") + (body.given ? " given" : " refused") +
+           ", term " + number(body.term);
+  }
+  std::string operator()(const AppendEntries& body) const {
+    return "AppendEntries term " + number(body.term) + ", after " + number(body.previous) +
+           " of term " + number(body.previousTerm) + " " + describeEntries(body.entries) +
+           ", commit " + number(body.commit) + ", round " + number(body.round);
+  }
+  std::string operator()(const AppendEntriesReply& body) const {
+    return std::string("AppendEntriesReply term ") + number(body.term) +
+           (body.matched ? ", match " : ", mismatch, try ") + number(body.match) + ", last " +
+           number(body.last) + ", round " + number(body.round);
+  }
+  std::string operator()(const TimeoutNow& body) const {
+    return "TimeoutNow term " + number(body.term);
+  }
+  std::string operator()(const Join& body) const { return "Join of " + body.member.id.value; }
+  std::string operator()(const RemovedFromCluster& body) const {
+    return "RemovedFromCluster term " + number(body.term);
+  }
+  std::string operator()(const InstallSnapshot& body) const {
+    return "InstallSnapshot term " + number(body.term) + ", round " + number(body.round);
+  }
+  // Kinds of message that came later.
+  template <class Body>
+  std::string operator()(const Body& body) const {
+    return "message of " + std::to_string(pack(body).size()) + " bytes";
+  }
+};
+
+}  // namespace
+
+const char* name(ActionKind kind) {
+  static const char* const names[] = {"deliver",        "duplicate",
+                                      "lose",           "start write",
+                                      "complete write", "heartbeat",
+                                      "time out",       "silence",
+                                      "restart",        "restart, write kept",
+                                      "lose disk",      "renew",
+                                      "join",           "propose",
+                                      "read",           "remove member",
+                                      "promote",        "transfer leadership",
+                                      "compact"};
+  static_assert(std::size(names) == actionKinds);
+  return names[std::size_t(kind)];
+}
+
+std::string describe(const PeerMessage& message) {
+  const auto to = message.to.value.empty() ? message.toAddress.value : message.to.value;
+  return message.from.value + " -> " + to + ": " + boost::apply_visitor(BodyText{}, message.body);
+}
+
+std::string describe(const ModelNode& node) {
+  std::vector<LogEntry> log;
+  for (LogIndex index = node.raft.snapshotIndex().next(); index <= node.raft.last();
+       index = index.next())
+    log.push_back(node.raft.entry(index));
+  std::string text = node.self.id.value + ": " + aniseline::name(node.raft.role()) + ", term " +
+                     number(node.raft.term()) + ", commit " + number(node.raft.commitIndex()) +
+                     ", log after " + number(node.raft.snapshotIndex()) + " " +
+                     describeEntries(log) + ", disk term " + number(node.image.term) + " to " +
+                     number(node.image.last());
+  if (node.raft.removedFromCluster())
+    text += ", removed";
+  return text;
+}
+
+}  // namespace aniseline::model
--- /dev/null
+++ b/source/checker/model/fingerprint.hpp
@@ -0,0 +1,27 @@
+// What of a RaftNode decides its further behaviour, as canonical bytes for the model checker.
+// docs/design.md 3.
+#pragma once
+#include "raft/node.hpp"
+
+namespace aniseline {
+
+// The one reader of a RaftNode's private state. A field that is added to RaftNode and changes what
+// it does must be added here: left out, the search takes two different states for one.
+struct RaftNodeFingerprint {
+  // Times are ages on the node's own clock, cut off where the node tells them apart no more; draws
+  // of the election timer, calendar clocks and version numbers are left out.
+  static std::string of(const RaftNode& node, MonotonicTime now);
+
+ private:
+  static void addLeadership(OutputArchive& archive, const RaftNode& node, MonotonicTime now);
+  static void addDisk(OutputArchive& archive, const RaftNode& node);
+};
+
+namespace model {
+
+// A hash of 64 bits that is the same on every machine.
+std::uint64_t hashOf(std::string_view bytes);
+std::uint64_t combine(std::uint64_t left, std::uint64_t right);
+
+}  // namespace model
+}  // namespace aniseline
--- /dev/null
+++ b/source/checker/model/model_node.hpp
@@ -0,0 +1,61 @@
+// One controller of the model: its RaftNode, its disk and its clock.
+#pragma once
+#include "checker/model/fingerprint.hpp"
+
+namespace aniseline::model {
+
+// What a controller would find on its disk: the model's own fold of the synced records.
+struct DiskImage {
+  Term term;
+  ControllerId vote;
+  Snapshot snapshot;
+  std::vector<LogEntry> entries;  // after the snapshot
+  void add(const WriteAheadRecord& record);
+  LogIndex last() const { return LogIndex{snapshot.index.value + entries.size()}; }
+  // Whether the entry of this index and term is on the disk, itself or folded into the snapshot.
+  bool holds(LogIndex index, Term term) const;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& term& vote& snapshot& entries;
+  }
+};
+
+// A machine's present identity. A copy is taken before each action, so that worlds share what an
+// action leaves as it was.
+class ModelNode {
+ public:
+  ModelNode(Member self, const RaftOptions& options, std::vector<WriteAheadRecord> disk);
+
+  MonotonicTime now() const { return clock; }
+  void advance(Duration span) { clock = clock + span; }
+  void tick() { raft.tick(clock, WallTime{}); }
+  // Hands a write to the disk, if there is any and none is under way.
+  bool startWrite();
+  bool writing() const { return inFlight.has_value(); }
+  const WriteAheadRecord& writeInFlight() const { return *inFlight; }
+  // The write under way is on the disk, and the node is told.
+  void completeWrite();
+  // The node is told so, and the disk loses it: only a disk that lies does this.
+  void pretendWrite();
+  // Ends the process and starts it from the disk; the write under way is kept or lost.
+  void restart(const RaftOptions& options, bool keepsWrite, bool forgetsLastRecord = false);
+  // The owner of a new leader proposes its opening entry at once, as Controller does.
+  void openLeadership();
+  std::uint64_t hash() const;
+
+  Member self;
+  RaftNode raft;
+  DiskImage image;
+
+ private:
+  static RaftNode start(const Member& self, const RaftOptions& options,
+                        const std::vector<WriteAheadRecord>& disk, MonotonicTime now);
+  void keep(const WriteAheadRecord& record);
+  void foldDisk();
+  std::vector<WriteAheadRecord> disk;
+  std::optional<WriteAheadRecord> inFlight;
+  MonotonicTime clock;
+  Term openedTerm;
+};
+
+}  // namespace aniseline::model
--- /dev/null
+++ b/source/checker/model/scenarios.cpp
@@ -0,0 +1,253 @@
+#include "checker/model/scenarios.hpp"
+
+namespace aniseline::model {
+
+namespace {
+
+using Kind = ActionKind;
+constexpr std::size_t a = 0, b = 1, c = 2, d = 3, e = 4;
+
+// Of a breadth-first search. A message that is never delivered is a lost one, so that losing it is
+// no step of its own.
+Budget budgetWith(Budget more) {
+  Budget budget{
+      {Kind::duplicate, 0}, {Kind::lose, 0},     {Kind::heartbeat, 1},   {Kind::timeOut, 1},
+      {Kind::silence, 2},   {Kind::restart, 1},  {Kind::restartKept, 0}, {Kind::loseDisk, 0},
+      {Kind::join, 0},      {Kind::propose, 0},  {Kind::read, 0},        {Kind::removeMember, 0},
+      {Kind::promote, 0},   {Kind::transfer, 0}, {Kind::compact, 0},     {Kind::renew, 1}};
+  for (const auto& [kind, count] : more)
+    budget[kind] = count;
+  return budget;
+}
+
+// a leads, its opening entry is committed everywhere.
+void led(Script& script) {
+  script.elect(a);
+  script.spread(a);
+}
+
+void oneEntryUnsent(Script& script) {
+  led(script);
+  script.step(Kind::propose, a);
+}
+
+// a still takes itself for the leader; b was elected by b and c, and committed an entry.
+void twoLeaders(Script& script) {
+  led(script);
+  script.elect(b, {b, c});
+  script.step(Kind::propose, b);
+  script.settle({b, c});
+}
+
+// a led with an entry that nobody else has; b was elected and has one of its own at the same index.
+void forkedLogs(Script& script) {
+  led(script);
+  script.step(Kind::propose, a);
+  script.sync({a});
+  script.loseAll();
+  script.elect(b, {b, c});
+  script.spread(b, {b, c});
+  script.loseAll();
+}
+
+// a proposes to remove b, cut off from c and d.
+void pendingRemoval(Script& script) {
+  led(script);
+  script.step(Kind::removeMember, a, b);
+  script.loseAll();
+}
+
+// d has learnt all; its promotion is proposed and not sent.
+void pendingPromotion(Script& script) {
+  led(script);
+  script.step(Kind::join, d, a);
+  script.settle();
+  script.spread(a);
+  script.step(Kind::promote, a, script.placeOf(a, d));
+}
+
+// c slept while a and b went on and dropped the log that c needs; the snapshot is on its way.
+void installing(Script& script) {
+  led(script);
+  for (int entry = 0; entry < 3; ++entry) {
+    script.step(Kind::propose, a);
+    script.settle({a, b});
+    script.spread(a, {a, b});
+  }
+  script.step(Kind::compact, a);
+  script.sync({a});
+  script.spread(a);
+  script.step(Kind::heartbeat, a);
+}
+
+// b's disk is lost; it is back as a new identity and asks to learn.
+void lostDisk(Script& script) {
+  led(script);
+  script.step(Kind::loseDisk, b);
+  script.step(Kind::join, b, a);
+  script.settle();
+  script.spread(a);
+}
+
+// d took the place of b, whose removal is committed by a, c and d; b has not heard.
+void replaced(Script& script) {
+  pendingPromotion(script);
+  script.settle();
+  script.spread(a);
+  script.step(Kind::removeMember, a, b);
+  script.settle({a, c, d});
+  script.spread(a, {a, c, d});
+}
+
+// The Raft paper's figure 8: an entry of term 2 on a and b, one of term 3 on e alone; a leads
+// again.
+void olderTermsEntry(Script& script) {
+  led(script);
+  script.step(Kind::propose, a);
+  script.settle({a});
+  script.sync({a});
+  script.elect(e, {c, d, e});
+  script.loseAll();
+  script.step(Kind::restart, a);
+  script.sync({e});
+  script.step(Kind::restart, e);
+  script.elect(a, {a, b, c, d});
+}
+
+}  // namespace
+
+const std::vector<Scenario>& scenarios() {
+  static const std::vector<Scenario> all{
+      {"election", "three voters, nobody leads", 3, 3,
+       budgetWith({{Kind::timeOut, 2}, {Kind::silence, 0}, {Kind::restartKept, 1}}),
+       [](Script&) {
+       }},
+      {"entry", "a leader with an entry not yet sent", 3, 3,
+       budgetWith({{Kind::propose, 1}, {Kind::duplicate, 1}}), oneEntryUnsent},
+      {"read", "a leader that another has replaced is read from", 3, 3,
+       budgetWith({{Kind::read, 1}, {Kind::timeOut, 0}}), twoLeaders},
+      {"fork", "two logs that differ at one index; the stale leader is back", 3, 3,
+       budgetWith({{Kind::duplicate, 1}, {Kind::heartbeat, 2}}), forkedLogs},
+      {"removal", "the removal of a voter, cut off from half of the voters", 4, 4,
+       budgetWith({{Kind::timeOut, 2}, {Kind::silence, 1}}), pendingRemoval},
+      {"promotion", "a learner's promotion not yet sent", 4, 3,
+       budgetWith({{Kind::removeMember, 1}}), pendingPromotion},
+      {"snapshot", "a follower far behind, the snapshot under way", 3, 3,
+       budgetWith({{Kind::heartbeat, 2}, {Kind::restartKept, 1}, {Kind::propose, 1}}), installing},
+      {"lost disk", "a voter's disk is lost, its machine learns anew", 3, 3,
+       budgetWith({{Kind::promote, 1}, {Kind::removeMember, 1}, {Kind::join, 1}}), lostDisk},
+      {"replaced", "a voter is replaced and has not heard of it", 4, 3,
+       budgetWith({{Kind::timeOut, 2}, {Kind::loseDisk, 1}, {Kind::duplicate, 1}}), replaced},
+      {"older term", "an entry of an older term on a minority, its leader is elected again", 5, 5,
+       budgetWith({{Kind::timeOut, 1}, {Kind::silence, 1}}), olderTermsEntry},
+      {"transfer", "a leader that hands over", 3, 3,
+       budgetWith({{Kind::transfer, 1}, {Kind::propose, 1}}), led},
+  };
+  return all;
+}
+
+const Scenario& scenario(const std::string& name) {
+  for (const auto& each : scenarios())
+    if (each.name == name)
+      return each;
+  throw std::invalid_argument("no scenario " + name);
+}
+
+ModelWorld openForWalks(ModelWorld world, bool outcomesOnly, const Tamper& tamper) {
+  auto open = std::make_shared<ModelOptions>();
+  open->machines = world.machines();
+  open->writesAtOnce = false;
+  open->outcomesOnly = outcomesOnly;
+  open->tamper = tamper;
+  open->budget = {{Kind::duplicate, 6}, {Kind::timeOut, 12},     {Kind::restart, 4},
+                  {Kind::loseDisk, 2},  {Kind::restartKept, 3},  {Kind::propose, 6},
+                  {Kind::read, 4},      {Kind::removeMember, 4}, {Kind::promote, 4},
+                  {Kind::transfer, 2},  {Kind::compact, 3}};
+  world.allow(open);
+  return world;
+}
+
+ModelWorld prepare(const Scenario& scenario, const Tamper& tamper, bool outcomesOnly) {
+  auto free = std::make_shared<ModelOptions>();
+  free->machines = scenario.machines;
+  free->voters = scenario.voters;
+  ModelWorld world(free);
+  Script script(world);
+  scenario.prepare(script);
+  auto bounded = std::make_shared<ModelOptions>(*free);
+  bounded->budget = scenario.budget;
+  bounded->tamper = tamper;
+  bounded->outcomesOnly = outcomesOnly;
+  world.allow(bounded);
+  return world;
+}
+
+void Script::step(ActionKind kind, std::size_t machine, std::size_t other) {
+  const Action action{kind, std::uint8_t(machine), std::uint8_t(other)};
+  const bool taken = world.apply(action);
+  if (!taken || world.violation())
+    throw std::logic_error("script: " + world.describe(action) + ": " +
+                           world.violation().value_or("can't be taken"));
+}
+
+void Script::sync(const std::set<std::size_t>& machines) {
+  for (const auto machine : machines)
+    while (world.node(machine).writing())
+      step(Kind::completeWrite, machine);
+}
+
+void Script::settle(const std::set<std::size_t>& among) {
+  std::set<std::size_t> machines = among;
+  for (std::size_t machine = 0; among.empty() && machine < world.machines(); ++machine)
+    machines.insert(machine);
+  for (;;) {
+    sync(machines);
+    if (world.network().empty())
+      return;
+    const Packet packet = *world.network().front();
+    const auto to = world.machineOf(packet.message.to);
+    const auto from = world.machineOf(packet.message.from);
+    const bool arrives = packet.message.to.value.empty() ||
+                         (to && from && machines.count(*to) && machines.count(*from));
+    world.apply({arrives ? Kind::deliver : Kind::lose, 0, 0, packet.hash});
+    if (world.violation())
+      throw std::logic_error("script: " + *world.violation());
+  }
+}
+
+void Script::loseAll() {
+  while (!world.network().empty())
+    world.apply({Kind::lose, 0, 0, world.network().front()->hash});
+}
+
+void Script::elect(std::size_t machine, const std::set<std::size_t>& among) {
+  for (std::size_t other = 0; other < world.machines(); ++other)
+    if (other != machine && (among.empty() || among.count(other)) &&
+        !world.node(other).raft.leads() && !world.node(other).raft.blank())
+      step(Kind::silence, other);
+  constexpr int tries = 2;  // the first may only tell a candidate that it is terms behind
+  for (int attempt = 0; attempt < tries && !world.node(machine).raft.leads(); ++attempt) {
+    step(Kind::timeOut, machine);
+    settle(among);
+  }
+  if (!world.node(machine).raft.leads())
+    throw std::logic_error("script: not elected");
+}
+
+void Script::spread(std::size_t leader, const std::set<std::size_t>& among) {
+  constexpr int rounds = 3;  // the entries, the commit index, and a round more for a late joiner
+  for (int round = 0; round < rounds; ++round) {
+    step(Kind::heartbeat, leader);
+    settle(among);
+  }
+}
+
+std::size_t Script::placeOf(std::size_t leader, std::size_t machine) const {
+  const auto& members = world.node(leader).raft.members();
+  const auto found = std::find_if(members.begin(), members.end(), [&](const Member& member) {
+    return member.id == world.node(machine).self.id;
+  });
+  return std::size_t(found - members.begin());
+}
+
+}  // namespace aniseline::model
--- /dev/null
+++ b/source/checker/model/scenarios.hpp
@@ -0,0 +1,46 @@
+// Worlds to begin a search from: what a search from nothing would reach too late.
+#pragma once
+#include "checker/model/search.hpp"
+
+namespace aniseline::model {
+
+struct Scenario {
+  std::string name;
+  std::string purpose;
+  std::size_t machines;
+  std::size_t voters;
+  Budget budget;  // of the search, from where the script ends
+  std::function<void(class Script&)> prepare;
+};
+
+const std::vector<Scenario>& scenarios();
+const Scenario& scenario(const std::string& name);
+// Runs the scenario's script and gives the search its budget. The tamper is in force from the
+// search on.
+ModelWorld prepare(const Scenario& scenario, const Tamper& tamper = {}, bool outcomesOnly = false);
+// The same world with more of everything, writes taken late and messages lost: for long walks.
+ModelWorld openForWalks(ModelWorld world, bool outcomesOnly = false, const Tamper& tamper = {});
+
+// Drives a world along one path.
+class Script {
+ public:
+  explicit Script(ModelWorld& world) : world(world) {}
+  void step(ActionKind kind, std::size_t machine, std::size_t other = 0);
+  // Syncs and delivers until nothing is left to do; only among these machines, if any are named:
+  // what goes elsewhere is lost.
+  void settle(const std::set<std::size_t>& among = {});
+  // Syncs what is under way on these machines.
+  void sync(const std::set<std::size_t>& machines);
+  void loseAll();
+  // Makes a machine the leader of those named.
+  void elect(std::size_t machine, const std::set<std::size_t>& among = {});
+  // Heartbeats until these have seen all that is committed.
+  void spread(std::size_t leader, const std::set<std::size_t>& among = {});
+  // The place of a machine's present identity among the leader's members.
+  std::size_t placeOf(std::size_t leader, std::size_t machine) const;
+
+ private:
+  ModelWorld& world;
+};
+
+}  // namespace aniseline::model
--- /dev/null
+++ b/source/checker/model/search.cpp
@@ -0,0 +1,247 @@
+#include "checker/model/search.hpp"
+
+#include "checker/model/describe.hpp"
+#include <unordered_set>
+
+namespace aniseline::model {
+
+namespace {
+
+class Stopwatch {
+ public:
+  double seconds() const {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+  }
+
+ private:
+  std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+};
+
+// The name of a rule, without what it was broken by.
+std::string ruleName(const std::string& rule) {
+  return rule.substr(0, rule.find(':'));
+}
+
+class BreadthFirst {
+ public:
+  BreadthFirst(const ModelWorld& start, const SearchBounds& bounds) : bounds(bounds) {
+    visit(start, 0, Action{}, 0);
+  }
+
+  SearchReport run() {
+    const Stopwatch watch;
+    while (!frontier.empty() && !report.finding && !full) {
+      const Open open = std::move(frontier.front());
+      frontier.pop_front();
+      report.wholeDepth = open.depth;
+      if (open.depth < bounds.depth)
+        expand(open);
+    }
+    report.exhausted = frontier.empty() && !report.finding && !full;
+    if (report.exhausted)
+      report.wholeDepth = report.depth;
+    report.states = reached.size();
+    report.seconds = watch.seconds();
+    return std::move(report);
+  }
+
+ private:
+  struct Open {
+    ModelWorld world;
+    std::size_t place;  // in `reached`
+    std::size_t depth;
+  };
+  struct Reached {
+    std::size_t from;
+    Action by;
+  };
+
+  void expand(const Open& open) {
+    for (const auto& action : open.world.enabled()) {
+      ModelWorld next = open.world;
+      if (!next.apply(action))
+        continue;
+      ++report.transitions;
+      if (next.violation()) {
+        report.finding = Finding{*next.violation(), traceTo(open.place)};
+        report.finding->trace.push_back(action);
+        return;
+      }
+      visit(std::move(next), open.place, action, open.depth + 1);
+      if (reached.size() >= bounds.states) {
+        full = true;
+        return;
+      }
+    }
+  }
+
+  void visit(ModelWorld world, std::size_t from, const Action& by, std::size_t depth) {
+    if (!seen.insert(world.hash()).second)
+      return;
+    reached.push_back({from, by});
+    report.depth = std::max(report.depth, depth);
+    frontier.push_back({std::move(world), reached.size() - 1, depth});
+  }
+
+  Trace traceTo(std::size_t place) const {
+    Trace trace;
+    for (; place != 0; place = reached[place].from)
+      trace.push_back(reached[place].by);
+    std::reverse(trace.begin(), trace.end());
+    return trace;
+  }
+
+  SearchBounds bounds;
+  SearchReport report;
+  bool full = false;
+  std::unordered_set<std::uint64_t> seen;
+  std::vector<Reached> reached;
+  std::deque<Open> frontier;
+};
+
+// How much more often than the rest a kind of step is drawn: without these most walks are
+// elections that no message outlives.
+unsigned weight(ActionKind kind) {
+  switch (kind) {
+    case ActionKind::deliver:
+      return 24;
+    case ActionKind::completeWrite:
+    case ActionKind::startWrite:
+      return 48;
+    case ActionKind::heartbeat:
+    case ActionKind::join:
+    case ActionKind::renew:
+    case ActionKind::promote:
+    case ActionKind::removeMember:
+      return 12;
+    case ActionKind::propose:
+    case ActionKind::read:
+    case ActionKind::compact:
+      return 8;
+    case ActionKind::silence:
+    case ActionKind::timeOut:
+      return 3;
+    default:
+      return 1;
+  }
+}
+
+class Walk {
+ public:
+  Walk(const ModelWorld& start, const WalkOptions& options, std::uint64_t seed)
+      : world(start), options(options), random(seed) {}
+
+  std::optional<Finding> run(std::unordered_set<std::uint64_t>& seen) {
+    while (trace.size() < options.steps) {
+      const auto action = draw();
+      if (!action)
+        return std::nullopt;
+      world.apply(*action);
+      trace.push_back(*action);
+      seen.insert(world.hash());
+      if (world.violation())
+        return Finding{*world.violation(), trace};
+    }
+    return std::nullopt;
+  }
+  std::size_t steps() const { return trace.size(); }
+
+ private:
+  std::optional<Action> draw() {
+    auto actions = world.enabled();
+    if (world.network().size() > options.network) {
+      std::erase_if(actions, [](const Action& action) {
+        return action.kind != ActionKind::lose && action.kind != ActionKind::deliver;
+      });
+    }
+    std::int64_t total = 0;
+    for (const auto& action : actions)
+      total += weight(action.kind);
+    if (total == 0)
+      return std::nullopt;
+    auto left = random.between(1, total);
+    for (const auto& action : actions) {
+      left -= weight(action.kind);
+      if (left <= 0)
+        return action;
+    }
+    return std::nullopt;
+  }
+
+  ModelWorld world;
+  const WalkOptions& options;
+  Random random;
+  Trace trace;
+};
+
+}  // namespace
+
+SearchReport searchBreadthFirst(const ModelWorld& start, const SearchBounds& bounds) {
+  return BreadthFirst(start, bounds).run();
+}
+
+SearchReport searchRandomly(const ModelWorld& start, const WalkOptions& options) {
+  const Stopwatch watch;
+  SearchReport report;
+  std::unordered_set<std::uint64_t> seen;
+  for (std::uint64_t place = 0; place < options.walks && !report.finding; ++place) {
+    Walk walk(start, options, options.seed + place);
+    report.finding = walk.run(seen);
+    report.transitions += walk.steps();
+    report.depth = std::max(report.depth, walk.steps());
+  }
+  report.states = seen.size();
+  if (report.finding)
+    report.finding = shorten(start, *report.finding);
+  report.seconds = watch.seconds();
+  return report;
+}
+
+std::optional<std::string> replay(const ModelWorld& start, const Trace& trace) {
+  ModelWorld world = start;
+  for (const auto& action : trace)
+    if (world.apply(action) && world.violation())
+      return world.violation();
+  return std::nullopt;
+}
+
+Finding shorten(const ModelWorld& start, Finding finding) {
+  const auto same = [&](const Trace& trace) {
+    const auto rule = replay(start, trace);
+    return rule && ruleName(*rule) == ruleName(finding.rule);
+  };
+  for (std::size_t length = std::max<std::size_t>(1, finding.trace.size() / 2); length > 0;) {
+    bool smaller = false;
+    for (std::size_t place = 0; place + length <= finding.trace.size();) {
+      Trace fewer = finding.trace;
+      const auto from = fewer.begin() + std::ptrdiff_t(place);
+      fewer.erase(from, from + std::ptrdiff_t(length));
+      if (same(fewer)) {
+        finding.trace = std::move(fewer);
+        smaller = true;
+      } else
+        ++place;
+    }
+    if (!smaller || length > 1)
+      length /= 2;
+  }
+  finding.rule = replay(start, finding.trace).value_or(finding.rule);
+  return finding;
+}
+
+std::string print(const ModelWorld& start, const Finding& finding) {
+  std::string text = finding.rule + "\n";
+  ModelWorld world = start;
+  for (std::size_t machine = 0; machine < world.machines(); ++machine)
+    text += "  start " + describe(world.node(machine)) + "\n";
+  std::size_t step = 0;
+  for (const auto& action : finding.trace) {
+    text += "  " + std::to_string(++step) + ". " + world.describe(action) + "\n";
+    world.apply(action);
+  }
+  for (std::size_t machine = 0; machine < world.machines(); ++machine)
+    text += "  end   " + describe(world.node(machine)) + "\n";
+  return text;
+}
+
+}  // namespace aniseline::model
--- a/source/raft/node.hpp
+++ b/source/raft/node.hpp
@@ -207,6 +207,7 @@
   std::optional<WallTime> agreedWall(MonotonicTime now) const;  // docs/design.md 3.6
 
  private:
+  friend struct RaftNodeFingerprint;  // the model checker's, checker/model/fingerprint.hpp
   struct Peer {
     LogIndex next{1};
     LogIndex match;
