--- a/source/checker/model/scenarios.hpp
+++ b/source/checker/model/scenarios.hpp
@@ -11,6 +11,8 @@
   std::size_t voters;
   Budget budget;  // of the search, from where the script ends
   std::function<void(class Script&)> prepare;
+  bool disksAtOnce = false;   // disks are no part of it: deeper in the same number of states
+  bool entryByEntry = false;  // a message holds one entry
 };
 
 const std::vector<Scenario>& scenarios();
@@ -29,17 +31,28 @@
   // Syncs and delivers until nothing is left to do; only among these machines, if any are named:
   // what goes elsewhere is lost.
   void settle(const std::set<std::size_t>& among = {});
+  // The same, but what goes elsewhere stays under way.
+  void settleWithin(const std::set<std::size_t>& among);
+  // Delivers, or loses, the first message under way between these machines that fits.
+  void message(ActionKind kind, std::size_t from, std::size_t to,
+               const std::function<bool(const PeerMessage&)>& fits);
   // Syncs what is under way on these machines.
   void sync(const std::set<std::size_t>& machines);
   void loseAll();
   // Makes a machine the leader of those named.
   void elect(std::size_t machine, const std::set<std::size_t>& among = {});
+  // The same, but all that the new leader sends is lost.
+  void electUnheard(std::size_t machine, const std::set<std::size_t>& among);
   // Heartbeats until these have seen all that is committed.
   void spread(std::size_t leader, const std::set<std::size_t>& among = {});
   // The place of a machine's present identity among the leader's members.
   std::size_t placeOf(std::size_t leader, std::size_t machine) const;
 
  private:
+  void campaign(std::size_t machine, const std::set<std::size_t>& among);
+  void untilLeads(std::size_t machine, const std::set<std::size_t>& among,
+                  const std::function<void()>& deliver);
+  void arriveOrLose(const std::set<std::size_t>& machines);
   ModelWorld& world;
 };
 
--- a/source/checker/model/step_judge.cpp
+++ b/source/checker/model/step_judge.cpp
@@ -73,6 +73,7 @@
     leadership();
   commitIndex();
   completeness();
+  keptOnDisk();
   for (std::size_t machine = 0; machine < world.machines(); ++machine)
     if (world.node(machine).self.id != after.self.id)
       logMatching(world.node(machine));
@@ -115,6 +116,8 @@
 }
 
 void StepJudge::commitIndex() {
+  if (!restarted && after.raft.commitIndex() < before.raft.commitIndex())
+    breaks("commit never goes back", after.self.id.value);
   if (after.raft.commitIndex() > after.raft.last())
     breaks("commit within the log", after.self.id.value + " commits past its log");
   for (LogIndex index = after.raft.snapshotIndex().next(); index <= after.raft.commitIndex();
@@ -137,6 +140,10 @@
     membership(ghost.members(), unpack<Members>(entry.payload).value());
   ghost.commit(entry, after.raft.term());
   onMajorityOfDisks(index);
+  const Term newest = after.raft.entry(after.raft.commitIndex()).term;
+  if (!outcomesOnly && newest != after.raft.term())
+    breaks("a leader counts entries of its own term",
+           after.self.id.value + " commits " + at(index));
 }
 
 void StepJudge::onMajorityOfDisks(LogIndex index) {
@@ -152,6 +159,17 @@
                                                       " of " + std::to_string(voters.size()));
 }
 
+// A disk that holds a committed entry goes on holding it: a majority was counted on it.
+void StepJudge::keptOnDisk() {
+  if (outcomesOnly || after.self.id != before.self.id)
+    return;
+  for (LogIndex index{1}; index <= ghost.last(); index = index.next()) {
+    const Term term = ghost.at(index).term;
+    if (before.image.holds(index, term) && !after.image.holds(index, term))
+      breaks("a disk keeps what is committed", after.self.id.value + " dropped " + at(index));
+  }
+}
+
 const DiskImage* StepJudge::imageOf(const ControllerId& id) const {
   if (id == after.self.id)
     return &after.image;
@@ -224,6 +242,8 @@
 
 void StepJudge::installed() {
   const auto& snapshot = after.raft.snapshot();
+  if (snapshot.index == LogIndex{})
+    return;
   if (snapshot.index > ghost.last() ||
       snapshot.state != std::to_string(ghost.digestAt(snapshot.index)) ||
       snapshot.members != ghost.membersAt(snapshot.index))
--- a/source/checker/model/step_judge.hpp
+++ b/source/checker/model/step_judge.hpp
@@ -8,8 +8,13 @@
 class StepJudge {
  public:
   StepJudge(const ModelWorld& world, const ModelNode& before, const ModelNode& after, Ghost& ghost,
-            bool outcomesOnly)
-      : world(world), before(before), after(after), ghost(ghost), outcomesOnly(outcomesOnly) {}
+            bool outcomesOnly, bool restarted)
+      : world(world),
+        before(before),
+        after(after),
+        ghost(ghost),
+        outcomesOnly(outcomesOnly),
+        restarted(restarted) {}
 
   // What leaves the node, as it leaves it.
   void sent(const PeerMessage& message);
@@ -25,6 +30,7 @@
   void completeness();
   void commitIndex();
   void commits(LogIndex index);
+  void keptOnDisk();
   void onMajorityOfDisks(LogIndex index);
   void membership(const Members& earlier, const Members& later);
   void logMatching(const ModelNode& other);
@@ -39,6 +45,7 @@
   const ModelNode& after;
   Ghost& ghost;
   bool outcomesOnly;
+  bool restarted;  // the step began another life, which knows only what its disk held
   std::optional<std::string> broken;
 };
 
--- a/source/checker/model/world.hpp
+++ b/source/checker/model/world.hpp
@@ -54,6 +54,7 @@
   std::size_t voters = 3;  // the first machines; the others are blank
   RaftOptions raft = discreteRaft();
   Budget budget;
+  bool disksAtOnce = false;  // every write is synced in the step that asks for it
   bool writesAtOnce = true;  // a record is handed to the disk as soon as the one before is synced
   // Only what a caller or an operator could see in the end, not the rules that the code keeps on
   // the way (claims behind the sync, votes behind the sync, majorities of disks).
@@ -103,10 +104,11 @@
   bool mayLoseDisk(const ControllerId& id) const;
   void act(const Action& action, ModelNode& node, Ghost& ghost);
   void actOnCluster(const Action& action, ModelNode& node, Ghost& ghost);
+  void completeWrite(ModelNode& node) const;
   void beginRead(ModelNode& node, Ghost& ghost) const;
   void deliver(const Action& action, ModelNode& node);
   void beginAnew(std::size_t machine, ModelNode& node, Ghost& ghost);
-  void runEffects(ModelNode& node, Ghost& ghost, const ModelNode& before);
+  void runEffects(ModelNode& node, Ghost& ghost, const ModelNode& before, bool restarted);
   void put(PeerMessage message);
   void take(std::uint64_t packet);
   const Packet* find(std::uint64_t packet) const;
