--- a/source/raft/snapshot.cpp
+++ b/source/raft/snapshot.cpp
@@ -35,15 +35,22 @@
     return;
   hearLeader(message.from, body.term, body.round, now);
   if (body.snapshot.index > commit) {
-    // What the disk holds beyond what this leader has shown may be another log; it stands for
-    // nothing of the view.
-    syncedIndex = std::min(syncedIndex, shownBy);
-    if (inFlight)
-      inFlight->covers = std::min(inFlight->covers, shownBy);
-    shownBy = body.snapshot.index;
+    if (termAt(body.snapshot.index) == body.snapshot.term) {
+      // Entries after it that lie here may have been claimed, and counted: they stay.
+      const auto folded = body.snapshot.index.value - base.index.value;
+      log.erase(log.begin(), log.begin() + std::ptrdiff_t(folded));
+      shownBy = std::max(shownBy, body.snapshot.index);
+    } else {
+      // What the disk holds beyond what this leader has shown may be another log; it stands for
+      // nothing of the view.
+      syncedIndex = std::min(syncedIndex, shownBy);
+      if (inFlight)
+        inFlight->covers = std::min(inFlight->covers, shownBy);
+      log.clear();
+      shownBy = body.snapshot.index;
+    }
     stored = body.snapshot;
     base = Snapshot{body.snapshot.index, body.snapshot.term, body.snapshot.members, {}};
-    log.clear();
     commit = body.snapshot.index;
     wantWhole = true;
     installed = true;
--- a/tests/raft/node_tests.cpp
+++ b/tests/raft/node_tests.cpp
@@ -118,3 +118,33 @@
   CHECK(!after.empty());
   LONGS_EQUAL(4, after.back().match.value);
 }
+
+// docs/design.md 3.4: what was claimed to a leader may have been counted by it; a snapshot that
+// ends before it, and comes late, takes none of it away.
+TEST(RaftTests, aLateSnapshotLeavesTheEntriesAfterIt) {
+  RaftNode behind{three[1], {}, 1, {heldBy(0)}, MonotonicTime{0}};
+  std::vector<WriteAheadRecord> disk{heldBy(0)};
+  const auto syncAll = [&](std::int64_t now) {
+    while (auto record = behind.takeWrite()) {
+      disk.push_back(*record);
+      behind.synced(record->version, MonotonicTime{now});
+    }
+  };
+  AppendEntries append;
+  append.term = Term{2};
+  append.previous = LogIndex{1};
+  append.previousTerm = Term{1};
+  append.entries.assign(4, LogEntry{Term{2}, false, "kept"});
+  append.round = RoundNumber{1};
+  behind.receive(fromC(append), MonotonicTime{10});
+  syncAll(12);
+  LONGS_EQUAL(5, repliesOf(behind).back().match.value);
+  InstallSnapshot install{Term{2}, Snapshot{LogIndex{4}, Term{2}, three, "state"}, RoundNumber{2}};
+  behind.receive(fromC(install), MonotonicTime{20});
+  syncAll(22);
+  LONGS_EQUAL(5, behind.last().value);
+  LONGS_EQUAL(4, behind.commitIndex().value);
+  LONGS_EQUAL(5, repliesOf(behind).back().match.value);
+  RaftNode restarted{three[1], {}, 1, disk, MonotonicTime{0}};
+  LONGS_EQUAL(5, restarted.last().value);
+}
