--- a/source/checker/model/scenarios.cpp
+++ b/source/checker/model/scenarios.cpp
@@ -20,6 +20,20 @@
   return budget;
 }
 
+bool isReply(const PeerMessage& message) {
+  return message.body.type() == typeid(AppendEntriesReply);
+}
+
+bool isHeartbeat(const PeerMessage& message) {
+  const auto* append = boost::get<AppendEntries>(&message.body);
+  return append && append->entries.empty();
+}
+
+bool hasEntries(const PeerMessage& message) {
+  const auto* append = boost::get<AppendEntries>(&message.body);
+  return append && !append->entries.empty();
+}
+
 // a leads, its opening entry is committed everywhere.
 void led(Script& script) {
   script.elect(a);
@@ -49,6 +63,61 @@
   script.sync({b});
 }
 
+// As above, and the old leader's entry is still under way to c, the new one's too.
+void staleLeader(Script& script) {
+  led(script);
+  script.step(Kind::propose, a);
+  script.sync({a});
+  script.hold(a, c, hasEntries);
+  script.loseAll();
+  script.electUnheard(b, {b, c});
+  script.step(Kind::heartbeat, b);
+}
+
+// b and c answered a in an earlier leadership of a's, which it has not read. a was elected again,
+// then b, which committed an entry.
+void staleReplies(Script& script) {
+  led(script);
+  script.step(Kind::heartbeat, a);
+  script.message(Kind::deliver, a, b, isHeartbeat);
+  script.hold(b, a, isReply);
+  script.loseAll();
+  script.step(Kind::timeOut, a);
+  script.elect(a);
+  script.spread(a);
+  script.elect(b, {b, c});
+  script.step(Kind::propose, b);
+  script.settle({b, c});
+}
+
+// a and b committed an entry that c has not.
+void behind(Script& script) {
+  led(script);
+  script.step(Kind::propose, a);
+  script.settle({a, b});
+}
+
+// a holds entries of its own that nobody else has, also on its disk; b was elected, went on and
+// dropped the log that a needs: the snapshot is on its way.
+void forkedSnapshot(Script& script) {
+  led(script);
+  for (int entry = 0; entry < 3; ++entry) {
+    script.step(Kind::propose, a);
+    script.sync({a});
+  }
+  script.loseAll();
+  script.step(Kind::restart, a);
+  script.elect(b, {b, c});
+  script.step(Kind::propose, b);
+  script.settle({b, c});
+  script.spread(b, {b, c});
+  script.step(Kind::compact, b);
+  script.sync({b});
+  script.step(Kind::heartbeat, b);
+  script.message(Kind::deliver, b, a, isHeartbeat);
+  script.message(Kind::deliver, a, b, isReply);
+}
+
 // a proposes to remove b, cut off from c and d.
 void pendingRemoval(Script& script) {
   led(script);
@@ -82,13 +151,6 @@
 // c has none of the newest entries; the messages that hold them and a snapshot that ends before the
 // last of them are all under way to it.
 void lateSnapshot(Script& script) {
-  const auto isReply = [](const PeerMessage& message) {
-    return message.body.type() == typeid(AppendEntriesReply);
-  };
-  const auto isHeartbeat = [](const PeerMessage& message) {
-    const auto* append = boost::get<AppendEntries>(&message.body);
-    return append && append->entries.empty();
-  };
   const auto isLastEntry = [](const PeerMessage& message) {
     const auto* append = boost::get<AppendEntries>(&message.body);
     return append && append->previous == LogIndex{4};
@@ -155,6 +217,14 @@
        budgetWith({{Kind::read, 1}, {Kind::timeOut, 0}}), twoLeaders},
       {"fork", "two logs that differ at one index; the stale leader is back", 3, 3,
        budgetWith({{Kind::duplicate, 1}, {Kind::heartbeat, 2}}), forkedLogs},
+      {"stale leader", "entries of an old and of a new leader under way to one follower", 3, 3,
+       budgetWith({{Kind::heartbeat, 0}, {Kind::timeOut, 0}}), staleLeader, true},
+      {"stale reply", "a read by a leader that others replaced, old answers under way to it", 3, 3,
+       budgetWith({{Kind::read, 1}, {Kind::heartbeat, 0}}), staleReplies, true},
+      {"behind", "one that lacks what is committed asks for votes", 3, 3,
+       budgetWith({{Kind::heartbeat, 0}, {Kind::restart, 0}}), behind, true},
+      {"forked snapshot", "a snapshot under way to one whose disk holds another log", 3, 3,
+       budgetWith({{Kind::heartbeat, 2}, {Kind::timeOut, 0}}), forkedSnapshot},
       {"removal", "the removal of a voter, cut off from half of the voters", 4, 4,
        budgetWith({{Kind::timeOut, 2}, {Kind::silence, 1}}), pendingRemoval, true},
       {"promotion", "a learner's promotion not yet sent", 4, 3,
@@ -229,8 +299,24 @@
       step(Kind::completeWrite, machine);
 }
 
+const Packet* Script::firstFree() const {
+  for (const auto& packet : world.network())
+    if (!held.count(packet->hash))
+      return packet.get();
+  return nullptr;
+}
+
+const Packet* Script::find(std::size_t from, std::size_t to,
+                           const std::function<bool(const PeerMessage&)>& fits) const {
+  for (const auto& packet : world.network())
+    if (!held.count(packet->hash) && world.machineOf(packet->message.from) == from &&
+        world.machineOf(packet->message.to) == to && fits(packet->message))
+      return packet.get();
+  throw std::logic_error("script: no such message under way");
+}
+
 void Script::arriveOrLose(const std::set<std::size_t>& machines) {
-  const Packet packet = *world.network().front();
+  const Packet packet = *firstFree();
   const auto to = world.machineOf(packet.message.to);
   const auto from = world.machineOf(packet.message.from);
   const bool arrives = packet.message.to.value.empty() ||
@@ -244,17 +330,15 @@
   std::set<std::size_t> machines = among;
   for (std::size_t machine = 0; among.empty() && machine < world.machines(); ++machine)
     machines.insert(machine);
-  for (sync(machines); !world.network().empty(); sync(machines))
+  for (sync(machines); firstFree(); sync(machines))
     arriveOrLose(machines);
 }
 
 void Script::settleWithin(const std::set<std::size_t>& among) {
-  const auto within = [&](const ControllerId& id) {
-    const auto machine = world.machineOf(id);
-    return machine && among.count(*machine);
-  };
-  const auto inside = [&](const auto& packet) {
-    return within(packet->message.from) && within(packet->message.to);
+  const auto inside = [&](const std::shared_ptr<const Packet>& packet) {
+    const auto from = world.machineOf(packet->message.from);
+    const auto to = world.machineOf(packet->message.to);
+    return !held.count(packet->hash) && from && to && among.count(*from) && among.count(*to);
   };
   for (sync(among);; sync(among)) {
     const auto next = std::find_if(world.network().begin(), world.network().end(), inside);
@@ -266,18 +350,17 @@
 
 void Script::message(ActionKind kind, std::size_t from, std::size_t to,
                      const std::function<bool(const PeerMessage&)>& fits) {
-  for (const auto& packet : world.network())
-    if (world.machineOf(packet->message.from) == from &&
-        world.machineOf(packet->message.to) == to && fits(packet->message)) {
-      world.apply({kind, 0, 0, packet->hash});
-      return;
-    }
-  throw std::logic_error("script: no such message under way");
+  world.apply({kind, 0, 0, find(from, to, fits)->hash});
+}
+
+void Script::hold(std::size_t from, std::size_t to,
+                  const std::function<bool(const PeerMessage&)>& fits) {
+  held.insert(find(from, to, fits)->hash);
 }
 
 void Script::loseAll() {
-  while (!world.network().empty())
-    world.apply({Kind::lose, 0, 0, world.network().front()->hash});
+  while (const auto* packet = firstFree())
+    world.apply({Kind::lose, 0, 0, packet->hash});
 }
 
 void Script::campaign(std::size_t machine, const std::set<std::size_t>& among) {
@@ -305,7 +388,7 @@
 
 void Script::electUnheard(std::size_t machine, const std::set<std::size_t>& among) {
   untilLeads(machine, among, [&] {
-    for (sync(among); !world.node(machine).raft.leads() && !world.network().empty(); sync(among))
+    for (sync(among); !world.node(machine).raft.leads() && firstFree(); sync(among))
       arriveOrLose(among);
   });
   loseAll();
--- a/source/checker/model/scenarios.hpp
+++ b/source/checker/model/scenarios.hpp
@@ -36,6 +36,8 @@
   // Delivers, or loses, the first message under way between these machines that fits.
   void message(ActionKind kind, std::size_t from, std::size_t to,
                const std::function<bool(const PeerMessage&)>& fits);
+  // Keeps a message under way, whatever else is delivered or lost.
+  void hold(std::size_t from, std::size_t to, const std::function<bool(const PeerMessage&)>& fits);
   // Syncs what is under way on these machines.
   void sync(const std::set<std::size_t>& machines);
   void loseAll();
@@ -49,6 +51,10 @@
   std::size_t placeOf(std::size_t leader, std::size_t machine) const;
 
  private:
+  const Packet* firstFree() const;
+  const Packet* find(std::size_t from, std::size_t to,
+                     const std::function<bool(const PeerMessage&)>& fits) const;
+  std::set<std::uint64_t> held;
   void campaign(std::size_t machine, const std::set<std::size_t>& among);
   void untilLeads(std::size_t machine, const std::set<std::size_t>& among,
                   const std::function<void()>& deliver);
--- a/source/checker/model/step_judge.cpp
+++ b/source/checker/model/step_judge.cpp
@@ -46,6 +46,10 @@
     return breaks("a claim is behind its sync", after.self.id.value + " claims " + at(reply.match) +
                                                     ", its disk ends at " +
                                                     std::to_string(after.image.last().value));
+  for (LogIndex index{1}; index <= std::min(reply.match, ghost.last()); index = index.next())
+    if (!after.image.holds(index, ghost.at(index).term))
+      breaks("a claim is behind its sync", after.self.id.value + " claims the committed " +
+                                               at(index) + ", its disk holds another term's");
   for (LogIndex index = after.raft.snapshotIndex().next(); index <= reply.match;
        index = index.next())
     if (index <= after.raft.last() && !after.image.holds(index, after.raft.entry(index).term))
@@ -98,6 +102,9 @@
     breaks("one vote a term", after.self.id.value + " voted for itself and for " +
                                   vote->second.value + " in term " +
                                   std::to_string(after.raft.term().value));
+  const bool onDisk = after.image.term == after.raft.term() && after.image.vote == after.self.id;
+  if (!outcomesOnly && !onDisk)
+    breaks("a vote is behind its sync", after.self.id.value + " leads by its own");
 }
 
 // A leader holds all that leaders of earlier terms committed.
@@ -213,6 +220,13 @@
     pending += after.raft.entry(index).members;
   if (pending > 1)
     breaks("one pending change", after.self.id.value + " holds " + std::to_string(pending));
+  if (outcomesOnly || !after.raft.leads())
+    return;
+  const Term committed = ghost.at(std::min(after.raft.commitIndex(), ghost.last())).term;
+  for (LogIndex index = std::max(after.raft.snapshotIndex(), before.raft.last()).next();
+       index <= after.raft.last(); index = index.next())
+    if (after.raft.entry(index).members && committed != after.raft.term())
+      breaks("a change rests on a committed entry of its leader's term", after.self.id.value);
 }
 
 // A confirmed read shows at least what was committed anywhere when it began.
