Election: nobody leads before the term is on its own disk

Two faults of one kind, found by the model checker. (1) Random walk from "read", 25 steps: a candidate whose disk is slow begins a second election; the write of the first term's vote completes, and its own vote is counted for the second term (synced() asked only whether that write held *a* vote). (2) Breadth first from "slow disk", 4 steps (12 where only outcomes are judged): the votes of the others are a majority, so it leads before its own write is complete. Either way it restarts without the term, is elected again in the same term and writes other entries under the same index and term: "one leader a term: a1 leads term 2, so did a1".

Ruled out: two votes by one of the others (each voted for the same identity twice, as it may); a disk that lies (the write was still under way when the process ended).

Test first: aCandidateCountsItsOwnVoteOnlyOnceThatTermIsSynced CHECK(!follower.leads()) failed aCandidateLeadsOnlyOnceItsOwnTermIsSynced CHECK(!follower.leads()) failed Then: a new election takes the vote out of the write under way, and a real election is won only with one's own vote. An election now waits for the candidate's own sync; before, two others sufficed.

--- a/source/checker/model/model_node.cpp
+++ b/source/checker/model/model_node.cpp
@@ -71,6 +71,13 @@
   foldDisk();
   raft = start(self, options, disk, clock);
   openedTerm = Term{};
+  ++restarts;
+}
+
+std::string ModelNode::payload(const std::string& what) const {
+  std::string text =
+      what + " " + std::to_string(raft.term().value) + "." + std::to_string(raft.last().value + 1);
+  return restarts == 0 ? text : text + ", restart " + std::to_string(restarts);
 }
 
 void ModelNode::foldDisk() {
@@ -83,13 +90,13 @@
   if (!raft.leads() || openedTerm == raft.term())
     return;
   openedTerm = raft.term();
-  raft.propose("open " + std::to_string(openedTerm.value), clock);
+  raft.propose(payload("open"), clock);
   tick();
 }
 
 std::uint64_t ModelNode::hash() const {
   OutputArchive archive;
-  archive << image << openedTerm << inFlight.has_value();
+  archive << image << openedTerm << restarts << inFlight.has_value();
   if (inFlight) {
     auto record = *inFlight;
     record.version = DiskVersion{};  // how many there were before changes nothing
--- a/source/checker/model/model_node.hpp
+++ b/source/checker/model/model_node.hpp
@@ -41,6 +41,8 @@
   void restart(const RaftOptions& options, bool keepsWrite, bool forgetsLastRecord = false);
   // The owner of a new leader proposes its opening entry at once, as Controller does.
   void openLeadership();
+  // No two lives of a node propose the same payload.
+  std::string payload(const std::string& what) const;
   std::uint64_t hash() const;
 
   Member self;
@@ -56,6 +58,7 @@
   std::optional<WriteAheadRecord> inFlight;
   MonotonicTime clock;
   Term openedTerm;
+  std::uint8_t restarts = 0;
 };
 
 }  // namespace aniseline::model
--- a/source/checker/model/scenarios.cpp
+++ b/source/checker/model/scenarios.cpp
@@ -40,6 +40,12 @@
   script.spread(a);
 }
 
+// a was granted every pre-vote; its vote for itself is still being written.
+void slowCandidate(Script& script) {
+  script.step(Kind::timeOut, a);
+  script.settleUnsynced();
+}
+
 void oneEntryUnsent(Script& script) {
   led(script);
   script.step(Kind::propose, a);
@@ -211,6 +217,8 @@
        budgetWith({{Kind::timeOut, 2}, {Kind::silence, 0}, {Kind::restartKept, 1}}),
        [](Script&) {
        }},
+      {"slow disk", "a candidate whose vote for itself is not yet synced", 3, 3,
+       budgetWith({{Kind::heartbeat, 0}, {Kind::silence, 0}}), slowCandidate},
       {"entry", "a leader with an entry not yet sent", 3, 3,
        budgetWith({{Kind::propose, 1}, {Kind::duplicate, 1}}), oneEntryUnsent},
       {"read", "a leader that another has replaced is read from", 3, 3,
@@ -348,6 +356,11 @@
   }
 }
 
+void Script::settleUnsynced() {
+  while (const auto* packet = firstFree())
+    world.apply({Kind::deliver, 0, 0, packet->hash});
+}
+
 void Script::message(ActionKind kind, std::size_t from, std::size_t to,
                      const std::function<bool(const PeerMessage&)>& fits) {
   world.apply({kind, 0, 0, find(from, to, fits)->hash});
--- a/source/checker/model/scenarios.hpp
+++ b/source/checker/model/scenarios.hpp
@@ -33,6 +33,8 @@
   void settle(const std::set<std::size_t>& among = {});
   // The same, but what goes elsewhere stays under way.
   void settleWithin(const std::set<std::size_t>& among);
+  // Delivers until nothing is under way; what waits for a disk stays.
+  void settleUnsynced();
   // Delivers, or loses, the first message under way between these machines that fits.
   void message(ActionKind kind, std::size_t from, std::size_t to,
                const std::function<bool(const PeerMessage&)>& fits);
--- a/source/checker/model/world.cpp
+++ b/source/checker/model/world.cpp
@@ -293,9 +293,7 @@
   Members members = node.raft.members();
   switch (action.kind) {
     case ActionKind::propose:
-      node.raft.propose("value " + std::to_string(node.raft.term().value) + "." +
-                            std::to_string(node.raft.last().value + 1),
-                        node.now());
+      node.raft.propose(node.payload("value"), node.now());
       break;
     case ActionKind::read:
       beginRead(node, ghost);
--- a/source/raft/election.cpp
+++ b/source/raft/election.cpp
@@ -43,6 +43,8 @@
     currentTerm = currentTerm.next();
     vote = own.id;
     ownVotePending = true;
+    if (inFlight)
+      inFlight->ownVote = false;  // that write holds an earlier term's
     mark(last().next());
   } else
     votes.insert(own.id);
@@ -63,7 +65,9 @@
   std::size_t given = 0;
   for (const auto& entry : currentMembers)
     given += entry.voter && votes.count(entry.id);
-  if (given < majority())
+  // Its own vote is in once its term is synced: a leader that came back without it could lead the
+  // same term again, with other entries. docs/design.md 3.3.
+  if (given < majority() || !votes.count(own.id))
     return;
   if (trialElection)
     campaign(now, false, false);
--- a/tests/raft/node_tests.cpp
+++ b/tests/raft/node_tests.cpp
@@ -148,3 +148,40 @@
   RaftNode restarted{three[1], {}, 1, disk, MonotonicTime{0}};
   LONGS_EQUAL(5, restarted.last().value);
 }
+
+// docs/design.md 3.3: a vote of one's own counts once it is synced; the write of an earlier term's
+// vote, late on a slow disk, is not it.
+TEST(RaftTests, aCandidateCountsItsOwnVoteOnlyOnceThatTermIsSynced) {
+  const auto campaign = [&](std::int64_t now) {
+    follower.tick(MonotonicTime{now}, WallTime{now});
+    follower.receive(fromC(RequestVoteReply{follower.term().next(), true, true}),
+                     MonotonicTime{now});
+  };
+  campaign(5000);
+  const auto slow = follower.takeWrite();
+  CHECK(slow.has_value());
+  LONGS_EQUAL(2, slow->term.value);
+  campaign(10'000);
+  LONGS_EQUAL(3, follower.term().value);
+  follower.synced(slow->version, MonotonicTime{10'010});
+  follower.receive(fromC(RequestVoteReply{Term{3}, false, true}), MonotonicTime{10'020});
+  CHECK(!follower.leads());
+  sync(10'030);
+  CHECK(follower.leads());
+}
+
+// A leader whose own term is not on its disk could lead that term again after a restart, with other
+// entries under the same index and term. docs/design.md 3.3.
+TEST(RaftTests, aCandidateLeadsOnlyOnceItsOwnTermIsSynced) {
+  follower.tick(MonotonicTime{5000}, WallTime{5000});
+  follower.receive(fromC(RequestVoteReply{Term{2}, true, true}), MonotonicTime{5000});
+  const auto slow = follower.takeWrite();
+  CHECK(slow.has_value());
+  auto given = fromC(RequestVoteReply{Term{2}, false, true});
+  follower.receive(given, MonotonicTime{5010});
+  given.from = three[0].id;
+  follower.receive(given, MonotonicTime{5010});
+  CHECK(!follower.leads());
+  follower.synced(slow->version, MonotonicTime{5020});
+  CHECK(follower.leads());
+}
