--- a/source/raft/node.hpp
+++ b/source/raft/node.hpp
@@ -291,6 +291,7 @@
   std::optional<WallTime> agreedWall(MonotonicTime now) const;  // docs/design.md 3.6
 
  private:
+  friend struct RaftNodeFingerprint;  // the model checker's, checker/model/fingerprint.hpp
   // How much may be under way to a peer: halved when rounds return later than the link explains,
   // doubled when they are quick and it was used up. docs/design.md 3.4.
   struct SendWindow {
--- a/source/raft/snapshot.cpp
+++ b/source/raft/snapshot.cpp
@@ -110,15 +110,22 @@
 }
 
 void RaftNode::install(Snapshot snapshot) {
-  // What the disk holds beyond what this leader has shown may be another log; it stands for
-  // nothing of the snapshot.
-  syncedIndex = std::min(syncedIndex, shownBy);
-  if (inFlight)
-    inFlight->covers = std::min(inFlight->covers, shownBy);
-  shownBy = snapshot.index;
+  if (termAt(snapshot.index) == snapshot.term) {
+    // Entries after it that lie here may have been claimed, and counted: they stay.
+    const auto folded = snapshot.index.value - base.index.value;
+    log.erase(log.begin(), log.begin() + std::ptrdiff_t(folded));
+    shownBy = std::max(shownBy, snapshot.index);
+  } else {
+    // What the disk holds beyond what this leader has shown may be another log; it stands for
+    // nothing of the snapshot.
+    syncedIndex = std::min(syncedIndex, shownBy);
+    if (inFlight)
+      inFlight->covers = std::min(inFlight->covers, shownBy);
+    log.clear();
+    shownBy = snapshot.index;
+  }
   stored = std::move(snapshot);
   base = Snapshot{stored.index, stored.term, stored.members, {}};
-  log.clear();
   commit = stored.index;
   wantWhole = true;
   installed = true;
