--- a/tests/days/play_days.py
+++ b/tests/days/play_days.py
@@ -66,6 +66,13 @@
     return Outcome(report, exit_code)
 
 
+def kinds_left_out(day: Day, report: dict) -> list[str]:
+    """Drawn kinds of which the bench played none: they don't apply, or waited until the day was over."""
+    played = {event["kind"].partition(" ")[0] for event in report["events"]}
+    drawn = {entry["kind"] for entry in day.faults + day.plan}
+    return sorted(drawn - played)
+
+
 def describe(day: Day, site: Site, outcome: Outcome) -> str:
     """One line on a day that was played."""
     parts = [f"{site.name:22} {day.name:16} {outcome.verdict:10}"]
@@ -74,6 +81,9 @@
     drawn = len(day.faults) + len(day.plan)
     parts.append(f"worth {outcome.report['G']:.3f} served {outcome.report['served']:.3f}")
     parts.append(f"{drawn} troubles")
+    left_out = kinds_left_out(day, outcome.report)
+    if left_out:
+        parts.append("left out: " + ", ".join(left_out))
     if outcome.report["exits_n"]:
         parts.append(f"{outcome.report['exits_n']} exits of its own")
     if outcome.broken_rules:
