--- a/tests/days/play_days.py
+++ b/tests/days/play_days.py
@@ -103,7 +103,8 @@
         day = make_day(arguments.family, site, arguments.seed, number)
         day_path = write_day(day, site, arguments.out)
         why = f"day {day.name} of our own, seed {arguments.seed}"
-        outcome = play(arguments.bench, arguments.site, day_path, arguments.jobs, "--why", why)
+        log_options = ("--log", "all") if arguments.logs else ()
+        outcome = play(arguments.bench, arguments.site, day_path, arguments.jobs, "--why", why, *log_options)
         print(describe(day, site, outcome), flush=True)
         if outcome.verdict == "BROKEN":
             result = BROKEN
@@ -116,6 +117,7 @@
 def _play_again_with_logs(arguments: argparse.Namespace, day_path: Path) -> None:
     again = day_path.with_name(day_path.stem + "-again.toml")
     again.write_text(day_path.read_text())
+    """Not every fault shows again: processor time is measured, so two plays of a day differ a little."""
     why = f"day {day_path.stem} once more, with logs"
     outcome = play(arguments.bench, arguments.site, again, arguments.jobs, "--why", why, "--log", "all")
     print(f"  once more with logs: {outcome.verdict} {json.dumps(outcome.broken_rules)}", flush=True)
@@ -126,6 +128,7 @@
     add_day_arguments(parser)
     parser.add_argument("--bench", required=True, help="path of the bench's program")
     parser.add_argument("--jobs", type=int, default=3, help="cores that the bench may use")
+    parser.add_argument("--logs", action="store_true", help="keep every machine's log already at the first play")
     return play_all(parser.parse_args())
 
 
