--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -9,6 +9,7 @@
 import families
 import troubles
 from make_days import to_toml
+from play_days import Outcome, describe, kinds_left_out
 from site_file import read_site
 
 SMALL_SITE = """
@@ -170,5 +171,36 @@
         self.assertLessEqual({"reset_conns", "node_freeze", "ack_lost"}, set().union(*(day.kinds() for day in days)))
 
 
+class Driver(unittest.TestCase):
+    """What the driver says of a day, from the bench's report alone."""
+
+    def setUp(self):
+        self.site = site_of(SMALL_SITE)
+        self.day = families.Day("cut-1", seed=1, length_s=self.site.length_s)
+        for kind in ("core_cut", "node_cut", "config_change"):
+            self.day.add(5, {"kind": kind})
+        self.report = {"G": 0.7, "served": 0.9, "breaks": {}, "missed": [], "short": [], "fault": None,
+                       "exits_n": 0, "events": [{"kind": "core_cut (all)"}, {"kind": "config_change (idle)"}]}
+
+    def verdict(self, **changes) -> str:
+        return Outcome(self.report | changes, 0).verdict
+
+    def test_verdicts(self):
+        self.assertEqual(self.verdict(), "passed")
+        self.assertEqual(self.verdict(breaks={"LOST": 1}), "BROKEN")
+        self.assertEqual(self.verdict(short=["no ack"]), "BROKEN")
+        self.assertEqual(self.verdict(missed=["acks"]), "BROKEN")
+        self.assertEqual(self.verdict(fault="no request is served"), "BROKEN")
+        self.assertEqual(Outcome(None, 1).verdict, "NOT PLAYED")
+
+    def test_line_names_rules_and_kinds_that_were_left_out(self):
+        outcome = Outcome(self.report | {"breaks": {"LOST": 1}}, 1)
+        line = describe(self.day, self.site, outcome)
+        self.assertIn("BROKEN", line)
+        self.assertIn("LOST", line)
+        self.assertIn("left out: node_cut", line)
+        self.assertEqual(kinds_left_out(self.day, self.report), ["node_cut"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/days/play_days.py
+++ b/tests/days/play_days.py
@@ -37,22 +37,18 @@
 
     @property
     def missed_gates(self) -> list:
-        """What else fails the gate."""
+        """What else fails the gate, a fault for which the day counts nothing included."""
         if not self.report:
             return []
-        return self.report["missed"] + self.report["short"]
-
-    @property
-    def played(self) -> bool:
-        """Whether the bench played the day to its end."""
-        return self.report is not None and self.report["fault"] is None
+        fault = [self.report["fault"]] if self.report["fault"] else []
+        return self.report["missed"] + self.report["short"] + fault
 
     @property
     def verdict(self) -> str:
         """One word for the day."""
-        if self.broken_rules or self.missed_gates:
-            return "BROKEN"
-        return "passed" if self.played else "NOT PLAYED"
+        if not self.report:
+            return "NOT PLAYED"
+        return "BROKEN" if self.broken_rules or self.missed_gates else "passed"
 
 
 def play(bench: str, site_path: str, day_path: Path, jobs: int, *more: str) -> Outcome:
@@ -77,7 +73,7 @@
     """One line on a day that was played."""
     parts = [f"{site.name:22} {day.name:16} {outcome.verdict:10}"]
     if not outcome.report:
-        return f"{parts[0]} exit code {outcome.exit_code}"
+        return f"{parts[0]}; exit code {outcome.exit_code}"
     drawn = len(day.faults) + len(day.plan)
     parts.append(f"worth {outcome.report['G']:.3f} served {outcome.report['served']:.3f}")
     parts.append(f"{drawn} troubles")
@@ -90,8 +86,6 @@
         parts.append("rules: " + json.dumps(outcome.broken_rules))
     if outcome.missed_gates:
         parts.append("gates: " + json.dumps(outcome.missed_gates))
-    if outcome.report["fault"] is not None:
-        parts.append(f"fault: {outcome.report['fault']}")
     return "; ".join(parts)
 
 
@@ -109,7 +103,7 @@
         if outcome.verdict == "BROKEN":
             result = BROKEN
             _play_again_with_logs(arguments, day_path)
-        elif not outcome.played:
+        elif outcome.verdict == "NOT PLAYED":
             result = result or NOT_PLAYED
     return result
 
