Raft: members change at random under cuts, losses and late messages

100 seeds of 30 s: leaders that are cut off propose too, blank ones join, the removed go for good. At each step: one leader a term, what is committed never differs, and whoever is told that it is out does not vote by the latest committed members. With the word of removal given by members that are not committed it fails, and with a second change under way allowed. Without the need of an entry of the leader's own term it does not (a direct test of the precondition does); nor without the check that the word is later (aWordOfRemovalIsChecked does).

--- a/tests/raft/membership_tests.cpp
+++ b/tests/raft/membership_tests.cpp
@@ -295,6 +295,136 @@
   CHECK(cluster.at("n").role() == Role::follower);
 }
 
+namespace {
+
+// Members change at random while links are cut, messages are late or lost and nodes are away. What
+// must hold is checked at each step against all that was ever committed.
+struct RandomChanges : Cluster {
+  Random draws;
+  std::vector<std::pair<std::int64_t, PeerMessage>> underWay;
+  std::map<Term, std::string> leaders;
+  std::map<LogIndex, std::pair<Term, std::string>> committed;
+  std::map<std::string, LogIndex> checked;
+  Members inForce;  // by the last committed change
+  LogIndex changedAt;
+  std::size_t told = 0, changes = 0, blanks = 0;
+  std::int64_t nextEvent = 0;
+
+  explicit RandomChanges(std::uint64_t seed)
+      : Cluster({"a", "b", "c", "d"}), draws(seed), inForce(voters({"a", "b", "c", "d"})) {}
+
+  bool chance(std::int64_t in) { return draws.between(1, in) == 1; }
+  const Member& any(const Members& members) {
+    return members[std::size_t(draws.between(0, std::int64_t(members.size()) - 1))];
+  }
+  void disturb() {
+    cuts.clear();
+    down.clear();
+    for (const auto& [left, node] : nodes)
+      for (const auto& [right, other] : nodes)
+        if (left < right && chance(5))
+          cuts.insert({left, right});
+    if (chance(4))
+      down.insert(any(inForce).id.value);
+  }
+  // Each leader tries, also one that is cut off.
+  void tryChange() {
+    for (auto& [id, node] : nodes) {
+      if (!node->leads() || down.count(id))
+        continue;
+      Members members = node->members();
+      Member& drawn = members[std::size_t(draws.between(0, std::int64_t(members.size()) - 1))];
+      if (!drawn.voter)
+        drawn.voter = true;
+      else
+        std::erase(members, Member(drawn));
+      changes += node->proposeMembers(members, MonotonicTime{now});
+    }
+  }
+  void joinBlank() {
+    const auto members = inForce;
+    for (auto& [id, node] : nodes)
+      if (node->blank())
+        node->join(any(members).peer);
+    if (nodes.size() < 12 && members.size() < 5 && chance(2))
+      add("n" + std::to_string(++blanks), {});
+  }
+  void carry() {
+    for (auto& message : step())
+      if (!chance(20))
+        underWay.emplace_back(now + draws.between(0, 60), std::move(message));
+    for (auto& [due, message] : std::exchange(underWay, {}))
+      if (due > now)
+        underWay.emplace_back(due, std::move(message));
+      else
+        deliver(std::move(message));
+  }
+  void deliver(PeerMessage message) {
+    if (message.to.value.empty())  // to an address: a blank one asks to join
+      message.to =
+          ControllerId{message.toAddress.value.substr(0, message.toAddress.value.find(':'))};
+    if (reaches(message))
+      nodes[message.to.value]->receive(message, MonotonicTime{now});
+  }
+  void checkLog(const std::string& id, const RaftNode& node) {
+    for (LogIndex at = checked[id].next(); at <= node.commitIndex(); at = at.next()) {
+      const LogEntry& entry = node.entry(at);
+      const auto found = committed.emplace(at, std::make_pair(entry.term, entry.payload)).first;
+      CHECK(found->second == std::make_pair(entry.term, entry.payload));
+      if (entry.members && at > changedAt) {
+        inForce = unpack<Members>(entry.payload).value();
+        changedAt = at;
+      }
+      checked[id] = at;
+    }
+  }
+  void checkAll() {
+    for (const auto& [id, node] : nodes) {
+      if (node->leads())
+        CHECK_EQUAL(id, leaders.emplace(node->term(), id).first->second);
+      checkLog(id, *node);
+    }
+    for (auto entry = nodes.begin(); entry != nodes.end();) {
+      const bool out = entry->second->removedFromCluster();
+      told += out;
+      if (out)
+        CHECK(!votes(entry->first));
+      entry = out ? nodes.erase(entry) : std::next(entry);
+    }
+  }
+  bool votes(const std::string& id) const {
+    return std::any_of(inForce.begin(), inForce.end(),
+                       [&](const Member& member) { return member.id.value == id && member.voter; });
+  }
+  void runFor(std::int64_t span) {
+    for (const std::int64_t end = now + span; now < end; now += 10) {
+      if (now >= nextEvent) {
+        nextEvent = now + draws.between(200, 2500);
+        disturb();
+        joinBlank();
+      }
+      if (chance(30))
+        tryChange();
+      carry();
+      checkAll();
+    }
+  }
+};
+
+}  // namespace
+
+TEST(Membership, nobodyThatVotesIsToldThatItIsOut) {
+  std::size_t told = 0, changes = 0;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    RandomChanges cluster(seed);
+    cluster.runFor(30'000);
+    told += cluster.told;
+    changes += cluster.changes;
+  }
+  CHECK(changes > 500);
+  CHECK(told > 50);
+}
+
 TEST_GROUP(StopOfAController){};
 
 // One of three is cut off, so the leader and the one that it hears hold the only full copies:
