Controller: requests, proposals and queues to peers are bounded in bytes

Cause: 4000 requests of any size, proposals without a bound, 2000 messages of any size to each peer and 128 MB on each connection. With nothing committed 600 orders of 318 KB were all taken.

Now maxPendingBytes bounds the texts of requests under way and the proposals not committed (one alone may be larger; syncs are let in; beyond it an order is told 503, nothing was done), PeerOutbox bounds what waits for a peer, and largestQueue (16 MB) what waits on a connection.

--- a/source/controller/admission.cpp
+++ b/source/controller/admission.cpp
@@ -10,6 +10,45 @@
   return roomFor(request.kind, plain, requests.size(), options.maxPendingRequests);
 }
 
+namespace {
+// Of what the process may use: together well under half, the rest is for the cluster state, its
+// copies and answers.
+constexpr std::uint64_t keptLogShare = 16;
+constexpr std::uint64_t snapshotShare = 32;
+constexpr std::uint64_t pendingShare = 16;
+constexpr std::uint64_t outboxShare = 64;           // to each peer
+constexpr std::uint64_t unacknowledgedShare = 256;  // by each peer
+}  // namespace
+
+void ControllerOptions::boundMemory(std::uint64_t processBytes) {
+  if (!processBytes)
+    return;
+  auto bound = [&](auto& bytes, std::uint64_t share) {
+    bytes = std::min<std::uint64_t>(bytes, processBytes / share);
+  };
+  bound(raft.keepBytes, keptLogShare);
+  bound(snapshotBytes, snapshotShare);
+  bound(maxPendingBytes, pendingShare);
+  bound(outboxBytes, outboxShare);
+  bound(raft.unacknowledgedBytes, unacknowledgedShare);
+}
+
+// Syncs are let in: as many as there are workers, and without them nothing ends.
+bool Controller::hasMemoryFor(const ApiRequest& request) const {
+  const std::size_t held = pendingBytes();
+  return request.kind == RequestKind::sync || held == 0 ||
+         held + textBytes(request) <= options.maxPendingBytes;
+}
+
+// A configuration's text is of no use once it was handled: what was taken of it is a proposal.
+void Controller::releaseTexts(PendingRequest& record) {
+  if (record.request.kind != RequestKind::applyConfig)
+    return;
+  requestBytes -= std::exchange(record.bytes, 0);
+  record.request.text = std::string();
+  record.request.parsedConfig = std::string();
+}
+
 void Controller::handleSubmit(PendingRequest& record) {
   const JobSubmission& job = record.request.job;
   auto accepted = [&] {
--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -18,11 +18,14 @@
 // Truth is the log: nothing is changed but by a record of it. docs/design.md 3.2.
 LogIndex Controller::append(Event event) {
   LogRecord record{std::max(clusterNow(), speculative().now), std::move(event)};
-  const LogIndex index = raft.propose(pack(record), now);
+  std::string payload = pack(record);
+  const std::size_t bytes = payload.size();
+  const LogIndex index = raft.propose(std::move(payload), now);
   speculative().apply(record);
   planWanted = true;
   expect(record.event);
-  proposals.push_back({index, raft.term(), std::move(record)});
+  proposals.push_back({index, raft.term(), std::move(record), bytes});
+  proposalBytes += bytes;
   return index;
 }
 
@@ -57,13 +60,23 @@
   }
 }
 
+void Controller::dropProposal() {
+  proposalBytes -= proposals.front().bytes;
+  proposals.pop_front();
+}
+
+void Controller::forgetProposals() {
+  proposals.clear();
+  proposalBytes = 0;
+}
+
 bool Controller::applyCommitted(const LogEntry& entry) {
   while (!proposals.empty() && proposals.front().index < appliedIndex)
-    proposals.pop_front();
+    dropProposal();
   if (!proposals.empty() && proposals.front().index == appliedIndex &&
       proposals.front().term == entry.term) {
     committedState.apply(proposals.front().record);
-    proposals.pop_front();
+    dropProposal();
     return true;
   }
   auto record = unpack<LogRecord>(entry.payload);
@@ -99,7 +112,7 @@
     shortenedTo = ClusterTime{};
     workersChanged = true;
     nextFiring = ClusterTime{};
-    proposals.clear();
+    forgetProposals();
     committedState.addressed.clear();
     for (const auto& [worker, places] : polls)
       pollsToLook.insert(places.begin(), places.end());
@@ -114,8 +127,9 @@
              record.logged && record.request.kind != RequestKind::sync
                  ? ApiResponse::unknown("the leader changed while this was under way; ask again")
                  : notLeader());
-    proposals.clear();
+    forgetProposals();
     requests.clear();
+    requestBytes = 0;
     taken.clear();
     unanswered.clear();
     polls.clear();
@@ -134,6 +148,10 @@
   if (!hasRoomFor(record.request))
     return answer(record, ApiResponse::error(429, "overloaded", "too many requests are under way",
                                              Duration{1000}));
+  if (!hasMemoryFor(record.request))
+    return answer(record, ApiResponse::notTaken("too much is under way; ask again"));
+  record.bytes = textBytes(record.request);
+  requestBytes += record.bytes;
   record.place = ++lastPlace;
   taken.push_back(record.place);
   unanswered.insert(record.place);
@@ -177,8 +195,10 @@
 
 void Controller::admitRequests() {
   for (auto place : std::exchange(taken, {}))
-    if (auto found = requests.find(place); found != requests.end())
+    if (auto found = requests.find(place); found != requests.end()) {
       handle(found->second);
+      releaseTexts(found->second);
+    }
 }
 
 // docs/design.md 6.6: the leader's config is the newest there is, so what comes by an entrance is
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -22,6 +22,12 @@
   std::uint64_t snapshotVersions = 1000;
   std::uint64_t snapshotBytes = 8 * 1024 * 1024;
   std::size_t maxPendingRequests = 4000;
+  // Texts of requests under way and of proposals not committed yet; one alone may be larger.
+  std::size_t maxPendingBytes = 16 * 1024 * 1024;
+  std::size_t outboxBytes = 4 * 1024 * 1024;  // queued to each peer, for the daemon
+
+  // Takes shares of what the process may use, where that is less than the defaults. 0: no limit.
+  void boundMemory(std::uint64_t processBytes);
 };
 
 // What the core tells whoever listens: logs, traces, witnesses.
@@ -56,6 +62,8 @@
   }
 
   const RaftNode& raftNode() const { return raft; }
+  const ControllerOptions& memoryOptions() const { return options; }
+  std::size_t pendingBytes() const { return requestBytes + proposalBytes; }
   const ClusterState& committed() const { return committedState; }
   RouteView route(MonotonicTime now) const;
   // A record or view that can't be read: folding on without it would make another state than the
@@ -69,6 +77,7 @@
     std::uint64_t place = 0;  // in the order in which they came
     RequestNumber number;
     ApiRequest request;
+    std::size_t bytes = 0;  // of its texts, as long as they are held
     Stage stage = Stage::taken;
     MonotonicTime deadline;
     MonotonicTime pollUntil;
@@ -86,6 +95,10 @@
   void restoreSnapshot(const Snapshot& snapshot);
   void followRole();
   bool hasRoomFor(const ApiRequest& request) const;
+  bool hasMemoryFor(const ApiRequest& request) const;
+  void releaseTexts(PendingRequest& record);
+  void dropProposal();
+  void forgetProposals();
   void admitRequests();
   void findOverdue();
   void expireLeases();
@@ -134,8 +147,11 @@
     LogIndex index;
     Term term;
     LogRecord record;
+    std::size_t bytes = 0;  // as packed
   };
   std::deque<Proposal> proposals;
+  std::size_t proposalBytes = 0;
+  std::size_t requestBytes = 0;
   std::optional<ClusterState> speculativeState;
   Term ledTerm;
   MonotonicTime now;
--- a/source/controller/responses.cpp
+++ b/source/controller/responses.cpp
@@ -116,6 +116,7 @@
     polls.erase(waiting);
   pollsToLook.erase(place);
   unanswered.erase(place);
+  requestBytes -= found->second.bytes;
   requests.erase(found);
 }
 
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemons/controller_daemon.hpp"
 #include "net/disk.hpp"
 #include "net/log.hpp"
+#include "net/peer_outbox.hpp"
 #include "net/signals.hpp"
 #include "net/wire.hpp"
 #include "raft/bootstrap.hpp"
@@ -184,6 +185,7 @@
     options.lease = Duration{settings.lease};
     options.margin = Duration{settings.margin};
     options.snapshotVersions = std::uint64_t(settings.snapshotVersions);
+    options.boundMemory(settings.memoryBytes);
     std::random_device device;
     core = std::make_unique<Controller>(
         Member{identity, settings.advertise, ZoneName{settings.zone}, false}, options,
@@ -254,12 +256,11 @@
         continue;
       auto& queue = outbox[message.toAddress];
       if (!queue) {
-        queue = std::make_shared<Outbox>();
+        queue = std::make_shared<Outbox>(core->memoryOptions().outboxBytes);
         spawn([this, queue, address = message.toAddress] { sendTo(address, *queue); });
       }
       std::unique_lock lock(queue->mutex);
-      if (queue->messages.size() < 2000)
-        queue->messages.push_back(std::move(message));
+      queue->messages.push(std::move(message));  // one without room is made good by consensus
       queue->some.notify_one();
     }
     for (auto& [number, answer] : core->takeAnswers()) {
@@ -271,9 +272,10 @@
     }
   }
   struct Outbox {
+    explicit Outbox(std::size_t mostBytes) : messages(mostBytes) {}
     boost::fibers::mutex mutex;
     boost::fibers::condition_variable some;
-    std::deque<PeerMessage> messages;
+    PeerOutbox messages;
   };
   void sendTo(const Address& address, Outbox& queue) {
     WireCaller caller(loop, address);
@@ -282,8 +284,7 @@
       {
         std::unique_lock lock(queue.mutex);
         queue.some.wait(lock, [&] { return !queue.messages.empty(); });
-        message = std::move(queue.messages.front());
-        queue.messages.pop_front();
+        message = queue.messages.pop();
       }
       caller.post(WireMessage{0, std::move(message)});  // a lost one is made good by consensus
     }
--- a/source/daemons/controller_daemon.hpp
+++ b/source/daemons/controller_daemon.hpp
@@ -12,6 +12,9 @@
   bool found = false, quiet = false;
   std::int64_t heartbeat = 100, electionLow = 500, electionHigh = 1000, replaceAfter = 30'000,
                snapshotVersions = 1000, voters = 3;
+  // What the process may take of memory; its queues, log tail and snapshots are shares of it. 0:
+  // the defaults.
+  std::uint64_t memoryBytes = 0;
   std::int64_t lease = 3000, margin = 1000;  // of workers' leases, in milliseconds
   OuterInterface outer;
   SeedSource seedsNow;
--- /dev/null
+++ b/source/net/peer_outbox.hpp
@@ -0,0 +1,37 @@
+// What waits to be sent to one peer, bounded in bytes. docs/design.md 3.4.
+#pragma once
+#include "raft/node.hpp"
+
+namespace aniseline {
+
+// Consensus makes good what is lost, so beyond the bound a message is dropped; but one that is
+// larger than the bound alone still passes.
+class PeerOutbox {
+ public:
+  explicit PeerOutbox(std::size_t mostBytes) : mostBytes(mostBytes) {}
+
+  bool push(PeerMessage message) {  // false: there is no room for it
+    const std::size_t bytes = payloadBytes(message) + headBytes;
+    if (!messages.empty() && queuedBytes + bytes > mostBytes)
+      return false;
+    queuedBytes += bytes;
+    messages.push_back(std::move(message));
+    return true;
+  }
+  PeerMessage pop() {
+    PeerMessage message = std::move(messages.front());
+    messages.pop_front();
+    queuedBytes -= payloadBytes(message) + headBytes;
+    return message;
+  }
+  bool empty() const { return messages.empty(); }
+  std::size_t bytes() const { return queuedBytes; }
+
+ private:
+  static constexpr std::size_t headBytes = sizeof(PeerMessage);  // about what it is without payload
+  std::size_t mostBytes;
+  std::size_t queuedBytes = 0;
+  std::deque<PeerMessage> messages;
+};
+
+}  // namespace aniseline
--- a/source/net/wire.cpp
+++ b/source/net/wire.cpp
@@ -7,6 +7,7 @@
 namespace {
 constexpr std::uint32_t wireMark = 0x534e4130;  // "0ANS"
 constexpr std::uint32_t largest = 256 * 1024 * 1024;
+constexpr std::size_t mostQueued = 20'000;  // messages on one connection, however small
 struct Head {
   std::uint32_t mark, format, size, sum;
 };
@@ -55,7 +56,8 @@
 
 bool WireWriter::send(std::string bytes) {
   std::unique_lock lock(mutex);
-  if (closed || queued > 128 * 1024 * 1024 || queue.size() > 20'000)
+  const bool full = !queue.empty() && queued + bytes.size() > largestQueue;
+  if (closed || full || queue.size() >= mostQueued)
     return false;
   queued += bytes.size();
   queue.push_back(std::move(bytes));
--- a/source/net/wire.hpp
+++ b/source/net/wire.hpp
@@ -55,6 +55,9 @@
 // Reads one message; a peer that speaks another format, or garbles, is an error and its connection
 // ends.
 Result<WireMessage, WireError> readMessage(tcp::socket& socket);
+// What may wait on one connection, in bytes: room for the largest answers. What consensus queues
+// to a peer is bounded more tightly by the peer's window. A single larger message still passes.
+constexpr std::size_t largestQueue = 16 * 1024 * 1024;
 // Writes queued bytes in order on one socket. Owned jointly by the fibers of its connection.
 class WireWriter {
  public:
--- a/source/state/api_request.cpp
+++ b/source/state/api_request.cpp
@@ -30,6 +30,15 @@
   near.insert(near.end(), far.begin(), far.end());
   return near;
 }
+std::size_t textBytes(const ApiRequest& request) {
+  std::size_t bytes = request.text.size() + request.parsedConfig.size() + request.path.size() +
+                      request.job.payload.size();
+  for (const auto& step : request.job.steps)
+    for (const auto& task : step.tasks)
+      bytes += sizeof task + task.payload.size();
+  return bytes;
+}
+
 bool roomFor(RequestKind kind, bool plain, std::size_t underWay, std::size_t most) {
   if (kind == RequestKind::sync)
     return true;  // as many as there are workers, and without them nothing ends
--- a/source/state/api_request.hpp
+++ b/source/state/api_request.hpp
@@ -120,6 +120,9 @@
   }
 };
 
+// What a request holds of memory, in texts and payloads; beside these it is small.
+std::size_t textBytes(const ApiRequest& request);
+
 bool roomFor(RequestKind kind, bool plain, std::size_t underWay, std::size_t most);
 
 // JSON of a worker's sync, both ways.
--- a/tests/controller/controller_tests.cpp
+++ b/tests/controller/controller_tests.cpp
@@ -28,3 +28,49 @@
                    MonotonicTime{0});
   CHECK(!sound.damaged());
 }
+
+// While nothing can be committed, orders of hundreds of KB are under way up to a bound in bytes;
+// those beyond it are told that nothing was done, and can be asked again. docs/design.md 3.4.
+TEST(ControllerTests, whatIsUnderWayIsBoundedInBytes) {
+  constexpr std::size_t configBytes = 318'000;
+  WriteAheadRecord record;
+  record.version = DiskVersion{1};
+  record.whole = true;
+  record.term = Term{3};
+  const Member self{ControllerId{"r"}, Address{"a:1"}, ZoneName{"x"}, true};
+  record.first = LogIndex{1};
+  record.entries.push_back({Term{1}, true, pack(Members{self})});
+  Controller controller(self, {}, 1, {record}, MonotonicTime{0});
+  std::int64_t now = 0;
+  for (; now < 5000; now += 10) {
+    controller.step(MonotonicTime{now}, WallTime{now});
+    while (auto write = controller.takeWrite())
+      controller.synced(write->version, MonotonicTime{now});
+  }
+  CHECK(controller.raftNode().serves());
+  std::size_t notTaken = 0;
+  constexpr std::size_t orders = 600;
+  for (std::size_t count = 0; count < orders; ++count, ++now) {
+    ClusterConfig config;
+    config.text = std::string(configBytes, 'c') + std::to_string(count);
+    ApiRequest request;
+    request.kind = RequestKind::applyConfig;
+    request.baseVersion = ConfigVersion{count - notTaken};
+    request.parsedConfig = pack(config);
+    controller.take(RequestNumber{count + 1}, std::move(request), MonotonicTime{now});
+    controller.step(MonotonicTime{now}, WallTime{now});  // and no write ends
+    for (const auto& [number, answer] : controller.takeAnswers()) {
+      LONGS_EQUAL(503, answer.status);
+      ++notTaken;
+    }
+  }
+  CHECK_COMPARE((orders - notTaken) * configBytes, <=, std::size_t(17'000'000));
+  CHECK_COMPARE(notTaken, <, orders - 20);
+  for (; now < 20'000; now += 10) {
+    controller.step(MonotonicTime{now}, WallTime{now});
+    while (auto write = controller.takeWrite())
+      controller.synced(write->version, MonotonicTime{now});
+  }
+  LONGS_EQUAL(orders - notTaken, controller.committed().config.version.value);
+  LONGS_EQUAL(0, controller.pendingBytes());
+}
