--- a/source/daemons/controller_daemon.hpp
+++ b/source/daemons/controller_daemon.hpp
@@ -16,6 +16,9 @@
   // two elections and a lost message take.
   static constexpr std::int64_t defaultStopWithin = 3000;
   std::int64_t stopWithin = defaultStopWithin;
+  // What the process may take of memory; its queues, log tail and snapshots are shares of it. 0:
+  // the defaults.
+  std::uint64_t memoryBytes = 0;
   std::int64_t lease = 3000, margin = 1000;  // of workers' leases, in milliseconds
   OuterInterface outer;
   SeedSource seedsNow;
--- a/source/net/wire.hpp
+++ b/source/net/wire.hpp
@@ -68,6 +68,9 @@
   std::shared_ptr<tcp::socket> socket;
   std::uint64_t lastCorrelation = 0;
 };
+// What may wait on one connection, in bytes: room for the largest answers. What consensus queues
+// to a peer is bounded more tightly by the peer's window. A single larger message still passes.
+constexpr std::size_t largestQueue = 16 * 1024 * 1024;
 // Writes queued bytes in order on one socket. Owned jointly by the fibers of its connection.
 class WireWriter {
  public:
