Orders: a leader that is cut off refuses nothing; a config is sent once by us

Without `record.round <= confirmed` in answerDecided it fails: expected <503> but was <409>. - `aConfigIsSentOnceUnlessSurelyNotTaken`: lost or late is unknown; only after `unreachable` or "not leader" a call goes on to another.

--- a/tests/controller/config_orders_tests.cpp
+++ b/tests/controller/config_orders_tests.cpp
@@ -162,3 +162,27 @@
   LONGS_EQUAL(200, cluster.served(order(7, 5, "beside")).status);
   CHECK(isRefusal(cluster.served(order(7, 5, "lost")).status));
 }
+
+// Nor does it refuse what it holds to be stale, invalid or without a queue, though nothing of its
+// own is open: it may know less than the others.
+TEST(ConfigOrdersTests, aLeaderThatIsCutOffRefusesNothing) {
+  ControllerCluster cluster(3);
+  LONGS_EQUAL(200, cluster.served(order(5, 0)).status);
+  const std::size_t cutOff = cluster.leader();
+  cluster.run(500);
+  cluster.cut(cutOff, true);
+  ApiRequest invalid = unnumbered(5);
+  invalid.text = "{";
+  ApiRequest noQueue;
+  noQueue.kind = RequestKind::submitJob;
+  noQueue.host = "host";
+  noQueue.path = "/nowhere/job";
+  std::vector<RequestNumber> asked;
+  for (const auto& request : {order(6, 3), order(4, 5), order(5, 0), invalid, noQueue})
+    asked.push_back(cluster.ask(cutOff, request));
+  cluster.run(4000);
+  for (const auto number : asked) {
+    CHECK(cluster.answer(number).has_value());
+    LONGS_EQUAL(503, cluster.answer(number)->status);
+  }
+}
--- a/tests/gateway/leader_call_tests.cpp
+++ b/tests/gateway/leader_call_tests.cpp
@@ -46,3 +46,27 @@
   CHECK(submit.failed(LeaderCall::Loss::unreachable, MonotonicTime{2000}).kind ==
         LeaderCall::Step::Kind::answer);
 }
+
+// Nor is an operator's config: lost or late it is unknown; only where nothing was sent, or nothing
+// was done, does it go on to another.
+TEST(LeaderCallTests, aConfigIsSentOnceUnlessSurelyNotTaken) {
+  view.leader = Address{"r:1"};
+  for (const auto loss : {LeaderCall::Loss::lost, LeaderCall::Loss::late}) {
+    auto config = course(RequestKind::applyConfig);
+    config.begin(MonotonicTime{0});
+    const auto step = config.failed(loss, MonotonicTime{5});
+    CHECK(step.kind == LeaderCall::Step::Kind::answer);
+    LONGS_EQUAL(503, step.answer.status);
+    STRCMP_EQUAL("unknown", step.answer.kind.c_str());
+  }
+  auto config = course(RequestKind::applyConfig);
+  config.begin(MonotonicTime{0});
+  CHECK(config.failed(LeaderCall::Loss::unreachable, MonotonicTime{5}).kind ==
+        LeaderCall::Step::Kind::wait);
+  view.leader = Address{"r:2"};
+  STRCMP_EQUAL("r:2", config.waited(MonotonicTime{25}).target.value.c_str());
+  ApiResponse notLeader;
+  notLeader.notLeader = true;
+  notLeader.leader = Address{"r:3"};
+  STRCMP_EQUAL("r:3", config.answered(notLeader, MonotonicTime{30}).target.value.c_str());
+}
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -11,6 +11,8 @@
 build/simulate --from 1 --seeds 60 --every-kind --called 8
 # Five voters of seven controllers, of which two may be lost at a time.
 build/simulate --from 1 --seeds 24 --every-kind --voters 5 --controllers 7
+# Two operators at work all the time, whose answers and leaders are lost.
+build/simulate --from 1 --seeds 24 --operators
 # Bad flags, options and configs are refused by file and field, before anything starts.
 bash tests/refusals.sh
 # Real processes on this machine, bounded, waiting on conditions: the leader is killed, then frozen and woken.
