Controllers without a disk learn of the next leader beside silent ones

Cause: one that belongs to no cluster asked for the way one address after the other, up to half a second for each that was silent, and paused 400 ms after a turn; a gateway asks all side by side. Called by the operator 0.65 s after the next leader served, such a controller still waited for the dark one and answered 503 after 604 ms.

It now asks all controllers that it has heard of every 200 ms, side by side (`followCluster`).

--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -81,6 +81,7 @@
     disk = std::make_unique<WorkThread>();
     views = std::make_unique<WorkThread>();
     spawn([this] { seekCluster(); });
+    spawn([this] { followCluster(); });
     log(LogLevel::info, "started",
         {{"identity", json(identity.value)},
          {"peer", json(settings.peer.value)},
@@ -432,6 +433,32 @@
       }
     }
   }
+  // One that belongs to no cluster serves callers all the same, by the way that it has heard of: it
+  // must learn of a new leader as soon as gateways do, however many controllers are silent.
+  void followCluster() {
+    constexpr Duration between{200};  // less than an election takes
+    constexpr Duration longestAnswer{500};
+    std::map<Address, std::shared_ptr<WireCaller>> callers;
+    auto asking = std::make_shared<std::set<Address>>();
+    for (;; pause(between)) {
+      if (!core->raftNode().blank())
+        continue;
+      for (const auto& address : heardOf.controllers) {
+        if (address == settings.advertise || !asking->insert(address).second)
+          continue;
+        auto& caller = callers[address];
+        if (!caller)
+          caller = std::make_shared<WireCaller>(loop, address);
+        spawn([this, asking, address, caller] {
+          auto answered = caller->call(RouteQuery{{}, settings.advertise, false}, longestAnswer);
+          asking->erase(address);
+          auto* told = answered ? boost::get<RouteReply>(&answered.value().body) : nullptr;
+          if (told && !told->blank && core->raftNode().blank())
+            heardOf.takeNewer(told->view);
+        });
+      }
+    }
+  }
   // A seed may belong to no cluster and have no disk, and others begin there: it must learn of us,
   // also after it began anew. docs/design.md 9.7, docs/incidents.md 8.
   void meetSeeds(std::map<Address, std::shared_ptr<WireCaller>>& callers) {
