HTTP client: what is left over on a kept connection is no answer to the next request

Cause: HttpClient kept its connection after any whole answer and read the next request's answer from the same buffer. An answer sent twice, or one behind an interim `100 Continue`, was then taken for the next request's: an agent would have taken a look's answer for a start's.

Ruled out: a late answer after a time-out (the connection is closed then) and a second sending of what is no GET (never done); both have a test now.

A connection with bytes in its buffer or socket is closed before it is used again; an interim answer ends the call as lost, and closes it.

With the first guard taken out anAnswerThatComesTwiceIsNotTheNextRequests fails (the second request gets the first one's answer), with the second anAnswerBehindAnInterimOneIsNotTheNextRequests.

--- a/source/net/http.cpp
+++ b/source/net/http.cpp
@@ -11,6 +11,13 @@
   explicit Connection(asio::io_context& context) : stream(context) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  // What came after the last answer belongs to no request: read as the next one's answer it would
+  // tell of something else.
+  bool holdsMore() {
+    IoError error;
+    const std::size_t waiting = stream.socket().available(error);
+    return buffer.size() > 0 || waiting > 0 || error;
+  }
 };
 
 Result<bool, HttpError> HttpServer::listen(const Address& address, bool shared) {
@@ -163,7 +170,7 @@
   auto endpoint = endpointOf(address);
   if (!endpoint)
     return HttpError{HttpError::Kind::unreachable, endpoint.error().text()};
-  if (connectedTo != address)
+  if (connectedTo != address || (connection && connection->holdsMore()))
     connection.reset();
   http::request<http::string_body> request{http::string_to_verb(given.method), given.target, 11};
   request.set(http::field::host, address.value);
@@ -213,6 +220,10 @@
         return HttpError{HttpError::Kind::lost, result.error.message()};
       continue;
     }
+    if (response.result_int() < 200) {  // an interim one: the answer itself is still to come
+      connection.reset();
+      return HttpError{HttpError::Kind::lost, "an interim answer"};
+    }
     HttpResponse answer;
     answer.status = int(response.result_int());
     answer.body = std::move(response.body());
