Agents: a leave is a notice; late accounts end no life that stands

Cause: an agent took a leave as proof that nothing runs there: it told the leader that the worker is gone and dropped what it knew. A worker that leaves first and serves on then ran its tasks beside their next runs.

- A leave counts like a leaving account: acknowledged once it is logged, nothing is placed or started, what runs is held and its ends are told.
An agent that doesn't know the life tells the leader itself, until one heard.
A life that leaves is looked at until it answers no more; the leader then holds it for gone by its hold, and no account brings it back.
- Accounts are counted (`seq`): an overtaken one changes nothing.
None takes a leaving back, nor its time (an `up` after it set that to 0).
- A life that makes itself known beside another takes its place only when a look that names it is answered there.
A process of the agent that never saw the former life would else have let its late account end the present one, at the leader too.
A life is reported only once it answered.
- What an account says of the clock is a bound from below only: a late one let a hold be renewed that may have been over, with ends unconfirmed.
- A look's answer is heard only while that look is the newest.
- A leaving worker that fell silent was `present` when heard again: the state keeps it leaving, also if the word came during the silence.

Tests changed since what they said was wrong: another life took a worker over by its account alone (anotherLifeKnowsNothingOfTheFormer, anotherLifeIsStillFencedByTheNewestLeader, ofAnotherLifeAreIgnored: now it answers first); oneThatLeftIsCalledNoMore said the fault itself and is replaced by six; waitForALease allows the look that brings no deadline; anEndingIsVoidOnlyWhenItsHoldHasSurelyRunOut took a beat's clock as fresh.

Guards taken out, each once: overtaken accounts, proof by a look (4 tests), a life that another answers for, the clock's bound, the newest look, the state after a silence, a leave before any account, a leave of one held for gone: each failed its tests.

--- a/source/agent/node_agent.cpp
+++ b/source/agent/node_agent.cpp
@@ -2,42 +2,159 @@
 
 namespace aniseline {
 
+namespace {
+// So many lives that said that they leave, and were not heard of otherwise, are remembered.
+constexpr std::size_t announcedAtMost = 16;
+// Between unanswered looks for a life that is only known by its account.
+constexpr Duration lookForLifeAgain{100};
+// What an answer takes on its way at most, in reckoning how far the worker's clock may be.
+constexpr Duration answerTakes{50};
+}  // namespace
+
 bool NodeAgent::known(const WorkerAccount& given, MonotonicTime now) {
   if (formerLives.count(given.life))
     return false;
-  if (given.life != account.life) {
-    // Another life: nothing of the former one runs or will. docs/design.md 5.8.
-    if (!account.life.value.empty())
-      formerLives.insert(account.life);
-    const NodeAgentOptions kept = options;
-    auto lives = std::move(formerLives);
-    const Term seen = term;
-    *this = NodeAgent(kept);
-    formerLives = std::move(lives);
-    term = seen;
+  if (given.life == account.life)
+    renew(given, now);
+  else if (account.life.value.empty())
+    begin(given, false, now);
+  else
+    propose(given, now);
+  return true;
+}
+
+// Another life: nothing of the former one runs or will. docs/design.md 5.8.
+void NodeAgent::begin(const WorkerAccount& given, bool shown, MonotonicTime now) {
+  NodeAgent next(options);
+  next.formerLives = std::move(formerLives);
+  if (!account.life.value.empty())
+    next.formerLives.insert(account.life);
+  next.announcedLeaving = std::move(announcedLeaving);
+  next.term = term;
+  *this = std::move(next);
+  account = given;
+  if (auto announced = announcedLeaving.find(given.life); announced != announcedLeaving.end()) {
+    account.leaveWithin = given.leaving ? given.leaveWithin : announced->second;
+    account.leaving = true;
+    announcedLeaving.erase(announced);
   }
+  standing = shown;
+  proofTriesLeft = options.proofTries;
   heardAt = now;
-  const bool leaving = account.leaving || given.leaving;
-  const auto before = account.clock;
-  account = given;
-  account.leaving = leaving;
+  hear(given.clock, ClockSource::account, now);
+}
+
+// A newer account of the life that is known. That it leaves is never taken back.
+// docs/design.md 5.7.
+void NodeAgent::renew(const WorkerAccount& given, MonotonicTime now) {
+  if (given.sequence && given.sequence <= account.sequence)
+    return;  // overtaken
+  heardAt = now;
+  proofTriesLeft = options.proofTries;
+  const WorkerAccount before = std::exchange(account, given);
+  if (before.leaving && !given.leaving) {
+    account.leaving = true;
+    account.leaveWithin = before.leaveWithin;
+  }
   if (!account.clock)
-    account.clock = before;
-  hear(given.clock, now);
-  return true;
+    account.clock = before.clock;
+  noteLeaving();
+  hear(given.clock, ClockSource::account, now);
+}
+
+void NodeAgent::propose(const WorkerAccount& given, MonotonicTime now) {
+  const bool isNew = !candidate || candidate->account.life != given.life;
+  if (isNew)
+    candidate = Candidate{given, 0, now, false};
+  else if (!given.sequence || given.sequence > candidate->account.sequence) {
+    const bool leaving = candidate->account.leaving || given.leaving;
+    candidate->account = given;
+    candidate->account.leaving = leaving;
+  }
+  candidate->triesLeft = options.proofTries;
+}
+
+std::optional<WorkerCall> NodeAgent::lookForCandidate(MonotonicTime now) {
+  if (!candidate || candidate->looking || !candidate->triesLeft || now < candidate->lookAt)
+    return std::nullopt;
+  candidate->looking = true;
+  --candidate->triesLeft;
+  WorkerCall call;
+  call.kind = WorkerCall::Kind::look;
+  call.number = nextCall++;
+  call.life = candidate->account.life;
+  call.fence = term;
+  return call;
 }
 
-void NodeAgent::left(const WorkerId& life) {
-  if (life != account.life)
+void NodeAgent::candidateReplied(const WorkerCall& call, const WorkerReply& reply,
+                                 MonotonicTime now) {
+  if (!candidate || call.life != candidate->account.life)
     return;
-  over = true;
-  works.clear();
-  told.clear();
+  candidate->looking = false;
+  candidate->lookAt = now + lookForLifeAgain;
+  if (reply.kind == WorkerReply::Kind::otherLife)
+    candidate.reset();  // an account that came late, of a life that is over
+  else if (reply.kind == WorkerReply::Kind::done || reply.kind == WorkerReply::Kind::fenced)
+    begin(WorkerAccount(candidate->account), true, now);
+}
+
+// What stands at the address is told by answers only: each names the life that it is meant for.
+void NodeAgent::noteProof(const WorkerCall& call, const WorkerReply& reply) {
+  if (reply.kind == WorkerReply::Kind::otherLife) {
+    standing = false;
+    proofTriesLeft = 0;  // until the next account of this life
+  } else if (call.kind == WorkerCall::Kind::look &&
+             (reply.kind == WorkerReply::Kind::done || reply.kind == WorkerReply::Kind::fenced))
+    standing = true;
+}
+
+bool NodeAgent::leaves(const WorkerId& life, Duration within, MonotonicTime now) {
+  if (formerLives.count(life))
+    return true;
+  WorkerAccount* known = nullptr;
+  if (life == account.life)
+    known = &account;
+  else if (candidate && life == candidate->account.life)
+    known = &candidate->account;
+  if (!known) {
+    if (announcedLeaving.size() >= announcedAtMost)
+      announcedLeaving.erase(announcedLeaving.begin());
+    announcedLeaving[life] = within;
+    return false;
+  }
+  if (!known->leaving) {
+    known->leaving = true;
+    known->leaveWithin = within;
+  }
+  if (known != &account) {
+    candidate->triesLeft = options.proofTries;
+    return true;
+  }
+  heardAt = std::max(heardAt, now);
+  noteLeaving();
+  return true;
 }
 
-void NodeAgent::hear(const std::optional<WorkerTime>& told, MonotonicTime now) {
+// The leader holds this life for gone, and it is not reported anew when it leaves.
+void NodeAgent::noteLeaving() {
+  over = over || (retired && account.leaving);
+}
+
+bool NodeAgent::leavingTold(const WorkerId& life) const {
+  if (formerLives.count(life))
+    return true;
+  return life == account.life && (over || (account.leaving && toldLeaving));
+}
+
+void NodeAgent::hear(const std::optional<WorkerTime>& told, ClockSource source, MonotonicTime now) {
   if (!told)
     return;
+  // An account may be seconds old: it tells what the clock shows at least, never at most.
+  if (source == ClockSource::answer && (!answeredClock || *told > *answeredClock)) {
+    answeredClock = told;
+    answeredClockAt = now;
+  }
   if (clock && *told <= *clock)
     return;
   clock = told;
@@ -67,7 +184,9 @@
   return *clock + Duration{std::int64_t(double((now - clockAt).milliseconds) * options.slowest)};
 }
 bool NodeAgent::mayLapse(MonotonicTime now) const {
-  return granted && clock && !overNoted && *clock + (now - clockAt) + Duration{50} > *granted;
+  if (!granted || !clock || overNoted)
+    return false;
+  return !answeredClock || *answeredClock + (now - answeredClockAt) + answerTakes > *granted;
 }
 
 // The lease as a time on the worker's clock. Counted as if that clock were slow, it is never later
@@ -222,6 +341,7 @@
   incarnation = incarnation.next();
   leaseUntil = MonotonicTime{0};
   retired = true;
+  noteLeaving();  // such a one is never used again, under whatever incarnation
   retiredUntil = now + Duration{options.longestHold.milliseconds * 11 / 10 + 500};
 }
 
@@ -342,8 +462,11 @@
 }
 
 bool NodeAgent::wantsLook(MonotonicTime now) const {
-  if (looking || account.life.value.empty() || over || now < retiredUntil || term == Term{} ||
-      leaseUntil <= now)
+  if (looking || account.life.value.empty() || over || now < retiredUntil)
+    return false;
+  if (!standing)
+    return proofTriesLeft && now - lookedAt >= lookForLifeAgain;
+  if (term == Term{} || leaseUntil <= now)
     return false;
   if (!everLooked || lapsed)
     return true;
@@ -354,8 +477,8 @@
   const bool running = unanswered || std::any_of(works.begin(), works.end(), [](const auto& entry) {
                          return entry.second.running;
                        });
-  if (!running && !moreEnded)
-    return false;
+  if (!running && !moreEnded)  // one that leaves is looked at until it answers no more
+    return account.leaving && toldLeaving && now - lookedAt >= options.lookAtLeaving;
   // While endings wait to be confirmed a look would only tell them again; it is due all the same to
   // keep the hold up.
   return !unconfirmed() || now - lookedAt >= std::max(renewAfter(), Duration{500});
@@ -365,6 +488,8 @@
   std::vector<WorkerCall> calls;
   recordLapse(now);
   retired = retired && now < retiredUntil;
+  if (auto call = lookForCandidate(now))
+    calls.push_back(std::move(*call));
   if (account.life.value.empty() || over || now < retiredUntil)
     return calls;
   auto make = [&](WorkerCall::Kind kind) {
@@ -429,10 +554,13 @@
   if (wantsLook(now) && !(mayLapse(now) && !told.empty())) {
     auto call = make(WorkerCall::Kind::look);
     call.lastSeen = lastSeen;
-    call.wait = !everLooked || lapsed || unanswered || toFindOut() || unconfirmed() || moreEnded
+    call.wait = !standing || !everLooked || lapsed || unanswered || toFindOut() || unconfirmed() ||
+                        moreEnded
                     ? Duration{0}
                     : lookWait(now);
     call.within = call.wait + Duration{400};
+    if (!standing)
+      --proofTriesLeft;
     looking = true;
     ++looksBegun;
     call.number = looksBegun;
@@ -444,12 +572,16 @@
 
 void NodeAgent::replied(const WorkerCall& call, const WorkerReply& reply, MonotonicTime now) {
   if (call.life != account.life)
-    return;
-  if (call.kind == WorkerCall::Kind::look)
+    return candidateReplied(call, reply, now);
+  const bool look = call.kind == WorkerCall::Kind::look;
+  if (look && (!looking || call.number != looksBegun))
+    return;  // of one that was given up: a newer one tells, or has told
+  if (look)
     looking = false;
   else if (callsUnderWay > 0)
     --callsUnderWay;
-  hear(reply.clock, now);
+  hear(reply.clock, ClockSource::answer, now);
+  noteProof(call, reply);
   if (reply.kind == WorkerReply::Kind::lost)
     unanswered = true;
   else {
@@ -580,6 +712,8 @@
 
 MonotonicTime NodeAgent::nextDue(MonotonicTime now) const {
   MonotonicTime due = now + Duration{60'000};
+  if (candidate && candidate->triesLeft && !candidate->looking)
+    due = std::max(candidate->lookAt, now + Duration{5});
   if (account.life.value.empty() || over)
     return due;
   if (unanswered && !toldUnresponsive)
--- a/source/agent/node_agent.hpp
+++ b/source/agent/node_agent.hpp
@@ -67,6 +67,8 @@
   Duration longestLook{2000};
   Duration unresponsiveAfter{700};  // unanswered for so long it is taken for unresponsive
   Duration lookAgain{200};          // between looks while something is to be found out
+  Duration lookAtLeaving{1000};     // between looks at one that leaves and runs nothing any more
+  std::uint32_t proofTries = 8;     // unanswered looks for the life that an account names
   std::size_t callsAtOnce = 6;
   double slowest = 0.98;  // the worker's clock against a true one
 };
@@ -75,19 +77,24 @@
  public:
   explicit NodeAgent(NodeAgentOptions options) : options(options) {}
 
-  // A worker makes itself known. False: it is an earlier life, which is over.
+  // A worker makes itself known. False: it is an earlier life, which is over. Accounts may come
+  // seconds late: one that a newer one of its life has overtaken changes nothing, and one of
+  // another life counts once a look shows that this life stands at the worker's address.
   bool known(const WorkerAccount& account, MonotonicTime now);
-  void left(const WorkerId& life);
+  // A worker says that it is about to end. It serves on for a while: a notice, no proof that
+  // nothing runs there. False: this life is not the one that stands here by what the agent knows.
+  bool leaves(const WorkerId& life, Duration within, MonotonicTime now);
+  // The leader has logged that this life leaves, or the life is over: nothing more is placed there.
+  bool leavingTold(const WorkerId& life) const;
 
   // Towards the leader.
-  bool mayReport() const { return !account.life.value.empty() && !over && !retired; }
+  bool mayReport() const { return standing && !over && !retired; }
   SyncReport report(MonotonicTime now);
   bool unresponsive(MonotonicTime now) const;  // the worker leaves calls unanswered
   bool urgent(MonotonicTime now) const;        // there is something to tell without delay
   void answered(const SyncReport& asked, const SyncResponse& answer, MonotonicTime sentAt,
                 MonotonicTime now);
   void replaced(MonotonicTime now);  // the leader holds this life for gone
-  bool leavingTold() const { return account.leaving && toldLeaving; }
 
   // Towards the worker.
   std::vector<WorkerCall> takeCalls(MonotonicTime now);
@@ -120,6 +127,19 @@
     NamedEnding ending;
     bool told = false;
   };
+  // A life that made itself known while another one stands, until a look tells which of them does.
+  struct Candidate {
+    WorkerAccount account;
+    std::uint32_t triesLeft = 0;
+    MonotonicTime lookAt{0};
+    bool looking = false;
+  };
+  void begin(const WorkerAccount& given, bool shown, MonotonicTime now);
+  void renew(const WorkerAccount& given, MonotonicTime now);
+  void propose(const WorkerAccount& given, MonotonicTime now);
+  std::optional<WorkerCall> lookForCandidate(MonotonicTime now);
+  void candidateReplied(const WorkerCall& call, const WorkerReply& reply, MonotonicTime now);
+  void noteProof(const WorkerCall& call, const WorkerReply& reply);
   void takeOrders(const SyncResponse& answer, MonotonicTime now);
   void take(const Order& order, MonotonicTime now);
   void go(const Order& order, const RunName& name, MonotonicTime now);
@@ -128,7 +148,9 @@
   void lookAfter(Work& work);
   std::optional<WorkerTime> deadline(MonotonicTime now) const;
   Duration heldFor(MonotonicTime now) const;
-  void hear(const std::optional<WorkerTime>& clock, MonotonicTime now);
+  enum class ClockSource : std::uint8_t { account, answer };
+  void hear(const std::optional<WorkerTime>& clock, ClockSource source, MonotonicTime now);
+  void noteLeaving();
   void recordLapse(MonotonicTime now);
   WorkerTime surelyRead(MonotonicTime now) const;
   bool mayLapse(MonotonicTime now) const;
@@ -144,8 +166,13 @@
   NodeAgentOptions options;
   WorkerAccount account;
   std::set<WorkerId> formerLives;
+  std::map<WorkerId, Duration>
+      announcedLeaving;  // lives that said so before they made themselves known
+  std::optional<Candidate> candidate;
   Incarnation incarnation{1};
-  bool over = false;  // this life has left
+  bool over = false;      // this life has left
+  bool standing = false;  // an answer of this life came, and none of another one since
+  std::uint32_t proofTriesLeft = 0;
   MonotonicTime retiredUntil{0};
   bool retired = false;  // until then
   Term term;
@@ -154,6 +181,8 @@
   std::optional<WorkerTime> clock,
       granted;  // granted: the furthest deadline that may have been taken
   MonotonicTime clockAt;
+  std::optional<WorkerTime> answeredClock;  // of an answer to a call, which is never old
+  MonotonicTime answeredClockAt;
   MonotonicTime heardAt{0};
   bool unanswered = false;  // a call since then got no answer
   bool toldUnresponsive = false;
--- a/source/controller/leases.cpp
+++ b/source/controller/leases.cpp
@@ -57,7 +57,9 @@
   }
   if (worker.state == WorkerState::silent && !report.unresponsive && !overtaken)
     append(WorkerReturned{report.id});
-  if (report.leaving && worker.state == WorkerState::present) {
+  const bool unlogged = worker.state == WorkerState::present ||
+                        (worker.state == WorkerState::silent && worker.leaveBy == ClusterTime{});
+  if (report.leaving && unlogged) {
     append(WorkerLeaves{report.id, report.leaveWithin, false});
     emitLogEvent("worker leaves", {{"worker", json(report.id.value)}});
   }
@@ -99,7 +101,8 @@
   bool logged = true;
   switch (record.request.kind) {
     case RequestKind::leave:
-      if (worker.state == WorkerState::present)
+      // One that is silent may return: it is not used then either.
+      if (worker.state == WorkerState::present || worker.state == WorkerState::silent)
         append(WorkerLeaves{id, record.request.within, false});
       else
         logged = false;
--- a/source/daemons/agent_daemon.cpp
+++ b/source/daemons/agent_daemon.cpp
@@ -62,36 +62,56 @@
     if (!word)
       return ApiResponse::error(404, "missing", "an agent hears its worker only");
     const MonotonicTime now = monotonicNow();
+    const WorkerId life = word->account.life;
     if (word->left) {
-      core.left(word->account.life);
-      ApiRequest gone;
-      gone.kind = RequestKind::declareGone;
-      gone.id = word->account.life.value;
-      const ApiResponse told = relay.relay(gone);
-      return told.status < 500 ? ApiResponse::of(200, {}) : told;
+      if (!core.leaves(life, settings.leaveWithin, now))
+        tellOfUnknown(life);
+      return acknowledgeLeaving(life, settings.leaveWithin, now);
     }
-    const bool isNew = core.life() != word->account.life;
+    const bool isNew = core.life() != life;
     if (!core.known(word->account, now))
-      return ApiResponse::error(410, "gone", "another life of this worker has begun since");
+      return ApiResponse::error(410, "gone", "a later word of this worker has come before");
+    if (word->account.leaving)
+      return acknowledgeLeaving(life, word->account.leaveWithin, now);
     if (isNew)
-      log(LogLevel::info, "worker",
-          {{"life", json(word->account.life.value)},
-           {"cores", json(word->account.capacity.cores / 1000.0)}});
-    if (word->account.leaving && !core.leavingTold()) {
+      nudge();
+    return ApiResponse::of(200, {});
+  }
+  // Acknowledged only once it is logged; the leader is told also when no acknowledgement can be
+  // given in time. docs/design.md 5.7.
+  ApiResponse acknowledgeLeaving(const WorkerId& life, Duration within, MonotonicTime since) {
+    auto told = [&] {
+      return core.leavingTold(life) || toldOfUnknown.count(life);
+    };
+    if (!told()) {
       log(LogLevel::info, "worker leaves",
-          {{"life", json(word->account.life.value)},
-           {"within_ms", json(word->account.leaveWithin.milliseconds)}});
+          {{"life", json(life.value)}, {"within_ms", json(within.milliseconds)}});
       nudge();
-      // Acknowledged only once it is logged. docs/design.md 5.7.
-      while (!core.leavingTold() && core.life() == word->account.life &&
-             monotonicNow() - now < settings.tellWithin)
-        pause(Duration{5});
-      if (!core.leavingTold())
-        return ApiResponse::notTaken("no leader heard of it yet");
     }
-    if (isNew)
-      nudge();
-    return ApiResponse::of(200, {});
+    while (!told() && monotonicNow() - since < settings.tellWithin)
+      pause(Duration{5});
+    return told() ? ApiResponse::of(200, {}) : ApiResponse::notTaken("no leader heard of it yet");
+  }
+  // A life that this process never heard of: the process before it may have reported it.
+  void tellOfUnknown(const WorkerId& life) {
+    if (toldOfUnknown.count(life) || !tellingOfUnknown.insert(life).second)
+      return;
+    spawn([this, life] {
+      ApiRequest leaving;
+      leaving.kind = RequestKind::leave;
+      leaving.id = life.value;
+      leaving.within = settings.leaveWithin;
+      leaving.patience = settings.tellWithin;
+      for (std::size_t tries = 0; tries < tellingTries; ++tries) {
+        const int status = relay.relay(leaving).status;
+        if (status < 500) {  // logged, or the leader knows no such worker
+          toldOfUnknown.insert(life);
+          break;
+        }
+        pause(Duration{100});
+      }
+      tellingOfUnknown.erase(life);
+    });
   }
   void perform(const WorkerCall& call) {
     std::unique_ptr<HttpClient> client;
@@ -103,6 +123,10 @@
     }
     auto answer = client->ask(settings.worker, settings.words.render(call), call.within);
     core.replied(call, settings.words.read(call, answer), monotonicNow());
+    if (core.mayReport() && core.life() != shownLife) {
+      shownLife = core.life();
+      log(LogLevel::info, "worker", {{"life", json(shownLife.value)}});
+    }
     idle.push_back(std::move(client));
     nudge();
   }
@@ -164,6 +188,10 @@
     }
   }
 
+  // A life serves on for some seconds after it said that it leaves; by then the leader is told, or
+  // it is gone and its lease ends.
+  static constexpr std::size_t tellingTries = 30;
+
   AgentSettings settings;
   Loop loop;
   NodeAgent core;
@@ -171,6 +199,8 @@
   Relay relay;
   std::vector<std::unique_ptr<HttpClient>> idle;
   bool patientBusy = false, urgentBusy = false, woken = false;
+  WorkerId shownLife;
+  std::set<WorkerId> tellingOfUnknown, toldOfUnknown;
   boost::fibers::mutex wakeMutex;
   boost::fibers::condition_variable wake;
 };
--- a/source/daemons/agent_daemon.hpp
+++ b/source/daemons/agent_daemon.hpp
@@ -12,7 +12,7 @@
   std::function<WorkerReply(const WorkerCall&, const Result<HttpResponse, HttpError>&)> read;
   struct Word {
     WorkerAccount account;
-    bool left = false;  // it ends
+    bool left = false;  // it says that it is about to end, and nothing else of itself
   };
   std::function<std::optional<Word>(const HttpRequest&)>
       hear;  // nothing: the request is none of a worker's
@@ -25,8 +25,9 @@
   std::vector<Address> seeds;
   bool quiet = false;
   NodeAgentOptions options;
-  Duration patience{1000};   // a sync waits for orders this long
-  Duration tellWithin{900};  // a word of leaving is answered by then, or not acknowledged
+  Duration patience{1000};     // a sync waits for orders this long
+  Duration tellWithin{900};    // a word of leaving is answered by then, or not acknowledged
+  Duration leaveWithin{2000};  // how long one that leaves with no other word serves on, at least
   WorkerProtocol words;
   SeedSource seedsNow;
 };
--- a/source/simulator/nodes.hpp
+++ b/source/simulator/nodes.hpp
@@ -63,6 +63,7 @@
   std::unique_ptr<NodeAgent> core;
   bool patientBusy = false, urgentBusy = false;
   std::int64_t beatWaitsUntil = 0;  // the word of a leaving is acknowledged once it is logged
+  WorkerId beatOf;                  // whose word that is
 };
 
 struct World::CalledNode : Node {
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -174,6 +174,7 @@
   void endCalled(CalledNode& node);
   void sayLeave(CalledNode& node);
   void hearLeave(AgentNode& agent, const WorkerId& life);
+  void awaitLeavingTold(AgentNode& agent, const WorkerId& life);
   void acknowledgeLeaving(std::size_t place, const WorkerId& life);
   void leaveStep(CalledNode& node);
   void nextTo(Node& to, std::function<void()> work);
--- a/source/simulator/world_called.cpp
+++ b/source/simulator/world_called.cpp
@@ -59,10 +59,10 @@
       syncAgent(node, true);
     if (!node.urgentBusy && node.core->urgent(MonotonicTime{now}))
       syncAgent(node, false);
-    if (node.beatWaitsUntil && (node.core->leavingTold() || now > node.beatWaitsUntil)) {
+    if (node.beatWaitsUntil && (node.core->leavingTold(node.beatOf) || now > node.beatWaitsUntil)) {
       node.beatWaitsUntil = 0;
-      if (node.core->leavingTold())
-        acknowledgeLeaving(node.place, node.core->life());
+      if (node.core->leavingTold(node.beatOf))
+        acknowledgeLeaving(node.place, node.beatOf);
     }
   }
   schedule(now + 5, [this, &node, generation] { tickAgent(node, generation); });
@@ -223,7 +223,7 @@
       if (!agent.core->known(account, MonotonicTime{now}))
         return;
       if (account.leaving)
-        agent.beatWaitsUntil = now + 900;
+        awaitLeavingTold(agent, account.life);
     });
   });
 }
@@ -332,16 +332,26 @@
 }
 
 void World::hearLeave(AgentNode& agent, const WorkerId& life) {
-  agent.core->left(life);
-  ApiRequest gone;
-  gone.kind = RequestKind::declareGone;
-  gone.id = life.value;
-  relay(agent, gone, [this, &agent, life](const ApiResponse& answer) {
+  const Duration within{2000};
+  if (agent.core->leaves(life, within, MonotonicTime{now}))
+    return awaitLeavingTold(agent, life);
+  ApiRequest leaving;
+  leaving.kind = RequestKind::leave;
+  leaving.id = life.value;
+  leaving.within = within;
+  relay(agent, leaving, [this, &agent, life](const ApiResponse& answer) {
     if (answer.status < 500)
       acknowledgeLeaving(agent.place, life);
   });
 }
 
+// The word of a leaving is acknowledged once it is logged, or not at all.
+void World::awaitLeavingTold(AgentNode& agent, const WorkerId& life) {
+  constexpr std::int64_t tellWithin = 900;
+  agent.beatWaitsUntil = now + tellWithin;
+  agent.beatOf = life;
+}
+
 void World::acknowledgeLeaving(std::size_t place, const WorkerId& life) {
   auto& node = *called[place];
   nextTo(node, [this, &node, life] {
--- a/source/state/cluster_state.cpp
+++ b/source/state/cluster_state.cpp
@@ -615,6 +615,7 @@
           OrderNumber{};  // orders are numbered within an incarnation
       if (worker.state != WorkerState::drained)
         worker.state = WorkerState::present;
+      worker.leaveBy = ClusterTime{};
       worker.leaveStopped = false;
     }
     if (!alike)
@@ -698,9 +699,16 @@
     auto found = clusterState.workers.find(event.worker);
     if (found == clusterState.workers.end() || found->second.state == WorkerState::gone)
       return;
-    found->second.state = WorkerState::present;
-    found->second.leaveStopped = false;
-    found->second.seenAt = clusterState.now;
+    Worker& worker = found->second;
+    worker.seenAt = clusterState.now;
+    // One that was silent while it leaves is leaving still. docs/design.md 5.7.
+    if (worker.state == WorkerState::silent && worker.leaveBy != ClusterTime{}) {
+      worker.state = WorkerState::leaving;
+      return;
+    }
+    worker.state = WorkerState::present;
+    worker.leaveBy = ClusterTime{};
+    worker.leaveStopped = false;
   }
   void operator()(const WorkerSilent& event) {
     auto found = clusterState.workers.find(event.worker);
--- a/tests/called_workers.cpp
+++ b/tests/called_workers.cpp
@@ -86,9 +86,20 @@
     CHECK(!call.deadline);
   CHECK(agent.report(MonotonicTime{2946}).namedEndings.at(0).kind == EndingKind::finished);
   // Its clock shows that it is held still.
+  // It tells so by an answer: an account may be seconds old.
   NodeAgent heard = agent;
-  heard.known(account("w", 2890), MonotonicTime{2950});
-  heard.answered(heard.report(MonotonicTime{2950}), answerWith({startOf(2, "b")}, 0),
+  Order stop = startOf(2, "c");
+  stop.kind = OrderKind::stop;
+  heard.answered(heard.report(MonotonicTime{2946}), answerWith({stop}, 1), MonotonicTime{2946},
+                 MonotonicTime{2946});
+  for (const auto& call : heard.takeCalls(MonotonicTime{2947})) {
+    CHECK(call.kind == WorkerCall::Kind::stop);
+    WorkerReply reply;
+    reply.kind = WorkerReply::Kind::done;
+    reply.clock = WorkerTime{2890};
+    heard.replied(call, reply, MonotonicTime{2950});
+  }
+  heard.answered(heard.report(MonotonicTime{2950}), answerWith({startOf(3, "b")}, 2),
                  MonotonicTime{2950}, MonotonicTime{2950});
   std::size_t renewed = 0;
   for (const auto& call : heard.takeCalls(MonotonicTime{2950}))
@@ -192,6 +203,34 @@
   CHECK(given.state() == JobState::finished);
 }
 
+// One that was silent while it leaves is not used again when it is heard. docs/design.md 5.7.
+TEST(CalledWorkerTests, oneThatLeavesIsLeavingStillAfterASilence) {
+  ClusterState clusterState;
+  std::int64_t now = 1000;
+  auto apply = [&](Event event) {
+    clusterState.apply(LogRecord{ClusterTime{++now}, std::move(event)});
+  };
+  const WorkerId id{"v"};
+  const Worker& worker = clusterState.workers[id];
+  apply(WorkerRegistered{id, Incarnation{1}, account("v", 0).capacity});
+  apply(WorkerLeaves{id, Duration{2000}, false});
+  apply(WorkerSilent{id, {}});
+  apply(WorkerReturned{id});
+  CHECK(worker.state == WorkerState::leaving);
+  // Nor when the word came during the silence.
+  apply(WorkerRegistered{id, Incarnation{2}, account("v", 0).capacity});
+  apply(WorkerSilent{id, {}});
+  apply(WorkerLeaves{id, Duration{2000}, false});
+  apply(WorkerReturned{id});
+  CHECK(worker.state == WorkerState::leaving);
+  // An operator takes it back, and a silence does not bring it up again.
+  apply(WorkerReturned{id});
+  CHECK(worker.state == WorkerState::present);
+  apply(WorkerSilent{id, {}});
+  apply(WorkerReturned{id});
+  CHECK(worker.state == WorkerState::present);
+}
+
 // No start is reserved where too many of a step would be on one worker: it would never come, and
 // hold others back.
 TEST(CalledWorkerTests, noStartIsReservedPastApart) {
--- a/tests/node_agent_tests.cpp
+++ b/tests/node_agent_tests.cpp
@@ -48,6 +48,7 @@
   Term term{7};
   Duration lease{6000};
   std::string life = "life-1";
+  std::uint64_t sequence = 0;    // of the next account; 0: accounts are not counted
   std::vector<WorkerCall> open;  // under way to the worker
 
   MonotonicTime at() const { return MonotonicTime{now}; }
@@ -60,9 +61,29 @@
     account.leaving = leaving;
     account.leaveWithin = Duration{leaving ? 2000 : 0};
     account.clock = workerClock(now);
+    account.sequence = sequence;
     return account;
   }
   bool beat(bool leaving = false) { return agent.known(account(leaving), at()); }
+  bool countedBeat(std::uint64_t counted) {
+    sequence = counted;
+    return beat();
+  }
+  bool leave() { return agent.leaves(WorkerId{life}, Duration{2000}, at()); }
+  bool leavingTold() const { return agent.leavingTold(WorkerId{life}); }
+  // Another life makes itself known while one stands, and answers the look that asks for it.
+  void anotherLife(const std::string& name) {
+    life = name;
+    CHECK(beat());
+    callsIn(30);
+    const auto look = std::find_if(open.begin(), open.end(),
+                                   [&](const WorkerCall& call) { return call.life.value == name; });
+    CHECK_TEXT(look != open.end(), "the life that an account names is not asked for");
+    const WorkerCall asked = *look;
+    open.erase(look);
+    agent.replied(asked, lists({}, {}), at());
+    STRCMP_EQUAL(name.c_str(), agent.life().value.c_str());
+  }
   SyncResponse answer(std::vector<Order> orders, std::uint32_t closed = 0) const {
     SyncResponse made;
     made.term = term;
@@ -385,7 +406,10 @@
 TEST(AgentStarts, waitForALease) {
   Stand stand;
   CHECK(stand.beat());
-  STRCMP_EQUAL("", stand.calls().c_str());  // no leader has been heard
+  // No leader has been heard: whether this life stands there is asked, and nothing is held by that.
+  STRCMP_EQUAL("look", stand.calls().c_str());
+  CHECK_FALSE(stand.looked().deadline.has_value());
+  STRCMP_EQUAL("", stand.calls().c_str());
   stand.sync({start(1, "a")});
   stand.now += 6000;
   STRCMP_EQUAL("", stand.calls().c_str());
@@ -708,8 +732,7 @@
   Stand stand;
   stand.begin();
   const auto report = stand.agent.report(stand.at());
-  stand.life = "life-2";
-  CHECK(stand.beat());
+  stand.anotherLife("life-2");
   stand.agent.answered(report, stand.answer({start(1, "a")}), stand.at(), stand.at());
   CHECK(stand.calls().find("start") == std::string::npos);
 }
@@ -903,11 +926,11 @@
   CHECK_FALSE(stand.agent.urgent(stand.at()));
   CHECK(stand.beat(true));
   CHECK(stand.agent.urgent(stand.at()));
-  CHECK_FALSE(stand.agent.leavingTold());
+  CHECK_FALSE(stand.agent.leavingTold(WorkerId{stand.life}));
   const auto report = stand.sync({start(2, "b")});
   CHECK(report.leaving);
   LONGS_EQUAL(2000, report.leaveWithin.milliseconds);
-  CHECK(stand.agent.leavingTold());
+  CHECK(stand.agent.leavingTold(WorkerId{stand.life}));
   const std::string calls = stand.calls();
   CHECK_TEXT(calls.find("start") == std::string::npos && calls.find("stop") == std::string::npos,
              calls.c_str());
@@ -939,8 +962,7 @@
   stand.looked({active("a")}, {ended(5, "b")});
   stand.sync({}, 1);
   stand.callsIn(1500);  // a look that the former life answers too late
-  stand.life = "life-2";
-  CHECK(stand.beat());
+  stand.anotherLife("life-2");
   LONGS_EQUAL(0, stand.agent.running());
   stand.looked({active("a")}, {ended(6, "c")});
   LONGS_EQUAL(0, stand.agent.running());
@@ -960,28 +982,234 @@
 TEST(AgentLives, anotherLifeIsStillFencedByTheNewestLeader) {
   Stand stand;
   stand.begin();
-  stand.life = "life-2";
-  CHECK(stand.beat());
+  stand.anotherLife("life-2");
   stand.term = Term{6};
   stand.sync({start(1, "a")});
   STRCMP_EQUAL("", stand.calls().c_str());
 }
 
-TEST(AgentLives, oneThatLeftIsCalledNoMore) {
+// A leave announces an end: what runs there runs on, is held, and its ends count.
+TEST(AgentLives, oneThatSaysThatItLeavesIsHeldAndItsEndsAreTold) {
   Stand stand;
   stand.begin();
   stand.beginWith("a", 1);
-  stand.agent.left(WorkerId{"life-1"});
-  stand.beat();  // overtaken by its last word
+  CHECK(stand.leave());
+  CHECK(stand.agent.urgent(stand.at()));
+  CHECK_FALSE(stand.leavingTold());
+  CHECK(stand.agent.mayReport());
+  LONGS_EQUAL(1, stand.agent.running());
+  const auto report = stand.sync({start(2, "b")});
+  CHECK(report.leaving);
+  LONGS_EQUAL(2000, report.leaveWithin.milliseconds);
+  CHECK(stand.leavingTold());
+  stand.callsIn(1500);
+  STRCMP_EQUAL("b/1 unstarted", stand.endings().c_str());
+  const auto look = stand.looked({active("a")});
+  CHECK_TEXT(look.deadline && *look.deadline > stand.workerClock(stand.now),
+             "what runs at one that leaves is held no more");
+  stand.sync({}, 1);
+  stand.callsIn(1500);
+  stand.looked({}, {ended(1, "a")});
+  STRCMP_EQUAL("a/1 finished", stand.endings().c_str());
+}
+
+TEST(AgentLives, oneThatLeavesIsLookedAtUntilItAnswersNoMore) {
+  Stand stand;
+  stand.begin();
+  CHECK(stand.leave());
+  stand.sync();
+  STRCMP_EQUAL("look", stand.callsIn(1100).c_str());
+  stand.looked();
+  STRCMP_EQUAL("", stand.callsIn(500).c_str());
+  stand.sync();
+  STRCMP_EQUAL("look", stand.callsIn(600).c_str());
+  stand.reply(CallKind::look, ReplyKind::lost);
+  stand.now += 800;
+  CHECK(stand.sync().unresponsive);
+  // The leader finds nothing there that may still run, and holds it for gone.
+  stand.agent.replaced(stand.at());
+  CHECK_FALSE(stand.agent.mayReport());
+  CHECK(stand.leavingTold());
+  stand.now += 20'000;
+  stand.beat();  // came late
   CHECK_FALSE(stand.agent.mayReport());
   STRCMP_EQUAL("", stand.callsIn(30).c_str());
-  stand.sync({start(2, "b")});  // one that was under way
-  STRCMP_EQUAL("", stand.callsIn(30).c_str());
+}
+
+TEST(AgentLives, oneThatIsHeldForGoneMayLeave) {
+  Stand stand;
+  stand.begin();
+  stand.agent.replaced(stand.at());
+  CHECK(stand.beat(true));
+  CHECK(stand.leavingTold());
+  stand.callsIn(20'000);
+  CHECK_FALSE(stand.agent.mayReport());
+}
+
+TEST(AgentLives, nothingTakesBackThatItLeaves) {
+  Stand stand;
+  stand.begin();
+  CHECK(stand.countedBeat(4));
+  CHECK(stand.leave());
+  CHECK(stand.countedBeat(5));  // newer, and still `up`: it said so by a leave only
+  CHECK(stand.countedBeat(3));  // older
+  const auto report = stand.sync();
+  CHECK(report.leaving);
+  LONGS_EQUAL(2000, report.leaveWithin.milliseconds);
+  CHECK(stand.leavingTold());
+}
+
+TEST(AgentLives, aLeaveAfterDrainingChangesNothing) {
+  Stand stand;
+  stand.begin();
+  stand.beginWith("a", 1);
+  CHECK(stand.beat(true));
+  stand.sync();
+  CHECK(stand.leave());
+  CHECK(stand.leavingTold());
+  LONGS_EQUAL(1, stand.agent.running());
+  CHECK(stand.agent.mayReport());
+}
+
+// The process before this one heard the worker's accounts; this one hears its leave first.
+TEST(AgentLives, aLeaveThatComesBeforeAnyAccountIsRemembered) {
+  Stand stand;
+  CHECK_FALSE(stand.leave());
+  CHECK_FALSE(stand.leavingTold());
+  CHECK(stand.beat());
+  CHECK(stand.agent.report(stand.at()).leaving);
+  LONGS_EQUAL(2000, stand.agent.report(stand.at()).leaveWithin.milliseconds);
+}
+
+TEST(AgentLives, anOvertakenAccountChangesNothing) {
+  Stand stand;
+  stand.begin();
+  CHECK(stand.countedBeat(7));
+  auto old = stand.account();
+  old.sequence = 6;
+  old.capacity.cores = 99;
+  CHECK(stand.agent.known(old, stand.at()));
+  LONGS_EQUAL(0, stand.agent.report(stand.at()).capacity.cores);
+  // No leader is told of it, so it must not be acknowledged either.
+  old.leaving = true;
+  CHECK(stand.agent.known(old, stand.at()));
+  CHECK_FALSE(stand.sync().leaving);
+  CHECK_FALSE(stand.leavingTold());
+  stand.sequence = 1;
+  stand.anotherLife("life-2");  // counts anew
+  old = stand.account();
+  old.sequence = 2;
+  old.capacity.cores = 5;
+  CHECK(stand.agent.known(old, stand.at()));
+  LONGS_EQUAL(5, stand.agent.report(stand.at()).capacity.cores);
+}
+
+// A process that never saw the former life can't know it by its name: the worker itself tells.
+TEST(AgentLives, aLateAccountOfALifeNeverSeenDoesNotEndTheOneThatStands) {
+  Stand stand;
+  stand.life = "life-2";
+  stand.begin();
+  stand.beginWith("a", 1);
+  stand.life = "life-1";
+  CHECK(stand.beat());
+  LONGS_EQUAL(1, stand.agent.running());
+  const std::string asked = stand.callsIn(30);
+  STRCMP_EQUAL("look", asked.substr(0, 4).c_str());
+  CHECK(stand.open.front().life == WorkerId{"life-1"});
+  stand.reply(CallKind::look, ReplyKind::otherLife);
+  STRCMP_EQUAL("life-2", stand.agent.life().value.c_str());
+  LONGS_EQUAL(1, stand.agent.running());
+  CHECK(stand.agent.mayReport());
+  stand.life = "life-2";
+  CHECK(stand.beat());
+  STRCMP_EQUAL("life-2", stand.sync().id.value.c_str());
+}
+
+TEST(AgentLives, anotherLifeIsAskedForAFewTimesAnAccount) {
+  Stand stand;
+  stand.begin();
   stand.life = "life-2";
   CHECK(stand.beat());
+  std::size_t asked = 0;
+  for (int turn = 0; turn < 100; ++turn) {
+    stand.callsIn(100);
+    for (auto& call : std::exchange(stand.open, {}))
+      if (call.life == WorkerId{"life-2"}) {
+        ++asked;
+        stand.agent.replied(call, WorkerReply{}, stand.at());
+      }
+  }
+  LONGS_EQUAL(NodeAgentOptions{}.proofTries, asked);
+  STRCMP_EQUAL("life-1", stand.agent.life().value.c_str());
+}
+
+// The leader ends all of the former life once another is reported: it is reported once it answered.
+TEST(AgentLives, aLifeIsReportedOnceItAnswered) {
+  Stand stand;
+  CHECK(stand.beat());
+  CHECK_FALSE(stand.agent.mayReport());
+  STRCMP_EQUAL("look", stand.callsIn(30).c_str());
+  stand.reply(CallKind::look, ReplyKind::otherLife);
+  CHECK_FALSE(stand.agent.mayReport());
+  STRCMP_EQUAL("", stand.callsIn(1000).c_str());
+  CHECK(stand.beat());
+  STRCMP_EQUAL("look", stand.callsIn(30).c_str());
+  stand.reply(CallKind::look, ReplyKind::sick);  // may be said by another life as well
+  CHECK_FALSE(stand.agent.mayReport());
+  STRCMP_EQUAL("look", stand.callsIn(300).c_str());
+  stand.reply(CallKind::look, ReplyKind::fenced);  // it has seen a newer leader than this process
   CHECK(stand.agent.mayReport());
 }
 
+TEST(AgentLives, aLifeWhoseAddressAnotherAnswersIsNotReported) {
+  Stand stand;
+  stand.begin();
+  stand.beginWith("a", 1);
+  stand.callsIn(1500);
+  stand.reply(CallKind::look, ReplyKind::otherLife);
+  CHECK_FALSE(stand.agent.mayReport());
+  CHECK(stand.beat());
+  CHECK(stand.callsIn(300).find("look") != std::string::npos);
+  stand.looked({active("a")});
+  CHECK(stand.agent.mayReport());
+  LONGS_EQUAL(1, stand.agent.running());
+}
+
+// A look that got no answer in time is given up: what it would have told is older than what the
+// next one tells.
+TEST(AgentEndings, aLooksAnswerBehindANewerOnesIsNotHeard) {
+  Stand stand;
+  stand.begin();
+  stand.beginWith("a", 1);
+  stand.callsIn(1500);
+  const auto older = stand.reply(CallKind::look, ReplyKind::lost);
+  const auto stale = stand.lists({active("a")}, {});
+  stand.callsIn(300);
+  stand.agent.replied(older, stale, stand.at());  // while the newer one is under way
+  stand.looked({}, {ended(1, "a")});
+  stand.sync({}, 1);
+  LONGS_EQUAL(0, stand.agent.running());
+  stand.agent.replied(older, stale, stand.at());
+  LONGS_EQUAL(0, stand.agent.running());
+}
+
+// An account may be seconds old: what it shows of the clock is no bound from above.
+TEST(AgentLeases, anAccountThatCameLateKeepsNoHoldAlive) {
+  Stand stand;
+  stand.begin();
+  stand.beginWith("a", 1);
+  stand.beginWith("b", 2);
+  const auto held = stand.looked({active("b")}, {ended(1, "a")}).deadline;
+  CHECK(held.has_value());
+  stand.now += 5900;  // the hold may be over by now
+  auto late = stand.account();
+  late.clock = stand.workerClock(stand.now - 4000);
+  CHECK(stand.agent.known(late, stand.at()));
+  stand.sync();
+  for (const auto& call : stand.agent.takeCalls(stand.at()))
+    CHECK_TEXT(!call.deadline, "a hold that may be over is renewed while an end is unconfirmed");
+}
+
 // The leader holds this life for gone: all that runs there dies with its hold before it is used
 // again.
 TEST(AgentLives, replacedWaitsUntilTheHoldIsSurelyOver) {
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -512,6 +512,14 @@
   CHECK(capacity.honoursLeases && capacity.lapses && capacity.assembles && !capacity.pauses);
   CHECK(beat->account.clock == WorkerTime{482'113});
   CHECK_FALSE(beat->account.leaving);
+  LONGS_EQUAL(5, beat->account.sequence);  // counted from 1
+  std::string first = body;
+  first.replace(first.find("\"seq\":4"), 7, "\"seq\":0");
+  beat = words.hear(request("POST", "/api/Minions.Heartbeat/i-7f3a91c2", first));
+  LONGS_EQUAL(1, beat->account.sequence);
+  first.replace(first.find(",\"seq\":0"), 8, "");
+  beat = words.hear(request("POST", "/api/Minions.Heartbeat/i-7f3a91c2", first));
+  LONGS_EQUAL(0, beat->account.sequence);
   std::string draining = body;
   draining.replace(draining.find("\"up\""), 4, "\"draining\",\"leave_at_ms\":1800");
   beat = words.hear(request("POST", "/api/Minions.Heartbeat/i-7f3a91c2", draining));
