JSON: a number that no double holds is a fault, not the end of the process

Cause, found while the readers were prepared for a fuzzer: picojson throws std::overflow_error at 1e999 (a program of six lines: "threw St14overflow_error"). A server's handler catches what is thrown; the fibers that read answers do not: a worker's answer {"now_ms":1e999} ended its agent, a gateway's answer to a sync a worker's program, a config file with it the command line. Some readers of answers did not bound the nesting either (a fiber's stack is 256 KB), and the platform's words cast doubles to whole numbers that do not hold them, which is undefined.

Mend: parseJson (base/json.hpp) takes the place of picojson::parse wherever bytes come from another process or a file: a fault in words, never an exception; wholeOf holds a number within its type.

Not run: the new tests with the mend taken out.

--- a/library/library.cpp
+++ b/library/library.cpp
@@ -1,4 +1,5 @@
 #include "aniseline/library.hpp"
+#include "base/json.hpp"
 #include "net/client.hpp"
 #include <future>
 #include <stdexcept>
@@ -97,7 +98,7 @@
   if (!answer)
     return errorOf(answer.error());
   picojson::value root;
-  if (!picojson::parse(root, answer.value().body).empty() || !root.is<picojson::object>())
+  if (!parseJson(root, answer.value().body).empty() || !root.is<picojson::object>())
     return Error{Error::Kind::unknown, answer.value().status, "the answer is no JSON object",
                  Duration{0}};
   JobView view;
--- a/source/checker/history.cpp
+++ b/source/checker/history.cpp
@@ -1,4 +1,5 @@
 #include "checker/history.hpp"
+#include "base/json.hpp"
 #include <picojson.h>
 
 namespace aniseline {
@@ -62,7 +63,7 @@
 
 std::optional<HistoryEvent> HistoryEvent::parse(const std::string& line) {
   picojson::value root;
-  if (!picojson::parse(root, line).empty() || !root.is<picojson::object>())
+  if (!parseJson(root, line).empty() || !root.is<picojson::object>())
     return std::nullopt;
   const auto& object = root.get<picojson::object>();
   auto words = [&](const char* field) {
--- a/source/cli/command.cpp
+++ b/source/cli/command.cpp
@@ -1,4 +1,5 @@
 #include "cli/command.hpp"
+#include "base/json.hpp"
 #include "cli/table.hpp"
 #include <fstream>
 #include <iostream>
@@ -115,7 +116,7 @@
     return fail(session, answer.error());
   picojson::value root;
   const std::string& body = answer.value().body;
-  if (nestedTooDeep(body) || !picojson::parse(root, body).empty())
+  if (!parseJson(root, body).empty())
     return fail(session,
                 ClientError{ClientError::Kind::unknown, 0, "the answer is not JSON", Duration{0}});
   return show(session, root, view);
--- a/source/cli/config_commands.cpp
+++ b/source/cli/config_commands.cpp
@@ -1,4 +1,5 @@
 #include "cli/command.hpp"
+#include "base/json.hpp"
 #include "cli/views.hpp"
 #include "state/cluster_config.hpp"
 
@@ -49,7 +50,7 @@
     picojson::value root;
     if (!now && now.error().kind != ClientError::Kind::missing)
       return fail(session, now.error());
-    if (now && picojson::parse(root, now.value().body).empty())
+    if (now && parseJson(root, now.value().body).empty())
       baseVersion = std::int64_t(numberIn(root, "version", -1));
     if (!now)
       baseVersion = 0;  // there is none yet
--- a/source/cli/look_commands.cpp
+++ b/source/cli/look_commands.cpp
@@ -1,4 +1,5 @@
 #include "cli/command.hpp"
+#include "base/json.hpp"
 #include "cli/views.hpp"
 
 namespace aniseline {
@@ -25,8 +26,8 @@
   if (!jobs)
     return fail(session, jobs.error());
   picojson::value configRoot, jobsRoot;
-  if (!picojson::parse(configRoot, config.value().body).empty() ||
-      !picojson::parse(jobsRoot, jobs.value().body).empty())
+  if (!parseJson(configRoot, config.value().body).empty() ||
+      !parseJson(jobsRoot, jobs.value().body).empty())
     return fail(session,
                 ClientError{ClientError::Kind::unknown, 0, "the answer is not JSON", Duration{0}});
   return show(session, queuesOf(configRoot, jobsRoot), queuesView);
--- a/source/cli/outcome.cpp
+++ b/source/cli/outcome.cpp
@@ -1,4 +1,5 @@
 #include "cli/outcome.hpp"
+#include "base/json.hpp"
 #include "cli/table.hpp"
 
 namespace aniseline {
@@ -7,8 +8,7 @@
 
 std::optional<picojson::value> errorIn(const ClientError& error) {
   picojson::value root;
-  if (nestedTooDeep(error.text) || !picojson::parse(root, error.text).empty() ||
-      !fieldIn(root, "text").is<std::string>())
+  if (!parseJson(root, error.text).empty() || !fieldIn(root, "text").is<std::string>())
     return std::nullopt;
   return root;
 }
--- a/source/net/client.cpp
+++ b/source/net/client.cpp
@@ -1,4 +1,5 @@
 #include "net/client.hpp"
+#include "base/json.hpp"
 
 namespace aniseline {
 
@@ -6,8 +7,8 @@
 std::vector<Address> gatewaysIn(const HttpResponse& told) {
   picojson::value root;
   std::vector<Address> inForce;
-  if (told.status != 200 || !picojson::parse(root, told.body).empty() ||
-      !root.is<picojson::object>() || !root.get("gateways").is<picojson::array>())
+  if (told.status != 200 || !parseJson(root, told.body).empty() || !root.is<picojson::object>() ||
+      !root.get("gateways").is<picojson::array>())
     return inForce;
   for (const auto& address : root.get("gateways").get<picojson::array>())
     inForce.push_back(Address{address.to_str()});
@@ -24,7 +25,7 @@
 }
 bool surelyNotTaken(const HttpResponse& answer) {
   picojson::value root;
-  return picojson::parse(root, answer.body).empty() && root.is<picojson::object>() &&
+  return parseJson(root, answer.body).empty() && root.is<picojson::object>() &&
          root.get("error").to_str() == "not_taken";
 }
 }  // namespace
--- a/source/net/http.cpp
+++ b/source/net/http.cpp
@@ -1,4 +1,5 @@
 #include "net/http.hpp"
+#include "base/json.hpp"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
@@ -176,8 +177,7 @@
   auto answer = client.ask(seed, {"GET", "/v1/contacts", ""}, Duration{500});
   picojson::value root;
   std::vector<Address> found;
-  if (!answer || answer.value().status != 200 ||
-      !picojson::parse(root, answer.value().body).empty() ||
+  if (!answer || answer.value().status != 200 || !parseJson(root, answer.value().body).empty() ||
       !root.get("controllers").is<picojson::array>())
     return found;
   for (const auto& address : root.get("controllers").get<picojson::array>())
--- a/source/net/options.cpp
+++ b/source/net/options.cpp
@@ -1,4 +1,5 @@
 #include "net/options.hpp"
+#include "base/json.hpp"
 #include "net/loop.hpp"
 #include <cmath>
 #include <fstream>
@@ -196,7 +197,7 @@
   picojson::value root;
   const std::string error = !stream.is_open()      ? "can't be read"
                             : nestedTooDeep(bytes) ? "is nested too deep"
-                                                   : picojson::parse(root, bytes);
+                                                   : parseJson(root, bytes);
   if (!error.empty())
     return faults.push_back(file + ": " + error);
   if (!root.is<picojson::object>())
--- a/source/net/worker_protocol.cpp
+++ b/source/net/worker_protocol.cpp
@@ -1,4 +1,5 @@
 #include "net/worker_protocol.hpp"
+#include "base/json.hpp"
 #include <cmath>
 
 namespace aniseline {
@@ -92,7 +93,7 @@
 }
 std::optional<picojson::value> parsed(const std::string& body) {
   picojson::value root;
-  if (nestedTooDeep(body) || !picojson::parse(root, body).empty() || !root.is<picojson::object>())
+  if (!parseJson(root, body).empty() || !root.is<picojson::object>())
     return std::nullopt;
   return root;
 }
@@ -181,7 +182,7 @@
     return reply;
   const auto root = parsed(answer.value().body);
   if (root && root->get("now_ms").is<double>())
-    reply.clock = WorkerTime{std::int64_t(root->get("now_ms").get<double>())};
+    reply.clock = WorkerTime{wholeOf<std::int64_t>(root->get("now_ms").get<double>())};
   switch (answer.value().status) {
     case 200:
       break;
--- a/source/state/api_request.cpp
+++ b/source/state/api_request.cpp
@@ -1,4 +1,5 @@
 #include "state/api_request.hpp"
+#include "base/json.hpp"
 #include <cmath>
 
 namespace aniseline {
@@ -370,12 +371,7 @@
   if (nestedTooDeep(body))
     return fail(CoreError::Kind::invalid, "", "the body is nested too deep");
   picojson::value root;
-  std::string parseError;
-  auto end = picojson::parse(root, body.begin(), body.end(), &parseError);
-  if (parseError.empty() && std::any_of(end, body.end(), [](char letter) {
-        return !std::isspace((unsigned char)letter);
-      }))
-    parseError = "more follows the value";
+  const std::string parseError = parseJson(root, body, true);
   if (!parseError.empty())
     return fail(CoreError::Kind::invalid, "", "the body is not JSON: " + parseError);
   std::vector<ErrorDetail> faults;
@@ -503,7 +499,7 @@
   if (nestedTooDeep(body))
     return CoreError::at(CoreError::Kind::invalid, "", "the answer is nested too deep");
   picojson::value root;
-  const std::string parseError = picojson::parse(root, body);
+  const std::string parseError = parseJson(root, body);
   if (!parseError.empty())
     return CoreError::at(CoreError::Kind::invalid, "", "the answer is not JSON: " + parseError);
   std::vector<ErrorDetail> faults;
--- a/source/state/cluster_config.cpp
+++ b/source/state/cluster_config.cpp
@@ -1,4 +1,5 @@
 #include "state/cluster_config.hpp"
+#include "base/json.hpp"
 #include <muParser.h>
 #include <cmath>
 
@@ -163,7 +164,7 @@
   if (nestedTooDeep(text))
     return CoreError::at(CoreError::Kind::invalid, "", "is nested too deep");
   picojson::value root;
-  const std::string parseError = picojson::parse(root, text);
+  const std::string parseError = parseJson(root, text);
   if (!parseError.empty())
     return CoreError::at(CoreError::Kind::invalid, "", "is not JSON: " + parseError);
   {
--- /dev/null
+++ b/tests/base/json_tests.cpp
@@ -0,0 +1,39 @@
+#include "base/json.hpp"
+#include "net/worker_protocol.hpp"
+#include "state/cluster_config.hpp"
+
+#include <CppUTest/TestHarness.h>
+using namespace aniseline;
+
+TEST_GROUP(JsonTests) {
+  picojson::value root;
+};
+
+// What any process may send: a fault each, never an exception. docs/design.md 9.4.
+TEST(JsonTests, whatIsNoJsonIsAFault) {
+  STRCMP_EQUAL("", parseJson(root, R"({"a":[1,2]} )", true).c_str());
+  STRCMP_EQUAL("a number is too large", parseJson(root, R"({"a":1e999})").c_str());
+  STRCMP_EQUAL("a number is too large", parseJson(root, "-1e999").c_str());
+  STRCMP_EQUAL("is nested too deep", parseJson(root, std::string(100'000, '[')).c_str());
+  STRCMP_EQUAL("more follows the value", parseJson(root, "1 x", true).c_str());
+  STRCMP_EQUAL("", parseJson(root, "1 x").c_str());
+  CHECK(!parseJson(root, "{").empty());
+  CHECK(!parseJson(root, "").empty());
+}
+
+TEST(JsonTests, aNumberIsHeldWithinItsType) {
+  LONGS_EQUAL(0, wholeOf<std::uint32_t>(-5));
+  LONGS_EQUAL(0xffffffffu, wholeOf<std::uint32_t>(1e300));
+  LONGS_EQUAL(0, wholeOf<std::uint64_t>(-1));
+  CHECK(wholeOf<std::int64_t>(1e300) == std::int64_t(1) << 53);
+  CHECK(wholeOf<std::int64_t>(-1e300) == -(std::int64_t(1) << 53));
+  LONGS_EQUAL(-7, wholeOf<std::int64_t>(-7.9));
+}
+
+// An exception there ended the process: a gateway's answer that of a worker, a file that of an
+// operator's command.
+TEST(JsonTests, readersTakeTooLargeNumbersForFaults) {
+  CHECK(!SyncResponse::parse(R"({"term":"1","lease_ms":1e999})").has_value());
+  CHECK(!ClusterConfig::parse(R"({"queues":1e999})").has_value());
+  CHECK(!ApiRequest::parse("POST", "/v1/jobs", R"({"id":1e999})").has_value());
+}
--- a/tests/called_worker_session_tests.cpp
+++ b/tests/called_worker_session_tests.cpp
@@ -150,7 +150,8 @@
   CHECK(readWorkerCall({"POST", "/v1/paint", "{}"}).error().kind == CoreError::Kind::missing);
   for (
       const char* body :
-      {"no", "{}", R"({"active":[],"ended":[{"number":1}]})", R"({"active":[7],"ended":[]})",
+      {"no", "{}", R"({"now_ms":1e999,"active":[],"ended":[]})",
+       R"({"active":[],"ended":[{"number":1}]})", R"({"active":[7],"ended":[]})",
        R"({"active":[],"ended":[{"number":1,"kind":"sung","name":{"job":"a","step":0,"within":0,"run":1}}]})"})
     LONGS_EQUAL_TEXT(int(K::lost),
                      kindOf(words.read(lookCall(), HttpResponse{200, body, Duration{0}})), body);
