Fuzzers: frames, disk records, requests, configs, workers' and the platform's words, settings

Six libFuzzer targets (tests/fuzz, option ANISELINE_FUZZ, clang) under the address and undefined- behaviour sanitizers, float-cast-overflow included; tests/fuzz.sh runs each a fixed number of times from a fixed seed over a kept corpus. Seeds of the binary formats are written by the version under test (tests/fuzz/seeds.cpp), so they never fall behind a format. What was read is written and read again: a wire message and a disk record must come back as the same bytes.

--- /dev/null
+++ b/tests/fuzz/disk.cpp
@@ -0,0 +1,21 @@
+// What a controller finds in its data folder: any bytes of a file are a record or an error.
+#include "net/disk.hpp"
+#include "state/cluster_state.hpp"
+#include "fuzz.hpp"
+
+using namespace aniseline;
+
+FUZZ_TARGET(bytes) {
+  (void)DataFolder::unframe("file", bytes);
+  auto framed = DataFolder::unframe("file", DataFolder::frame(bytes));
+  require(framed.has_value() && framed.value() == bytes);
+  auto record = unpack<WriteAheadRecord>(bytes);
+  if (!record)
+    return;
+  (void)unpack<ClusterState>(record.value().snapshot.state);
+  for (const auto& entry : record.value().entries)
+    (void)unpack<LogRecord>(entry.payload);
+  const std::string written = pack(record.value());
+  auto again = unpack<WriteAheadRecord>(written);
+  require(again.has_value() && pack(again.value()) == written);
+}
