--- a/source/checker/model/describe.cpp
+++ b/source/checker/model/describe.cpp
@@ -51,15 +51,22 @@
   }
   std::string operator()(const Join& body) const { return "Join of " + body.member.id.value; }
   std::string operator()(const RemovedFromCluster& body) const {
-    return "RemovedFromCluster term " + number(body.term);
-  }
-  std::string operator()(const InstallSnapshot& body) const {
-    return "InstallSnapshot term " + number(body.term) + ", round " + number(body.round);
+    return of("RemovedFromCluster", body);
   }
+  std::string operator()(const InstallSnapshot& body) const { return of("InstallSnapshot", body); }
   // Kinds of message that came later.
   template <class Body>
   std::string operator()(const Body& body) const {
-    return "message of " + std::to_string(pack(body).size()) + " bytes";
+    return of("message", body);
+  }
+  template <class Body>
+  static std::string of(const std::string& kind, const Body& body) {
+    std::string text = kind;
+    if constexpr (requires { body.term; })
+      text += " term " + number(body.term);
+    if constexpr (requires { body.round; })
+      text += ", round " + number(body.round);
+    return text + ", " + std::to_string(pack(body).size()) + " bytes";
   }
 };
 
