--- a/source/checker/model/scenarios.cpp
+++ b/source/checker/model/scenarios.cpp
@@ -69,7 +69,21 @@
   script.sync({b});
 }
 
-// As above, and the old leader's entry is still under way to c, the new one's too.
+// a holds two entries that nobody else has; b and c committed others there, which come one by one.
+void forkOfTwo(Script& script) {
+  led(script);
+  script.step(Kind::propose, a);
+  script.step(Kind::propose, a);
+  script.sync({a});
+  script.loseAll();
+  script.elect(b, {b, c});
+  script.step(Kind::propose, b);
+  script.settle({b, c});
+  script.spread(b, {b, c});
+  script.step(Kind::heartbeat, b);
+}
+
+// As the first fork, and the old leader's entry is still under way to c, the new one's too.
 void staleLeader(Script& script) {
   led(script);
   script.step(Kind::propose, a);
@@ -84,6 +98,8 @@
 // then b, which committed an entry.
 void staleReplies(Script& script) {
   led(script);
+  script.spread(a);
+  script.spread(a);
   script.step(Kind::heartbeat, a);
   script.message(Kind::deliver, a, b, isHeartbeat);
   script.hold(b, a, isReply);
@@ -228,6 +244,8 @@
        budgetWith({{Kind::read, 1}, {Kind::timeOut, 0}}), twoLeaders},
       {"fork", "two logs that differ at one index; the stale leader is back", 3, 3,
        budgetWith({{Kind::duplicate, 1}, {Kind::heartbeat, 2}}), forkedLogs},
+      {"fork of two", "a committed log comes entry by entry to a stale leader", 3, 3,
+       budgetWith({{Kind::heartbeat, 1}}), forkOfTwo, true, true},
       {"stale leader", "entries of an old and of a new leader under way to one follower", 3, 3,
        budgetWith({{Kind::heartbeat, 0}, {Kind::timeOut, 0}}), staleLeader, true},
       {"stale reply", "a read by a leader that others replaced, old answers under way to it", 3, 3,
--- a/tests/model_mutations.sh
+++ b/tests/model_mutations.sh
@@ -61,7 +61,7 @@
   's/^      if \(termAt\(index\) == added.term\)/      if (added.term >= Term{})/'
 mutate append-of-an-older-term replication.cpp "stale leader" \
   '/AppendEntries& body, MonotonicTime now\) \{/,/^  seeTerm/s/body.term < currentTerm/body.term < Term{}/'
-mutate commit-beyond-what-is-shown replication.cpp fork 's/std::min\(body.commit, index\)/body.commit/'
+mutate commit-beyond-what-is-shown replication.cpp "fork of two" 's/std::min\(body.commit, index\)/body.commit/'
 mutate reply-of-an-older-term replication.cpp "stale reply" 's/!leads\(\) \|\| body.term != currentTerm/!leads()/'
 mutate answers-kept-from-an-older-leadership election.cpp "stale reply" 's/^  peers.clear\(\);//'
 mutate change-while-one-is-pending membership.cpp promotion 's/!serves\(\) \|\| !membersSettled\(\)/!serves()/'
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -7,7 +7,7 @@
 bash tests/layout.sh
 # The consensus core under every order of messages, crashes and changes of members, to a bound. The long
 # form: build/model_check --states 5000000, and --walks 100000 --steps 400; tests/model_mutations.sh.
-build/model_check --states 20000
+build/model_check --states 40000
 # Seeded faults on the whole cluster in virtual time; a fixed set of seeds, so the verdict is the same every time.
 build/simulate --from 1 --seeds 96 --every-kind
 # The same with workers that are called, each with its agent.
