lint.sh prints each finding once, and the counts

A finding in a header came up with every file that includes it, files' lines were mixed when several ran at once, and a clang-tidy that crashed counted as a clean file. Each file's findings now stand apart until all are there; the same finding is shown once; a run that ends badly without a finding is told as one. LINT_JOBS sets how many files run at the same time.

Not run over the whole tree with the real clang-tidy.

--- a/tests/lint.sh
+++ b/tests/lint.sh
@@ -1,11 +1,46 @@
 #!/usr/bin/env bash
-# Format and lint of the whole tree; docs/style.md. Lint reads a build tree without precompiled headers.
+# Format and lint of the whole tree; docs/style.md 3. Prints findings, each once, and the counts.
+# Lint reads a build tree without precompiled headers. LINT_JOBS: files at the same time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+
 mapfile -t all < <(git ls-files '*.cpp' '*.hpp')
 clang-format --dry-run -Werror "${all[@]}"
 echo "lint: ${#all[@]} files are formatted"
-cmake -S . -B build-lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+
+cmake -S . -B build-lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON \
+  -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+results=$(mktemp -d)
+trap 'rm -rf "$results"' EXIT
+
+# What clang-tidy finds in one file. A run that ends badly with no finding is told as one, with the
+# end of what it said: a file that was not read is not clean.
+lint_one() {
+  local name status=0
+  name=$results/$(tr / _ <<<"$1")
+  clang-tidy -p build-lint --quiet "$1" >"$name.found" 2>"$name.said" || status=$?
+  if [ "$status" -ne 0 ] && ! grep -qE ': (warning|error): ' "$name.found"; then
+    {
+      echo "$1:1:1: error: clang-tidy ended with status $status"
+      tail -n 5 "$name.said"
+    } >>"$name.found"
+  fi
+}
+export -f lint_one
+export results
+
 mapfile -t linted < <(git ls-files 'source/*.cpp' 'platform/*.cpp' 'programs/*.cpp' 'library/*.cpp')
-printf '%s\n' "${linted[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy -p build-lint --quiet 2>/dev/null
+printf '%s\n' "${linted[@]}" |
+  xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one "$1"' lint_one {}
+
+# A finding in a header comes up again with every file that includes it. Notes and lines of code
+# that follow a finding are shown with it.
+cat "$results"/*.found |
+  awk '/^[^ ].*: (warning|error): / { shown = !seen[$0]++ } shown' >"$results/all"
+cat "$results/all"
+findings=$(grep -cE '^[^ ].*: (warning|error): ' "$results/all" || true)
+if [ "$findings" -ne 0 ]; then
+  echo "lint: $findings findings in ${#linted[@]} files"
+  exit 1
+fi
 echo "lint: ${#linted[@]} files are clean"
