cli, library: no text is copied where it is only read

The library's constructors take their contacts and options by reference to const; calls in source stay as they are. A plan's text is no longer const, so that it is moved out when it is returned alone.

--- a/library/aniseline/library.hpp
+++ b/library/aniseline/library.hpp
@@ -76,7 +76,7 @@
 class Origin {
  public:
   // IP numbers with ports, of any processes of the cluster.
-  explicit Origin(std::vector<std::string> contacts, std::string zone = {});
+  explicit Origin(const std::vector<std::string>& contacts, std::string zone = {});
   ~Origin();
   Result<std::string> submit(const Job& job,
                              Duration within);  // the job's id, once a majority has it on disk
@@ -117,7 +117,7 @@
 };
 class Worker {
  public:
-  Worker(WorkerOptions options, WorkerSlots slots);
+  Worker(const WorkerOptions& options, WorkerSlots slots);
   ~Worker();                                     // out of touch from then on: leave() first
   void ended(std::uint64_t attempt, bool well);  // from any thread
   void leave(Duration within);  // nothing new starts; what runs may go on that long
--- a/library/library.cpp
+++ b/library/library.cpp
@@ -146,7 +146,7 @@
   }
 };
 
-Origin::Origin(std::vector<std::string> contacts, std::string zone)
+Origin::Origin(const std::vector<std::string>& contacts, std::string zone)
     : parts(new Parts{addresses(contacts), ZoneName{std::move(zone)}, {}}) {}
 Origin::~Origin() = default;
 
@@ -196,7 +196,7 @@
   Engine engine;  // the last: its thread ends before what it uses
 };
 
-Worker::Worker(WorkerOptions options, WorkerSlots slots) : parts(new Parts) {
+Worker::Worker(const WorkerOptions& options, WorkerSlots slots) : parts(new Parts) {
   parts->slots = std::move(slots);
   WorkerSession::Options hand;
   hand.id = WorkerId{options.id};
--- a/source/cli/config_commands.cpp
+++ b/source/cli/config_commands.cpp
@@ -31,7 +31,7 @@
   std::size_t queues = 0;
   if (!goodConfig(session, words[0], code, queues))
     return code;
-  const std::string file = words[0];
+  const std::string& file = words[0];
   return show(session, json(picojson::object{{"good", json(true)}, {"queues", json(queues)}}),
               [&](const picojson::value&) {
                 return file + ": good, " + std::to_string(queues) + " queues\n";
--- a/source/cli/plan_view.cpp
+++ b/source/cli/plan_view.cpp
@@ -23,9 +23,8 @@
 
 std::string planView(const picojson::value& answer) {
   const double waiting = numberIn(answer, "waiting");
-  const std::string text = "plan " + numberText(numberIn(answer, "plan")) + ", " +
-                           numberText(waiting) + " units wait\n" +
-                           reservationText(fieldIn(answer, "reservation"));
+  std::string text = "plan " + numberText(numberIn(answer, "plan")) + ", " + numberText(waiting) +
+                     " units wait\n" + reservationText(fieldIn(answer, "reservation"));
   Table table({{"JOB"},
                {"STEP", Table::Align::right},
                {"PRIORITY", Table::Align::right},
