local_cluster: the run of a fleet is a list of named steps

Adding controllers, gateways, workers and agents, starting all, applying the config, the load, the time it is kept, and the three endings (load, workers, history_check) are functions of their own, in the same order; the two spans of time that had no name have one.

--- a/programs/local_cluster.cpp
+++ b/programs/local_cluster.cpp
@@ -54,77 +54,126 @@
       signal(child, SIGKILL), reap(child);
   }
 
+  // The process' exit status: 0 when all went well.
   int run() {
     std::filesystem::create_directories(settings.folder);
-    // Told to stop, it takes along what it started.
+    endWhenStopped();
+    addControllers();
+    addGateways();
+    if (!openRelays())
+      return 1;
+    addWorkers();
+    if (!startAll() || !applyConfig() || !startLoad())
+      return 1;
+    pause(loadHeadStart);
+    bool good = true;
+    for (const auto& step : settings.steps)
+      good = take(step) && good;
+    keepRunning();
+    while (busy)
+      pause(Duration{50});
+    good = loadEnded() && good;
+    good = workersEnded() && good;
+    const auto kept = rulesKept();
+    if (!kept)
+      return 1;
+    good = *kept && good;
+    std::cout << (good ? "1 passed, 0 failed" : "0 passed, 1 failed") << std::endl;
+    return good ? 0 : 1;
+  }
+
+ private:
+  static constexpr Duration loadHeadStart{2000};  // before the first step
+  static constexpr Duration loadDrain{
+      75'000};  // for the last jobs to end once no more are submitted
+
+  // Told to stop, it takes along what it started.
+  void endWhenStopped() {
     spawn([this] {
       while (!stop.requested())
         pause(Duration{50});
       end();
       std::_Exit(4);
     });
+  }
+  void addControllers() {
     for (int place = 1; place <= 3; ++place)
       add("controller" + std::to_string(place),
           {"controller", "--peer", real(place, place), "--advertise", peer(place), "--http",
            real(place, 10 + place), "--zone", "zone" + std::to_string(place), "--data",
            settings.folder + "/data" + std::to_string(place), "--found"},
           zone(place), true);
+  }
+  void addGateways() {
     for (int place = 1; place <= settings.gateways; ++place)
       add("gateway" + std::to_string(place),
           {"gateway", "--http", real(place, 20 + place), "--advertise", outer(place), "--zone",
            zone(place)},
           zone(place), true);
-    if (!openRelays())
-      return 1;
-    const bool cedarmark = settings.deployment == "cedarmark";
-    for (int place = 1; place <= settings.workers; ++place) {
-      std::vector<std::string> words{"worker_stub",
-                                     "--id",
-                                     "m" + std::to_string(place),
-                                     "--zone",
-                                     zone(place),
-                                     "--from",
-                                     ipOf(Address{real(place, 0)}),
-                                     "--rack",
-                                     "rack" + std::to_string((place + 2) / 3),
-                                     "--cores",
-                                     cedarmark ? "16" : "64",
-                                     "--memory-mb",
-                                     cedarmark ? "32768" : "131072",
-                                     "--witness",
-                                     settings.folder + "/m" + std::to_string(place) + ".witness"};
-      if (settings.called) {
-        words.insert(words.end(), {"--called", "--listen", real(place, calledOffset(place)),
-                                   "--agent", real(place, agentOffset(place))});
-        add("agent" + std::to_string(place),
-            {"agent", "--listen", real(place, agentOffset(place)), "--worker",
-             real(place, calledOffset(place)), "--zone", zone(place)},
-            zone(place), true);
-      }
-      for (int gateway = 0; !settings.called && gateway < 3; ++gateway)
-        words.insert(words.end(),
-                     {"--gateways", outer((place + gateway) % int(settings.gateways) + 1)});
-      if (place <= 4)
-        words.push_back("--unguarded");
-      add("worker_stub" + std::to_string(place), words, zone(place), false);
+  }
+  void addWorkers() {
+    for (int place = 1; place <= settings.workers; ++place)
+      addWorker(place);
+  }
+  void addWorker(int place) {
+    std::vector<std::string> words = workerWords(place);
+    if (settings.called) {
+      words.insert(words.end(), {"--called", "--listen", real(place, calledOffset(place)),
+                                 "--agent", real(place, agentOffset(place))});
+      addAgent(place);
     }
+    for (int gateway = 0; !settings.called && gateway < 3; ++gateway)
+      words.insert(words.end(),
+                   {"--gateways", outer((place + gateway) % int(settings.gateways) + 1)});
+    if (place <= 4)
+      words.push_back("--unguarded");
+    add("worker_stub" + std::to_string(place), std::move(words), zone(place), false);
+  }
+  std::vector<std::string> workerWords(int place) const {
+    const bool cedarmark = settings.deployment == "cedarmark";
+    return {"worker_stub",
+            "--id",
+            "m" + std::to_string(place),
+            "--zone",
+            zone(place),
+            "--from",
+            ipOf(Address{real(place, 0)}),
+            "--rack",
+            "rack" + std::to_string((place + 2) / 3),
+            "--cores",
+            cedarmark ? "16" : "64",
+            "--memory-mb",
+            cedarmark ? "32768" : "131072",
+            "--witness",
+            settings.folder + "/m" + std::to_string(place) + ".witness"};
+  }
+  void addAgent(int place) {
+    add("agent" + std::to_string(place),
+        {"agent", "--listen", real(place, agentOffset(place)), "--worker",
+         real(place, calledOffset(place)), "--zone", zone(place)},
+        zone(place), true);
+  }
+  bool startAll() {
     for (auto& child : children)
       if (!start(child))
-        return 1;
-    const auto gateways = gatewayAddresses();
-    caller = std::make_unique<Caller>(loop, gateways);
+        return false;
+    caller = std::make_unique<Caller>(loop, gatewayAddresses());
     keeper = HistoryFile(settings.folder + "/keeper.witness");
-    if (!until("three voters and every worker", Duration{30'000}, [this] { return whole(); }))
-      return 1;
+    return until("three voters and every worker", Duration{30'000}, [this] { return whole(); });
+  }
+  bool applyConfig() {
     std::ifstream stream(settings.config);
     const std::string config((std::istreambuf_iterator<char>(stream)), {});
     auto applied = caller->ask({"PUT", "/v1/config", "{\"based_on\":0,\"config\":" + config + "}"},
                                Duration{10'000});
     if (!applied) {
       say("the config was not taken: " + applied.error().text);
-      return 1;
+      return false;
     }
     say("the fleet is whole");
+    return true;
+  }
+  bool startLoad() {
     std::ofstream(settings.folder + "/control") << at(0) << "\n";
     Child loadgen{
         "loadgen",
@@ -135,62 +184,63 @@
          settings.folder + "/loadgen.report"},
         0,
         {}};
-    for (const auto& gateway : gateways)
+    for (const auto& gateway : gatewayAddresses())
       loadgen.words.insert(loadgen.words.end(), {"--gateways", gateway.value});
-    children.push_back(loadgen);
-    if (!start(children.back()))
-      return 1;
-    pause(Duration{2000});
-    bool good = true;
-    for (const auto& step : settings.steps)
-      good = take(step) && good;
-    if (settings.keep) {
-      say("kept running; control at " + at(0) + ", the first gateway at " + outer(1));
-      const MonotonicTime until = monotonicNow() + Duration{settings.keep * 1000};
-      while (!released && monotonicNow() < until)
-        pause(Duration{50});
-    }
-    while (busy)
+    children.push_back(std::move(loadgen));
+    return start(children.back());
+  }
+  void keepRunning() {
+    if (!settings.keep)
+      return;
+    say("kept running; control at " + at(0) + ", the first gateway at " + outer(1));
+    const MonotonicTime until = monotonicNow() + Duration{settings.keep * 1000};
+    while (!released && monotonicNow() < until)
       pause(Duration{50});
+  }
+  // The load, the last child started so far, ended in time and saw every job end.
+  bool loadEnded() {
     Child& load = children.back();
-    const MonotonicTime end = monotonicNow() + Duration{(settings.seconds + 75) * 1000};
+    const MonotonicTime end = monotonicNow() + Duration{settings.seconds * 1000} + loadDrain;
     while (load.process && monotonicNow() < end && !reap(load))
       pause(Duration{50});
-    if (load.process || lastStatus != 0) {
+    const bool good = !load.process && lastStatus == 0;
+    if (!good)
       say("not every job that was accepted was seen to end");
-      good = false;
-    }
     std::ifstream report(settings.folder + "/loadgen.report");
     std::cout << std::string((std::istreambuf_iterator<char>(report)), {});
-    // Every writer closes its history before it is read.
+    return good;
+  }
+  // Every writer closes its history before it is read.
+  bool workersEnded() {
     keeper.write(HistoryEvent::Kind::settled);
     keeper.close();
     for (auto& child : children)
       if (child.name.starts_with("worker_stub"))
         signal(child, SIGCONT), signal(child, SIGTERM);
+    bool good = true;
     for (auto& child : children)
       if (child.name.starts_with("worker_stub"))
         good = until(
                    child.name + " has ended", Duration{8000}, [&] { return reap(child); }, true) &&
                good;
-    Child checker{"history_check",
-                  {"history_check", "--folder", settings.folder, "--config", settings.config},
-                  0,
-                  {}};
-    children.push_back(checker);
+    return good;
+  }
+  // Nothing, when the history's checker can't be started.
+  std::optional<bool> rulesKept() {
+    children.push_back(
+        Child{"history_check",
+              {"history_check", "--folder", settings.folder, "--config", settings.config},
+              0,
+              {}});
     if (!start(children.back(), true))
-      return 1;
+      return std::nullopt;
     while (!reap(children.back()))
       pause(Duration{20});
-    if (lastStatus != 0) {
+    if (lastStatus != 0)
       say("history_check found broken promises");
-      good = false;
-    }
-    std::cout << (good ? "1 passed, 0 failed" : "0 passed, 1 failed") << std::endl;
-    return good ? 0 : 1;
+    return lastStatus == 0;
   }
 
- private:
   // Each zone has an IP number at which its processes really are, and one at which the others find
   // them, through relays.
   std::string at(std::int64_t offset) const {
@@ -242,6 +292,7 @@
     std::vector<std::string> words = child.words;
     words[0] = settings.programs + "/" + words[0];
     std::vector<char*> values;
+    values.reserve(words.size() + 1);
     for (auto& word : words)
       values.push_back(word.data());
     values.push_back(nullptr);
@@ -325,6 +376,7 @@
   }
   std::vector<Address> gatewayAddresses() const {
     std::vector<Address> addresses;
+    addresses.reserve(std::size_t(settings.gateways));
     for (int place = 1; place <= settings.gateways; ++place)
       addresses.push_back(Address{outer(place)});
     return addresses;
