--- a/source/checker/model/describe.cpp
+++ b/source/checker/model/describe.cpp
@@ -66,7 +66,7 @@
       text += " term " + number(body.term);
     if constexpr (requires { body.round; })
       text += ", round " + number(body.round);
-    return text + ", " + std::to_string(pack(body).size()) + " bytes";
+    return text + ", " + std::to_string(pack(PeerBody{body}).size()) + " bytes";
   }
 };
 
--- a/source/checker/model/fingerprint.cpp
+++ b/source/checker/model/fingerprint.cpp
@@ -20,6 +20,8 @@
   archive << node.leaderJoinAddress << std::uint64_t(node.learnersWanted);
   archive << node.wasRemoved << node.installed << node.addresses;
   archive << node.lastRoundSeen << node.lastAppender << node.lastAppendTerm << node.shownBy;
+  archive << node.heldByOthers;
+  addIncoming(archive, node);
   addDisk(archive, node);
   if (node.leads())
     addLeadership(archive, node, now);
@@ -30,7 +32,7 @@
                                         MonotonicTime now) {
   const Duration contactCap{node.options.electionHigh.milliseconds + 1};
   const Duration pauseCap{2 * node.options.heartbeat.milliseconds + 1};
-  constexpr Duration installCap{2000};  // after which a snapshot is sent again
+  archive << node.caughtUpFrom << node.nextCaughtUpFrom;
   archive << node.openedAt << node.round << node.transferringLeadership;
   archive << age(node.nextHeartbeat, now, Duration{0});
   archive << age(node.broadcastAt, now, node.options.heartbeat);
@@ -42,9 +44,8 @@
   for (const auto& [id, peer] : node.peers) {
     archive << id << peer.next << peer.match << peer.resetRound << peer.matchRound << peer.acked;
     archive << age(peer.heard, now, node.options.electionLow) << age(peer.contact, now, contactCap);
-    archive << peer.installing << peer.lostState;
-    if (peer.installing)
-      archive << age(peer.installSent, now, installCap);
+    archive << peer.lostState;
+    addTransfers(archive, peer);
     lowestAcked = std::min(lowestAcked, peer.acked);
   }
   for (const auto& [number, sent] : node.roundTimes)
@@ -52,6 +53,38 @@
       archive << number << age(sent, now, contactCap);
 }
 
+void RaftNodeFingerprint::addTransfers(OutputArchive& archive, const RaftNode::Peer& peer) {
+  const auto add = [&](const RaftNode::ChunkProgress& chunks) {
+    archive << chunks.acknowledged << chunks.sent << chunks.sentRound;
+  };
+  archive << peer.installing.has_value();
+  if (peer.installing) {
+    archive << peer.installing->identity;
+    add(peer.installing->chunks);
+  }
+  archive << peer.largeEntry.has_value();
+  if (peer.largeEntry) {
+    archive << peer.largeEntry->index;
+    add(peer.largeEntry->chunks);
+  }
+  for (const auto& batch : peer.unacknowledged)
+    archive << batch.last << std::uint64_t(batch.bytes);
+  archive << std::uint64_t(peer.unacknowledgedBytes);
+  archive << std::uint64_t(peer.window.bytes) << peer.window.usedUp;
+  archive << (peer.window.quickest ? peer.window.quickest->milliseconds : -1);
+}
+
+void RaftNodeFingerprint::addIncoming(OutputArchive& archive, const RaftNode& node) {
+  archive << node.incomingSnapshot.has_value() << node.incomingEntry.has_value();
+  if (node.incomingSnapshot)
+    archive << node.incomingSnapshot->identity << node.incomingSnapshot->bytes;
+  if (node.incomingEntry)
+    archive << node.incomingEntry->index << node.incomingEntry->term << node.incomingEntry->bytes;
+  archive << node.outgoingSnapshot.has_value();
+  if (node.outgoingSnapshot)
+    archive << node.outgoingSnapshot->identity;
+}
+
 void RaftNodeFingerprint::addDisk(OutputArchive& archive, const RaftNode& node) {
   archive << node.dirty << node.wantWhole << node.syncedIndex << node.ownVotePending;
   if (node.dirty)
--- a/source/checker/model/fingerprint.hpp
+++ b/source/checker/model/fingerprint.hpp
@@ -14,6 +14,8 @@
 
  private:
   static void addLeadership(OutputArchive& archive, const RaftNode& node, MonotonicTime now);
+  static void addTransfers(OutputArchive& archive, const RaftNode::Peer& peer);
+  static void addIncoming(OutputArchive& archive, const RaftNode& node);
   static void addDisk(OutputArchive& archive, const RaftNode& node);
 };
 
--- a/tests/raft/node_tests.cpp
+++ b/tests/raft/node_tests.cpp
@@ -141,7 +141,9 @@
   behind.receive(fromC(append), MonotonicTime{10});
   syncAll(12);
   LONGS_EQUAL(5, repliesOf(behind).back().match.value);
-  InstallSnapshot install{Term{2}, Snapshot{LogIndex{4}, Term{2}, three, "state"}, RoundNumber{2}};
+  const std::string whole = pack(Snapshot{LogIndex{4}, Term{2}, three, "state"});
+  const SnapshotIdentity identity{LogIndex{4}, Term{2}, whole.size(), checksum(whole)};
+  const InstallSnapshot install{Term{2}, identity, 0, whole, RoundNumber{2}};
   behind.receive(fromC(install), MonotonicTime{20});
   syncAll(22);
   LONGS_EQUAL(5, behind.last().value);
