--- a/tests/model_mutations.sh
+++ b/tests/model_mutations.sh
@@ -65,9 +65,9 @@
 mutate reply-of-an-older-term replication.cpp "stale reply" 's/!leads\(\) \|\| body.term != currentTerm/!leads()/'
 mutate answers-kept-from-an-older-leadership election.cpp "stale reply" 's/^  peers.clear\(\);//'
 mutate change-while-one-is-pending membership.cpp promotion 's/!serves\(\) \|\| !membersSettled\(\)/!serves()/'
-mutate change-before-an-own-entry membership.cpp election 's/!serves\(\) \|\| !membersSettled\(\)/!leads() || !membersSettled()/'
-mutate older-snapshot-installed snapshot.cpp snapshot 's/body.snapshot.index > commit/body.snapshot.index > LogIndex{}/'
-mutate late-snapshot-drops-the-log snapshot.cpp "late snapshot" 's/termAt\(body.snapshot.index\) == body.snapshot.term/termAt(body.snapshot.index) == Term{}/'
+mutate change-before-an-own-entry membership.cpp "stale leader" 's/!serves\(\) \|\| !membersSettled\(\)/!leads() || !membersSettled()/'
+mutate older-snapshot-installed snapshot.cpp "late snapshot" 's/body.snapshot.index > commit/body.snapshot.index > LogIndex{}/'
+mutate late-snapshot-drops-the-log snapshot.cpp "late snapshot" 's/termAt\(body.snapshot.index\) == body.snapshot.term/body.snapshot.term < Term{}/'
 mutate other-log-claimed-under-a-snapshot snapshot.cpp "forked snapshot" 's/std::min\((syncedIndex|inFlight->covers), shownBy\)/std::max(\1, LogIndex{})/'
 mutate removed-by-a-pending-change election.cpp removal 's/!candidate && serves\(\) && membersSettled\(\)/!candidate && leads()/'
 exit "$failed"
