simulate: reading options, running seeds and summing up are functions of their own

It is now reading options, one check of them, and either the measurements or the campaign; what all runs come to is a class of its own, Summary.

--- a/programs/simulate.cpp
+++ b/programs/simulate.cpp
@@ -51,15 +51,20 @@
   return options;
 }
 
-}  // namespace
-
-int main(int count, char** values) {
+struct SimulateOptions {
   std::int64_t from = 1, seeds = 10, length = 60'000, faults = 12, called = 0, voters = 3,
                controllers = 3,
                threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
   bool verbose = false, shrinks = false, cost = false, failovers = false, views = false,
        everyKind = false;
   std::string only;
+
+  void read(int count, char** values);
+  bool measures() const { return failovers || cost || views; }
+  CampaignOptions campaign() const;
+};
+
+void SimulateOptions::read(int count, char** values) {
   OptionSet options("simulate", "seeded runs of the whole cluster in virtual time, with faults");
   options.whole("from", from, "the first seed", 0, 1'000'000'000);
   options.whole("seeds", seeds, "how many seeds", 1, 10'000'000);
@@ -80,27 +85,9 @@
   options.flag("view-cost", views, "measure the writing of a whole view instead, by jobs kept");
   options.flag("failover", failovers, "measure the loss of a leader instead");
   options.read(count, values);
-  if (voters % 2 == 0 || controllers < voters) {
-    std::cerr << "simulate: --voters: must be odd and no more than --controllers\n";
-    return 2;
-  }
-  if (failovers || cost || views) {
-    if (failovers)
-      for (const bool freezes : {false, true})
-        std::cout << json(measureFailover(from, seeds, freezes)).serialize() << std::endl;
-    if (cost) {
-      for (std::size_t waiting : {100, 1000, 5000, 10'000})
-        std::cout << json(measurePlan(waiting, 11)).serialize() << std::endl;
-      for (std::size_t workers : {50, 200})
-        std::cout << json(measurePlan(1000, workers)).serialize() << std::endl;
-    }
-    if (views)
-      for (std::size_t kept : {1000, 10'000, 50'000, 300'000})
-        for (const bool whole : {true, false})
-          std::cout << json(measureView(kept, whole)).serialize() << std::endl;
-    return 0;
-  }
+}
 
+CampaignOptions SimulateOptions::campaign() const {
   CampaignOptions base;
   base.length = length;
   base.faults = std::size_t(faults);
@@ -111,59 +98,102 @@
   std::istringstream numbers(only);
   for (std::string number; std::getline(numbers, number, ',');)
     base.only.push_back(std::strtoull(number.c_str(), nullptr, 10));
+  return base;
+}
 
-  std::vector<CampaignResult> results{std::size_t(seeds)};
+void print(const picojson::value& line) {
+  std::cout << line.serialize() << std::endl;
+}
+
+void measure(const SimulateOptions& options) {
+  if (options.failovers)
+    for (const bool freezes : {false, true})
+      print(json(measureFailover(options.from, options.seeds, freezes)));
+  if (options.cost) {
+    for (std::size_t waiting : {100, 1000, 5000, 10'000})
+      print(json(measurePlan(waiting, 11)));
+    for (std::size_t workers : {50, 200})
+      print(json(measurePlan(1000, workers)));
+  }
+  if (options.views)
+    for (std::size_t kept : {1000, 10'000, 50'000, 300'000})
+      for (const bool whole : {true, false})
+        print(json(measureView(kept, whole)));
+}
+
+// One result for each seed, in the order of seeds, whatever thread ran it.
+std::vector<CampaignResult> runSeeds(const SimulateOptions& options) {
+  const CampaignOptions base = options.campaign();
+  std::vector<CampaignResult> results{std::size_t(options.seeds)};
   std::atomic<std::int64_t> next{0};
+  auto work = [&] {
+    for (std::int64_t place; (place = next++) < options.seeds;) {
+      auto own = base;
+      own.seed = std::uint64_t(options.from + place);
+      results[std::size_t(place)] = runCampaign(own);
+    }
+  };
   std::vector<std::thread> workers;
-  for (std::int64_t worker = 0; worker < std::min(threads, seeds); ++worker)
-    workers.emplace_back([&] {
-      for (std::int64_t place; (place = next++) < seeds;) {
-        auto own = base;
-        own.seed = std::uint64_t(from + place);
-        results[std::size_t(place)] = runCampaign(own);
-      }
-    });
+  for (std::int64_t worker = 0; worker < std::min(options.threads, options.seeds); ++worker)
+    workers.emplace_back(work);
   for (auto& worker : workers)
     worker.join();
+  return results;
+}
+
+// What all runs came to.
+class Summary {
+ public:
+  explicit Summary(const SimulateOptions& options) {
+    for (const auto& kind : FaultDeck::kinds(options.called > 0, options.voters > 4))
+      effects[kind] = 0;
+  }
+  void add(std::uint64_t seed, const CampaignResult& result);
+  picojson::object shown(std::int64_t seeds);
+  // Kinds of fault that no run had, each told and counted as a failure.
+  void judgeKinds();
+  std::size_t failures() const { return failed; }
+  std::optional<std::uint64_t> firstFailed;
 
+ private:
   std::size_t failed = 0, jobs = 0, starts = 0;
   std::vector<std::int64_t> recoveries;
   std::map<std::string, double> counters;
   std::map<std::string, std::size_t> effects, limits;
-  for (const auto& kind : FaultDeck::kinds(called > 0, voters > 4))
-    effects[kind] = 0;
   std::uint64_t hash = 0;
   SearchStatistics searched;
-  std::optional<std::uint64_t> firstFailed;
-  for (std::size_t place = 0; place < results.size(); ++place) {
-    const auto& result = results[place];
-    jobs += result.jobs;
-    starts += result.starts;
-    searched.operations += result.searched.operations;
-    searched.configurations += result.searched.configurations;
-    hash = hash * 31 + result.hash;
-    recoveries.push_back(result.recovery);
-    for (const auto& [name, value] : result.counters)
-      counters[name] += value;
-    for (const auto& [name, count] : result.effects)
-      effects[name] += count;
-    for (const auto& limit : result.limits)
-      ++limits["rule " + std::to_string(limit.rule)];
-    if (result.good())
-      continue;
-    ++failed;
-    if (!firstFailed)
-      firstFailed = std::uint64_t(from) + place;
-    std::cout << "seed " << std::uint64_t(from) + place << " FAILED\n";
-    show(result);
-  }
-  if (shrinks && firstFailed) {
-    auto own = base;
-    own.seed = *firstFailed;
-    own = shrink(own);
-    std::cout << "seed " << *firstFailed << " still fails with only these faults:\n";
-    show(runCampaign(own));
-  }
+};
+
+void Summary::add(std::uint64_t seed, const CampaignResult& result) {
+  jobs += result.jobs;
+  starts += result.starts;
+  searched.operations += result.searched.operations;
+  searched.configurations += result.searched.configurations;
+  hash = hash * 31 + result.hash;
+  recoveries.push_back(result.recovery);
+  for (const auto& [name, value] : result.counters)
+    counters[name] += value;
+  for (const auto& [name, count] : result.effects)
+    effects[name] += count;
+  for (const auto& limit : result.limits)
+    ++limits["rule " + std::to_string(limit.rule)];
+  if (result.good())
+    return;
+  ++failed;
+  if (!firstFailed)
+    firstFailed = seed;
+  std::cout << "seed " << seed << " FAILED\n";
+  show(result);
+}
+
+picojson::object counted(const std::map<std::string, std::size_t>& counts) {
+  picojson::object shown;
+  for (const auto& [name, count] : counts)
+    shown[name] = json(count);
+  return shown;
+}
+
+picojson::object Summary::shown(std::int64_t seeds) {
   std::sort(recoveries.begin(), recoveries.end());
   picojson::object shown{{"seeds", json(seeds)},
                          {"failed", json(failed)},
@@ -176,19 +206,56 @@
                          {"recovery_max_ms", json(recoveries.back())}};
   for (const auto& [name, value] : counters)
     shown[name] = json(value);
-  picojson::object tookEffect, unlifted;
-  for (const auto& [name, count] : effects)
-    tookEffect[name] = json(count);
-  for (const auto& [name, count] : limits)
-    unlifted[name] = json(count);
-  shown["took_effect"] = json(tookEffect);
-  shown["limits"] = json(unlifted);
-  std::cout << json(shown).serialize() << "\n";
+  shown["took_effect"] = json(counted(effects));
+  shown["limits"] = json(counted(limits));
+  return shown;
+}
+
+void Summary::judgeKinds() {
   for (const auto& [name, count] : effects)
-    if (everyKind && count == 0) {
+    if (count == 0) {
       std::cout << "no run had: " << name << "\n";
       ++failed;
     }
-  std::cout << seeds - std::int64_t(failed) << " passed, " << failed << " failed" << std::endl;
-  return failed ? 1 : 0;
+}
+
+void showShrunk(const SimulateOptions& options, std::uint64_t seed) {
+  CampaignOptions own = options.campaign();
+  own.seed = seed;
+  own = shrink(own);
+  std::cout << "seed " << seed << " still fails with only these faults:\n";
+  show(runCampaign(own));
+}
+
+// Whether every run kept all rules.
+bool simulate(const SimulateOptions& options) {
+  Summary summary(options);
+  const auto results = runSeeds(options);
+  for (std::size_t place = 0; place < results.size(); ++place)
+    summary.add(std::uint64_t(options.from) + place, results[place]);
+  if (options.shrinks && summary.firstFailed)
+    showShrunk(options, *summary.firstFailed);
+  std::cout << json(summary.shown(options.seeds)).serialize() << "\n";
+  if (options.everyKind)
+    summary.judgeKinds();
+  const std::size_t failed = summary.failures();
+  std::cout << options.seeds - std::int64_t(failed) << " passed, " << failed << " failed"
+            << std::endl;
+  return failed == 0;
+}
+
+}  // namespace
+
+int main(int count, char** values) {
+  SimulateOptions options;
+  options.read(count, values);
+  if (options.voters % 2 == 0 || options.controllers < options.voters) {
+    std::cerr << "simulate: --voters: must be odd and no more than --controllers\n";
+    return 2;
+  }
+  if (options.measures()) {
+    measure(options);
+    return 0;
+  }
+  return simulate(options) ? 0 : 1;
 }
