--- a/source/checker/linearizability.cpp
+++ b/source/checker/linearizability.cpp
@@ -491,7 +491,7 @@
   const auto& output = operation.output;
   const std::string told = output.version ? " " + std::to_string(*output.version) : "";
   if (operation.input.kind == ConfigurationInput::Kind::read) {
-    const std::string asked = "read";
+    std::string asked = "read";
     if (operation.outcome == Outcome::unknown)
       return asked;
     return asked + " ->" + told + " " + output.digest;
