core_benchmark: the agent's bench is a class, each part's points a function

measureAgent() had 143 lines in one scope of closures; its script of a leader, its hollow worker and its sums are now methods of AgentBench. Gauge::run() had 122 statements and is a list of parts.

--- a/programs/core_benchmark.cpp
+++ b/programs/core_benchmark.cpp
@@ -851,78 +851,59 @@
 }
 
 // One agent, its worker hollow, its leader a script that orders the next task when one is closed.
-Values measureAgent(const Sizes& sizes, std::uint64_t seed) {
-  Values values;
-  Random random(seed);
-  const double empty = heapBytes();
-  auto core = std::make_unique<NodeAgent>(NodeAgentOptions{});
-  WorkerAccount account;
-  account.life = workerNamed(0);
-  account.capacity = capacityOf(Sizes{}, 0);
-  std::int64_t now = 1000, taskNumber = 0;
-  account.clock = WorkerTime{now};
-  core->known(account, MonotonicTime{now});
+class AgentBench {
+ public:
+  AgentBench(const Sizes& sizes, std::uint64_t seed) : sizes(sizes), random(seed) {
+    WorkerAccount account;
+    account.life = workerNamed(0);
+    account.capacity = capacityOf(Sizes{}, 0);
+    account.clock = WorkerTime{now};
+    core->known(account, MonotonicTime{now});
+  }
+  Values measure() {
+    run(warmLength - tick);
+    costs = {};
+    measuring = true;
+    turn();  // the last turn of the warm-up counts already
+    const std::int64_t begin = now;
+    run(measuredLength);
+    return summary(double(now - begin) / 1000);
+  }
+
+ private:
+  // Virtual milliseconds.
+  static constexpr std::int64_t tick = 5, warmLength = 4000, measuredLength = 20'000;
+  static constexpr std::int64_t patientWait = 1000, heapEvery = 500, longRuntime = 3'600'000;
   struct Task {
     RunName name;
     std::int64_t ends;
   };
-  std::vector<Task> tasks;
-  std::vector<WorkerReply::Ended> ended;
-  std::optional<std::pair<WorkerCall, std::int64_t>> look;
-  std::uint64_t endings = 0, order = 0;
-  double core_us = 0, pack_us = 0, tasksDone = 0, calls = 0, syncs = 0, sentBytes = 0,
-         tookBytes = 0, measuredFrom = 0, peakHeap = 0;
-  bool measuring = false;
-  MonotonicTime patientUntil{0};
-  std::size_t open = 0;
-  auto sync = [&](bool patient) {
-    SyncReport report;
-    core_us += timed([&] { report = core->report(MonotonicTime{now}); });
-    ApiRequest request;
-    request.kind = RequestKind::sync;
-    request.id = report.id.value;
-    request.report = report;
-    request.report.wait = Duration{patient ? 1000 : 0};
-    std::string bytes;
-    pack_us += timed([&] { bytes = encode(WireMessage{1, request}); });
-    sentBytes += double(bytes.size());
-    ++syncs;
-    SyncResponse answer;
-    answer.term = Term{2};
-    answer.lease = Duration{3000};
-    answer.closed = std::uint32_t(report.namedEndings.size());
-    open -= std::min<std::size_t>(open, answer.closed);
-    tasksDone += answer.closed;
-    for (; open < sizes.running; ++open) {
-      Order next;
-      next.number = OrderNumber{++order};
-      next.job = JobId{"job-0123456789-" + std::to_string(taskNumber / 30)};
-      next.within = std::uint32_t(taskNumber % 30);
-      next.run = 1;
-      next.runtime = Duration{sizes.starts > 0 ? drawRuntime(random) : 3'600'000};
-      next.payload = R"({"work":"separation","plate":"cyan"})";
-      ++taskNumber;
-      answer.orders.push_back(std::move(next));
-    }
-    ApiResponse packedAnswer;
-    packedAnswer.body = pack(answer);
-    bytes = encode(WireMessage{1, packedAnswer});
-    tookBytes += double(bytes.size());
-    pack_us += timed([&] {
-      auto message = unpack<WireMessage>(bytes.substr(16)).value();
-      answer = unpack<SyncResponse>(boost::get<ApiResponse>(message.body).body).value();
-    });
-    core_us +=
-        timed([&] { core->answered(report, answer, MonotonicTime{now - 2}, MonotonicTime{now}); });
+  struct Look {
+    WorkerCall call;
+    std::int64_t until;  // when the hollow worker answers though nothing ended
   };
-  const std::int64_t warm = 4000, length = 20'000;
-  while (now < 1000 + warm + length) {
-    now += 5;
-    if (!measuring && now >= 1000 + warm) {
-      measuring = true;
-      measuredFrom = double(now);
-      core_us = pack_us = tasksDone = calls = syncs = sentBytes = tookBytes = 0;
-    }
+  struct Costs {
+    double coreMicros = 0, packMicros = 0, tasksDone = 0, calls = 0, syncs = 0, sentBytes = 0,
+           tookBytes = 0;
+  };
+
+  void run(std::int64_t length) {
+    for (const std::int64_t end = now + length; now < end;)
+      turn();
+  }
+  void turn() {
+    now += tick;
+    endTasks();
+    if (look && (now >= look->until || hasNews()))
+      answerLook();
+    takeCalls();
+    syncWhenDue();
+    if (measuring && now % heapEvery == 0)
+      peakHeap = std::max(peakHeap, heapBytes() - empty);
+  }
+  std::int64_t drawTask() { return sizes.starts > 0 ? drawRuntime(random) : longRuntime; }
+  bool hasNews() const { return !ended.empty() && ended.back().number > look->call.lastSeen; }
+  void endTasks() {
     std::erase_if(tasks, [&](const Task& task) {
       if (task.ends > now)
         return false;
@@ -930,70 +911,148 @@
                        random.chance(0.05) ? EndingKind::failed : EndingKind::finished, ""});
       return true;
     });
-    auto answerLook = [&] {
-      WorkerReply reply;
-      reply.kind = WorkerReply::Kind::done;
-      reply.clock = WorkerTime{now};
-      std::erase_if(ended,
-                    [&](const auto& ending) { return ending.number <= look->first.lastSeen; });
-      for (const auto& task : tasks)
-        reply.active.push_back({task.name, ""});
-      reply.ended = ended;
-      core_us += timed([&] { core->replied(look->first, reply, MonotonicTime{now}); });
-      look.reset();
-    };
-    if (look &&
-        (now >= look->second || (!ended.empty() && ended.back().number > look->first.lastSeen)))
-      answerLook();
+  }
+  WorkerReply done() const {
+    WorkerReply reply;
+    reply.kind = WorkerReply::Kind::done;
+    reply.clock = WorkerTime{now};
+    return reply;
+  }
+  void reply(const WorkerCall& call, const WorkerReply& reply) {
+    costs.coreMicros += timed([&] { core->replied(call, reply, MonotonicTime{now}); });
+  }
+  void answerLook() {
+    WorkerReply answer = done();
+    std::erase_if(ended, [&](const auto& ending) { return ending.number <= look->call.lastSeen; });
+    answer.active.reserve(tasks.size());
+    for (const auto& task : tasks)
+      answer.active.push_back({task.name, ""});
+    answer.ended = ended;
+    reply(look->call, answer);
+    look.reset();
+  }
+  void takeCalls() {
     std::vector<WorkerCall> made;
-    core_us += timed([&] {
+    costs.coreMicros += timed([&] {
       made = core->takeCalls(MonotonicTime{now});
       core->nextDue(MonotonicTime{now});
     });
-    for (auto& call : made) {
-      ++calls;
-      if (call.kind == WorkerCall::Kind::look) {
-        look = {call, now + call.wait.milliseconds};
-        if (call.wait.milliseconds == 0)
-          answerLook();
-        continue;
-      }
-      if (call.kind == WorkerCall::Kind::start) {
-        const auto name = call.name;
-        tasks.push_back({name, now + (sizes.starts > 0 ? drawRuntime(random) : 3'600'000)});
-      }
-      WorkerReply reply;
-      reply.kind = WorkerReply::Kind::done;
-      reply.clock = WorkerTime{now};
-      core_us += timed([&] { core->replied(call, reply, MonotonicTime{now}); });
+    for (auto& call : made)
+      answerCall(call);
+  }
+  void answerCall(const WorkerCall& call) {
+    ++costs.calls;
+    if (call.kind == WorkerCall::Kind::look) {
+      look = Look{call, now + call.wait.milliseconds};
+      if (call.wait.milliseconds == 0)
+        answerLook();
+      return;
     }
+    if (call.kind == WorkerCall::Kind::start)
+      tasks.push_back({call.name, now + drawTask()});
+    reply(call, done());
+  }
+  void syncWhenDue() {
     bool urgent = false;
-    core_us += timed([&] { urgent = core->urgent(MonotonicTime{now}); });
+    costs.coreMicros += timed([&] { urgent = core->urgent(MonotonicTime{now}); });
     if (urgent)
       sync(false);
     else if (MonotonicTime{now} >= patientUntil) {
       sync(true);
-      patientUntil = MonotonicTime{now + 1000};
+      patientUntil = MonotonicTime{now + patientWait};
     }
-    if (measuring && now % 500 == 0)
-      peakHeap = std::max(peakHeap, heapBytes() - empty);
   }
-  const double seconds = (double(now) - measuredFrom) / 1000;
-  values["core_percent"] = core_us / seconds / 1e4;
-  values["pack_percent"] = pack_us / seconds / 1e4;
-  if (tasksDone > 0) {
-    values["core_us_per_task"] = core_us / tasksDone;
-    values["pack_us_per_task"] = pack_us / tasksDone;
-    values["calls_per_task"] = calls / tasksDone;
-    values["syncs_per_task"] = syncs / tasksDone;
+  void sync(bool patient) {
+    SyncReport report;
+    costs.coreMicros += timed([&] { report = core->report(MonotonicTime{now}); });
+    send(report, patient);
+    SyncResponse answer = lead(report);
+    take(answer);
+    costs.coreMicros +=
+        timed([&] { core->answered(report, answer, MonotonicTime{now - 2}, MonotonicTime{now}); });
   }
-  values["tasks_per_s"] = tasksDone / seconds;
-  values["calls_per_s"] = calls / seconds;
-  values["syncs_per_s"] = syncs / seconds;
-  values["sent_bytes_per_s"] = sentBytes / seconds;
-  values["taken_bytes_per_s"] = tookBytes / seconds;
-  values["heap_bytes"] = peakHeap;
-  return values;
+  void send(const SyncReport& report, bool patient) {
+    ApiRequest request;
+    request.kind = RequestKind::sync;
+    request.id = report.id.value;
+    request.report = report;
+    request.report.wait = Duration{patient ? patientWait : 0};
+    std::string bytes;
+    costs.packMicros += timed([&] { bytes = encode(WireMessage{1, request}); });
+    costs.sentBytes += double(bytes.size());
+    ++costs.syncs;
+  }
+  // What the leader answers: all endings are closed, and as many tasks ordered.
+  SyncResponse lead(const SyncReport& report) {
+    SyncResponse answer;
+    answer.term = Term{2};
+    answer.lease = Duration{3000};
+    answer.closed = std::uint32_t(report.namedEndings.size());
+    open -= std::min<std::size_t>(open, answer.closed);
+    costs.tasksDone += answer.closed;
+    for (; open < sizes.running; ++open)
+      answer.orders.push_back(nextOrder());
+    return answer;
+  }
+  Order nextOrder() {
+    Order next;
+    next.number = OrderNumber{++order};
+    next.job = JobId{"job-0123456789-" + std::to_string(taskNumber / 30)};
+    next.within = std::uint32_t(taskNumber % 30);
+    next.run = 1;
+    next.runtime = Duration{drawTask()};
+    next.payload = R"({"work":"separation","plate":"cyan"})";
+    ++taskNumber;
+    return next;
+  }
+  // The answer as the agent reads it off the wire.
+  void take(SyncResponse& answer) {
+    ApiResponse packedAnswer;
+    packedAnswer.body = pack(answer);
+    const std::string bytes = encode(WireMessage{1, packedAnswer});
+    costs.tookBytes += double(bytes.size());
+    costs.packMicros += timed([&] {
+      auto message = unpack<WireMessage>(bytes.substr(16)).value();
+      answer = unpack<SyncResponse>(boost::get<ApiResponse>(message.body).body).value();
+    });
+  }
+  Values summary(double seconds) const {
+    Values values;
+    values["core_percent"] = costs.coreMicros / seconds / 1e4;
+    values["pack_percent"] = costs.packMicros / seconds / 1e4;
+    if (costs.tasksDone > 0) {
+      values["core_us_per_task"] = costs.coreMicros / costs.tasksDone;
+      values["pack_us_per_task"] = costs.packMicros / costs.tasksDone;
+      values["calls_per_task"] = costs.calls / costs.tasksDone;
+      values["syncs_per_task"] = costs.syncs / costs.tasksDone;
+    }
+    values["tasks_per_s"] = costs.tasksDone / seconds;
+    values["calls_per_s"] = costs.calls / seconds;
+    values["syncs_per_s"] = costs.syncs / seconds;
+    values["sent_bytes_per_s"] = costs.sentBytes / seconds;
+    values["taken_bytes_per_s"] = costs.tookBytes / seconds;
+    values["heap_bytes"] = peakHeap;
+    return values;
+  }
+
+  const double empty = heapBytes();  // the first: what the agent holds is measured against it
+  std::unique_ptr<NodeAgent> core = std::make_unique<NodeAgent>(NodeAgentOptions{});
+  Sizes sizes;
+  Random random;
+  std::int64_t now = 1000, taskNumber = 0;
+  std::vector<Task> tasks;
+  std::vector<WorkerReply::Ended> ended;
+  std::optional<Look> look;
+  std::uint64_t endings = 0, order = 0;
+  Costs costs;
+  double peakHeap = 0;
+  bool measuring = false;
+  MonotonicTime patientUntil{0};
+  std::size_t open = 0;
+};
+
+Values measureAgent(const Sizes& sizes, std::uint64_t seed) {
+  return AgentBench(sizes, seed).measure();
 }
 
 class Gauge {
@@ -1044,33 +1103,60 @@
     std::cout << line << ",\"median\":{" << median << "},\"spread\":{" << spread << "}}"
               << std::endl;
   }
+  void oneFlow(const Sizes& sizes) {
+    only.clear();
+    point("flow", "nothing", sizes, flow());
+  }
+  // Every part, in the order of the report.
   void run() {
-    auto flow = [this](const Sizes& sizes, std::uint64_t random) {
-      return Cluster(sizes, random, tick).measure(1500, length);
-    };
-    auto with = [](auto change) {
-      Sizes sizes;
-      change(sizes);
-      return sizes;
+    flows();
+    idleFlows();
+    plans();
+    gangs();
+    states();
+    configs();
+    routes();
+    gateways();
+    agents();
+  }
+
+ private:
+  using Measure = std::function<Values(const Sizes&, std::uint64_t)>;
+  static constexpr std::int64_t flowWarmLength = 1500;  // virtual ms before a flow is measured
+  template <class Change>
+  static Sizes with(Change change) {
+    Sizes sizes;
+    change(sizes);
+    return sizes;
+  }
+  Measure flow() const {
+    return [this](const Sizes& sizes, std::uint64_t random) {
+      return Cluster(sizes, random, tick).measure(flowWarmLength, length);
     };
+  }
+  void flows() {
     for (double starts : {50, 150, 500, 1500})
-      point("flow", "starts", with([&](Sizes& sizes) { sizes.starts = starts; }), flow);
+      point("flow", "starts", with([&](Sizes& sizes) { sizes.starts = starts; }), flow());
     for (std::size_t workers : {11, 60, 250, 1000, 2000})
-      point("flow", "workers", with([&](Sizes& sizes) { sizes.workers = workers; }), flow);
+      point("flow", "workers", with([&](Sizes& sizes) { sizes.workers = workers; }), flow());
     for (std::size_t running : {100, 1000, 10'000})
-      point("flow", "running", with([&](Sizes& sizes) { sizes.running = running; }), flow);
+      point("flow", "running", with([&](Sizes& sizes) { sizes.running = running; }), flow());
     for (std::size_t waiting : {100, 1000, 10'000})
-      point("flow", "waiting", with([&](Sizes& sizes) { sizes.waiting = waiting; }), flow);
+      point("flow", "waiting", with([&](Sizes& sizes) { sizes.waiting = waiting; }), flow());
     for (std::size_t kept : {1000, 5000, 20'000})
-      point("flow", "kept", with([&](Sizes& sizes) { sizes.kept = kept; }), flow);
+      point("flow", "kept", with([&](Sizes& sizes) { sizes.kept = kept; }), flow());
     for (std::size_t queues : {10, 100, 830})
-      point("flow", "queues", with([&](Sizes& sizes) { sizes.queues = queues; }), flow);
+      point("flow", "queues", with([&](Sizes& sizes) { sizes.queues = queues; }), flow());
+  }
+  void idleFlows() {
     for (std::size_t workers : {11, 250, 2000})
       point("idle", "workers",
-            with([&](Sizes& sizes) { sizes.workers = workers, sizes.starts = 0; }), flow);
+            with([&](Sizes& sizes) { sizes.workers = workers, sizes.starts = 0; }), flow());
     for (std::size_t running : {100, 1000, 10'000})
       point("idle", "running",
-            with([&](Sizes& sizes) { sizes.running = running, sizes.starts = 0; }), flow);
+            with([&](Sizes& sizes) { sizes.running = running, sizes.starts = 0; }), flow());
+  }
+  void plans() {
     for (std::size_t workers : {11, 60, 250, 1000, 2000})
       point("plan", "workers",
             with([&](Sizes& sizes) { sizes.workers = workers, sizes.waiting = 100; }), measurePlan);
@@ -1081,12 +1167,16 @@
     for (std::size_t running : {100, 1000, 10'000})
       point("plan", "running, one waits",
             with([&](Sizes& sizes) { sizes.running = running, sizes.waiting = 1; }), measurePlan);
+  }
+  void gangs() {
     for (std::size_t gang : {14, 46, 128})
       point("gang", "gang", with([&](Sizes& sizes) { sizes.workers = 1800, sizes.gang = gang; }),
             measureGang);
     for (std::size_t workers : {60, 250, 1000})
       point("gang", "workers",
             with([&](Sizes& sizes) { sizes.workers = workers, sizes.gang = 128; }), measureGang);
+  }
+  void states() {
     for (std::size_t kept : {1000, 10'000, 50'000})
       point("state", "kept", with([&](Sizes& sizes) { sizes.kept = kept; }), measureState);
     for (std::size_t running : {1000, 10'000, 100'000})
@@ -1095,14 +1185,20 @@
       point("state", "waiting", with([&](Sizes& sizes) { sizes.waiting = waiting; }), measureState);
     for (std::size_t workers : {60, 1000, 18'000})
       point("state", "workers", with([&](Sizes& sizes) { sizes.workers = workers; }), measureState);
+  }
+  void configs() {
     for (std::size_t queues : {10, 100, 830})
       point("config", "queues", with([&](Sizes& sizes) { sizes.queues = queues; }), measureConfig);
+  }
+  void routes() {
     for (std::size_t gateways : {7, 40, 160})
       point("route", "gateways", with([&](Sizes& sizes) { sizes.gateways = gateways; }),
             measureRoute);
     for (std::size_t queues : {10, 100, 830})
       point("route", "queues", with([&](Sizes& sizes) { sizes.queues = queues; }), measureRoute);
-    point("gateway", "nothing", Sizes{}, measureGateway);
+  }
+  void gateways() { point("gateway", "nothing", Sizes{}, measureGateway); }
+  void agents() {
     for (std::size_t running : {8, 26, 128})
       point("agent", "running", with([&](Sizes& sizes) { sizes.running = running; }), measureAgent);
     for (std::size_t running : {8, 26, 128})
@@ -1111,47 +1207,56 @@
   }
 };
 
+// The sizes of a single flow, as options.
+struct FlowOptions {
+  bool single = false;
+  std::int64_t workers = 60, kept = 0, waiting = 0, running = 0, queues = 10, starts = 100;
+
+  void addTo(OptionSet& options) {
+    options.flag("one", single, "measure one flow of the sizes given below only");
+    options.whole("workers", workers, "of that flow", 1, 100'000);
+    options.whole("jobs-kept", kept, "of that flow", 0, 1'000'000);
+    options.whole("tasks-waiting", waiting, "of that flow", 0, 1'000'000);
+    options.whole("tasks-running", running, "of that flow, beside those it starts", 0, 1'000'000);
+    options.whole("queues", queues, "of that flow", 1, 2000);
+    options.whole("starts", starts, "of that flow, a second", 0, 100'000);
+  }
+  Sizes sizes() const {
+    Sizes sizes;
+    sizes.workers = std::size_t(workers);
+    sizes.kept = std::size_t(kept);
+    sizes.waiting = std::size_t(waiting);
+    sizes.running = std::size_t(running);
+    sizes.queues = std::size_t(queues);
+    sizes.starts = double(starts);
+    return sizes;
+  }
+};
+
 }  // namespace
 
 int main(int count, char** values) {
-  Gauge core_benchmark;
-  Sizes one;
-  bool single = false;
-  std::int64_t workers = 60, kept = 0, waiting = 0, running = 0, queues = 10, starts = 100;
+  Gauge gauge;
+  FlowOptions flow;
   OptionSet options("core_benchmark",
                     "processor time and memory of each role on the core alone, as JSON lines: "
                     "medians and spreads (most less least)");
-  options.text("part", core_benchmark.only,
+  options.text("part", gauge.only,
                "only this part: flow, idle, plan, gang, state, config, route, gateway or agent");
-  options.whole("repeats", core_benchmark.repeats, "how often each is measured", 1, 100);
-  options.whole("seed", core_benchmark.seed, "the first seed; each repeat takes the next", 0,
-                1'000'000'000);
-  options.whole("budget-s", core_benchmark.budget,
+  options.whole("repeats", gauge.repeats, "how often each is measured", 1, 100);
+  options.whole("seed", gauge.seed, "the first seed; each repeat takes the next", 0, 1'000'000'000);
+  options.whole("budget-s", gauge.budget,
                 "processor time past which the rest is left out, and said to be", 1, 86'400);
-  options.whole("tick-ms", core_benchmark.tick, "virtual time between two steps of a controller", 1,
-                20);
-  options.whole("length-ms", core_benchmark.length, "virtual time measured of a flow", 500,
-                3'600'000);
-  options.flag("one", single, "measure one flow of the sizes given below only");
-  options.whole("workers", workers, "of that flow", 1, 100'000);
-  options.whole("jobs-kept", kept, "of that flow", 0, 1'000'000);
-  options.whole("tasks-waiting", waiting, "of that flow", 0, 1'000'000);
-  options.whole("tasks-running", running, "of that flow, beside those it starts", 0, 1'000'000);
-  options.whole("queues", queues, "of that flow", 1, 2000);
-  options.whole("starts", starts, "of that flow, a second", 0, 100'000);
+  options.whole("tick-ms", gauge.tick, "virtual time between two steps of a controller", 1, 20);
+  options.whole("length-ms", gauge.length, "virtual time measured of a flow", 500, 3'600'000);
+  flow.addTo(options);
   options.read(count, values);
-  if (single) {
-    one.workers = std::size_t(workers), one.kept = std::size_t(kept),
-    one.waiting = std::size_t(waiting), one.running = std::size_t(running);
-    one.queues = std::size_t(queues), one.starts = double(starts);
-    core_benchmark.only.clear();
-    core_benchmark.point("flow", "nothing", one, [&](const Sizes& sizes, std::uint64_t random) {
-      return Cluster(sizes, random, core_benchmark.tick).measure(1500, core_benchmark.length);
-    });
-  } else
-    core_benchmark.run();
-  if (!core_benchmark.points) {
-    std::cerr << "core_benchmark: --part: there is no part " << core_benchmark.only << "\n";
+  if (flow.single)
+    gauge.oneFlow(flow.sizes());
+  else
+    gauge.run();
+  if (!gauge.points) {
+    std::cerr << "core_benchmark: --part: there is no part " << gauge.only << "\n";
     return 2;
   }
   return 0;
