--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -158,7 +158,10 @@
                 ++configsSeen;
               });
   }
-  void declareGone(std::string worker) {
+  void sayLeft(const std::string& what, const std::string& body) {
+    world.say("LEFT " + what + " " + body);
+  }
+  void declareGone(const std::string& worker) {
     world.ask(0, "POST", "/v1/workers/" + worker + "/gone", "",
               [this, worker](int status, const std::string&) {
                 if (status != 200 && status != 404)
@@ -226,7 +229,7 @@
 
   void planWorkload() {
     std::size_t count = 0;
-    auto every = [&](double gap, std::function<void(const std::string&)> make) {
+    auto every = [&](double gap, const std::function<void(const std::string&)>& make) {
       for (double time = double(random.between(0, std::int64_t(gap)));
            time < double(options.length);
            time += gap * (0.5 + double(random.between(0, 1000)) / 1000.0)) {
@@ -274,7 +277,7 @@
   // times that overlap, what always fails and what can never fit.
   void planCalledWorkload() {
     std::size_t count = 0;
-    auto every = [&](double gap, std::function<void(const std::string&)> make) {
+    auto every = [&](double gap, const std::function<void(const std::string&)>& make) {
       for (double time = double(random.between(0, std::int64_t(gap)));
            time < double(options.length);
            time += gap * (0.5 + double(random.between(0, 1000)) / 1000.0)) {
@@ -380,15 +383,13 @@
     for (const char* target :
          {"/v1/plan", "/v1/workers", "/v1/jobs?state=open", "/v1/jobs?state=cancelling"})
       for (std::size_t gateway = 0; gateway < 3; ++gateway)
-        world.ask(gateway, "GET", target, "", [this, target](int, const std::string& body) {
-          world.say(std::string("LEFT ") + target + " " + body);
-        });
+        world.ask(gateway, "GET", target, "",
+                  [this, target](int, const std::string& body) { sayLeft(target, body); });
     for (const auto& left : world.unfinished()) {
       const std::string id = left.substr(0, left.find(' '));
       for (std::size_t gateway = 0; gateway < 3; ++gateway)
-        world.ask(gateway, "GET", "/v1/jobs/" + id, "", [this, id](int, const std::string& body) {
-          world.say("LEFT " + id + " " + body);
-        });
+        world.ask(gateway, "GET", "/v1/jobs/" + id, "",
+                  [this, id](int, const std::string& body) { sayLeft(id, body); });
     }
     world.runUntil(world.now + 3000);
   }
