--- a/tests/raft/membership_tests.cpp
+++ b/tests/raft/membership_tests.cpp
@@ -494,3 +494,19 @@
   RaftNode blank(voter("n"), {}, 1, {}, MonotonicTime{0});
   CHECK(blank.othersHoldCommitted());
 }
+
+// The leader's log may begin after the removal by then: the snapshot vouches for it.
+TEST(Membership, aRemovalIsToldAfterItsEntryIsCompacted) {
+  Cluster cluster({"a", "b", "c", "d"});
+  const auto order = leaderFirst(cluster);
+  RaftNode& leader = cluster.at(order[0]);
+  cluster.down.insert(order[3]);
+  CHECK(leader.proposeMembers(without(leader.members(), order[3]), MonotonicTime{cluster.now}));
+  for (std::size_t count = 0; count < 2 * RaftOptions{}.keepEntries; ++count)
+    leader.propose("entry", MonotonicTime{cluster.now});
+  cluster.run(2000);
+  leader.compact(leader.commitIndex(), "state");
+  cluster.down.clear();
+  cluster.run(5000);
+  CHECK(cluster.at(order[3]).removedFromCluster());
+}
--- a/tests/raft/node_tests.cpp
+++ b/tests/raft/node_tests.cpp
@@ -121,6 +121,18 @@
   LONGS_EQUAL(4, after.back().match.value);
 }
 
+// docs/design.md 3.5: while a snapshot is being written the disk still holds what it held before; a
+// reply that told less would be taken for a lost disk.
+TEST(RaftTests, aSnapshotUnderWayIsNoLostState) {
+  const std::string whole = pack(Snapshot{LogIndex{9}, Term{2}, three, "state"});
+  const SnapshotIdentity identity{LogIndex{9}, Term{2}, whole.size(), checksum(whole)};
+  const InstallSnapshot install{Term{2}, identity, 0, whole, RoundNumber{1}};
+  const auto held = follower.last();
+  follower.receive(fromC(install), MonotonicTime{10});
+  for (const auto& reply : repliesOf(follower))
+    CHECK(reply.last >= held);
+}
+
 // docs/design.md 3.4: what was claimed to a leader may have been counted by it; a snapshot that
 // ends before it, and comes late, takes none of it away.
 TEST(RaftTests, aLateSnapshotLeavesTheEntriesAfterIt) {
