--- a/tests/library.sh
+++ b/tests/library.sh
@@ -18,8 +18,8 @@
 # The worker knows a gateway; the caller is given a dead address and a controller's, and finds the gateways itself.
 "$folder/built/example_worker" 8 127.2.1.1:24021 > "$folder/worker.txt" &
 worker=$!
-"$folder/built/example_origin" 127.0.0.1:1 127.1.2.1:24012
-for _ in $(seq 8); do "$folder/built/example_origin" 127.2.2.1:24022 >/dev/null; done
+"$folder/built/example_client" 127.0.0.1:1 127.1.2.1:24012
+for _ in $(seq 8); do "$folder/built/example_client" 127.2.2.1:24022 >/dev/null; done
 wait "$worker"
 cat "$folder/worker.txt"
 grep -qv '^0 tasks' "$folder/worker.txt"
