--- a/source/checker/model/step_judge.cpp
+++ b/source/checker/model/step_judge.cpp
@@ -222,7 +222,8 @@
     breaks("one pending change", after.self.id.value + " holds " + std::to_string(pending));
   if (outcomesOnly || !after.raft.leads())
     return;
-  const Term committed = ghost.at(std::min(after.raft.commitIndex(), ghost.last())).term;
+  const LogIndex committedIndex = std::min(after.raft.commitIndex(), ghost.last());
+  const Term committed = committedIndex.value ? ghost.at(committedIndex).term : Term{};
   for (LogIndex index = std::max(after.raft.snapshotIndex(), before.raft.last()).next();
        index <= after.raft.last(); index = index.next())
     if (after.raft.entry(index).members && committed != after.raft.term())
