--- a/tests/net/http_client_tests.cpp
+++ b/tests/net/http_client_tests.cpp
@@ -71,8 +71,10 @@
 std::vector<std::string> asked(const Address& address, std::size_t count) {
   std::vector<std::string> answers;
   std::thread([&] {
-    static Loop* loop = nullptr;  // the thread's fiber scheduler needs it to the thread's very end
-    loop = new Loop;
+    // The thread's fiber scheduler needs its loop to the thread's very end, so loops are kept.
+    static auto* const loops = new std::vector<Loop*>;
+    Loop* const loop = new Loop;
+    loops->push_back(loop);
     HttpClient client(*loop);
     for (std::size_t place = 0; place < count; ++place) {
       auto answer = client.ask(address, {"POST", "/call", ""}, Duration{300});
