Raft: what the others hold is counted by the same majority as everything else

heldWithout repeated reachedByMajority's loop over the voters; who is left out, unheard or lost its state now counts as holding nothing there, which is the same index.

--- a/source/raft/replication.cpp
+++ b/source/raft/replication.cpp
@@ -89,20 +89,13 @@
 
 // One that is not heard may have lost its disk: its copy is not counted on.
 LogIndex RaftNode::heldWithout(const ControllerId& id) const {
-  std::vector<LogIndex> held;
-  for (const auto& entry : currentMembers) {
-    if (!entry.voter || entry.id == id)
-      continue;
-    const bool heard = clockNow - heardFrom(entry.id) <= options.electionHigh;
-    if (entry.id == own.id)
-      held.push_back(std::min(syncedIndex, last()));
-    else if (heard && !lostState(entry.id))
-      held.push_back(matchOf(entry.id));
-  }
-  if (held.size() < majority())
-    return LogIndex{};
-  std::sort(held.begin(), held.end(), std::greater<>());
-  return held[majority() - 1];
+  const auto left = peers.find(id);
+  const LogIndex ofSelf = id == own.id ? LogIndex{} : std::min(syncedIndex, last());
+  return reachedByMajority(ofSelf, [&](const Peer& peer) {
+    const bool isLeftOut = left != peers.end() && &left->second == &peer;
+    const bool heard = clockNow - peer.heard <= options.electionHigh;
+    return heard && !isLeftOut && !peer.lostState ? peer.match : LogIndex{};
+  });
 }
 
 bool RaftNode::othersHoldCommitted() const {
