Net: one way to listen and one way to renew seeds

Three servers opened their acceptors alike, three daemons asked the source of their seeds alike: listenAt and renewSeeds. The backlogs, 256 and 1024, have names.

--- a/source/daemons/agent_daemon.cpp
+++ b/source/daemons/agent_daemon.cpp
@@ -46,11 +46,8 @@
 
  private:
   void renewSeeds() {
-    if (!settings.seedsNow)
-      return;
-    if (auto seeds = settings.seedsNow(); !seeds.empty())
-      settings.seeds = seeds;
-    relay.useSeeds(settings.seeds);
+    if (aniseline::renewSeeds(settings.seedsNow, settings.seeds))
+      relay.useSeeds(settings.seeds);
   }
   void nudge() {
     std::unique_lock lock(wakeMutex);
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -228,11 +228,8 @@
   }
   // The seeds may have changed, with or without a signal.
   void renewSeeds(Relay& relay) {
-    if (!settings.seedsNow)
-      return;
-    if (auto seeds = settings.seedsNow(); !seeds.empty())
-      settings.seeds = seeds;
-    relay.useSeeds(settings.seeds);
+    if (aniseline::renewSeeds(settings.seedsNow, settings.seeds))
+      relay.useSeeds(settings.seeds);
   }
   void nudge() {
     std::unique_lock lock(wakeMutex);
@@ -299,12 +296,7 @@
   bool listenPeers() {
     auto endpoint = endpointOf(settings.peer);
     auto acceptor = std::make_shared<tcp::acceptor>(loop.context);
-    IoError error;
-    acceptor->open(endpoint.value().protocol(), error);
-    acceptor->set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor->bind(endpoint.value(), error);
-    if (!error)
-      acceptor->listen(256, error);
+    const IoError error = listenAt(*acceptor, endpoint.value(), peerBacklog);
     if (error) {
       log(LogLevel::error, "can't listen",
           {{"address", json(settings.peer.value)}, {"why", json(error.message())}});
--- a/source/daemons/gateway_daemon.cpp
+++ b/source/daemons/gateway_daemon.cpp
@@ -52,12 +52,7 @@
  private:
   // The seeds may have changed, with or without a signal; only the thread of the route works with
   // them.
-  void renewSeeds() {
-    if (!settings.seedsNow)
-      return;
-    if (auto seeds = settings.seedsNow(); !seeds.empty())
-      settings.seeds = seeds;
-  }
+  void renewSeeds() { aniseline::renewSeeds(settings.seedsNow, settings.seeds); }
   // Asks controllers for the route; the first contact goes to the seeds, later ones to whoever the
   // state names.
   void refresh() {
--- a/source/net/http.cpp
+++ b/source/net/http.cpp
@@ -37,16 +37,7 @@
   if (!endpoint)
     return HttpError{HttpError::Kind::unreachable, endpoint.error().text()};
   acceptor = std::make_shared<tcp::acceptor>(loop.context);
-  IoError error;
-  acceptor->open(endpoint.value().protocol(), error);
-  acceptor->set_option(tcp::acceptor::reuse_address(true), error);
-  if (shared)
-    acceptor->set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true),
-                         error);
-  acceptor->bind(endpoint.value(), error);
-  if (!error)
-    acceptor->listen(1024, error);
-  if (error)
+  if (const IoError error = listenAt(*acceptor, endpoint.value(), clientBacklog, shared))
     return HttpError{HttpError::Kind::unreachable,
                      "can't listen on " + address.value + ": " + error.message()};
   spawn([this, acceptor = acceptor] {
--- a/source/net/link_proxy.cpp
+++ b/source/net/link_proxy.cpp
@@ -10,13 +10,7 @@
   if (!behind)
     return behind.error();
   auto acceptor = std::make_shared<tcp::acceptor>(loop.context);
-  IoError error;
-  acceptor->open(endpoint.value().protocol(), error);
-  acceptor->set_option(tcp::acceptor::reuse_address(true), error);
-  acceptor->bind(endpoint.value(), error);
-  if (!error)
-    acceptor->listen(256, error);
-  if (error)
+  if (const IoError error = listenAt(*acceptor, endpoint.value(), peerBacklog))
     return CoreError::at(CoreError::Kind::invalid, at.value, "can't listen: " + error.message());
   spawn([this, acceptor, behind = behind.value(), zone = std::move(zone)] {
     for (;;) {
--- a/source/net/loop.cpp
+++ b/source/net/loop.cpp
@@ -25,4 +25,17 @@
   return tcp::endpoint(parsed, static_cast<unsigned short>(number));
 }
 
+IoError listenAt(tcp::acceptor& acceptor, const tcp::endpoint& endpoint, int backlog, bool shared) {
+  IoError error;
+  acceptor.open(endpoint.protocol(), error);
+  acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (shared)
+    acceptor.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true),
+                        error);
+  acceptor.bind(endpoint, error);
+  if (!error)
+    acceptor.listen(backlog, error);
+  return error;
+}
+
 }  // namespace aniseline
--- a/source/net/loop.hpp
+++ b/source/net/loop.hpp
@@ -123,4 +123,10 @@
 // IP numbers only: 127.0.0.1:8000 or [::1]:8000.
 Result<tcp::endpoint> endpointOf(const Address& address);
 
+// How many connections may wait to be accepted: from our own processes, and from clients.
+constexpr int peerBacklog = 256, clientBacklog = 1024;
+// Has an acceptor listen. Shared: other acceptors may listen at the same endpoint.
+IoError listenAt(tcp::acceptor& acceptor, const tcp::endpoint& endpoint, int backlog,
+                 bool shared = false);
+
 }  // namespace aniseline
--- a/source/net/relay.cpp
+++ b/source/net/relay.cpp
@@ -3,6 +3,16 @@
 
 namespace aniseline {
 
+bool renewSeeds(const SeedSource& source, std::vector<Address>& seeds) {
+  if (!source)
+    return false;
+  auto told = source();
+  if (told.empty())
+    return false;
+  seeds = std::move(told);
+  return true;
+}
+
 WireCaller& Relay::callerTo(const Address& address) {
   auto& caller = callers[address];
   if (!caller)
--- a/source/net/relay.hpp
+++ b/source/net/relay.hpp
@@ -9,10 +9,12 @@
 // Has a request served by the leader, wherever that is.
 using Serve = std::function<ApiResponse(const ApiRequest&)>;
 
-// An interface that an adapter gives a daemon beside the product's own. docs/design.md 9.6.
 // The addresses for first contact as they stand now, where they can change while a process runs.
 using SeedSource = std::function<std::vector<Address>()>;
+// Takes what the source tells, unless there is none or it tells of none. Whether it did.
+bool renewSeeds(const SeedSource& source, std::vector<Address>& seeds);
 
+// An interface that an adapter gives a daemon beside the product's own. docs/design.md 9.6.
 struct OuterInterface {
   Address address;
   HttpLimits limits;
