--- a/source/simulator/world.cpp
+++ b/source/simulator/world.cpp
@@ -111,17 +111,19 @@
 void World::deliver(Node& from, Node& to, std::function<void()> work) {
   if (cutBetween(from, to) || (options.loss > 0 && random.chance(options.loss)))
     return;
-  const std::uint64_t generation = to.generation;
+  arrive(to, now + (from.zone == to.zone ? 0 : 1) + random.between(0, 1), std::move(work));
+}
+
+void World::arrive(Node& to, std::int64_t at, std::function<void()> work) {
   Node* target = &to;
-  schedule(now + (from.zone == to.zone ? 0 : 1) + random.between(0, 1),
-           [target, generation, work = std::move(work)] {
-             if (!target->up || target->generation != generation)
-               return;
-             if (target->frozen)
-               target->inbox.push_back(work);
-             else
-               work();
-           });
+  schedule(at, [target, generation = to.generation, work = std::move(work)] {
+    if (!target->up || target->generation != generation)
+      return;
+    if (target->frozen)
+      target->inbox.push_back(work);
+    else
+      work();
+  });
 }
 
 void World::freeze(Node& node, bool frozen) {
--- a/source/simulator/world.hpp
+++ b/source/simulator/world.hpp
@@ -182,8 +182,8 @@
   void acknowledgeLeaving(std::size_t place, const WorkerId& life);
   void leaveStep(CalledNode& node);
   void nextTo(Node& to, std::function<void()> work);
-  // The orders sent, by base and by the digest that histories name them by.
-  std::map<std::pair<std::uint64_t, std::string>, ConfigOrder> configOrders;
+  // What reaches a process that is up still; a frozen one gets it when it wakes.
+  void arrive(Node& to, std::int64_t at, std::function<void()> work);
   void trySubmit(std::shared_ptr<CallerState> state);
   void tryCancel(std::shared_ptr<CallerState> state);
   void watch(std::shared_ptr<CallerState> state);
--- a/source/simulator/world_called.cpp
+++ b/source/simulator/world_called.cpp
@@ -4,16 +4,7 @@
 
 // What passes between two processes of one machine: no cut of the network comes between them.
 void World::nextTo(Node& to, std::function<void()> work) {
-  Node* target = &to;
-  schedule(now + random.between(0, 1),
-           [target, generation = to.generation, work = std::move(work)] {
-             if (!target->up || target->generation != generation)
-               return;
-             if (target->frozen)
-               target->inbox.push_back(work);
-             else
-               work();
-           });
+  arrive(to, now + random.between(0, 1), std::move(work));
 }
 
 // --- agents
--- a/source/simulator/world_callers.cpp
+++ b/source/simulator/world_callers.cpp
@@ -129,7 +129,8 @@
 
 void World::applyConfig(const std::string& text, std::uint64_t baseVersion, Follower follower,
                         std::size_t gateway) {
-  if (auto parsed = ClusterConfig::parse(text))
+  const auto parsed = ClusterConfig::parse(text);
+  if (parsed)
     for (const auto& [name, queue] : parsed.value().queues)
       poolsOf[name.value].insert(queue.pool);
   const std::string body =
@@ -137,16 +138,12 @@
   auto asked = seen(HistoryEvent::Kind::configAsked, calendar + now);
   asked.base = baseVersion;
   asked.digest = configDigest(text);
-  ConfigOrder& order = configOrders[{asked.base, asked.digest}];
-  order.base = ConfigVersion{baseVersion};
-  if (auto request = ApiRequest::parse("PUT", "/v1/config", body))
-    order.digest = TextDigest::of(request.value().text);
   witness(asked);
   askGateway(
       *outside, gateway, "PUT", "/v1/config", body, 3000,
-      [this, follower = std::move(follower), text, asked](int status, const std::string& body) {
+      [this, follower = std::move(follower), parsed, asked](int status, const std::string& body) {
         // Of a text with faults the answer says nothing of the config in force.
-        if (status == 200 || status == 409 || (status == 400 && ClusterConfig::parse(text))) {
+        if (status == 200 || status == 409 || (status == 400 && parsed)) {
           picojson::value root;
           picojson::parse(root, body);
           auto given = asked;
@@ -158,14 +155,11 @@
             given.version = std::uint64_t(root.get("version").get<double>());
           witness(given);
         }
-        if (status == 200) {
-          auto parsed = ClusterConfig::parse(text);
-          if (parsed)
-            for (const auto& [name, queue] : parsed.value().queues) {
-              auto& most = queue.tries ? tries[name.value] : retries[name.value];
-              most = std::max(most, queue.tries ? queue.tries : queue.retries);
-            }
-        }
+        if (status == 200 && parsed)
+          for (const auto& [name, queue] : parsed.value().queues) {
+            auto& most = queue.tries ? tries[name.value] : retries[name.value];
+            most = std::max(most, queue.tries ? queue.tries : queue.retries);
+          }
         if (follower)
           follower(status, body);
       });
@@ -175,16 +169,12 @@
   const auto leading = leader();
   if (!leading)
     return {"nobody leads"};
-  const ConfigHistory& taken = controllers[*leading]->core->committed().configHistory;
+  std::set<std::pair<std::uint64_t, std::string>> held;
+  for (const auto& order : controllers[*leading]->core->committed().configHistory.orders())
+    held.insert({order.base.value, order.digest.text()});
   std::vector<std::string> found;
   for (const auto& event : history) {
-    const auto sent = configOrders.find({event.base, event.digest});
-    if (sent == configOrders.end())
-      continue;
-    const auto& orders = taken.orders();
-    const bool isHeld = std::any_of(orders.begin(), orders.end(), [&](const ConfigOrder& order) {
-      return order.base == sent->second.base && order.digest == sent->second.digest;
-    });
+    const bool isHeld = held.count({event.base, event.digest}) > 0;
     const std::string order = event.digest + " on " + std::to_string(event.base);
     if (event.kind == HistoryEvent::Kind::configRefused && isHeld)
       found.push_back("the config " + order + " was taken and refused");
--- a/source/state/cluster_config.cpp
+++ b/source/state/cluster_config.cpp
@@ -1,4 +1,5 @@
 #include "state/cluster_config.hpp"
+#include "state/config_history.hpp"
 #include "base/json.hpp"
 #include <muParser.h>
 #include <cmath>
@@ -65,7 +66,7 @@
   picojson::value root;
   if (!picojson::parse(root, text).empty())
     return "";
-  return std::to_string(checksum(root.serialize()));
+  return TextDigest::of(root.serialize()).text();
 }
 
 const QueueOptions* ClusterConfig::queue(const QueueName& name) const {
--- a/source/state/cluster_config.hpp
+++ b/source/state/cluster_config.hpp
@@ -110,7 +110,7 @@
   }
 };
 
-// Of the content of a config's text, however it is spaced.
+// Of the content of a config's text, however it is spaced: the TextDigest that orders are known by.
 std::string configDigest(const std::string& text);
 
 // A compiled policy program (muParser). Not for threads to share.
--- a/source/state/config_history.hpp
+++ b/source/state/config_history.hpp
@@ -12,6 +12,7 @@
 struct TextDigest {
   std::uint64_t high = 0, low = 0;
   static TextDigest of(const std::string& text);
+  std::string text() const { return std::to_string(high) + "-" + std::to_string(low); }
   bool operator==(const TextDigest&) const = default;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
