--- /dev/null
+++ b/tests/days/play_days.py
@@ -0,0 +1,123 @@
+#!/usr/bin/env python3
+"""Plays drawn days on the users' bench, one after another, and says how each went.
+
+    play_days.py SITE --family cut --from 1 --to 20 --seed 7 --out FOLDER --bench PATH/fleetbench
+
+To be started at the root of the repository, as the bench wants it. Prints one line a day. FOLDER keeps
+each day's file, report and output; a day with a broken rule is played again with every machine's log.
+Ends with 1 if a rule was broken or a gate missed, with 2 if the bench did not play a day.
+"""
+
+import argparse
+import json
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from families import Day, make_day
+from make_days import add_day_arguments, write_day
+from site_file import Site, read_site
+
+BROKEN = 1
+NOT_PLAYED = 2
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What the bench said of one day; `report` is None where it did not play the day to its end."""
+
+    report: dict | None
+    exit_code: int
+
+    @property
+    def broken_rules(self) -> dict:
+        """How often each rule was broken."""
+        return self.report["breaks"] if self.report else {}
+
+    @property
+    def missed_gates(self) -> list:
+        """What else fails the gate."""
+        if not self.report:
+            return []
+        return self.report["missed"] + self.report["short"]
+
+    @property
+    def played(self) -> bool:
+        """Whether the bench played the day to its end."""
+        return self.report is not None and self.report["fault"] is None
+
+    @property
+    def verdict(self) -> str:
+        """One word for the day."""
+        if self.broken_rules or self.missed_gates:
+            return "BROKEN"
+        return "passed" if self.played else "NOT PLAYED"
+
+
+def play(bench: str, site_path: str, day_path: Path, jobs: int, *more: str) -> Outcome:
+    """Plays one day; its report and output stand beside the day file."""
+    report_path = day_path.with_suffix(".json")
+    report_path.unlink(missing_ok=True)
+    command = [bench, "run", site_path, str(day_path), "--jobs", str(jobs), "--report", str(report_path), *more]
+    with open(day_path.with_suffix(".txt"), "w") as output:
+        exit_code = subprocess.run(command, stdout=output, stderr=subprocess.STDOUT, check=False).returncode
+    report = json.loads(report_path.read_text()) if report_path.exists() else None
+    return Outcome(report, exit_code)
+
+
+def describe(day: Day, site: Site, outcome: Outcome) -> str:
+    """One line on a day that was played."""
+    parts = [f"{site.name:22} {day.name:16} {outcome.verdict:10}"]
+    if not outcome.report:
+        return f"{parts[0]} exit code {outcome.exit_code}"
+    drawn = len(day.faults) + len(day.plan)
+    parts.append(f"worth {outcome.report['G']:.3f} served {outcome.report['served']:.3f}")
+    parts.append(f"{drawn} troubles")
+    if outcome.report["exits_n"]:
+        parts.append(f"{outcome.report['exits_n']} exits of its own")
+    if outcome.broken_rules:
+        parts.append("rules: " + json.dumps(outcome.broken_rules))
+    if outcome.missed_gates:
+        parts.append("gates: " + json.dumps(outcome.missed_gates))
+    if outcome.report["fault"] is not None:
+        parts.append(f"fault: {outcome.report['fault']}")
+    return "; ".join(parts)
+
+
+def play_all(arguments: argparse.Namespace) -> int:
+    """Plays the days one after another and returns the exit code of the program."""
+    site = read_site(arguments.site)
+    result = 0
+    for number in range(arguments.first, arguments.last + 1):
+        day = make_day(arguments.family, site, arguments.seed, number)
+        day_path = write_day(day, site, arguments.out)
+        why = f"day {day.name} of our own, seed {arguments.seed}"
+        outcome = play(arguments.bench, arguments.site, day_path, arguments.jobs, "--why", why)
+        print(describe(day, site, outcome), flush=True)
+        if outcome.verdict == "BROKEN":
+            result = BROKEN
+            _play_again_with_logs(arguments, day_path)
+        elif not outcome.played:
+            result = result or NOT_PLAYED
+    return result
+
+
+def _play_again_with_logs(arguments: argparse.Namespace, day_path: Path) -> None:
+    again = day_path.with_name(day_path.stem + "-again.toml")
+    again.write_text(day_path.read_text())
+    why = f"day {day_path.stem} once more, with logs"
+    outcome = play(arguments.bench, arguments.site, again, arguments.jobs, "--why", why, "--log", "all")
+    print(f"  once more with logs: {outcome.verdict} {json.dumps(outcome.broken_rules)}", flush=True)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    add_day_arguments(parser)
+    parser.add_argument("--bench", required=True, help="path of the bench's program")
+    parser.add_argument("--jobs", type=int, default=3, help="cores that the bench may use")
+    return play_all(parser.parse_args())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
