--- /dev/null
+++ b/tests/days/play_days.py
@@ -0,0 +1,130 @@
+#!/usr/bin/env python3
+"""Plays drawn days on the users' bench, one after another, and says how each went.
+
+    play_days.py SITE --family cut --from 1 --to 20 --seed 7 --out FOLDER --bench PATH/fleetbench
+
+To be started at the root of the repository, as the bench wants it. Prints one line a day. FOLDER keeps
+each day's file, report and output; a day with a broken rule is played again with every machine's log.
+Ends with 1 if a rule was broken or a gate missed, with 2 if the bench did not play a day.
+"""
+
+import argparse
+import json
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from families import Day, make_day
+from make_days import add_day_arguments, write_day
+from site_file import Site, read_site
+
+BROKEN = 1
+NOT_PLAYED = 2
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What the bench said of one day; `report` is None where it did not play the day to its end."""
+
+    report: dict | None
+    exit_code: int
+
+    @property
+    def broken_rules(self) -> dict:
+        """How often each rule was broken."""
+        return self.report["breaks"] if self.report else {}
+
+    @property
+    def missed_gates(self) -> list:
+        """What else fails the gate, a fault for which the day counts nothing included."""
+        if not self.report:
+            return []
+        fault = [self.report["fault"]] if self.report["fault"] else []
+        return self.report["missed"] + self.report["short"] + fault
+
+    @property
+    def verdict(self) -> str:
+        """One word for the day."""
+        if not self.report:
+            return "NOT PLAYED"
+        return "BROKEN" if self.broken_rules or self.missed_gates else "passed"
+
+
+def play(bench: str, site_path: str, day_path: Path, jobs: int, *more: str) -> Outcome:
+    """Plays one day; its report and output stand beside the day file."""
+    report_path = day_path.with_suffix(".json")
+    report_path.unlink(missing_ok=True)
+    command = [bench, "run", site_path, str(day_path), "--jobs", str(jobs), "--report", str(report_path), *more]
+    with open(day_path.with_suffix(".txt"), "w") as output:
+        exit_code = subprocess.run(command, stdout=output, stderr=subprocess.STDOUT, check=False).returncode
+    report = json.loads(report_path.read_text()) if report_path.exists() else None
+    return Outcome(report, exit_code)
+
+
+def kinds_left_out(day: Day, report: dict) -> list[str]:
+    """Drawn kinds of which the bench played none: they don't apply, or waited until the day was over."""
+    played = {event["kind"].partition(" ")[0] for event in report["events"]}
+    drawn = {entry["kind"] for entry in day.faults + day.plan}
+    return sorted(drawn - played)
+
+
+def describe(day: Day, site: Site, outcome: Outcome) -> str:
+    """One line on a day that was played."""
+    parts = [f"{site.name:22} {day.name:16} {outcome.verdict:10}"]
+    if not outcome.report:
+        return f"{parts[0]}; exit code {outcome.exit_code}"
+    drawn = len(day.faults) + len(day.plan)
+    parts.append(f"worth {outcome.report['G']:.3f} served {outcome.report['served']:.3f}")
+    parts.append(f"{drawn} troubles")
+    left_out = kinds_left_out(day, outcome.report)
+    if left_out:
+        parts.append("left out: " + ", ".join(left_out))
+    if outcome.report["exits_n"]:
+        parts.append(f"{outcome.report['exits_n']} exits of its own")
+    if outcome.broken_rules:
+        parts.append("rules: " + json.dumps(outcome.broken_rules))
+    if outcome.missed_gates:
+        parts.append("gates: " + json.dumps(outcome.missed_gates))
+    return "; ".join(parts)
+
+
+def play_all(arguments: argparse.Namespace) -> int:
+    """Plays the days one after another and returns the exit code of the program."""
+    site = read_site(arguments.site)
+    result = 0
+    for number in range(arguments.first, arguments.last + 1):
+        day = make_day(arguments.family, site, arguments.seed, number)
+        day_path = write_day(day, site, arguments.out)
+        why = f"day {day.name} of our own, seed {arguments.seed}"
+        log_options = ("--log", "all") if arguments.logs else ()
+        outcome = play(arguments.bench, arguments.site, day_path, arguments.jobs, "--why", why, *log_options)
+        print(describe(day, site, outcome), flush=True)
+        if outcome.verdict == "BROKEN":
+            result = BROKEN
+            _play_again_with_logs(arguments, day_path)
+        elif outcome.verdict == "NOT PLAYED":
+            result = result or NOT_PLAYED
+    return result
+
+
+def _play_again_with_logs(arguments: argparse.Namespace, day_path: Path) -> None:
+    again = day_path.with_name(day_path.stem + "-again.toml")
+    again.write_text(day_path.read_text())
+    """Not every fault shows again: processor time is measured, so two plays of a day differ a little."""
+    why = f"day {day_path.stem} once more, with logs"
+    outcome = play(arguments.bench, arguments.site, again, arguments.jobs, "--why", why, "--log", "all")
+    print(f"  once more with logs: {outcome.verdict} {json.dumps(outcome.broken_rules)}", flush=True)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    add_day_arguments(parser)
+    parser.add_argument("--bench", required=True, help="path of the bench's program")
+    parser.add_argument("--jobs", type=int, default=3, help="cores that the bench may use")
+    parser.add_argument("--logs", action="store_true", help="keep every machine's log already at the first play")
+    return play_all(parser.parse_args())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
