--- a/source/daemons/gateway_daemon.cpp
+++ b/source/daemons/gateway_daemon.cpp
@@ -76,7 +76,18 @@
     while ((inFlight > 0 || monotonicNow() < stoppedAt + minStopTime) &&
            monotonicNow() < stoppedAt + maxStopTime)
       sleepFor(Duration{20});
-    log(LogLevel::info, log_events::stopped, {{"served", json(served.load())}});
+    ConnectionPhases cut;
+    for (const HttpServer* server : serving) {
+      const ConnectionPhases phases = server->phases();
+      cut.awaitingRequest += phases.awaitingRequest;
+      cut.handling += phases.handling;
+      cut.writing += phases.writing;
+    }
+    log(LogLevel::info, log_events::stopped,
+        {{"served", json(served.load())},
+         {"connections_awaiting_request", json(cut.awaitingRequest)},
+         {"connections_handling", json(cut.handling)},
+         {"connections_writing", json(cut.writing)}});
     std::_Exit(0);  // the threads wait for their connections: they end with the process
   }
 
@@ -162,6 +173,10 @@
       ++threadsFailed;
       return;
     }
+    {
+      const std::unique_lock lock(servingMutex);
+      serving.insert(serving.end(), {&http, &external});
+    }
     ++threadsListening;
     while (!stopping)
       sleepFor(Duration{50});
@@ -230,6 +245,8 @@
   std::set<Address> queriesInFlight;
   std::set<Address> discoveredControllers;  // that other gateways named
   std::vector<std::thread> threads;
+  std::mutex servingMutex;
+  std::vector<const HttpServer*> serving;  // of all threads
   // Shared by all threads.
   LeaderDirectory directory;                                   // published by the main thread only
   std::atomic<std::int64_t> routeConfirmedAt{neverConfirmed};  // of the monotonic clock, in ms
--- a/source/net/http_server.cpp
+++ b/source/net/http_server.cpp
@@ -139,14 +139,20 @@
       if (number && number <= lastNumber)
         continue;
       lastNumber = std::max(lastNumber, number);
+      ++handling;
       answer = answerBy(handler, requestFrom(parser.get(), limits.keepHeaders));
+      --handling;
     }
     if (!answer)
       return;
     keepAlive = !error && parser.get().keep_alive() && !stopping;
     const auto message = messageFrom(std::move(*answer), number, keepAlive);
     stream.expires_after(std::chrono::milliseconds(limits.requestTimeout.milliseconds));
-    if (await([&](auto done) { http::async_write(stream, message, done); }).error)
+    ++writing;
+    const IoError writeError =
+        await([&](auto done) { http::async_write(stream, message, done); }).error;
+    --writing;
+    if (writeError)
       return;
   }
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/source/net/http_server.hpp
+++ b/source/net/http_server.hpp
@@ -14,6 +14,13 @@
   bool keepHeaders = false;           // hand the request's headers to the handler
 };
 
+// Where a server's connections stand. Of a stop it tells what the end of the process cuts.
+struct ConnectionPhases {
+  std::size_t awaitingRequest = 0;  // nothing of a request was read, or a part of it
+  std::size_t handling = 0;         // a whole request was read
+  std::size_t writing = 0;          // its answer is being written
+};
+
 struct ListenError {
   Address address;
   IoError code;
@@ -34,6 +41,9 @@
   // Takes no more connections; each open one ends after the request that it is at.
   void stop();
   std::size_t connectionCount() const { return connections; }
+  ConnectionPhases phases() const {
+    return {connections - handling - writing, std::size_t(handling), std::size_t(writing)};
+  }
 
  private:
   void acceptConnections(const std::shared_ptr<tcp::acceptor>& listening);
@@ -44,6 +54,7 @@
   Handler handler;
   std::shared_ptr<tcp::acceptor> acceptor;
   std::atomic<std::size_t> connections{0};
+  std::atomic<std::size_t> handling{0}, writing{0};  // of these
   bool stopping = false;
 };
 
