A stop ends by its connections, not by the clock; no promise of a server is broken

Cause (class: ends by time where an event exists; counts that cover a part of what they guard; promises given before what they stand on is done). A gateway ended when a second had passed and no call to the leader was under way; every connection that was open then waited for its request or was reading one: 771 in 82 stops, none in handling or writing. Controllers cut operators' calls and queued responses, agents their worker's heartbeat. A server that stopped closed a connection it had promised to keep, reset its listener's backlog, and closed sockets with unread bytes, which discards answers on their way. SIGHUP ended a controller that was still reading its data folder.

Change: HttpConnection owns a connection from first byte to last and closes only what was told so; HttpServer drains in stages; drainConnections serves all three daemons; signals are held back until their handlers stand; a gateway follows the route while it drains; a controller's last responses are flushed; connections beyond the limit are answered 503.

--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -4,10 +4,12 @@
 #include "daemons/agent_daemon.hpp"
 #include "net/json_worker_protocol.hpp"
 #include "net/options.hpp"
+#include "net/signals.hpp"
 
 using namespace aniseline;
 
 int main(int count, char** values) {
+  holdSignalsUntilHandled();
   AgentSettings settings;
   std::string from;
   std::int64_t longestHold = settings.options.maxWorkerLease.milliseconds;
--- a/programs/controller.cpp
+++ b/programs/controller.cpp
@@ -2,10 +2,12 @@
 #include "daemons/controller_daemon.hpp"
 #include "net/log.hpp"
 #include "net/options.hpp"
+#include "net/signals.hpp"
 
 using namespace aniseline;
 
 int main(int count, char** values) {
+  holdSignalsUntilHandled();
   ControllerSettings settings;
   OptionSet options("controller", "aniseline's control plane and state, on a machine with a disk");
   options.addAddress("peer", settings.peerAddress,
--- a/source/daemons/agent_daemon.cpp
+++ b/source/daemons/agent_daemon.cpp
@@ -1,6 +1,7 @@
 // The agent process: carries calls of the core out at its worker, and syncs with the leader.
 // docs/design.md 5.8. One thread; every fiber of it works on the same core.
 #include "daemons/agent_daemon.hpp"
+#include "daemons/connection_drain.hpp"
 #include "daemons/listening.hpp"
 #include "net/leader_forwarder.hpp"
 #include "net/http_client.hpp"
@@ -22,6 +23,9 @@
 constexpr std::size_t maxDrainReports = 30;
 constexpr int firstServerErrorStatus = 500;
 
+// A worker's heartbeats come every 1.5 s; one that sends none for longer is not waited for.
+constexpr DrainSchedule stopSchedule{Duration{0}, Duration{2000}, Duration{3000}};
+
 constexpr Duration routeQueryTimeout{250};
 // A controller that is silent costs no more than its time-out: the next is asked at once.
 // docs/incidents.md 7.
@@ -39,6 +43,8 @@
 
   // The process' exit status where it could not start; else it ends the process itself.
   int run() {
+    const StopSignal stop(loop);
+    const ReloadSignal reload(loop, [this] { refreshSeeds(); });
     HttpServer listener(loop, listenerLimits,
                         [this](const HttpRequest& request) { return onNotice(request); });
     if (!listenOrLog(listener, settings.listenAddress))
@@ -46,23 +52,36 @@
     log(LogLevel::info, log_events::started,
         {{"listen", json(settings.listenAddress.value)},
          {"worker", json(settings.workerAddress.value)}});
-    const StopSignal stop(loop);
-    const ReloadSignal reload(loop, [this] { refreshSeeds(); });
     spawn([this] { followRoute(); });
-    while (!stop.requested()) {
-      const MonotonicTime now = monotonicNow();
-      startCallsAndSyncs(now);
-      waitForWork(now);
-    }
-    // What runs goes on under its lease; the next process finds it by polling the worker.
-    // docs/operations.md 4.
-    log(LogLevel::info, log_events::stopped);
-    std::_Exit(0);
+    while (!stop.requested())
+      work();
+    shutDown(listener);
   }
 
  private:
   // --- the loop ---
 
+  void work() {
+    const MonotonicTime now = monotonicNow();
+    startCallsAndSyncs(now);
+    waitForWork(now);
+  }
+  // The worker is told by the answer to its next heartbeat that its connection closes; until then
+  // the agent works on. What runs goes on under its lease; the next process finds it by polling
+  // the worker. docs/operations.md 4.
+  [[noreturn]] void shutDown(HttpServer& listener) {
+    log(LogLevel::info, log_events::stopping);
+    bool drained = false;
+    spawn([&] {
+      drainConnections({&listener}, monotonicNow(), stopSchedule);
+      drained = true;
+      wakeUp();
+    });
+    while (!drained)
+      work();
+    log(LogLevel::info, log_events::stopped);
+    std::_Exit(0);
+  }
   void startCallsAndSyncs(MonotonicTime now) {
     for (auto& call : core.takeCalls(now))
       spawn([this, call = std::move(call)] { perform(call); });
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -2,6 +2,7 @@
 // and ends in order. Its parts stand beside it: storage, background writers, peers, discovery.
 #include "daemons/controller_daemon.hpp"
 #include "daemons/cluster_discovery.hpp"
+#include "daemons/connection_drain.hpp"
 #include "daemons/listening.hpp"
 #include "daemons/peer_transport.hpp"
 #include "daemons/state_writers.hpp"
@@ -20,6 +21,8 @@
 // are none.
 constexpr Duration memberStepInterval{10};
 constexpr Duration blankStepInterval{100};
+// For last responses to gateways and agents to leave the process.
+constexpr Duration flushTimeout{300};
 // Between attempts to hand leadership over during a stop: an election and its messages.
 constexpr Duration transferInterval{700};
 
@@ -71,7 +74,8 @@
                      wakeUp();
                    }}),
         forwarder(
-            loop, [this] { return discovery.route(); }, settings.seeds, [] { return false; }),
+            loop, [this] { return discovery.route(); }, settings.seeds,
+            [this] { return givingUp; }),
         probeServer(loop, probeLimits,
                     [this](const HttpRequest& request) { return answerProbe(request); }),
         externalServer(loop, settings.externalInterface.limits,
@@ -79,6 +83,8 @@
 
   // The process' exit status where it could not start; else it ends the process itself.
   int run() {
+    const StopSignal stop(loop);
+    const ReloadSignal reload(loop, [this] { refreshSeeds(); });
     auto recovered = storage.recover();
     if (!recovered)
       return 1;
@@ -92,8 +98,6 @@
          {"peer", json(settings.peerAddress.value)},
          {"zone", json(settings.zone)},
          {"seeds", json(joined(settings.seeds))}});
-    const StopSignal stop(loop);
-    const ReloadSignal reload(loop, [this] { refreshSeeds(); });
     for (;;) {
       if (!step())
         return 1;
@@ -265,33 +269,53 @@
 
   // --- shutdown ---
 
-  // A leader hands leadership over first, and every controller waits until its copy is not missed,
-  // at most for the stop's time-out. docs/operations.md 4.
+  // A leader hands leadership over first, every controller waits until its copy is not missed, and
+  // what it serves operators is answered; all this at most for the stop's time-out.
+  // docs/operations.md 4.
   bool readyToStop() {
     const MonotonicTime now = monotonicNow();
-    if (!stopDeadline) {
-      stopDeadline = now + Duration{settings.stopTimeoutMilliseconds};
-      log(LogLevel::info, log_events::stopping);
-    }
+    if (!stopBegunAt)
+      beginStop(now);
     const RaftNode& raft = core->raftNode();
-    if ((!raft.isLeader() && raft.isSafeToStop()) || now >= *stopDeadline)
-      return true;
     if (raft.isLeader() && now >= nextTransferAt) {
       core->transferLeadership(now);
       nextTransferAt = now + transferInterval;
     }
-    return false;
+    const bool isMissed = raft.isLeader() || !raft.isSafeToStop();
+    const bool waitedLongEnough = now >= *stopBegunAt + stopSchedule().waiting;
+    if (!drainBegun && (!isMissed || waitedLongEnough))
+      beginDrain();
+    return (!isMissed && connectionsDrained) || now >= *stopBegunAt + stopSchedule().end;
+  }
+  DrainSchedule stopSchedule() const {
+    return drainScheduleWithin(Duration{settings.stopTimeoutMilliseconds}, Duration{0});
+  }
+  void beginStop(MonotonicTime now) {
+    log(LogLevel::info, log_events::stopping);
+    stopBegunAt = now;
+    probeServer.drain();
+    externalServer.drain();
+    runAfter(stopSchedule().waiting, [this] { givingUp = true; });
+  }
+  void beginDrain() {
+    drainBegun = true;
+    spawn([this] {
+      drainConnections({&probeServer, &externalServer}, *stopBegunAt, stopSchedule());
+      connectionsDrained = true;
+      wakeUp();
+    });
   }
-  // Closes the listening sockets and joins the threads. The fibers that wait on sockets end with
-  // the process.
+  // What is answered has left the process; the threads are joined. The fibers that wait on sockets
+  // end with the process.
   [[noreturn]] void shutDown() {
-    probeServer.stop();
-    externalServer.stop();
     peerServer.stop();
+    const bool flushed = peerServer.flush(flushTimeout);
     writers.reset();
     log(LogLevel::info, log_events::stopped,
         {{"led", json(core->raftNode().isLeader())},
-         {"others_hold_all", json(core->raftNode().isSafeToStop())}});
+         {"others_hold_all", json(core->raftNode().isSafeToStop())},
+         {"connections_drained", json(connectionsDrained)},
+         {"responses_flushed", json(flushed)}});
     std::_Exit(0);
   }
 
@@ -310,7 +334,10 @@
   HttpServer probeServer;
   HttpServer externalServer;
   std::atomic<std::int64_t> lastStepAt{0};  // milliseconds of the monotonic clock
-  std::optional<MonotonicTime> stopDeadline;
+  std::optional<MonotonicTime> stopBegunAt;
+  bool drainBegun = false;
+  bool connectionsDrained = false;  // those of operators and probes, during a stop
+  bool givingUp = false;            // what is under way for operators is answered at once
   MonotonicTime nextTransferAt{0};
   bool writeFailed = false;
   bool awake = false;
--- a/source/daemons/gateway_daemon.cpp
+++ b/source/daemons/gateway_daemon.cpp
@@ -1,6 +1,7 @@
 // The gateway process: one thread keeps the route to the leader up to date, the others serve
 // callers by it. docs/design.md 9.1, 9.2.
 #include "daemons/gateway_daemon.hpp"
+#include "daemons/connection_drain.hpp"
 #include "daemons/listening.hpp"
 #include "net/contacts.hpp"
 #include "net/log.hpp"
@@ -17,82 +18,71 @@
 constexpr Duration routeStaleAfter{2500};
 constexpr std::int64_t neverConfirmed = -1'000'000;  // long before the clock's start
 constexpr Duration stopPollInterval{100};
-// A stop takes at least this long, so that callers learn of it and go elsewhere; after the second
-// span what is under way is answered at once; after the third the process ends in any case.
-constexpr Duration minStopTime{1000};
-constexpr Duration giveUpAfter{1500};
-constexpr Duration maxStopTime{2500};
-// A serving thread after a stop: until its listeners close, and until it ends.
-constexpr Duration listenerLinger{1000};
-constexpr Duration threadLinger{5000};
-
+// While the serving threads drain.
+constexpr Duration stopWaitInterval{10};
+// How often a serving thread looks whether it is to drain.
+constexpr Duration stoppingPollInterval{50};
+constexpr Duration threadLinger{60'000};
 class GatewayProcess {
  public:
   explicit GatewayProcess(GatewaySettings settings) : settings(std::move(settings)) {}
 
-  // The process' exit status where it could not start; else it ends the process itself.
-  int run() {
+  // Ends the process itself.
+  [[noreturn]] void run() {
     const RcuReaderRegistration reader;
     const StopSignal stop(loop);
     const ReloadSignal reload(loop, [this] { refreshSeeds(); });
-    if (!startThreads())
-      return 1;
+    startThreads();
     log(LogLevel::info, log_events::started,
         {{"http", json(settings.httpAddress.value)}, {"zone", json(settings.zone)}});
-    const Duration refreshInterval{settings.routeRefreshMilliseconds};
-    while (!stop.requested()) {
-      refreshRoute();
-      for (Duration waited{0}; waited < refreshInterval && !stop.requested();
-           waited = waited + stopPollInterval)
-        sleepFor(stopPollInterval);
-    }
+    followRouteUntil([&] { return stop.requested(); }, stopPollInterval);
     shutDown();
   }
 
  private:
   // --- start and stop, on the main thread ---
 
-  // False: a thread could not listen, which has been logged; all threads have ended.
-  bool startThreads() {
+  // A thread that could not listen has logged it.
+  void startThreads() {
     for (std::int64_t count = 0; count < settings.threads; ++count)
       threads.emplace_back([this] { serve(); });
     while (threadsListening + threadsFailed < settings.threads)
       sleepFor(Duration{5});
-    if (threadsFailed == 0)
-      return true;
-    stopping = true;
-    for (auto& thread : threads)
-      thread.join();
-    return false;
+    if (threadsFailed > 0)
+      std::_Exit(1);
   }
-  // Not ready first, so that the platform stops sending; then the listeners close; what is still
-  // under way then is answered at once: outcome unknown, or surely not applied.
-  // docs/operations.md 4, docs/design.md 8.3.
+  // Not ready first, so that no new connections are sent here; each serving thread then drains its
+  // connections. docs/operations.md 4, docs/design.md 9.8.
   [[noreturn]] void shutDown() {
+    stoppedAt = monotonicNow();
     stopping = true;
     log(LogLevel::info, log_events::stopping, {{"requests", json(inFlight.load())}});
-    const MonotonicTime stoppedAt = monotonicNow();
-    runAfter(giveUpAfter, [this] { givingUp = true; });
-    while ((inFlight > 0 || monotonicNow() < stoppedAt + minStopTime) &&
-           monotonicNow() < stoppedAt + maxStopTime)
-      sleepFor(Duration{20});
-    ConnectionPhases cut;
-    for (const HttpServer* server : serving) {
-      const ConnectionPhases phases = server->phases();
-      cut.awaitingRequest += phases.awaitingRequest;
-      cut.handling += phases.handling;
-      cut.writing += phases.writing;
-    }
+    runAfter(drainSchedule().waiting, [this] { givingUp = true; });
+    followRouteUntil([this] { return threadsDrained >= settings.threads; }, stopWaitInterval);
     log(LogLevel::info, log_events::stopped,
         {{"served", json(served.load())},
-         {"connections_awaiting_request", json(cut.awaitingRequest)},
-         {"connections_handling", json(cut.handling)},
-         {"connections_writing", json(cut.writing)}});
-    std::_Exit(0);  // the threads wait for their connections: they end with the process
+         {"cut_idle", json(cutIdle.load())},
+         {"cut_answering", json(cutAnswering.load())},
+         {"cut_other", json(cutOther.load())}});
+    std::_Exit(0);
+  }
+  DrainSchedule drainSchedule() const {
+    return drainScheduleWithin(Duration{settings.stopTimeoutMilliseconds},
+                               Duration{settings.unreadyNoticeMilliseconds});
   }
 
   // --- the route, on the main thread ---
 
+  void followRouteUntil(const std::function<bool()>& done, Duration pollInterval) {
+    MonotonicTime refreshAt = monotonicNow();
+    while (!done()) {
+      if (monotonicNow() >= refreshAt) {
+        refreshRoute();
+        refreshAt = monotonicNow() + Duration{settings.routeRefreshMilliseconds};
+      }
+      sleepFor(pollInterval);
+    }
+  }
   // The seeds may have changed, with or without a signal.
   void refreshSeeds() { aniseline::refreshSeeds(settings.seedSource, settings.seeds); }
   // Asks controllers for the route; the first contact goes to the seeds, later ones to whoever the
@@ -173,17 +163,20 @@
       ++threadsFailed;
       return;
     }
-    {
-      const std::unique_lock lock(servingMutex);
-      serving.insert(serving.end(), {&http, &external});
-    }
     ++threadsListening;
     while (!stopping)
-      sleepFor(Duration{50});
-    sleepFor(listenerLinger);
-    http.stop();
-    external.stop();
-    sleepFor(threadLinger);
+      sleepFor(stoppingPollInterval);
+    drain({&http, &external, &readiness});
+    // The process ends with the servers: fibers of what was cut refer to them.
+    for (;;)
+      sleepFor(threadLinger);
+  }
+  void drain(const std::vector<HttpServer*>& servers) {
+    const ConnectionCounts cut = drainConnections(servers, stoppedAt, drainSchedule());
+    cutIdle += cut.idle;
+    cutAnswering += cut.answering;
+    cutOther += cut.other;
+    ++threadsDrained;
   }
   bool listen(HttpServer& http, HttpServer& external, HttpServer& readiness) const {
     constexpr bool shared = true;
@@ -245,8 +238,6 @@
   std::set<Address> queriesInFlight;
   std::set<Address> discoveredControllers;  // that other gateways named
   std::vector<std::thread> threads;
-  std::mutex servingMutex;
-  std::vector<const HttpServer*> serving;  // of all threads
   // Shared by all threads.
   LeaderDirectory directory;                                   // published by the main thread only
   std::atomic<std::int64_t> routeConfirmedAt{neverConfirmed};  // of the monotonic clock, in ms
@@ -254,14 +245,19 @@
   std::atomic<std::uint64_t> served{0};
   std::atomic<int> threadsListening{0};
   std::atomic<int> threadsFailed{0};
-  std::atomic<bool> stopping{false};  // not ready any more; the threads close their listeners
+  std::atomic<int> threadsDrained{0};
+  std::atomic<std::size_t> cutIdle{0};  // connections that the end of the process cut, by state
+  std::atomic<std::size_t> cutAnswering{0};
+  std::atomic<std::size_t> cutOther{0};
+  std::atomic<MonotonicTime> stoppedAt{MonotonicTime{0}};  // set before `stopping`
+  std::atomic<bool> stopping{false};  // not ready any more; the threads drain their connections
   std::atomic<bool> givingUp{false};  // what is under way is answered at once
 };
 
 }  // namespace
 
-int runGateway(GatewaySettings settings) {
-  return GatewayProcess(std::move(settings)).run();
+void runGateway(GatewaySettings settings) {
+  GatewayProcess(std::move(settings)).run();
 }
 
 }  // namespace aniseline
--- a/source/daemons/gateway_daemon.hpp
+++ b/source/daemons/gateway_daemon.hpp
@@ -15,6 +15,12 @@
   std::int64_t threads = 2;
   std::int64_t maxRequestsInFlight = 2000;  // further ones are rejected as overloaded
   std::int64_t routeRefreshMilliseconds = 200;
+  // Whoever sends connections here has surely learned after this time that the gateway is not
+  // ready.
+  std::int64_t unreadyNoticeMilliseconds = 1000;
+  // A stop takes at most this long; keep it below the time until SIGKILL.
+  static constexpr std::int64_t defaultStopTimeoutMilliseconds = 5000;
+  std::int64_t stopTimeoutMilliseconds = defaultStopTimeoutMilliseconds;
   bool quiet = false;                   // no logs
   ExternalInterface externalInterface;  // an adapter's, beside the product's own
   SeedSource seedSource;                // where the seeds can change while the process runs
@@ -24,7 +30,8 @@
 };
 
 // Serves until it is told to stop; the process' exit status.
-int runGateway(GatewaySettings settings);
+// Serves until the process is asked to stop, and ends it: with status 1 where it can't listen.
+[[noreturn]] void runGateway(GatewaySettings settings);
 
 }  // namespace aniseline
 
--- a/source/daemons/peer_transport.cpp
+++ b/source/daemons/peer_transport.cpp
@@ -3,6 +3,12 @@
 
 namespace aniseline {
 
+namespace {
+
+constexpr Duration flushPollInterval{5};
+
+}  // namespace
+
 void PeerSender::send(PeerMessage message) {
   if (message.toAddress.value.empty())
     return;
@@ -52,6 +58,19 @@
     listener->close(ignored);
 }
 
+bool PeerServer::flush(Duration timeout) const {
+  const MonotonicTime deadline = monotonicNow() + timeout;
+  auto isFlushed = [](const Connection& connection) {
+    return connection->isFlushed();
+  };
+  while (!std::all_of(connections.begin(), connections.end(), isFlushed)) {
+    if (monotonicNow() >= deadline)
+      return false;
+    sleepFor(flushPollInterval);
+  }
+  return true;
+}
+
 void PeerServer::acceptConnections(const std::shared_ptr<tcp::acceptor>& acceptor) {
   while (!stopping) {
     auto socket = std::make_shared<tcp::socket>(loop.context);
@@ -67,6 +86,7 @@
   IoError ignored;
   socket->set_option(tcp::no_delay(true), ignored);
   auto connection = std::make_shared<WireWriter>(socket);
+  connections.insert(connection);
   spawn([connection] { connection->run(); });
   WireReader reader(socket);
   for (;;) {
@@ -81,6 +101,7 @@
     break;
   }
   connection->close();
+  connections.erase(connection);
   handlers.onClosed(connection);
 }
 
--- a/source/daemons/peer_transport.hpp
+++ b/source/daemons/peer_transport.hpp
@@ -48,6 +48,9 @@
   IoError listen(const Address& address);
   // Closes the listening socket; open connections end with the process.
   void stop();
+  // Waits until what was sent on open connections has left the process, at most so long. False:
+  // something is still queued.
+  bool flush(Duration timeout) const;
 
  private:
   void acceptConnections(const std::shared_ptr<tcp::acceptor>& acceptor);
@@ -56,6 +59,7 @@
   EventLoop& loop;
   Handlers handlers;
   std::shared_ptr<tcp::acceptor> listener;
+  std::set<Connection> connections;
   bool stopping = false;
 };
 
--- a/source/net/http_client.cpp
+++ b/source/net/http_client.cpp
@@ -1,8 +1,8 @@
 #include "net/http_client.hpp"
 #include "net/http_request_number.hpp"
+#include "net/socket_state.hpp"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <sys/socket.h>
 
 namespace aniseline {
 
@@ -37,10 +37,7 @@
       : stream(context), address(std::move(address)) {}
   // Nothing waits to be read: neither an answer that is nobody's nor the other side's end.
   bool isIdle() {
-    char byte;
-    return buffer.size() == 0 &&
-           ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK);
+    return buffer.size() == 0 && receiveQueueOf(stream.socket()) == ReceiveQueue::empty;
   }
   // Reads the answer to the request of this number. An interim answer, as 100, is followed by the
   // one that counts; so is an earlier request's that came twice.
--- a/source/net/wire_connection.cpp
+++ b/source/net/wire_connection.cpp
@@ -78,7 +78,11 @@
 
 void WireWriter::run() {
   while (const auto bytes = nextBatch()) {
-    if (await([&](auto done) { asio::async_write(*socket, asio::buffer(*bytes), done); }).error)
+    writing = true;
+    const IoError error =
+        await([&](auto done) { asio::async_write(*socket, asio::buffer(*bytes), done); }).error;
+    writing = false;
+    if (error)
       return close();
   }
 }
--- a/source/net/wire_connection.hpp
+++ b/source/net/wire_connection.hpp
@@ -38,6 +38,8 @@
   bool send(std::string bytes);
   // Writes until the connection ends; runs in a fiber of its own.
   void run();
+  // Everything queued has been handed to the kernel, or the connection has ended.
+  bool isFlushed() const { return closed || (queue.empty() && !writing); }
   // Ends the connection; what is queued is lost.
   void close();
 
@@ -48,6 +50,7 @@
   std::shared_ptr<tcp::socket> socket;
   std::deque<std::string> queue;
   std::size_t queuedBytes = 0;
+  bool writing = false;  // a batch that has left the queue
   bool closed = false;
   boost::fibers::mutex mutex;
   boost::fibers::condition_variable queueChanged;
--- a/tests/net/http_server_tests.cpp
+++ b/tests/net/http_server_tests.cpp
@@ -41,6 +41,7 @@
   }
   std::atomic<unsigned short> port{0};
   std::atomic<int> requests{0};
+  static constexpr std::size_t maxConnections = 3;
 
  private:
   void run() {
@@ -50,6 +51,7 @@
     loops->push_back(loop);
     HttpLimits limits;
     limits.maxBodyBytes = bodyLimitBytes;
+    limits.maxConnections = maxConnections;
     HttpServer server(*loop, limits,
                       [this](const HttpRequest& request) { return answer(request); });
     const Address address = freeAddress();
@@ -235,6 +237,21 @@
   LONGS_EQUAL(largeBodyBytes, large.bodyBytes);
 }
 
+// Both have come before the first is answered: neither may be passed over in silence.
+TEST(HttpServerTests, pipelinedRequestsThatHaveComeAreAnsweredBeforeTheClose) {
+  RunningServer server;
+  ClientConnection client(server);
+  client.send("/");
+  client.readAnswer();
+  server.stop();
+  const std::string request = "POST /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+  client.sendBytes(request + request);
+  LONGS_EQUAL(200, client.readAnswer().status);
+  const auto second = client.readAnswer();
+  LONGS_EQUAL(200, second.status);
+  CHECK_TRUE(second.closes);
+}
+
 // The whole body is sent before the answer is read, as most clients do.
 TEST(HttpServerTests, theAnswerToABodyOverTheLimitReachesItsClient) {
   RunningServer server;
@@ -244,3 +261,66 @@
   LONGS_EQUAL(413, answer.status);
   CHECK_TRUE(answer.closes);
 }
+
+TEST(HttpServerTests, aServerThatDrainsTakesNewConnectionsAndAnnouncesTheirClose) {
+  RunningServer server;
+  server.carryOut([](HttpServer& drained) { drained.drain(); });
+  ClientConnection client(server);
+  client.send("/");
+  const auto answer = client.readAnswer();
+  LONGS_EQUAL(200, answer.status);
+  CHECK_TRUE(answer.closes);
+}
+
+TEST(HttpServerTests, anIdleConnectionIsClosedOnlyWhenItHasBeenIdleLongEnough) {
+  RunningServer server;
+  ClientConnection client(server);
+  client.send("/");
+  client.readAnswer();
+  server.carryOut([](HttpServer& closed) { closed.closeIdleConnections(Duration{60'000}); });
+  client.send("/");
+  const auto answer = client.readAnswer();
+  LONGS_EQUAL(200, answer.status);
+  CHECK_TRUE(answer.closes);
+  ClientConnection::Answer none = client.readAnswer();
+  LONGS_EQUAL(0, none.status);
+}
+
+// Its bytes are in the socket when the server looks for idle connections.
+TEST(HttpServerTests, aRequestThatHasJustComeIsAnsweredThoughItsConnectionWasIdle) {
+  RunningServer server;
+  ClientConnection client(server);
+  client.send("/");
+  client.readAnswer();
+  server.carryOut([&](HttpServer& closed) {
+    client.send("/");
+    closed.closeIdleConnections(Duration{0});
+  });
+  const auto answer = client.readAnswer();
+  LONGS_EQUAL(200, answer.status);
+  CHECK_TRUE(answer.closes);
+}
+
+TEST(HttpServerTests, idleConnectionsEndWhenTheyAreClosed) {
+  RunningServer server;
+  ClientConnection client(server);
+  client.send("/");
+  client.readAnswer();
+  server.carryOut([](HttpServer& closed) { closed.closeIdleConnections(Duration{0}); });
+  LONGS_EQUAL(0, client.readAnswer().status);
+}
+
+TEST(HttpServerTests, aConnectionBeyondTheLimitIsToldSo) {
+  RunningServer server;
+  std::vector<std::unique_ptr<ClientConnection>> clients;
+  for (std::size_t count = 0; count < RunningServer::maxConnections; ++count) {
+    clients.push_back(std::make_unique<ClientConnection>(server));
+    clients.back()->send("/");
+    LONGS_EQUAL(200, clients.back()->readAnswer().status);
+  }
+  ClientConnection beyond(server);
+  beyond.send("/");
+  const auto answer = beyond.readAnswer();
+  LONGS_EQUAL(503, answer.status);
+  CHECK_TRUE(answer.closes);
+}
--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -118,10 +118,11 @@
             await asyncio.sleep(gap)
 
     async def reload_while_starting(self):
-        """SIGHUP from the first moment of a process on."""
+        """SIGHUP from the first moment on at which a process can answer for it."""
         for member in self._take(1):
             self.fleet.send(member, signal.SIGTERM)
             await self.fleet.restart(member, 0.1)
+            await self.fleet.wait_for_main(member, STARTUP_SIGNAL_SECONDS)
             began = time.monotonic()
             while member.running and time.monotonic() < began + STARTUP_SIGNAL_SECONDS:
                 self.fleet.send(member, signal.SIGHUP)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -178,6 +178,22 @@
         self.ledger.note(f"signal {signal.Signals(number).name} {member.name}")
         member.process.send_signal(number)
 
+    async def wait_for_main(self, member, seconds):
+        """Until the process blocks or handles SIGHUP. Before its main begins the kernel's default action is in force, which ends it and
+        which no program can change from inside. False: it has ended, or did not come so far in time."""
+        until = time.monotonic() + seconds
+        hangup = 1 << (signal.SIGHUP - 1)
+        while member.running and time.monotonic() < until:
+            try:
+                status = Path(f"/proc/{member.process.pid}/status").read_text()
+            except OSError:
+                return False
+            masks = [int(line.split()[1], 16) for line in status.splitlines() if line.startswith(("SigBlk", "SigCgt"))]
+            if any(mask & hangup for mask in masks):
+                return True
+            await asyncio.sleep(0.001)
+        return False
+
     async def wait_for_end(self, member):
         """After a SIGTERM: the platform kills what has not ended within the time of grace, which is a failure."""
         if not member.process:
