--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -240,8 +240,17 @@
   }
   // What an adapter serves here beside the product's own interface. docs/design.md 9.6.
   ApiResponse serveExternally(const HttpRequest& request) {
-    return settings.externalInterface.handle(
-        request, [this](const ApiRequest& apiRequest) { return forwarder.forward(apiRequest); });
+    return settings.externalInterface.handle(request, [this](const ApiRequest& apiRequest) {
+      const MonotonicTime begunAt = monotonicNow();
+      ApiResponse response = forwarder.forward(apiRequest);
+      if (apiRequest.kind == RequestKind::applyConfig)
+        log(LogLevel::info, log_events::configurationAnswered,
+            {{"status", json(response.status)},
+             {"error", json(response.errorKind)},
+             {"base", json(apiRequest.baseVersion.value)},
+             {"took_ms", json((monotonicNow() - begunAt).milliseconds)}});
+      return response;
+    });
   }
   ApiResponse answerProbe(const HttpRequest& request) {
     const bool alive = monotonicNow() - MonotonicTime{lastStepAt.load()} < aliveWithin;
--- a/source/net/log_events.hpp
+++ b/source/net/log_events.hpp
@@ -20,6 +20,7 @@
 constexpr const char* identityRemovedFromCluster = "identity_removed_from_cluster";
 constexpr const char* clusterBootstrapped = "cluster_bootstrapped";
 constexpr const char* peerMessageRejected = "peer_message_rejected";
+constexpr const char* configurationAnswered = "configuration_answered";
 
 // Of a gateway.
 constexpr const char* leaderChanged = "leader_changed";
