--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -272,6 +272,8 @@
             "memory_mb": round(self.memory_megabytes),
             "disturbances": len(getattr(self, "disturbances", [])),
             "configurations": self.operator.changes,
+            "ends": sum(worker.numbered for worker in self.workers),
+            "unconfirmed_ends": sum(worker.unconfirmed_ends for worker in self.workers),
             **self.ledger.summary(),
         }
         (self.folder / "summary.json").write_text(json.dumps(summary, indent=1))
--- a/tests/soak/stand_in_worker.py
+++ b/tests/soak/stand_in_worker.py
@@ -39,6 +39,11 @@
         self.server = await asyncio.start_server(self._serve, self.ip, self.app_port)
         self.tasks = [asyncio.create_task(self._heartbeats()), asyncio.create_task(self._expire_leases())]
 
+    @property
+    def unconfirmed_ends(self):
+        """Ends that the agent has not confirmed by `last_seen`."""
+        return len(self.finished)
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
