--- a/source/net/event_loop.hpp
+++ b/source/net/event_loop.hpp
@@ -84,11 +84,16 @@
   return future.get();
 }
 
+// A fiber of this thread; whoever keeps it joins it.
+template <class Work>
+boost::fibers::fiber startFiber(Work&& work) {
+  return boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                              boost::fibers::fixedsize_stack(256 * 1024), std::forward<Work>(work));
+}
+
 template <class Work>
 void spawn(Work&& work) {
-  boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
-                       boost::fibers::fixedsize_stack(256 * 1024), std::forward<Work>(work))
-      .detach();
+  startFiber(std::forward<Work>(work)).detach();
 }
 
 template <class Work>
--- a/source/net/http_server.cpp
+++ b/source/net/http_server.cpp
@@ -18,6 +18,12 @@
 
 }  // namespace
 
+HttpServer::~HttpServer() {
+  stop();
+  if (acceptFiber.joinable())
+    acceptFiber.join();
+}
+
 std::optional<ListenError> HttpServer::listen(const Address& address, bool shared) {
   auto endpoint = parseEndpoint(address);
   if (!endpoint)
@@ -25,7 +31,7 @@
   acceptor = std::make_shared<tcp::acceptor>(loop.context);
   if (const IoError error = listenOn(*acceptor, endpoint.value(), clientBacklog, shared))
     return ListenError{address, error};
-  spawn([this, listening = acceptor] { acceptConnections(listening); });
+  acceptFiber = startFiber([this, listening = acceptor] { acceptConnections(listening); });
   return std::nullopt;
 }
 
--- a/source/net/http_server.hpp
+++ b/source/net/http_server.hpp
@@ -39,9 +39,9 @@
   }
 };
 
-// One fiber a connection, all on the thread that calls `listen`; everything is called there. The
-// server has to outlive its fibers: it is stopped, and its connections have ended, before it is
-// destroyed; or it ends with the process.
+// One fiber accepts and one serves each connection, all on the thread that calls `listen`;
+// everything is called there. The server has to outlive its connections: they have ended before it
+// is destroyed; or it ends with the process.
 class HttpServer {
  public:
   // A shutdown goes from one stage to the next; none breaks a promise of the one before.
@@ -55,6 +55,10 @@
   using Handler = std::function<ApiResponse(const HttpRequest&)>;
   HttpServer(EventLoop& loop, HttpLimits limits, Handler handler)
       : loop(loop), limits(limits), handler(std::move(handler)) {}
+  // Stops, and waits for the fiber that accepts.
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
   // `shared`: other threads' servers listen at the same address.
   std::optional<ListenError> listen(const Address& address, bool shared = false);
   void drain();
@@ -75,6 +79,7 @@
   HttpLimits limits;
   Handler handler;
   std::shared_ptr<tcp::acceptor> acceptor;
+  boost::fibers::fiber acceptFiber;
   std::set<HttpConnection*> connections;  // each owned by its fiber
   Stage stage = Stage::serving;
 };
--- a/tests/net/http_server_tests.cpp
+++ b/tests/net/http_server_tests.cpp
@@ -4,6 +4,8 @@
 #include "net/http_server.hpp"
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/write.hpp>
+#include <cstring>
+#include <future>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -16,6 +18,12 @@
 constexpr std::size_t bodyLimitBytes = 64 * 1024;
 constexpr Duration slowHandlerTime{150};
 
+Address freeAddress() {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return Address{"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
+}
+
 // A server on a thread of its own; what the test wants done there is done between two of its
 // fibers.
 class RunningServer {
@@ -77,17 +85,26 @@
     response.body = request.target == "/large" ? std::string(largeBodyBytes, 'x') : request.target;
     return response;
   }
-  static Address freeAddress() {
-    asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return Address{"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
-  }
 
   std::function<void(HttpServer&)> work;
   std::atomic<bool> pending{false}, done{false}, ended{false};
   std::thread thread;
 };
 
+// What its fibers would read of it afterwards tells them to go on.
+void destroyServerAndItsMemory() {
+  static auto* const loop = new EventLoop;
+  alignas(HttpServer) static std::array<std::byte, sizeof(HttpServer)> memory;
+  auto* const server =
+      std::construct_at(reinterpret_cast<HttpServer*>(memory.data()), *loop, HttpLimits{},
+                        [](const HttpRequest&) { return ApiResponse::of(200, {}); });
+  CHECK_FALSE(server->listen(freeAddress()).has_value());
+  sleepFor(Duration{2});
+  server->stop();
+  std::destroy_at(server);
+  memory.fill(std::byte{0});
+}
+
 // A client's plain blocking connection.
 class ClientConnection {
  public:
@@ -272,6 +289,23 @@
   CHECK_TRUE(answer.closes);
 }
 
+// The thread ends only when all its fibers have; one that finds its server gone may turn for ever.
+TEST(HttpServerTests, noFiberOfAServerOutlivesIt) {
+  constexpr std::chrono::seconds timeout{5};
+  auto threadEnded = std::make_shared<std::promise<void>>();
+  auto hasEnded = threadEnded->get_future();
+  std::thread thread([threadEnded] {
+    threadEnded->set_value_at_thread_exit();
+    destroyServerAndItsMemory();
+  });
+  const bool ended = hasEnded.wait_for(timeout) == std::future_status::ready;
+  if (ended)
+    thread.join();
+  else
+    thread.detach();
+  CHECK_TRUE(ended);
+}
+
 TEST(HttpServerTests, anIdleConnectionIsClosedOnlyWhenItHasBeenIdleLongEnough) {
   RunningServer server;
   ClientConnection client(server);
