Config.Patch: named items are added, replaced and removed on the terms of a whole configuration

Change: ConfigPatch (state) makes a text of the one in force; the leader decides it where its log ends (decideConfigPatch), reads the result with the reader of its operators (ControllerOptions::parseConfig; the platform's decodeConfiguration there) and logs the whole. Same base, one winner, the same patch again is acknowledged: its digest stands in ConfigHistory apart from whole texts. PATCH /v1/config, aniselinectl config patch, POST /api/Config.Patch. The two handlers of the command line's configs share the base version's look-up. Simulator: its operators send patches in half of the orders that race (operators_tests counts them), the linearizability model learns a patched configuration's content from its first read; a new kind, all controllers killed at one moment and back within a second.

--- a/source/checker/configuration_model.hpp
+++ b/source/checker/configuration_model.hpp
@@ -13,6 +13,7 @@
   std::uint64_t version = 0;  // the version it brings; 0: the next one
   std::uint64_t base = 0;     // the version it was written upon
   std::string digest;
+  bool isPatch = false;  // what it makes of its base is learned from the first read of it
   auto operator<=>(const ConfigurationOrder&) const = default;
 };
 
@@ -42,7 +43,7 @@
 
   struct State {
     std::uint64_t version = 0;
-    std::string digest;
+    std::string digest;  // empty: made by a patch, and not read yet
     // Shared by the states between two applied orders, of which a search holds many.
     std::shared_ptr<const AppliedOrders> appliedOrders = std::make_shared<const AppliedOrders>();
     // Versions only rise, so equal contents have equal hashes.
--- a/source/checker/history.hpp
+++ b/source/checker/history.hpp
@@ -8,6 +8,9 @@
 
 namespace aniseline {
 
+// The detail of a configuration event whose order is a patch; its digest is configPatchDigest.
+constexpr const char* configPatchDetail = "patch";
+
 // Times are milliseconds on one clock, which all observers of a cluster share.
 struct HistoryEvent {
   enum class Kind : std::uint8_t {
--- a/source/checker/history_operations.cpp
+++ b/source/checker/history_operations.cpp
@@ -162,7 +162,8 @@
     made.key = configurationKey;
     made.client = "operator";
     made.input.kind = ConfigurationInput::Kind::apply;
-    made.input.order = ConfigurationOrder{0, event.baseVersion, event.digest};
+    made.input.order =
+        ConfigurationOrder{0, event.baseVersion, event.digest, event.detail == configPatchDetail};
     return made;
   }
 
--- a/source/cli/config_commands.cpp
+++ b/source/cli/config_commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/command.hpp"
 #include "base/json.hpp"
 #include "cli/views.hpp"
+#include "state/config_patch.hpp"
 #include "state/cluster_config.hpp"
 
 namespace aniseline {
@@ -38,35 +39,58 @@
                 return file + ": good, " + std::to_string(queues) + " queues\n";
               });
 }
+// The version that an order is based on: as given, else the one in force; 0 if there is none yet.
+Result<std::int64_t, ClientError> baseVersionOf(Session& session) {
+  if (session.options.baseVersion >= 0)
+    return session.options.baseVersion;
+  auto inForce = session.send({"GET", "/v1/config", ""});
+  if (!inForce && inForce.error().kind == ClientError::Kind::notFound)
+    return std::int64_t(0);
+  if (!inForce)
+    return inForce.error();
+  picojson::value root;
+  std::int64_t version = -1;
+  if (parseJson(root, inForce.value().body).empty())
+    version = std::int64_t(numberField(root, "version", -1));
+  if (version < 0)
+    return ClientError{ClientError::Kind::unknown, 0,
+                       "the version in force can't be learned; give --based-on", Duration{0}};
+  return version;
+}
+ExitCode sendOrder(Session& session, const char* method, std::int64_t baseVersion,
+                   const std::string& field, const std::string& text) {
+  return sendAndShow(
+      session,
+      {method, "/v1/config",
+       "{\"based_on\":" + std::to_string(baseVersion) + ",\"" + field + "\":" + text + "}"},
+      [](const picojson::value& answer) {
+        return "config " + formatNumber(numberField(answer, "version")) + " is in force\n";
+      });
+}
 ExitCode applyConfig(Session& session, const Arguments& words) {
   ExitCode code;
   std::size_t queues = 0;
   auto text = goodConfig(session, words[0], code, queues);
   if (!text)
     return code;
-  std::int64_t baseVersion = session.options.baseVersion;
-  if (baseVersion < 0) {
-    auto now = session.send({"GET", "/v1/config", ""});
-    picojson::value root;
-    if (!now && now.error().kind != ClientError::Kind::notFound)
-      return reportError(session, now.error());
-    if (now && parseJson(root, now.value().body).empty())
-      baseVersion = std::int64_t(numberField(root, "version", -1));
-    if (!now)
-      baseVersion = 0;  // there is none yet
-    if (baseVersion < 0)
-      return reportError(
-          session,
-          ClientError{ClientError::Kind::unknown, 0,
-                      "the version in force can't be learned; give --based-on", Duration{0}});
+  const auto baseVersion = baseVersionOf(session);
+  if (!baseVersion)
+    return reportError(session, baseVersion.error());
+  return sendOrder(session, "PUT", baseVersion.value(), "config", *text);
+}
+ExitCode patchConfig(Session& session, const Arguments& words) {
+  auto text = readWholeFile(session, words[0]);
+  if (!text)
+    return ExitCode::usage;
+  if (const auto patch = ConfigPatch::parse(*text); !patch) {
+    session.err << (session.options.json ? errorJson(patch.error()) + "\n"
+                                         : errorText(words[0], patch.error()));
+    return ExitCode::rejected;
   }
-  return sendAndShow(
-      session,
-      {"PUT", "/v1/config",
-       "{\"based_on\":" + std::to_string(baseVersion) + ",\"config\":" + *text + "}"},
-      [](const picojson::value& answer) {
-        return "config " + formatNumber(numberField(answer, "version")) + " is in force\n";
-      });
+  const auto baseVersion = baseVersionOf(session);
+  if (!baseVersion)
+    return reportError(session, baseVersion.error());
+  return sendOrder(session, "PATCH", baseVersion.value(), "patch", *text);
 }
 
 }  // namespace
@@ -95,6 +119,14 @@
        {"based-on"},
        false,
        applyConfig},
+      {"config patch",
+       "FILE",
+       "add, replace or remove named items of the config in force",
+       "FILE holds {\"upsert\": {LIST: ITEMS}, \"remove\": {LIST: [NAME, ...]}}. Refused as a "
+       "conflict, as config apply is.",
+       {"based-on"},
+       false,
+       patchConfig},
   };
 }
 
--- a/source/controller/config_service.cpp
+++ b/source/controller/config_service.cpp
@@ -1,6 +1,7 @@
 // Operators' configurations: accepted, rejected, or acknowledged again.
 // docs/design.md 6.1.
 #include "controller/config_service.hpp"
+#include "state/config_patch.hpp"
 
 namespace aniseline {
 
@@ -42,27 +43,66 @@
                     "must be above the current one, " + std::to_string(current.value)));
 }
 
+// The answer to an order that is not to be logged: it was before, or it can't
+// be by its versions.
+std::optional<ApiResponse> answerWithoutChange(const ConfigUpdate& order,
+                                               const ClusterState& state) {
+  const ConfigVersion current = state.config().version;
+  if (auto known = responseToKnownOrder(order, state.configHistory()))
+    return known;
+  if (order.baseVersion != current)
+    return conflictResponse(current);
+  if (order.version.value && order.version <= current)
+    return versionTooLowResponse(current);
+  return std::nullopt;
+}
+
+RequestDecision accept(ConfigCommitted event, ConfigVersion current) {
+  ConfigVersion& version = event.config.version;
+  if (!version.value)
+    version = current.next();
+  ApiResponse response = acceptedResponse(version);
+  return {std::move(response), std::move(event)};
+}
+
+RequestDecision reject(const CoreError& error) {
+  return {ApiResponse::fromError(error), std::nullopt};
+}
+
 }  // namespace
 
 RequestDecision decideConfigOrder(const ApiRequest& request, const ClusterState& state) {
   auto parsed = request.packedConfig.empty() ? ClusterConfig::parse(request.text)
                                              : unpack<ClusterConfig>(request.packedConfig);
   if (!parsed)
-    return {ApiResponse::fromError(parsed.error()), std::nullopt};
-  const ConfigVersion base = request.baseVersion;
-  const ConfigVersion current = state.config().version;
+    return reject(parsed.error());
   ConfigCommitted event(std::move(parsed.value()));
-  ConfigVersion& version = event.config.version;
-  if (auto known = responseToKnownOrder({version, base, event.digest}, state.configHistory()))
-    return {std::move(*known), std::nullopt};
-  if (base != current)
-    return {conflictResponse(current), std::nullopt};
-  if (version.value && version <= current)
-    return {versionTooLowResponse(current), std::nullopt};
-  if (!version.value)
-    version = current.next();
-  ApiResponse response = acceptedResponse(version);
-  return {std::move(response), std::move(event)};
+  const ConfigUpdate order{event.config.version, request.baseVersion, event.digest};
+  if (auto answer = answerWithoutChange(order, state))
+    return {std::move(*answer), std::nullopt};
+  return accept(std::move(event), state.config().version);
+}
+
+// The patch is applied to the configuration that the leader's log ends with, at
+// which the event is appended, so nothing can come between them.
+RequestDecision decideConfigPatch(const ApiRequest& request, const ClusterState& state,
+                                  const ConfigParser& parse) {
+  const auto patch = ConfigPatch::parse(request.text);
+  if (!patch)
+    return reject(patch.error());
+  const TextDigest digest = ConfigPatch::digestOf(request.text);
+  const ConfigUpdate order{patch.value().version(), request.baseVersion, digest};
+  if (auto answer = answerWithoutChange(order, state))
+    return {std::move(*answer), std::nullopt};
+  const auto patchedText = patch.value().applyTo(state.config().text);
+  if (!patchedText)
+    return reject(patchedText.error());
+  auto config = parse(patchedText.value());
+  if (!config)
+    return reject(config.error());
+  ConfigCommitted event(std::move(config.value()));
+  event.digest = digest;
+  return accept(std::move(event), state.config().version);
 }
 
 }  // namespace aniseline
--- a/source/controller/options.hpp
+++ b/source/controller/options.hpp
@@ -4,6 +4,7 @@
 #ifndef ANISELINE_CONTROLLER_OPTIONS_HPP
 #define ANISELINE_CONTROLLER_OPTIONS_HPP
 #include "raft/node.hpp"
+#include "state/cluster_config.hpp"
 
 namespace aniseline {
 
@@ -43,6 +44,9 @@
   std::uint64_t maxRecordsBetweenSnapshots = 1000;
   std::uint64_t maxBytesBetweenSnapshots = 8 * 1024 * 1024;
 
+  // Reads configurations that a patch makes out of the one in force.
+  ConfigParser parseConfig = ClusterConfig::parse;
+
   std::size_t maxPendingRequests = 4000;
   // Texts of pending requests and of proposals not committed yet; a single one
   // may be larger.
--- a/source/controller/request_handlers.cpp
+++ b/source/controller/request_handlers.cpp
@@ -81,6 +81,7 @@
     case RequestKind::cancelJob:
       return handleCancel(pending);
     case RequestKind::applyConfig:
+    case RequestKind::patchConfig:
       return handleConfig(pending);
     case RequestKind::syncWorker:
       return handleSync(pending);
@@ -156,7 +157,10 @@
 }
 
 void Controller::handleConfig(PendingRequest& pending) {
-  RequestDecision decision = decideConfigOrder(pending.request, speculative());
+  const ApiRequest& request = pending.request;
+  RequestDecision decision = request.kind == RequestKind::patchConfig
+                                 ? decideConfigPatch(request, speculative(), options.parseConfig)
+                                 : decideConfigOrder(request, speculative());
   if (decision.event) {
     const auto& event = boost::get<ConfigCommitted>(*decision.event);
     logEvent(log_events::ConfigAccepted{event.config.version});
--- a/source/controller/request_table.cpp
+++ b/source/controller/request_table.cpp
@@ -44,7 +44,7 @@
 }
 
 void RequestTable::releaseConfigText(PendingRequest& pending) {
-  if (pending.request.kind != RequestKind::applyConfig)
+  if (!changesConfig(pending.request.kind))
     return;
   totalRetainedBytes -= std::exchange(pending.retainedBytes, 0);
   pending.request.text = std::string();
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -45,6 +45,7 @@
   options.leaseDuration = Duration{settings.leaseMilliseconds};
   options.leaseMargin = Duration{settings.leaseMarginMilliseconds};
   options.maxPassedOverTime = Duration{settings.maxPassedOverMilliseconds};
+  options.parseConfig = settings.parseConfig;
   options.maxRecordsBetweenSnapshots = std::uint64_t(settings.snapshotVersions);
   options.applyMemoryLimit(settings.memoryBytes);
   return options;
@@ -246,9 +247,10 @@
     return settings.externalInterface.handle(request, [this](const ApiRequest& apiRequest) {
       const MonotonicTime begunAt = monotonicNow();
       ApiResponse response = forwarder.forward(apiRequest);
-      if (apiRequest.kind == RequestKind::applyConfig)
+      if (changesConfig(apiRequest.kind))
         log(LogLevel::info, log_events::configurationAnswered,
-            {{"status", json(response.status)},
+            {{"order", json(name(apiRequest.kind))},
+             {"status", json(response.status)},
              {"error", json(response.errorKind)},
              {"base", json(apiRequest.baseVersion.value)},
              {"took_ms", json((monotonicNow() - begunAt).milliseconds)}});
--- a/source/daemons/controller_daemon.hpp
+++ b/source/daemons/controller_daemon.hpp
@@ -33,6 +33,8 @@
   std::int64_t leaseMarginMilliseconds = 1000;  // beyond it, for clocks that differ
   // Work that fits is passed over for at most that long; docs/design.md 7.9.
   std::int64_t maxPassedOverMilliseconds = 2000;
+  // Of the operators' configurations, where they come by an adapter in a form of its own.
+  ConfigParser parseConfig = ClusterConfig::parse;
   ExternalInterface externalInterface;  // an adapter's, beside the product's own
   SeedSource seedSource;                // where the seeds can change while the process runs
 };
--- a/source/simulator/campaign.cpp
+++ b/source/simulator/campaign.cpp
@@ -244,6 +244,7 @@
                       [](const auto& event) { return event.kind == HistoryEvent::Kind::started; }));
     countLeadersWork();
     result.counters["orders resent later"] = double(operators.resentLater());
+    result.counters["patches acknowledged"] = double(operators.acknowledgedPatches());
     if (options.calledWorkers)
       countCalledWorkersEvents();
   }
--- a/source/simulator/faults_controllers.cpp
+++ b/source/simulator/faults_controllers.cpp
@@ -5,6 +5,7 @@
 
 namespace {
 
+constexpr std::int64_t longestBriefOutageMs = 1000;  // of all processes at once
 constexpr std::int64_t slowDiskMs = 80;     // of each sync: more than a round of heartbeats
 constexpr std::int64_t moveRestMs = 5000;   // until all know the addresses of those that moved
 constexpr std::int64_t clockRestMs = 1000;  // until the next clock may lie
@@ -74,6 +75,14 @@
                   [&](auto index) { cluster.stallDisk(index, targets.duration); });
 }
 
+// Whatever may be lost, all processes may be killed at one moment and come back with their disks.
+void killAllBriefly(SimulatedCluster& cluster, const FaultTargets& targets) {
+  for (std::size_t index = 0; index < cluster.controllerCount(); ++index)
+    cluster.killController(index, false);
+  cluster.scheduleAfter(1 + targets.duration % longestBriefOutageMs,
+                        [&cluster] { powerOnControllers(cluster); });
+}
+
 void freeDisk(SimulatedCluster& cluster, std::size_t index) {
   cluster.setDiskFull(index, false);
   cluster.restartController(index);
@@ -121,6 +130,7 @@
                          [](SimulatedCluster& cluster, std::size_t index) {
                            cluster.freezeController(index, false);
                          }),
+      momentaryFault("kill all controllers", killAllBriefly),
   };
 }
 
--- a/source/simulator/faults_on_acknowledgement.cpp
+++ b/source/simulator/faults_on_acknowledgement.cpp
@@ -20,7 +20,7 @@
   return request.kind == RequestKind::cancelJob && acknowledged(answer);
 }
 bool acknowledgesConfig(const ApiRequest& request, const ApiResponse& answer) {
-  return request.kind == RequestKind::applyConfig && acknowledged(answer);
+  return changesConfig(request.kind) && acknowledged(answer);
 }
 bool acknowledgesDrain(const ApiRequest& request, const ApiResponse& answer) {
   return request.kind == RequestKind::syncWorker && request.report.draining && acknowledged(answer);
--- a/source/simulator/simulated_cluster.hpp
+++ b/source/simulator/simulated_cluster.hpp
@@ -8,6 +8,7 @@
 #include "agent/node_agent.hpp"
 #include "checker/invariants.hpp"
 #include "controller/controller.hpp"
+#include "state/config_patch.hpp"
 #include <queue>
 
 namespace aniseline {
@@ -98,6 +99,9 @@
   void resubmit(const JobSubmission& job);
   void applyConfig(const std::string& text, std::uint64_t baseVersion, ResponseHandler follower,
                    std::size_t gateway = 0);
+  // The text is that of a patch.
+  void patchConfig(const std::string& text, std::uint64_t baseVersion, ResponseHandler follower,
+                   std::size_t gateway = 0);
 
   // What can be seen.
   std::optional<std::size_t> leader() const;
@@ -151,6 +155,12 @@
   struct CalledWorkerNode;
   struct Call;
   struct CallerState;
+  struct ConfigOrder {
+    const char* method = "";
+    std::string body;
+    HistoryEvent submitted;
+    bool isValid = false;  // as far as can be told without the configuration it is based on
+  };
   void schedule(std::int64_t time, std::function<void()> work);
   bool cutBetween(const Node& from, const Node& to) const;
   void deliver(Node& from, Node& to, std::function<void()> work);
@@ -192,6 +202,11 @@
   void deliverLocally(Node& to, std::function<void()> work);
   // What reaches a process that is up still; a frozen one gets it when it wakes.
   void deliverAt(Node& to, std::int64_t at, std::function<void()> work);
+  void sendConfigOrder(const ConfigOrder& order, std::size_t gateway, ResponseHandler follower);
+  void recordConfigAnswer(const HistoryEvent& submitted, int status, const std::string& body);
+  // What the checkers of runs need to know of a configuration.
+  void notePools(const ClusterConfig& config);
+  void noteAttemptLimits(const ClusterConfig& config);
   void sendSubmission(std::shared_ptr<CallerState> state);
   void sendCancel(std::shared_ptr<CallerState> state);
   void pollJob(std::shared_ptr<CallerState> state);
--- a/source/state/api_request.cpp
+++ b/source/state/api_request.cpp
@@ -5,12 +5,17 @@
 
 const char* name(RequestKind kind) {
   static constexpr const char* names[] = {
-      "submit",   "cancel",  "show-job", "list-jobs",    "apply-config", "show-config", "sync",
-      "leave",    "drain",   "undrain",  "declare-gone", "workers",      "cluster",     "plan",
-      "counters", "replace", "export",   "phase",        "waiting",      "read-config"};
+      "submit",  "cancel",      "show-job",    "list-jobs", "apply-config", "show-config",
+      "sync",    "leave",       "drain",       "undrain",   "declare-gone", "workers",
+      "cluster", "plan",        "counters",    "replace",   "export",       "phase",
+      "waiting", "read-config", "patch-config"};
   return names[std::size_t(kind)];
 }
 
+bool changesConfig(RequestKind kind) {
+  return kind == RequestKind::applyConfig || kind == RequestKind::patchConfig;
+}
+
 std::size_t payloadBytes(const ApiRequest& request) {
   std::size_t bytes = request.text.size() + request.packedConfig.size() + request.path.size() +
                       request.job.payload.size();
@@ -66,6 +71,7 @@
       {"GET jobs/*", {RequestKind::showJob}},
       {"GET jobs", {RequestKind::listJobs}},
       {"PUT config", {RequestKind::applyConfig, true}},
+      {"PATCH config", {RequestKind::patchConfig, true}},
       {"GET config", {RequestKind::showConfig}},
       {"POST workers/*/sync", {RequestKind::syncWorker, true}},
       {"POST workers/*/leave", {RequestKind::workerShutdown}},
@@ -109,18 +115,25 @@
         std::strtoll(query["within_ms"].c_str(), nullptr, 10), 0, maxDrainTimeout)};
 }
 
+// The order's own text stands in one field of the body.
+void readConfigOrder(const picojson::value& root, const char* textField, ApiRequest& request,
+                     std::vector<ErrorDetail>& faults) {
+  using Presence = JsonObjectReader::Presence;
+  JsonObjectReader fields(root, "", faults);
+  request.baseVersion = ConfigVersion{fields.unsignedInteger("based_on", Presence::required)};
+  if (const auto* text = fields.find(textField, Presence::required))
+    request.text = text->serialize();
+}
+
 void readBody(const picojson::value& root, ApiRequest& request, std::vector<ErrorDetail>& faults) {
   if (request.kind == RequestKind::submitJob)
     request.job = parseJobSubmission(root, faults);
   if (request.kind == RequestKind::syncWorker)
     request.report = parseSyncReport(root, request.targetId, faults);
-  if (request.kind == RequestKind::applyConfig) {
-    using Presence = JsonObjectReader::Presence;
-    JsonObjectReader fields(root, "", faults);
-    request.baseVersion = ConfigVersion{fields.unsignedInteger("based_on", Presence::required)};
-    if (const auto* config = fields.find("config", Presence::required))
-      request.text = config->serialize();
-  }
+  if (request.kind == RequestKind::applyConfig)
+    readConfigOrder(root, "config", request, faults);
+  if (request.kind == RequestKind::patchConfig)
+    readConfigOrder(root, "patch", request, faults);
 }
 
 }  // namespace
--- a/source/state/api_request.hpp
+++ b/source/state/api_request.hpp
@@ -31,14 +31,17 @@
   exportState,
   showPhase,
   countPendingJobs,
-  readConfig
+  readConfig,
+  patchConfig
 };
 const char* name(RequestKind kind);
+/// Whether it is an operator's order about the configuration.
+bool changesConfig(RequestKind kind);
 
 struct ApiRequest {
   RequestKind kind = RequestKind::showCounters;
   std::string targetId;  // of the job, worker or controller that the request is about
-  std::string text;      // the text of a configuration, or the queue or state to list
+  std::string text;      // of a configuration or a patch of it, or the queue or state to list
   ConfigVersion baseVersion;
   std::uint64_t limit = 100;  // entries of a list
   Duration drainTimeout{0};
--- a/source/state/cluster_config.hpp
+++ b/source/state/cluster_config.hpp
@@ -132,6 +132,10 @@
   }
 };
 
+/// Reads the text of a configuration: ClusterConfig::parse, or an adapter's
+/// reader where operators write another form.
+using ConfigParser = std::function<Result<ClusterConfig>(const std::string& text)>;
+
 /// The TextDigest, as text, of a configuration's JSON without regard to white
 /// space; empty if the text is not JSON. Configuration updates are identified
 /// by it.
--- a/tests/controller/config_orders_tests.cpp
+++ b/tests/controller/config_orders_tests.cpp
@@ -27,6 +27,15 @@
   request.text = "{\"queues\":{\"" + queue + "\":{}}}";
   return request;
 }
+// A queue is added or replaced; version 0: the leader numbers it.
+ApiRequest patch(std::uint64_t version, std::uint64_t base, const std::string& queue = "extra") {
+  ApiRequest request;
+  request.kind = RequestKind::patchConfig;
+  request.baseVersion = ConfigVersion{base};
+  const std::string number = version ? "\"version\":" + std::to_string(version) + "," : "";
+  request.text = "{" + number + "\"upsert\":{\"queues\":{\"" + queue + "\":{\"retries\":3}}}}";
+  return request;
+}
 bool isRefusal(int status) {
   return status >= 400 && status < 500 && status != 408 && status != 429;
 }
@@ -186,3 +195,106 @@
     LONGS_EQUAL(503, cluster.response(number)->status);
   }
 }
+
+TEST(ConfigOrdersTests, aPatchAltersWhatItNamesAndLeavesTheRest) {
+  ControllerCluster cluster(3);
+  LONGS_EQUAL(200, cluster.askLeader(unnumbered(0)).status);
+  LONGS_EQUAL(200, cluster.askLeader(patch(4, 1)).status);
+  const auto& config = cluster.controller(cluster.leader()).committed().config();
+  LONGS_EQUAL(4, config.version.value);
+  CHECK(config.findQueue(QueueName{"proofs"}) != nullptr);
+  LONGS_EQUAL(3, config.findQueue(QueueName{"extra"})->maxRetries);
+  STRCMP_EQUAL("{\"queues\":{\"extra\":{\"retries\":3},\"proofs\":{}},\"version\":4}",
+               config.text.c_str());
+  LONGS_EQUAL(200, cluster.askLeader(patch(0, 4, "more")).status);
+  LONGS_EQUAL(5, versionInForce(cluster));
+}
+
+TEST(ConfigOrdersTests, aPatchStandsOnTheTermsOfAWholeConfiguration) {
+  ControllerCluster cluster(1);
+  LONGS_EQUAL(200, cluster.askLeader(unnumbered(0)).status);
+  LONGS_EQUAL(200, cluster.askLeader(patch(5, 1)).status);
+  LONGS_EQUAL(200, cluster.askLeader(patch(7, 5, "more")).status);
+  // The same again, also when another was taken since.
+  LONGS_EQUAL(200, cluster.askLeader(patch(7, 5, "more")).status);
+  LONGS_EQUAL(200, cluster.askLeader(patch(5, 1)).status);
+  // Others on that base or under that number, and a version that is not above.
+  LONGS_EQUAL(409, cluster.askLeader(patch(8, 5)).status);
+  LONGS_EQUAL(409, cluster.askLeader(patch(7, 5)).status);
+  LONGS_EQUAL(409, cluster.askLeader(unnumbered(5)).status);
+  LONGS_EQUAL(400, cluster.askLeader(patch(6, 7)).status);
+  LONGS_EQUAL(7, versionInForce(cluster));
+}
+
+TEST(ConfigOrdersTests, aPatchThatLeavesNoGoodConfigurationChangesNothing) {
+  ControllerCluster cluster(1);
+  LONGS_EQUAL(200, cluster.askLeader(unnumbered(0)).status);
+  for (const char* text :
+       {R"({"remove":{"queues":["plates"]}})", R"({"remove":{"queues":["proofs"]}})",
+        R"({"upsert":{"queues":{"proofs":{"retries":-1}}}})",
+        R"({"upsert":{"pools":{"presses":{}}}})", "{", "7"}) {
+    ApiRequest request = patch(0, 1);
+    request.text = text;
+    const ApiResponse answer = cluster.askLeader(request);
+    LONGS_EQUAL(400, answer.status);
+    STRCMP_EQUAL("invalid", answer.errorKind.c_str());
+  }
+  LONGS_EQUAL(400, cluster.askLeader(patch(3, 1, "")).status);
+  LONGS_EQUAL(1, versionInForce(cluster));
+}
+
+TEST(ConfigOrdersTests, nothingIsPatchedBeforeTheFirstConfiguration) {
+  ControllerCluster cluster(1);
+  LONGS_EQUAL(400, cluster.askLeader(patch(1, 0)).status);
+  LONGS_EQUAL(0, versionInForce(cluster));
+}
+
+// Patches and whole configurations race on one base: one wins, and each is answered alike again.
+TEST(ConfigOrdersTests, ofPatchesAndWholeConfigurationsOneIsConfirmed) {
+  ControllerCluster cluster(3);
+  LONGS_EQUAL(200, cluster.askLeader(unnumbered(0)).status);
+  std::vector<ApiRequest> orders;
+  for (std::uint64_t place = 0; place < 4; ++place) {
+    const std::string queue = "q" + std::to_string(place);
+    orders.push_back(patch(5 + place % 2, 1, queue));
+    orders.push_back(order(5 + place % 2, 1, queue));
+  }
+  std::vector<RequestNumber> asked;
+  for (const auto& each : orders)
+    asked.push_back(cluster.submit(cluster.leader(), each));
+  cluster.run(200);
+  int confirmed = 0;
+  for (std::size_t place = 0; place < orders.size(); ++place) {
+    const int status = cluster.response(asked[place])->status;
+    confirmed += status == 200;
+    CHECK(status == 200 || isRefusal(status));
+    LONGS_EQUAL(status, cluster.askLeader(orders[place]).status);
+  }
+  LONGS_EQUAL(1, confirmed);
+}
+
+// Its answer is lost with the leader, which may have taken it or not; and it is known after
+// snapshots.
+TEST(ConfigOrdersTests, aPatchIsKnownToTheNextLeaderAndAfterASnapshot) {
+  ControllerOptions options;
+  options.maxRecordsBetweenSnapshots = 5;
+  options.raft.retainedEntries = 3;
+  ControllerCluster cluster(3, 0, options);
+  LONGS_EQUAL(200, cluster.askLeader(unnumbered(0)).status);
+  const std::size_t first = cluster.leader();
+  cluster.submit(first, patch(5, 1));
+  cluster.run(50);
+  cluster.kill(first);
+  LONGS_EQUAL(200, cluster.askLeader(patch(5, 1)).status);
+  cluster.start(first);
+  for (std::uint64_t version = 6; version <= 30; ++version)
+    LONGS_EQUAL(200, cluster.askLeader(patch(version, version - 1)).status);
+  const std::size_t leader = cluster.leader();
+  cluster.kill(leader);
+  cluster.run(2000);
+  for (std::uint64_t version = 6; version <= 30; ++version)
+    LONGS_EQUAL(200, cluster.askLeader(patch(version, version - 1)).status);
+  LONGS_EQUAL(200, cluster.askLeader(patch(5, 1)).status);
+  CHECK(isRefusal(cluster.askLeader(patch(5, 1, "plates")).status));
+  LONGS_EQUAL(30, versionInForce(cluster));
+}
--- a/tests/fuzz/config.cpp
+++ b/tests/fuzz/config.cpp
@@ -1,10 +1,13 @@
 // Configurations as operators write them.
+#include "state/config_patch.hpp"
 #include "state/cluster_config.hpp"
 #include "fuzz.hpp"
 
 using namespace aniseline;
 
 FUZZ_TARGET(bytes) {
+  if (const auto patch = ConfigPatch::parse(bytes))
+    (void)patch.value().applyTo(R"({"queues":{"proofs":{}},"entrances":[{"name":"a"}]})");
   auto config = ClusterConfig::parse(bytes);
   if (!config)
     return require(!config.error().details.empty());
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -4,6 +4,7 @@
 #include "platform/request_codec.hpp"
 #include "platform/response_codec.hpp"
 #include "platform/worker_codec.hpp"
+#include "state/config_patch.hpp"
 #include <CppUTest/TestHarness.h>
 
 using namespace aniseline;
@@ -380,7 +381,53 @@
                        .status);
 }
 
+// What a patch makes of the configuration in force is read as a whole configuration is.
+TEST(PlatformConfiguration, theOperatorsPatch) {
+  const std::string body = R"({"version":9,"upsert":{"routes":[)" + route("b", "/b/") +
+                           R"(]},"remove":{"routes":["a"]}})";
+  const auto patch = decodeOperatorRequest(
+      request("POST", "/api/Config.Patch", body, {{"base-version", "7"}}), settings());
+  CHECK(patch.has_value());
+  CHECK(patch.value().kind == RequestKind::patchConfig);
+  LONGS_EQUAL(7, patch.value().baseVersion.value);
+  const auto text = ConfigPatch::parse(patch.value().text)
+                        .value()
+                        .applyTo(configuration(route("a", "/a/") + "," + route("c", "/c/")));
+  CHECK(text.has_value());
+  const auto config = decodeConfiguration(text.value(), settings());
+  CHECK(config.has_value());
+  LONGS_EQUAL(9, config.value().version.value);
+  LONGS_EQUAL(2, config.value().ingressRoutes.size());
+  STRCMP_EQUAL("/c/", config.value().ingressRoutes[0].pathPrefix.c_str());
+  STRCMP_EQUAL("/b/", config.value().ingressRoutes[1].pathPrefix.c_str());
+  LONGS_EQUAL(404,
+              ApiResponse::fromError(
+                  decodeOperatorRequest(request("GET", "/api/Config.Patch"), settings()).error())
+                  .status);
+}
+
+// A service that a route still names can't be removed.
+TEST(PlatformConfiguration, aPatchIsCheckedAsAWhole) {
+  const std::string base = configuration(route("a", "/a/"));
+  picojson::value root;
+  CHECK(parseJson(root, base).empty());
+  const std::string service =
+      root.get("services").get<picojson::array>()[0].get("name").get<std::string>();
+  const auto patched =
+      ConfigPatch::parse(R"({"version":9,"remove":{"services":[")" + service + R"("]}})")
+          .value()
+          .applyTo(base);
+  CHECK(patched.has_value());
+  STRCMP_EQUAL("/routes/0/service",
+               decodeConfiguration(patched.value(), settings()).error().details.at(0).path.c_str());
+}
+
 TEST(PlatformConfiguration, theOperatorsAnswers) {
+  STRCMP_EQUAL("{}",
+               encodeOperatorResponse(asking(RequestKind::patchConfig), answer(200)).body.c_str());
+  LONGS_EQUAL(
+      412,
+      encodeOperatorResponse(asking(RequestKind::patchConfig), answer(409, "conflict")).status);
   LONGS_EQUAL(
       412,
       encodeOperatorResponse(asking(RequestKind::applyConfig), answer(409, "conflict")).status);
--- a/tests/simulator/operators_tests.cpp
+++ b/tests/simulator/operators_tests.cpp
@@ -9,6 +9,7 @@
 
 TEST(OperatorsCampaignTests, oneIsConfirmedAndNoneThatWasTakenIsRefused) {
   double resentLater = 0;
+  double patches = 0;
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
     CampaignOptions options;
     options.seed = seed;
@@ -20,6 +21,8 @@
       FAIL(violation.description.c_str());
     CHECK(result.unfinished.empty());
     resentLater += result.counters.at("orders resent later");
+    patches += result.counters.at("patches acknowledged");
   }
   CHECK(resentLater >= 4);
+  CHECK(patches >= 4);
 }
