--- a/source/checker/history_operations.cpp
+++ b/source/checker/history_operations.cpp
@@ -23,16 +23,28 @@
   // Takes out the call that this answers: the one asked at the time the answer tells, else the
   // first of all.
   void answer(const HistoryEvent& event) {
-    auto call = std::find_if(open.begin(), open.end(), [&](const HistoryEvent& asked) {
-      return event.invokedAt == 0 || asked.timestamp == event.invokedAt;
+    answerOneOf(event, [](const HistoryEvent&) { return true; });
+  }
+  // The same among the calls that bring this very configuration: others may be asked at the same
+  // time.
+  void answerOrder(const HistoryEvent& event) {
+    answerOneOf(event, [&](const HistoryEvent& asked) {
+      return asked.digest == event.digest && asked.baseVersion == event.baseVersion;
     });
-    if (call != open.end())
-      open.erase(call);
   }
 
   const std::vector<HistoryEvent>& unanswered() const { return open; }
 
  private:
+  template <class Matches>
+  void answerOneOf(const HistoryEvent& event, Matches matches) {
+    auto call = std::find_if(open.begin(), open.end(), [&](const HistoryEvent& asked) {
+      return matches(asked) && (event.invokedAt == 0 || asked.timestamp == event.invokedAt);
+    });
+    if (call != open.end())
+      open.erase(call);
+  }
+
   std::vector<HistoryEvent> open;
 };
 
@@ -171,7 +183,7 @@
   void ordered(const HistoryEvent& event, ConfigurationOutput::Kind answer) {
     if (event.digest.empty())
       return;
-    orders.answer(event);
+    orders.answerOrder(event);
     ConfigurationModel::Operation made = orderOf(event);
     made.invokedAt = event.invokedAt ? event.invokedAt : longAgo;
     made.returnedAt = event.timestamp;
--- a/tests/checker/history_operations_tests.cpp
+++ b/tests/checker/history_operations_tests.cpp
@@ -127,6 +127,27 @@
   passes(with(life(), line(Kind::rejected, 100, "429", 90)));
 }
 
+// Two orders of one moment: the answer to the second is not taken for one to the first, which was
+// applied without an answer.
+TEST(HistoryOperations, ordersOfOneMomentAreToldApart) {
+  passes({ofConfig(Kind::configSubmitted, 10, 0, "x"), ofConfig(Kind::configSubmitted, 10, 0, "y"),
+          ofConfig(Kind::configRejected, 20, 0, "y", 10, 1)});
+}
+
+// What a patch makes of its base is known from the first read of it.
+TEST(HistoryOperations, readsOfAPatchedConfigurationAgree) {
+  HistoryEvent patch = ofConfig(Kind::configSubmitted, 110, 2, "p");
+  patch.detail = configPatchDetail;
+  HistoryEvent taken = ofConfig(Kind::configAcknowledged, 120, 2, "p", 110, 3);
+  taken.detail = configPatchDetail;
+  std::vector<HistoryEvent> history = orders();
+  history.insert(history.end(), {patch, taken, ofConfig(Kind::configReturned, 140, 0, "m", 130, 3),
+                                 ofConfig(Kind::configReturned, 160, 0, "m", 150, 3)});
+  passes(history);
+  failsAt(180, with(history, ofConfig(Kind::configReturned, 180, 0, "n", 170, 3)));
+  failsAt(180, with(history, ofConfig(Kind::configReturned, 180, 0, "x", 170, 1)));
+}
+
 TEST(HistoryOperations, aForgottenJobIsFound) {
   failsAt(100, with(life(), line(Kind::stateObserved, 100, "missing", 90)));
   failsAt(100, with(life(), line(Kind::cancelNotFound, 100, "", 90)));
