Planner: long work that saves its progress gives way to urgent work that finds no room

Change: CheckpointPreemption (design.md 7.10); reasons of stops are named constants that planner and state share.

--- a/source/scheduling/attempt_projection.cpp
+++ b/source/scheduling/attempt_projection.cpp
@@ -65,10 +65,19 @@
       survey.gangParts.push_back({step, &attempt});
     else if (step->requirements().redundant && attempt.state != AttemptState::stopping)
       survey.redundant.push_back({step, &attempt});
+    if (isPreemptible(attempt, *step))
+      survey.checkpointed.push_back({step, &attempt});
     if (step->requirements().sameRack && !step->chosenRack)
       step->chosenRack = context.rackOfWorker(attempt.worker);
   }
 
+  bool isPreemptible(const Attempt& attempt, const StepView& step) const {
+    const StepRequirements& requirements = step.requirements();
+    return requirements.checkpointed && !requirements.longRunning && !requirements.redundant &&
+           !attempt.gang && !attempt.isTrial() && workerIndex != noIndex &&
+           !context.workers()[workerIndex].capacity().supportsSuspend;
+  }
+
   void allocate(const Attempt& attempt, StepView* step) {
     WorkerView& worker = context.workers()[workerIndex];
     const bool suspended = attempt.state == AttemptState::suspended;
--- a/source/scheduling/attempt_projection.hpp
+++ b/source/scheduling/attempt_projection.hpp
@@ -17,6 +17,9 @@
 struct AttemptSurvey {
   std::vector<StepAttempt> gangParts;
   std::vector<StepAttempt> redundant;  // single ones of redundant steps, not being stopped
+  // Single ones of steps that keep checkpoints, on workers that can't suspend, those that are being
+  // stopped included.
+  std::vector<StepAttempt> checkpointed;
   std::vector<OverTimeLimit> overTimeLimit;
 };
 
--- a/source/scheduling/gangs.cpp
+++ b/source/scheduling/gangs.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/gangs.hpp"
+#include "state/stop_reasons.hpp"
 
 namespace aniseline::scheduling {
 
@@ -91,9 +92,9 @@
       else if (part->state == AttemptState::stopping)
         continue;
       else if (status.startUnconfirmed)
-        draft.addStop(*part, "alone");
+        draft.addStop(*part, stop_reasons::startUnconfirmed);
       else if (status.stagingTimedOut)
-        draft.addStop(*part, "staging");
+        draft.addStop(*part, stop_reasons::stagingTimedOut);
     }
   }
 }
--- a/source/scheduling/planner.cpp
+++ b/source/scheduling/planner.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/planner.hpp"
 #include "scheduling/attempt_projection.hpp"
+#include "scheduling/checkpoint_preemption.hpp"
 #include "scheduling/gangs.hpp"
 #include "scheduling/immediate_starts.hpp"
 #include "scheduling/redundant_copies.hpp"
@@ -32,7 +33,8 @@
         headroom(context),
         starts(context, backfill, draft),
         trials(context, policies, reservedStart, backfill, draft),
-        starvation(context, hints, draft) {}
+        starvation(context, hints, draft),
+        preemption(context, draft) {}
 
   Plan run();
 
@@ -53,6 +55,7 @@
   ImmediateStarts starts;
   ServiceTrials trials;
   StarvationGuard starvation;
+  CheckpointPreemption preemption;
 };
 
 Plan PlanRun::run() {
@@ -80,6 +83,7 @@
   std::erase_if(blocked, [&](const PlacementUnit* unit) { return overdue.count(unit) > 0; });
   if (context.options().trialsEnabled)
     trials.start(blocked);
+  preemption.makeRoom(blocked, survey.checkpointed);
   startRedundantCopies(context, survey.redundant, backfill, draft);
   draft.plan().record.reservation = reservedStart.get();
   return std::move(draft.plan());
--- a/source/state/plan_events.cpp
+++ b/source/state/plan_events.cpp
@@ -2,14 +2,15 @@
 // reservation. docs/design.md 5.
 #include "state/event_appliers.hpp"
 #include "state/job_lifecycle.hpp"
+#include "state/stop_reasons.hpp"
 
 namespace aniseline {
 
 namespace {
 
-// A plan stops a staged gang with this reason when it could not be launched in
-// time.
-const std::string stagingTimedOut = "staging";
+bool isExemptFromRetryLimit(const std::string& stopReason) {
+  return stopReason == stop_reasons::stagingTimedOut || stopReason == stop_reasons::preempted;
+}
 
 void countStart(ClusterTables& tables, Task& task) {
   if (task.countedStarts++ > 0)
@@ -85,7 +86,7 @@
     AttemptControl(tables).suspend(attempt, action.suspendedForTrial);
   } else if (action.kind == ActionKind::stop) {
     const auto accounting =
-        action.reason == stagingTimedOut ? RetryAccounting::exempt : RetryAccounting::counted;
+        isExemptFromRetryLimit(action.reason) ? RetryAccounting::exempt : RetryAccounting::counted;
     AttemptControl(tables).forceStop(attempt, accounting);
   }
 }
--- a/tests/scheduling/planner_reference_tests.cpp
+++ b/tests/scheduling/planner_reference_tests.cpp
@@ -291,7 +291,7 @@
       requirements.sameRack = random.chance(0.15);
       requirements.redundant = !step.gang && random.chance(0.3);
       requirements.longRunning = random.chance(0.03);
-      requirements.checkpointed = random.chance(0.2);
+      requirements.checkpointed = random.chance(0.6);
       job.steps.push_back(std::move(step));
     }
     if (!clusterState.jobs().count(job.id))
@@ -393,6 +393,7 @@
                            "gets its trial in this plan",
                            "leaves room that urgent work has wanted lately",
                            "starts after it was passed over for too long",
+                           "preempted",
                            "would delay the reserved start, or no worker has room",
                            "no worker that is here now could ever hold it"})
     CHECK_TEXT(coverage.counts[what] > 0, what);
--- a/tests/scheduling/reference_planner.cpp
+++ b/tests/scheduling/reference_planner.cpp
@@ -1051,6 +1051,69 @@
     return overdue;
   }
 
+  // Checkpointed work on workers that can't suspend gives way to urgent work that finds no room.
+  bool maySaveItsProgress(const Attempt& attempt) const {
+    const Worker& worker = clusterState.workers().at(attempt.worker);
+    const auto job = clusterState.jobs().find(attempt.job);
+    if (attempt.abandoned || attempt.gang || attempt.isTrial() || worker.capacity.supportsSuspend ||
+        worker.state == WorkerState::removed || job == clusterState.jobs().end() ||
+        attempt.stepIndex >= job->second.submission.steps.size())
+      return false;
+    const auto& requirements = job->second.submission.steps[attempt.stepIndex].requirements;
+    return requirements.checkpointed && !requirements.longRunning && !requirements.redundant;
+  }
+  bool mayGiveWay(const Attempt& attempt) {
+    const QueueOptions& queue = queueOptionsOf(attempt.job);
+    if (attempt.state != AttemptState::running || queue.priority == highestPriority ||
+        attempt.runtimeAt(now) < Duration{1500})
+      return false;
+    if (queue.hardRuntimeLimit.milliseconds > 0 && attempt.runtimeAt(now) > queue.hardRuntimeLimit)
+      return false;
+    for (const auto& worker : workers)
+      if (worker.record->id == attempt.worker && !worker.schedulable)
+        return false;
+    const LatencyTarget target = latencyTargetOf(clusterState.jobs().at(attempt.job), queue);
+    return !target.lowSlack || target.targetStatus == 2;
+  }
+  void giveWayToUrgentWork(const std::vector<const PlacementUnit*>& notStarted,
+                           const std::set<const PlacementUnit*>& overdue) {
+    if (!clusterState.config().planner.strictPriority)
+      return;
+    std::map<std::string, std::int64_t> lacking;
+    for (const auto* unit : notStarted)
+      if (!overdue.count(unit) && unit->queuePriority == highestPriority && unit->targetStatus < 2)
+        for (auto part : unit->tasks)
+          lacking[unit->pool] += requestOf(*unit, part).cores;
+    std::vector<const Attempt*> candidates;
+    for (const auto& [number, attempt] : clusterState.attempts()) {
+      const std::string& pool = queueOptionsOf(attempt.job).pool;
+      if (!maySaveItsProgress(attempt) || !lacking.count(pool))
+        continue;
+      if (attempt.state == AttemptState::stopping)
+        lacking[pool] -= attempt.cores;
+      if (mayGiveWay(attempt))
+        candidates.push_back(&attempt);
+    }
+    std::sort(candidates.begin(), candidates.end(), [&](const Attempt* left, const Attempt* right) {
+      const auto leftPriority = queueOptionsOf(left->job).priority;
+      const auto rightPriority = queueOptionsOf(right->job).priority;
+      return leftPriority != rightPriority ? leftPriority < rightPriority
+                                           : left->number > right->number;
+    });
+    for (const auto* attempt : candidates) {
+      std::int64_t& cores = lacking[queueOptionsOf(attempt->job).pool];
+      if (cores <= 0)
+        continue;
+      cores -= attempt->cores;
+      Action action;
+      action.kind = ActionKind::stop;
+      action.attempt = attempt->number;
+      action.worker = attempt->worker;
+      action.reason = "preempted";
+      plan.record.actions.push_back(std::move(action));
+    }
+  }
+
   void explainDecision(const PlacementUnit& unit, std::string text) {
     if (explain)
       plan.explanations.push_back({unit.job, unit.step, unit.rank, std::move(text)});
@@ -1148,6 +1211,7 @@
         } else
           explainDecision(*unit, "gets its trial in this plan");
       }
+    giveWayToUrgentWork(notStarted, overdue);
     startRedundantCopies();
     plan.record.number = clusterState.lastPlan().next();
     return std::move(plan);
