--- a/programs/controller.cpp
+++ b/programs/controller.cpp
@@ -43,6 +43,8 @@
                      "a stop waits this long for another leader and other full copies", 0, 600'000);
   options.addInteger("snapshot-versions", settings.snapshotVersions,
                      "versions on disk between whole views", 10, 1'000'000);
+  options.addFlag("explain-late-jobs", settings.explainLateJobs,
+                  "log of each job that missed its latency target where its time went");
   options.addFlag("quiet", settings.quiet, "no logs");
   options.read(count, values);
   if (settings.advertisedAddress.value.empty())
--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -38,7 +38,8 @@
       leases(this->options),
       membership(raft, this->options, logEvent),
       planning(leases, logEvent, options.maxPassedOverTime),
-      openJobs(logEvent) {}
+      openJobs(logEvent),
+      jobLatency(logEvent) {}
 
 void Controller::step(MonotonicTime at, WallTime wall) {
   if (hasUnreadableState())
@@ -87,6 +88,7 @@
   planning.restart();
   admission.restart();
   retention.restart();
+  jobLatency.clear();
   timetables.invalidate();
   syncResponder.clear();
   requests.checkAllPolls();
@@ -122,7 +124,11 @@
 }
 
 void Controller::append(Event event) {
+  if (options.explainLateJobs)
+    jobLatency.recordResults(speculative(), event, clusterNow());
   const Event& appended = stateMachine.append(std::move(event), clusterNow(), now);
+  if (options.explainLateJobs)
+    jobLatency.reportEnded(speculative());
   planning.requestPlan();
   if (affectsWorkerDeadlines(appended))
     leases.invalidateDeadlines();
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -14,7 +14,8 @@
 //   MembershipManager       which controllers vote and learn
 //   PlanningDriver          when a plan is made, and its hints
 //   JobAdmission            which jobs are accepted
-//   TimetableScheduler, JobRetention, OpenJobMonitor   jobs over time
+//   TimetableScheduler, JobRetention, OpenJobMonitor,
+//   JobLatencyTracker                                  jobs over time
 //   GatewayRegistry         gateways heard from lately
 // Configurations are decided by config_service.hpp, and read_views.hpp shows
 // the state.
@@ -27,6 +28,7 @@
 #include "controller/lease_manager.hpp"
 #include "controller/log_event.hpp"
 #include "controller/membership_manager.hpp"
+#include "controller/job_latency_tracker.hpp"
 #include "controller/open_job_monitor.hpp"
 #include "controller/options.hpp"
 #include "controller/planning_driver.hpp"
@@ -168,6 +170,7 @@
   TimetableScheduler timetables;
   JobRetention retention;
   OpenJobMonitor openJobs;
+  JobLatencyTracker jobLatency;
 };
 
 }  // namespace aniseline
--- a/source/controller/log_event.cpp
+++ b/source/controller/log_event.cpp
@@ -88,6 +88,23 @@
              {"cores", json(event.cores)},
              {"cores_used", json(event.coresUsed)}}};
   }
+  RenderedLogEvent operator()(const log_events::JobLate& event) const {
+    picojson::array chain;
+    for (const auto& run : event.chain)
+      chain.push_back(json(picojson::object{{"step", json(run.step)},
+                                            {"worker", json(run.worker.value)},
+                                            {"ended", json(name(run.outcome))},
+                                            {"remote", json(run.remote)},
+                                            {"waited_ms", json(run.waited.milliseconds)},
+                                            {"ran_ms", json(run.ran.milliseconds)},
+                                            {"requested_ms", json(run.requested.milliseconds)}}));
+    return {"job_late",
+            {{"job", json(event.job.value)},
+             {"queue", json(event.queue.value)},
+             {"target_ms", json(event.target.milliseconds)},
+             {"took_ms", json(event.took.milliseconds)},
+             {"chain", json(std::move(chain))}}};
+  }
 };
 
 }  // namespace
--- a/source/controller/log_event.hpp
+++ b/source/controller/log_event.hpp
@@ -92,6 +92,24 @@
   double cores = 0;
   double coresUsed = 0;
 };
+// A job that ended after its latency target, with the chain of runs that its end waited for, the
+// first one first.
+struct JobLate {
+  struct Run {
+    std::uint32_t step = 0;
+    WorkerId worker;
+    AttemptOutcome outcome;
+    bool remote = false;  // away from the data that its step asks for
+    Duration waited;      // from when it was ready to the order to start it
+    Duration ran;         // from that order to the report of its end
+    Duration requested;
+  };
+  JobId job;
+  QueueName queue;
+  Duration target;
+  Duration took;
+  std::vector<Run> chain;
+};
 
 }  // namespace log_events
 
@@ -101,7 +119,7 @@
                  log_events::ServingStarted, log_events::ConfigAccepted, log_events::WorkerIdInUse,
                  log_events::WorkerDraining, log_events::WorkerUnreachable,
                  log_events::MembershipChanged, log_events::MembershipChangeRefused,
-                 log_events::TaskDelayed, log_events::Occupancy>;
+                 log_events::TaskDelayed, log_events::Occupancy, log_events::JobLate>;
 using LogEventSignal = boost::signals2::signal<void(const LogEvent&)>;
 
 // An event as it stands in a log line or a trace.
--- a/source/controller/options.hpp
+++ b/source/controller/options.hpp
@@ -28,6 +28,9 @@
   // time, if nothing else of its job runs. docs/design.md 7.9.
   Duration maxPassedOverTime{2000};
 
+  // Say of each job that ended after its latency target where its time went.
+  bool explainLateJobs = false;
+
   // The longest time for which a sync without news is held back.
   Duration maxPollDuration{1000};
   // A request that can't be answered by then is answered as unknown or not
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -46,6 +46,7 @@
   options.leaseMargin = Duration{settings.leaseMarginMilliseconds};
   options.maxPassedOverTime = Duration{settings.maxPassedOverMilliseconds};
   options.parseConfig = settings.parseConfig;
+  options.explainLateJobs = settings.explainLateJobs;
   options.maxRecordsBetweenSnapshots = std::uint64_t(settings.snapshotVersions);
   options.applyMemoryLimit(settings.memoryBytes);
   return options;
--- a/source/daemons/controller_daemon.hpp
+++ b/source/daemons/controller_daemon.hpp
@@ -33,6 +33,7 @@
   std::int64_t leaseMarginMilliseconds = 1000;  // beyond it, for clocks that differ
   // Work that fits is passed over for at most that long; docs/design.md 7.9.
   std::int64_t maxPassedOverMilliseconds = 2000;
+  bool explainLateJobs = false;  // in the log: where the time of a late job went
   // Of the operators' configurations, where they come by an adapter in a form of its own.
   ConfigParser parseConfig = ClusterConfig::parse;
   ExternalInterface externalInterface;  // an adapter's, beside the product's own
