--- a/source/scheduling/immediate_starts.cpp
+++ b/source/scheduling/immediate_starts.cpp
@@ -80,13 +80,13 @@
 
 }  // namespace
 
-bool ImmediateStarts::tryStart(const PlacementUnit& unit) {
+bool ImmediateStarts::tryStart(const PlacementUnit& unit, Locality locality) {
   if (unit.isGang() && !enoughSlots(unit))
     return false;
   std::vector<Assignment> assignments;
   std::vector<std::size_t> racksUsed;  // of a gang
   for (auto taskIndex : unit.tasksByDescendingCores()) {
-    const std::size_t workerIndex = bestWorkerFor(unit, taskIndex, racksUsed);
+    const std::size_t workerIndex = bestWorkerFor(unit, taskIndex, racksUsed, locality);
     if (workerIndex == noIndex) {
       release(unit, assignments);
       return false;
@@ -115,7 +115,8 @@
 }
 
 std::size_t ImmediateStarts::bestWorkerFor(const PlacementUnit& unit, std::uint32_t taskIndex,
-                                           const std::vector<std::size_t>& racksUsed) {
+                                           const std::vector<std::size_t>& racksUsed,
+                                           Locality locality) {
   StepView& step = unit.step();
   const TaskRequest& taskRequest = unit.request(taskIndex);
   const Resources request = resourcesOf(taskRequest);
@@ -127,13 +128,16 @@
     const WorkerView& worker = context.workers()[index];
     if (!worker.isSchedulable() || !admits(context, step, index, worker.guaranteedFree(), request))
       continue;
+    const bool remote = isRemote(context, step, worker);
+    if (remote && locality == Locality::near)
+      continue;
     const ClusterTime end = context.now() + expectedRuntime(context, step, worker, taskRequest);
     if (backfill.delaysReservedStart(worker, request, end))
       continue;
     const std::size_t rack = worker.rackIndex();
     FitKey key;
     key.penalty = worker.penalty() + (index == avoided.workerIndex ? 1 : 0);
-    key.remote = isRemote(context, step, worker);
+    key.remote = remote;
     key.rackLoad = rackLoads.of(worker);
     key.freeCores = worker.freeCores();
     if (rack == avoided.rackIndex && !context.rackNames()[rack].empty())
--- a/source/scheduling/immediate_starts.hpp
+++ b/source/scheduling/immediate_starts.hpp
@@ -12,10 +12,13 @@
   ImmediateStarts(SchedulingContext& context, const BackfillAdmission& backfill, PlanDraft& draft)
       : context(context), backfill(backfill), draft(draft) {}
 
+  /// Which workers are tried: those near the data or the rack of the unit's step, or all.
+  enum class Locality : std::uint8_t { near, any };
+
   /// Starts the unit, all parts of a gang, where it fits without delaying the reserved start:
   /// allocates it on its workers and adds its actions to the plan. Otherwise changes nothing and
   /// returns false.
-  bool tryStart(const PlacementUnit& unit);
+  bool tryStart(const PlacementUnit& unit, Locality locality = Locality::any);
 
  private:
   struct Assignment {
@@ -24,7 +27,7 @@
   };
   bool enoughSlots(const PlacementUnit& unit) const;
   std::size_t bestWorkerFor(const PlacementUnit& unit, std::uint32_t taskIndex,
-                            const std::vector<std::size_t>& racksUsed);
+                            const std::vector<std::size_t>& racksUsed, Locality locality);
   void assign(const PlacementUnit& unit, const Assignment& assignment);
   void release(const PlacementUnit& unit, const std::vector<Assignment>& assignments);
   void addActions(const PlacementUnit& unit, const std::vector<Assignment>& assignments);
--- a/source/scheduling/planner.cpp
+++ b/source/scheduling/planner.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/checkpoint_preemption.hpp"
 #include "scheduling/gangs.hpp"
 #include "scheduling/immediate_starts.hpp"
+#include "scheduling/locality_wait.hpp"
 #include "scheduling/redundant_copies.hpp"
 #include "scheduling/service_trials.hpp"
 #include "scheduling/slow_workers.hpp"
@@ -18,6 +19,10 @@
 
 constexpr const char* blockedText = "would delay the reserved start, or no worker has room";
 
+bool isExpired(const TaskBatch& batch) {
+  return batch.latencyTarget.status == TargetStatus::expired;
+}
+
 // One plan: the policies in the order in which they take part, over one context.
 class PlanRun {
  public:
@@ -39,10 +44,14 @@
   Plan run();
 
  private:
-  enum class Decision { started, blocked, heldBack };
+  // Of a unit whose only room is away from its data: tried again after the others.
+  enum class Decision { started, blocked, heldBack, deferred };
 
   void recordStatistics(const std::vector<PlacementUnit>& units);
-  Decision decide(const PlacementUnit& unit);
+  void decideInOrder(const std::vector<PlacementUnit>& units);
+  void decideDeferred();
+  Decision decide(const PlacementUnit& unit, ImmediateStarts::Locality locality);
+  void record(const PlacementUnit& unit, Decision decision);
   void reserveStart(const PlacementUnit& unit);
 
   const PlannerHints& hints;
@@ -56,6 +65,9 @@
   ServiceTrials trials;
   StarvationGuard starvation;
   CheckpointPreemption preemption;
+  std::vector<const PlacementUnit*> deferred;  // of the priority that is being decided
+  std::vector<const PlacementUnit*> waiting;   // all that were not started
+  std::vector<const PlacementUnit*> blocked;   // of these, those that found no room
 };
 
 Plan PlanRun::run() {
@@ -67,18 +79,7 @@
   recordStatistics(units);
   if (context.options().strictPriority)
     draft.plan().urgentDemand = headroom.measure(units);
-  std::vector<const PlacementUnit*> blocked;
-  std::vector<const PlacementUnit*> waiting;
-  for (const auto& unit : units) {
-    const Decision decision = decide(unit);
-    if (decision == Decision::started) {
-      starvation.recordStart(unit);
-      continue;
-    }
-    waiting.push_back(&unit);
-    if (decision == Decision::blocked)
-      blocked.push_back(&unit);
-  }
+  decideInOrder(units);
   const auto overdue = starvation.startOverdue(waiting);
   std::erase_if(blocked, [&](const PlacementUnit* unit) { return overdue.count(unit) > 0; });
   if (context.options().trialsEnabled)
@@ -105,7 +106,46 @@
   }
 }
 
-PlanRun::Decision PlanRun::decide(const PlacementUnit& unit) {
+// Expired work and each priority are decided by themselves, so that nothing less urgent goes before
+// what was deferred.
+void PlanRun::decideInOrder(const std::vector<PlacementUnit>& units) {
+  const TaskBatch* previous = nullptr;
+  for (const auto& unit : units) {
+    const bool sameClass = previous && previous->queuePriority == unit.batch->queuePriority &&
+                           isExpired(*previous) == isExpired(*unit.batch);
+    if (!sameClass)
+      decideDeferred();
+    previous = unit.batch;
+    const Decision decision = decide(unit, ImmediateStarts::Locality::near);
+    if (decision == Decision::deferred)
+      deferred.push_back(&unit);
+    else
+      record(unit, decision);
+  }
+  decideDeferred();
+}
+
+void PlanRun::decideDeferred() {
+  for (const auto* unit : deferred) {
+    if (localityWaitIsOver(*unit, context)) {
+      record(*unit, decide(*unit, ImmediateStarts::Locality::any));
+      continue;
+    }
+    draft.explain(*unit, "waits for room near its data");
+    record(*unit, Decision::heldBack);
+  }
+  deferred.clear();
+}
+
+void PlanRun::record(const PlacementUnit& unit, Decision decision) {
+  if (decision == Decision::started)
+    return starvation.recordStart(unit);
+  waiting.push_back(&unit);
+  if (decision == Decision::blocked)
+    blocked.push_back(&unit);
+}
+
+PlanRun::Decision PlanRun::decide(const PlacementUnit& unit, ImmediateStarts::Locality locality) {
   TaskBatch& batch = *unit.batch;
   if (backfill.isRuledOut(unit)) {
     draft.explain(unit, blockedText);
@@ -115,7 +155,12 @@
     draft.explain(unit, "leaves room that urgent work has wanted lately");
     return Decision::heldBack;
   }
-  if (!batch.startFailed && starts.tryStart(unit)) {
+  const bool nearFirst = locality == ImmediateStarts::Locality::near && prefersRack(unit, context);
+  if (nearFirst && (batch.nearStartFailed || !starts.tryStart(unit, locality))) {
+    batch.nearStartFailed = true;
+    return Decision::deferred;
+  }
+  if (nearFirst || (!batch.startFailed && starts.tryStart(unit))) {
     headroom.recordStart(unit);
     draft.explain(unit, "starts in this plan");
     return Decision::started;
--- a/tests/scheduling/planner_reference_tests.cpp
+++ b/tests/scheduling/planner_reference_tests.cpp
@@ -394,6 +394,7 @@
                            "leaves room that urgent work has wanted lately",
                            "starts after it was passed over for too long",
                            "preempted",
+                           "waits for room near its data",
                            "would delay the reserved start, or no worker has room",
                            "no worker that is here now could ever hold it"})
     CHECK_TEXT(coverage.counts[what] > 0, what);
