--- a/programs/controller.cpp
+++ b/programs/controller.cpp
@@ -3,12 +3,14 @@
 #include "net/log.hpp"
 #include "net/options.hpp"
 #include "net/signals.hpp"
+#include <iostream>
 
 using namespace aniseline;
 
 int main(int count, char** values) {
   holdSignalsUntilHandled();
   ControllerSettings settings;
+  std::string policiesLeftOut;
   OptionSet options("controller", "aniseline's control plane and state, on a machine with a disk");
   options.addAddress("peer", settings.peerAddress,
                      "the address where other processes of the system reach this one",
@@ -43,10 +45,16 @@
                      "a stop waits this long for another leader and other full copies", 0, 600'000);
   options.addInteger("snapshot-versions", settings.snapshotVersions,
                      "versions on disk between whole views", 10, 1'000'000);
+  options.addText("without", policiesLeftOut,
+                  "for experiments: policies of the planner to leave out, parted by commas");
   options.addFlag("explain-late-jobs", settings.explainLateJobs,
                   "log of each job that missed its latency target where its time went");
   options.addFlag("quiet", settings.quiet, "no logs");
   options.read(count, values);
+  if (const auto unknown = settings.policies.turnOffAll(policiesLeftOut)) {
+    std::cerr << "controller: --without: there is no policy " << *unknown << "\n";
+    return 2;
+  }
   if (settings.advertisedAddress.value.empty())
     settings.advertisedAddress = settings.peerAddress;
   EventLoop::sourceIp = sourceIpOf(settings.peerAddress);
--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -37,7 +37,8 @@
       syncResponder(this->options, gateways),
       leases(this->options),
       membership(raft, this->options, logEvent),
-      planning(leases, logEvent, options.maxPassedOverTime),
+      planning(leases, logEvent, options.maxPassedOverTime, options.policies),
+      admission(options.policies),
       openJobs(logEvent),
       jobLatency(logEvent) {}
 
--- a/source/controller/job_admission.cpp
+++ b/source/controller/job_admission.cpp
@@ -82,6 +82,8 @@
     return {ApiResponse::error(429, "overloaded", "queue " + job.queue.value + " is full",
                                fullQueueRetryDelay),
             std::nullopt};
+  if (!policies.isOn(Policy::backlogAdmission))
+    return {acceptedResponse(job.id), JobAccepted{job}};
   if (const auto delay = backlog.retryDelay(job, *queue, state, now))
     return {ApiResponse::error(429, "overloaded", "what waits before it would keep it past all use",
                                *delay),
--- a/source/controller/job_admission.hpp
+++ b/source/controller/job_admission.hpp
@@ -4,6 +4,7 @@
 // docs/design.md 10.
 #ifndef ANISELINE_CONTROLLER_JOB_ADMISSION_HPP
 #define ANISELINE_CONTROLLER_JOB_ADMISSION_HPP
+#include "scheduling/policy_switches.hpp"
 #include "controller/backlog_estimator.hpp"
 #include "controller/request_decision.hpp"
 
@@ -11,11 +12,13 @@
 
 class JobAdmission {
  public:
+  explicit JobAdmission(PolicySwitches policies) : policies(policies) {}
   // At the beginning of a leadership.
   void restart() { backlog.clear(); }
   RequestDecision decide(const ApiRequest& request, const ClusterState& state, MonotonicTime now);
 
  private:
+  PolicySwitches policies;
   BacklogEstimator backlog;
 };
 
--- a/source/controller/options.hpp
+++ b/source/controller/options.hpp
@@ -4,6 +4,7 @@
 #ifndef ANISELINE_CONTROLLER_OPTIONS_HPP
 #define ANISELINE_CONTROLLER_OPTIONS_HPP
 #include "raft/node.hpp"
+#include "scheduling/policy_switches.hpp"
 #include "state/cluster_config.hpp"
 
 namespace aniseline {
@@ -28,6 +29,9 @@
   // time, if nothing else of its job runs. docs/design.md 7.9.
   Duration maxPassedOverTime{2000};
 
+  // Off only in experiments.
+  PolicySwitches policies;
+
   // Say of each job that ended after its latency target where its time went.
   bool explainLateJobs = false;
 
--- a/source/controller/planning_driver.cpp
+++ b/source/controller/planning_driver.cpp
@@ -28,6 +28,7 @@
   hints.urgentDemand = demandEstimator.demand(now);
   hints.passedOverFor = passedOver.durations(now);
   hints.maxPassedOverTime = maxPassedOverTime;
+  hints.policies = policies;
   return hints;
 }
 
--- a/source/controller/planning_driver.hpp
+++ b/source/controller/planning_driver.hpp
@@ -14,8 +14,8 @@
  public:
   // Work that fits is passed over for at most that time; docs/design.md 7.9.
   PlanningDriver(const LeaseManager& leases, const LogEventSignal& events,
-                 Duration maxPassedOverTime)
-      : leases(leases), events(events), maxPassedOverTime(maxPassedOverTime) {}
+                 Duration maxPassedOverTime, PolicySwitches policies)
+      : leases(leases), events(events), maxPassedOverTime(maxPassedOverTime), policies(policies) {}
 
   // At the beginning of a leadership: what was measured of workers and pools is
   // out of date.
@@ -45,6 +45,7 @@
   const LeaseManager& leases;
   const LogEventSignal& events;
   Duration maxPassedOverTime;
+  PolicySwitches policies;
   Planner planner;
   WorkerPaceEstimator paceEstimator;
   UrgentDemandEstimator demandEstimator;
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -47,6 +47,7 @@
   options.maxPassedOverTime = Duration{settings.maxPassedOverMilliseconds};
   options.parseConfig = settings.parseConfig;
   options.explainLateJobs = settings.explainLateJobs;
+  options.policies = settings.policies;
   options.maxRecordsBetweenSnapshots = std::uint64_t(settings.snapshotVersions);
   options.applyMemoryLimit(settings.memoryBytes);
   return options;
--- a/source/daemons/controller_daemon.hpp
+++ b/source/daemons/controller_daemon.hpp
@@ -2,6 +2,7 @@
 #ifndef ANISELINE_DAEMONS_CONTROLLER_DAEMON_HPP
 #define ANISELINE_DAEMONS_CONTROLLER_DAEMON_HPP
 #include "net/leader_forwarder.hpp"
+#include "scheduling/policy_switches.hpp"
 
 namespace aniseline {
 
@@ -33,6 +34,7 @@
   std::int64_t leaseMarginMilliseconds = 1000;  // beyond it, for clocks that differ
   // Work that fits is passed over for at most that long; docs/design.md 7.9.
   std::int64_t maxPassedOverMilliseconds = 2000;
+  PolicySwitches policies;       // off only in experiments
   bool explainLateJobs = false;  // in the log: where the time of a late job went
   // Of the operators' configurations, where they come by an adapter in a form of its own.
   ConfigParser parseConfig = ClusterConfig::parse;
--- a/source/scheduling/immediate_starts.cpp
+++ b/source/scheduling/immediate_starts.cpp
@@ -46,8 +46,8 @@
  public:
   RackLoads(const SchedulingContext& context, const PlacementUnit& unit) {
     const StepRequirements& requirements = unit.requirements();
-    if (context.options().remoteSlowdown <= 1 || unit.isGang() || requirements.sameRack ||
-        !requirements.preferredRack.empty())
+    if (!context.isOn(Policy::rackBalance) || context.options().remoteSlowdown <= 1 ||
+        unit.isGang() || requirements.sameRack || !requirements.preferredRack.empty())
       return;
     coresByRack.resize(context.rackNames().size());
     for (auto index : unit.step().eligible->workerIndices) {
--- a/source/scheduling/locality_wait.hpp
+++ b/source/scheduling/locality_wait.hpp
@@ -15,7 +15,7 @@
 /// Does it matter to the unit on which rack it runs?
 inline bool prefersRack(const PlacementUnit& unit, const SchedulingContext& context) {
   const StepRequirements& requirements = unit.requirements();
-  return context.options().remoteSlowdown > 1 &&
+  return context.isOn(Policy::localityWait) && context.options().remoteSlowdown > 1 &&
          (requirements.sameRack || !requirements.preferredRack.empty());
 }
 
--- a/source/scheduling/planner.cpp
+++ b/source/scheduling/planner.cpp
@@ -72,7 +72,8 @@
 
 Plan PlanRun::run() {
   const AttemptSurvey survey = projectAttempts(context);
-  excludeSlowWorkers(context, hints.runtimeRatios);
+  if (context.isOn(Policy::slowWorkers))
+    excludeSlowWorkers(context, hints.runtimeRatios);
   advanceGangs(context, survey.gangParts, draft);
   stopOverTimeLimit(survey.overTimeLimit, draft);
   const auto& units = ordering.collect();
@@ -84,8 +85,10 @@
   std::erase_if(blocked, [&](const PlacementUnit* unit) { return overdue.count(unit) > 0; });
   if (context.options().trialsEnabled)
     trials.start(blocked);
-  preemption.makeRoom(blocked, survey.checkpointed);
-  startRedundantCopies(context, survey.redundant, backfill, draft);
+  if (context.isOn(Policy::checkpointPreemption))
+    preemption.makeRoom(blocked, survey.checkpointed);
+  if (context.isOn(Policy::redundantCopies))
+    startRedundantCopies(context, survey.redundant, backfill, draft);
   draft.plan().record.reservation = reservedStart.get();
   return std::move(draft.plan());
 }
@@ -151,7 +154,7 @@
     draft.explain(unit, blockedText);
     return Decision::blocked;
   }
-  if (!headroom.leavesEnough(unit)) {
+  if (context.isOn(Policy::urgentHeadroom) && !headroom.leavesEnough(unit)) {
     draft.explain(unit, "leaves room that urgent work has wanted lately");
     return Decision::heldBack;
   }
@@ -177,6 +180,8 @@
 
 void PlanRun::reserveStart(const PlacementUnit& unit) {
   TaskBatch& batch = *unit.batch;
+  if (!context.isOn(Policy::reservedStart))
+    return draft.explain(unit, blockedText);
   auto reservation = batch.reservationFailed ? std::nullopt : reservedStart.findEarliest(unit);
   batch.reservationFailed = !reservation;
   if (!reservation) {
--- a/source/scheduling/planner.hpp
+++ b/source/scheduling/planner.hpp
@@ -8,6 +8,7 @@
 #ifndef ANISELINE_SCHEDULING_PLANNER_HPP
 #define ANISELINE_SCHEDULING_PLANNER_HPP
 #include "scheduling/compiled_policies.hpp"
+#include "scheduling/policy_switches.hpp"
 #include "state/cluster_state.hpp"
 
 namespace aniseline {
@@ -64,6 +65,7 @@
   std::map<PassedOverUnit, Duration> passedOverFor;
   /// Work that fits is passed over for so long at most; 0: without a bound.
   Duration maxPassedOverTime{0};
+  PolicySwitches policies;
 };
 
 namespace scheduling {
--- /dev/null
+++ b/source/scheduling/policy_switches.hpp
@@ -0,0 +1,58 @@
+// Which policies take part in a plan. All do, but for experiments that measure what one is worth:
+// controllers take the names of those to leave out with `--without`. docs/decisions-under-load.md.
+#ifndef ANISELINE_SCHEDULING_POLICY_SWITCHES_HPP
+#define ANISELINE_SCHEDULING_POLICY_SWITCHES_HPP
+#include <algorithm>
+#include <array>
+#include <bitset>
+#include <cstdint>
+#include <optional>
+#include <sstream>
+#include <string>
+
+namespace aniseline {
+
+enum class Policy : std::uint8_t {
+  urgentHeadroom,        // design.md 7.8
+  latencyOrder,          // design.md 7.8: what can be in time goes first, what is past use last
+  boundedWaiting,        // design.md 7.9
+  checkpointPreemption,  // design.md 7.10
+  rackBalance,           // design.md 7.11
+  localityWait,          // design.md 7.11
+  redundantCopies,       // design.md 7.7
+  slowWorkers,           // design.md 5.6: by pace
+  failingWorkers,        // design.md 5.6: by results
+  reservedStart,         // paper.md 3, and with it the limits on backfill
+  backlogAdmission       // design.md 10: jobs that would wait past all use are rejected
+};
+inline constexpr std::size_t policyCount = 11;
+/// As `--without` takes it.
+inline constexpr std::array<const char*, policyCount> policyNames = {
+    "urgent-headroom", "latency-order",  "bounded-waiting",  "checkpoint-preemption",
+    "rack-balance",    "locality-wait",  "redundant-copies", "slow-workers",
+    "failing-workers", "reserved-start", "backlog-admission"};
+
+class PolicySwitches {
+ public:
+  bool isOn(Policy policy) const { return !off.test(std::size_t(policy)); }
+  void turnOff(Policy policy) { off.set(std::size_t(policy)); }
+  /// Turns off the policies of these names, which are parted by commas. The first that is none, or
+  /// nothing.
+  std::optional<std::string> turnOffAll(const std::string& names) {
+    std::istringstream stream(names);
+    for (std::string name; std::getline(stream, name, ',');) {
+      const auto found = std::find(policyNames.begin(), policyNames.end(), name);
+      if (found == policyNames.end())
+        return name;
+      turnOff(Policy(found - policyNames.begin()));
+    }
+    return std::nullopt;
+  }
+
+ private:
+  std::bitset<policyCount> off;
+};
+
+}  // namespace aniseline
+
+#endif  // ANISELINE_SCHEDULING_POLICY_SWITCHES_HPP
--- a/source/scheduling/scheduling_context.cpp
+++ b/source/scheduling/scheduling_context.cpp
@@ -43,7 +43,7 @@
     const bool inContact = contactAge && *contactAge < maxContactAge;
     if (!worker.isSchedulable() || !inContact)
       view.excludeFromNewWork();
-    if (worker.failureScoreAt(time) >= failureScoreLimit)
+    if (isOn(Policy::failingWorkers) && worker.failureScoreAt(time) >= failureScoreLimit)
       view.raisePenalty(failingWorkerPenalty);
     workerIndexById.emplace(id.value, workerViews.size());
     workerViews.push_back(std::move(view));
--- a/source/scheduling/scheduling_context.hpp
+++ b/source/scheduling/scheduling_context.hpp
@@ -27,6 +27,7 @@
   SchedulingContext& operator=(const SchedulingContext&) = delete;
 
   const ClusterState& clusterState() const { return state; }
+  bool isOn(Policy policy) const { return hints.policies.isOn(policy); }
   const PlannerOptions& options() const { return state.config().planner; }
   ClusterTime now() const { return time; }
   /// MB of each worker that only trials may use.
--- a/source/scheduling/starvation_guard.cpp
+++ b/source/scheduling/starvation_guard.cpp
@@ -22,7 +22,7 @@
 std::set<const PlacementUnit*> StarvationGuard::startOverdue(
     const std::vector<const PlacementUnit*>& waiting) {
   std::set<const PlacementUnit*> started;
-  if (hints.maxPassedOverTime.milliseconds <= 0)
+  if (hints.maxPassedOverTime.milliseconds <= 0 || !context.isOn(Policy::boundedWaiting))
     return started;
   std::set<PassedOverUnit> passedOver;
   for (const PlacementUnit* unit : waiting) {
--- a/source/scheduling/unit_ordering.cpp
+++ b/source/scheduling/unit_ordering.cpp
@@ -113,7 +113,9 @@
   collector.finish();
   if (batches.size() == first)
     return;
-  const auto latencyTarget = assessLatencyTarget(*job.job, *job.queue->options, context.now());
+  const auto latencyTarget = context.isOn(Policy::latencyOrder)
+                                 ? assessLatencyTarget(*job.job, *job.queue->options, context.now())
+                                 : LatencyTargetAssessment{};
   for (std::size_t index = first; index < batches.size(); ++index) {
     batches[index].latencyTarget = latencyTarget;
     rank(batches[index]);
