--- a/programs/aniselinectl.cpp
+++ b/programs/aniselinectl.cpp
@@ -22,11 +22,11 @@
                      peer.value + " gave another answer than asked for", Duration{0}};
 }
 
-void printHelp(const OptionSet& options, Arguments words) {
-  if (!words.empty() && words[0] == "help")
-    words.erase(words.begin());
+void printHelp(const OptionSet& options, Arguments arguments) {
+  if (!arguments.empty() && arguments[0] == "help")
+    arguments.erase(arguments.begin());
   std::size_t nameLength = 0;
-  const Command* command = findCommand(words, nameLength);
+  const Command* command = findCommand(arguments, nameLength);
   std::cout << (command ? commandHelp(*command, options.describe(command->options),
                                       options.describe(commonOptions()))
                         : generalHelp(options.describe(commonOptions())));
@@ -38,7 +38,7 @@
 int main(int count, char** values) {
   EventLoop loop;
   std::vector<Address> gateways;
-  Arguments words;
+  Arguments arguments;
   std::int64_t within = 10'000;
   Session session{{},
                   {},
@@ -64,13 +64,14 @@
                      "how long a drained worker's tasks may go on", 0, 86'400'000);
   options.addInteger("times", choices.watchTurns, "how often", 1, 1'000'000);
   options.addInteger("every-ms", choices.watchIntervalMilliseconds, "time between", 100, 3'600'000);
-  options.addPositionals(words, "a command");
+  options.addPositionals(arguments, "a command");
   options.setHelp([&](const Arguments& asked) { printHelp(options, asked); });
   options.read(count, values);
   std::size_t nameLength = 0;
-  if (!words.empty() && words[0] == "help" &&
-      (words.size() == 1 || findCommand(Arguments(words.begin() + 1, words.end()), nameLength))) {
-    printHelp(options, words);
+  if (!arguments.empty() && arguments[0] == "help" &&
+      (arguments.size() == 1 ||
+       findCommand(Arguments(arguments.begin() + 1, arguments.end()), nameLength))) {
+    printHelp(options, arguments);
     return 0;
   }
   startLog("aniselinectl", "", true);
@@ -84,7 +85,7 @@
   session.bootstrapCluster = [&](const Address& peer) {
     return foundBy(loop, peer, Duration{within});
   };
-  const ExitCode code = runCommandLine(session, words, options.givenOnCommandLine());
+  const ExitCode code = runCommandLine(session, arguments, options.givenOnCommandLine());
   std::cout.flush();
   std::_Exit(int(code));
 }
--- a/programs/local_cluster.cpp
+++ b/programs/local_cluster.cpp
@@ -30,7 +30,7 @@
 
 struct Child {
   std::string name;
-  std::vector<std::string> words;
+  std::vector<std::string> arguments;
   pid_t process = 0;
   std::string zone;
 };
@@ -117,18 +117,18 @@
       addWorker(index);
   }
   void addWorker(int index) {
-    std::vector<std::string> words = workerWords(index);
+    std::vector<std::string> arguments = workerWords(index);
     if (settings.called) {
-      words.insert(words.end(), {"--called", "--listen", real(index, calledOffset(index)),
-                                 "--agent", real(index, agentOffset(index))});
+      arguments.insert(arguments.end(), {"--called", "--listen", real(index, calledOffset(index)),
+                                         "--agent", real(index, agentOffset(index))});
       addAgent(index);
     }
     for (int gateway = 0; !settings.called && gateway < 3; ++gateway)
-      words.insert(words.end(),
-                   {"--gateways", outer((index + gateway) % int(settings.gateways) + 1)});
+      arguments.insert(arguments.end(),
+                       {"--gateways", outer((index + gateway) % int(settings.gateways) + 1)});
     if (index <= 4)
-      words.push_back("--unguarded");
-    add("worker_stub" + std::to_string(index), std::move(words), zone(index), false);
+      arguments.push_back("--unguarded");
+    add("worker_stub" + std::to_string(index), std::move(arguments), zone(index), false);
   }
   std::vector<std::string> workerWords(int index) const {
     const bool cedarmark = settings.deployment == "cedarmark";
@@ -186,7 +186,7 @@
         0,
         {}};
     for (const auto& gateway : gatewayAddresses())
-      loadgen.words.insert(loadgen.words.end(), {"--gateways", gateway.value});
+      loadgen.arguments.insert(loadgen.arguments.end(), {"--gateways", gateway.value});
     children.push_back(std::move(loadgen));
     return start(children.back());
   }
@@ -283,18 +283,18 @@
   static std::string zone(int index) { return "zone" + std::to_string((index - 1) % 3 + 1); }
   void say(const std::string& text) { std::cout << "local_cluster: " << text << std::endl; }
 
-  void add(std::string name, std::vector<std::string> words, std::string zone, bool seeded) {
+  void add(std::string name, std::vector<std::string> arguments, std::string zone, bool seeded) {
     if (seeded)
       for (int index = 1; index <= 3; ++index)
-        words.insert(words.end(), {"--seeds", peer(index)});
-    children.push_back(Child{std::move(name), std::move(words), 0, std::move(zone)});
+        arguments.insert(arguments.end(), {"--seeds", peer(index)});
+    children.push_back(Child{std::move(name), std::move(arguments), 0, std::move(zone)});
   }
   bool start(Child& child, bool outputHere = false) {
-    std::vector<std::string> words = child.words;
-    words[0] = settings.programs + "/" + words[0];
+    std::vector<std::string> arguments = child.arguments;
+    arguments[0] = settings.programs + "/" + arguments[0];
     std::vector<char*> values;
-    values.reserve(words.size() + 1);
-    for (auto& word : words)
+    values.reserve(arguments.size() + 1);
+    for (auto& word : arguments)
       values.push_back(word.data());
     values.push_back(nullptr);
     posix_spawn_file_actions_t actions;
@@ -312,7 +312,7 @@
         posix_spawn(&child.process, values[0], &actions, nullptr, values.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failed) {
-      say(words[0] + " can't be started: " + std::strerror(failed));
+      say(arguments[0] + " can't be started: " + std::strerror(failed));
       child.process = 0;
     }
     return !failed;
--- a/source/checker/model/model_cluster.cpp
+++ b/source/checker/model/model_cluster.cpp
@@ -355,15 +355,15 @@
     node.startWrite();
   while (options->syncImmediately && (node.writing() || node.startWrite()))
     completeWrite(node);
-  StepInvariantChecker judge(*this, before, node, ghost, options->outcomesOnly, restarted);
+  StepInvariantChecker checker(*this, before, node, ghost, options->outcomesOnly, restarted);
   for (auto& message : node.raft.takeMessages()) {
-    judge.checkSentMessage(message);
+    checker.checkSentMessage(message);
     if (options->seededDefect.mutateMessage)
       options->seededDefect.mutateMessage(message);
     send(std::move(message));
   }
-  judge.checkState();
-  brokenRule = judge.violation();
+  checker.checkState();
+  brokenRule = checker.violation();
 }
 
 std::optional<std::size_t> ModelCluster::recipientOf(const PeerMessage& message) const {
--- a/source/checker/starvation_checker.cpp
+++ b/source/checker/starvation_checker.cpp
@@ -52,7 +52,7 @@
 std::vector<InvariantViolation> StarvationChecker::observe(const HistoryEvent& event) {
   std::vector<InvariantViolation> violations;
   for (auto& [id, job] : openJobs)
-    judge(id, job, event.timestamp, violations);
+    check(id, job, event.timestamp, violations);
   apply(event);
   for (auto& [id, job] : openJobs)
     reassess(job, event.timestamp);
@@ -208,7 +208,7 @@
   workers.erase(event.worker);
 }
 
-void StarvationChecker::judge(const std::string& id, JobProgress& job, std::int64_t at,
+void StarvationChecker::check(const std::string& id, JobProgress& job, std::int64_t at,
                               std::vector<InvariantViolation>& violations) const {
   if (job.told)
     return;
--- a/source/checker/starvation_checker.hpp
+++ b/source/checker/starvation_checker.hpp
@@ -73,7 +73,7 @@
   void addJob(const std::string& id, const JobSubmission& submission, std::int64_t dueAt);
   void forget(const std::string& submittedId);
 
-  void judge(const std::string& id, JobProgress& job, std::int64_t at,
+  void check(const std::string& id, JobProgress& job, std::int64_t at,
              std::vector<InvariantViolation>& violations) const;
   void reassess(JobProgress& job, std::int64_t at) const;
   void reassessLongRunning(JobProgress& job, std::int64_t at) const;
--- a/source/cli/cluster_commands.cpp
+++ b/source/cli/cluster_commands.cpp
@@ -6,17 +6,17 @@
 
 namespace {
 
-ExitCode replace(Session& session, const Arguments& words) {
-  return sendAndShow(session, {"POST", "/v1/controllers/" + words[0] + "/replace", ""},
+ExitCode replace(Session& session, const Arguments& arguments) {
+  return sendAndShow(session, {"POST", "/v1/controllers/" + arguments[0] + "/replace", ""},
                      [](const picojson::value& answer) {
                        return "controller " + printable(textField(answer, "replacing")) +
                               ": a learner takes its place as soon as one has caught up\n";
                      });
 }
-ExitCode found(Session& session, const Arguments& words) {
-  if (auto endpoint = parseEndpoint(Address{words[0]}); !endpoint)
+ExitCode found(Session& session, const Arguments& arguments) {
+  if (auto endpoint = parseEndpoint(Address{arguments[0]}); !endpoint)
     return reportUsageError(session, "found: " + endpoint.error().text());
-  auto answer = session.bootstrapCluster(Address{words[0]});
+  auto answer = session.bootstrapCluster(Address{arguments[0]});
   if (!answer)
     return reportError(session, answer.error());
   const ApiResponse& notified = answer.value();
--- a/source/cli/command.cpp
+++ b/source/cli/command.cpp
@@ -78,10 +78,10 @@
   return commands;
 }
 
-const Command* findCommand(const Arguments& words, std::size_t& nameLength) {
+const Command* findCommand(const Arguments& arguments, std::size_t& nameLength) {
   static const std::map<std::string, std::string> otherNames{{"list", "jobs"}};
-  for (nameLength = std::min<std::size_t>(2, words.size()); nameLength > 0; --nameLength) {
-    std::string name = nameLength == 2 ? words[0] + " " + words[1] : words[0];
+  for (nameLength = std::min<std::size_t>(2, arguments.size()); nameLength > 0; --nameLength) {
+    std::string name = nameLength == 2 ? arguments[0] + " " + arguments[1] : arguments[0];
     if (auto other = otherNames.find(name); other != otherNames.end())
       name = other->second;
     for (const auto& command : allCommands()) {
@@ -92,14 +92,14 @@
   return nullptr;
 }
 
-ExitCode runCommandLine(Session& session, const Arguments& words,
+ExitCode runCommandLine(Session& session, const Arguments& commandLine,
                         const std::vector<std::string>& givenOptions) {
   std::size_t nameLength = 0;
-  const Command* command = findCommand(words, nameLength);
+  const Command* command = findCommand(commandLine, nameLength);
   if (!command)
     return reportUsageError(session,
                             "the words make no command; `aniselinectl help` lists those that do");
-  const Arguments arguments(words.begin() + std::ptrdiff_t(nameLength), words.end());
+  const Arguments arguments(commandLine.begin() + std::ptrdiff_t(nameLength), commandLine.end());
   std::vector<std::string> ownOptions = givenOptions;
   // What `watch` repeats has options of its own.
   if (command->name == "watch") {
--- a/source/cli/command.hpp
+++ b/source/cli/command.hpp
@@ -52,11 +52,11 @@
 const std::vector<Command>& allCommands();
 // The command whose name the words begin with, and how many words the name has; null if there is
 // none.
-const Command* findCommand(const Arguments& words, std::size_t& nameLength);
+const Command* findCommand(const Arguments& arguments, std::size_t& nameLength);
 
 // Runs the command of the words. `givenOptions` names the options of the command line: one that the
 // command does not have is an error.
-ExitCode runCommandLine(Session& session, const Arguments& words,
+ExitCode runCommandLine(Session& session, const Arguments& commandLine,
                         const std::vector<std::string>& givenOptions);
 
 std::string generalHelp(const std::string& options);
--- a/source/cli/config_commands.cpp
+++ b/source/cli/config_commands.cpp
@@ -28,12 +28,12 @@
 ExitCode showConfig(Session& session, const Arguments&) {
   return sendAndShow(session, {"GET", "/v1/config", ""}, configView);
 }
-ExitCode checkConfig(Session& session, const Arguments& words) {
+ExitCode checkConfig(Session& session, const Arguments& arguments) {
   ExitCode code;
   std::size_t queues = 0;
-  if (!goodConfig(session, words[0], code, queues))
+  if (!goodConfig(session, arguments[0], code, queues))
     return code;
-  const std::string& file = words[0];
+  const std::string& file = arguments[0];
   return show(session, json(picojson::object{{"good", json(true)}, {"queues", json(queues)}}),
               [&](const picojson::value&) {
                 return file + ": good, " + std::to_string(queues) + " queues\n";
@@ -67,10 +67,10 @@
         return "config " + formatNumber(numberField(answer, "version")) + " is in force\n";
       });
 }
-ExitCode applyConfig(Session& session, const Arguments& words) {
+ExitCode applyConfig(Session& session, const Arguments& arguments) {
   ExitCode code;
   std::size_t queues = 0;
-  auto text = goodConfig(session, words[0], code, queues);
+  auto text = goodConfig(session, arguments[0], code, queues);
   if (!text)
     return code;
   const auto baseVersion = baseVersionOf(session);
@@ -78,13 +78,13 @@
     return reportError(session, baseVersion.error());
   return sendOrder(session, "PUT", baseVersion.value(), "config", *text);
 }
-ExitCode patchConfig(Session& session, const Arguments& words) {
-  auto text = readWholeFile(session, words[0]);
+ExitCode patchConfig(Session& session, const Arguments& arguments) {
+  auto text = readWholeFile(session, arguments[0]);
   if (!text)
     return ExitCode::usage;
   if (const auto patch = ConfigPatch::parse(*text); !patch) {
     session.err << (session.options.json ? errorJson(patch.error()) + "\n"
-                                         : errorText(words[0], patch.error()));
+                                         : errorText(arguments[0], patch.error()));
     return ExitCode::rejected;
   }
   const auto baseVersion = baseVersionOf(session);
--- a/source/cli/job_commands.cpp
+++ b/source/cli/job_commands.cpp
@@ -19,19 +19,19 @@
                       ""},
                      jobsView);
 }
-ExitCode showJob(Session& session, const Arguments& words) {
-  return sendAndShow(session, {"GET", "/v1/jobs/" + words[0], ""}, jobView);
+ExitCode showJob(Session& session, const Arguments& arguments) {
+  return sendAndShow(session, {"GET", "/v1/jobs/" + arguments[0], ""}, jobView);
 }
-ExitCode submit(Session& session, const Arguments& words) {
-  auto text = readWholeFile(session, words[0]);
+ExitCode submit(Session& session, const Arguments& arguments) {
+  auto text = readWholeFile(session, arguments[0]);
   if (!text)
     return ExitCode::usage;
   return sendAndShow(session, {"POST", "/v1/jobs", *text}, [](const picojson::value& answer) {
     return "job " + printable(textField(answer, "id")) + ": accepted\n";
   });
 }
-ExitCode cancel(Session& session, const Arguments& words) {
-  return sendAndShow(session, {"DELETE", "/v1/jobs/" + words[0], ""},
+ExitCode cancel(Session& session, const Arguments& arguments) {
+  return sendAndShow(session, {"DELETE", "/v1/jobs/" + arguments[0], ""},
                      [](const picojson::value& answer) {
                        return "job " + printable(textField(answer, "id")) + ": " +
                               printable(textField(answer, "state")) + "\n";
--- a/source/cli/watch.cpp
+++ b/source/cli/watch.cpp
@@ -14,9 +14,9 @@
 }
 
 // A turn that fails is told and the next one is taken; the last one's code is the command's.
-ExitCode watch(Session& session, const Arguments& words) {
+ExitCode watch(Session& session, const Arguments& arguments) {
   std::size_t nameLength = 0;
-  const Command* command = findCommand(words, nameLength);
+  const Command* command = findCommand(arguments, nameLength);
   if (!command || !command->readOnly)
     return reportUsageError(
         session,
@@ -33,7 +33,7 @@
       session.out << (turn > 1 && !session.isTerminal ? "\n" : "") << "-- "
                   << formatTime(calendarNow()) << ", " << turn << " of "
                   << session.options.watchTurns << "\n";
-    code = runCommandLine(session, words, {});
+    code = runCommandLine(session, arguments, {});
     session.out.flush();
     if (code == ExitCode::usage)
       return code;
--- a/source/cli/worker_commands.cpp
+++ b/source/cli/worker_commands.cpp
@@ -12,15 +12,15 @@
                               printable(textField(answer, "state")) + "\n";
                      });
 }
-ExitCode drain(Session& session, const Arguments& words) {
-  return order(session, words[0],
+ExitCode drain(Session& session, const Arguments& arguments) {
+  return order(session, arguments[0],
                "drain?within_ms=" + std::to_string(session.options.drainPeriodMilliseconds));
 }
-ExitCode undrain(Session& session, const Arguments& words) {
-  return order(session, words[0], "undrain");
+ExitCode undrain(Session& session, const Arguments& arguments) {
+  return order(session, arguments[0], "undrain");
 }
-ExitCode declareGone(Session& session, const Arguments& words) {
-  return order(session, words[0], "gone");
+ExitCode declareGone(Session& session, const Arguments& arguments) {
+  return order(session, arguments[0], "gone");
 }
 
 }  // namespace
--- a/source/scheduling/immediate_starts.cpp
+++ b/source/scheduling/immediate_starts.cpp
@@ -129,7 +129,7 @@
     if (!worker.isSchedulable() || !admits(context, step, index, worker.guaranteedFree(), request))
       continue;
     const bool remote = isRemote(context, step, worker);
-    if (remote && locality == Locality::near)
+    if (remote && locality == Locality::local)
       continue;
     const ClusterTime end = context.now() + expectedRuntime(context, step, worker, taskRequest);
     if (backfill.delaysReservedStart(worker, request, end))
--- a/source/scheduling/immediate_starts.hpp
+++ b/source/scheduling/immediate_starts.hpp
@@ -13,7 +13,7 @@
       : context(context), backfill(backfill), draft(draft) {}
 
   /// Which workers are tried: those near the data or the rack of the unit's step, or all.
-  enum class Locality : std::uint8_t { near, any };
+  enum class Locality : std::uint8_t { local, any };
 
   /// Starts the unit, all parts of a gang, where it fits without delaying the reserved start:
   /// allocates it on its workers and adds its actions to the plan. Otherwise changes nothing and
--- a/source/scheduling/placement_unit.hpp
+++ b/source/scheduling/placement_unit.hpp
@@ -24,7 +24,7 @@
   // Results of this plan for one unit of the batch, which its other units need not repeat: free
   // resources only shrink while a plan is made.
   bool startFailed = false;
-  bool nearStartFailed = false;
+  bool localStartFailed = false;
   bool reservationFailed = false;
   bool backfillFailed = false;
   bool lacksRoomTwiceOver = false;
--- a/source/scheduling/planner.cpp
+++ b/source/scheduling/planner.cpp
@@ -119,7 +119,7 @@
     if (!sameClass)
       decideDeferred();
     previous = unit.batch;
-    const Decision decision = decide(unit, ImmediateStarts::Locality::near);
+    const Decision decision = decide(unit, ImmediateStarts::Locality::local);
     if (decision == Decision::deferred)
       deferred.push_back(&unit);
     else
@@ -158,12 +158,13 @@
     draft.explain(unit, "leaves room that urgent work has wanted lately");
     return Decision::heldBack;
   }
-  const bool nearFirst = locality == ImmediateStarts::Locality::near && prefersRack(unit, context);
-  if (nearFirst && (batch.nearStartFailed || !starts.tryStart(unit, locality))) {
-    batch.nearStartFailed = true;
+  const bool localFirst =
+      locality == ImmediateStarts::Locality::local && prefersRack(unit, context);
+  if (localFirst && (batch.localStartFailed || !starts.tryStart(unit, locality))) {
+    batch.localStartFailed = true;
     return Decision::deferred;
   }
-  if (nearFirst || (!batch.startFailed && starts.tryStart(unit))) {
+  if (localFirst || (!batch.startFailed && starts.tryStart(unit))) {
     headroom.recordStart(unit);
     draft.explain(unit, "starts in this plan");
     return Decision::started;
--- a/source/simulator/simulated_called_workers.cpp
+++ b/source/simulator/simulated_called_workers.cpp
@@ -94,7 +94,7 @@
   auto& to = *calledWorkers[node.index];
   const std::uint64_t generation = node.generation;
   auto notified = std::make_shared<bool>(false);
-  auto tell = [this, &node, generation, notified, call](WorkerReply reply) {
+  auto respond = [this, &node, generation, notified, call](WorkerReply reply) {
     if (*notified || !node.up || node.generation != generation)
       return;
     *notified = true;
@@ -107,8 +107,8 @@
       hear();
   };
   if (!to.up)
-    return schedule(now + 1, [tell] { tell({}); });
-  schedule(now + call.timeout.milliseconds, [tell] { tell({}); });
+    return schedule(now + 1, [respond] { respond({}); });
+  schedule(now + call.timeout.milliseconds, [respond] { respond({}); });
   if (to.ordersDelayed && random.chance(0.85)) {
     // No answer: it is carried out now, or seconds later and after newer ones.
     const std::int64_t delay =
@@ -120,12 +120,12 @@
         to.worker->handleCall(call, now, delay > 0);
     });
   }
-  deliverLocally(to, [this, &to, &node, call, tell] {
+  deliverLocally(to, [this, &to, &node, call, respond] {
     WorkerReply reply = to.worker->handleCall(call, now, false);
     if (to.worker->malfunction == CalledWorker::Malfunction::unresponsive)
       return;
-    auto answer = [this, &node, tell](const WorkerReply& event) {
-      deliverLocally(node, [tell, event] { tell(event); });
+    auto answer = [this, &node, respond](const WorkerReply& event) {
+      deliverLocally(node, [respond, event] { respond(event); });
     };
     if (call.kind != WorkerCall::Kind::poll || reply.status != WorkerReply::Status::ok)
       return answer(reply);
--- a/source/simulator/simulated_controllers.cpp
+++ b/source/simulator/simulated_controllers.cpp
@@ -93,14 +93,14 @@
     node.disk.clear();
   node.disk.push_back(std::move(*node.writeInFlight));
   node.writeInFlight.reset();
-  auto tell = [this, &node, version] {
+  auto respond = [this, &node, version] {
     node.core->onRecordSynced(version, MonotonicTime{now + node.monotonicBase});
     scheduleStep(node);
   };
   if (node.frozen)
-    node.deferredWork.push_back(tell);
+    node.deferredWork.push_back(respond);
   else
-    tell();
+    respond();
 }
 
 void SimulatedCluster::processOutputs(ControllerNode& node) {
@@ -118,14 +118,14 @@
                [this, &node, generation = node.generation, view = std::move(*view)] {
                  if (!node.up || node.generation != generation)
                    return;
-                 auto tell = [this, &node, view] {
+                 auto respond = [this, &node, view] {
                    node.core->onSnapshotPacked(view);
                    scheduleStep(node);
                  };
                  if (node.frozen)
-                   node.deferredWork.push_back(tell);
+                   node.deferredWork.push_back(respond);
                  else
-                   tell();
+                   respond();
                });
   for (auto& message : node.core->takeMessages()) {
     auto* to = controllerAt(message.toAddress);
@@ -162,8 +162,8 @@
   node.deferredWork.clear();
   node.stepScheduled = false;
   auto dead = std::exchange(node.onExit, {});
-  for (auto& [key, tell] : dead)
-    tell();
+  for (auto& [key, respond] : dead)
+    respond();
 }
 void SimulatedCluster::restartController(std::size_t index) {
   if (!controllers[index]->up)
--- a/source/simulator/simulated_gateways.cpp
+++ b/source/simulator/simulated_gateways.cpp
@@ -28,8 +28,8 @@
     std::function<void(std::optional<ApiResponse>, LeaderCall::Failure)> reply) {
   const std::uint64_t generation = from.generation;
   auto notified = std::make_shared<bool>(false);
-  auto tell = [this, &from, generation, notified, reply](std::optional<ApiResponse> answer,
-                                                         LeaderCall::Failure loss) {
+  auto respond = [this, &from, generation, notified, reply](std::optional<ApiResponse> answer,
+                                                            LeaderCall::Failure loss) {
     if (*notified)
       return;
     *notified = true;
@@ -42,21 +42,23 @@
   };
   auto* to = controllerAt(target);
   if (!to || !to->up)
-    return schedule(now + 1, [tell] { tell(std::nullopt, LeaderCall::Failure::unreachable); });
+    return schedule(now + 1,
+                    [respond] { respond(std::nullopt, LeaderCall::Failure::unreachable); });
   if (cutBetween(from, *to) || cutBetween(*to, from))
-    return schedule(now + 1000, [tell] { tell(std::nullopt, LeaderCall::Failure::unreachable); });
-  schedule(now + within, [tell] { tell(std::nullopt, LeaderCall::Failure::timedOut); });
+    return schedule(now + 1000,
+                    [respond] { respond(std::nullopt, LeaderCall::Failure::unreachable); });
+  schedule(now + within, [respond] { respond(std::nullopt, LeaderCall::Failure::timedOut); });
   const std::uint64_t key = nextExchange++;
-  to->onExit[key] = [this, tell] {
-    schedule(now + 1, [tell] { tell(std::nullopt, LeaderCall::Failure::connectionLost); });
+  to->onExit[key] = [this, respond] {
+    schedule(now + 1, [respond] { respond(std::nullopt, LeaderCall::Failure::connectionLost); });
   };
-  deliver(from, *to, [this, to, &from, request, tell, key] {
+  deliver(from, *to, [this, to, &from, request, respond, key] {
     const RequestNumber number{key};
-    pendingRequests[number] = [this, to, &from, request, tell, key](const ApiResponse& answer) {
+    pendingRequests[number] = [this, to, &from, request, respond, key](const ApiResponse& answer) {
       to->onExit.erase(key);
       if (onResponse)
         onResponse(to->index, request, answer);
-      deliver(*to, from, [tell, answer] { tell(answer, LeaderCall::Failure::timedOut); });
+      deliver(*to, from, [respond, answer] { respond(answer, LeaderCall::Failure::timedOut); });
     };
     to->core->submitRequest(number, request, MonotonicTime{now + to->monotonicBase});
     scheduleStep(*to);
@@ -110,7 +112,8 @@
   auto& node = *gateways[known ? index % gateways.size() : 0];
   const std::uint64_t generation = from.generation;
   auto notified = std::make_shared<bool>(false);
-  auto tell = [this, &from, generation, notified, follower](int status, const std::string& text) {
+  auto respond = [this, &from, generation, notified, follower](int status,
+                                                               const std::string& text) {
     if (*notified)
       return;
     *notified = true;
@@ -122,18 +125,19 @@
       follower(status, text);
   };
   if (!known || !node.up)
-    return schedule(now + 1, [tell] { tell(0, "unreachable"); });
+    return schedule(now + 1, [respond] { respond(0, "unreachable"); });
   if (cutBetween(from, node) || cutBetween(node, from))
-    return schedule(now + std::min<std::int64_t>(within, 1000), [tell] { tell(0, "unreachable"); });
-  schedule(now + within, [tell] { tell(0, "late"); });
+    return schedule(now + std::min<std::int64_t>(within, 1000),
+                    [respond] { respond(0, "unreachable"); });
+  schedule(now + within, [respond] { respond(0, "late"); });
   const std::uint64_t key = nextExchange++;
-  node.onExit[key] = [this, tell] {
-    schedule(now + 1, [tell] { tell(0, "lost"); });
+  node.onExit[key] = [this, respond] {
+    schedule(now + 1, [respond] { respond(0, "lost"); });
   };
-  deliver(from, node, [this, &node, &from, method, target, body, tell, key] {
-    auto reply = [this, &node, &from, tell, key](const ApiResponse& answer) {
+  deliver(from, node, [this, &node, &from, method, target, body, respond, key] {
+    auto reply = [this, &node, &from, respond, key](const ApiResponse& answer) {
       node.onExit.erase(key);
-      deliver(node, from, [tell, answer] { tell(answer.status, answer.body); });
+      deliver(node, from, [respond, answer] { respond(answer.status, answer.body); });
     };
     auto parsed = ApiRequest::parse(method, target, body);
     if (!parsed)
@@ -150,8 +154,8 @@
   ++node.generation;
   node.deferredWork.clear();
   auto dead = std::exchange(node.onExit, {});
-  for (auto& [key, tell] : dead)
-    tell();
+  for (auto& [key, respond] : dead)
+    respond();
 }
 void SimulatedCluster::restartGateway(std::size_t index) {
   auto& node = *gateways[index];
