--- a/source/state/attempt_results.cpp
+++ b/source/state/attempt_results.cpp
@@ -42,6 +42,12 @@
   return outcome == AttemptOutcome::neverStarted || outcome == AttemptOutcome::rejected;
 }
 
+// Does the start of an attempt that ended so count against the retry limit of its task?
+bool usesUpAStart(const Attempt& attempt, AttemptOutcome outcome) {
+  const bool stoppedAtNoCost = attempt.exemptFromRetryLimit && outcome == AttemptOutcome::stopped;
+  return !hasNotStarted(outcome) && !stoppedAtNoCost;
+}
+
 }  // namespace
 
 void AttemptResults::close(AttemptNumber number, AttemptOutcome outcome) {
@@ -61,7 +67,7 @@
   updateWorkerStanding(task, attempt, outcome);
   if (outcome == AttemptOutcome::failed)
     jobs.countFailure(job, attempt);
-  if (hasNotStarted(outcome) && attempt.countsAsStart && task.countedStarts > 0)
+  if (!usesUpAStart(attempt, outcome) && attempt.countsAsStart && task.countedStarts > 0)
     --task.countedStarts;
   if (continueWithOtherCopy(job, task, attempt, outcome))
     return jobs.updatePhase(job);
--- a/tests/refusals.sh
+++ b/tests/refusals.sh
@@ -30,6 +30,7 @@
 refuse 2 "--election-low-ms" build/controller --peer 127.0.0.1:1 --zone a --data "$folder/d" --seeds 127.0.0.1:1 --election-low-ms 150
 refuse 2 "nothing.json: can't be read" build/gateway --options "$folder/nothing.json" --http 127.0.0.1:1 --zone a --seeds 127.0.0.1:1
 refuse 2 "--threads: must be a whole number from 1 to 64" build/gateway --threads 0 --http 127.0.0.1:1 --zone a --seeds 127.0.0.1:1
+refuse 2 "--without: there is no policy paint" build/controller --peer 127.0.0.1:1 --zone a --data "$folder/d" --seeds 127.0.0.1:1 --without paint
 refuse 2 "--voters: must be odd" build/controller --peer 127.0.0.1:1 --zone a --data "$folder/d" --seeds 127.0.0.1:1 --voters 4
 refuse 2 "--fail: must be a number" build/worker_stub --id m --zone a --gateways 127.0.0.1:1 --fail much
 refuse 2 "--gateways: is missing" build/worker_stub --id m --zone a
