Tests: a late job is told once

The guard of JobLatencyTracker that leaves out jobs which have ended survived its removal; now it does not.

--- a/tests/controller/job_latency_tracker_tests.cpp
+++ b/tests/controller/job_latency_tracker_tests.cpp
@@ -79,6 +79,26 @@
   CHECK(reports[0].chain[1].outcome == AttemptOutcome::succeeded);
 }
 
+// A copy of a redundant step that ends later is no further end of the job.
+TEST(JobLatencyTrackerTests, aLateJobIsToldOnce) {
+  StepRequest redundant = shortStep();
+  redundant.requirements.redundant = true;
+  cluster.registerWorker("b");
+  cluster.submit("late", {redundant});
+  cluster.planAndRun();
+  cluster.now += 9000;
+  cluster.planAndRun();  // a copy, as the first is overdue
+  const AttemptNumber copy = cluster.task("late").redundantAttempt;
+  CHECK(copy.value > 0);
+  end("late", AttemptOutcome::succeeded, 1);
+  LONGS_EQUAL(1, reports.size());
+  const Event event = WorkerSynced{WorkerId{"b"}, {}, {{copy, AttemptOutcome::stopped}}};
+  tracker.recordResults(cluster.clusterState, event, ClusterTime{cluster.now});
+  cluster.apply(event);
+  tracker.reportEnded(cluster.clusterState);
+  LONGS_EQUAL(1, reports.size());
+}
+
 TEST(JobLatencyTrackerTests, theChainLeadsThroughTheStepsThatWereWaitedFor) {
   cluster.submit("late", {shortStep(), after(shortStep(), "0")});
   cluster.planAndRun();
