--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-Controller::Controller(Member self, ControllerOptions options, std::uint64_t seed,
+Controller::Controller(Member self, const ControllerOptions& options, std::uint64_t seed,
                        const std::vector<WriteAheadRecord>& restored, MonotonicTime now)
     : options(options),
       raft(std::move(self), options.raft, seed, restored, now),
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -49,7 +49,7 @@
  public:
   // `restored` are the disk records of this identity, in their order; none for
   // a blank one.
-  Controller(Member self, ControllerOptions options, std::uint64_t seed,
+  Controller(Member self, const ControllerOptions& options, std::uint64_t seed,
              const std::vector<WriteAheadRecord>& restored, MonotonicTime now);
   Controller(const Controller&) = delete;
   Controller& operator=(const Controller&) = delete;
