Layout: policy switches move to state/, which daemons may include

Ruled out: another row in the layout's table; the switches are settings, which decide nothing, and state/ holds those. Change: the header moves to state/. No behaviour changes.

--- a/source/controller/job_admission.hpp
+++ b/source/controller/job_admission.hpp
@@ -4,7 +4,7 @@
 // docs/design.md 10.
 #ifndef ANISELINE_CONTROLLER_JOB_ADMISSION_HPP
 #define ANISELINE_CONTROLLER_JOB_ADMISSION_HPP
-#include "scheduling/policy_switches.hpp"
+#include "state/policy_switches.hpp"
 #include "controller/backlog_estimator.hpp"
 #include "controller/request_decision.hpp"
 
--- a/source/controller/options.hpp
+++ b/source/controller/options.hpp
@@ -4,7 +4,7 @@
 #ifndef ANISELINE_CONTROLLER_OPTIONS_HPP
 #define ANISELINE_CONTROLLER_OPTIONS_HPP
 #include "raft/node.hpp"
-#include "scheduling/policy_switches.hpp"
+#include "state/policy_switches.hpp"
 #include "state/cluster_config.hpp"
 
 namespace aniseline {
--- a/source/daemons/controller_daemon.hpp
+++ b/source/daemons/controller_daemon.hpp
@@ -2,7 +2,7 @@
 #ifndef ANISELINE_DAEMONS_CONTROLLER_DAEMON_HPP
 #define ANISELINE_DAEMONS_CONTROLLER_DAEMON_HPP
 #include "net/leader_forwarder.hpp"
-#include "scheduling/policy_switches.hpp"
+#include "state/policy_switches.hpp"
 
 namespace aniseline {
 
--- a/source/scheduling/planner.hpp
+++ b/source/scheduling/planner.hpp
@@ -8,7 +8,7 @@
 #ifndef ANISELINE_SCHEDULING_PLANNER_HPP
 #define ANISELINE_SCHEDULING_PLANNER_HPP
 #include "scheduling/compiled_policies.hpp"
-#include "scheduling/policy_switches.hpp"
+#include "state/policy_switches.hpp"
 #include "state/cluster_state.hpp"
 
 namespace aniseline {
--- a/source/scheduling/policy_switches.hpp
+++ b/source/state/policy_switches.hpp
@@ -1,7 +1,7 @@
 // Which policies take part in a plan. All do, but for experiments that measure what one is worth:
 // controllers take the names of those to leave out with `--without`. docs/decisions-under-load.md.
-#ifndef ANISELINE_SCHEDULING_POLICY_SWITCHES_HPP
-#define ANISELINE_SCHEDULING_POLICY_SWITCHES_HPP
+#ifndef ANISELINE_STATE_POLICY_SWITCHES_HPP
+#define ANISELINE_STATE_POLICY_SWITCHES_HPP
 #include <algorithm>
 #include <array>
 #include <bitset>
@@ -55,4 +55,4 @@
 
 }  // namespace aniseline
 
-#endif  // ANISELINE_SCHEDULING_POLICY_SWITCHES_HPP
+#endif  // ANISELINE_STATE_POLICY_SWITCHES_HPP
