--- a/experiments/compare_variants.py
+++ b/experiments/compare_variants.py
@@ -51,6 +51,16 @@
         return (self.site.stem, Path(self.day).stem, self.seed)
 
 
+def count_between(report: dict, arguments: argparse.Namespace) -> str:
+    """How the requests of the seconds in question ended, as a text; empty if none are in question."""
+    if not arguments.between:
+        return ""
+    first, last = (float(second) for second in arguments.between.split(","))
+    windows = [window for window in report["windows"] if window["name"].isdigit() and first <= int(window["name"]) < last]
+    endings = ("n", "in_aim", "late", "refused", "failed")
+    return "  " + "  ".join(f"{ending} {sum(window[ending] for window in windows)}" for ending in endings)
+
+
 def play(wanted: Play, arguments: argparse.Namespace) -> dict | None:
     """Plays a day unless its report is there; the report, or nothing if the bench gave none."""
     report_path = arguments.out / f"{wanted.name}.json"
@@ -102,6 +112,7 @@
     parser.add_argument("--out", type=Path, required=True)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--no-cpu", action="store_true")
+    parser.add_argument("--between", default="", help="FROM,TO in seconds: also how the requests of that time ended")
     parser.add_argument("--why", default="compared variants")
     return parser.parse_args()
 
@@ -109,6 +120,7 @@
 def main() -> int:
     """Plays all, prints a line a play and the comparison; 1 if a rule was broken or a day not played."""
     arguments = read_arguments()
+    arguments.out = arguments.out.resolve()
     arguments.out.mkdir(parents=True, exist_ok=True)
     variants = dict(entry.split("=", 1) for entry in arguments.variant)
     seeds = [int(seed) for seed in arguments.seeds.split(",") if seed] or [None]
@@ -132,7 +144,7 @@
         broken = " BROKEN " + ",".join(report["breaks"]) if report["breaks"] else ""
         failed = failed or bool(broken)
         figures = "  ".join(f"{figure} {of(report):.3f}" for figure, of in FIGURES.items())
-        print(f"{wanted.name:60} {figures}{broken}")
+        print(f"{wanted.name:60} {figures}{count_between(report, arguments)}{broken}")
     baseline = next(iter(variants))
     for variant in list(variants)[1:]:
         print("\n".join(compare(variant, reports, baseline)))
--- a/source/scheduling/attempt_projection.cpp
+++ b/source/scheduling/attempt_projection.cpp
@@ -55,7 +55,7 @@
     const QueueView& queue = *job->queue;
     if (const char* reason = exceededTimeLimit(attempt, *queue.options, context.now()))
       survey.overTimeLimit.push_back({&attempt, reason});
-    if (context.options().strictPriority && queue.options->priority == context.highestPriority()) {
+    if (context.isUrgent(queue)) {
       queue.pool->urgentDemand.coresInUse += attempt.cores;
       queue.pool->urgentDemand.reported = true;
     }
--- a/source/scheduling/checkpoint_preemption.cpp
+++ b/source/scheduling/checkpoint_preemption.cpp
@@ -10,10 +10,6 @@
 // again still makes progress: several times what a stop and a start from a checkpoint take.
 constexpr Duration minRuntimeBeforePreemption{1500};
 
-bool isUrgent(const QueueView& queue, const SchedulingContext& context) {
-  return queue.options->priority == context.highestPriority();
-}
-
 // Of the runs that may give way, the least urgent first, and of these the one that began last.
 bool givesWayBefore(const StepAttempt& left, const StepAttempt& right) {
   const std::int64_t leftPriority = left.step->parent->queue->options->priority;
@@ -53,7 +49,7 @@
     const std::vector<StepAttempt>& checkpointed) const {
   CoresByPool lacking;
   for (const auto* unit : blocked) {
-    if (isUrgent(unit->queue(), context) &&
+    if (context.isUrgent(unit->queue()) &&
         unit->batch->latencyTarget.status != TargetStatus::expired)
       lacking[unit->queue().pool] += unit->batch->coresPerUnit;
   }
@@ -68,7 +64,7 @@
 bool CheckpointPreemption::mayGiveWay(const StepAttempt& run) {
   const Attempt& attempt = *run.attempt;
   JobView& job = *run.step->parent;
-  if (attempt.state != AttemptState::running || isUrgent(*job.queue, context) ||
+  if (attempt.state != AttemptState::running || context.isUrgent(*job.queue) ||
       attempt.runtimeAt(context.now()) < minRuntimeBeforePreemption)
     return false;
   if (exceededTimeLimit(attempt, *job.queue->options, context.now()))
--- a/source/scheduling/scheduling_context.hpp
+++ b/source/scheduling/scheduling_context.hpp
@@ -33,7 +33,10 @@
   /// MB of each worker that only trials may use.
   std::int64_t trialMemory() const { return reservedTrialMemory; }
   /// The highest priority that a queue of the config has, at least 0.
-  std::int64_t highestPriority() const { return highestQueuePriority; }
+  /// Of a queue that no other precedes; only with strict priority are there any.
+  bool isUrgent(const QueueView& queue) const {
+    return options().strictPriority && queue.options->priority == highestQueuePriority;
+  }
 
   std::vector<WorkerView>& workers() { return workerViews; }
   const std::vector<WorkerView>& workers() const { return workerViews; }
--- a/source/scheduling/urgent_headroom.cpp
+++ b/source/scheduling/urgent_headroom.cpp
@@ -21,7 +21,8 @@
     demand.freeCores += std::max<std::int64_t>(0, worker.guaranteedFreeCores());
   }
   for (const auto& unit : units) {
-    if (!isUrgent(unit) || unit.batch->latencyTarget.status == TargetStatus::expired)
+    if (!context.isUrgent(unit.queue()) ||
+        unit.batch->latencyTarget.status == TargetStatus::expired)
       continue;
     UrgentDemand& demand = unit.queue().pool->urgentDemand;
     demand.reported = true;
@@ -39,7 +40,7 @@
 bool UrgentHeadroom::leavesEnough(const PlacementUnit& unit) const {
   const LatencyTargetAssessment& target = unit.batch->latencyTarget;
   const bool pressing = target.lowSlack && target.status != TargetStatus::expired;
-  if (!context.options().strictPriority || isUrgent(unit) || pressing)
+  if (!context.options().strictPriority || context.isUrgent(unit.queue()) || pressing)
     return true;
   const UrgentDemand& demand = unit.queue().pool->urgentDemand;
   if (!demand.recentDemand ||
--- a/source/scheduling/urgent_headroom.hpp
+++ b/source/scheduling/urgent_headroom.hpp
@@ -24,10 +24,6 @@
   void recordStart(const PlacementUnit& unit) const;
 
  private:
-  bool isUrgent(const PlacementUnit& unit) const {
-    return unit.batch->queuePriority == context.highestPriority();
-  }
-
   SchedulingContext& context;
 };
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -5,13 +5,13 @@
 bash tests/unit_tests.sh build/aniseline_tests
 # A clean build needs the packages that deploy/system.toml lists, and no others.
 bash tests/packages.sh
+# Nothing outside platform/ knows of it, and the core compiles alone.
+bash tests/layout.sh
 # Every file is formatted, and the folders that were seen clean stay so. The whole tree: bash tests/lint.sh.
 bash tests/lint.sh source/agent source/base source/checker source/cli source/controller source/daemons source/gateway \
   platform programs library
 # The days that hunts on the users' bench draw: the same seed gives the same days, every kind of trouble comes.
 python3 tests/days/days_test.py
-# Nothing outside platform/ knows of it, and the core compiles alone.
-bash tests/layout.sh
 # The consensus core under every order of messages, crashes and changes of members, to a bound. The long
 # form: build/model_check --states 5000000, and --walks 100000 --steps 400; tests/model_mutations.sh.
 build/model_check --states 40000
