--- a/source/controller/job_latency_tracker.cpp
+++ b/source/controller/job_latency_tracker.cpp
@@ -14,8 +14,7 @@
 }
 
 Duration latencyTargetOf(const Job& job, const QueueOptions& queue) {
-  const double criticalPath = double(job.submission.criticalPath().milliseconds);
-  return Duration{std::int64_t(queue.latencyTargetFactor * criticalPath)} + queue.latencyTargetBase;
+  return Duration{std::int64_t(queue.latencyTarget(job.submission.criticalPath()))};
 }
 
 }  // namespace
@@ -82,7 +81,7 @@
                                      const Runs& runs) const {
   const Duration target = latencyTargetOf(job, queue);
   const Duration took = job.endedAt - job.admittedAt;
-  if (queue.latencyTargetBase.milliseconds <= 0 || took <= target)
+  if (!queue.hasLatencyTarget() || took <= target)
     return;
   log_events::JobLate late;
   late.job = job.submission.id;
--- a/source/scheduling/latency_target.cpp
+++ b/source/scheduling/latency_target.cpp
@@ -49,11 +49,10 @@
 
 LatencyTargetAssessment assessLatencyTarget(const Job& job, const QueueOptions& queue,
                                             ClusterTime now) {
-  if (queue.latencyTargetBase.milliseconds <= 0)
+  if (!queue.hasLatencyTarget())
     return {};
   const CriticalPath path = criticalPathOf(job);
-  const double target =
-      queue.latencyTargetFactor * double(path.total) + double(queue.latencyTargetBase.milliseconds);
+  const double target = queue.latencyTarget(Duration{path.total});
   const double latency = double((now - job.admittedAt).milliseconds + path.remaining);
   LatencyTargetAssessment assessment;
   if (latency <= target)
--- a/source/scheduling/placement_unit.hpp
+++ b/source/scheduling/placement_unit.hpp
@@ -19,8 +19,9 @@
   ClusterTime readyAt;
   double rank = 0;  // by the queue's policy, by default the paper's priority
   LatencyTargetAssessment latencyTarget;
-  std::int64_t queuePriority = 0;  // 0 unless the config has strict priority
-  std::int64_t coresPerUnit = 0;   // thousandths of a core; of a gang all its parts
+  std::int64_t queuePriority = 0;       // 0 unless the config has strict priority
+  std::int64_t coresPerUnit = 0;        // thousandths of a core; of a gang all its parts
+  CoreMilliseconds jobWorkToStart = 0;  // of its whole job
   // Results of this plan for one unit of the batch, which its other units need not repeat: free
   // resources only shrink while a plan is made.
   bool startFailed = false;
--- a/source/scheduling/unit_ordering.cpp
+++ b/source/scheduling/unit_ordering.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/unit_ordering.hpp"
+#include "scheduling/shortest_remaining_work.hpp"
 #include "scheduling/worker_eligibility.hpp"
 
 namespace aniseline::scheduling {
@@ -116,8 +117,10 @@
   const auto latencyTarget = context.isOn(Policy::latencyOrder)
                                  ? assessLatencyTarget(*job.job, *job.queue->options, context.now())
                                  : LatencyTargetAssessment{};
+  const CoreMilliseconds workToStart = job.job->workToStart();
   for (std::size_t index = first; index < batches.size(); ++index) {
     batches[index].latencyTarget = latencyTarget;
+    batches[index].jobWorkToStart = workToStart;
     rank(batches[index]);
     eligibleWorkers(context, *batches[index].step);
   }
@@ -168,6 +171,8 @@
                   return left.tasks[0] < right.tasks[0];
                 });
   }
+  if (context.isOn(Policy::shortestRemainingWork))
+    orderByRemainingWork(units);
 }
 
 }  // namespace aniseline::scheduling
--- a/source/state/cluster_config.hpp
+++ b/source/state/cluster_config.hpp
@@ -40,6 +40,12 @@
   // base.
   double latencyTargetFactor = 1.0;
   Duration latencyTargetBase{0};
+  bool hasLatencyTarget() const { return latencyTargetBase.milliseconds > 0; }
+  /// In milliseconds, for a job with that critical path.
+  double latencyTarget(Duration criticalPath) const {
+    return latencyTargetFactor * double(criticalPath.milliseconds) +
+           double(latencyTargetBase.milliseconds);
+  }
   // Removed from the configuration while it had open jobs: completes them and
   // admits no new ones.
   bool closedToSubmissions = false;
--- a/source/state/job.cpp
+++ b/source/state/job.cpp
@@ -45,6 +45,14 @@
   return Duration{longest};
 }
 
+CoreMilliseconds Job::workToStart() const {
+  CoreMilliseconds work = 0;
+  for (const auto& task : tasks)
+    if (task.state == TaskState::blocked || task.state == TaskState::pending)
+      work += requestOf(task).work();
+  return work;
+}
+
 std::size_t Job::taskIndexOf(std::uint32_t stepIndex, std::uint32_t indexInStep) const {
   if (stepIndex >= submission.steps.size() ||
       indexInStep >= submission.steps[stepIndex].tasks.size())
--- a/source/state/job.hpp
+++ b/source/state/job.hpp
@@ -6,12 +6,17 @@
 
 namespace aniseline {
 
+/// Work: thousandths of a core times milliseconds of requested runtime. Large requests exceed 64
+/// bits.
+using CoreMilliseconds = double;
+
 struct TaskRequest {
   std::uint32_t cores = 1;   // thousandths of a core
   std::uint64_t memory = 1;  // MB
   Duration runtime{1000};    // estimated by the submitter
   std::string payload;       // empty: the job's
   std::uint32_t accelerators = 0;
+  CoreMilliseconds work() const { return double(cores) * double(runtime.milliseconds); }
   bool operator==(const TaskRequest&) const = default;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
@@ -166,6 +171,8 @@
   /// The index in `tasks` of a step's task; the size of `tasks` if there is
   /// none.
   std::size_t taskIndexOf(std::uint32_t stepIndex, std::uint32_t indexInStep) const;
+  /// Of the tasks that wait for a start or for another step.
+  CoreMilliseconds workToStart() const;
   bool isStepComplete(std::uint32_t stepIndex) const;
   /// Fills `tasks` from the submission; to be called once.
   void addTasks();
--- a/source/state/policy_switches.hpp
+++ b/source/state/policy_switches.hpp
@@ -23,14 +23,15 @@
   slowWorkers,           // design.md 5.6: by pace
   failingWorkers,        // design.md 5.6: by results
   reservedStart,         // paper.md 3, and with it the limits on backfill
-  backlogAdmission       // design.md 10: jobs that would wait past all use are rejected
+  backlogAdmission,      // design.md 10: jobs that would wait past all use are rejected
+  shortestRemainingWork  // design.md 7.12
 };
-inline constexpr std::size_t policyCount = 11;
+inline constexpr std::size_t policyCount = 12;
 /// As `--without` takes it.
 inline constexpr std::array<const char*, policyCount> policyNames = {
-    "urgent-headroom", "latency-order",  "bounded-waiting",  "checkpoint-preemption",
-    "rack-balance",    "locality-wait",  "redundant-copies", "slow-workers",
-    "failing-workers", "reserved-start", "backlog-admission"};
+    "urgent-headroom", "latency-order",  "bounded-waiting",   "checkpoint-preemption",
+    "rack-balance",    "locality-wait",  "redundant-copies",  "slow-workers",
+    "failing-workers", "reserved-start", "backlog-admission", "shortest-remaining-work"};
 
 class PolicySwitches {
  public:
--- a/tests/scheduling/reference_planner.cpp
+++ b/tests/scheduling/reference_planner.cpp
@@ -535,8 +535,38 @@
                 return std::tie(left.readyAt, left.job, left.step, left.tasks) <
                        std::tie(right.readyAt, right.job, right.step, right.tasks);
               });
+    shortestRemainingWorkFirst(units);
     return units;
   }
+  // Of jobs with a latency target that are not past use, priority and status being equal.
+  void shortestRemainingWorkFirst(std::vector<PlacementUnit>& units) {
+    using Group = std::pair<std::int64_t, int>;
+    std::map<Group, std::vector<std::size_t>> indicesByGroup;
+    for (std::size_t index = 0; index < units.size(); ++index) {
+      const PlacementUnit& unit = units[index];
+      if (unit.targetStatus != 2 && queueOptionsOf(unit.job).latencyTargetBase.milliseconds > 0)
+        indicesByGroup[{unit.queuePriority, unit.targetStatus}].push_back(index);
+    }
+    std::map<JobId, double> work;
+    for (const PlacementUnit& unit : units) {
+      const Job& job = clusterState.jobs().at(unit.job);
+      double& sum = work[unit.job] = 0;
+      for (const auto& task : job.tasks)
+        if (task.state == TaskState::pending || task.state == TaskState::blocked)
+          sum +=
+              double(job.requestOf(task).cores) * double(job.requestOf(task).runtime.milliseconds);
+    }
+    for (const auto& [group, indices] : indicesByGroup) {
+      std::vector<PlacementUnit> sorted;
+      for (auto index : indices)
+        sorted.push_back(units[index]);
+      std::stable_sort(sorted.begin(), sorted.end(), [&](auto& left, auto& right) {
+        return work.at(left.job) < work.at(right.job);
+      });
+      for (std::size_t place = 0; place < indices.size(); ++place)
+        units[indices[place]] = sorted[place];
+    }
+  }
 
   void release(const PlacementUnit& unit, std::size_t workerIndex) {
     workers[workerIndex].releaseLast();
