--- a/source/controller/backlog_estimator.hpp
+++ b/source/controller/backlog_estimator.hpp
@@ -4,6 +4,7 @@
 #ifndef ANISELINE_CONTROLLER_BACKLOG_ESTIMATOR_HPP
 #define ANISELINE_CONTROLLER_BACKLOG_ESTIMATOR_HPP
 #include "state/cluster_state.hpp"
+#include <array>
 
 namespace aniseline {
 
@@ -17,14 +18,19 @@
                                      const ClusterState& state, MonotonicTime now);
 
  private:
-  // Work in thousandths of a core times milliseconds.
   using PoolAndPriority = std::pair<std::string, std::int64_t>;
+  // Work by the size of the jobs whose work it is: class n holds jobs of 2^n up to twice that, the
+  // last one all larger ones.
+  static constexpr std::size_t sizeClasses = 64;
+  using WorkBySize = std::array<CoreMilliseconds, sizeClasses>;
+  static std::size_t sizeClassOf(CoreMilliseconds jobWork);
   void refresh(const ClusterState& state, MonotonicTime now);
-  double workBefore(const QueueOptions& queue) const;
+  void add(const QueueOptions& queue, CoreMilliseconds work);
+  CoreMilliseconds workBefore(const QueueOptions& queue, CoreMilliseconds jobWork) const;
 
   MonotonicTime measuredAt{-1'000'000};
-  std::map<std::string, double> coresByPool;
-  std::map<PoolAndPriority, double> waitingWork;
+  std::map<std::string, std::int64_t> coresByPool;  // thousandths
+  std::map<PoolAndPriority, WorkBySize> waitingWork;
 };
 
 }  // namespace aniseline
