Shortest remaining work: its test of later steps has a later step

Cause: found by taking guards out one by one. The two steps of the test had no dependency, so neither was blocked, and the test passed without counting blocked tasks. With the dependency it fails then. Also taken out, each failing its own tests: the call, the exception for what is past use, the exception for jobs without a target, counting only what is to be started, the sizes in admission, the own size class in admission.

--- a/tests/scheduling/shortest_remaining_work_tests.cpp
+++ b/tests/scheduling/shortest_remaining_work_tests.cpp
@@ -37,7 +37,9 @@
 }
 
 TEST(ShortestRemainingWorkTests, stepsToComeCountAsWork) {
-  cluster.submit("two-steps", {wholeWorkerStep(1), wholeWorkerStep(1)});
+  StepRequest second = wholeWorkerStep(1);
+  second.dependencies = {"0"};
+  cluster.submit("two-steps", {wholeWorkerStep(1), second});
   cluster.now += 100;
   cluster.submit("one-step", {wholeWorkerStep(1)});
   STRCMP_EQUAL("start one-step on a", cluster.planAndRun().c_str());
