Read over: work to start only where it orders, one maker of simulated config orders

Found by reading the whole change. No behaviour changes. - UnitOrdering summed the unstarted work of every job in every plan, also of jobs without a latency target, whose sum is never read: work on the hot path for nothing. - The simulator's applyConfig and patchConfig built their order by two copies of the same lines: makeConfigOrder. - The comment of SchedulingContext::isUrgent began with that of the method that it replaced. - Includes that a rename had left out of their order.

--- a/source/controller/job_admission.hpp
+++ b/source/controller/job_admission.hpp
@@ -4,9 +4,9 @@
 // docs/design.md 10.
 #ifndef ANISELINE_CONTROLLER_JOB_ADMISSION_HPP
 #define ANISELINE_CONTROLLER_JOB_ADMISSION_HPP
-#include "state/policy_switches.hpp"
 #include "controller/backlog_estimator.hpp"
 #include "controller/request_decision.hpp"
+#include "state/policy_switches.hpp"
 
 namespace aniseline {
 
--- a/source/controller/options.hpp
+++ b/source/controller/options.hpp
@@ -4,8 +4,8 @@
 #ifndef ANISELINE_CONTROLLER_OPTIONS_HPP
 #define ANISELINE_CONTROLLER_OPTIONS_HPP
 #include "raft/node.hpp"
-#include "state/policy_switches.hpp"
 #include "state/cluster_config.hpp"
+#include "state/policy_switches.hpp"
 
 namespace aniseline {
 
--- a/source/scheduling/placement_unit.hpp
+++ b/source/scheduling/placement_unit.hpp
@@ -21,7 +21,7 @@
   LatencyTargetAssessment latencyTarget;
   std::int64_t queuePriority = 0;       // 0 unless the config has strict priority
   std::int64_t coresPerUnit = 0;        // thousandths of a core; of a gang all its parts
-  CoreMilliseconds jobWorkToStart = 0;  // of its whole job
+  CoreMilliseconds jobWorkToStart = 0;  // of its whole job; only with a latency target
   // Results of this plan for one unit of the batch, which its other units need not repeat: free
   // resources only shrink while a plan is made.
   bool startFailed = false;
--- a/source/scheduling/planner.hpp
+++ b/source/scheduling/planner.hpp
@@ -8,8 +8,8 @@
 #ifndef ANISELINE_SCHEDULING_PLANNER_HPP
 #define ANISELINE_SCHEDULING_PLANNER_HPP
 #include "scheduling/compiled_policies.hpp"
-#include "state/policy_switches.hpp"
 #include "state/cluster_state.hpp"
+#include "state/policy_switches.hpp"
 
 namespace aniseline {
 
--- a/source/scheduling/scheduling_context.hpp
+++ b/source/scheduling/scheduling_context.hpp
@@ -32,8 +32,8 @@
   ClusterTime now() const { return time; }
   /// MB of each worker that only trials may use.
   std::int64_t trialMemory() const { return reservedTrialMemory; }
-  /// The highest priority that a queue of the config has, at least 0.
-  /// Of a queue that no other precedes; only with strict priority are there any.
+  /// Is the queue of the highest priority that the config has, at least 0? Only with strict
+  /// priority.
   bool isUrgent(const QueueView& queue) const {
     return options().strictPriority && queue.options->priority == highestQueuePriority;
   }
--- a/source/scheduling/unit_ordering.cpp
+++ b/source/scheduling/unit_ordering.cpp
@@ -117,7 +117,8 @@
   const auto latencyTarget = context.isOn(Policy::latencyOrder)
                                  ? assessLatencyTarget(*job.job, *job.queue->options, context.now())
                                  : LatencyTargetAssessment{};
-  const CoreMilliseconds workToStart = job.job->workToStart();
+  const bool ordersByWork = job.queue->options->hasLatencyTarget();
+  const CoreMilliseconds workToStart = ordersByWork ? job.job->workToStart() : 0;
   for (std::size_t index = first; index < batches.size(); ++index) {
     batches[index].latencyTarget = latencyTarget;
     batches[index].jobWorkToStart = workToStart;
--- a/source/simulator/simulated_callers.cpp
+++ b/source/simulator/simulated_callers.cpp
@@ -136,11 +136,7 @@
   const auto parsed = ClusterConfig::parse(text);
   if (parsed)
     notePools(parsed.value());
-  ConfigOrder order;
-  order.method = "PUT";
-  order.body = "{\"based_on\":" + std::to_string(baseVersion) + ",\"config\":" + text + "}";
-  order.submitted = makeEvent(HistoryEvent::Kind::configSubmitted, epochMs + now);
-  order.submitted.baseVersion = baseVersion;
+  ConfigOrder order = makeConfigOrder("PUT", "config", text, baseVersion);
   order.submitted.digest = configDigest(text);
   // Of a text with faults the answer says nothing of the config in force.
   order.isValid = bool(parsed);
@@ -156,17 +152,25 @@
 
 void SimulatedCluster::patchConfig(const std::string& text, std::uint64_t baseVersion,
                                    ResponseHandler follower, std::size_t gateway) {
-  ConfigOrder order;
-  order.method = "PATCH";
-  order.body = "{\"based_on\":" + std::to_string(baseVersion) + ",\"patch\":" + text + "}";
-  order.submitted = makeEvent(HistoryEvent::Kind::configSubmitted, epochMs + now);
-  order.submitted.baseVersion = baseVersion;
+  ConfigOrder order = makeConfigOrder("PATCH", "patch", text, baseVersion);
   order.submitted.digest = configPatchDigest(text);
   order.submitted.detail = configPatchDetail;
   order.isValid = bool(ConfigPatch::parse(text));
   sendConfigOrder(order, gateway, std::move(follower));
 }
 
+SimulatedCluster::ConfigOrder SimulatedCluster::makeConfigOrder(const char* method,
+                                                                const std::string& field,
+                                                                const std::string& text,
+                                                                std::uint64_t baseVersion) const {
+  ConfigOrder order;
+  order.method = method;
+  order.body = "{\"based_on\":" + std::to_string(baseVersion) + ",\"" + field + "\":" + text + "}";
+  order.submitted = makeEvent(HistoryEvent::Kind::configSubmitted, epochMs + now);
+  order.submitted.baseVersion = baseVersion;
+  return order;
+}
+
 void SimulatedCluster::sendConfigOrder(const ConfigOrder& order, std::size_t gateway,
                                        ResponseHandler follower) {
   recordEvent(order.submitted);
--- a/source/simulator/simulated_cluster.hpp
+++ b/source/simulator/simulated_cluster.hpp
@@ -202,6 +202,9 @@
   void deliverLocally(Node& to, std::function<void()> work);
   // What reaches a process that is up still; a frozen one gets it when it wakes.
   void deliverAt(Node& to, std::int64_t at, std::function<void()> work);
+  // A whole configuration or a patch, in the field of the body that bears its name.
+  ConfigOrder makeConfigOrder(const char* method, const std::string& field, const std::string& text,
+                              std::uint64_t baseVersion) const;
   void sendConfigOrder(const ConfigOrder& order, std::size_t gateway, ResponseHandler follower);
   void recordConfigAnswer(const HistoryEvent& submitted, int status, const std::string& body);
   // What the checkers of runs need to know of a configuration.
