--- a/source/base/archive.hpp
+++ b/source/base/archive.hpp
@@ -21,6 +21,9 @@
 
 namespace aniseline {
 
+// In the length of a text: a section that a later version of the format added follows the text.
+inline constexpr std::uint64_t sectionFollows = std::uint64_t(1) << 63;
+
 // Written as it stands in memory.
 template <class Value>
 concept PlainNumber = std::is_arithmetic_v<Value> || std::is_enum_v<Value>;
@@ -64,6 +67,15 @@
     return *this << std::uint64_t(size);
   }
   OutputArchive& operator<<(const boost::serialization::item_version_type&) { return *this; }
+  /// See serializeTextWithSection().
+  template <class Section>
+  void textWithSection(const std::string& text, const Section& section) {
+    const bool hasSection = !isAbsent(section);
+    *this << (std::uint64_t(text.size()) | (hasSection ? sectionFollows : 0));
+    bytes += text;
+    if (hasSection)
+      *this << section;
+  }
 
   std::string bytes;
 };
@@ -131,6 +143,16 @@
     return *this;
   }
   InputArchive& operator>>(boost::serialization::item_version_type&) { return *this; }
+  /// See serializeTextWithSection().
+  template <class Section>
+  void textWithSection(std::string& text, Section& section) {
+    std::uint64_t size = 0;
+    *this >> size;
+    text = takeBytes(size & ~sectionFollows);
+    section = Section{};
+    if (size & sectionFollows)
+      *this >> section;
+  }
 
  private:
   template <class Variant, class Kind>
@@ -149,6 +171,15 @@
   std::string_view remaining;
 };
 
+/// A text and, only where it is not absent, a section that the format did not have at first.
+/// Without one the bytes are those of the text alone, so what was stored before is read and written
+/// as ever; a program that does not know the section finds the text's length past the end of the
+/// bytes and refuses the record. docs/design.md 9.3.
+template <class Archive, class Section>
+void serializeTextWithSection(Archive& archive, std::string& text, Section& section) {
+  archive.textWithSection(text, section);
+}
+
 }  // namespace aniseline
 
 #endif  // ANISELINE_BASE_ARCHIVE_HPP
--- a/source/cli/inspect_commands.cpp
+++ b/source/cli/inspect_commands.cpp
@@ -12,6 +12,9 @@
 ExitCode workers(Session& session, const Arguments&) {
   return sendAndShow(session, {"GET", "/v1/workers", ""}, workersView);
 }
+ExitCode tenants(Session& session, const Arguments&) {
+  return sendAndShow(session, {"GET", "/v1/tenants", ""}, tenantsView);
+}
 ExitCode plan(Session& session, const Arguments&) {
   return sendAndShow(session, {"GET", "/v1/plan", ""}, planView);
 }
@@ -53,6 +56,17 @@
        {},
        true,
        workers},
+      {"tenants",
+       "",
+       "tenants, what each may have running and what it has",
+       "KEYS counts a tenant's keys, which are never shown. A tenant that the config no longer "
+       "names keeps its cap, "
+       "without keys, while jobs of it are open. Above its cap is a tenant whose cap was lowered, "
+       "or whose one task "
+       "is larger than what was left of it.",
+       {},
+       true,
+       tenants},
       {"plan",
        "",
        "who waits and why, and the reserved start",
--- a/source/cli/views.hpp
+++ b/source/cli/views.hpp
@@ -8,6 +8,7 @@
 std::string clusterView(const picojson::value& answer);
 std::string countersView(const picojson::value& answer);
 std::string workersView(const picojson::value& answer);
+std::string tenantsView(const picojson::value& answer);
 std::string jobsView(const picojson::value& answer);
 std::string jobView(const picojson::value& answer);
 std::string planView(const picojson::value& answer);
--- a/source/controller/backlog_estimator.cpp
+++ b/source/controller/backlog_estimator.cpp
@@ -40,7 +40,7 @@
     const auto* queue = state.config().findQueue(job.submission.queue);
     if (!queue || job.state != JobState::active)
       continue;
-    add(*queue, job.workToStart());
+    add(*queue, job.submission.tenant, job.workToStart());
   }
 }
 
@@ -50,44 +50,63 @@
   return std::min(std::size_t(std::ilogb(jobWork)), sizeClasses - 1);
 }
 
-void BacklogEstimator::add(const QueueOptions& queue, CoreMilliseconds work) {
-  waitingWork[{queue.pool, queue.priority}][sizeClassOf(work)] += work;
+void BacklogEstimator::add(const QueueOptions& queue, const TenantName& tenant,
+                           CoreMilliseconds work) {
+  waitingWork[{queue.pool, tenant}][queue.priority][sizeClassOf(work)] += work;
 }
 
-// The work that is planned before a job of this queue: its own pool's, of a higher priority, or of
-// its own and of jobs that are no larger.
-CoreMilliseconds BacklogEstimator::workBefore(const QueueOptions& queue,
-                                              CoreMilliseconds jobWork) const {
+// That of a higher priority, or of the queue's own and of jobs that are no larger.
+CoreMilliseconds BacklogEstimator::workBefore(const WorkByPriority& waiting,
+                                              const QueueOptions& queue, CoreMilliseconds jobWork) {
   CoreMilliseconds work = 0;
-  for (const auto& [key, waiting] : waitingWork) {
-    const auto& [pool, priority] = key;
-    if (pool != queue.pool || priority < queue.priority)
-      continue;
+  for (auto level = waiting.lower_bound(queue.priority); level != waiting.end(); ++level) {
+    const auto& [priority, bySize] = *level;
     const std::size_t classes =
-        priority > queue.priority ? waiting.size() : sizeClassOf(jobWork) + 1;
-    work += std::accumulate(waiting.begin(), waiting.begin() + std::ptrdiff_t(classes),
+        priority > queue.priority ? bySize.size() : sizeClassOf(jobWork) + 1;
+    work += std::accumulate(bySize.begin(), bySize.begin() + std::ptrdiff_t(classes),
                             CoreMilliseconds{0});
   }
   return work;
 }
 
+// What a cap keeps from running delays nobody but its own tenant: of each other tenant's work no
+// more counts than its cap lets run within the horizon.
+double BacklogEstimator::delayOf(const JobSubmission& job, const QueueOptions& queue,
+                                 const ClusterState& state, double horizon) const {
+  CoreMilliseconds before = 0;
+  double ownDelay = 0;
+  for (auto entry = waitingWork.lower_bound({queue.pool, TenantName{}});
+       entry != waitingWork.end() && entry->first.first == queue.pool; ++entry) {
+    const TenantName& name = entry->first.second;
+    CoreMilliseconds work = workBefore(entry->second, queue, workOf(job));
+    const TenantOptions* tenant = state.config().tenants.find(name);
+    if (tenant && tenant->cap.cores) {
+      const auto cap = double(tenant->cap.cores);
+      if (name == job.tenant)
+        ownDelay = work / cap;
+      work = std::min(work, cap * horizon);
+    }
+    before += work;
+  }
+  return std::max(ownDelay, before / double(coresByPool.at(queue.pool)));
+}
+
 std::optional<Duration> BacklogEstimator::retryDelay(const JobSubmission& job,
                                                      const QueueOptions& queue,
                                                      const ClusterState& state, MonotonicTime now) {
   if (!queue.hasLatencyTarget() || job.hasTimetable())
     return std::nullopt;
   refresh(state, now);
-  const auto cores = coresByPool.find(queue.pool);
-  if (cores == coresByPool.end())
+  if (!coresByPool.count(queue.pool))
     return std::nullopt;
-  const CoreMilliseconds jobWork = workOf(job);
-  const double delay = workBefore(queue, jobWork) / double(cores->second);
   const double target = queue.latencyTarget(job.criticalPath());
-  if (delay > rejectAtTargets * target) {
+  const double latest = rejectAtTargets * target;
+  const double delay = delayOf(job, queue, state, latest);
+  if (delay > latest) {
     const auto wait = std::int64_t(delay - comeBackAtTargets * target);
     return Duration{std::clamp(wait, minRetryDelayMs, maxRetryDelayMs)};
   }
-  add(queue, jobWork);
+  add(queue, job.tenant, workOf(job));
   return std::nullopt;
 }
 
--- a/source/controller/backlog_estimator.hpp
+++ b/source/controller/backlog_estimator.hpp
@@ -18,19 +18,25 @@
                                      const ClusterState& state, MonotonicTime now);
 
  private:
-  using PoolAndPriority = std::pair<std::string, std::int64_t>;
+  using PoolAndTenant = std::pair<std::string, TenantName>;
   // Work by the size of the jobs whose work it is: class n holds jobs of 2^n up to twice that, the
   // last one all larger ones.
   static constexpr std::size_t sizeClasses = 64;
   using WorkBySize = std::array<CoreMilliseconds, sizeClasses>;
   static std::size_t sizeClassOf(CoreMilliseconds jobWork);
   void refresh(const ClusterState& state, MonotonicTime now);
-  void add(const QueueOptions& queue, CoreMilliseconds work);
-  CoreMilliseconds workBefore(const QueueOptions& queue, CoreMilliseconds jobWork) const;
+  void add(const QueueOptions& queue, const TenantName& tenant, CoreMilliseconds work);
+  // Of one tenant's waiting work, what is planned before a job.
+  using WorkByPriority = std::map<std::int64_t, WorkBySize>;
+  static CoreMilliseconds workBefore(const WorkByPriority& waiting, const QueueOptions& queue,
+                                     CoreMilliseconds jobWork);
+  // In milliseconds, how long what waits keeps a job waiting, reckoned up to a horizon.
+  double delayOf(const JobSubmission& job, const QueueOptions& queue, const ClusterState& state,
+                 double horizon) const;
 
   MonotonicTime measuredAt{-1'000'000};
-  std::map<std::string, std::int64_t> coresByPool;  // thousandths
-  std::map<PoolAndPriority, WorkBySize> waitingWork;
+  std::map<std::string, std::int64_t> coresByPool;      // thousandths
+  std::map<PoolAndTenant, WorkByPriority> waitingWork;  // of no tenant under the empty name
 };
 
 }  // namespace aniseline
--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration expiryCheckInterval{1000};
+// A client may send a key that was revoked as often as it likes.
+constexpr Duration rejectedKeysReportInterval{1000};
 
 // Whether an event may bring the end of a lease or of a drain nearer than was
 // reckoned.
@@ -57,6 +59,7 @@
     failUnschedulableJobs();
     runPlanner();
     reviewMembership();
+    reportRejectedKeys();
     followRaft(wall);  // so that what was proposed leaves at once
   }
   if (isLeading()) {
@@ -185,6 +188,14 @@
   membership.review(speculative(), now);
 }
 
+void Controller::reportRejectedKeys() {
+  if (rejectedKeys == 0 || now < nextKeyReport)
+    return;
+  nextKeyReport = now + rejectedKeysReportInterval;
+  logEvent(
+      log_events::ApiKeysRejected{speculative().config().version, std::exchange(rejectedKeys, 0)});
+}
+
 void Controller::onSnapshotPacked(PackedSnapshot snapshot) {
   if (stateMachine.snapshots().finish())
     raft.compact(snapshot.index, std::move(snapshot.state));
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -120,15 +120,24 @@
   void failUnschedulableJobs();
   void runPlanner();
   void reviewMembership();
+  void reportRejectedKeys();
 
   // Requests: one handler a kind, dispatched by handleRequest.
   bool hasRequestCapacity(const ApiRequest& request) const;
   bool fitsMemoryLimit(const ApiRequest& request) const;
   void handleRequest(PendingRequest& pending);
   void handleReadRequest(PendingRequest& pending);
+  // What is wrong with a request before it is looked at by its kind, if
+  // anything.
+  std::optional<ApiResponse> rejectionOnArrival(ApiRequest& request);
   // Completes a request that came by an ingress route with its queue and job;
   // what is wrong with it, if anything.
-  std::optional<ApiResponse> resolveIngressRoute(ApiRequest& request) const;
+  std::optional<ApiResponse> resolveIngressRoute(ApiRequest& request);
+  // Names the tenant of a request that needs a key; a rejection if it has none
+  // that is known.
+  std::optional<ApiResponse> authenticate(ApiRequest& request);
+  // A rejection if the request is about a job of another tenant.
+  std::optional<ApiResponse> checkOwner(const ApiRequest& request) const;
   void handleSubmit(PendingRequest& pending);
   void handleCancel(PendingRequest& pending);
   void handleConfig(PendingRequest& pending);
@@ -158,6 +167,8 @@
   LeaderClock clock;
   bool isServing = false;
   MonotonicTime nextExpiryCheck;
+  std::uint64_t rejectedKeys = 0;  // requests, since they were reported last
+  MonotonicTime nextKeyReport;
   ReplicatedStateMachine stateMachine;
   RequestTable requests;
   std::vector<CompletedRequest> responses;
--- a/source/controller/log_event.cpp
+++ b/source/controller/log_event.cpp
@@ -41,7 +41,14 @@
     return {"serves", {{"term", json(event.term.value)}}};
   }
   RenderedLogEvent operator()(const log_events::ConfigAccepted& event) const {
-    return {"config taken", {{"version", json(event.version.value)}}};
+    return {"config taken",
+            {{"version", json(event.version.value)},
+             {"tenants", json(event.tenants)},
+             {"api_keys", json(event.apiKeys)}}};
+  }
+  RenderedLogEvent operator()(const log_events::ApiKeysRejected& event) const {
+    return {"api_keys_rejected",
+            {{"version", json(event.config.value)}, {"requests", json(event.requests)}}};
   }
   RenderedLogEvent operator()(const log_events::WorkerIdInUse& event) const {
     return {"worker id in use", {{"worker", json(event.worker.value)}}};
@@ -85,6 +92,7 @@
              {"workers", json(event.usableWorkers)},
              {"passed_over", json(event.excludedWorkers)},
              {"copies", json(event.redundantCopies)},
+             {"held_by_cap", json(event.heldByTenantCap)},
              {"cores", json(event.cores)},
              {"cores_used", json(event.coresUsed)}}};
   }
--- a/source/controller/log_event.hpp
+++ b/source/controller/log_event.hpp
@@ -43,6 +43,14 @@
 };
 struct ConfigAccepted {
   ConfigVersion version;
+  std::size_t tenants = 0;
+  std::size_t apiKeys = 0;  // of all tenants
+};
+// Requests of clients that gave no key, or one that no tenant has, since the
+// last such event. Never tells a key.
+struct ApiKeysRejected {
+  ConfigVersion config;  // in force at the last of them
+  std::uint64_t requests = 0;
 };
 // A second process tried to register under the id of a worker that is alive.
 struct WorkerIdInUse {
@@ -89,6 +97,7 @@
   std::size_t usableWorkers = 0;
   std::size_t excludedWorkers = 0;
   std::size_t redundantCopies = 0;
+  std::size_t heldByTenantCap = 0;  // of the waiting: those whose tenant runs all that it may
   double cores = 0;
   double coresUsed = 0;
 };
@@ -113,13 +122,13 @@
 
 }  // namespace log_events
 
-using LogEvent =
-    std::variant<log_events::SnapshotInstalled, log_events::UnreadableRecord,
-                 log_events::LeadershipStarted, log_events::LeadershipEnded,
-                 log_events::ServingStarted, log_events::ConfigAccepted, log_events::WorkerIdInUse,
-                 log_events::WorkerDraining, log_events::WorkerUnreachable,
-                 log_events::MembershipChanged, log_events::MembershipChangeRefused,
-                 log_events::TaskDelayed, log_events::Occupancy, log_events::JobLate>;
+using LogEvent = std::variant<log_events::SnapshotInstalled, log_events::UnreadableRecord,
+                              log_events::LeadershipStarted, log_events::LeadershipEnded,
+                              log_events::ServingStarted, log_events::ConfigAccepted,
+                              log_events::ApiKeysRejected, log_events::WorkerIdInUse,
+                              log_events::WorkerDraining, log_events::WorkerUnreachable,
+                              log_events::MembershipChanged, log_events::MembershipChangeRefused,
+                              log_events::TaskDelayed, log_events::Occupancy, log_events::JobLate>;
 using LogEventSignal = boost::signals2::signal<void(const LogEvent&)>;
 
 // An event as it stands in a log line or a trace.
--- a/source/controller/planning_driver.cpp
+++ b/source/controller/planning_driver.cpp
@@ -65,6 +65,7 @@
   occupancy.usableWorkers = plan.schedulableWorkers;
   occupancy.excludedWorkers = plan.excludedWorkers;
   occupancy.redundantCopies = plan.redundantCopies;
+  occupancy.heldByTenantCap = plan.heldByTenantCap;
   occupancy.cores = double(plan.schedulableCores) / 1000;
   occupancy.coresUsed = double(plan.allocatedCores) / 1000;
   events(occupancy);
--- a/source/controller/read_views.cpp
+++ b/source/controller/read_views.cpp
@@ -103,6 +103,36 @@
   return usage;
 }
 
+struct TenantWork {
+  std::uint64_t openJobs = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t cores = 0;   // thousandths, of these attempts
+  std::uint64_t memory = 0;  // MB
+  std::uint64_t accelerators = 0;
+  void add(const Attempt& attempt) {
+    ++attempts;
+    cores += attempt.cores;
+    memory += attempt.memory;
+    accelerators += attempt.accelerators;
+  }
+};
+
+// Keys are counted and never shown.
+picojson::object renderTenant(const TenantName& name, const TenantOptions& options,
+                              const TenantWork& work) {
+  return {{"name", json(name.value)},
+          {"api_keys", json(options.keys.size())},
+          {"weight", json(options.weight)},
+          {"open", json(work.openJobs)},
+          {"attempts", json(work.attempts)},
+          {"cores_used", json(double(work.cores) / 1000)},
+          {"cores_cap", json(double(options.cap.cores) / 1000)},
+          {"memory_used_mb", json(work.memory)},
+          {"memory_cap_mb", json(options.cap.memory)},
+          {"accelerators_used", json(work.accelerators)},
+          {"accelerators_cap", json(options.cap.accelerators)}};
+}
+
 picojson::object renderMember(const Member& member, const RaftNode& raft, MonotonicTime now) {
   const bool isSelf = member.id == raft.self().id;
   const LogIndex match = isSelf ? raft.lastIndex() : raft.matchIndexOf(member.id);
@@ -268,6 +298,20 @@
   return {{"workers", json(listed)}};
 }
 
+picojson::object renderTenants(const ClusterState& state) {
+  std::map<TenantName, TenantWork> works;
+  for (const auto& id : state.openJobs()) {
+    TenantWork& work = works[state.jobs().at(id).submission.tenant];
+    ++work.openJobs;
+    for (auto number : state.attemptsOf(id, AttemptScope::withoutAbandoned))
+      work.add(state.attempts().at(number));
+  }
+  picojson::array listed;
+  for (const auto& [name, options] : state.config().tenants.all())
+    listed.push_back(json(renderTenant(name, options, works[name])));
+  return {{"version", json(state.config().version.value)}, {"tenants", json(listed)}};
+}
+
 picojson::object renderCluster(const ClusterState& state, const RaftNode& raft,
                                const GatewayRegistry& gateways, MonotonicTime now,
                                ClusterTime clusterNow) {
--- a/source/controller/read_views.hpp
+++ b/source/controller/read_views.hpp
@@ -33,6 +33,8 @@
 picojson::object renderExport(const ClusterState& state, ClusterTime clusterNow);
 picojson::object renderWorkers(const ClusterState& state, const LastContactAges& unheard,
                                ClusterTime clusterNow);
+// Each tenant with its cap and what it holds of it.
+picojson::object renderTenants(const ClusterState& state);
 picojson::object renderCluster(const ClusterState& state, const RaftNode& raft,
                                const GatewayRegistry& gateways, MonotonicTime now,
                                ClusterTime clusterNow);
--- a/source/controller/request_handlers.cpp
+++ b/source/controller/request_handlers.cpp
@@ -49,9 +49,20 @@
   }
 }
 
+// Submissions by the product's own interface name their queue, but need a key as well where there
+// are tenants: their work counts against a cap. Its other requests are operators'. docs/api.md 1.
+std::optional<ApiResponse> Controller::rejectionOnArrival(ApiRequest& request) {
+  if (request.viaIngress())
+    return resolveIngressRoute(request);
+  request.job.tenant = TenantName{};
+  const bool needsKey =
+      request.kind == RequestKind::submitJob && speculative().config().tenants.requiresKeys();
+  return needsKey ? authenticate(request) : std::nullopt;
+}
+
 // The leader's config is the newest there is, so what comes by an ingress route
 // is never judged by an older one. docs/design.md 6.6.
-std::optional<ApiResponse> Controller::resolveIngressRoute(ApiRequest& request) const {
+std::optional<ApiResponse> Controller::resolveIngressRoute(ApiRequest& request) {
   const ClusterConfig& config = speculative().config();
   if (!config.version.value)
     return ApiResponse::notApplied("there is no config yet");
@@ -61,20 +72,48 @@
   request.targetId = request.path.substr(route->pathPrefix.size());
   request.job.queue = route->queue;
   request.job.id = JobId{request.targetId};
+  request.job.tenant = TenantName{};
+  if (config.tenants.requiresKeyFor(route->host, route->pathPrefix)) {
+    if (auto rejection = authenticate(request))
+      return rejection;
+  }
   if (request.kind == RequestKind::showPhase && request.targetId.empty())
     request.kind = RequestKind::countPendingJobs;
   if (request.kind != RequestKind::submitJob)
-    return std::nullopt;
+    return checkOwner(request);
   auto faults = request.job.validate();
   if (faults.empty())
     return std::nullopt;
   return ApiResponse::fromError(CoreError{CoreError::Kind::invalid, std::move(faults)});
 }
 
+// By the newest configuration in the leader's log, whichever process the request came through: no
+// process keeps a list of keys that could be older. The answer leaves when that configuration is
+// committed. docs/design.md 6.7.
+std::optional<ApiResponse> Controller::authenticate(ApiRequest& request) {
+  const TenantName* tenant = speculative().config().tenants.findByKey(request.apiKey);
+  if (!tenant) {
+    ++rejectedKeys;
+    return ApiResponse::error(401, "unauthenticated", "no tenant has this key");
+  }
+  request.job.tenant = *tenant;
+  return std::nullopt;
+}
+
+// A job of no tenant came by a public route, or before there were tenants.
+std::optional<ApiResponse> Controller::checkOwner(const ApiRequest& request) const {
+  const auto found = speculative().jobs().find(request.job.id);
+  if (found == speculative().jobs().end())
+    return std::nullopt;
+  const TenantName& owner = found->second.submission.tenant;
+  if (isAbsent(owner) || owner == request.job.tenant)
+    return std::nullopt;
+  return ApiResponse::error(403, "forbidden", "the job belongs to another tenant");
+}
+
 void Controller::handleRequest(PendingRequest& pending) {
-  if (pending.request.viaIngress())
-    if (auto rejection = resolveIngressRoute(pending.request))
-      return respondWhenCommitted(pending, std::move(*rejection));
+  if (auto rejection = rejectionOnArrival(pending.request))
+    return respondWhenCommitted(pending, std::move(*rejection));
   switch (pending.request.kind) {
     case RequestKind::submitJob:
       return handleSubmit(pending);
@@ -121,6 +160,8 @@
       return show(renderConfig(state));
     case RequestKind::listWorkers:
       return show(renderWorkers(state, leases.unheardDurations(now), clusterNow()));
+    case RequestKind::listTenants:
+      return show(renderTenants(state));
     case RequestKind::showCluster:
       return show(renderCluster(state, raft, gateways, now, clusterNow()));
     case RequestKind::showPlan:
@@ -163,7 +204,9 @@
                                  : decideConfigOrder(request, speculative());
   if (decision.event) {
     const auto& event = boost::get<ConfigCommitted>(*decision.event);
-    logEvent(log_events::ConfigAccepted{event.config.version});
+    const TenantDirectory& tenants = event.config.tenants;
+    logEvent(
+        log_events::ConfigAccepted{event.config.version, tenants.all().size(), tenants.keyCount()});
   }
   carryOut(pending, std::move(decision));
 }
--- a/source/daemons/gateway_daemon.cpp
+++ b/source/daemons/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemons/connection_drain.hpp"
 #include "daemons/listening.hpp"
 #include "net/contacts.hpp"
+#include "net/http_authorization.hpp"
 #include "net/log.hpp"
 #include "net/signals.hpp"
 #include <mutex>
@@ -15,6 +16,12 @@
 
 constexpr HttpLimits readinessLimits{4096, 100, Duration{30'000}, Duration{2000}};
 constexpr Duration routeQueryTimeout{1000};
+// Of the product's own interface: its requests may carry a key.
+HttpLimits clientLimits() {
+  HttpLimits limits;
+  limits.keepHeaders = true;
+  return limits;
+}
 // A route that no controller has confirmed for this long is not good enough to be ready.
 constexpr Duration routeStaleAfter{2500};
 constexpr std::int64_t neverConfirmed = -1'000'000;  // long before the clock's start
@@ -147,7 +154,7 @@
     LeaderForwarder forwarder(
         threadLoop, [this] { return currentRoute(); }, settings.seeds,
         [this] { return givingUp.load(); });
-    HttpServer http(threadLoop, HttpLimits{},
+    HttpServer http(threadLoop, clientLimits(),
                     [&](const HttpRequest& request) { return handle(forwarder, request); });
     HttpServer external(
         threadLoop, settings.externalInterface.limits, [&](const HttpRequest& request) {
@@ -203,6 +210,7 @@
     auto parsed = ApiRequest::parse(request.method, request.target, request.body);
     if (!parsed)
       return ApiResponse::fromError(parsed.error());
+    parsed.value().apiKey = apiKeyOf(request);
     return forwardBounded(forwarder, parsed.value());
   }
   ApiResponse answerReadiness() const {
--- a/source/net/http_connection.cpp
+++ b/source/net/http_connection.cpp
@@ -71,6 +71,9 @@
     message.set(http::field::retry_after, std::to_string((milliseconds + 999) / 1000));
     message.set(retryAfterMillisecondsHeader, std::to_string(milliseconds));
   }
+  // RFC 9110, 15.5.2: such a response names the scheme that is wanted.
+  if (answer.status == http_status::unauthorized)
+    message.set(http::field::www_authenticate, "Bearer");
   if (requestNumber)
     message.set(requestNumberHeader, std::to_string(requestNumber));
   message.keep_alive(keepAlive);
--- a/source/net/http_status.hpp
+++ b/source/net/http_status.hpp
@@ -7,6 +7,8 @@
 constexpr int ok = 200;
 constexpr int accepted = 202;
 constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
+constexpr int forbidden = 403;
 constexpr int notFound = 404;
 constexpr int conflict = 409;
 constexpr int gone = 410;
--- a/source/net/wire.hpp
+++ b/source/net/wire.hpp
@@ -69,7 +69,7 @@
 // The error's code in logs, in snake_case.
 const char* name(WireError::Kind kind);
 
-constexpr std::uint32_t wireFormat = 6;
+constexpr std::uint32_t wireFormat = 7;
 
 // What stands before each message; sent as its bytes.
 struct FrameHeader {
--- a/source/scheduling/attempt_projection.cpp
+++ b/source/scheduling/attempt_projection.cpp
@@ -47,10 +47,21 @@
         job && attempt.stepIndex < job->steps.size() ? &job->steps[attempt.stepIndex] : nullptr;
     if (job && !attempt.abandoned)
       surveyAttempt(attempt, step);
+    if (job && job->tenant && !attempt.abandoned)
+      addToTenant(*job->tenant, attempt);
     if (workerIndex != noIndex)
       allocate(attempt, step);
   }
 
+  // What is being stopped may not have begun yet.
+  static void addToTenant(TenantUsage& tenant, const Attempt& attempt) {
+    const Resources resources = resourcesOf(attempt);
+    if (attempt.state == AttemptState::running || attempt.state == AttemptState::suspended)
+      tenant.addRunning(resources);
+    else
+      tenant.addOrdered(resources, resources);
+  }
+
   void surveyAttempt(const Attempt& attempt, StepView* step) {
     const QueueView& queue = *job->queue;
     if (const char* reason = exceededTimeLimit(attempt, *queue.options, context.now()))
--- a/source/scheduling/immediate_starts.cpp
+++ b/source/scheduling/immediate_starts.cpp
@@ -81,7 +81,7 @@
 }  // namespace
 
 bool ImmediateStarts::tryStart(const PlacementUnit& unit, Locality locality) {
-  if (unit.isGang() && !enoughSlots(unit))
+  if (!fitsTenantCap(unit) || (unit.isGang() && !enoughSlots(unit)))
     return false;
   std::vector<Assignment> assignments;
   std::vector<std::size_t> racksUsed;  // of a gang
@@ -98,6 +98,7 @@
       racksUsed.push_back(rack);
   }
   addActions(unit, assignments);
+  recordTenantStart(unit);
   return true;
 }
 
--- a/source/scheduling/job_view.hpp
+++ b/source/scheduling/job_view.hpp
@@ -3,6 +3,7 @@
 #ifndef ANISELINE_SCHEDULING_JOB_VIEW_HPP
 #define ANISELINE_SCHEDULING_JOB_VIEW_HPP
 #include "scheduling/pool_view.hpp"
+#include "scheduling/tenant_usage.hpp"
 #include "state/cluster_state.hpp"
 
 namespace aniseline::scheduling {
@@ -55,6 +56,7 @@
 struct JobView {
   const Job* job = nullptr;
   QueueView* queue = nullptr;
+  TenantUsage* tenant = nullptr;  // null: no cap binds it
   std::vector<StepView> steps;
 };
 
--- a/source/scheduling/placement_unit.hpp
+++ b/source/scheduling/placement_unit.hpp
@@ -21,6 +21,8 @@
   LatencyTargetAssessment latencyTarget;
   std::int64_t queuePriority = 0;       // 0 unless the config has strict priority
   std::int64_t coresPerUnit = 0;        // thousandths of a core; of a gang all its parts
+  Resources unitTotal;                  // requested; of a gang by all its parts
+  Resources smallestPart;               // the least of each resource that a part requests
   CoreMilliseconds jobWorkToStart = 0;  // of its whole job; only with a latency target
   // Results of this plan for one unit of the batch, which its other units need not repeat: free
   // resources only shrink while a plan is made.
@@ -61,6 +63,17 @@
   }
 };
 
+/// Does the cap of the unit's tenant leave room for it?
+inline bool fitsTenantCap(const PlacementUnit& unit) {
+  const TenantUsage* tenant = unit.step().parent->tenant;
+  return !tenant || tenant->admits(unit.batch->unitTotal, unit.batch->smallestPart);
+}
+/// Accounts for a unit that is started.
+inline void recordTenantStart(const PlacementUnit& unit) {
+  if (TenantUsage* tenant = unit.step().parent->tenant)
+    tenant->addOrdered(unit.batch->unitTotal, unit.batch->smallestPart);
+}
+
 /// The least that any part of a gang requests of each resource. How many such parts would fit is an
 /// upper bound of how many parts do.
 class MinimumRequest {
--- a/source/scheduling/planner.cpp
+++ b/source/scheduling/planner.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr const char* tenantCapText = "its tenant runs as much as its cap allows";
 constexpr const char* blockedText = "would delay the reserved start, or no worker has room";
 
 bool isExpired(const TaskBatch& batch) {
@@ -150,6 +151,11 @@
 
 PlanRun::Decision PlanRun::decide(const PlacementUnit& unit, ImmediateStarts::Locality locality) {
   TaskBatch& batch = *unit.batch;
+  if (!fitsTenantCap(unit)) {
+    ++draft.plan().heldByTenantCap;
+    draft.explain(unit, tenantCapText);
+    return Decision::heldBack;
+  }
   if (backfill.isRuledOut(unit)) {
     draft.explain(unit, blockedText);
     return Decision::blocked;
--- a/source/scheduling/planner.hpp
+++ b/source/scheduling/planner.hpp
@@ -41,6 +41,7 @@
   std::size_t schedulableWorkers = 0;
   std::size_t excludedWorkers = 0;  // present, but without new work in this plan
   std::size_t redundantCopies = 0;
+  std::size_t heldByTenantCap = 0;    // pending units whose tenant runs all that it may
   std::int64_t schedulableCores = 0;  // thousandths of a core, of schedulable workers
   std::int64_t allocatedCores = 0;    // of these, before this plan's own starts
   std::array<std::size_t, 3> unitsByTargetStatus{};  // on time, late, expired
--- a/source/scheduling/redundant_copies.cpp
+++ b/source/scheduling/redundant_copies.cpp
@@ -57,11 +57,17 @@
     const Attempt& attempt = *run.attempt;
     const Job& job = run.step->job();
     const TaskRequest& request = job.requestOf(job.tasks[attempt.taskIndex]);
+    TenantUsage* tenant = run.step->parent->tenant;
+    const Resources resources = resourcesOf(request);
+    if (tenant && !tenant->admits(resources, resources))
+      continue;
     const std::size_t index = workerForCopy(context, run, request, backfill);
     if (index == noIndex)
       continue;
+    if (tenant)
+      tenant->addOrdered(resources, resources);
     WorkerView& worker = context.workers()[index];
-    worker.allocate({nullptr, resourcesOf(request), context.now() + request.runtime, false, false});
+    worker.allocate({nullptr, resources, context.now() + request.runtime, false, false});
     Action action = startAction(ActionKind::start, draft.takeAttemptNumber(), attempt.job,
                                 attempt.taskIndex, worker.id(), request.memory);
     action.redundantCopy = true;
--- a/source/scheduling/resources.hpp
+++ b/source/scheduling/resources.hpp
@@ -1,6 +1,7 @@
 // Amounts of what a worker offers and a task requests, with their arithmetic.
 #ifndef ANISELINE_SCHEDULING_RESOURCES_HPP
 #define ANISELINE_SCHEDULING_RESOURCES_HPP
+#include <algorithm>
 #include <cstdint>
 
 namespace aniseline::scheduling {
@@ -29,6 +30,12 @@
   friend Resources operator-(Resources left, const Resources& right) { return left -= right; }
 };
 
+/// Of each resource the smaller amount.
+inline Resources leastOf(const Resources& left, const Resources& right) {
+  return {std::min(left.cores, right.cores), std::min(left.memory, right.memory),
+          std::min(left.accelerators, right.accelerators)};
+}
+
 /// The resources of anything that names them as the cluster state does: a worker's capacity, a
 /// task's request, an attempt.
 template <class Holder>
--- a/source/scheduling/scheduling_context.cpp
+++ b/source/scheduling/scheduling_context.cpp
@@ -112,6 +112,15 @@
   return queue;
 }
 
+TenantUsage* SchedulingContext::tenantUsage(const TenantName& name) {
+  if (isAbsent(name))
+    return nullptr;
+  const TenantOptions* options = state.config().tenants.find(name);
+  if (!options || !options->cap.isLimited())
+    return nullptr;
+  return &usageByTenant.try_emplace(name, options->cap).first->second;
+}
+
 JobView* SchedulingContext::jobView(const JobId& id) {
   if (auto known = jobsById.find(id.value); known != jobsById.end())
     return known->second;
@@ -121,6 +130,7 @@
   JobView& view = jobViews.emplace_back();
   view.job = &found->second;
   view.queue = &queueView(view.job->submission.queue);
+  view.tenant = tenantUsage(view.job->submission.tenant);
   view.steps.resize(view.job->submission.steps.size());
   for (std::uint32_t index = 0; index < view.steps.size(); ++index) {
     view.steps[index].parent = &view;
--- a/source/scheduling/scheduling_context.hpp
+++ b/source/scheduling/scheduling_context.hpp
@@ -57,6 +57,8 @@
   const std::map<std::string, PoolView>& pools() const { return poolsByName; }
   PoolView& poolView(const std::string& name);
   QueueView& queueView(const QueueName& name);
+  /// Null for work of no tenant, and of one without a cap.
+  TenantUsage* tenantUsage(const TenantName& name);
   /// Null for a job that is no longer retained.
   JobView* jobView(const JobId& id);
 
@@ -76,6 +78,7 @@
   std::vector<std::string_view> sortedRackNames;
   std::map<std::string, PoolView> poolsByName;
   std::map<QueueName, QueueView> queuesByName;
+  std::map<TenantName, TenantUsage> usageByTenant;  // of tenants with a cap
   std::deque<JobView> jobViews;
   std::unordered_map<std::string_view, JobView*> jobsById;
 };
--- a/source/scheduling/service_trials.cpp
+++ b/source/scheduling/service_trials.cpp
@@ -20,7 +20,7 @@
     const QueueOptions& queue = *unit->queue().options;
     const bool unrestricted =
         !unit->isGang() && unit->requirements().requiredLabel.empty() && queue.pool.empty();
-    if ((!unit->isGang() && !unrestricted) || hadTrial(*unit))
+    if ((!unit->isGang() && !unrestricted) || hadTrial(*unit) || !fitsTenantCap(*unit))
       continue;
     const RequestShape shape =
         unit->requestShape(std::int64_t(queue.trial.memory), queue.trial.minimumRuntime);
@@ -54,6 +54,7 @@
       workersBefore = context.workers();
     startAt(request, *placement);
   }
+  recordTenantStart(unit);
   return true;
 }
 
--- a/source/scheduling/starvation_guard.cpp
+++ b/source/scheduling/starvation_guard.cpp
@@ -27,8 +27,8 @@
   std::set<PassedOverUnit> passedOver;
   for (const PlacementUnit* unit : waiting) {
     const PassedOverUnit name = nameOf(*unit);
-    if (unit->batch->lacksRoomTwiceOver || passedOver.count(name) || !mayStarve(*unit) ||
-        !hasRoomTwiceOver(*unit))
+    if (!fitsTenantCap(*unit) || unit->batch->lacksRoomTwiceOver || passedOver.count(name) ||
+        !mayStarve(*unit) || !hasRoomTwiceOver(*unit))
       continue;
     if (isOverdue(name) && starts.tryStart(*unit)) {
       recordStart(*unit);
--- a/source/scheduling/unit_ordering.cpp
+++ b/source/scheduling/unit_ordering.cpp
@@ -141,6 +141,9 @@
     inputs.cores += request.cores / 1000.0;
     inputs.memory += double(request.memory);
     batch.coresPerUnit += request.cores;
+    const Resources part = resourcesOf(request);
+    batch.smallestPart = task == batch.tasks.front() ? part : leastOf(batch.smallestPart, part);
+    batch.unitTotal += part;
   }
   inputs.priority = double(queue.priority);
   inputs.weightWait = options.weightWait;
--- a/source/scheduling/urgent_headroom.cpp
+++ b/source/scheduling/urgent_headroom.cpp
@@ -20,10 +20,18 @@
     demand.schedulableCores += worker.totalResources().cores;
     demand.freeCores += std::max<std::int64_t>(0, worker.guaranteedFreeCores());
   }
+  // What a cap keeps from starting wants no room yet.
+  std::map<const TenantUsage*, TenantUsage> usage;
   for (const auto& unit : units) {
     if (!context.isUrgent(unit.queue()) ||
         unit.batch->latencyTarget.status == TargetStatus::expired)
       continue;
+    if (const TenantUsage* tenant = unit.step().parent->tenant) {
+      TenantUsage& expected = usage.try_emplace(tenant, *tenant).first->second;
+      if (!expected.admits(unit.batch->unitTotal, unit.batch->smallestPart))
+        continue;
+      expected.addOrdered(unit.batch->unitTotal, unit.batch->smallestPart);
+    }
     UrgentDemand& demand = unit.queue().pool->urgentDemand;
     demand.reported = true;
     demand.coresPending += unit.batch->coresPerUnit;
--- a/source/state/api_request.cpp
+++ b/source/state/api_request.cpp
@@ -5,10 +5,10 @@
 
 const char* name(RequestKind kind) {
   static constexpr const char* names[] = {
-      "submit",  "cancel",      "show-job",    "list-jobs", "apply-config", "show-config",
-      "sync",    "leave",       "drain",       "undrain",   "declare-gone", "workers",
-      "cluster", "plan",        "counters",    "replace",   "export",       "phase",
-      "waiting", "read-config", "patch-config"};
+      "submit",  "cancel",      "show-job",     "list-jobs", "apply-config", "show-config",
+      "sync",    "leave",       "drain",        "undrain",   "declare-gone", "workers",
+      "cluster", "plan",        "counters",     "replace",   "export",       "phase",
+      "waiting", "read-config", "patch-config", "tenants"};
   return names[std::size_t(kind)];
 }
 
@@ -79,6 +79,7 @@
       {"POST workers/*/undrain", {RequestKind::undrainWorker}},
       {"POST workers/*/gone", {RequestKind::removeWorker}},
       {"GET workers", {RequestKind::listWorkers}},
+      {"GET tenants", {RequestKind::listTenants}},
       {"GET cluster", {RequestKind::showCluster}},
       {"GET plan", {RequestKind::showPlan}},
       {"GET counters", {RequestKind::showCounters}},
--- a/source/state/api_request.hpp
+++ b/source/state/api_request.hpp
@@ -32,7 +32,8 @@
   showPhase,
   countPendingJobs,
   readConfig,
-  patchConfig
+  patchConfig,
+  listTenants
 };
 const char* name(RequestKind kind);
 /// Whether it is an operator's order about the configuration.
@@ -52,11 +53,13 @@
   std::string host;
   std::string path;
   std::string packedConfig;      // a packed ClusterConfig, in place of a text
+  ApiKeyDigest apiKey;           // of the client
   Duration clientTimeout{2500};  // how long the client waits; not forwarded
   bool viaIngress() const { return !path.empty(); }
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& kind& targetId& text& baseVersion& limit& drainTimeout& host& path& packedConfig;
+    archive& kind& targetId& text& baseVersion& limit& drainTimeout& host& path& packedConfig&
+        apiKey;
     // What only some kinds carry is not sent with the others.
     if (kind == RequestKind::submitJob)
       archive& job;
--- a/source/state/cluster_config.cpp
+++ b/source/state/cluster_config.cpp
@@ -1,6 +1,7 @@
 #include "state/cluster_config.hpp"
 #include "base/json_reader.hpp"
 #include "state/config_history.hpp"
+#include <cmath>
 
 namespace aniseline {
 
@@ -31,6 +32,10 @@
 
 constexpr std::size_t maxConfigBytes = 256 * 1024;
 constexpr std::size_t maxQueueNameLength = 64;
+constexpr std::size_t maxTenantNameLength = 64;
+constexpr double maxTenantWeight = 1e9;
+constexpr double maxCapCores = 1e9;
+constexpr double thousandthsPerCore = 1000;
 constexpr double maxJsonInteger = 9007199254740991.0;  // 2^53 - 1: exact in a double
 constexpr double oneHour = 3'600'000;                  // milliseconds
 constexpr double oneDay = 86'400'000;                  // milliseconds
@@ -48,6 +53,7 @@
       readPools(reader);
       readQueues(reader);
       readIngressRoutes(reader);
+      readTenants(reader);
     }
     if (!faults.empty())
       return CoreError{CoreError::Kind::invalid, std::move(faults)};
@@ -62,6 +68,9 @@
   QueueOptions readQueue(const std::string& name, const picojson::value& value);
   void readIngressRoutes(JsonObjectReader& reader);
   IngressRoute readIngressRoute(const picojson::value& value, const std::string& path);
+  void readTenants(JsonObjectReader& reader);
+  void readTenant(const std::string& name, const picojson::value& value);
+  static TenantCap readCap(JsonObjectReader& tenant, std::vector<ErrorDetail>& faults);
 
   ClusterConfig config;
   std::vector<ErrorDetail> faults;
@@ -178,6 +187,8 @@
   reader.readText("queue", route.queue.value);
   if (!config.queues.count(route.queue))
     reader.fault("queue", "names no queue of this config");
+  if (reader.flag("public"))
+    config.tenants.addPublicRoute(route.host, route.pathPrefix);
   for (const auto& other : config.ingressRoutes) {
     if (other.host == route.host && other.pathPrefix == route.pathPrefix)
       reader.fault("prefix", "stands twice for this host");
@@ -185,6 +196,46 @@
   return route;
 }
 
+// A config that has the section asks for keys, even where it names no tenant.
+void ConfigReader::readTenants(JsonObjectReader& reader) {
+  const auto* tenants = reader.object("tenants");
+  if (!tenants)
+    return;
+  config.tenants.requireKeys();
+  for (const auto& [name, value] : *tenants)
+    readTenant(name, value);
+}
+
+void ConfigReader::readTenant(const std::string& name, const picojson::value& value) {
+  JsonObjectReader tenant(value, "/tenants/" + name, faults);
+  if (name.empty() || name.size() > maxTenantNameLength)
+    tenant.fault("", "a tenant's name holds 1 to 64 characters");
+  TenantOptions options;
+  for (const auto& key : tenant.texts("api_keys", "must be a text")) {
+    if (key.empty())
+      tenant.fault("api_keys", "must not be empty");
+    options.keys.push_back(ApiKeyDigest::of(key));
+  }
+  tenant.readReal("weight", options.weight, 0, maxTenantWeight);
+  options.cap = readCap(tenant, faults);
+  if (auto fault = config.tenants.add(TenantName{name}, std::move(options)))
+    tenant.fault("api_keys", *fault);
+}
+
+TenantCap ConfigReader::readCap(JsonObjectReader& tenant, std::vector<ErrorDetail>& faults) {
+  TenantCap cap;
+  const auto* value = tenant.find("cap");
+  if (!value)
+    return cap;
+  JsonObjectReader reader(*value, tenant.pathOf("cap"), faults);
+  double cores = 0;
+  reader.readReal("cores", cores, 0, maxCapCores);
+  cap.cores = std::uint64_t(std::llround(cores * thousandthsPerCore));
+  reader.readInteger("memory_mb", cap.memory, 0, maxJsonInteger);
+  reader.readInteger("accelerators", cap.accelerators, 0, maxJsonInteger);
+  return cap;
+}
+
 }  // namespace
 
 Result<ClusterConfig> ClusterConfig::parse(const std::string& text) {
--- a/source/state/cluster_config.hpp
+++ b/source/state/cluster_config.hpp
@@ -5,6 +5,7 @@
 #define ANISELINE_STATE_CLUSTER_CONFIG_HPP
 #include "base/types.hpp"
 #include "state/policy_program.hpp"
+#include "state/tenants.hpp"
 
 namespace aniseline {
 
@@ -124,6 +125,7 @@
   std::map<std::string, PoolOptions> pools;
   std::vector<IngressRoute> ingressRoutes;
   std::string text;  // as the operator wrote it
+  TenantDirectory tenants;
 
   /// Null if there is no such queue.
   const QueueOptions* findQueue(const QueueName& name) const;
@@ -134,7 +136,8 @@
   static Result<ClusterConfig> parse(const std::string& text);
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& version& queues& policies& planner& pools& ingressRoutes& text;
+    archive& version& queues& policies& planner& pools& ingressRoutes;
+    serializeTextWithSection(archive, text, tenants);
   }
 };
 
--- a/source/state/config_events.cpp
+++ b/source/state/config_events.cpp
@@ -1,6 +1,7 @@
 // Events about the configuration and about controllers. docs/design.md 6.
 #include "state/cluster_state.hpp"
 #include "state/event_appliers.hpp"
+#include "state/tenant_changes.hpp"
 
 namespace aniseline {
 
@@ -19,6 +20,7 @@
     closed.policy = "default";
     tables.config.queues[name] = closed;
   }
+  applyTenantChanges(tables, previous.tenants);
 }
 
 void applyEvent(ClusterTables& tables, const ControllerReplacementRequested& event) {
--- a/source/state/job.hpp
+++ b/source/state/job.hpp
@@ -92,6 +92,7 @@
   std::vector<StepRequest> steps;
   Timetable timetable;
   std::string payload;  // of every task that has none of its own
+  TenantName tenant;    // set by the leader, from the key; empty: of no tenant
   bool hasTimetable() const { return timetable.firstStart.milliseconds > 0; }
   /// The longest sum of requested run times along steps that depend on each
   /// other.
@@ -103,7 +104,8 @@
   std::vector<ErrorDetail> validate() const;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& id& queue& steps& timetable& payload;
+    archive& id& queue& steps& timetable;
+    serializeTextWithSection(archive, payload, tenant);
   }
 };
 
--- a/tests/cli/commands_tests.cpp
+++ b/tests/cli/commands_tests.cpp
@@ -101,6 +101,19 @@
           .c_str());
 }
 
+TEST(CommandsTests, TenantsAreShownWithTheirCapsAndNoKey) {
+  STRCMP_EQUAL(
+      "config 12\n"
+      "\n"
+      "TENANT   KEYS  WEIGHT  OPEN  RUNS  CORES           MEMORY  ACCELERATORS  NOTES\n"
+      "north       2       3     4    11   11/8  1.5 GB/512.0 GB           0/-  above its cap\n"
+      "removed     0       1     1     0    0/-           0 MB/-           0/2  no keys\n",
+      tenantsView(parsed(R"({"version":12,"tenants":[
+        {"name":"north","api_keys":2,"weight":3,"open":4,"attempts":11,"cores_used":11,"cores_cap":8,"memory_used_mb":1536,"memory_cap_mb":524288,"accelerators_used":0,"accelerators_cap":0},
+        {"name":"removed","api_keys":0,"weight":1,"open":1,"attempts":0,"cores_used":0,"cores_cap":0,"memory_used_mb":0,"memory_cap_mb":0,"accelerators_used":0,"accelerators_cap":2}]})"))
+          .c_str());
+}
+
 TEST(CommandsTests, AJobIsShownWithItsTasksAndThoseLeftOut) {
   STRCMP_EQUAL(
       "job first-job, queue plates, failed\n"
@@ -179,7 +192,7 @@
       {"{}", "[]", "7",
        R"({"controllers":[7],"workers":{},"jobs":[{}],"reasons":[null],"tasks":"no","queues":[[]],"config":[]})"})
     for (auto view : {clusterView, countersView, workersView, jobsView, jobView, planView,
-                      queuesView, configView})
+                      queuesView, configView, tenantsView})
       CHECK(!view(parsed(body)).empty());
 }
 
--- a/tests/controller/log_event_tests.cpp
+++ b/tests/controller/log_event_tests.cpp
@@ -22,7 +22,10 @@
   expectLine(R"(leads {"last":9,"term":3})", log_events::LeadershipStarted{Term{3}, LogIndex{9}});
   expectLine(R"(leads no more {"term":4})", log_events::LeadershipEnded{Term{4}});
   expectLine(R"(serves {"term":3})", log_events::ServingStarted{Term{3}});
-  expectLine(R"(config taken {"version":5})", log_events::ConfigAccepted{ConfigVersion{5}});
+  expectLine(R"(config taken {"api_keys":3,"tenants":2,"version":5})",
+             log_events::ConfigAccepted{ConfigVersion{5}, 2, 3});
+  expectLine(R"(api_keys_rejected {"requests":4,"version":5})",
+             log_events::ApiKeysRejected{ConfigVersion{5}, 4});
 }
 
 TEST(LogEventTests, workerEvents) {
@@ -69,9 +72,10 @@
   occupancy.usableWorkers = 7;
   occupancy.excludedWorkers = 8;
   occupancy.redundantCopies = 9;
+  occupancy.heldByTenantCap = 10;
   occupancy.cores = 1.5;
   occupancy.coresUsed = 0.5;
   expectLine(
-      R"(occupancy {"attempts":5,"copies":9,"cores":1.5,"cores_used":0.5,"in_time":2,"late":3,"open":6,"passed_over":8,"past":4,"waiting":1,"workers":7})",
+      R"(occupancy {"attempts":5,"copies":9,"cores":1.5,"cores_used":0.5,"held_by_cap":10,"in_time":2,"late":3,"open":6,"passed_over":8,"past":4,"waiting":1,"workers":7})",
       occupancy);
 }
--- a/tests/net/serialization_tests.cpp
+++ b/tests/net/serialization_tests.cpp
@@ -68,9 +68,17 @@
   value.steps[1].dependencies = {"0"};
   value.timetable = Timetable{ClusterTime{5}, Duration{6}, 7};
   value.payload = "for all";
+  value.tenant = TenantName{"tenant"};
   return value;
 }
 
+// With tenants, which are written behind the text.
+std::string configText() {
+  std::string text = ClusterStateFixture::configText;
+  text.erase(text.rfind('}'));
+  return text + R"(,"tenants":{"north":{"api_keys":["k"],"cap":{"cores":2}},"south":{}}})";
+}
+
 Capacity capacity() {
   Capacity value;
   value.cores = 4000;
@@ -101,7 +109,7 @@
   plan.reservation =
       Reservation{JobId{"other"}, 1, ClusterTime{9}, {Placement{2, WorkerId{"worker2"}}}, 4};
   return {LeaderStarted{},
-          ConfigCommitted{ClusterConfig::parse(ClusterStateFixture::configText).value()},
+          ConfigCommitted{ClusterConfig::parse(configText()).value()},
           JobAccepted{submission()},
           JobCancelled{JobId{"job"}},
           OccurrenceFired{JobId{"job"}},
--- a/tests/platform_tenant_tests.cpp
+++ b/tests/platform_tenant_tests.cpp
@@ -15,6 +15,7 @@
 // task was started. Evidence of the cause: the number of starts followed what the workers had free,
 // and changed in nothing with the cap. The planner knew no tenants.
 #include "controller/controller_cluster.hpp"
+#include "platform/configuration_codec.hpp"
 #include "platform/request_codec.hpp"
 #include "platform/response_codec.hpp"
 #include <CppUTest/TestHarness.h>
@@ -29,6 +30,7 @@
 constexpr const char* breweryKey = "brewery-key-1";
 constexpr const char* protectedPath = "/proofs/";
 constexpr const char* removedPath = "/plates/";
+constexpr const char* publicPath = "/public/";
 
 Settings settings() {
   auto parsed = Settings::parse(
@@ -189,3 +191,133 @@
   LONGS_EQUAL(200, fleet.submit(protectedPath, breweryKey, jobJson(60, 1000)));
   LONGS_EQUAL(80'000, fleet.coresRunningAfterPlans());
 }
+
+TEST(TenantCapTests, severalJobsOfATenantCountTogether) {
+  LONGS_EQUAL(200, fleet.configure(5, {routeJson(protectedPath)},
+                                   {{"orchard", {orchardKey, orchardSecondKey}, 20'000, 1500}}));
+  fleet.syncWorker("a", 64'000);
+  fleet.syncWorker("b", 64'000);
+  for (const char* key : {orchardKey, orchardSecondKey, orchardKey})
+    LONGS_EQUAL(200, fleet.submit(protectedPath, key, jobJson(6, 1000)));
+  // 15 tasks of 100 MB each hold all the memory of the cap, though cores are left.
+  LONGS_EQUAL(15'000, fleet.coresRunningAfterPlans());
+}
+
+// Its own state is the log's: what the leader before it has started is counted, whether it runs or
+// is on its way.
+TEST(TenantCapTests, aNewLeaderCountsWhatTheOneBeforeHasStarted) {
+  LONGS_EQUAL(200,
+              fleet.configure(5, {routeJson(protectedPath)}, {{"orchard", {orchardKey}, 20'000}}));
+  fleet.syncWorker("a", 64'000);
+  LONGS_EQUAL(200, fleet.submit(protectedPath, orchardKey, jobJson(60, 1000)));
+  LONGS_EQUAL(20'000, fleet.coresRunningAfterPlans());
+  for (int change = 0; change < 3; ++change) {
+    const std::size_t leader = fleet.cluster.leader();
+    fleet.cluster.kill(leader);
+    fleet.cluster.run(3000);
+    LONGS_EQUAL(20'000, fleet.coresRunningAfterPlans());
+    fleet.cluster.start(leader);
+    fleet.cluster.run(3000);
+  }
+}
+
+TEST(TenantCapTests, aLowerCapStopsFurtherStartsAndAHigherOneLetsThemGoOn) {
+  const std::vector<std::string> routes{routeJson(protectedPath)};
+  LONGS_EQUAL(200, fleet.configure(5, routes, {{"orchard", {orchardKey}, 20'000}}));
+  fleet.syncWorker("a", 64'000);
+  LONGS_EQUAL(200, fleet.submit(protectedPath, orchardKey, jobJson(60, 1000)));
+  LONGS_EQUAL(20'000, fleet.coresRunningAfterPlans());
+  LONGS_EQUAL(200, fleet.configure(6, routes, {{"orchard", {orchardKey}, 10'000}}));
+  CHECK(fleet.coresRunningAfterPlans() <= 20'000);
+  LONGS_EQUAL(200, fleet.configure(8, routes, {{"orchard", {orchardKey}, 30'000}}));
+  LONGS_EQUAL(30'000, fleet.coresRunningAfterPlans());
+}
+
+TEST(RevokedKeyTests, aKeyMayBeSentInAnyFormOfTheHeaderThatNamesIt) {
+  LONGS_EQUAL(200, fleet.configure(8, {routeJson(protectedPath), routeJson(publicPath, true)},
+                                   {{"orchard", {orchardKey}}}));
+  const std::string path = protectedPath + fleet.nextJobId();
+  const std::string body = jobJson(1, 100);
+  LONGS_EQUAL(200, fleet.call("POST", path, std::string("Bearer ") + orchardKey, body));
+  LONGS_EQUAL(200, fleet.call("GET", path, std::string("bearer  ") + orchardKey));
+  LONGS_EQUAL(401, fleet.call("GET", path, std::string("Basic ") + orchardKey));
+  LONGS_EQUAL(401, fleet.call("GET", path, orchardKey));
+  LONGS_EQUAL(401, fleet.call("GET", path, "Bearer "));
+  LONGS_EQUAL(401, fleet.call("GET", path, ""));
+  LONGS_EQUAL(401, fleet.call("DELETE", path, std::string("Bearer ") + breweryKey));
+  LONGS_EQUAL(200, fleet.submit(publicPath, ""));
+  LONGS_EQUAL(404, fleet.submit("/nowhere/", orchardKey));
+}
+
+TEST(RevokedKeyTests, aConfigurationWithoutTenantsAsksForNoKeys) {
+  HttpRequest request{"POST", "/api/Config.Replace",
+                      R"({"version":3,"routes":[)" + routeJson(protectedPath) +
+                          R"(],"services":[{"name":"press"}]})"};
+  request.headers = {{"base-version", "0"}};
+  LONGS_EQUAL(200,
+              fleet.cluster.askLeader(decodeOperatorRequest(request, settings()).value()).status);
+  LONGS_EQUAL(200, fleet.submit(protectedPath, ""));
+}
+
+TEST_GROUP(TenantConfigurationTests) {
+  TenantFleet fleet;
+  const std::vector<std::string> routes{routeJson(protectedPath)};
+
+  static std::string faultOf(const std::string& tenants) {
+    const auto read = decodeConfiguration(
+        R"({"version":7,"routes":[],"services":[],"tenants":)" + tenants + "}", settings());
+    return read ? "" : read.error().text();
+  }
+};
+
+TEST(TenantConfigurationTests, aKeyOfTwoTenantsMakesItInvalid) {
+  LONGS_EQUAL(200, fleet.configure(5, routes, {{"orchard", {orchardKey}}}));
+  LONGS_EQUAL(400,
+              fleet.configure(7, routes, {{"orchard", {orchardKey}}, {"brewery", {orchardKey}}}));
+  LONGS_EQUAL(200, fleet.submit(protectedPath, orchardKey));
+  LONGS_EQUAL(200, fleet.configure(7, routes,
+                                   {{"orchard", {orchardSecondKey}}, {"brewery", {orchardKey}}}));
+}
+
+TEST(TenantConfigurationTests, whatCannotBeReadWholeIsInvalidByItsPath) {
+  STRCMP_EQUAL("/tenants: must be a list", faultOf("{}").c_str());
+  STRCMP_EQUAL("/tenants/0/name: is missing", faultOf("[{}]").c_str());
+  STRCMP_EQUAL("/tenants/0/name: is missing", faultOf("[7]").c_str());
+  STRCMP_EQUAL("/tenants/0/api_keys: must be a list",
+               faultOf(R"([{"name":"a","api_keys":"k"}])").c_str());
+  STRCMP_EQUAL("/tenants/0/api_keys: must hold texts that are not empty",
+               faultOf(R"([{"name":"a","api_keys":[""]}])").c_str());
+  STRCMP_EQUAL("/tenants/1: tenant a stands twice",
+               faultOf(R"([{"name":"a"},{"name":"a"}])").c_str());
+  STRCMP_EQUAL("", faultOf(R"([{"name":"a","api_keys":["k","l"]},{"name":"b"}])").c_str());
+}
+
+TEST(TenantConfigurationTests, capsAreReadInThousandthsOfACoreAndMegabytes) {
+  const auto read = decodeConfiguration(
+      R"({"version":7,"routes":[],"services":[],"tenants":[{"name":"a","weight":10,"cap":{"cpu":1500,"mem_mb":2048,"gpus":3}}]})",
+      settings());
+  const TenantOptions& tenant = *read.value().tenants.find(TenantName{"a"});
+  LONGS_EQUAL(1500, tenant.cap.cores);
+  LONGS_EQUAL(2048, tenant.cap.memory);
+  LONGS_EQUAL(3, tenant.cap.accelerators);
+  DOUBLES_EQUAL(10, tenant.weight, 0);
+}
+
+// A patch names tenants as it names routes.
+TEST(TenantConfigurationTests, aPatchAddsAndRemovesTenants) {
+  ControllerOptions options;
+  options.parseConfig = [](const std::string& text) {
+    return decodeConfiguration(text, settings());
+  };
+  fleet.cluster = ControllerCluster(3, 0, options);
+  LONGS_EQUAL(200, fleet.configure(5, routes, {{"orchard", {orchardKey}}}));
+  HttpRequest patch{"POST", "/api/Config.Patch",
+                    R"({"version":6,"upsert":{"tenants":[)" +
+                        tenantJson({"brewery", {breweryKey}}) +
+                        R"(]},"remove":{"tenants":["orchard"]}})"};
+  patch.headers = {{"base-version", "5"}};
+  LONGS_EQUAL(200,
+              fleet.cluster.askLeader(decodeOperatorRequest(patch, settings()).value()).status);
+  LONGS_EQUAL(401, fleet.submit(protectedPath, orchardKey));
+  LONGS_EQUAL(200, fleet.submit(protectedPath, breweryKey));
+}
--- a/tests/scheduling/planner_reference_tests.cpp
+++ b/tests/scheduling/planner_reference_tests.cpp
@@ -15,8 +15,9 @@
   text.precision(17);
   text << "number " << plan.record.number.value << " waiting " << plan.pendingUnits << " usable "
        << plan.schedulableWorkers << " passed over " << plan.excludedWorkers << " copies "
-       << plan.redundantCopies << " cores " << plan.schedulableCores << "/" << plan.allocatedCores
-       << " standings " << plan.unitsByTargetStatus[0] << "," << plan.unitsByTargetStatus[1] << ","
+       << plan.redundantCopies << " held by caps " << plan.heldByTenantCap << " cores "
+       << plan.schedulableCores << "/" << plan.allocatedCores << " standings "
+       << plan.unitsByTargetStatus[0] << "," << plan.unitsByTargetStatus[1] << ","
        << plan.unitsByTargetStatus[2] << "\n";
   for (const auto& action : plan.record.actions)
     text << "action " << int(action.kind) << " attempt " << action.attempt.value << " job "
@@ -144,7 +145,10 @@
         text << R"(,"pool":")" << named << "\"";
       text << "}";
     }
-    text << "}}";
+    text << "},\"tenants\":{"
+         << R"("small":{"cap":{"cores":)" << oneOf({0.5, 2.0, 5.0}) << R"(,"accelerators":)"
+         << oneOf({0, 1}) << R"(}},"large":{"cap":{"cores":)" << oneOf({0, 8, 20})
+         << R"(,"memory_mb":)" << oneOf({0, 900, 4000}) << "}}}}";
     auto config = ClusterConfig::parse(text.str());
     CHECK_TEXT(config.has_value(), config ? "" : config.error().text().c_str());
     config.value().version = ConfigVersion{++version};
@@ -270,6 +274,7 @@
     job.queue = QueueName{"q" + std::to_string(random.between(0, 3))};
     if (random.chance(0.02))
       job.timetable.firstStart = ClusterTime{now};
+    job.tenant = TenantName{oneOf<std::string>({"", "", "small", "large", "unknown"})};
     const auto steps = random.between(1, 3);
     for (std::int64_t stepIndex = 0; stepIndex < steps; ++stepIndex) {
       StepRequest step;
@@ -395,6 +400,7 @@
                            "starts after it was passed over for too long",
                            "preempted",
                            "waits for room near its data",
+                           "its tenant runs as much as its cap allows",
                            "would delay the reserved start, or no worker has room",
                            "no worker that is here now could ever hold it"})
     CHECK_TEXT(coverage.counts[what] > 0, what);
--- a/tests/scheduling/reference_planner.cpp
+++ b/tests/scheduling/reference_planner.cpp
@@ -333,6 +333,10 @@
       unit.requirements = requirements;
       unit.pool = queueOptionsOf(attempt.job).pool;
       const TaskRequest& request = job.requestOf(job.tasks[attempt.taskIndex]);
+      TenantUse* use = tenantUseOf(tenantUses, attempt.job);
+      const auto asked = amounts(request.cores, request.memory, request.accelerators);
+      if (use && !use->admits(asked, asked))
+        continue;
       std::size_t best = workers.size();
       for (std::size_t workerIndex = 0; workerIndex < workers.size(); ++workerIndex) {
         const WorkerView& worker = workers[workerIndex];
@@ -349,6 +353,8 @@
       }
       if (best == workers.size())
         continue;
+      if (use)
+        use->addUnreported(asked, asked);
       allocate(best, AttemptNumber{}, request, std::int64_t(request.memory), now + request.runtime,
                false);
       Action action;
@@ -725,6 +731,9 @@
         workers[workerIndex].schedulable = false;
       plan.record.actions.push_back(std::move(action));
     }
+    if (TenantUse* use = tenantUseOf(tenantUses, unit.job))
+      std::apply([use](const auto&... sums) { use->addUnreported(sums...); },
+                 totalAndSmallest(unit));
     return true;
   }
 
@@ -931,6 +940,9 @@
                !found->victims.empty());
       plan.record.actions.push_back(std::move(action));
     }
+    if (TenantUse* use = tenantUseOf(tenantUses, unit.job))
+      std::apply([use](const auto&... sums) { use->addUnreported(sums...); },
+                 totalAndSmallest(unit));
     return true;
   }
 
@@ -1008,6 +1020,86 @@
   };
   std::map<std::string, PoolDemand> poolDemands;
   std::int64_t highestPriority = 0;
+  // What the attempts of each tenant hold, against its cap. docs/design.md 7.13.
+  struct TenantUse {
+    std::array<std::int64_t, 3> cap{}, used{};  // cores, memory, accelerators; a cap of 0: none
+    // The least of each that a start asks for which no worker has reported.
+    std::optional<std::array<std::int64_t, 3>> leastUnreported;
+    bool admits(const std::array<std::int64_t, 3>& total,
+                const std::array<std::int64_t, 3>& smallest) const {
+      bool within = true, withinButForOne = true, half = true;
+      for (std::size_t index = 0; index < cap.size(); ++index) {
+        if (!cap[index])
+          continue;
+        within = within && used[index] + total[index] <= cap[index];
+        const std::int64_t least = leastUnreported
+                                       ? std::min((*leastUnreported)[index], smallest[index])
+                                       : smallest[index];
+        withinButForOne = withinButForOne && used[index] + total[index] - least <= cap[index];
+        half = half && used[index] <= cap[index] / 2;
+      }
+      return within || (half && withinButForOne);
+    }
+    void add(const std::array<std::int64_t, 3>& total) {
+      for (std::size_t index = 0; index < cap.size(); ++index)
+        used[index] += total[index];
+    }
+    void addUnreported(const std::array<std::int64_t, 3>& total,
+                       const std::array<std::int64_t, 3>& smallest) {
+      add(total);
+      if (!leastUnreported)
+        leastUnreported = smallest;
+      for (std::size_t index = 0; index < cap.size(); ++index)
+        (*leastUnreported)[index] = std::min((*leastUnreported)[index], smallest[index]);
+    }
+  };
+  std::map<TenantName, TenantUse> tenantUses;
+  static std::array<std::int64_t, 3> amounts(std::int64_t cores, std::uint64_t memory,
+                                             std::int64_t accelerators) {
+    return {cores, std::int64_t(memory), accelerators};
+  }
+  void sumTenantUses() {
+    for (const auto& [name, tenant] : clusterState.config().tenants.all())
+      if (tenant.cap.isLimited())
+        tenantUses[name].cap = amounts(std::int64_t(tenant.cap.cores), tenant.cap.memory,
+                                       std::int64_t(tenant.cap.accelerators));
+    for (const auto& [number, attempt] : clusterState.attempts()) {
+      auto job = clusterState.jobs().find(attempt.job);
+      if (attempt.abandoned || job == clusterState.jobs().end())
+        continue;
+      auto use = tenantUses.find(job->second.submission.tenant);
+      if (use == tenantUses.end())
+        continue;
+      const auto held = amounts(attempt.cores, attempt.memory, attempt.accelerators);
+      if (attempt.state == AttemptState::running || attempt.state == AttemptState::suspended)
+        use->second.add(held);
+      else
+        use->second.addUnreported(held, held);
+    }
+  }
+  TenantUse* tenantUseOf(std::map<TenantName, TenantUse>& uses, const JobId& job) const {
+    auto use = uses.find(clusterState.jobs().at(job).submission.tenant);
+    return use == uses.end() ? nullptr : &use->second;
+  }
+  std::pair<std::array<std::int64_t, 3>, std::array<std::int64_t, 3>> totalAndSmallest(
+      const PlacementUnit& unit) const {
+    std::array<std::int64_t, 3> total{}, smallest{};
+    smallest.fill(std::numeric_limits<std::int64_t>::max());
+    for (auto part : unit.tasks) {
+      const TaskRequest& request = requestOf(unit, part);
+      const auto asked = amounts(request.cores, request.memory, request.accelerators);
+      for (std::size_t index = 0; index < asked.size(); ++index) {
+        total[index] += asked[index];
+        smallest[index] = std::min(smallest[index], asked[index]);
+      }
+    }
+    return {total, smallest};
+  }
+  bool fitsCap(const PlacementUnit& unit) {
+    const TenantUse* use = tenantUseOf(tenantUses, unit.job);
+    const auto [total, smallest] = totalAndSmallest(unit);
+    return !use || use->admits(total, smallest);
+  }
   void measureUrgentDemand(const std::vector<PlacementUnit>& units) {
     for (const auto& [name, queue] : clusterState.config().queues)
       highestPriority = std::max(highestPriority, queue.priority);
@@ -1020,10 +1112,19 @@
     for (const auto& [number, attempt] : clusterState.attempts())
       if (!attempt.abandoned && queueOptionsOf(attempt.job).priority == highestPriority)
         poolDemands[queueOptionsOf(attempt.job).pool].urgentCoresInUse += attempt.cores;
-    for (const auto& unit : units)
-      if (unit.queuePriority == highestPriority && unit.targetStatus < 2)
-        for (auto part : unit.tasks)
-          poolDemands[unit.pool].urgentCoresPending += requestOf(unit, part).cores;
+    auto uses = tenantUses;  // as if all that may start did
+    for (const auto& unit : units) {
+      if (unit.queuePriority != highestPriority || unit.targetStatus >= 2)
+        continue;
+      if (TenantUse* use = tenantUseOf(uses, unit.job)) {
+        const auto [total, smallest] = totalAndSmallest(unit);
+        if (!use->admits(total, smallest))
+          continue;
+        use->addUnreported(total, smallest);
+      }
+      for (auto part : unit.tasks)
+        poolDemands[unit.pool].urgentCoresPending += requestOf(unit, part).cores;
+    }
     for (const auto& [name, pool] : poolDemands)
       plan.urgentDemand[name] = pool.urgentCoresInUse + pool.urgentCoresPending;
   }
@@ -1085,7 +1186,7 @@
       const PassedOver name{unit->job, lasts ? std::optional(unit->tasks.front()) : std::nullopt};
       const bool idle = !startedJobs.count(unit->job) &&
                         clusterState.attemptsOf(unit->job, AttemptScope::withoutAbandoned).empty();
-      if (plan.passedOver.count(name) || (!lasts && !idle) || !fitsTwice(*unit))
+      if (!fitsCap(*unit) || plan.passedOver.count(name) || (!lasts && !idle) || !fitsTwice(*unit))
         continue;
       const auto known = hints.passedOverFor.find(name);
       if (known != hints.passedOverFor.end() && known->second >= hints.maxPassedOverTime) {
@@ -1194,6 +1295,12 @@
   void decide(const PlacementUnit& unit, std::vector<const PlacementUnit*>& notStarted,
               std::vector<const PlacementUnit*>& waiting, std::set<JobId>& startedJobs) {
     const bool reserved = plan.record.reservation.isActive();
+    if (!fitsCap(unit)) {
+      ++plan.heldByTenantCap;
+      explainDecision(unit, "its tenant runs as much as its cap allows");
+      waiting.push_back(&unit);
+      return;
+    }
     if (isRuledOut(unit)) {
       explainDecision(unit, "would delay the reserved start, or no worker has room");
       notStarted.push_back(&unit);
@@ -1231,6 +1338,7 @@
 
   Plan run() {
     buildWorkers();
+    sumTenantUses();
     advanceGangs();
     stopOverdue();
     auto units = collectUnits();
@@ -1272,7 +1380,7 @@
       const bool prefersRack =
           clusterState.config().planner.remoteSlowdown > 1 &&
           (unit.requirements->sameRack || !unit.requirements->preferredRack.empty());
-      if (!prefersRack || isRuledOut(unit) || !leavesUrgentHeadroom(unit))
+      if (!prefersRack || !fitsCap(unit) || isRuledOut(unit) || !leavesUrgentHeadroom(unit))
         decide(unit, notStarted, waiting, startedJobs);
       else if (startNow(unit, true))
         noteStart(unit, startedJobs);
@@ -1286,7 +1394,7 @@
         if (overdue.count(unit))
           continue;
         const Task& first = taskOf(*unit, unit->tasks[0]);
-        if (first.trialStarted || first.trialExpired || first.countedStarts > 0)
+        if (first.trialStarted || first.trialExpired || first.countedStarts > 0 || !fitsCap(*unit))
           continue;
         const QueueOptions& queue = queueOptionsOf(unit->job);
         FailedRequests::RequestShape shape{0, 0, queue.trial.minimumRuntime.milliseconds};
--- a/tests/scheduling/reference_planner.hpp
+++ b/tests/scheduling/reference_planner.hpp
@@ -45,7 +45,7 @@
   std::map<std::string, std::int64_t> urgentDemand;  // by pool, with strict priority only
   std::set<PassedOver> passedOver;
   // For the log: workers that get new work, those excluded, and cores in thousandths.
-  std::size_t schedulableWorkers = 0, excludedWorkers = 0, redundantCopies = 0;
+  std::size_t schedulableWorkers = 0, excludedWorkers = 0, redundantCopies = 0, heldByTenantCap = 0;
   std::int64_t schedulableCores = 0, allocatedCores = 0;
   std::array<std::size_t, 3> unitsByTargetStatus{};
   bool changesNothing(const Reservation& before) const;
--- /dev/null
+++ b/tests/scheduling/tenant_cap_tests.cpp
@@ -0,0 +1,236 @@
+// No plan lets a tenant pass its cap, by whatever way work is started. The order of cases follows
+// docs/design.md 7.13.
+#include "state/cluster_state_fixture.hpp"
+#include "scheduling/tenant_usage.hpp"
+
+using namespace aniseline;
+
+namespace {
+
+constexpr const char* configWithCaps =
+    R"({"planner":{"trials":false,"urgency_first":true,"far":1.5},"pools":{"press":{}},
+      "queues":{"q":{"pool":"press","tries":3},"urgent":{"pool":"press","tries":3,"urgency":2,"target_ms":250}},
+      "tenants":{"small":{"cap":{"cores":4}},"large":{"cap":{"cores":100}},"memory":{"cap":{"memory_mb":250}},
+                 "devices":{"cap":{"accelerators":1}},"free":{}}})";
+
+}  // namespace
+
+TEST_GROUP(TenantCapPlanTests) {
+  ClusterStateFixture fixture{configWithCaps};
+
+  void setup() override {
+    fixture.registerWorker("a", {.cores = 16'000, .accelerators = 4});
+    fixture.registerWorker("b", {.cores = 16'000, .accelerators = 4});
+  }
+  void submit(const std::string& id, const std::string& tenant, StepRequest step,
+              const std::string& queue = "q") {
+    JobSubmission job;
+    job.id = JobId{id};
+    job.queue = QueueName{queue};
+    job.tenant = TenantName{tenant};
+    step.name = "0";
+    job.steps = {std::move(step)};
+    fixture.apply(JobAccepted{std::move(job)});
+  }
+  void submit(const std::string& id, const std::string& tenant, std::size_t tasks,
+              std::uint32_t cores = 1000) {
+    submit(id, tenant, ClusterStateFixture::step(tasks, cores));
+  }
+  std::size_t starts() {
+    const std::string actions = fixture.planAndRun();
+    return std::size_t(std::count(actions.begin(), actions.end(), ',')) + !actions.empty();
+  }
+  // Of a task, as its worker reports it.
+  void endOne(const std::string& job, std::size_t task) {
+    fixture.endAttempt(fixture.attempt(job, task), AttemptOutcome::succeeded);
+  }
+};
+
+TEST(TenantCapPlanTests, startsUpToTheCapAndOneForEachThatEnds) {
+  submit("job", "small", 10);
+  LONGS_EQUAL(4, starts());
+  LONGS_EQUAL(0, starts());
+  endOne("job", 0);
+  LONGS_EQUAL(1, starts());
+}
+
+TEST(TenantCapPlanTests, jobsOfOneTenantCountTogetherAndOthersDoNot) {
+  submit("one", "small", 3);
+  submit("two", "small", 3);
+  submit("other", "large", 5);
+  submit("unlimited", "free", 5);
+  submit("nobody", "", 5);
+  LONGS_EQUAL(4 + 5 + 5 + 5, starts());
+}
+
+TEST(TenantCapPlanTests, memoryAndAcceleratorsCountAsCoresDo) {
+  submit("job", "memory", 10);  // 100 MB each
+  LONGS_EQUAL(2, starts());
+  StepRequest step = ClusterStateFixture::step(3);
+  for (auto& task : step.tasks)
+    task.accelerators = 1;
+  submit("devices", "devices", step);
+  LONGS_EQUAL(1, starts());
+}
+
+TEST(TenantCapPlanTests, whatIsBeingStoppedCountsUntilItHasEnded) {
+  submit("job", "small", 4);
+  LONGS_EQUAL(4, starts());
+  fixture.apply(JobCancelled{JobId{"job"}});
+  submit("next", "small", 4);
+  LONGS_EQUAL(0, starts());
+  const auto numbers = fixture.clusterState.attemptsOf(JobId{"job"}, AttemptScope::all);
+  for (auto number : numbers)
+    fixture.endAttempt(number, AttemptOutcome::stopped);
+  LONGS_EQUAL(4, starts());
+}
+
+// Its lease is over: its worker has killed it.
+TEST(TenantCapPlanTests, whatIsAbandonedCountsNoMore) {
+  submit("job", "small", 4);
+  LONGS_EQUAL(4, starts());
+  for (const auto* id : {"a", "b"})
+    fixture.apply(WorkerUnreachable{WorkerId{id}, fixture.clusterState.attemptsOn(WorkerId{id})});
+  fixture.registerWorker("c", {.cores = 16'000});
+  LONGS_EQUAL(4, starts());
+}
+
+TEST(TenantCapPlanTests, aTaskLargerThanTheCapStartsAlone) {
+  submit("job", "small", 2, 6000);
+  LONGS_EQUAL(1, starts());
+  LONGS_EQUAL(0, starts());
+}
+
+TEST(TenantCapPlanTests, aTenantAtHalfItsCapMayPassItByPartOfOneTask) {
+  submit("half", "small", 2);
+  LONGS_EQUAL(2, starts());
+  submit("job", "small", 2, 3000);
+  LONGS_EQUAL(1, starts());  // 5 of 4 cores
+  LONGS_EQUAL(0, starts());
+}
+
+// The large one may reach its worker first, and the small one would find the tenant above its cap.
+// Seed 92 of `simulate --tenants` did.
+TEST(TenantCapPlanTests, aTaskThatPassesTheCapWaitsForStartsOnTheirWay) {
+  submit("small", "small", 2);
+  fixture.plan();
+  submit("job", "small", 1, 4000);
+  STRCMP_EQUAL("", fixture.plan().c_str());
+  fixture.applyOrders();
+  LONGS_EQUAL(1, starts());
+}
+
+TEST(TenantCapPlanTests, aTenantAboveHalfItsCapMayNotPassIt) {
+  submit("most", "small", 3);
+  LONGS_EQUAL(3, starts());
+  submit("job", "small", 1, 2000);
+  LONGS_EQUAL(0, starts());
+}
+
+TEST(TenantCapPlanTests, aGangStartsWholeOrNotAtAll) {
+  submit("filler", "small", 1);
+  LONGS_EQUAL(1, starts());
+  submit("wide", "small", ClusterStateFixture::gang(5));
+  LONGS_EQUAL(0, starts());
+  submit("fits", "small", ClusterStateFixture::gang(3));
+  LONGS_EQUAL(3, starts());
+}
+
+TEST(TenantCapPlanTests, aCopyOfARedundantTaskCountsToo) {
+  StepRequirements redundant;
+  redundant.redundant = true;
+  submit("job", "small", ClusterStateFixture::step(2, 2000, redundant, false, 100));
+  LONGS_EQUAL(2, starts());
+  fixture.now += 60'000;  // overdue, so that copies are wanted
+  LONGS_EQUAL(0, starts());
+  submit("same", "large", ClusterStateFixture::step(2, 2000, redundant, false, 100));
+  LONGS_EQUAL(2, starts());
+  fixture.now += 60'000;
+  LONGS_EQUAL(2, starts());
+}
+
+// It would keep others from starting though it can't start itself.
+TEST(TenantCapPlanTests, whatACapHoldsBackReservesNoStart) {
+  submit("job", "small", 10);
+  LONGS_EQUAL(4, starts());
+  fixture.plan();
+  CHECK_FALSE(fixture.clusterState.reservation().isActive());
+}
+
+TEST(TenantCapPlanTests, whatACapHoldsBackWantsNoHeadroom) {
+  submit("flood", "small", ClusterStateFixture::step(50), "urgent");
+  const Plan plan =
+      fixture.planner.makePlan(fixture.clusterState, ClusterTime{fixture.now}, fixture.silences);
+  LONGS_EQUAL(4000, plan.urgentDemand.at("press"));
+  LONGS_EQUAL(46, plan.heldByTenantCap);
+}
+
+TEST(TenantCapPlanTests, whatACapHoldsBackIsExplained) {
+  submit("job", "small", 5);
+  fixture.planAndRun();
+  const Plan plan = fixture.planner.makePlan(fixture.clusterState, ClusterTime{fixture.now},
+                                             fixture.silences, true);
+  LONGS_EQUAL(1, plan.explanations.size());
+  STRCMP_EQUAL("its tenant runs as much as its cap allows", plan.explanations[0].text.c_str());
+}
+
+TEST(TenantCapPlanTests, whatACapHoldsBackIsNotPassedOver) {
+  submit("filler", "small", 4);
+  LONGS_EQUAL(4, starts());
+  submit("waits", "small", 1);
+  PlannerHints hints;
+  hints.maxPassedOverTime = Duration{2000};
+  hints.passedOverFor[{JobId{"waits"}, std::nullopt}] = Duration{9000};
+  const Plan plan = fixture.planner.makePlan(fixture.clusterState, ClusterTime{fixture.now},
+                                             fixture.silences, false, hints);
+  LONGS_EQUAL(0, plan.record.actions.size());
+  LONGS_EQUAL(0, plan.passedOver.size());
+}
+
+TEST(TenantCapPlanTests, trialsCountToo) {
+  ClusterStateFixture paper{
+      R"({"planner":{"trials":true},"queues":{"q":{"trial":{"quantum_ms":1000,"minimum_run_ms":0}}},
+        "tenants":{"small":{"cap":{"cores":1}}}})"};
+  Capacity capacity;
+  capacity.cores = 1000;
+  capacity.memory = 4096;
+  capacity.honoursLeases = true;
+  paper.apply(WorkerRegistered{WorkerId{"a"}, Incarnation{1}, capacity});
+  paper.silences[WorkerId{"a"}] = Duration{0};
+  const auto submitTo = [&](const std::string& id, const std::string& tenant) {
+    JobSubmission job;
+    job.id = JobId{id};
+    job.queue = QueueName{"q"};
+    job.tenant = TenantName{tenant};
+    job.steps = {ClusterStateFixture::step(1, 1000)};
+    job.steps[0].name = "0";
+    paper.apply(JobAccepted{std::move(job)});
+  };
+  submitTo("runs", "small");
+  paper.planAndRun();
+  paper.now += 5000;
+  submitTo("more", "small");
+  STRCMP_EQUAL("", paper.planAndRun().c_str());
+  submitTo("other", "");
+  CHECK(paper.planAndRun().find("start other on a") != std::string::npos);
+}
+
+TEST_GROUP(TenantUsageTests){};
+
+TEST(TenantUsageTests, admitsNothingAboveTheCapOfAnyResource) {
+  scheduling::TenantUsage usage(TenantCap{4000, 0, 2});
+  CHECK(usage.admits({4000, 1'000'000, 2}, {4000, 1'000'000, 2}));
+  usage.addRunning({3000, 0, 0});
+  CHECK(usage.admits({1000, 0, 2}, {1000, 0, 2}));
+  CHECK_FALSE(usage.admits({1001, 0, 0}, {1001, 0, 0}));
+  CHECK_FALSE(usage.admits({0, 0, 3}, {0, 0, 3}));
+}
+
+TEST(TenantUsageTests, passesTheCapByLessThanTheSmallestStartOnItsWay) {
+  scheduling::TenantUsage usage(TenantCap{4000, 0, 0});
+  usage.addRunning({500, 0, 0});
+  CHECK(usage.admits({9000, 0, 0}, {9000, 0, 0}));
+  usage.addOrdered({1500, 0, 0}, {500, 0, 0});
+  CHECK(usage.admits({2500, 0, 0}, {2500, 0, 0}));  // 4500, of which 500 may come last
+  CHECK_FALSE(usage.admits({2501, 0, 0}, {2501, 0, 0}));
+}
