Rules 22 and 23, and simulated tenants whose keys and caps change beside every fault

Why tests missed the incident: no simulated client had a key, no configuration a tenant, and the checkers knew neither.

--- a/programs/simulate.cpp
+++ b/programs/simulate.cpp
@@ -5,6 +5,7 @@
 #include "simulator/crowded_service.hpp"
 #include "simulator/fault_injector.hpp"
 #include "simulator/measurements.hpp"
+#include "simulator/tenant_service.hpp"
 #include <iostream>
 #include <numeric>
 #include <thread>
@@ -59,7 +60,8 @@
                controllers = 3,
                threads = std::int64_t(std::max(1u, std::thread::hardware_concurrency()));
   bool verbose = false, shrinks = false, cost = false, failovers = false, views = false,
-       everyKind = false, operators = false, lastFaultEverywhere = false, crowded = false;
+       everyKind = false, operators = false, lastFaultEverywhere = false, crowded = false,
+       tenants = false;
   std::string only;
 
   void read(int count, char** values);
@@ -89,6 +91,8 @@
                   "end each run with disks lost while all other machines lose power");
   options.addFlag("crowded", crowded,
                   "a pool that is nearly full, without faults but a drain and a lost leader");
+  options.addFlag("tenants", tenants,
+                  "tenants whose keys and caps change all the time, beside faults");
   options.addFlag("every-kind", everyKind, "a kind of fault that never took effect is a failure");
   options.addFlag("plan-cost", cost, "measure plans instead, by tasks waiting and by workers");
   options.addFlag("view-cost", views, "measure the writing of a whole view instead, by jobs kept");
@@ -259,6 +263,18 @@
   return failed == 0;
 }
 
+// Whether there were any.
+bool showViolations(std::int64_t seed, const std::vector<InvariantViolation>& violations) {
+  if (violations.empty())
+    return false;
+  std::cout << "seed " << seed << " FAILED\n";
+  for (const auto& violation : violations)
+    std::cout << "  broken rule " << number(violation.rule) << " at "
+              << violation.timestamp - SimulatedCluster::epochMs << ": " << violation.description
+              << "\n";
+  return true;
+}
+
 // Whether nothing waited where there was room for it, and every other rule was kept.
 bool simulateCrowdedServices(const SimulateOptions& options) {
   const auto results = runSeeds<CrowdedServiceResult>(options, [&](std::uint64_t seed) {
@@ -272,20 +288,48 @@
   for (std::size_t index = 0; index < results.size(); ++index) {
     jobs += results[index].jobs;
     starts += results[index].starts;
-    if (results[index].violations.empty())
-      continue;
-    ++failed;
-    std::cout << "seed " << options.from + std::int64_t(index) << " FAILED\n";
-    for (const auto& violation : results[index].violations)
-      std::cout << "  broken rule " << number(violation.rule) << " at "
-                << violation.timestamp - SimulatedCluster::epochMs << ": " << violation.description
-                << "\n";
+    failed += showViolations(options.from + std::int64_t(index), results[index].violations);
   }
   print(json(picojson::object{{"jobs", json(jobs)}, {"starts", json(starts)}}));
   std::cout << options.seeds - failed << " passed, " << failed << " failed" << std::endl;
   return failed == 0;
 }
 
+// Whether every key was judged by a configuration in force, no tenant passed its cap, every other
+// rule was kept, and all that was accepted has ended.
+bool simulateTenantServices(const SimulateOptions& options) {
+  const auto results = runSeeds<TenantServiceResult>(options, [&](std::uint64_t seed) {
+    TenantServiceOptions own = TenantServiceOptions::drawnBy(seed);
+    own.verbose = options.verbose;
+    return runTenantService(own);
+  });
+  std::int64_t failed = 0;
+  TenantServiceResult sums;
+  for (std::size_t index = 0; index < results.size(); ++index) {
+    const TenantServiceResult& result = results[index];
+    sums.jobs += result.jobs;
+    sums.starts += result.starts;
+    sums.acceptedWithKey += result.acceptedWithKey;
+    sums.refusedForKey += result.refusedForKey;
+    sums.configurations += result.configurations;
+    for (const auto& [kind, count] : result.faults)
+      sums.faults[kind] += count;
+    const std::int64_t seed = options.from + std::int64_t(index);
+    const bool broken = showViolations(seed, result.violations);
+    for (const auto& job : result.unfinished)
+      std::cout << "seed " << seed << " unfinished " << job << "\n";
+    failed += broken || !result.unfinished.empty();
+  }
+  print(json(picojson::object{{"jobs", json(sums.jobs)},
+                              {"starts", json(sums.starts)},
+                              {"accepted_with_key", json(sums.acceptedWithKey)},
+                              {"refused_for_key", json(sums.refusedForKey)},
+                              {"configurations", json(sums.configurations)},
+                              {"faults", json(counted(sums.faults))}}));
+  std::cout << options.seeds - failed << " passed, " << failed << " failed" << std::endl;
+  return failed == 0;
+}
+
 }  // namespace
 
 int main(int count, char** values) {
@@ -299,6 +343,8 @@
     measure(options);
     return 0;
   }
+  if (options.tenants)
+    return simulateTenantServices(options) ? 0 : 1;
   const bool passed = options.crowded ? simulateCrowdedServices(options) : simulate(options);
   return passed ? 0 : 1;
 }
--- a/source/checker/invariants.hpp
+++ b/source/checker/invariants.hpp
@@ -32,6 +32,8 @@
   linearizability = 19,      // all answers fit one order of taking effect
   startsWhereRoomIs = 20,    // nothing waits for seconds while there is room for it
   cancelsAcknowledged = 21,  // while nothing is broken a cancel is answered within seconds
+  keysInForce = 22,          // keys are known and unknown as a configuration in force has it
+  tenantCaps = 23,           // nothing of a tenant starts that is above its cap
 };
 constexpr int number(Invariant rule) {
   return int(rule);
@@ -59,6 +61,10 @@
   // Jobs that have ended are kept for so many ms, up to so many jobs.
   std::int64_t finishedRetentionMs = 3'600'000;
   std::size_t retainedJobsLimit = 300'000;
+  // By the ids of submissions, and by tenant the lowest cap that any configuration gave it: work of a tenant with half
+  // of that in use may wait.
+  std::map<std::string, TenantName> tenantByJob{};
+  std::map<TenantName, TenantCap> lowestCaps{};
   // MB of each worker that only trials may use: no room for anything else.
   std::int64_t reservedTrialMemory = 0;
   // How many ms late an observer's own reading of the clock may be.
--- a/source/checker/starvation_checker.hpp
+++ b/source/checker/starvation_checker.hpp
@@ -78,6 +78,8 @@
   void reassess(JobProgress& job, std::int64_t at) const;
   void reassessLongRunning(JobProgress& job, std::int64_t at) const;
   bool isOwedAStart(const JobProgress& job, std::int64_t at) const;
+  // Does its tenant hold less than half of its cap?
+  bool tenantHasRoom(const JobProgress& job) const;
   bool dependenciesSucceeded(const JobProgress& job, const StepRequest& step) const;
   bool mayStillStart(const JobProgress& job, const TaskProgress& task) const;
   bool hasRoomTwiceOver(const JobProgress& job, const StepRequest& step, const TaskRequest& request,
--- a/source/simulator/simulated_cluster.hpp
+++ b/source/simulator/simulated_cluster.hpp
@@ -6,7 +6,7 @@
 #include "gateway/leader_call.hpp"
 #include "agent/worker_session.hpp"
 #include "agent/node_agent.hpp"
-#include "checker/invariants.hpp"
+#include "checker/tenant_checker.hpp"
 #include "controller/controller.hpp"
 #include "state/config_patch.hpp"
 #include <queue>
@@ -95,7 +95,8 @@
                    const std::string& body, ResponseHandler follower, std::int64_t within = 3000);
   // A caller that resends after silence, polls until its job has ended, and records all it
   // observes.
-  void submit(const JobSubmission& job, std::int64_t cancelAfter = -1);
+  void submit(const JobSubmission& job, std::int64_t cancelAfter = -1,
+              const std::string& apiKey = "");
   void resubmit(const JobSubmission& job);
   void applyConfig(const std::string& text, std::uint64_t baseVersion, ResponseHandler follower,
                    std::size_t gateway = 0);
@@ -136,6 +137,10 @@
       poolsByQueue;                      // by queue: those that any config sent it to
   std::int64_t reservedTrialMemory = 0;  // MB; the most that any config reserved
   std::map<std::string, std::string> lastObservedState;
+  std::vector<ObservedKeyUse> keyUses;  // answers to submissions that carried a key
+  // For rule 20: see InvariantOptions.
+  std::map<std::string, TenantName> tenantByJob;
+  std::map<TenantName, TenantCap> lowestCaps;
   std::vector<std::int64_t> acknowledgementLatencies;
   std::function<void(const std::string&)> trace;  // each thing of note, for transcripts
   // The moment at which a controller sends an answer, or tells of something: faults are aimed at
@@ -179,7 +184,7 @@
                      std::function<void(std::optional<ApiResponse>, LeaderCall::Failure)> reply);
   void askGateway(Node& from, std::size_t gateway, const std::string& method,
                   const std::string& target, const std::string& body, std::int64_t within,
-                  ResponseHandler follower);
+                  ResponseHandler follower, const std::string& apiKey = "");
   void bootWorker(WorkerNode& node);
   void tickWorker(WorkerNode& node, std::uint64_t generation);
   void syncWorker(WorkerNode& node, bool patient);
--- a/source/simulator/simulated_gateways.cpp
+++ b/source/simulator/simulated_gateways.cpp
@@ -107,7 +107,8 @@
 
 void SimulatedCluster::askGateway(Node& from, std::size_t index, const std::string& method,
                                   const std::string& target, const std::string& body,
-                                  std::int64_t within, ResponseHandler follower) {
+                                  std::int64_t within, ResponseHandler follower,
+                                  const std::string& apiKey) {
   const bool known = index != gatewayNotFound;
   auto& node = *gateways[known ? index % gateways.size() : 0];
   const std::uint64_t generation = from.generation;
@@ -134,7 +135,7 @@
   node.onExit[key] = [this, respond] {
     schedule(now + 1, [respond] { respond(0, "lost"); });
   };
-  deliver(from, node, [this, &node, &from, method, target, body, respond, key] {
+  deliver(from, node, [this, &node, &from, method, target, body, respond, key, apiKey] {
     auto reply = [this, &node, &from, respond, key](const ApiResponse& answer) {
       node.onExit.erase(key);
       deliver(node, from, [respond, answer] { respond(answer.status, answer.body); });
@@ -142,6 +143,7 @@
     auto parsed = ApiRequest::parse(method, target, body);
     if (!parsed)
       return reply(ApiResponse::fromError(parsed.error()));
+    parsed.value().apiKey = ApiKeyDigest::of(apiKey);
     callLeader(node, std::move(parsed.value()), reply);
   });
 }
--- a/source/simulator/simulated_nodes.hpp
+++ b/source/simulator/simulated_nodes.hpp
@@ -114,6 +114,7 @@
   bool accepted = false, ended = false, rejected = false, cancelled = false;
   std::int64_t cancelAfter = -1, startedAt = 0, attempts = 0;
   bool isResend = false;
+  std::string apiKey;  // empty: none is given
 };
 
 inline HistoryEvent makeEvent(HistoryEvent::Kind kind, std::int64_t at) {
--- /dev/null
+++ b/source/simulator/tenant_service.cpp
@@ -0,0 +1,403 @@
+#include "simulator/tenant_service.hpp"
+#include "simulator/campaign_workload.hpp"
+
+namespace aniseline {
+
+namespace {
+
+constexpr std::size_t calledWorkers = 10;  // every second one is in the pool of the tenants' work
+constexpr std::size_t tenantCount = 3;
+constexpr std::size_t initialKeys = 2;  // of each tenant
+constexpr std::int64_t votersWithinMs = 20'000;
+constexpr std::int64_t configWithinMs = 10'000;
+constexpr std::int64_t registrationsWithinMs = 8000;
+constexpr std::int64_t settleMs = 30'000;  // after the last fault, until all work has ended
+constexpr std::int64_t lastFaultBeforeEndMs = 8000;
+constexpr std::int64_t resendAfterMs = 300;
+constexpr std::int64_t brieflyDownMs = 800;
+
+// A tenant as the operator has it now.
+struct DesiredTenant {
+  std::vector<std::string> keys;
+  std::uint32_t capCores = 0;     // whole cores
+  std::uint64_t capMemoryMb = 0;  // 0: no limit
+  bool present = true;
+};
+
+SimulatedClusterOptions clusterOptions(const TenantServiceOptions& options) {
+  SimulatedClusterOptions cluster;
+  cluster.seed = options.seed;
+  cluster.workers = 0;
+  cluster.calledWorkers = calledWorkers;
+  const bool tolerant = options.seed % 2 == 1;
+  cluster.controllers = tolerant ? 7 : 3;
+  cluster.controller.voterCount = tolerant ? 5 : 3;
+  cluster.controller.leaseMargin = Duration{350};
+  cluster.controller.deadMemberTimeout = Duration{6000};
+  cluster.controller.maxRecordsBetweenSnapshots = 60 + options.seed % 200;
+  cluster.controller.raft.retainedEntries = 200;
+  return cluster;
+}
+
+class TenantService {
+ public:
+  explicit TenantService(const TenantServiceOptions& options)
+      : options(options), random(options.seed * 6151 + 11), cluster(clusterOptions(options)) {
+    if (options.verbose)
+      cluster.trace = [this](const std::string& text) {
+        std::fprintf(stderr, "%8lld %s\n", static_cast<long long>(cluster.now), text.c_str());
+      };
+  }
+
+  TenantServiceResult run() {
+    form();
+    scheduleJobs();
+    scheduleChanges();
+    if (options.withFaults)
+      scheduleFaults();
+    cluster.runUntil(cluster.now + options.duration);
+    stopped = true;
+    cluster.healAll();
+    healOwnFaults();
+    liftCaps();
+    cluster.runUntil(cluster.now + settleMs);
+    return judge();
+  }
+
+ private:
+  void form() {
+    cluster.runUntilTrue([&] { return cluster.voterCount() == cluster.configuredVoters(); },
+                         votersWithinMs);
+    for (std::size_t index = 0; index < tenantCount; ++index) {
+      DesiredTenant& tenant = tenants[tenantName(index)];
+      for (std::size_t key = 0; key < initialKeys; ++key)
+        addKey(tenantName(index));
+      tenant.capCores = std::uint32_t(random.between(4, 16));
+    }
+    sendConfig();
+    cluster.runUntilTrue([&] { return !configs.empty() && configs.back().acknowledgedAt; },
+                         configWithinMs);
+    cluster.runUntil(cluster.now + registrationsWithinMs);
+  }
+
+  static std::string tenantName(std::size_t index) { return "tenant" + std::to_string(index); }
+  void addKey(const std::string& tenant) {
+    const std::string key = tenant + "-key" + std::to_string(++keysMade);
+    tenants[tenant].keys.push_back(key);
+    allKeys.emplace_back(key, tenant);
+  }
+
+  // --- the operator: one change at a time, sent until it is answered ---
+
+  std::string configText() const {
+    std::string text =
+        R"({"planner":{"period_ms":20,"trials":false,"urgency_first":true,"far":2,"known_after_ms":3000},
+"pools":{"guarded":{"guards_room":true},"open":{}},
+"queues":{"urgent":{"urgency":2,"pool":"guarded","tries":4,"extend":1.5,"target_ms":60000},
+"bulk":{"urgency":0,"pool":"guarded","tries":4}},"tenants":{)";
+    std::string separator;
+    for (const auto& [name, tenant] : tenants) {
+      if (!tenant.present)
+        continue;
+      text += separator + "\"" + name + "\":{\"api_keys\":[";
+      for (std::size_t index = 0; index < tenant.keys.size(); ++index)
+        text += (index ? ",\"" : "\"") + tenant.keys[index] + "\"";
+      text += "],\"cap\":{\"cores\":" + std::to_string(tenant.capCores) +
+              ",\"memory_mb\":" + std::to_string(tenant.capMemoryMb) + "}}";
+      separator = ",";
+    }
+    return text + "}}";
+  }
+
+  void sendConfig() {
+    const std::string text = configText();
+    ObservedTenantConfig config;
+    config.tenants = ClusterConfig::parse(text).value().tenants;
+    config.sentAt = SimulatedCluster::epochMs + cluster.now;
+    for (const auto& [name, tenant] : config.tenants.all())
+      noteCap(name, tenant.cap);
+    configs.push_back(std::move(config));
+    sendUntilTaken(text, appliedVersion);
+  }
+  void noteCap(const TenantName& name, const TenantCap& cap) {
+    if (!cap.isLimited())
+      return;
+    auto [known, isNew] = cluster.lowestCaps.try_emplace(name, cap);
+    const auto lower = [](std::uint64_t left, std::uint64_t right) {
+      return left == 0 || right == 0 ? std::max(left, right) : std::min(left, right);
+    };
+    known->second =
+        TenantCap{lower(known->second.cores, cap.cores), lower(known->second.memory, cap.memory),
+                  lower(known->second.accelerators, cap.accelerators)};
+  }
+  void sendUntilTaken(const std::string& text, std::uint64_t baseVersion) {
+    cluster.applyConfig(
+        text, baseVersion,
+        [this, text, baseVersion](int status, const std::string& body) {
+          if (configs.back().acknowledgedAt)
+            return;
+          if (status != 200)
+            return cluster.scheduleAfter(
+                resendAfterMs, [this, text, baseVersion] { sendUntilTaken(text, baseVersion); });
+          picojson::value root;
+          picojson::parse(root, body);
+          appliedVersion = std::uint64_t(root.get("version").get<double>());
+          configs.back().acknowledgedAt = SimulatedCluster::epochMs + cluster.now;
+        },
+        std::size_t(random.next()));
+  }
+
+  void scheduleChanges() {
+    for (std::int64_t at = 500; at < options.duration; at += random.between(300, 2500))
+      cluster.scheduleAfter(at, [this] { change(); });
+  }
+  void change() {
+    if (stopped || !configs.back().acknowledgedAt)
+      return;
+    const std::string name = tenantName(random.next() % tenantCount);
+    DesiredTenant& tenant = tenants[name];
+    switch (random.between(0, 5)) {
+      case 0:
+        addKey(name);
+        break;
+      case 1:
+        if (!tenant.keys.empty())
+          tenant.keys.erase(tenant.keys.begin() +
+                            std::ptrdiff_t(random.next() % tenant.keys.size()));
+        break;
+      case 2:
+        tenant.keys.clear();
+        break;
+      case 3:
+        tenant.capCores = std::uint32_t(random.between(1, 24));
+        break;
+      case 4:
+        tenant.capMemoryMb = random.chance(0.5) ? 0 : std::uint64_t(random.between(1, 12) * 512);
+        break;
+      default:
+        tenant.present = !tenant.present;
+        break;
+    }
+    if (tenant.keys.empty() && random.chance(0.7))
+      addKey(name);
+    sendConfig();
+  }
+
+  // So that all that was accepted can end: what waits then waits for another reason.
+  void liftCaps() {
+    cluster.runUntilTrue([&] { return configs.back().acknowledgedAt.has_value(); }, configWithinMs);
+    for (auto& [name, tenant] : tenants) {
+      tenant.present = true;
+      tenant.capCores = 0;
+      tenant.capMemoryMb = 0;
+    }
+    sendConfig();
+  }
+
+  // --- the tenants' jobs ---
+
+  void scheduleJobs() {
+    for (std::int64_t at = 0; at < options.duration; at += random.between(50, 400))
+      cluster.scheduleAfter(at, [this] { submitJob(); });
+  }
+  void submitJob() {
+    if (stopped)
+      return;
+    // The newest keys of all for the most part, some of them revoked meanwhile.
+    const std::size_t recent = std::min<std::size_t>(allKeys.size(), 8);
+    const std::size_t place = random.chance(0.85) ? allKeys.size() - 1 - random.next() % recent
+                                                  : random.next() % allKeys.size();
+    const auto [key, tenant] = allKeys[place];
+    StepShape shape;
+    shape.tasks = std::size_t(random.between(1, 10));
+    shape.cores = std::uint32_t(random.between(1, 4));
+    shape.requestedMs = shape.actualMs = random.between(100, 2500);
+    shape.gang = random.chance(0.1);
+    if (shape.gang) {
+      shape.tasks = 2;
+      shape.cores = 1;
+    }
+    JobSubmission job = singleStepJob("job" + std::to_string(++jobsMade),
+                                      random.chance(0.5) ? "urgent" : "bulk", shape);
+    StepRequirements& requirements = job.steps[0].requirements;
+    requirements.redundant = !shape.gang && random.chance(0.2);
+    requirements.checkpointed = !shape.gang && random.chance(0.2);
+    requirements.longRunning = !shape.gang && !requirements.redundant && random.chance(0.05);
+    cluster.tenantByJob[job.id.value] = TenantName{tenant};
+    const bool cancelled = requirements.longRunning || random.chance(0.05);
+    cluster.submit(job, cancelled ? random.between(500, 6000) : -1, key);
+  }
+
+  // --- faults, in series that overlap ---
+
+  void scheduleFaults() {
+    const std::int64_t last = options.duration - lastFaultBeforeEndMs;
+    for (std::int64_t at = 2000; at < last; at += random.between(500, 3500))
+      cluster.scheduleAfter(at, [this] { strike(); });
+  }
+  void strike() {
+    using Strike = void (TenantService::*)(std::int64_t);
+    constexpr std::array<Strike, 9> kinds{
+        &TenantService::killLeader,   &TenantService::isolateLeader,
+        &TenantService::freezeLeader, &TenantService::killControllers,
+        &TenantService::isolateAgent, &TenantService::killAgent,
+        &TenantService::freezeAgent,  &TenantService::killWorker,
+        &TenantService::delayOrders};
+    (this->*kinds[random.next() % kinds.size()])(random.between(200, 6000));
+  }
+  // Begins a fault and ends it, unless the same thing is in trouble already.
+  void during(const std::string& kind, std::size_t index, std::int64_t lasts,
+              const std::function<void()>& begin, std::function<void()> end) {
+    const std::string name = kind + " " + std::to_string(index);
+    const std::string target = kind.substr(0, kind.find(' ')) + std::to_string(index);
+    if (stopped || !inTrouble.emplace(target, end).second)
+      return;
+    ++faults[kind];
+    cluster.recordFault(name, false);
+    begin();
+    cluster.scheduleAfter(lasts, [this, name, target] {
+      const auto found = inTrouble.find(target);
+      if (found == inTrouble.end())
+        return;
+      found->second();
+      inTrouble.erase(found);
+      cluster.recordFault(name, true);
+    });
+  }
+  std::size_t controllersInTrouble() const {
+    return std::size_t(std::count_if(inTrouble.begin(), inTrouble.end(), [](const auto& entry) {
+      return entry.first.starts_with("controller");
+    }));
+  }
+  void troubleLeader(const std::string& kind, std::int64_t lasts,
+                     void (*begin)(SimulatedCluster&, std::size_t),
+                     void (*end)(SimulatedCluster&, std::size_t)) {
+    const auto leader = cluster.leader();
+    if (!leader || controllersInTrouble() >= cluster.tolerableLosses())
+      return;
+    during(
+        kind, *leader, lasts, [this, begin, leader] { begin(cluster, *leader); },
+        [this, end, leader] { end(cluster, *leader); });
+  }
+  void killLeader(std::int64_t lasts) {
+    troubleLeader(
+        "controller killed", lasts,
+        [](SimulatedCluster& on, std::size_t index) { on.killController(index, true); },
+        [](SimulatedCluster& on, std::size_t index) { on.restartController(index); });
+  }
+  void isolateLeader(std::int64_t lasts) {
+    troubleLeader(
+        "controller cut off", lasts,
+        [](SimulatedCluster& on, std::size_t index) { on.isolateController(index, true); },
+        [](SimulatedCluster& on, std::size_t index) { on.isolateController(index, false); });
+  }
+  void freezeLeader(std::int64_t lasts) {
+    troubleLeader(
+        "controller frozen", lasts,
+        [](SimulatedCluster& on, std::size_t index) { on.freezeController(index, true); },
+        [](SimulatedCluster& on, std::size_t index) { on.freezeController(index, false); });
+  }
+  void killControllers(std::int64_t) {
+    if (controllersInTrouble() > 0)
+      return;
+    const auto restart = [this] {
+      for (std::size_t index = 0; index < cluster.controllerCount(); ++index)
+        cluster.restartController(index);
+    };
+    during(
+        "controllers killed", 0, brieflyDownMs,
+        [this] {
+          for (std::size_t index = 0; index < cluster.controllerCount(); ++index)
+            cluster.killController(index, false);
+        },
+        restart);
+  }
+  std::size_t drawMachine() { return random.next() % calledWorkers; }
+  void isolateAgent(std::int64_t lasts) {
+    const std::size_t index = drawMachine();
+    during(
+        "machine cut off", index, lasts, [this, index] { cluster.isolateAgent(index, true); },
+        [this, index] { cluster.isolateAgent(index, false); });
+  }
+  void killAgent(std::int64_t lasts) {
+    const std::size_t index = drawMachine();
+    during(
+        "machine agent killed", index, lasts, [this, index] { cluster.killAgent(index); },
+        [this, index] { cluster.restartAgent(index); });
+  }
+  void freezeAgent(std::int64_t lasts) {
+    const std::size_t index = drawMachine();
+    during(
+        "machine agent frozen", index, lasts, [this, index] { cluster.freezeAgent(index, true); },
+        [this, index] { cluster.freezeAgent(index, false); });
+  }
+  void killWorker(std::int64_t lasts) {
+    const std::size_t index = drawMachine();
+    during(
+        "machine worker killed", index, lasts, [this, index] { cluster.killCalledWorker(index); },
+        [this, index] { cluster.restartCalledWorker(index); });
+  }
+  void delayOrders(std::int64_t lasts) {
+    const std::size_t index = drawMachine();
+    during(
+        "machine orders delayed", index, lasts,
+        [this, index] { cluster.setOrdersDelayed(index, true); },
+        [this, index] { cluster.setOrdersDelayed(index, false); });
+  }
+  void healOwnFaults() {
+    for (auto& [target, end] : inTrouble)
+      end();
+    inTrouble.clear();
+  }
+
+  // --- what it came to ---
+
+  TenantServiceResult judge() {
+    TenantServiceResult result;
+    const TenantChecker checker(configs, cluster.tenantByJob);
+    result.violations = cluster.checkHistory().violations;
+    for (auto& violation : checker.checkKeys(cluster.keyUses))
+      result.violations.push_back(std::move(violation));
+    for (auto& violation : checker.checkCaps(cluster.history))
+      result.violations.push_back(std::move(violation));
+    result.jobs = cluster.submissions.size();
+    result.unfinished = cluster.unfinishedJobs();
+    for (const auto& use : cluster.keyUses)
+      ++(use.accepted ? result.acceptedWithKey : result.refusedForKey);
+    for (const auto& config : configs)
+      result.configurations += config.acknowledgedAt.has_value();
+    for (const auto& event : cluster.history)
+      result.starts += event.kind == HistoryEvent::Kind::started;
+    result.faults = faults;
+    return result;
+  }
+
+  TenantServiceOptions options;
+  Random random;
+  SimulatedCluster cluster;
+  std::map<std::string, DesiredTenant> tenants;
+  std::vector<std::pair<std::string, std::string>> allKeys;  // with the tenant of each
+  std::vector<ObservedTenantConfig> configs;
+  std::uint64_t appliedVersion = 0;
+  std::size_t keysMade = 0;
+  std::size_t jobsMade = 0;
+  std::map<std::string, std::function<void()>> inTrouble;  // by target: what ends the trouble
+  std::map<std::string, std::size_t> faults;
+  bool stopped = false;
+};
+
+}  // namespace
+
+TenantServiceOptions TenantServiceOptions::drawnBy(std::uint64_t seed) {
+  constexpr std::uint64_t calmRunEvery = 6;
+  TenantServiceOptions options;
+  options.seed = seed;
+  options.withFaults = seed % calmRunEvery != 0;
+  return options;
+}
+
+TenantServiceResult runTenantService(const TenantServiceOptions& options) {
+  return TenantService(options).run();
+}
+
+}  // namespace aniseline
