--- a/source/checker/invariants.hpp
+++ b/source/checker/invariants.hpp
@@ -61,8 +61,8 @@
   // Jobs that have ended are kept for so many ms, up to so many jobs.
   std::int64_t finishedRetentionMs = 3'600'000;
   std::size_t retainedJobsLimit = 300'000;
-  // By the ids of submissions, and by tenant the lowest cap that any configuration gave it: work of a tenant with half
-  // of that in use may wait.
+  // By the ids of submissions, and by tenant the lowest cap that any configuration gave it: work of
+  // a tenant with half of that in use may wait.
   std::map<std::string, TenantName> tenantByJob{};
   std::map<TenantName, TenantCap> lowestCaps{};
   // MB of each worker that only trials may use: no room for anything else.
