Tests: what a tenant's cap holds back at admission delays its own jobs only

Admission weighed a tenant's flood against its cap since the caps came, without a test of its own. Four tests: a capped flood turns its own jobs away and no others; an uncapped one turns all away.

--- /dev/null
+++ b/tests/controller/backlog_estimator_tests.cpp
@@ -0,0 +1,73 @@
+// What a tenant's cap holds back delays its own jobs and nobody else's. docs/design.md 10.
+#include "controller/backlog_estimator.hpp"
+#include "state/cluster_state_fixture.hpp"
+
+using namespace aniseline;
+
+namespace {
+
+constexpr const char* configText =
+    R"({"planner":{"trials":false,"urgency_first":true},"pools":{"press":{}},
+      "queues":{"q":{"pool":"press","tries":3,"target_ms":500}},
+      "tenants":{"capped":{"cap":{"cores":1}},"free":{},"other":{"cap":{"cores":8}}}})";
+constexpr std::size_t floodJobs = 60;
+constexpr std::size_t tasksPerJob = 4;
+constexpr std::int64_t runtimeMs = 1000;
+
+}  // namespace
+
+// Sixteen cores; the flood is 240 core-seconds, 15 s of all of them. A job's target is 1.5 s, and
+// one and a half times that is 2.25 s.
+TEST_GROUP(BacklogEstimatorTests) {
+  ClusterStateFixture fixture{configText};
+  BacklogEstimator estimator;
+
+  void setup() override {
+    fixture.registerWorker("a", {.cores = 16'000});
+  }
+  static JobSubmission jobOf(const std::string& id, const std::string& tenant) {
+    JobSubmission job;
+    job.id = JobId{id};
+    job.queue = QueueName{"q"};
+    job.tenant = TenantName{tenant};
+    job.steps = {ClusterStateFixture::step(tasksPerJob, 1000, {}, false, runtimeMs)};
+    job.steps[0].name = "0";
+    return job;
+  }
+  void flood(const std::string& tenant) {
+    for (std::size_t index = 0; index < floodJobs; ++index)
+      fixture.apply(JobAccepted{jobOf(tenant + std::to_string(index), tenant)});
+  }
+  bool isTurnedAway(const std::string& tenant) {
+    const JobSubmission job = jobOf("new", tenant);
+    const ClusterState& state = fixture.clusterState;
+    return estimator.retryDelay(job, *state.config().findQueue(job.queue), state, MonotonicTime{0})
+        .has_value();
+  }
+};
+
+TEST(BacklogEstimatorTests, aFloodThatACapHoldsBackTurnsItsOwnJobsAway) {
+  flood("capped");
+  CHECK(isTurnedAway("capped"));
+}
+
+TEST(BacklogEstimatorTests, aFloodThatACapHoldsBackTurnsNobodyElseAway) {
+  flood("capped");
+  CHECK_FALSE(isTurnedAway("other"));
+  CHECK_FALSE(isTurnedAway("free"));
+  CHECK_FALSE(isTurnedAway(""));
+}
+
+TEST(BacklogEstimatorTests, aFloodThatNoCapHoldsBackTurnsAllAway) {
+  flood("free");
+  CHECK(isTurnedAway("free"));
+  CHECK(isTurnedAway("other"));
+  CHECK(isTurnedAway(""));
+}
+
+// Half of the cores for the time that a job could wait.
+TEST(BacklogEstimatorTests, aCappedFloodCountsAsMuchAsItsCapLetsRun) {
+  flood("other");
+  CHECK(isTurnedAway("other"));
+  CHECK_FALSE(isTurnedAway("free"));
+}
