--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -50,6 +50,7 @@
     folder: Path
     data_folder: Path = None
     process: asyncio.subprocess.Process = None
+    process_handle: int = -1  # a file descriptor of that process
     started_at: float = 0.0
     stop_asked_at: float = 0.0  # the first SIGTERM to the process that runs now; 0: none
     killed: bool = False
@@ -144,14 +145,18 @@
             str(self.programs / "aniseline-platform"), member.role, stdout=log, stderr=log, env=environment, start_new_session=True
         )
         log.close()
+        # Signals go by this, which never means another process. asyncio's own send_signal asks first whether the child has ended, and
+        # takes its status away from whoever waits for it: an end in that instant was reported as status 255.
+        member.process_handle = os.pidfd_open(member.process.pid)
         member.started_at = time.monotonic()
         member.stop_asked_at = 0.0
         member.killed = False
         self.ledger.note(f"start {member.name} pid {member.process.pid}")
-        asyncio.create_task(self._watch(member, member.process))
+        asyncio.create_task(self._watch(member, member.process, member.process_handle))
 
-    async def _watch(self, member, process):
+    async def _watch(self, member, process, handle):
         status = await process.wait()
+        os.close(handle)
         now = time.monotonic()
         asked = member.stop_asked_at > 0
         took = now - member.stop_asked_at if asked else 0.0
@@ -176,7 +181,10 @@
             member.killed = True
             member.kills.append(time.monotonic())
         self.ledger.note(f"signal {signal.Signals(number).name} {member.name}")
-        member.process.send_signal(number)
+        try:
+            signal.pidfd_send_signal(member.process_handle, number)
+        except ProcessLookupError:
+            self.ledger.note(f"{member.name} had ended")
 
     async def wait_for_main(self, member, seconds):
         """Until the process blocks or handles SIGHUP. Before its main begins the kernel's default action is in force, which ends it and
