Gateways count the tasks of a job before they create them

Cause: decodeStage in platform/request_codec.cpp created the tasks of each stage as it read it.

Change: stages, tasks in total and dependencies of a stage are checked before anything is created, with the field and the limit in the 400. The limits stand once, in JobSubmission. Unpacking a step stops at one task more than is valid (100,000 for each group before), so that an oversized step is still seen to be one. A step names at most 64 others, in every reader: 128,000 repeated names fitted into one body.

Evidence: PlatformJobs.oversizedJobsAreRejectedBeforeTheirTasksAreCreated fails on the code before (65 stages were decoded) and passes now.

--- a/source/state/job.hpp
+++ b/source/state/job.hpp
@@ -43,9 +43,9 @@
 };
 
 struct StepRequest {
-  // The maximum number of tasks read for one group of equal tasks; far more than a valid submission
-  // may have.
-  static constexpr std::uint32_t maxEqualTasks = 100'000;
+  // The maximum number of tasks read for one step; more than a valid submission may have, so that
+  // an oversized one is still recognised.
+  static constexpr std::size_t maxTasksRead = 2001;
 
   std::string name;
   std::vector<std::string> dependencies;  // names of steps that must succeed first
@@ -64,7 +64,7 @@
     if constexpr (Archive::is_loading::value) {
       tasks.clear();
       for (const auto& [count, task] : runs)
-        tasks.insert(tasks.end(), std::min(count, maxEqualTasks), task);
+        tasks.insert(tasks.end(), std::min<std::size_t>(count, maxTasksRead - tasks.size()), task);
     }
   }
 
@@ -84,6 +84,9 @@
 };
 
 struct JobSubmission {
+  static constexpr std::size_t maxSteps = 64;
+  static constexpr std::size_t maxTasks = 2000;  // in all steps
+
   JobId id;
   QueueName queue;
   std::vector<StepRequest> steps;
--- a/source/state/job_json.cpp
+++ b/source/state/job_json.cpp
@@ -11,7 +11,7 @@
 // Limits on the steps and tasks that are read. They exceed what JobSubmission::validate accepts, so
 // an oversized submission is reported as invalid without allocating memory for all of it.
 constexpr std::size_t maxStepsRead = 1000;
-constexpr std::size_t maxTasksRead = 2000;
+constexpr std::size_t maxTasksRead = JobSubmission::maxTasks;
 
 class SubmissionReader {
  public:
--- a/source/state/job_validation.cpp
+++ b/source/state/job_validation.cpp
@@ -7,9 +7,7 @@
 namespace {
 
 constexpr std::size_t maxIdLength = 128;
-constexpr std::size_t maxSteps = 64;
 constexpr std::size_t maxStepNameLength = 64;
-constexpr std::size_t maxTasks = 2000;                           // in all steps
 constexpr std::uint32_t maxCores = 65'536'000;                   // thousandths of a core
 constexpr std::uint64_t maxMemory = 1'000'000'000;               // MB
 constexpr std::size_t maxPayload = 4096;                         // bytes
@@ -63,7 +61,7 @@
 }
 
 void SubmissionValidator::checkSteps() {
-  if (job.steps.empty() || job.steps.size() > maxSteps)
+  if (job.steps.empty() || job.steps.size() > JobSubmission::maxSteps)
     addError("/steps", "must contain 1 to 64 steps");
   std::size_t total = 0;
   for (std::size_t stepIndex = 0; stepIndex < job.steps.size(); ++stepIndex) {
@@ -79,7 +77,7 @@
     for (std::size_t index = 0; index < step.tasks.size(); ++index)
       checkTask(step.tasks[index], path + "/tasks/" + std::to_string(index));
   }
-  if (total > maxTasks)
+  if (total > JobSubmission::maxTasks)
     addError("/steps", "must not contain more than 2000 tasks in total");
 }
 
@@ -97,6 +95,8 @@
 void SubmissionValidator::checkDependencies() {
   std::vector<std::set<std::size_t>> dependencies(job.steps.size());
   for (std::size_t stepIndex = 0; stepIndex < job.steps.size(); ++stepIndex) {
+    if (job.steps[stepIndex].dependencies.size() > JobSubmission::maxSteps)
+      addError(pathOfStep(stepIndex) + "/after", "must not name more than 64 steps");
     for (const auto& name : job.steps[stepIndex].dependencies) {
       auto found = stepIndexes.find(name);
       if (found == stepIndexes.end())
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -192,6 +192,32 @@
   CHECK(!jobErrors(tooManyStages + "]}").empty());
 }
 
+// A body of a few hundred kilobytes may describe millions of tasks. A gateway that created them
+// before it counted them went over its memory limit.
+TEST(PlatformJobs, oversizedJobsAreRejectedBeforeTheirTasksAreCreated) {
+  auto jobOfStages = [](int count, const std::string& stage) {
+    std::string body = R"({"stages":[)";
+    for (int index = 0; index < count; ++index)
+      body += (index ? "," : "") + stage;
+    return body + "]}";
+  };
+  const auto manyStages = decodeJob(jobOfStages(65, R"({"replicas":1})"));
+  CHECK(!manyStages.has_value());
+  STRCMP_EQUAL("/stages: must contain at most 64 stages", manyStages.error().text().c_str());
+  const auto manyTasks = decodeJob(jobOfStages(64, R"({"replicas":2000})"));
+  CHECK(!manyTasks.has_value());
+  STRCMP_EQUAL("/stages: must not contain more than 2000 tasks in total",
+               manyTasks.error().text().c_str());
+  CHECK(decodeJob(jobOfStages(40, R"({"replicas":50})")).has_value());
+  std::string dependencies = "0";
+  for (int index = 0; index < 64; ++index)
+    dependencies += ",0";
+  const auto manyDependencies = decodeJob(jobWithStage("\"deps\":[" + dependencies + "]"));
+  CHECK(!manyDependencies.has_value());
+  STRCMP_EQUAL("/stages/deps: must not name more than 64 stages",
+               manyDependencies.error().text().c_str());
+}
+
 TEST(PlatformJobs, decodesTimetables) {
   auto decoded = decodeJob(
       R"({"repeat":5,"start_at_ms":1700000000000,"period_ms":2500,"stages":[{"replicas":1}]})");
