No job fails for lack of room before a worker of its pool is known

Cause: infeasibilityReason asked whether any worker was known, of any pool, and then found no eligible worker in this one. An empty pool says nothing about what its first worker will hold; JobFailed is final.

Change: nothing is infeasible while no worker of the pool has ever registered. The first one is a new capacity, so the settling time begins with it as before, and jobs too large for it still fail promptly after that.

Not changed: a label or size that only a later worker of a known pool has still fails after the settling time (two heartbeats on the platform), since else jobs that can never be done would never be shown as failed.

--- a/source/scheduling/feasibility.cpp
+++ b/source/scheduling/feasibility.cpp
@@ -17,6 +17,16 @@
   }
 };
 
+// Reports whether any worker of a pool has ever registered. Without one, nothing is known of what
+// the pool can hold: its first worker may be on its way.
+bool isPoolKnown(const ClusterState& clusterState, const QueueName& name) {
+  const auto* queue = clusterState.config().findQueue(name);
+  const auto& workers = clusterState.workers();
+  return queue && std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
+           return entry.second.capacity.pool == queue->pool;
+         });
+}
+
 std::vector<EmptyWorker> eligibleWorkers(const ClusterState& clusterState, const JobSubmission& job,
                                          const StepRequest& step) {
   std::vector<EmptyWorker> eligible;
@@ -50,7 +60,8 @@
 std::optional<std::string> infeasibilityReason(const ClusterState& clusterState,
                                                const JobSubmission& job, const StepRequest& step) {
   const Duration settled = clusterState.now() - clusterState.capacityChangedAt();
-  if (clusterState.workers().empty() || settled < clusterState.config().planner.capacitySettleTime)
+  if (!isPoolKnown(clusterState, job.queue) ||
+      settled < clusterState.config().planner.capacitySettleTime)
     return std::nullopt;
   auto workers = eligibleWorkers(clusterState, job, step);
   // Places the largest tasks first, each on the smallest worker that can hold it.
--- a/source/scheduling/feasibility.hpp
+++ b/source/scheduling/feasibility.hpp
@@ -8,7 +8,8 @@
 
 /// Returns why the known workers, if all were empty, could not hold the tasks of a step: all at
 /// once for a gang, otherwise one by one. Empty if they could. Unreachable and removed workers
-/// count as known, and no step is infeasible before the workers' capacities have settled.
+/// count as known. No step is infeasible before the workers' capacities have settled, nor while no
+/// worker of its pool has registered.
 std::optional<std::string> infeasibilityReason(const ClusterState& clusterState,
                                                const JobSubmission& job, const StepRequest& step);
 
--- a/tests/state/cluster_state_tests.cpp
+++ b/tests/state/cluster_state_tests.cpp
@@ -367,6 +367,26 @@
   CHECK(fixture.clusterState.openJobs().empty());
 }
 
+// Jobs of a service that had just been added were failed for good, because workers of other
+// services were known and the first worker of this one had not registered yet.
+TEST(ClusterStateInfeasibleJobs, notReportedWhileNoWorkerOfThePoolHasRegistered) {
+  ClusterStateFixture fixture;
+  fixture.registerWorker("a");
+  fixture.now += 60'000;
+  fixture.apply(LeaderStarted{});
+  fixture.submit("early", {ClusterStateFixture::step(1)}, "other");
+  const auto& early = fixture.job("early").submission;
+  CHECK(!infeasibilityReason(fixture.clusterState, early, early.steps[0]));
+  // The first worker of the pool starts the time after which capacities have settled.
+  fixture.registerWorker("s", {.cores = 500, .pool = "store"});
+  fixture.now += 2000;
+  fixture.apply(LeaderStarted{});
+  CHECK(!infeasibilityReason(fixture.clusterState, early, early.steps[0]));
+  fixture.now += 1000;
+  fixture.apply(LeaderStarted{});
+  CHECK(infeasibilityReason(fixture.clusterState, early, early.steps[0]).has_value());
+}
+
 TEST(ClusterStateInfeasibleJobs, dependsOnLabelPoolAcceleratorsAndMaxPerWorker) {
   ClusterStateFixture fixture;
   fixture.registerWorker("a", {.labels = {"colour"}, .accelerators = 1});
