The leader admits work only while the cluster state stays within its memory

Cause: fireTimetables fired each occurrence that was due, one a step, whatever was open already, and nothing bounded the state: the limits of ControllerOptions::applyMemoryLimit cover log, requests, proposals and queues to peers, and admission knew a number of jobs only. The same holds for plain jobs: nothing refused the largest valid ones.

There was no figure for any of this, so the controller now has them: job_bytes, job_bytes_limit, pending_bytes and resident_bytes in its counters, the event memory_usage each 10 s, and state_growth_limited when work is turned away or deferred.

Change: each job's size in one copy of the state is estimated from its submission, counting an attempt a task; the sum is kept with the tables (derived, not stored). Results, cancels, configurations and syncs are not touched.

--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -8,8 +8,10 @@
 namespace {
 
 constexpr Duration expiryCheckInterval{1000};
+constexpr Duration scarceExpiryCheckInterval{100};  // while memory for jobs is scarce
 // Limits the log volume, because a client may send a revoked key as often as it likes.
 constexpr Duration rejectedKeysReportInterval{1000};
+constexpr Duration growthReportInterval{1000};
 
 // Reports whether an event can make a lease or a drain end earlier than the deadlines computed so
 // far.
@@ -40,7 +42,8 @@
       leases(this->options),
       membership(raft, this->options, logEvent),
       planning(leases, logEvent, options.maxPassedOverTime, options.policies),
-      admission(options.policies),
+      memory(options.maxJobBytes),
+      admission(options.policies, memory),
       openJobs(logEvent),
       jobLatency(logEvent) {}
 
@@ -60,6 +63,7 @@
     runPlanner();
     reviewMembership();
     reportRejectedKeys();
+    reportLimitedGrowth();
     followRaft(wall);  // sends out the new proposals in this same step
   }
   if (isLeading()) {
@@ -154,15 +158,20 @@
   if (!timetables.isDue(clusterNow()))
     return;
   const bool calendarTimeKnown = raft.medianWallTime(now).has_value();
-  for (auto& job : timetables.dueJobs(speculative(), clusterNow(), calendarTimeKnown))
-    append(OccurrenceFired{std::move(job)});
+  for (auto& id : timetables.dueJobs(speculative(), clusterNow(), calendarTimeKnown)) {
+    if (memory.admitsOccurrence(speculative().jobs().at(id), speculative()))
+      append(OccurrenceFired{std::move(id)});
+    else
+      timetables.defer(id, clusterNow());
+  }
 }
 
 void Controller::removeExpiredJobs() {
   if (now < nextExpiryCheck)
     return;
-  nextExpiryCheck = now + expiryCheckInterval;
-  if (auto expired = retention.collect(speculative(), clusterNow()))
+  const bool memoryIsScarce = memory.isScarce(speculative());
+  nextExpiryCheck = now + (memoryIsScarce ? scarceExpiryCheckInterval : expiryCheckInterval);
+  if (auto expired = retention.collect(speculative(), clusterNow(), memoryIsScarce))
     append(std::move(*expired));
   gateways.removeStale(now);
 }
@@ -196,6 +205,17 @@
       log_events::ApiKeysRejected{speculative().config().version, std::exchange(rejectedKeys, 0)});
 }
 
+void Controller::reportLimitedGrowth() {
+  if (now < nextGrowthReport)
+    return;
+  nextGrowthReport = now + growthReportInterval;
+  const auto refusals = memory.takeRefusals();
+  if (refusals.any())
+    logEvent(log_events::StateGrowthLimited{refusals.rejectedJobs, refusals.deferredOccurrences,
+                                            speculative().estimatedJobBytes(),
+                                            options.maxJobBytes});
+}
+
 void Controller::onSnapshotPacked(PackedSnapshot snapshot) {
   if (stateMachine.snapshots().finishPacking())
     raft.compact(snapshot.index, std::move(snapshot.state));
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -12,6 +12,7 @@
 //   MembershipManager       which controllers are voters and which are learners
 //   PlanningDriver          when the planner runs, and its hints
 //   JobAdmission            which submitted jobs are accepted
+//   StateMemoryBudget       how far accepted work may enlarge the state
 //   TimetableScheduler, JobRetention, OpenJobMonitor, JobLatencyTracker
 //                           jobs over time
 //   GatewayRegistry         recently active gateways
@@ -66,6 +67,8 @@
   // Makes a blank identity ask this leader to add it to the cluster as a learner.
   void join(const Address& leader) { raft.setJoinAddress(leader); }
   void transferLeadership(MonotonicTime now) { raft.transferLeadership(now); }
+  // Records the resident memory of the process in bytes, which is shown beside the estimate.
+  void recordResidentMemory(std::uint64_t bytes) { residentBytes = bytes; }
   void recordGateway(const GatewayEndpoint& gateway, MonotonicTime now) {
     gateways.recordContact(gateway, now);
   }
@@ -117,6 +120,7 @@
   void runPlanner();
   void reviewMembership();
   void reportRejectedKeys();
+  void reportLimitedGrowth();
 
   // Request handlers, one for each kind; handleRequest dispatches to them.
   bool hasRequestCapacity(const ApiRequest& request) const;
@@ -164,6 +168,8 @@
   MonotonicTime nextExpiryCheck;
   std::uint64_t rejectedKeys = 0;  // requests since the last report
   MonotonicTime nextKeyReport;
+  MonotonicTime nextGrowthReport;
+  std::uint64_t residentBytes = 0;  // of the process, as last recorded; 0: unknown
   ReplicatedStateMachine stateMachine;
   RequestTable requests;
   std::vector<CompletedRequest> responses;
@@ -172,6 +178,7 @@
   LeaseManager leases;
   MembershipManager membership;
   PlanningDriver planning;
+  StateMemoryBudget memory;
   JobAdmission admission;
   TimetableScheduler timetables;
   JobRetention retention;
--- a/source/controller/job_admission.cpp
+++ b/source/controller/job_admission.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration fullQueueRetryDelay{1000};
+constexpr Duration memoryRetryDelay{1000};
 
 ApiResponse acceptedResponse(const JobId& id) {
   return ApiResponse::of(202, {{"id", json(id.value)}, {"accepted", json(true)}});
@@ -81,6 +82,10 @@
     return {ApiResponse::error(429, "overloaded", "queue " + job.queue.value + " is full",
                                fullQueueRetryDelay),
             std::nullopt};
+  if (!memory.admits(job, queue->priority > 0, state))
+    return {ApiResponse::error(429, "overloaded", "the cluster has no memory for more jobs",
+                               memoryRetryDelay),
+            std::nullopt};
   if (!policies.isOn(Policy::backlogAdmission))
     return {acceptedResponse(job.id), JobAccepted{job}};
   if (const auto delay = backlog.retryDelay(job, *queue, state, now))
--- a/source/controller/job_retention.cpp
+++ b/source/controller/job_retention.cpp
@@ -29,11 +29,11 @@
 }
 
 void JobRetention::collectCompactable(const ClusterState& state, ClusterTime clusterNow,
-                                      JobsExpired& expired) {
+                                      Duration retention, JobsExpired& expired) {
   for (auto next = state.jobsByEndTime().lower_bound({compactedThrough, JobId{}});
        next != state.jobsByEndTime().end() && expired.compacted.size() < maxJobsPerEvent; ++next) {
     const auto& [endedAt, id] = *next;
-    if (clusterNow - endedAt <= fullDetailRetention)
+    if (clusterNow - endedAt <= retention)
       break;
     compactedThrough = endedAt;
     if (!state.jobs().at(id).compactedTaskCount)
@@ -41,11 +41,12 @@
   }
 }
 
-std::optional<JobsExpired> JobRetention::collect(const ClusterState& state,
-                                                 ClusterTime clusterNow) {
+std::optional<JobsExpired> JobRetention::collect(const ClusterState& state, ClusterTime clusterNow,
+                                                 bool memoryIsScarce) {
   JobsExpired expired;
   collectExpired(state, clusterNow, expired);
-  collectCompactable(state, clusterNow, expired);
+  collectCompactable(state, clusterNow, memoryIsScarce ? Duration{0} : fullDetailRetention,
+                     expired);
   if (expired.jobs.empty() && expired.compacted.empty() && expired.workers.empty())
     return std::nullopt;
   return expired;
--- a/source/controller/job_retention.hpp
+++ b/source/controller/job_retention.hpp
@@ -12,13 +12,15 @@
   // Resets the progress of compaction at the start of a leadership.
   void restart() { compactedThrough = ClusterTime{}; }
   // Returns the items to delete or compact now, limited in number. Returns nothing if there are
-  // none.
-  std::optional<JobsExpired> collect(const ClusterState& state, ClusterTime clusterNow);
+  // none. While memory is scarce, ended jobs are compacted at once.
+  std::optional<JobsExpired> collect(const ClusterState& state, ClusterTime clusterNow,
+                                     bool memoryIsScarce);
 
  private:
   void collectExpired(const ClusterState& state, ClusterTime clusterNow,
                       JobsExpired& expired) const;
-  void collectCompactable(const ClusterState& state, ClusterTime clusterNow, JobsExpired& expired);
+  void collectCompactable(const ClusterState& state, ClusterTime clusterNow, Duration retention,
+                          JobsExpired& expired);
 
   ClusterTime compactedThrough;  // jobs that ended before this time are already compacted
 };
--- a/source/controller/log_event.cpp
+++ b/source/controller/log_event.cpp
@@ -50,6 +50,13 @@
     return {"api_keys_rejected",
             {{"version", json(event.config.value)}, {"requests", json(event.requests)}}};
   }
+  RenderedLogEvent operator()(const log_events::StateGrowthLimited& event) const {
+    return {"state_growth_limited",
+            {{"rejected_jobs", json(event.rejectedJobs)},
+             {"deferred_occurrences", json(event.deferredOccurrences)},
+             {"job_bytes", json(event.jobBytes)},
+             {"job_bytes_limit", json(event.jobBytesLimit)}}};
+  }
   RenderedLogEvent operator()(const log_events::WorkerIdInUse& event) const {
     return {"worker id in use", {{"worker", json(event.worker.value)}}};
   }
--- a/source/controller/log_event.hpp
+++ b/source/controller/log_event.hpp
@@ -50,6 +50,14 @@
   ConfigVersion config;  // the version in effect at the last of these requests
   std::uint64_t requests = 0;
 };
+// Work that was not let into the cluster state since the last such event, because the state has
+// reached its memory budget or a timetable is too far ahead of its own occurrences.
+struct StateGrowthLimited {
+  std::uint64_t rejectedJobs = 0;
+  std::uint64_t deferredOccurrences = 0;
+  std::uint64_t jobBytes = 0;  // estimated size of all jobs in one copy of the state
+  std::uint64_t jobBytesLimit = 0;
+};
 // A second process tried to register under the identifier of a live worker.
 struct WorkerIdInUse {
   WorkerId worker;
@@ -120,13 +128,13 @@
 
 }  // namespace log_events
 
-using LogEvent = std::variant<log_events::SnapshotInstalled, log_events::UnreadableRecord,
-                              log_events::LeadershipStarted, log_events::LeadershipEnded,
-                              log_events::ServingStarted, log_events::ConfigAccepted,
-                              log_events::ApiKeysRejected, log_events::WorkerIdInUse,
-                              log_events::WorkerDraining, log_events::WorkerUnreachable,
-                              log_events::MembershipChanged, log_events::MembershipChangeRefused,
-                              log_events::TaskDelayed, log_events::Occupancy, log_events::JobLate>;
+using LogEvent = std::variant<
+    log_events::SnapshotInstalled, log_events::UnreadableRecord, log_events::LeadershipStarted,
+    log_events::LeadershipEnded, log_events::ServingStarted, log_events::ConfigAccepted,
+    log_events::ApiKeysRejected, log_events::StateGrowthLimited, log_events::WorkerIdInUse,
+    log_events::WorkerDraining, log_events::WorkerUnreachable, log_events::MembershipChanged,
+    log_events::MembershipChangeRefused, log_events::TaskDelayed, log_events::Occupancy,
+    log_events::JobLate>;
 using LogEventSignal = boost::signals2::signal<void(const LogEvent&)>;
 
 // An event in the form in which it appears in a log line or a trace.
--- a/source/controller/options.hpp
+++ b/source/controller/options.hpp
@@ -54,6 +54,8 @@
   // Limit on the texts of pending requests and of uncommitted proposals. A single text may exceed
   // it.
   std::size_t maxPendingBytes = 16 * 1024 * 1024;
+  // Limit on the estimated size of all jobs in one copy of the cluster state. docs/design.md 10.1.
+  std::uint64_t maxJobBytes = 2ull * 1024 * 1024 * 1024;
   // Limit on the bytes queued to each peer; enforced by the daemon.
   std::size_t maxOutboxBytes = 4 * 1024 * 1024;
 
--- a/source/controller/read_views.cpp
+++ b/source/controller/read_views.cpp
@@ -354,7 +354,7 @@
 }
 
 picojson::object renderCounters(const ClusterState& state, const RaftNode& raft,
-                                std::size_t pendingRequests) {
+                                std::size_t pendingRequests, const MemoryUsage& memory) {
   const Counters& counters = state.counters();
   return {{"allowed", json(counters.admitted)},
           {"finished", json(counters.succeeded)},
@@ -373,6 +373,10 @@
           {"kept", json(state.jobs().size())},
           {"attempts", json(state.attempts().size())},
           {"requests", json(pendingRequests)},
+          {"job_bytes", json(state.estimatedJobBytes())},
+          {"job_bytes_limit", json(memory.jobBytesLimit)},
+          {"pending_bytes", json(memory.pendingBytes)},
+          {"resident_bytes", json(memory.residentBytes)},
           {"commit", json(raft.commitIndex().value)},
           {"term", json(raft.term().value)}};
 }
--- a/source/controller/read_views.hpp
+++ b/source/controller/read_views.hpp
@@ -37,8 +37,14 @@
                                const GatewayRegistry& gateways, MonotonicTime now,
                                ClusterTime clusterNow);
 picojson::object renderPlan(const ClusterState& state, const Plan& plan, ClusterTime clusterNow);
+// The memory of a controller, in bytes.
+struct MemoryUsage {
+  std::uint64_t jobBytesLimit = 0;  // of the estimated size of all jobs
+  std::uint64_t pendingBytes = 0;   // texts of pending requests and proposals
+  std::uint64_t residentBytes = 0;  // of the process; 0: unknown
+};
 picojson::object renderCounters(const ClusterState& state, const RaftNode& raft,
-                                std::size_t pendingRequests);
+                                std::size_t pendingRequests, const MemoryUsage& memory);
 
 }  // namespace aniseline
 
--- a/source/controller/request_handlers.cpp
+++ b/source/controller/request_handlers.cpp
@@ -170,7 +170,8 @@
       return respondWithJson(
           renderPlan(state, planning.explain(state, clusterNow(), now), clusterNow()));
     case RequestKind::showCounters:
-      return respondWithJson(renderCounters(state, raft, requests.size()));
+      return respondWithJson(renderCounters(state, raft, requests.size(),
+                                            {options.maxJobBytes, pendingBytes(), residentBytes}));
     case RequestKind::exportState:
       return respondWithJson(renderExport(state, clusterNow()));
     default:
--- a/source/controller/timetable_scheduler.cpp
+++ b/source/controller/timetable_scheduler.cpp
@@ -3,8 +3,14 @@
 
 namespace aniseline {
 
+namespace {
+// A deferred occurrence waits for others to end or start, which takes longer than a step.
+constexpr Duration deferralInterval{100};
+}  // namespace
+
 std::vector<JobId> TimetableScheduler::dueJobs(const ClusterState& state, ClusterTime clusterNow,
                                                bool calendarTimeKnown) {
+  std::erase_if(deferredUntil, [&](const auto& entry) { return entry.second <= clusterNow; });
   nextOccurrence = ClusterTime{std::numeric_limits<std::int64_t>::max()};
   std::vector<JobId> due;
   for (const auto& id : state.openJobs()) {
@@ -14,11 +20,19 @@
       continue;
     const auto next = timetable.firstStart.milliseconds +
                       std::int64_t(job.firedOccurrences) * timetable.interval.milliseconds;
-    nextOccurrence = std::min(nextOccurrence, ClusterTime{next});
-    if (calendarTimeKnown && clusterNow.milliseconds >= next)
+    const auto deferral = deferredUntil.find(id);
+    const ClusterTime dueAt = deferral == deferredUntil.end()
+                                  ? ClusterTime{next}
+                                  : std::max(ClusterTime{next}, deferral->second);
+    nextOccurrence = std::min(nextOccurrence, dueAt);
+    if (calendarTimeKnown && clusterNow >= dueAt)
       due.push_back(id);
   }
   return due;
 }
 
+void TimetableScheduler::defer(const JobId& job, ClusterTime clusterNow) {
+  deferredUntil[job] = clusterNow + deferralInterval;
+}
+
 }  // namespace aniseline
--- a/source/controller/timetable_scheduler.hpp
+++ b/source/controller/timetable_scheduler.hpp
@@ -1,5 +1,5 @@
 // Finds the jobs with a timetable whose next occurrence is due, by cluster time. Scans the open
-// jobs only when the earliest known occurrence is due. docs/design.md 3.6.
+// jobs only when the earliest known occurrence is due. docs/design.md 3.6, 10.1.
 #ifndef ANISELINE_CONTROLLER_TIMETABLE_SCHEDULER_HPP
 #define ANISELINE_CONTROLLER_TIMETABLE_SCHEDULER_HPP
 #include "state/cluster_state.hpp"
@@ -16,9 +16,13 @@
   // because timetables refer to it.
   std::vector<JobId> dueJobs(const ClusterState& state, ClusterTime clusterNow,
                              bool calendarTimeKnown);
+  // Called when the due occurrence of a job can't start yet. It is due again after a short
+  // interval.
+  void defer(const JobId& job, ClusterTime clusterNow);
 
  private:
   ClusterTime nextOccurrence;
+  std::map<JobId, ClusterTime> deferredUntil;
 };
 
 }  // namespace aniseline
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -6,6 +6,7 @@
 #include "daemons/connection_drain.hpp"
 #include "daemons/listening.hpp"
 #include "daemons/peer_transport.hpp"
+#include "daemons/process_memory.hpp"
 #include "daemons/state_writers.hpp"
 #include "net/contacts.hpp"
 #include "net/log.hpp"
@@ -30,6 +31,8 @@
 // its messages.
 constexpr Duration transferInterval{700};
 
+constexpr Duration memoryReportInterval{10'000};
+
 std::string joinAddresses(const std::vector<Address>& addresses) {
   std::string text;
   for (const auto& address : addresses)
@@ -173,6 +176,7 @@
     lastStepAt.store(monotonicNow().milliseconds);
     core->step(monotonicNow(), wallNow());
     carryOutEffects();
+    reportMemory();
     if (core->raftNode().removedFromCluster() && !rejoinAsNewMember())
       return false;
     if (core->hasUnreadableState()) {
@@ -193,6 +197,19 @@
     for (auto& [number, response] : core->takeResponses())
       pendingResponses.respond(number, std::move(response));
   }
+  // Logs the estimated size of the state beside the memory that the process really takes.
+  void reportMemory() {
+    if (monotonicNow() < nextMemoryReport)
+      return;
+    nextMemoryReport = monotonicNow() + memoryReportInterval;
+    const std::uint64_t residentBytes = residentMemoryBytes();
+    core->recordResidentMemory(residentBytes);
+    log(LogLevel::info, log_events::memoryUsage,
+        {{"resident_bytes", json(residentBytes)},
+         {"job_bytes", json(core->committed().estimatedJobBytes())},
+         {"job_bytes_limit", json(options.maxJobBytes)},
+         {"pending_bytes", json(core->pendingBytes())}});
+  }
   void onRecordWritten(const DiskResult<void>& result, DiskVersion version) {
     if (result)
       core->onRecordSynced(version, monotonicNow());
@@ -368,6 +385,7 @@
   std::optional<ConnectionCounts> abortedConnections;
   bool abortPendingRequests = false;  // pending requests of operators are answered at once
   MonotonicTime nextTransferAt{0};
+  MonotonicTime nextMemoryReport;
   bool writeFailed = false;
   bool wakeRequested = false;
   boost::fibers::mutex wakeMutex;
--- a/source/net/log_events.hpp
+++ b/source/net/log_events.hpp
@@ -21,6 +21,7 @@
 constexpr const char* clusterBootstrapped = "cluster_bootstrapped";
 constexpr const char* peerMessageRejected = "peer_message_rejected";
 constexpr const char* configurationAnswered = "configuration_answered";
+constexpr const char* memoryUsage = "memory_usage";
 
 // Logged by a gateway.
 constexpr const char* leaderChanged = "leader_changed";
--- a/source/state/cluster_state.hpp
+++ b/source/state/cluster_state.hpp
@@ -42,6 +42,8 @@
     return tables.jobsByEndTime;
   }
 
+  /// Returns the estimated memory in bytes that all jobs take in this copy of the state.
+  std::uint64_t estimatedJobBytes() const { return tables.estimatedJobBytes; }
   /// Returns the number of open jobs of a queue; 0 for a queue without any.
   std::uint64_t openJobsOf(const QueueName& queue) const;
   std::vector<AttemptNumber> attemptsOf(const JobId& job, AttemptScope scope) const;
--- a/source/state/cluster_tables.cpp
+++ b/source/state/cluster_tables.cpp
@@ -1,5 +1,6 @@
-// Updates of the attempts together with their indexes.
+// Updates of jobs and attempts together with what is derived from them.
 #include "state/cluster_tables.hpp"
+#include "state/job_memory.hpp"
 
 namespace aniseline {
 
@@ -18,8 +19,26 @@
   attempts.erase(found);
 }
 
+void ClusterTables::addJob(Job job) {
+  const JobId id = job.submission.id;
+  auto [entry, added] = jobs.emplace(id, std::move(job));
+  updateEstimatedBytes(entry->second);
+}
+
+void ClusterTables::eraseJob(std::map<JobId, Job>::iterator job) {
+  estimatedJobBytes -= job->second.countedBytes;
+  jobs.erase(job);
+}
+
+void ClusterTables::updateEstimatedBytes(Job& job) {
+  estimatedJobBytes -= job.countedBytes;
+  job.countedBytes = estimateJobBytes(job);
+  estimatedJobBytes += job.countedBytes;
+}
+
 void ClusterTables::rebuildIndexes() {
-  for (const auto& [id, job] : jobs) {
+  for (auto& [id, job] : jobs) {
+    updateEstimatedBytes(job);
     if (job.isTerminal())
       jobsByEndTime.emplace(job.endedAt, id);
   }
--- a/source/state/cluster_tables.hpp
+++ b/source/state/cluster_tables.hpp
@@ -52,6 +52,7 @@
 
   // Derived from the tables above and not serialized.
   std::set<std::pair<ClusterTime, JobId>> jobsByEndTime;  // jobs in a terminal state
+  std::uint64_t estimatedJobBytes = 0;                    // memory of all jobs in this copy
   AttemptIndex attemptIndex;
   // Workers that registered or were issued an order since ClusterState::takeUpdatedWorkers() was
   // last called; not serialized.
@@ -61,6 +62,13 @@
   void addAttempt(const Attempt& attempt);
   /// Removes an existing attempt, without any other effect.
   void eraseAttempt(AttemptNumber number);
+  /// Adds a job, which must not exist yet.
+  void addJob(Job job);
+  /// Removes an existing job from the table of jobs, and no other trace of it.
+  void eraseJob(std::map<JobId, Job>::iterator job);
+  /// Must be called after each change to what estimateJobBytes() depends on: the state of a job,
+  /// its tasks and steps, or the open occurrences of a timetable.
+  void updateEstimatedBytes(Job& job);
   /// Rebuilds the derived tables after the state was deserialized.
   void rebuildIndexes();
 
--- a/source/state/job.hpp
+++ b/source/state/job.hpp
@@ -157,6 +157,8 @@
   // Not 0: the job is in a terminal state and its steps and tasks have been discarded; this is
   // their number. docs/design.md 4.5.
   std::uint32_t compactedTaskCount = 0;
+  // This job's part of ClusterTables::estimatedJobBytes. Derived, not serialized.
+  std::uint64_t countedBytes = 0;
 
   bool isTerminal() const {
     return state == JobState::succeeded || state == JobState::failed ||
--- a/source/state/job_events.cpp
+++ b/source/state/job_events.cpp
@@ -12,7 +12,7 @@
   if (found == tables.jobs.end() || !found->second.isTerminal())
     return;
   tables.jobsByEndTime.erase({found->second.endedAt, id});
-  tables.jobs.erase(found);
+  tables.eraseJob(found);
 }
 
 // docs/design.md 4.5: reduces a job that ended some time ago to the data that answers repeated
@@ -26,6 +26,7 @@
   job.compactedTaskCount = std::max<std::uint32_t>(1, std::uint32_t(job.tasks.size()));
   std::vector<StepRequest>().swap(job.submission.steps);
   std::vector<Task>().swap(job.tasks);
+  tables.updateEstimatedBytes(job);
 }
 
 void eraseRemovedWorker(ClusterTables& tables, const WorkerId& id) {
@@ -68,6 +69,7 @@
   occurrence.timetable = Timetable{};
   ++timetable.firedOccurrences;
   ++timetable.openOccurrences;
+  tables.updateEstimatedBytes(timetable);
   JobLifecycle(tables).admit(occurrence);
 }
 
--- a/source/state/job_lifecycle.cpp
+++ b/source/state/job_lifecycle.cpp
@@ -18,7 +18,7 @@
   tables.openJobs.insert(submission.id);
   ++tables.openJobsByQueue[submission.queue];
   ++tables.counters.admitted;
-  tables.jobs.emplace(submission.id, std::move(job));
+  tables.addJob(std::move(job));
 }
 
 void JobLifecycle::completeTask(Job& job, Task& task) {
@@ -154,6 +154,7 @@
   else
     ++tables.counters.failed;
   job.endedAt = tables.now;
+  tables.updateEstimatedBytes(job);
   tables.openJobs.erase(job.submission.id);
   --tables.openJobsByQueue[job.submission.queue];
   tables.jobsByEndTime.emplace(tables.now, job.submission.id);
@@ -172,6 +173,7 @@
   Job& timetable = found->second;
   if (timetable.openOccurrences > 0)
     --timetable.openOccurrences;
+  tables.updateEstimatedBytes(timetable);
   if (timetable.state != JobState::scheduled)
     return;
   if (occurrence.state == JobState::failed) {
--- /dev/null
+++ b/source/state/job_memory.cpp
@@ -0,0 +1,75 @@
+// The sizes of jobs, steps, tasks and attempts, including the nodes of maps and indexes that hold
+// them.
+#include "state/job_memory.hpp"
+#include "state/attempt.hpp"
+
+namespace aniseline {
+
+namespace {
+
+// The header and rounding of one heap allocation, in bytes.
+constexpr std::uint64_t allocationOverhead = 16;
+// The links and colour of one node of an ordered map or set, in bytes.
+constexpr std::uint64_t mapNodeOverhead = 32 + allocationOverhead;
+// The job's id is a key in the jobs, in the open or ended jobs and in the attempts by job.
+constexpr std::uint64_t idCopiesPerJob = 4;
+constexpr std::uint64_t jobBytes = sizeof(Job) + idCopiesPerJob * (sizeof(JobId) + mapNodeOverhead);
+constexpr std::uint64_t stepBytes = sizeof(StepRequest) + 2 * allocationOverhead;
+constexpr std::uint64_t taskRequestBytes = sizeof(TaskRequest);
+constexpr std::uint64_t taskBytes = sizeof(Task);
+// An attempt, its entries in the indexes by job and by worker, and its order. The texts of an order
+// exist only until the worker has confirmed it.
+constexpr std::uint64_t attemptBytes = sizeof(Attempt) + 3 * mapNodeOverhead + 96;
+
+std::uint64_t textBytes(const std::string& text) {
+  return text.empty() ? 0 : text.size() + allocationOverhead;
+}
+
+std::uint64_t textBytes(const StepRequest& step) {
+  std::uint64_t bytes = textBytes(step.name) + textBytes(step.requirements.requiredLabel) +
+                        textBytes(step.requirements.preferredRack);
+  for (const auto& dependency : step.dependencies)
+    bytes += sizeof(std::string) + textBytes(dependency);
+  for (const auto& task : step.tasks)
+    bytes += textBytes(task.payload);
+  return bytes;
+}
+
+std::uint64_t taskCount(const JobSubmission& submission) {
+  std::uint64_t count = 0;
+  for (const auto& step : submission.steps)
+    count += step.tasks.size();
+  return count;
+}
+
+// Returns the memory of the job and of its submission, without the states of its tasks.
+std::uint64_t submissionBytes(const JobSubmission& submission) {
+  std::uint64_t bytes =
+      jobBytes + idCopiesPerJob * textBytes(submission.id.value) + textBytes(submission.payload);
+  for (const auto& step : submission.steps)
+    bytes += stepBytes + textBytes(step) + step.tasks.size() * taskRequestBytes;
+  return bytes;
+}
+
+std::uint64_t timetableBytes(const Job& job) {
+  const JobSubmission& submission = job.submission;
+  const bool needsReserve =
+      job.openOccurrences == 0 && job.firedOccurrences < submission.timetable.count;
+  return submissionBytes(submission) + (needsReserve ? estimateOpenJobBytes(submission) : 0);
+}
+
+}  // namespace
+
+std::uint64_t estimateOpenJobBytes(const JobSubmission& submission) {
+  return submissionBytes(submission) + taskCount(submission) * (taskBytes + attemptBytes);
+}
+
+std::uint64_t estimateJobBytes(const Job& job) {
+  if (job.state == JobState::scheduled)
+    return timetableBytes(job);
+  if (job.isTerminal())
+    return submissionBytes(job.submission) + job.tasks.size() * taskBytes;
+  return estimateOpenJobBytes(job.submission);
+}
+
+}  // namespace aniseline
--- a/tests/controller/controller_cluster.hpp
+++ b/tests/controller/controller_cluster.hpp
@@ -55,6 +55,9 @@
     nodes[index].partitioned = isPartitioned;
   }
 
+  // Sets the calendar clocks of all machines ahead by this many milliseconds.
+  void setWallClockAhead(std::int64_t milliseconds) { wallClockAhead = milliseconds; }
+
   void run(std::int64_t span) {
     for (const std::int64_t end = now + span; now < end; now += 10)
       for (auto& node : nodes)
@@ -94,7 +97,7 @@
   }
   void step(Node& node) {
     Controller& core = *node.core;
-    core.step(MonotonicTime{now}, WallTime{now});
+    core.step(MonotonicTime{now}, WallTime{now + wallClockAhead});
     while (auto record = core.takeWrite()) {
       const DiskVersion version = record->version;
       if (record->holdsSnapshot)
@@ -122,6 +125,7 @@
   std::map<RequestNumber, ApiResponse> responses;
   std::uint64_t lastRequest = 0;
   std::int64_t now = 1000;
+  std::int64_t wallClockAhead = 0;
 };
 
 }  // namespace aniseline
--- a/tests/controller/log_event_tests.cpp
+++ b/tests/controller/log_event_tests.cpp
@@ -26,6 +26,9 @@
              log_events::ConfigAccepted{ConfigVersion{5}, 2, 3});
   expectLine(R"(api_keys_rejected {"requests":4,"version":5})",
              log_events::ApiKeysRejected{ConfigVersion{5}, 4});
+  expectLine(
+      R"(state_growth_limited {"deferred_occurrences":3,"job_bytes":50,"job_bytes_limit":90,"rejected_jobs":2})",
+      log_events::StateGrowthLimited{2, 3, 50, 90});
 }
 
 TEST(LogEventTests, workerEvents) {
