A job that ended with an open attempt is compacted once the attempt is closed

Cause: the leader remembers up to which end time ended jobs are compacted. A job with an attempt still open (abandoned on a worker out of contact, or a copy being stopped) can't be compacted; it was named in an event all the same, without effect, and passed for good. Its steps and tasks stayed until it expired, an hour after its end by default.

Change: such a job is left out of the event and looked at again; the remembered time does not pass it.

Evidence: StateMemoryBudgetTests.jobWithAnOpenAttemptIsCompactedOnceTheAttemptIsClosed fails with the change taken out and passes with it.

--- a/source/controller/job_retention.cpp
+++ b/source/controller/job_retention.cpp
@@ -30,13 +30,18 @@
 
 void JobRetention::collectCompactable(const ClusterState& state, ClusterTime clusterNow,
                                       Duration retention, JobsExpired& expired) {
+  bool skipped = false;
   for (auto next = state.jobsByEndTime().lower_bound({compactedThrough, JobId{}});
        next != state.jobsByEndTime().end() && expired.compacted.size() < maxJobsPerEvent; ++next) {
     const auto& [endedAt, id] = *next;
     if (clusterNow - endedAt <= retention)
       break;
-    compactedThrough = endedAt;
-    if (!state.jobs().at(id).compactedTaskCount)
+    // A job whose attempts are not all closed can't be compacted yet; it is looked at again.
+    const bool hasAttempts = !state.attemptsOf(id, AttemptScope::all).empty();
+    skipped = skipped || hasAttempts;
+    if (!skipped)
+      compactedThrough = endedAt;
+    if (!hasAttempts && !state.jobs().at(id).compactedTaskCount)
       expired.compacted.push_back(id);
   }
 }
--- a/tests/controller/state_memory_budget_tests.cpp
+++ b/tests/controller/state_memory_budget_tests.cpp
@@ -130,3 +130,27 @@
   CHECK(state().estimatedJobBytes() < bytesBefore);
   STRCMP_EQUAL("finished", fixture.state("job").c_str());
 }
+
+// A job that had ended while an attempt was still open kept its steps and tasks until it expired:
+// the attempt kept it from being compacted, and it was not looked at again.
+TEST(StateMemoryBudgetTests, jobWithAnOpenAttemptIsCompactedOnceTheAttemptIsClosed) {
+  fixture.submit("job", {ClusterStateFixture::step(1)});
+  fixture.planAndRun();
+  fixture.submit("later", {ClusterStateFixture::step(1)});
+  const AttemptNumber open = fixture.attempt("job");
+  fixture.apply(WorkerUnreachable{WorkerId{"m"}, {open}});
+  fixture.apply(JobCancelled{JobId{"job"}});
+  fixture.apply(JobCancelled{JobId{"later"}});
+  STRCMP_EQUAL("cancelled", fixture.state("job").c_str());
+  LONGS_EQUAL(1, fixture.openAttempts("job"));
+  JobRetention retention;
+  fixture.now += 61'000;
+  auto collect = [&] {
+    const auto expired = retention.collect(state(), ClusterTime{fixture.now}, false);
+    return expired ? expired->compacted : std::vector<JobId>{};
+  };
+  CHECK(collect() == std::vector<JobId>{JobId{"later"}});
+  fixture.endAttempt(open, AttemptOutcome::stopped);
+  const auto compacted = collect();
+  CHECK(std::count(compacted.begin(), compacted.end(), JobId{"job"}) == 1);
+}
