Raft links that a network partition has stalled are closed within the election time-out

Cause: Raft messages go over one connection in each direction, on which nothing ever comes back. What was sent into the cut stays unacknowledged, TCP doubles its pause between retransmissions, and votes wait behind those bytes after the cut has healed.

Change: the connections of PeerSender set TCP_USER_TIMEOUT to the longest election time-out; the next message connects anew. Consensus copes with what was lost.

Weighed: the same for calls of gateways and agents. A frozen leader would cost them the answers that come when it goes on, and they give up such a connection already.

--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -69,7 +69,7 @@
       : settings(std::move(initialSettings)),
         options(coreOptions(settings)),
         storage(settings.dataFolder),
-        peerSender(loop, options.maxOutboxBytes),
+        peerSender(loop, options.maxOutboxBytes, options.raft.electionTimeoutMax),
         peerServer(loop, {[this](WireMessage message, const PeerServer::Connection& connection) {
                             onPeerMessage(std::move(message), connection);
                           },
--- a/source/daemons/peer_transport.cpp
+++ b/source/daemons/peer_transport.cpp
@@ -30,6 +30,7 @@
 
 void PeerSender::sendFrom(Outbox& outbox, const Address& address) {
   RpcClient client(loop, address);
+  client.setStallTimeout(stallTimeout);
   for (;;) {
     PeerMessage message;
     {
--- a/source/daemons/peer_transport.hpp
+++ b/source/daemons/peer_transport.hpp
@@ -12,11 +12,13 @@
 namespace aniseline {
 
 // Sends consensus messages through one bounded queue and one connection per address. Consensus
-// recovers from messages that exceed the queue's limit or are lost in transit.
+// recovers from messages that exceed the queue's limit or are lost in transit. A connection that
+// makes no progress for `stallTimeout` is replaced: behind a network partition TCP would wait ever
+// longer between two retransmissions, and go on waiting after the partition has healed.
 class PeerSender {
  public:
-  PeerSender(EventLoop& loop, std::size_t maxQueuedBytes)
-      : loop(loop), maxQueuedBytes(maxQueuedBytes) {}
+  PeerSender(EventLoop& loop, std::size_t maxQueuedBytes, Duration stallTimeout)
+      : loop(loop), maxQueuedBytes(maxQueuedBytes), stallTimeout(stallTimeout) {}
   // Queues a message. Drops it if it has no address.
   void send(PeerMessage message);
 
@@ -32,6 +34,7 @@
 
   EventLoop& loop;
   std::size_t maxQueuedBytes;
+  Duration stallTimeout;
   std::map<Address, std::shared_ptr<Outbox>> outboxes;
 };
 
--- a/source/net/rpc_client.cpp
+++ b/source/net/rpc_client.cpp
@@ -1,5 +1,6 @@
 // Connects with a deadline, matches replies to pending calls, and retires unresponsive connections.
 #include "net/rpc_client.hpp"
+#include <netinet/tcp.h>
 
 namespace aniseline {
 
@@ -134,14 +135,21 @@
     reconnectNotBefore = monotonicNow() + reconnectDelay;
     return nullptr;
   }
+  configureSocket(*newConnection->socket);
   startFibers(newConnection);
   current = newConnection;
   return newConnection;
 }
 
-void RpcClient::startFibers(const std::shared_ptr<Connection>& newConnection) {
+void RpcClient::configureSocket(tcp::socket& socket) const {
+  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   IoError ignored;
-  newConnection->socket->set_option(tcp::no_delay(true), ignored);
+  socket.set_option(tcp::no_delay(true), ignored);
+  if (stallTimeout)
+    socket.set_option(UserTimeout(int(stallTimeout->milliseconds)), ignored);
+}
+
+void RpcClient::startFibers(const std::shared_ptr<Connection>& newConnection) {
   newConnection->writer = std::make_shared<WireWriter>(newConnection->socket);
   spawn([writer = newConnection->writer] { writer->run(); });
   spawn([newConnection] {
--- a/source/net/rpc_client.hpp
+++ b/source/net/rpc_client.hpp
@@ -16,6 +16,9 @@
   static constexpr Duration defaultUnresponsiveAfter{2000};
   RpcClient(EventLoop& loop, Address address, Duration unresponsiveAfter = defaultUnresponsiveAfter)
       : loop(loop), address(std::move(address)), unresponsiveAfter(unresponsiveAfter) {}
+  // Closes connections on which sent data stays unacknowledged by the remote host for this long.
+  // One-way messages have no reply by which a connection could be found to be unresponsive.
+  void setStallTimeout(Duration timeout) { stallTimeout = timeout; }
   ~RpcClient();
   RpcClient(const RpcClient&) = delete;
   RpcClient& operator=(const RpcClient&) = delete;
@@ -48,12 +51,14 @@
   std::shared_ptr<Connection> connection(Duration timeout, const std::function<bool()>& abandoned);
   std::shared_ptr<Connection> connect(MonotonicTime deadline,
                                       const std::function<bool()>& abandoned);
+  void configureSocket(tcp::socket& socket) const;
   static void startFibers(const std::shared_ptr<Connection>& newConnection);
   void retireIfUnresponsive(const std::shared_ptr<Connection>& activeConnection);
 
   EventLoop& loop;
   Address address;
   Duration unresponsiveAfter;
+  std::optional<Duration> stallTimeout;
   std::shared_ptr<Connection> current;
   bool connecting = false;
   MonotonicTime reconnectNotBefore{0};
--- a/tests/net/rpc_client_tests.cpp
+++ b/tests/net/rpc_client_tests.cpp
@@ -45,10 +45,70 @@
   std::uint16_t port = 0;
 };
 
+// Accepts connections into its backlog and never reads, so that a connection stalls once its
+// buffers are full, without an error or a reset.
+class StallingListener {
+ public:
+  StallingListener() {
+    sockaddr_in endpoint{};
+    endpoint.sin_family = AF_INET;
+    endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof endpoint;
+    listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    const int receiveBufferBytes = 4096;
+    ::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+    ::bind(listener, reinterpret_cast<sockaddr*>(&endpoint), length);
+    ::listen(listener, 16);
+    ::getsockname(listener, reinterpret_cast<sockaddr*>(&endpoint), &length);
+    port = ntohs(endpoint.sin_port);
+  }
+  ~StallingListener() {
+    for (const int descriptor : accepted)
+      ::close(descriptor);
+    ::close(listener);
+  }
+  Address address() const { return Address{"127.0.0.1:" + std::to_string(port)}; }
+  // Returns the number of connections made so far. Accepted ones stay open and unread.
+  std::size_t connections() {
+    for (int descriptor = 0; (descriptor = ::accept(listener, nullptr, nullptr)) >= 0;)
+      accepted.push_back(descriptor);
+    return accepted.size();
+  }
+
+ private:
+  int listener = -1;
+  std::vector<int> accepted;
+  std::uint16_t port = 0;
+};
+
 }  // namespace
 
 TEST_GROUP(RpcClientTests){};
 
+// Votes waited for 12 s behind bytes that had been sent into a network partition, after it had
+// healed, because the connection had no limit for data that is not acknowledged.
+TEST(RpcClientTests, aStalledConnectionForOneWayMessagesIsReplaced) {
+  StallingListener stalling;
+  std::unique_ptr<EventLoop> loop;
+  std::size_t connections = 0;
+  std::thread([&] {
+    loop = std::make_unique<EventLoop>();
+    RpcClient sender(*loop, stalling.address());
+    sender.setStallTimeout(Duration{300});
+    PeerMessage message;
+    InstallSnapshot chunk;
+    chunk.data = std::string(256 * 1024, 'x');
+    message.body = chunk;
+    const MonotonicTime giveUpAt = monotonicNow() + Duration{20'000};
+    while (connections < 2 && monotonicNow() < giveUpAt) {
+      sender.sendOneWay(WireMessage{0, message});
+      sleepFor(Duration{20});
+      connections = stalling.connections();
+    }
+  }).join();
+  CHECK(connections >= 2);
+}
+
 TEST(RpcClientTests, aConnectionAttemptEndsWhenItsCallIsAbandoned) {
   UnresponsiveListener unresponsive;
   std::unique_ptr<EventLoop> loop;
