The memory budget counts the payload of each start order

What a trial saw (real processes, jobs of 2,000 tasks that all fit at once, 4 KB of `spec`, 20 a second): 18 jobs accepted within the budget as first written, controllers at 748 MB and an agent at 136 MB of 128.

Cause: the state holds a copy of the job's payload in each order that a worker has not confirmed. One text of 4 KB in a submission becomes 8 MB in every copy of the state.

Change: the payload is counted for each task.

Evidence: JobMemoryTests.coversOrdersThatWorkersHaveNotConfirmed fails before and passes now.

--- a/source/state/job_memory.cpp
+++ b/source/state/job_memory.cpp
@@ -17,8 +17,7 @@
 constexpr std::uint64_t stepBytes = sizeof(StepRequest) + 2 * allocationOverhead;
 constexpr std::uint64_t taskRequestBytes = sizeof(TaskRequest);
 constexpr std::uint64_t taskBytes = sizeof(Task);
-// An attempt, its entries in the indexes by job and by worker, and its order. The texts of an order
-// exist only until the worker has confirmed it.
+// An attempt, its entries in the indexes by job and by worker, and its order without the payload.
 constexpr std::uint64_t attemptBytes = sizeof(Attempt) + 3 * mapNodeOverhead + 96;
 
 std::uint64_t textBytes(const std::string& text) {
@@ -35,11 +34,17 @@
   return bytes;
 }
 
-std::uint64_t taskCount(const JobSubmission& submission) {
-  std::uint64_t count = 0;
-  for (const auto& step : submission.steps)
-    count += step.tasks.size();
-  return count;
+// Returns the memory of the tasks of a job while all of them have an attempt. The order that starts
+// an attempt holds a copy of the payload until the worker has confirmed it.
+std::uint64_t runningTaskBytes(const JobSubmission& submission) {
+  std::uint64_t bytes = 0;
+  for (const auto& step : submission.steps) {
+    for (const auto& task : step.tasks) {
+      const std::string& payload = task.payload.empty() ? submission.payload : task.payload;
+      bytes += taskBytes + attemptBytes + textBytes(payload);
+    }
+  }
+  return bytes;
 }
 
 // Returns the memory of the job and of its submission, without the states of its tasks.
@@ -61,7 +66,7 @@
 }  // namespace
 
 std::uint64_t estimateOpenJobBytes(const JobSubmission& submission) {
-  return submissionBytes(submission) + taskCount(submission) * (taskBytes + attemptBytes);
+  return submissionBytes(submission) + runningTaskBytes(submission);
 }
 
 std::uint64_t estimateJobBytes(const Job& job) {
--- a/source/state/job_memory.hpp
+++ b/source/state/job_memory.hpp
@@ -8,7 +8,7 @@
 namespace aniseline {
 
 /// Returns the memory in bytes that a job with this submission takes while it is open, counting an
-/// attempt for each of its tasks.
+/// attempt and an unconfirmed start order for each of its tasks.
 std::uint64_t estimateOpenJobBytes(const JobSubmission& submission);
 /// Returns the memory in bytes that a job takes in its present state. A timetable without an open
 /// occurrence also counts the next one, so that accepted timetables can always fire.
--- a/tests/state/job_memory_tests.cpp
+++ b/tests/state/job_memory_tests.cpp
@@ -61,6 +61,15 @@
   CHECK(fixture.clusterState.attempts().size() >= 300);
   checkEstimate();
 }
+// A short text for a whole job becomes one copy for each order to start a task: 18 jobs of 4 KB
+// took the controllers to 748 MB.
+TEST(JobMemoryTests, coversOrdersThatWorkersHaveNotConfirmed) {
+  submitJobs(10, 4000);
+  fixture.registerWorker("m", {4'000'000});
+  fixture.plan();
+  CHECK(fixture.clusterState.workers().at(WorkerId{"m"}).unappliedOrders.size() >= 300);
+  checkEstimate();
+}
 TEST(JobMemoryTests, coversEndedAndCompactedJobs) {
   submitJobs(10, 20);
   JobsExpired expired;
