Heap measured under the address sanitizer without a header that GCC lacks

tests/support/heap_usage.hpp included sanitizer/allocator_interface.h, which comes with clang's runtime only, so the sanitizers' build could not compile it. The function itself is in GCC's runtime and is declared. Seen: the 18 tests of JobMemoryTests, StateMemoryTests and StateMemoryBudgetTests built and passed under the address and undefined-behaviour sanitizers, linked by hand with the sanitized core.

--- a/tests/support/heap_usage.hpp
+++ b/tests/support/heap_usage.hpp
@@ -1,11 +1,13 @@
 // The heap memory that the test process has in use, for tests of memory bounds.
 #ifndef ANISELINE_TESTS_SUPPORT_HEAP_USAGE_HPP
 #define ANISELINE_TESTS_SUPPORT_HEAP_USAGE_HPP
+#include <cstddef>
 #include <cstdint>
 #include <malloc.h>
 
 #ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
+// Part of the sanitizer's public interface. GCC ships the function, but not its header.
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
 #endif
 
 namespace aniseline {
