--- a/review/support-2/stand_ins.py
+++ b/review/support-2/stand_ins.py
@@ -214,12 +214,16 @@
         for process in self.processes:
             await process.start()
 
-    async def kill_and_restart(self, processes, delay, gap=0.0):
-        """Kills the processes at the same moment and starts them again, one after the other, after a short delay."""
+    async def kill(self, processes):
+        """Kills the processes at the same moment."""
         for process in processes:
             process.signal(signal.SIGKILL)
         for process in processes:
             await process.process.wait()
+
+    async def kill_and_restart(self, processes, delay, gap=0.0):
+        """Kills the processes at the same moment and starts them again, one after the other, after a short delay."""
+        await self.kill(processes)
         await asyncio.sleep(delay)
         for process in processes:
             await process.start()
