The cancel of an unknown job is logged, and a later submission of it never runs

Cause: Controller::handleCancel answered 404 for an unknown job and logged nothing, although the answer promises that nothing of the job will run. Ruled out as the cause: the gateway serving a request whose client has left. It is one of the ways in, and a request that is held up between gateway and leader needs no such gateway.

Change: the cancel leaves a tombstone in the replicated state (JobCancelled::scope, CancellationTombstones), logged before the answer.

By tenant, so that no tenant can prevent another's jobs. States and records without tombstones keep their bytes (StoredDataTests unchanged). JobSubmission::isValidId is split from the validator, and the sizes of allocations from job_memory.cpp, for both users.

--- a/source/base/archive.hpp
+++ b/source/base/archive.hpp
@@ -69,6 +69,12 @@
     return *this << std::uint64_t(size);
   }
   OutputArchive& operator<<(const boost::serialization::item_version_type&) { return *this; }
+  /// See serializeTrailingSection().
+  template <class Section>
+  void trailingSection(const Section& section) {
+    if (!isAbsent(section))
+      *this << section;
+  }
   /// See serializeTextWithSection().
   template <class Section>
   void textWithSection(const std::string& text, const Section& section) {
@@ -147,6 +153,13 @@
     return *this;
   }
   InputArchive& operator>>(boost::serialization::item_version_type&) { return *this; }
+  /// See serializeTrailingSection().
+  template <class Section>
+  void trailingSection(Section& section) {
+    section = Section{};
+    if (!remaining.empty())
+      *this >> section;
+  }
   /// See serializeTextWithSection().
   template <class Section>
   void textWithSection(std::string& text, Section& section) {
@@ -184,6 +197,14 @@
   archive.textWithSection(text, section);
 }
 
+/// Serializes a section that was added later at the end of a record, if it is not absent. Nothing
+/// may follow it in the record. Without it the bytes equal those of the earlier format. A program
+/// that does not know the section ignores it. docs/design.md 9.3.
+template <class Archive, class Section>
+void serializeTrailingSection(Archive& archive, Section& section) {
+  archive.trailingSection(section);
+}
+
 }  // namespace aniseline
 
 #endif  // ANISELINE_BASE_ARCHIVE_HPP
--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -211,9 +211,9 @@
   nextGrowthReport = now + growthReportInterval;
   const auto refusals = memory.takeRefusals();
   if (refusals.any())
-    logEvent(log_events::StateGrowthLimited{refusals.rejectedJobs, refusals.deferredOccurrences,
-                                            speculative().estimatedJobBytes(),
-                                            options.maxJobBytes});
+    logEvent(log_events::StateGrowthLimited{
+        refusals.rejectedJobs, refusals.deferredOccurrences, refusals.rejectedCancels,
+        speculative().estimatedJobBytes(), options.maxJobBytes});
 }
 
 void Controller::onSnapshotPacked(PackedSnapshot snapshot) {
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -139,6 +139,9 @@
   std::optional<ApiResponse> checkOwner(const ApiRequest& request) const;
   void handleSubmit(PendingRequest& pending);
   void handleCancel(PendingRequest& pending);
+  void handleCancelOfUnknownJob(PendingRequest& pending, const JobId& id);
+  // Returns the later submissions that the cancellation of an unknown job applies to.
+  CancellationScope cancellationScope(const ApiRequest& cancel) const;
   void handleConfig(PendingRequest& pending);
   void handleReplacement(PendingRequest& pending);
   void handleWorkerCommand(PendingRequest& pending);
--- a/source/controller/job_admission.cpp
+++ b/source/controller/job_admission.cpp
@@ -78,7 +78,9 @@
     return {invalidResponse("/queue", "the config has no queue " + job.queue.value), std::nullopt};
   if (auto rejection = infeasibleJobResponse(request, state))
     return {std::move(*rejection), std::nullopt};
-  if (isFull(state, job.queue, *queue))
+  // A job that was cancelled before it arrived never runs, so it needs no place in its queue.
+  const bool isCancelled = state.tombstones().cover(job.id, job.tenant);
+  if (!isCancelled && isFull(state, job.queue, *queue))
     return {ApiResponse::error(429, "overloaded", "queue " + job.queue.value + " is full",
                                fullQueueRetryDelay),
             std::nullopt};
@@ -86,7 +88,7 @@
     return {ApiResponse::error(429, "overloaded", "the cluster has no memory for more jobs",
                                memoryRetryDelay),
             std::nullopt};
-  if (!policies.isOn(Policy::backlogAdmission))
+  if (isCancelled || !policies.isOn(Policy::backlogAdmission))
     return {acceptedResponse(job.id), JobAccepted{job}};
   if (const auto delay = backlog.retryDelay(job, *queue, state, now))
     return {ApiResponse::error(
--- a/source/controller/log_event.cpp
+++ b/source/controller/log_event.cpp
@@ -54,6 +54,7 @@
     return {"state_growth_limited",
             {{"rejected_jobs", json(event.rejectedJobs)},
              {"deferred_occurrences", json(event.deferredOccurrences)},
+             {"rejected_cancels", json(event.rejectedCancels)},
              {"job_bytes", json(event.jobBytes)},
              {"job_bytes_limit", json(event.jobBytesLimit)}}};
   }
--- a/source/controller/log_event.hpp
+++ b/source/controller/log_event.hpp
@@ -50,11 +50,13 @@
   ConfigVersion config;  // the version in effect at the last of these requests
   std::uint64_t requests = 0;
 };
-// Work that was not let into the cluster state since the last such event, because the state has
-// reached its memory budget or a timetable is too far ahead of its own occurrences.
+// Work and cancellations of unknown jobs that were not let into the cluster state since the last
+// such event, because the state has reached its memory budget or a timetable is too far ahead of
+// its own occurrences.
 struct StateGrowthLimited {
   std::uint64_t rejectedJobs = 0;
   std::uint64_t deferredOccurrences = 0;
+  std::uint64_t rejectedCancels = 0;
   std::uint64_t jobBytes = 0;  // estimated size of all jobs in one copy of the state
   std::uint64_t jobBytesLimit = 0;
 };
--- a/source/controller/request_handlers.cpp
+++ b/source/controller/request_handlers.cpp
@@ -191,7 +191,7 @@
   const JobId id{pending.request.targetId};
   auto found = speculative().jobs().find(id);
   if (found == speculative().jobs().end())
-    return respondWhenCommitted(pending, ApiResponse::error(404, "missing", "no job " + id.value));
+    return handleCancelOfUnknownJob(pending, id);
   const Job& job = found->second;
   const bool appends = !job.isTerminal() && job.state != JobState::cancelling;
   if (appends)
@@ -201,6 +201,30 @@
       appends);
 }
 
+// The submission may have been sent earlier and may still arrive, for example from a gateway that
+// was suspended, so the cancellation is remembered. If there is no memory left for that, it is not
+// acknowledged. docs/design.md 4.3.
+void Controller::handleCancelOfUnknownJob(PendingRequest& pending, const JobId& id) {
+  auto missing = ApiResponse::error(404, "missing", "no job " + id.value);
+  if (!JobSubmission::isValidId(id))
+    return respondWhenCommitted(pending, std::move(missing));
+  CancellationScope scope = cancellationScope(pending.request);
+  if (!memory.admitsTombstone(id, scope, speculative()))
+    return respondWhenCommitted(
+        pending, ApiResponse::error(429, "overloaded", "too many unknown jobs are being cancelled",
+                                    overloadRetryDelay));
+  append(JobCancelled{id, std::move(scope)});
+  respondWhenCommitted(pending, std::move(missing), true);
+}
+
+// While the configuration requires keys, a client can cancel only what its own tenant submits.
+// Operators, who use no ingress route, can cancel any job.
+CancellationScope Controller::cancellationScope(const ApiRequest& cancel) const {
+  const bool hasTenants = speculative().config().tenants.requiresKeys();
+  return cancel.viaIngress() && hasTenants ? CancellationScope::ofTenant(cancel.job.tenant)
+                                           : CancellationScope::ofEverySender();
+}
+
 void Controller::handleConfig(PendingRequest& pending) {
   const ApiRequest& request = pending.request;
   RequestDecision decision = request.kind == RequestKind::patchConfig
--- a/source/controller/state_memory_budget.cpp
+++ b/source/controller/state_memory_budget.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint64_t jobPercent = 75;
 constexpr std::uint64_t urgentJobPercent = 100;
 constexpr std::uint64_t scarcePercent = 40;
+constexpr std::uint64_t tombstonePercent = 5;
 
 // A timetable with this many open occurrences fires the next one only after the previous one has
 // started. Occurrences that wait behind it would only enlarge the state and the plans.
@@ -45,6 +46,15 @@
   return admitted;
 }
 
+bool StateMemoryBudget::admitsTombstone(const JobId& job, const CancellationScope& scope,
+                                        const ClusterState& state) {
+  const std::uint64_t bytes =
+      state.tombstones().estimatedBytes() + CancellationTombstones::estimateBytes(job, scope);
+  const bool admitted = bytes <= limitBytes * tombstonePercent / 100;
+  refusals.rejectedCancels += admitted ? 0 : 1;
+  return admitted;
+}
+
 bool StateMemoryBudget::hasRoomForJob(const JobSubmission& job, bool isUrgent,
                                       const ClusterState& state) const {
   if (state.openJobs().empty())
--- a/source/controller/state_memory_budget.hpp
+++ b/source/controller/state_memory_budget.hpp
@@ -13,10 +13,12 @@
   struct Refusals {
     std::uint64_t rejectedJobs = 0;
     std::uint64_t deferredOccurrences = 0;  // each counted again whenever it is deferred again
-    bool any() const { return rejectedJobs > 0 || deferredOccurrences > 0; }
+    std::uint64_t rejectedCancels = 0;      // of unknown jobs
+    bool any() const { return rejectedJobs > 0 || deferredOccurrences > 0 || rejectedCancels > 0; }
   };
 
-  // `limitBytes` is the limit on the estimated size of all jobs in one copy of the state.
+  // `limitBytes` is the limit on the estimated size of all jobs and tombstones in one copy of the
+  // state.
   explicit StateMemoryBudget(std::uint64_t limitBytes) : limitBytes(limitBytes) {}
 
   // Reports whether a new job fits. Urgent jobs may use a reserve that is closed to others. A job
@@ -25,6 +27,9 @@
   // Reports whether the next occurrence of a timetable may start now. A timetable with no open
   // occurrence always has room, because its admission counted one.
   bool admitsOccurrence(const Job& timetable, const ClusterState& state);
+  // Reports whether the cancellation of an unknown job can be remembered. Tombstones have a share
+  // of the budget of their own, so that a flood of cancels does not take the place of jobs.
+  bool admitsTombstone(const JobId& job, const CancellationScope& scope, const ClusterState& state);
   // Reports whether the details of ended jobs should be discarded early.
   bool isScarce(const ClusterState& state) const;
   // Returns the refusals since the last call.
--- a/source/state/cluster_state.cpp
+++ b/source/state/cluster_state.cpp
@@ -5,7 +5,7 @@
 namespace aniseline {
 
 void ClusterState::apply(const LogRecord& record) {
-  tables.now = std::max(tables.now, record.time);
+  tables.advanceTo(record.time);
   boost::apply_visitor([this](const auto& event) { applyEvent(tables, event); }, record.event);
 }
 
--- a/source/state/cluster_state.hpp
+++ b/source/state/cluster_state.hpp
@@ -42,8 +42,13 @@
     return tables.jobsByEndTime;
   }
 
-  /// Returns the estimated memory in bytes that all jobs take in this copy of the state.
-  std::uint64_t estimatedJobBytes() const { return tables.estimatedJobBytes; }
+  const CancellationTombstones& tombstones() const { return tables.tombstones; }
+
+  /// Returns the estimated memory in bytes that all jobs and tombstones take in this copy of the
+  /// state.
+  std::uint64_t estimatedJobBytes() const {
+    return tables.estimatedJobBytes + tables.tombstones.estimatedBytes();
+  }
   /// Returns the number of open jobs of a queue; 0 for a queue without any.
   std::uint64_t openJobsOf(const QueueName& queue) const;
   std::vector<AttemptNumber> attemptsOf(const JobId& job, AttemptScope scope) const;
--- a/source/state/cluster_tables.cpp
+++ b/source/state/cluster_tables.cpp
@@ -36,6 +36,11 @@
   estimatedJobBytes += job.countedBytes;
 }
 
+void ClusterTables::advanceTo(ClusterTime time) {
+  now = std::max(now, time);
+  tombstones.eraseBefore(now - config.planner.finishedJobRetention);
+}
+
 void ClusterTables::rebuildIndexes() {
   for (auto& [id, job] : jobs) {
     updateEstimatedBytes(job);
--- a/source/state/cluster_tables.hpp
+++ b/source/state/cluster_tables.hpp
@@ -49,6 +49,7 @@
   std::deque<ControllerId> replacedControllers;
   // The latest time at which a worker registered with a capacity that no known worker covered.
   ClusterTime capacityChangedAt;
+  CancellationTombstones tombstones;
 
   // Derived from the tables above and not serialized.
   std::set<std::pair<ClusterTime, JobId>> jobsByEndTime;  // jobs in a terminal state
@@ -69,6 +70,8 @@
   /// Must be called after each change to what estimateJobBytes() depends on: the state of a job,
   /// its tasks and steps, or the open occurrences of a timetable.
   void updateEstimatedBytes(Job& job);
+  /// Advances the time, and drops what is kept only for a limited time.
+  void advanceTo(ClusterTime time);
   /// Rebuilds the derived tables after the state was deserialized.
   void rebuildIndexes();
 
@@ -77,6 +80,7 @@
     archive& now& config& configHistory& jobs& openJobs& openJobsByQueue& workers& attempts&
         lastAttempt& lastPlan& reservation& counters& controllersToReplace& replacedControllers&
             capacityChangedAt;
+    serializeTrailingSection(archive, tombstones);
     if constexpr (Archive::is_loading::value)
       rebuildIndexes();
   }
--- a/source/state/event.hpp
+++ b/source/state/event.hpp
@@ -3,6 +3,7 @@
 // change. docs/design.md 3.2.
 #ifndef ANISELINE_STATE_EVENT_HPP
 #define ANISELINE_STATE_EVENT_HPP
+#include "state/cancellation_tombstones.hpp"
 #include "state/config_history.hpp"
 #include "state/job.hpp"
 #include "state/worker.hpp"
@@ -38,9 +39,11 @@
 /// The submitter or an operator requested to cancel the job.
 struct JobCancelled {
   JobId job;
+  // If the job was unknown: the submissions that are cancelled when they arrive later.
+  CancellationScope scope{};
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& job;
+    serializeTextWithSection(archive, job.value, scope);
   }
 };
 
--- a/source/state/job.cpp
+++ b/source/state/job.cpp
@@ -26,6 +26,13 @@
   return runs;
 }
 
+std::uint32_t JobSubmission::taskCount() const {
+  std::size_t count = 0;
+  for (const auto& step : steps)
+    count += step.tasks.size();
+  return std::uint32_t(count);
+}
+
 Duration JobSubmission::criticalPath() const {
   // Milliseconds from the start of the job to the end of each step.
   std::vector<std::int64_t> paths(steps.size());
--- a/source/state/job.hpp
+++ b/source/state/job.hpp
@@ -96,11 +96,15 @@
   bool hasTimetable() const { return timetable.firstStart.milliseconds > 0; }
   /// Returns the largest sum of requested run times along any chain of dependent steps.
   Duration criticalPath() const;
+  /// Returns the number of tasks of all steps.
+  std::uint32_t taskCount() const;
   /// Returns a checksum that distinguishes submissions with the same id.
   std::uint32_t digest() const { return checksum(pack(*this)); }
   /// Returns the violations of all rules that can be checked without cluster state: format, sizes,
   /// cycles, unknown steps.
   std::vector<ErrorDetail> validate() const;
+  /// Reports whether a submission may have this id.
+  static bool isValidId(const JobId& id);
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
     archive& id& queue& steps& timetable;
--- a/source/state/job_events.cpp
+++ b/source/state/job_events.cpp
@@ -47,6 +47,8 @@
   auto found = tables.jobs.find(event.job);
   if (found != tables.jobs.end())
     JobLifecycle(tables).cancel(found->second, "cancelled");
+  else if (!isAbsent(event.scope))
+    tables.tombstones.add(event.job, event.scope, tables.now);
 }
 
 void applyEvent(ClusterTables& tables, const JobFailed& event) {
--- a/source/state/job_lifecycle.cpp
+++ b/source/state/job_lifecycle.cpp
@@ -7,6 +7,8 @@
 void JobLifecycle::admit(const JobSubmission& submission) {
   if (tables.jobs.count(submission.id))
     return;
+  if (tables.tombstones.cover(submission.id, submission.tenant))
+    return addCancelled(submission);
   Job job;
   job.submission = submission;
   job.digest = submission.digest();
@@ -21,6 +23,27 @@
   tables.addJob(std::move(job));
 }
 
+// Stores only the data that answers repeated submissions and queries, like compactJob(). The job
+// takes over the role of the tombstone.
+void JobLifecycle::addCancelled(const JobSubmission& submission) {
+  Job job;
+  job.submission.id = submission.id;
+  job.submission.queue = submission.queue;
+  job.submission.timetable = submission.timetable;
+  job.submission.tenant = submission.tenant;
+  job.digest = submission.digest();
+  job.state = JobState::cancelled;
+  job.reason = "cancelled before its submission arrived";
+  job.admittedAt = tables.now;
+  job.endedAt = tables.now;
+  job.compactedTaskCount = std::max<std::uint32_t>(1, submission.taskCount());
+  ++tables.counters.admitted;
+  ++tables.counters.cancelled;
+  tables.jobsByEndTime.emplace(tables.now, submission.id);
+  tables.addJob(std::move(job));
+  tables.tombstones.erase(submission.id, submission.tenant);
+}
+
 void JobLifecycle::completeTask(Job& job, Task& task) {
   task.state = TaskState::succeeded;
   task.currentAttempt = AttemptNumber{};
--- a/source/state/job_lifecycle.hpp
+++ b/source/state/job_lifecycle.hpp
@@ -11,7 +11,8 @@
   explicit JobLifecycle(ClusterTables& clusterTables)
       : tables(clusterTables), attempts(clusterTables) {}
 
-  /// Adds a job, unless its id is already in use.
+  /// Adds a job, unless its id is already in use. A job that was cancelled before it arrived is
+  /// added as cancelled.
   void admit(const JobSubmission& submission);
   void completeTask(Job& job, Task& task);
   /// Requeues a task after an unsuccessful attempt: not before `pause` has passed and preferably on
@@ -36,6 +37,7 @@
   void completeIfFinished(Job& job);
 
  private:
+  void addCancelled(const JobSubmission& submission);
   void complete(Job& job, JobState state);
   void onOccurrenceCompleted(const Job& occurrence);
   void cancelOccurrences(const Job& timetable, const std::string& reason);
--- a/source/state/job_memory.cpp
+++ b/source/state/job_memory.cpp
@@ -1,16 +1,13 @@
 // The sizes of jobs, steps, tasks and attempts, including the nodes of maps and indexes that hold
 // them.
 #include "state/job_memory.hpp"
+#include "state/allocation_sizes.hpp"
 #include "state/attempt.hpp"
 
 namespace aniseline {
 
 namespace {
 
-// The header and rounding of one heap allocation, in bytes.
-constexpr std::uint64_t allocationOverhead = 16;
-// The links and colour of one node of an ordered map or set, in bytes.
-constexpr std::uint64_t mapNodeOverhead = 32 + allocationOverhead;
 // The job's id is a key in the jobs, in the open or ended jobs and in the attempts by job.
 constexpr std::uint64_t idCopiesPerJob = 4;
 constexpr std::uint64_t jobBytes = sizeof(Job) + idCopiesPerJob * (sizeof(JobId) + mapNodeOverhead);
@@ -20,11 +17,7 @@
 // An attempt, its entries in the indexes by job and by worker, and its order without the payload.
 constexpr std::uint64_t attemptBytes = sizeof(Attempt) + 3 * mapNodeOverhead + 96;
 
-std::uint64_t textBytes(const std::string& text) {
-  return text.empty() ? 0 : text.size() + allocationOverhead;
-}
-
-std::uint64_t textBytes(const StepRequest& step) {
+std::uint64_t stepTextBytes(const StepRequest& step) {
   std::uint64_t bytes = textBytes(step.name) + textBytes(step.requirements.requiredLabel) +
                         textBytes(step.requirements.preferredRack);
   for (const auto& dependency : step.dependencies)
@@ -52,7 +45,7 @@
   std::uint64_t bytes =
       jobBytes + idCopiesPerJob * textBytes(submission.id.value) + textBytes(submission.payload);
   for (const auto& step : submission.steps)
-    bytes += stepBytes + textBytes(step) + step.tasks.size() * taskRequestBytes;
+    bytes += stepBytes + stepTextBytes(step) + step.tasks.size() * taskRequestBytes;
   return bytes;
 }
 
--- a/source/state/job_validation.cpp
+++ b/source/state/job_validation.cpp
@@ -16,6 +16,16 @@
 constexpr std::uint32_t maxOccurrences = 10'000;
 constexpr std::int64_t minInterval = 100;  // milliseconds
 
+bool hasValidIdLength(const std::string& id) {
+  return !id.empty() && id.size() <= maxIdLength;
+}
+
+bool hasValidIdCharacters(const std::string& id) {
+  return std::all_of(id.begin(), id.end(), [](char character) {
+    return std::isalnum((unsigned char)character) || std::strchr("-_.:", character);
+  });
+}
+
 class SubmissionValidator {
  public:
   explicit SubmissionValidator(const JobSubmission& submission) : job(submission) {}
@@ -49,12 +59,9 @@
 
 void SubmissionValidator::checkIdentity() {
   const std::string& id = job.id.value;
-  if (id.empty() || id.size() > maxIdLength)
+  if (!hasValidIdLength(id))
     addError("/id", "must have 1 to 128 characters");
-  const bool valid = std::all_of(id.begin(), id.end(), [](char character) {
-    return std::isalnum((unsigned char)character) || std::strchr("-_.:", character);
-  });
-  if (!valid)
+  if (!hasValidIdCharacters(id))
     addError("/id", "may contain only letters, digits and -_.:");
   if (job.queue.value.empty())
     addError("/queue", "is missing");
@@ -139,6 +146,10 @@
 
 }  // namespace
 
+bool JobSubmission::isValidId(const JobId& id) {
+  return hasValidIdLength(id.value) && hasValidIdCharacters(id.value);
+}
+
 std::vector<ErrorDetail> JobSubmission::validate() const {
   return SubmissionValidator(*this).run();
 }
--- a/tests/controller/log_event_tests.cpp
+++ b/tests/controller/log_event_tests.cpp
@@ -27,8 +27,8 @@
   expectLine(R"(api_keys_rejected {"requests":4,"version":5})",
              log_events::ApiKeysRejected{ConfigVersion{5}, 4});
   expectLine(
-      R"(state_growth_limited {"deferred_occurrences":3,"job_bytes":50,"job_bytes_limit":90,"rejected_jobs":2})",
-      log_events::StateGrowthLimited{2, 3, 50, 90});
+      R"(state_growth_limited {"deferred_occurrences":3,"job_bytes":50,"job_bytes_limit":90,"rejected_cancels":1,"rejected_jobs":2})",
+      log_events::StateGrowthLimited{2, 3, 1, 50, 90});
 }
 
 TEST(LogEventTests, workerEvents) {
