--- a/source/checker/history.hpp
+++ b/source/checker/history.hpp
@@ -46,7 +46,7 @@
     checkpointed,    // a worker saved a checkpoint
     stateUnchanged,  // the job was returned in the same state as the last time
     cancelSubmitted,
-    cancelNotFound,  // the job to cancel does not exist
+    cancelNotFound,  // acknowledged: the job to cancel does not exist, and will never run
     configSubmitted,
     configRejected,
     configReturned,  // an operator read the configuration
--- a/source/checker/invariant_checker.hpp
+++ b/source/checker/invariant_checker.hpp
@@ -107,7 +107,6 @@
   void onAccepted(const HistoryEvent& event);
   void onCancelSubmitted(const HistoryEvent& event);
   void onCancelAcknowledged(const HistoryEvent& event);
-  void onCancelAnswered(const HistoryEvent& event);
   void checkCancelsAnsweredBy(std::int64_t at);
   void onStateObserved(const HistoryEvent& event);
   void checkShownFinished(const HistoryEvent& event, JobHistory& job);
--- a/source/checker/invariants.cpp
+++ b/source/checker/invariants.cpp
@@ -76,9 +76,8 @@
     case Kind::cancelSubmitted:
       return onCancelSubmitted(event);
     case Kind::cancelAcknowledged:
+    case Kind::cancelNotFound:  // also applies to a submission that arrives later
       return onCancelAcknowledged(event);
-    case Kind::cancelNotFound:
-      return onCancelAnswered(event);
     case Kind::stateObserved:
       return onStateObserved(event);
     case Kind::waitExplained:
--- a/source/checker/invariants_jobs.cpp
+++ b/source/checker/invariants_jobs.cpp
@@ -15,10 +15,6 @@
     unansweredCancels.emplace(event.job, event.timestamp);
 }
 
-void InvariantChecker::onCancelAnswered(const HistoryEvent& event) {
-  unansweredCancels.erase(event.job);
-}
-
 // Reports cancels that were not answered in time. Clients resend a cancel to the next gateway after
 // a timeout or an error.
 void InvariantChecker::checkCancelsAnsweredBy(std::int64_t at) {
@@ -35,7 +31,7 @@
 }
 
 void InvariantChecker::onCancelAcknowledged(const HistoryEvent& event) {
-  onCancelAnswered(event);
+  unansweredCancels.erase(event.job);
   if (auto& job = jobs[event.job]; !job.cancelledAt)
     job.cancelledAt = event.timestamp;
 }
--- a/source/checker/job_model.cpp
+++ b/source/checker/job_model.cpp
@@ -12,6 +12,10 @@
   return phase == JobPhase::pending || phase == JobPhase::running;
 }
 
+bool isMissing(JobPhase phase) {
+  return phase == JobPhase::missing || phase == JobPhase::missingCancelled;
+}
+
 // Reports whether a job whose earliest possible phase is `earliest` can be reported in phase
 // `answered`.
 bool isPossibleAnswer(JobPhase earliest, JobPhase answered) {
@@ -19,20 +23,25 @@
   const bool cancelledOrEnded = earliest == JobPhase::cancellingOrEnded;
   switch (answered) {
     case JobPhase::missing:
+      return isMissing(earliest);
     case JobPhase::pending:
       return earliest == answered;
     case JobPhase::running:
     case JobPhase::pendingOrRunning:
       return open;
     case JobPhase::cancellingOrEnded:
-      return !open && earliest != JobPhase::missing;
+      return !open && !isMissing(earliest);
     case JobPhase::cancelling:
       return cancelledOrEnded || earliest == answered;
     case JobPhase::cancelled:
-      return cancelledOrEnded || earliest == JobPhase::cancelling || earliest == answered;
+      return cancelledOrEnded || earliest == JobPhase::cancelling || earliest == answered ||
+             earliest == JobPhase::cancelledBeforeSubmission;
     case JobPhase::succeeded:
     case JobPhase::failed:
       return open || cancelledOrEnded || earliest == answered;
+    case JobPhase::missingCancelled:
+    case JobPhase::cancelledBeforeSubmission:
+      return false;  // no answer states them
   }
   return false;
 }
@@ -42,15 +51,25 @@
 std::optional<JobPhase> phaseAfterAnswer(JobPhase earliest, JobPhase answered) {
   if (!isPossibleAnswer(earliest, answered))
     return std::nullopt;
-  return answered == JobPhase::pendingOrRunning ? earliest : answered;
+  const bool addsNothing = answered == JobPhase::pendingOrRunning ||
+                           answered == JobPhase::missing ||
+                           earliest == JobPhase::cancelledBeforeSubmission;
+  return addsNothing ? earliest : answered;
 }
 
 // A cancel of an ended job changes nothing. Any other job is cancelled, or had already ended
 // without an observer having seen it.
 JobPhase phaseAfterCancel(JobPhase earliest) {
+  if (isMissing(earliest))
+    return JobPhase::missingCancelled;
   return isPendingOrRunning(earliest) ? JobPhase::cancellingOrEnded : earliest;
 }
 
+JobPhase phaseAfterSubmit(JobPhase missing) {
+  return missing == JobPhase::missingCancelled ? JobPhase::cancelledBeforeSubmission
+                                               : JobPhase::pending;
+}
+
 std::optional<State> withPhase(const State& state, std::optional<JobPhase> phase) {
   if (!phase)
     return std::nullopt;
@@ -59,20 +78,20 @@
 
 std::optional<State> afterSubmit(const State& state, const JobInput& input,
                                  const JobOutput& output) {
-  const bool isNew = state.phase == JobPhase::missing;
+  const bool isNew = isMissing(state.phase);
   const bool isSame = !isNew && state.digest == input.digest;
   if (output.kind == JobOutput::Kind::overloaded)
     return state;
   if (output.kind == JobOutput::Kind::rejected)
     return isSame ? std::nullopt : std::optional(state);
   if (isNew)
-    return State{JobPhase::pending, input.digest};
+    return State{phaseAfterSubmit(state.phase), input.digest};
   return isSame ? std::optional(state) : std::nullopt;
 }
 
 std::optional<State> afterCancel(const State& state, const JobOutput& output) {
   const bool answeredMissing = output.phase == JobPhase::missing;
-  if (answeredMissing != (state.phase == JobPhase::missing))
+  if (answeredMissing != isMissing(state.phase))
     return std::nullopt;
   const JobPhase cancelled = phaseAfterCancel(state.phase);
   if (answeredMissing || output.phase == JobPhase::cancellingOrEnded)
@@ -81,7 +100,7 @@
 }
 
 std::optional<State> afterRun(const State& state) {
-  if (state.phase == JobPhase::missing)
+  if (isMissing(state.phase) || state.phase == JobPhase::cancelledBeforeSubmission)
     return std::nullopt;
   return withPhase(state, state.phase == JobPhase::pending ? JobPhase::running : state.phase);
 }
@@ -89,8 +108,9 @@
 }  // namespace
 
 const char* name(JobPhase phase) {
-  static constexpr const char* names[] = {"missing", "pending", "running", "open",     "cancelling",
-                                          "over",    "done",    "failed",  "cancelled"};
+  static constexpr const char* names[] = {
+      "missing", "pending", "running", "open",      "cancelling",
+      "over",    "done",    "failed",  "cancelled", "missing, cancelled"};
   return names[std::size_t(phase)];
 }
 
@@ -112,9 +132,9 @@
 JobModel::State JobModel::applyUnanswered(const State& state, const Operation& operation) const {
   switch (operation.input.kind) {
     case JobInput::Kind::submit:
-      if (state.phase != JobPhase::missing)
+      if (!isMissing(state.phase))
         return state;
-      return {JobPhase::pending, operation.input.digest};
+      return {phaseAfterSubmit(state.phase), operation.input.digest};
     case JobInput::Kind::cancel:
       return {phaseAfterCancel(state.phase), state.digest};
     case JobInput::Kind::show:
--- a/source/checker/job_model.hpp
+++ b/source/checker/job_model.hpp
@@ -16,7 +16,10 @@
   cancellingOrEnded,  // a cancel was acknowledged without stating the phase
   succeeded,
   failed,
-  cancelled
+  cancelled,
+  // Only model states, stated by no answer:
+  missingCancelled,          // it does not exist, and a cancel was acknowledged
+  cancelledBeforeSubmission  // the same, and its submission was accepted later; it never runs
 };
 // Returns the name used in the description of a violation.
 const char* name(JobPhase phase);
@@ -50,8 +53,8 @@
 // Progress of the work is invisible to the client and may change the phase at any time between two
 // operations. The state is therefore the earliest phase that the job may still be in. Phases only
 // advance: pending, running, then an end state. Only a cancel leads to cancelling and cancelled.
-// After a cancel was acknowledged, the job can have succeeded or failed only if it had ended
-// before.
+// The cancel of a missing job also applies to a submission that takes effect later. After a cancel
+// was acknowledged, the job can have succeeded or failed only if it had ended before.
 class JobModel {
  public:
   using Operation = aniseline::Operation<JobInput, JobOutput>;
--- a/source/simulator/simulated_callers.cpp
+++ b/source/simulator/simulated_callers.cpp
@@ -5,7 +5,9 @@
 
 namespace {
 constexpr int unauthorizedStatus = 401;
-}
+// Longer than any fault, so that a submission that a fault has held up is observed.
+constexpr std::int64_t pollAfterGivingUpMs = 10'000;
+}  // namespace
 
 void SimulatedCluster::sendRequest(std::size_t gateway, const std::string& method,
                                    const std::string& target, const std::string& body,
@@ -35,11 +37,51 @@
   sendSubmission(state);
 }
 
-void SimulatedCluster::sendSubmission(std::shared_ptr<CallerState> state) {
+void SimulatedCluster::submitAndGiveUp(const JobSubmission& job, std::size_t gateway,
+                                       std::int64_t patience) {
+  submissions[job.id.value] = job;
+  auto state = std::make_shared<CallerState>();
+  state->job = job;
+  state->gateway = gateway;
+  state->startedAt = now;
+  state->gaveUp = true;
+  callers.push_back(state);
+  recordSubmission(*state);
+  const std::int64_t askedAt = epochMs + now;
+  askGateway(*clients, gateway, "POST", "/v1/jobs", renderJobSubmission(job), patience,
+             [this, state, askedAt](int status, const std::string&) {
+               recordSubmissionAnswer(*state, askedAt, status);
+               state->gateway = (state->gateway + 1) % gateways.size();
+               sendCancel(state);
+             });
+}
+
+void SimulatedCluster::recordSubmission(const CallerState& state) {
   auto event = makeEvent(HistoryEvent::Kind::submitted, epochMs + now);
-  event.job = state->job.id.value;
-  event.digest = std::to_string(state->job.digest());
+  event.job = state.job.id.value;
+  event.digest = std::to_string(state.job.digest());
   recordEvent(event);
+}
+
+void SimulatedCluster::recordSubmissionAnswer(const CallerState& state, std::int64_t askedAt,
+                                              int status) {
+  // The key may have been revoked between two submissions, so a refusal of a resend does not tell
+  // whether the first submission was accepted.
+  const bool outcomeUnknown =
+      status == 0 || status == 503 || (status == unauthorizedStatus && state.attempts > 1);
+  auto answered = makeEvent(status == 202    ? HistoryEvent::Kind::accepted
+                            : outcomeUnknown ? HistoryEvent::Kind::outcomeUnknown
+                                             : HistoryEvent::Kind::rejected,
+                            epochMs + now);
+  answered.job = state.job.id.value;
+  answered.detail = std::to_string(status);
+  answered.invokedAt = askedAt;
+  answered.digest = std::to_string(state.job.digest());
+  recordEvent(answered);
+}
+
+void SimulatedCluster::sendSubmission(std::shared_ptr<CallerState> state) {
+  recordSubmission(*state);
   ++state->attempts;
   const std::int64_t askedAt = epochMs + now;
   askGateway(
@@ -49,19 +91,7 @@
         if (!state->apiKey.empty() && (status == 202 || refusedForKey))
           keyUses.push_back(
               {ApiKeyDigest::of(state->apiKey), askedAt, epochMs + now, status == 202});
-        // The key may have been revoked between two submissions, so a refusal of a resend does not
-        // tell whether the first submission was accepted.
-        const bool outcomeUnknown =
-            status == 0 || status == 503 || (refusedForKey && state->attempts > 1);
-        auto answered = makeEvent(status == 202    ? HistoryEvent::Kind::accepted
-                                  : outcomeUnknown ? HistoryEvent::Kind::outcomeUnknown
-                                                   : HistoryEvent::Kind::rejected,
-                                  epochMs + now);
-        answered.job = state->job.id.value;
-        answered.detail = std::to_string(status);
-        answered.invokedAt = askedAt;
-        answered.digest = std::to_string(state->job.digest());
-        recordEvent(answered);
+        recordSubmissionAnswer(*state, askedAt, status);
         if (trace)
           trace("submit " + state->job.id.value + ": " + std::to_string(status) + " " + body);
         if (status == 202) {
@@ -104,13 +134,24 @@
             event.detail = root.get("state").to_str();
           recordEvent(event);
         }
-        if (status == 200)
-          return;
-        state->gateway = (state->gateway + 1) % gateways.size();
-        scheduleAfter(200, [this, state] { sendCancel(state); });
+        onCancelAnswered(state, status);
       });
 }
 
+// A caller whose submission was accepted knows that the job exists, and sends the cancel again if
+// it is told otherwise.
+void SimulatedCluster::onCancelAnswered(std::shared_ptr<CallerState> state, int status) {
+  const bool isAcknowledged = status == 200 || (state->gaveUp && status == 404);
+  if (!isAcknowledged) {
+    state->gateway = (state->gateway + 1) % gateways.size();
+    return scheduleAfter(200, [this, state] { sendCancel(state); });
+  }
+  if (!state->gaveUp)
+    return;
+  state->pollUntil = now + pollAfterGivingUpMs;
+  pollJob(state);
+}
+
 void SimulatedCluster::pollJob(std::shared_ptr<CallerState> state) {
   scheduleAfter(150 + random.between(0, 200), [this, state] {
     const std::int64_t askedAt = epochMs + now;
@@ -139,8 +180,10 @@
                    if (trace && hasChanged)
                      trace("show " + state->job.id.value + ": " + jobState);
                  }
-                 state->ended =
-                     jobState == "finished" || jobState == "failed" || jobState == "cancelled";
+                 const bool remainsMissing =
+                     state->gaveUp && jobState == "missing" && now >= state->pollUntil;
+                 state->ended = remainsMissing || jobState == "finished" || jobState == "failed" ||
+                                jobState == "cancelled";
                  if (!state->ended)
                    pollJob(state);
                });
--- a/source/simulator/simulated_cluster.hpp
+++ b/source/simulator/simulated_cluster.hpp
@@ -108,6 +108,9 @@
   void submit(const JobSubmission& job, std::int64_t cancelAfter = -1,
               const std::string& apiKey = "");
   void resubmit(const JobSubmission& job);
+  // Starts a caller that submits through this gateway, waits `patience` ms for the answer, cancels
+  // the job through the other gateways whatever the answer was, and then polls it for a while.
+  void submitAndGiveUp(const JobSubmission& job, std::size_t gateway, std::int64_t patience);
   void applyConfig(const std::string& text, std::uint64_t baseVersion, ResponseHandler handler,
                    std::size_t gateway = 0);
   // `text` is a patch of the configuration.
@@ -228,6 +231,9 @@
   void notePools(const ClusterConfig& config);
   void noteAttemptLimits(const ClusterConfig& config);
   void sendSubmission(std::shared_ptr<CallerState> state);
+  void recordSubmission(const CallerState& state);
+  void recordSubmissionAnswer(const CallerState& state, std::int64_t askedAt, int status);
+  void onCancelAnswered(std::shared_ptr<CallerState> state, int status);
   void sendCancel(std::shared_ptr<CallerState> state);
   void pollJob(std::shared_ptr<CallerState> state);
   void freeze(Node& node, bool frozen);
--- a/source/simulator/simulated_nodes.hpp
+++ b/source/simulator/simulated_nodes.hpp
@@ -115,7 +115,9 @@
   bool accepted = false, ended = false, rejected = false, cancelled = false;
   std::int64_t cancelAfter = -1, startedAt = 0, attempts = 0;
   bool isResend = false;
-  std::string apiKey;  // empty: the request has no key
+  bool gaveUp = false;         // it cancels the job without knowing whether it was accepted
+  std::int64_t pollUntil = 0;  // having given up, it polls a missing job until this time
+  std::string apiKey;          // empty: the request has no key
 };
 
 inline HistoryEvent makeEvent(HistoryEvent::Kind kind, std::int64_t at) {
--- a/tests/checker/history_operations_tests.cpp
+++ b/tests/checker/history_operations_tests.cpp
@@ -182,6 +182,16 @@
   failsAt(60, with(history, makeEvent(Kind::stateObserved, 60, "finished", 50)));
 }
 
+TEST(HistoryOperations, findsAJobThatRunsAfterItsCancelWasNotFound) {
+  const std::vector<HistoryEvent> history{
+      makeEvent(Kind::submitted, 10), makeEvent(Kind::outcomeUnknown, 20, "0", 10),
+      makeEvent(Kind::cancelSubmitted, 30), makeEvent(Kind::cancelNotFound, 40, "", 30)};
+  passes(with(history, makeEvent(Kind::stateObserved, 60, "missing", 50)));
+  passes(with(history, makeEvent(Kind::stateObserved, 60, "cancelled", 50)));
+  failsAt(60, with(history, makeEvent(Kind::stateObserved, 60, "open", 50)));
+  failsAt(60, with(history, makeEvent(Kind::started, 60)));
+}
+
 TEST(HistoryOperations, anOccurrenceBelongsToItsJob) {
   HistoryEvent started = makeEvent(Kind::started, 30);
   started.job = "a@2";
--- a/tests/checker/invariants_tests.cpp
+++ b/tests/checker/invariants_tests.cpp
@@ -92,6 +92,9 @@
   CHECK(rulesBroken({makeEvent(K::submitted, 1), makeEvent(K::accepted, 2),
                      makeEvent(K::cancelAcknowledged, 3), makeEvent(K::started, 4000)})
             .count(5));
+  CHECK(rulesBroken({makeEvent(K::submitted, 1), makeEvent(K::cancelNotFound, 3),
+                     makeEvent(K::started, 4000)})
+            .count(5));  // its submission arrived late
   CHECK(rulesBroken({makeEvent(K::started, 1), makeEvent(K::cancelAcknowledged, 3),
                      makeEvent(K::ended, 5000, 0, "m", "1", "finished")})
             .count(5));
--- a/tests/checker/linearizability_tests.cpp
+++ b/tests/checker/linearizability_tests.cpp
@@ -317,6 +317,27 @@
   failsAt(1, Jobs{cancel(0, 1, JobPhase::missing), show(2, 3, JobPhase::pendingOrRunning)});
 }
 
+// The model took the cancel of a missing job for an operation without effect, so it accepted that a
+// submission which arrived after the cancel's acknowledgement ran.
+TEST(Linearizability, cancelOfMissingJobAppliesToLaterSubmission) {
+  const auto missing = cancel(2, 3, JobPhase::missing);
+  passes(
+      Jobs{missing, show(4, 5, JobPhase::missing), submit(6, 7), show(8, 9, JobPhase::cancelled)});
+  passes(Jobs{missing, submit(4, 5), submit(6, 7), cancel(8, 9)});
+  for (const JobPhase phase : {JobPhase::pending, JobPhase::running, JobPhase::pendingOrRunning,
+                               JobPhase::succeeded, JobPhase::failed, JobPhase::missing})
+    failsAt(2, Jobs{missing, submit(4, 5), show(6, 7, phase)});
+  failsAt(2, Jobs{missing, submit(4, 5), ran(6)});
+  failsAt(1, Jobs{missing, ran(4)});
+  failsAt(2, Jobs{submit(0, std::nullopt), missing, ran(6)});
+  // The submission and its cancel took effect in either order.
+  passes(Jobs{submit(0, std::nullopt), missing, show(4, 5, JobPhase::cancelled)});
+  passes(Jobs{cancel(0, std::nullopt), submit(2, 3), show(4, 5, JobPhase::cancelled)});
+  passes(Jobs{cancel(0, std::nullopt), submit(2, 3), show(4, 5, JobPhase::running)});
+  failsAt(3, Jobs{cancel(0, std::nullopt), submit(2, 3), show(4, 5, JobPhase::running),
+                  show(6, 7, JobPhase::missing)});
+}
+
 namespace {
 
 // Tries every order of the operations: slow but obviously correct.
