A gateway does not forward a change whose client has left

A gateway that was suspended found a POST in its socket when it woke, read it, and forwarded it as if it had just been sent, 0.4 s after its client had closed the connection and decided otherwise.

Cause: HttpConnection never looked whether the client was still there. Jobs and configurations have an identity that holds their late forms off in the leader; the operator's requests about workers have none, so for them this is the only guard.

Change: on gateways a POST, PUT or PATCH whose client has ended its side by the time it is read is answered 503 not_taken.

Red before: HttpServerTests.aChangeWhoseClientHasLeftIsNotHandled fails with the check taken out.

--- a/source/daemons/gateway_daemon.cpp
+++ b/source/daemons/gateway_daemon.cpp
@@ -21,6 +21,11 @@
 HttpLimits clientLimits() {
   HttpLimits limits;
   limits.keepHeaders = true;
+  limits.rejectAbandonedChanges = true;
+  return limits;
+}
+HttpLimits externalLimits(HttpLimits limits) {
+  limits.rejectAbandonedChanges = true;
   return limits;
 }
 // The gateway is not ready if no controller has confirmed its route for this long.
@@ -159,12 +164,13 @@
         [this] { return abortPendingRequests.load(); });
     HttpServer http(threadLoop, clientLimits(),
                     [&](const HttpRequest& request) { return handle(forwarder, request); });
-    HttpServer external(
-        threadLoop, settings.externalInterface.limits, [&](const HttpRequest& request) {
-          return settings.externalInterface.handle(request, [&](const ApiRequest& apiRequest) {
-            return forwardBounded(forwarder, apiRequest);
-          });
-        });
+    HttpServer external(threadLoop, externalLimits(settings.externalInterface.limits),
+                        [&](const HttpRequest& request) {
+                          return settings.externalInterface.handle(
+                              request, [&](const ApiRequest& apiRequest) {
+                                return forwardBounded(forwarder, apiRequest);
+                              });
+                        });
     HttpServer readiness(threadLoop, readinessLimits, [&](const HttpRequest& request) {
       return settings.readiness(request, ready());
     });
--- a/source/net/http_connection.cpp
+++ b/source/net/http_connection.cpp
@@ -18,6 +18,7 @@
 // How long a closing connection waits for the client's end. A client that received "Connection:
 // close" ends its side at once; a client that has disappeared never does.
 constexpr Duration lingerTimeout{1000};
+constexpr Duration abandonedRetryDelay{100};
 
 // Reports whether Beast rejected the received bytes as invalid HTTP, as opposed to a lost
 // connection.
@@ -86,6 +87,16 @@
   return message;
 }
 
+bool changesState(const std::string& method) {
+  return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+ApiResponse abandonedResponse() {
+  ApiResponse response = ApiResponse::notApplied("the client closed the connection");
+  response.retryAfter = abandonedRetryDelay;
+  return response;
+}
+
 std::chrono::milliseconds chronoFrom(Duration span) {
   return std::chrono::milliseconds(span.milliseconds);
 }
@@ -140,11 +151,17 @@
     return true;
   lastNumber = std::max(lastNumber, number);
   phase = Phase::answering;
-  ApiResponse answer = answerBy(handler, requestFrom(parser.get(), limits.keepHeaders));
+  const HttpRequest request = requestFrom(parser.get(), limits.keepHeaders);
+  ApiResponse answer = isAbandoned(request) ? abandonedResponse() : answerBy(handler, request);
   const bool keepAlive = parser.get().keep_alive() && !mustAnnounceClose();
   return write(messageFrom(std::move(answer), number, keepAlive)) && keepAlive;
 }
 
+bool HttpConnection::isAbandoned(const HttpRequest& request) {
+  return limits.rejectAbandonedChanges && changesState(request.method) && buffer.size() == 0 &&
+         receiveQueueOf(stream.socket()) == ReceiveQueue::ended;
+}
+
 bool HttpConnection::write(const Message& message) {
   stream.expires_after(chronoFrom(limits.requestTimeout));
   return !await([&](auto done) { http::async_write(stream, message, done); }).error;
--- a/source/net/http_connection.hpp
+++ b/source/net/http_connection.hpp
@@ -44,6 +44,10 @@
   // Reads and answers one request. Returns false if the connection has to end.
   bool serveRequest();
   bool write(const Message& message);
+  // Reports whether the client has given up a request that was just read. A process that was
+  // suspended finds such requests in its sockets; their client may have made a different decision
+  // since then. A cancellation does not count as abandoned, because it can be carried out late.
+  bool isAbandoned(const HttpRequest& request);
   // Reports whether the next response must carry "Connection: close".
   bool mustAnnounceClose();
   // Shuts down sending and discards incoming bytes until the client ends its side.
--- a/source/net/http_server.hpp
+++ b/source/net/http_server.hpp
@@ -17,6 +17,9 @@
   Duration idleTimeout{30'000};       // limit for waiting for a request, and for reading it
   Duration requestTimeout{10'000};    // limit for writing one response
   bool keepHeaders = false;           // pass the request headers to the handler
+  // Reject POST, PUT and PATCH requests whose client has closed its side of the connection by the
+  // time the request was read. See HttpConnection::isAbandoned().
+  bool rejectAbandonedChanges = false;
 };
 
 struct ListenError {
--- a/tests/net/http_server_tests.cpp
+++ b/tests/net/http_server_tests.cpp
@@ -27,7 +27,8 @@
 // Runs a server on its own thread. A test can run functions on that thread.
 class RunningServer {
  public:
-  RunningServer() : thread([this] { run(); }) {
+  explicit RunningServer(bool rejectAbandonedChanges = false)
+      : rejectAbandonedChanges(rejectAbandonedChanges), thread([this] { run(); }) {
     while (port == 0)
       std::this_thread::yield();
   }
@@ -60,6 +61,7 @@
     HttpLimits limits;
     limits.maxBodyBytes = bodyLimitBytes;
     limits.maxConnections = maxConnections;
+    limits.rejectAbandonedChanges = rejectAbandonedChanges;
     HttpServer server(*loop, limits,
                       [this](const HttpRequest& request) { return answer(request); });
     const Address address = freeAddress();
@@ -86,6 +88,7 @@
     return response;
   }
 
+  const bool rejectAbandonedChanges;
   std::function<void(HttpServer&)> work;
   std::atomic<bool> pending{false}, done{false}, ended{false};
   std::thread thread;
@@ -121,9 +124,14 @@
   }
   // Returns false if the server has ended the connection.
   bool send(const std::string& target, const std::string& body = {}) {
-    return sendBytes("POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+    return sendRequest("POST", target, body);
+  }
+  bool sendRequest(const std::string& method, const std::string& target, const std::string& body) {
+    return sendBytes(method + " " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: " +
                      std::to_string(body.size()) + "\r\n\r\n" + body);
   }
+  // Ends the client's side of the connection. It can still read.
+  void finishSending() { ::shutdown(socket.native_handle(), SHUT_WR); }
   bool sendBytes(const std::string& bytes) {
     for (std::size_t sent = 0; sent < bytes.size();) {
       const ssize_t count =
@@ -309,6 +317,49 @@
   CHECK_TRUE(ended);
 }
 
+// A suspended gateway finds requests in its sockets when it resumes. It forwarded submissions whose
+// clients had given up and had cancelled the job through another gateway.
+TEST(HttpServerTests, aChangeWhoseClientHasLeftIsNotHandled) {
+  constexpr bool rejectAbandonedChanges = true;
+  RunningServer server(rejectAbandonedChanges);
+  for (const char* method : {"POST", "PUT", "PATCH"}) {
+    std::unique_ptr<ClientConnection> client;
+    server.runOnServerThread([&](HttpServer&) {
+      client = std::make_unique<ClientConnection>(server);
+      client->sendRequest(method, "/", "body");
+      client->finishSending();
+    });
+    LONGS_EQUAL(503, client->readAnswer().status);
+  }
+  LONGS_EQUAL(0, server.requests);
+}
+
+// Reads have no effect, and a cancellation has the same effect when it comes late.
+TEST(HttpServerTests, aReadOrCancelWhoseClientHasLeftIsHandled) {
+  constexpr bool rejectAbandonedChanges = true;
+  RunningServer server(rejectAbandonedChanges);
+  for (const char* method : {"GET", "DELETE"}) {
+    std::unique_ptr<ClientConnection> client;
+    server.runOnServerThread([&](HttpServer&) {
+      client = std::make_unique<ClientConnection>(server);
+      client->sendRequest(method, "/", "");
+      client->finishSending();
+    });
+    LONGS_EQUAL(200, client->readAnswer().status);
+  }
+  LONGS_EQUAL(2, server.requests);
+}
+
+TEST(HttpServerTests, pipelinedChangesOfAClientThatHasNotLeftAreHandled) {
+  constexpr bool rejectAbandonedChanges = true;
+  RunningServer server(rejectAbandonedChanges);
+  ClientConnection client(server);
+  client.send("/", "first");
+  client.send("/", "second");
+  LONGS_EQUAL(200, client.readAnswer().status);
+  LONGS_EQUAL(200, client.readAnswer().status);
+}
+
 TEST(HttpServerTests, anIdleConnectionIsClosedOnlyWhenItHasBeenIdleLongEnough) {
   RunningServer server;
   ClientConnection client(server);
