A call that timed out is not delivered later

A gateway's call to the leader that timed out was answered as unknown, while its bytes stayed in the socket's send buffer. The connection was closed in the ordinary way, so the kernel went on sending them and the request took effect when the link worked again, any time later.

Change: a connection that is retired as unresponsive is reset when it is closed, which discards what was not delivered.

Red before: RpcClientTests.aCallThatTimedOutIsNotDeliveredLater; without the option all 200,000 bytes arrive after the close.

--- a/source/net/rpc_client.cpp
+++ b/source/net/rpc_client.cpp
@@ -56,6 +56,17 @@
 
 }  // namespace
 
+// Makes the close discard data that was not sent or acknowledged yet. Otherwise the kernel would
+// go on sending it, and a request could take effect long after its caller was told that its outcome
+// is unknown.
+void RpcClient::Connection::retire() {
+  constexpr bool enabled = true;
+  constexpr int lingerSeconds = 0;
+  retired = true;
+  IoError ignored;
+  socket->set_option(tcp::socket::linger(enabled, lingerSeconds), ignored);
+}
+
 void RpcClient::Connection::closeIfDrained() {
   if (retired && pendingCalls.empty())
     writer->close();
@@ -88,7 +99,7 @@
 void RpcClient::retireIfUnresponsive(const std::shared_ptr<Connection>& activeConnection) {
   if (activeConnection->unansweredSince &&
       monotonicNow() - *activeConnection->unansweredSince >= unresponsiveAfter) {
-    activeConnection->retired = true;
+    activeConnection->retire();
     if (current == activeConnection)
       current.reset();
   }
--- a/source/net/rpc_client.hpp
+++ b/source/net/rpc_client.hpp
@@ -44,6 +44,7 @@
     bool retired = false;  // takes no new calls; closes once no call is pending
     // When a call was sent, if nothing has been received since.
     std::optional<MonotonicTime> unansweredSince;
+    void retire();
     void closeIfDrained();
     void complete(WireMessage message);
     void failAll(const WireError& error);
--- a/tests/net/rpc_client_tests.cpp
+++ b/tests/net/rpc_client_tests.cpp
@@ -74,6 +74,19 @@
       accepted.push_back(descriptor);
     return accepted.size();
   }
+  // Reads the oldest connection to its end. Returns the number of bytes that were delivered.
+  std::size_t readAll() {
+    connections();
+    std::size_t total = 0;
+    char bytes[4096];
+    for (;;) {
+      const ssize_t count = ::recv(accepted.at(0), bytes, sizeof bytes, 0);
+      if (count > 0)
+        total += std::size_t(count);
+      else
+        return total;
+    }
+  }
 
  private:
   int listener = -1;
@@ -109,6 +122,29 @@
   CHECK(connections >= 2);
 }
 
+// The bytes of a call that has timed out stay in the client's socket while the network does not
+// deliver them. They were delivered once it did, seconds after the caller was told that the outcome
+// is unknown.
+TEST(RpcClientTests, aCallThatTimedOutIsNotDeliveredLater) {
+  StallingListener stalling;
+  std::unique_ptr<EventLoop> loop;
+  constexpr std::size_t payloadBytes = 200'000;  // more than the listener's buffer, less than ours
+  std::optional<WireError::Kind> kind;
+  std::thread([&] {
+    constexpr Duration unresponsiveAfter{100};
+    loop = std::make_unique<EventLoop>();
+    RpcClient caller(*loop, stalling.address(), unresponsiveAfter);
+    ApiRequest request;
+    request.text = std::string(payloadBytes, 'x');
+    const auto reply = caller.call(request, Duration{300});
+    if (!reply)
+      kind = reply.error().kind;
+    sleepFor(Duration{50});
+  }).join();
+  CHECK(kind == WireError::Kind::timedOut);
+  CHECK(stalling.readAll() < payloadBytes);
+}
+
 TEST(RpcClientTests, aConnectionAttemptEndsWhenItsCallIsAbandoned) {
   UnresponsiveListener unresponsive;
   std::unique_ptr<EventLoop> loop;
