What a plan has placed counts for everything that it starts afterwards

Cause: each policy entered its placements in the plan's views by itself. startRedundantCopies entered the resources and the tenant's usage, but not that the worker has one more task of the step. Trials forgot the same (found by asking what else places; no case shows it). And a worker that had not reported in the new leader's term counted as silent, so copies were wanted of nearly everything at once. Ruled out: the check of the limit itself, which is the same for all starts.

Change: UnitPlacement enters resources, tasks of the step and tenant together for first starts, gangs, trials and copies, and takes them back together.

--- a/source/controller/lease_manager.hpp
+++ b/source/controller/lease_manager.hpp
@@ -40,6 +40,7 @@
   // Returns, for the planner, the time since the last contact with each worker that has synced
   // during this leadership.
   LastContactAges timesSinceLastContact(MonotonicTime now) const;
+  Duration timeLeading(MonotonicTime now) const { return now - leaderSince; }
   // Returns the events to log for leases and drains that have expired by now.
   std::vector<Event> expire(const ClusterState& state, MonotonicTime now, ClusterTime clusterNow);
 
--- a/source/controller/planning_driver.cpp
+++ b/source/controller/planning_driver.cpp
@@ -27,6 +27,7 @@
   hints.urgentDemand = demandEstimator.demand(now);
   hints.passedOverFor = passedOver.durations(now);
   hints.maxPassedOverTime = maxPassedOverTime;
+  hints.leadingFor = leases.timeLeading(now);
   hints.policies = policies;
   return hints;
 }
--- a/source/scheduling/immediate_starts.cpp
+++ b/source/scheduling/immediate_starts.cpp
@@ -85,22 +85,22 @@
 bool ImmediateStarts::tryStart(const PlacementUnit& unit, Locality locality) {
   if (!fitsTenantCap(unit) || (unit.isGang() && !enoughSlots(unit)))
     return false;
+  UnitPlacement placement(context, unit.step());
   std::vector<Assignment> assignments;
   std::vector<std::size_t> racksUsed;  // filled for a gang only
   for (auto taskIndex : unit.tasksByDescendingCores()) {
     const std::size_t workerIndex = bestWorkerFor(unit, taskIndex, racksUsed, locality);
     if (workerIndex == noIndex) {
-      release(unit, assignments);
+      placement.rollBack();
       return false;
     }
     assignments.push_back({taskIndex, workerIndex});
-    assign(unit, assignments.back());
+    placement.place(workerIndex, allocationFor(unit, assignments.back()));
     const std::size_t rack = context.workers()[workerIndex].rackIndex();
     if (unit.isGang() && !contains(racksUsed, rack))
       racksUsed.push_back(rack);
   }
   addActions(unit, assignments);
-  recordTenantStart(unit);
   return true;
 }
 
@@ -155,21 +155,11 @@
   return best;
 }
 
-void ImmediateStarts::assign(const PlacementUnit& unit, const Assignment& assignment) {
-  StepView& step = unit.step();
-  WorkerView& worker = context.workers()[assignment.workerIndex];
+Allocation ImmediateStarts::allocationFor(const PlacementUnit& unit, const Assignment& assignment) {
+  const WorkerView& worker = context.workers()[assignment.workerIndex];
   const TaskRequest& request = unit.request(assignment.taskIndex);
-  const ClusterTime end = context.now() + expectedRuntime(context, step, worker, request);
-  worker.allocate({nullptr, resourcesOf(request), end, false, false});
-  step.addTaskOn(assignment.workerIndex, context.workers().size());
-}
-
-void ImmediateStarts::release(const PlacementUnit& unit,
-                              const std::vector<Assignment>& assignments) {
-  for (const auto& assignment : assignments) {
-    context.workers()[assignment.workerIndex].releaseLast();
-    unit.step().removeTaskFrom(assignment.workerIndex);
-  }
+  const Duration runtime = expectedRuntime(context, unit.step(), worker, request);
+  return {nullptr, resourcesOf(request), context.now() + runtime, false, false};
 }
 
 void ImmediateStarts::addActions(const PlacementUnit& unit,
--- a/source/scheduling/immediate_starts.hpp
+++ b/source/scheduling/immediate_starts.hpp
@@ -4,6 +4,7 @@
 #define ANISELINE_SCHEDULING_IMMEDIATE_STARTS_HPP
 #include "scheduling/backfill_admission.hpp"
 #include "scheduling/plan_draft.hpp"
+#include "scheduling/unit_placement.hpp"
 
 namespace aniseline::scheduling {
 
@@ -28,8 +29,7 @@
   bool enoughSlots(const PlacementUnit& unit) const;
   std::size_t bestWorkerFor(const PlacementUnit& unit, std::uint32_t taskIndex,
                             const std::vector<std::size_t>& racksUsed, Locality locality);
-  void assign(const PlacementUnit& unit, const Assignment& assignment);
-  void release(const PlacementUnit& unit, const std::vector<Assignment>& assignments);
+  Allocation allocationFor(const PlacementUnit& unit, const Assignment& assignment);
   void addActions(const PlacementUnit& unit, const std::vector<Assignment>& assignments);
 
   SchedulingContext& context;
--- a/source/scheduling/placement_unit.hpp
+++ b/source/scheduling/placement_unit.hpp
@@ -69,11 +69,6 @@
   const TenantUsage* tenant = unit.step().parent->tenant;
   return !tenant || tenant->admits(unit.batch->unitTotal, unit.batch->smallestPart);
 }
-/// Adds a started unit to its tenant's usage.
-inline void recordTenantStart(const PlacementUnit& unit) {
-  if (TenantUsage* tenant = unit.step().parent->tenant)
-    tenant->addOrdered(unit.batch->unitTotal, unit.batch->smallestPart);
-}
 
 /// The smallest request of any part of a gang, per resource. The number of such requests that would
 /// fit is an upper bound on the number of parts that fit.
--- a/source/scheduling/planner.hpp
+++ b/source/scheduling/planner.hpp
@@ -66,6 +66,9 @@
   std::map<PassedOverUnit, Duration> passedOverFor;
   /// Longest time for which work that fits may be passed over; 0 means no limit.
   Duration maxPassedOverTime{0};
+  /// How long the leader has led. A worker from which it has not heard yet may have been in contact
+  /// with its predecessor until then.
+  Duration leadingFor{std::numeric_limits<std::int64_t>::max()};
   PolicySwitches policies;
 };
 
--- a/source/scheduling/redundant_copies.cpp
+++ b/source/scheduling/redundant_copies.cpp
@@ -1,6 +1,7 @@
 // Decides which attempts get a copy and on which workers.
 #include "scheduling/redundant_copies.hpp"
 #include "scheduling/data_locality.hpp"
+#include "scheduling/unit_placement.hpp"
 #include "scheduling/worker_eligibility.hpp"
 
 namespace aniseline::scheduling {
@@ -60,19 +61,17 @@
     const Attempt& attempt = *original.attempt;
     const Job& job = original.step->job();
     const TaskRequest& request = job.requestOf(job.tasks[attempt.taskIndex]);
-    TenantUsage* tenant = original.step->parent->tenant;
+    const TenantUsage* tenant = original.step->parent->tenant;
     const Resources resources = resourcesOf(request);
     if (tenant && !tenant->admits(resources, resources))
       continue;
     const std::size_t index = workerForCopy(context, original, request, backfill);
     if (index == noIndex)
       continue;
-    if (tenant)
-      tenant->addOrdered(resources, resources);
-    WorkerView& worker = context.workers()[index];
-    worker.allocate({nullptr, resources, context.now() + request.runtime, false, false});
+    UnitPlacement(context, *original.step)
+        .place(index, {nullptr, resources, context.now() + request.runtime, false, false});
     Action action = startAction(ActionKind::start, draft.takeAttemptNumber(), attempt.job,
-                                attempt.taskIndex, worker.id(), request.memory);
+                                attempt.taskIndex, context.workers()[index].id(), request.memory);
     action.redundantCopy = true;
     draft.add(std::move(action));
     ++draft.plan().redundantCopies;
--- a/source/scheduling/scheduling_context.cpp
+++ b/source/scheduling/scheduling_context.cpp
@@ -70,7 +70,8 @@
 
 bool SchedulingContext::isOutOfContact(const WorkerId& id) const {
   auto age = contactAges.find(id);
-  return age == contactAges.end() || age->second > maxContactAge;
+  const Duration silentFor = age == contactAges.end() ? hints.leadingFor : age->second;
+  return silentFor > maxContactAge;
 }
 
 bool SchedulingContext::hasContactWithin(const WorkerId& id, Duration age) const {
--- a/source/scheduling/scheduling_context.hpp
+++ b/source/scheduling/scheduling_context.hpp
@@ -42,7 +42,8 @@
   const std::vector<WorkerView>& workers() const { return workerViews; }
   /// Returns the worker's index, or noIndex if the worker is unknown or was removed.
   std::size_t workerIndexOf(const WorkerId& id) const;
-  /// Reports whether the leader last heard from the worker more than maxContactAge ago, or never.
+  /// Reports whether the worker has been silent for more than maxContactAge, as far as the leader
+  /// knows. It does not know how long a worker was silent before it led.
   bool isOutOfContact(const WorkerId& id) const;
   /// Reports whether the leader heard from the worker less than `age` ago.
   bool hasContactWithin(const WorkerId& id, Duration age) const;
--- a/source/scheduling/service_trials.cpp
+++ b/source/scheduling/service_trials.cpp
@@ -39,6 +39,7 @@
   if (!unit.step().eligible->anySupportsSuspend)
     return false;
   std::optional<std::vector<WorkerView>> workersBefore;
+  UnitPlacement placed(context, unit.step());
   const PlanDraft::Checkpoint before = draft.checkpoint();
   for (auto part : unit.tasksByDescendingCores()) {
     const TrialRequest request = requestFor(unit, part);
@@ -46,16 +47,16 @@
     if (!placement)
       placement = findPlacement(request, Victims::allowed);
     if (!placement) {
-      if (workersBefore)
+      placed.rollBack();
+      if (workersBefore)  // undoes the suspensions too
         context.workers() = std::move(*workersBefore);
       draft.rollBack(before);
       return false;
     }
     if (unit.isGang() && !workersBefore)
       workersBefore = context.workers();
-    startTrial(request, *placement);
+    startTrial(request, *placement, placed);
   }
-  recordTenantStart(unit);
   return true;
 }
 
@@ -162,7 +163,8 @@
   return backfill.reservedStartFits(changed, overlaps ? request.resources : Resources{});
 }
 
-void ServiceTrials::startTrial(const TrialRequest& request, const TrialPlacement& placement) {
+void ServiceTrials::startTrial(const TrialRequest& request, const TrialPlacement& placement,
+                               UnitPlacement& placed) {
   const PlacementUnit& unit = request.unit;
   const Duration quantum = unit.queue().options->trial.quantum;
   WorkerView& worker = context.workers()[placement.workerIndex];
@@ -181,8 +183,8 @@
                   request.taskIndex, worker.id(), std::uint64_t(request.resources.memory));
   action.trial = true;
   action.quantum = quantum;
-  worker.allocate(
-      {nullptr, request.resources, context.now() + quantum, false, !placement.victims.empty()});
+  placed.place(placement.workerIndex, {nullptr, request.resources, context.now() + quantum, false,
+                                       !placement.victims.empty()});
   draft.add(std::move(action));
 }
 
--- a/source/scheduling/service_trials.hpp
+++ b/source/scheduling/service_trials.hpp
@@ -5,6 +5,7 @@
 #include "scheduling/backfill_admission.hpp"
 #include "scheduling/compiled_policies.hpp"
 #include "scheduling/plan_draft.hpp"
+#include "scheduling/unit_placement.hpp"
 
 namespace aniseline::scheduling {
 
@@ -48,7 +49,8 @@
                                                            std::int64_t missingCores,
                                                            Duration minimumRuntime);
   bool keepsReservedStart(const TrialRequest& request, const TrialPlacement& placement) const;
-  void startTrial(const TrialRequest& request, const TrialPlacement& placement);
+  void startTrial(const TrialRequest& request, const TrialPlacement& placement,
+                  UnitPlacement& placed);
   double slowdown(const Attempt& attempt) const;
   bool maySuspend(const Attempt& attempt);
 
--- a/tests/scheduling/planner_reference_tests.cpp
+++ b/tests/scheduling/planner_reference_tests.cpp
@@ -1,7 +1,9 @@
 // Compares the planner with the reference planner: random events produce cluster states, and every
-// field of every plan must be equal. ANISELINE_PLANNER_STATES requests more states than a default
-// run uses, and prints the coverage.
+// field of every plan must be equal. Each plan must also keep the limits of PlanLimits, so that a
+// mistake which both planners share is found. ANISELINE_PLANNER_STATES requests more states than a
+// default run uses, and prints the coverage.
 #include "scheduling/planner.hpp"
+#include "plan_limits.hpp"
 #include "reference_planner.hpp"
 #include <CppUTest/TestHarness.h>
 
@@ -106,6 +108,7 @@
 
  private:
   Random random;
+  Random leadershipRandom{1};  // apart from `random`, so that the drawn states stay as they are
   std::uint64_t seed;
   PlanCoverage& coverage;
   bool overloaded = false;
@@ -305,8 +308,9 @@
   }
   void comparePlans() {
     randomizePassedOverHints();
+    hints.leadingFor = Duration{leadershipRandom.between(0, 4000)};
     reference::PlannerHints referenceHints{
-        hints.runtimeRatios, hints.urgentDemand, {}, hints.maxPassedOverTime};
+        hints.runtimeRatios, hints.urgentDemand, {}, hints.maxPassedOverTime, hints.leadingFor};
     for (const auto& [unit, duration] : hints.passedOverFor)
       referenceHints.passedOverFor[{unit.job, unit.longRunningTask}] = duration;
     const bool explain = random.chance(0.5);
@@ -316,6 +320,8 @@
     const std::string context =
         "seed " + std::to_string(seed) + " plan " + std::to_string(++planCount);
     STRCMP_EQUAL_TEXT(textOf(expected).c_str(), textOf(plan).c_str(), context.c_str());
+    STRCMP_EQUAL_TEXT("", PlanLimits(clusterState, plan.record).firstViolation().c_str(),
+                      context.c_str());
     std::set<reference::PassedOverUnit> passedOver;
     for (const auto& unit : plan.passedOver)
       passedOver.insert({unit.job, unit.longRunningTask});
--- a/tests/scheduling/reference_planner.cpp
+++ b/tests/scheduling/reference_planner.cpp
@@ -327,7 +327,7 @@
         continue;  // the running attempt is the last that may fail
       auto contactAge = contactAges.find(attempt.worker);
       const bool outOfContact =
-          contactAge == contactAges.end() || contactAge->second > maxContactAge;
+          (contactAge == contactAges.end() ? hints.leadingFor : contactAge->second) > maxContactAge;
       if (!outOfContact && !isOverdue(attempt))
         continue;
       PlacementUnit unit;
@@ -361,6 +361,8 @@
         usage->addUnreported(requested, requested);
       allocate(best, AttemptNumber{}, request, std::int64_t(request.memory), now + request.runtime,
                false);
+      if (requirements->maxPerWorker)
+        ++workers[best].tasksByStep[{attempt.job, attempt.stepIndex}];
       Action action;
       action.kind = ActionKind::start;
       action.attempt = lastAttempt = lastAttempt.next();
@@ -904,6 +906,7 @@
       before = workers;
     const auto actionsBefore = plan.record.actions.size();
     const AttemptNumber attemptBefore = lastAttempt;
+    std::vector<std::array<std::int64_t, 3>> started;
     const Reservation& reservation = plan.record.reservation;
     const bool holdsReservation = reservation.job == unit.job && reservation.stepIndex == unit.step;
     for (auto part : tasksByDescendingCores(unit)) {
@@ -947,11 +950,14 @@
       action.memory = std::uint64_t(memory);
       allocate(found->workerIndex, lastAttempt, request, memory, now + queue.trial.quantum,
                !found->victims.empty());
+      if (unit.requirements->maxPerWorker)
+        ++workers[found->workerIndex].tasksByStep[{unit.job, unit.step}];
+      started.push_back(amounts(request.cores, std::uint64_t(memory), request.accelerators));
       plan.record.actions.push_back(std::move(action));
     }
     if (TenantUsage* usage = tenantUsageOf(usageByTenant, unit.job))
-      std::apply([usage](const auto&... sums) { usage->addUnreported(sums...); },
-                 totalAndSmallest(unit));
+      for (const auto& part : started)
+        usage->addUnreported(part, part);
     return true;
   }
 
--- a/tests/scheduling/reference_planner.hpp
+++ b/tests/scheduling/reference_planner.hpp
@@ -64,6 +64,8 @@
   std::map<std::string, std::int64_t> urgentDemand;
   std::map<PassedOverUnit, Duration> passedOverFor;
   Duration maxPassedOverTime{0};
+  // How long the leader has led; before that, another one may have heard from a worker.
+  Duration leadingFor{0};
 };
 
 class Planner {
