Work that fits only on a worker with a penalty does not starve

Cause: a worker on which work fails gets one task at a time, and the bound on waiting (StarvationGuard) did not count it as room. Ruled out: the failure score itself; a second failure elsewhere acquits the first worker, which cannot happen where there is only one.

Change: while less than half of its pool is in use, the bound on waiting counts workers that have a penalty and their one task as room. Sound ones are still preferred. Two readings of "schedulable" are told apart in WorkerView: available, and at its task limit. The rack of a step is chosen without regard to the lifted limit, so that it does not depend on when it is chosen.

Red before, by taking the lift out: StarvedByPenaltyTests.

--- a/source/scheduling/attempt_projection.cpp
+++ b/source/scheduling/attempt_projection.cpp
@@ -108,7 +108,7 @@
       worker.excludeFromNewWork();
     // A worker with recent failures gets one task at a time. docs/design.md 5.6.
     if (worker.penalty() > 0)
-      worker.excludeFromNewWork();
+      worker.reachTaskLimit();
     if (!worker.capacity().supportsSuspend &&
         isOverdue(attempt, step ? &step->requirements() : nullptr, context))
       worker.addOverdueJob(*job->job);
--- a/source/scheduling/data_locality.cpp
+++ b/source/scheduling/data_locality.cpp
@@ -12,7 +12,8 @@
   std::vector<std::optional<std::int64_t>> freeCores(context.rackNames().size());
   for (auto index : eligibleWorkers(context, step).workerIndices) {
     const WorkerView& worker = context.workers()[index];
-    if (!worker.isSchedulable())
+    // The choice holds for the whole plan, so it does not depend on whether a limit is lifted.
+    if (!worker.isAvailable() || worker.hasReachedTaskLimit())
       continue;
     auto& rackCores = freeCores[worker.rackIndex()];
     rackCores = rackCores.value_or(0) + worker.guaranteedFreeCores();
--- a/source/scheduling/immediate_starts.cpp
+++ b/source/scheduling/immediate_starts.cpp
@@ -182,7 +182,7 @@
                                 worker.id(), unit.request(taskIndex).memory);
     action.runNumber = runNumber;
     if (worker.penalty() > 0)
-      worker.excludeFromNewWork();
+      worker.reachTaskLimit();
     draft.add(std::move(action));
   }
 }
--- a/source/scheduling/starvation_guard.cpp
+++ b/source/scheduling/starvation_guard.cpp
@@ -8,6 +8,8 @@
 // A unit must fit this many times, because room for just one may be taken by work that is already
 // on its way.
 constexpr std::int64_t requiredCopies = 2;
+// A pool has room while less than this part of its cores is in use: one half.
+constexpr std::int64_t roomyPoolDenominator = 2;
 
 bool isLongRunning(const PlacementUnit& unit) {
   return unit.requirements().longRunning && !unit.isGang();
@@ -21,11 +23,36 @@
 
 }  // namespace
 
+StarvationGuard::TaskLimitLift::TaskLimitLift(SchedulingContext& context) : context(context) {
+  struct Cores {
+    std::int64_t used = 0;
+    std::int64_t total = 0;
+  };
+  std::map<const PoolView*, Cores> coresByPool;
+  for (const auto& worker : context.workers()) {
+    if (!worker.isAvailable())
+      continue;
+    Cores& cores = coresByPool[&worker.pool()];
+    cores.used += worker.usedCores();
+    cores.total += worker.totalResources().cores;
+  }
+  for (auto& worker : context.workers()) {
+    const Cores& cores = coresByPool[&worker.pool()];
+    worker.setTaskLimitLifted(cores.used * roomyPoolDenominator < cores.total);
+  }
+}
+
+StarvationGuard::TaskLimitLift::~TaskLimitLift() {
+  for (auto& worker : context.workers())
+    worker.setTaskLimitLifted(false);
+}
+
 std::set<const PlacementUnit*> StarvationGuard::startOverdue(
     const std::vector<const PlacementUnit*>& waiting) {
   std::set<const PlacementUnit*> started;
   if (hints.maxPassedOverTime.milliseconds <= 0 || !context.isOn(Policy::boundedWaiting))
     return started;
+  const TaskLimitLift lift(context);
   std::set<PassedOverUnit> passedOver;
   for (const PlacementUnit* unit : waiting) {
     const PassedOverUnit key = passedOverUnitOf(*unit);
--- a/source/scheduling/starvation_guard.hpp
+++ b/source/scheduling/starvation_guard.hpp
@@ -27,6 +27,18 @@
   std::set<const PlacementUnit*> startOverdue(const std::vector<const PlacementUnit*>& waiting);
 
  private:
+  // Lifts the limit of one task from workers with a penalty, in pools with room, as long as it
+  // lives. Work that fits only there must not starve: what failed may have been the work's fault.
+  class TaskLimitLift {
+   public:
+    explicit TaskLimitLift(SchedulingContext& context);
+    ~TaskLimitLift();
+    TaskLimitLift(const TaskLimitLift&) = delete;
+    TaskLimitLift& operator=(const TaskLimitLift&) = delete;
+
+   private:
+    SchedulingContext& context;
+  };
   bool mayStarve(const PlacementUnit& unit) const;
   // Caches a lack of room in the unit's batch, because free resources only shrink.
   bool fitsTwice(const PlacementUnit& unit) const;
--- a/source/scheduling/worker_view.hpp
+++ b/source/scheduling/worker_view.hpp
@@ -39,8 +39,14 @@
   void setRackIndex(std::size_t index) { rack = index; }
 
   /// Reports whether this plan may give the worker new work.
-  bool isSchedulable() const { return schedulable; }
-  void excludeFromNewWork() { schedulable = false; }
+  bool isSchedulable() const { return isAvailable() && (!taskLimitReached || taskLimitLifted); }
+  /// Reports the same for a worker that may have a penalty and its one task already.
+  bool isAvailable() const { return available; }
+  void excludeFromNewWork() { available = false; }
+  /// Records that a worker with a penalty has the one task that it gets at a time.
+  void reachTaskLimit() { taskLimitReached = true; }
+  bool hasReachedTaskLimit() const { return taskLimitReached; }
+  void setTaskLimitLifted(bool lifted) { taskLimitLifted = lifted; }
   /// Returns the penalty. Workers with a lower one are preferred; a worker gets one task at a time
   /// from failingWorkerPenalty on.
   int penalty() const { return penaltyLevel; }
@@ -145,7 +151,9 @@
   Resources reserved;
   std::size_t rack = 0;
   int penaltyLevel = 0;
-  bool schedulable = true;
+  bool available = true;
+  bool taskLimitReached = false;
+  bool taskLimitLifted = false;
   std::vector<Allocation> allocationList;
   std::vector<const Job*> overdueJobs;
 };
--- a/tests/scheduling/reference_planner.cpp
+++ b/tests/scheduling/reference_planner.cpp
@@ -31,7 +31,10 @@
 struct WorkerView {
   const Worker* record = nullptr;
   std::int64_t cores = 0, memory = 0, accelerators = 0;
-  bool schedulable = true;
+  bool schedulable = true;  // available, and not at its task limit unless that is lifted
+  bool available = true;
+  bool limited = false;  // has a penalty and the one task that it gets at a time
+  bool limitLifted = false;
   int penalty = 0;
   std::set<JobId> overdueJobs;  // jobs whose attempts here take far longer than requested
   std::vector<Allocation> allocations;
@@ -41,6 +44,19 @@
   std::int64_t usedCores = 0, usedMemory = 0, usedAccelerators = 0, suspendedCores = 0,
                victimTrialCores = 0;
 
+  void updateSchedulable() { schedulable = available && (!limited || limitLifted); }
+  void excludeFromNewWork() {
+    available = false;
+    updateSchedulable();
+  }
+  void reachTaskLimit() {
+    limited = true;
+    updateSchedulable();
+  }
+  void liftTaskLimit(bool lifted) {
+    limitLifted = lifted;
+    updateSchedulable();
+  }
   void updateTotals(const Allocation& allocation, std::int64_t sign) {
     usedCores += allocation.suspended ? 0 : sign * allocation.cores;
     usedMemory += sign * allocation.memory;
@@ -199,8 +215,9 @@
       view.memory = std::int64_t(worker.capacity.memory);
       view.accelerators = worker.capacity.accelerators;
       auto contactAge = contactAges.find(id);
-      view.schedulable = worker.isSchedulable() && contactAge != contactAges.end() &&
-                         contactAge->second < maxContactAge;
+      if (!worker.isSchedulable() || contactAge == contactAges.end() ||
+          contactAge->second >= maxContactAge)
+        view.excludeFromNewWork();
       if (worker.failureScoreAt(now) >= failureScoreLimit)
         view.penalty = 2;
       workerIndexById[id] = workers.size();
@@ -235,10 +252,10 @@
       // other workers, so a late order says nothing about such a worker.
       if (!worker.record->capacity.killsOnLeaseExpiry && attempt.state == AttemptState::ordered &&
           now - attempt.orderedAt > orderApplyTimeout)
-        worker.schedulable = false;
+        worker.excludeFromNewWork();
       // A worker with recent failures gets one task at a time. docs/design.md 5.6.
       if (worker.penalty > 0)
-        worker.schedulable = false;
+        worker.reachTaskLimit();
       // Counts jobs instead of attempts, because one job's estimate may be wrong for all its
       // attempts.
       if (!worker.record->capacity.supportsSuspend && isOverdue(attempt))
@@ -301,7 +318,7 @@
         continue;
       ++affectedByPool[pool];
       if (ratio > 2.4)
-        workers[workerIndex].schedulable = false;
+        workers[workerIndex].excludeFromNewWork();
       else
         workers[workerIndex].penalty = std::max(workers[workerIndex].penalty, 1);
     }
@@ -407,7 +424,7 @@
         return found->second = rackOf(attempt.worker);
     std::map<std::string, std::int64_t> idle;
     for (const auto& worker : workers)
-      if (worker.schedulable && isEligible(unit, worker))
+      if (worker.available && !worker.limited && isEligible(unit, worker))
         idle[worker.record->capacity.rack] += worker.guaranteedFreeCores();
     std::int64_t most = -1;
     for (const auto& [rack, cores] : idle)
@@ -737,7 +754,7 @@
       action.worker = workers[workerIndex].record->id;
       action.memory = requestOf(unit, task).memory;
       if (workers[workerIndex].penalty > 0)
-        workers[workerIndex].schedulable = false;
+        workers[workerIndex].reachTaskLimit();
       plan.record.actions.push_back(std::move(action));
     }
     if (TenantUsage* usage = tenantUsageOf(usageByTenant, unit.job))
@@ -1203,6 +1220,7 @@
     std::set<const PlacementUnit*> overdue;
     if (hints.maxPassedOverTime.milliseconds <= 0)
       return overdue;
+    liftTaskLimits();
     for (const auto* unit : waiting) {
       const bool isLongRunning = unit->requirements->longRunning && !unit->gang;
       const PassedOverUnit name{unit->job,
@@ -1226,8 +1244,25 @@
       }
       plan.passedOver.insert(name);
     }
+    for (auto& worker : workers)
+      worker.liftTaskLimit(false);
     return overdue;
   }
+  // Work that fits only on workers with a penalty must not starve while less than half of its pool
+  // is in use.
+  void liftTaskLimits() {
+    std::map<std::string, std::pair<std::int64_t, std::int64_t>> usedAndTotal;
+    for (const auto& worker : workers)
+      if (worker.available) {
+        auto& [used, total] = usedAndTotal[worker.record->capacity.pool];
+        used += worker.usedCores;
+        total += worker.cores;
+      }
+    for (auto& worker : workers) {
+      const auto& [used, total] = usedAndTotal[worker.record->capacity.pool];
+      worker.liftTaskLimit(2 * used < total);
+    }
+  }
 
   // Reports whether the attempt belongs to checkpointed work on a worker that can't suspend, which
   // may be preempted for urgent work that finds no room.
--- a/tests/scheduling/starvation_guard_tests.cpp
+++ b/tests/scheduling/starvation_guard_tests.cpp
@@ -121,3 +121,60 @@
   hints.passedOverFor[{JobId{"bulk"}, std::nullopt}] = Duration{9000};
   STRCMP_EQUAL("", startedBy(Duration{9000}).c_str());
 }
+
+// Jobs that fail on the only worker with a label once left later jobs without a run for as long as
+// something ran there, beside free cores: the worker, with a penalty, got one task at a time.
+TEST_GROUP(StarvedByPenaltyTests) {
+  ClusterStateFixture cluster{configWithUrgentQueue};
+  PlannerHints hints;
+
+  void setup() override {
+    hints.maxPassedOverTime = Duration{2000};
+    cluster.registerWorker("plain", {.cores = 16'000});
+    cluster.registerWorker("labelled", {.cores = 16'000, .labels = {"foil"}});
+    // Different jobs fail on the worker until it has a penalty; the last one runs again.
+    for (int number = 1; !hasPenalty(); ++number) {
+      const std::string poison = "poison" + std::to_string(number);
+      submitLabelled(poison);
+      cluster.planAndRun();
+      cluster.endAttempt(poison, AttemptOutcome::failed);
+      if (!hasPenalty())
+        cluster.apply(JobCancelled{JobId{poison}});
+    }
+    cluster.now += 1000;  // past the pause before a retry
+    cluster.planAndRun();
+    CHECK_EQUAL(1, cluster.clusterState.attemptsOn(WorkerId{"labelled"}).size());
+  }
+  bool hasPenalty() const {
+    constexpr std::int64_t failureScoreLimit = 500;
+    const Worker& worker = cluster.clusterState.workers().at(WorkerId{"labelled"});
+    return worker.failureScoreAt(ClusterTime{cluster.now}) >= failureScoreLimit;
+  }
+  void submitLabelled(const std::string& id) {
+    StepRequirements requirements;
+    requirements.requiredLabel = "foil";
+    cluster.submit(id, {ClusterStateFixture::step(1, 1000, requirements)}, "bulk");
+  }
+  bool starts(const std::string& id, Duration passedOverFor) {
+    hints.passedOverFor.clear();
+    hints.passedOverFor[{JobId{id}, std::nullopt}] = passedOverFor;
+    const Plan plan = cluster.planner.makePlan(cluster.clusterState, ClusterTime{cluster.now},
+                                               cluster.contactAges, false, hints);
+    return std::any_of(plan.record.actions.begin(), plan.record.actions.end(),
+                       [&](const Action& action) { return action.job.value == id; });
+  }
+};
+
+TEST(StarvedByPenaltyTests, workThatFitsOnlyOnAWorkerWithAPenaltyStartsOnceItIsOverdue) {
+  CHECK(hasPenalty());
+  submitLabelled("good");
+  CHECK_FALSE(starts("good", Duration{1999}));
+  CHECK(starts("good", Duration{2000}));
+}
+
+TEST(StarvedByPenaltyTests, notWhileHalfOfItsPoolIsInUse) {
+  cluster.submit("filler", {ClusterStateFixture::step(1, 16'000, {}, false, 100'000)}, "urgent");
+  cluster.planAndRun();
+  submitLabelled("good");
+  CHECK_FALSE(starts("good", Duration{9000}));
+}
