Lengths of time go by monotonic clocks; calendar clocks that jump carry nothing away

Cause: cluster time moved ahead to the median of the voters' wall clocks and never came back, and everything went by it. A median protects from a minority of clocks at a time, not from all in turn. Ruled out: the median itself (it is what the clocks said).

Change: ReplicatedClock continues the time of the records that a controller applies by its monotonic clock, over a change of leader too, and the leader slews it by 1 ms a second at most. TimetableClock corrects it for timetables: behind at once, ahead only by what the clocks have been ahead for 60 s. It steps once, after a start of all processes.

--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -75,7 +75,8 @@
 
 void Controller::followRaft(WallTime wall) {
   raft.tick(now, wall);
-  stateMachine.applyCommittedEntries();
+  if (stateMachine.applyCommittedEntries())
+    clock.observeRecord(committed().now(), now);
   onRoleChange();
 }
 
@@ -90,7 +91,8 @@
 // Resets the leader's own knowledge, which is not replicated.
 void Controller::startLeading() {
   stateMachine.startLeading();
-  clock.restart(speculative().now(), now);
+  clock.startLeading(speculative().now(), now);
+  timetableClock.restart(now);
   leases.restart(now);
   membership.restart(now);
   planning.restart();
@@ -128,7 +130,7 @@
 
 void Controller::advanceClock() {
   if (const auto agreed = raft.medianWallTime(now))
-    clock.advanceTo(*agreed, now);
+    clock.follow(*agreed, now);
 }
 
 void Controller::append(Event event) {
@@ -155,14 +157,18 @@
 }
 
 void Controller::fireTimetables() {
-  if (!timetables.isDue(clusterNow()))
+  // Timetables refer to the calendar, so nothing is due while the calendar time is unknown.
+  const auto agreed = raft.medianWallTime(now);
+  if (!agreed)
     return;
-  const bool calendarTimeKnown = raft.medianWallTime(now).has_value();
-  for (auto& id : timetables.dueJobs(speculative(), clusterNow(), calendarTimeKnown)) {
+  const ClusterTime calendarNow = timetableClock.at(clusterNow(), *agreed, now);
+  if (!timetables.isDue(calendarNow))
+    return;
+  for (auto& id : timetables.dueJobs(speculative(), calendarNow)) {
     if (memory.admitsOccurrence(speculative().jobs().at(id), speculative()))
       append(OccurrenceFired{std::move(id)});
     else
-      timetables.defer(id, clusterNow());
+      timetables.defer(id, calendarNow);
   }
 }
 
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -19,10 +19,10 @@
 // Configurations are validated in config_service.hpp, and read_views.hpp renders the state.
 #ifndef ANISELINE_CONTROLLER_CONTROLLER_HPP
 #define ANISELINE_CONTROLLER_CONTROLLER_HPP
+#include "controller/replicated_clock.hpp"
 #include "controller/gateway_registry.hpp"
 #include "controller/job_admission.hpp"
 #include "controller/job_retention.hpp"
-#include "controller/leader_clock.hpp"
 #include "controller/lease_manager.hpp"
 #include "controller/log_event.hpp"
 #include "controller/membership_manager.hpp"
@@ -33,6 +33,7 @@
 #include "controller/replicated_state_machine.hpp"
 #include "controller/request_table.hpp"
 #include "controller/sync_responder.hpp"
+#include "controller/timetable_clock.hpp"
 #include "controller/timetable_scheduler.hpp"
 
 namespace aniseline {
@@ -166,7 +167,8 @@
   ControllerOptions options;
   RaftNode raft;
   MonotonicTime now;
-  LeaderClock clock;
+  ReplicatedClock clock;
+  TimetableClock timetableClock;
   bool isServing = false;
   MonotonicTime nextExpiryCheck;
   std::uint64_t rejectedKeys = 0;  // requests since the last report
--- a/source/controller/replicated_state_machine.cpp
+++ b/source/controller/replicated_state_machine.cpp
@@ -19,7 +19,8 @@
   snapshotScheduler.restart(snapshot.state);
 }
 
-void ReplicatedStateMachine::applyCommittedEntries() {
+bool ReplicatedStateMachine::applyCommittedEntries() {
+  const LogIndex before = appliedIndex;
   if (raft.takeSnapshotInstalled()) {
     restore(raft.snapshot());
     events(log_events::SnapshotInstalled{appliedIndex});
@@ -36,6 +37,7 @@
       events(log_events::UnreadableRecord{appliedIndex});
     }
   }
+  return appliedIndex != before;
 }
 
 bool ReplicatedStateMachine::applyCommittedEntry(const LogEntry& entry) {
--- a/source/controller/replicated_state_machine.hpp
+++ b/source/controller/replicated_state_machine.hpp
@@ -16,7 +16,8 @@
   ReplicatedStateMachine(RaftNode& raft, const LogEventSignal& events);
 
   // Brings the committed state up to the commit index, by an installed snapshot and by entries.
-  void applyCommittedEntries();
+  // Reports whether anything was applied.
+  bool applyCommittedEntries();
   const ClusterState& committed() const { return committedState; }
   // Returns the workers for which the committed state has received an order or a registration since
   // the last call.
--- a/source/controller/timetable_scheduler.cpp
+++ b/source/controller/timetable_scheduler.cpp
@@ -8,9 +8,8 @@
 constexpr Duration deferralInterval{100};
 }  // namespace
 
-std::vector<JobId> TimetableScheduler::dueJobs(const ClusterState& state, ClusterTime clusterNow,
-                                               bool calendarTimeKnown) {
-  std::erase_if(deferredUntil, [&](const auto& entry) { return entry.second <= clusterNow; });
+std::vector<JobId> TimetableScheduler::dueJobs(const ClusterState& state, ClusterTime calendarNow) {
+  std::erase_if(deferredUntil, [&](const auto& entry) { return entry.second <= calendarNow; });
   nextOccurrence = ClusterTime{std::numeric_limits<std::int64_t>::max()};
   std::vector<JobId> due;
   for (const auto& id : state.openJobs()) {
@@ -25,14 +24,14 @@
                                   ? ClusterTime{next}
                                   : std::max(ClusterTime{next}, deferral->second);
     nextOccurrence = std::min(nextOccurrence, dueAt);
-    if (calendarTimeKnown && clusterNow >= dueAt)
+    if (calendarNow >= dueAt)
       due.push_back(id);
   }
   return due;
 }
 
-void TimetableScheduler::defer(const JobId& job, ClusterTime clusterNow) {
-  deferredUntil[job] = clusterNow + deferralInterval;
+void TimetableScheduler::defer(const JobId& job, ClusterTime calendarNow) {
+  deferredUntil[job] = calendarNow + deferralInterval;
 }
 
 }  // namespace aniseline
--- a/source/simulator/faults_controllers.cpp
+++ b/source/simulator/faults_controllers.cpp
@@ -9,6 +9,9 @@
 constexpr std::int64_t slowDiskMs = 80;         // delay of each sync, longer than a heartbeat round
 constexpr std::int64_t moveCooldownMs = 5000;   // until all processes know the new addresses
 constexpr std::int64_t clockCooldownMs = 1000;  // until another clock may be wrong
+constexpr std::int64_t serialJumps = 12;        // jumps of clocks in one series
+constexpr std::int64_t serialJumpIntervalMs = 120;
+constexpr std::int64_t longestSerialJumpMs = 2400;
 
 void restartController(SimulatedCluster& cluster, std::size_t index) {
   cluster.restartController(index);
@@ -60,6 +63,26 @@
   };
 }
 
+// Moves the clocks of all controllers, one after another and all in the same direction, until most
+// of them are far off. No median protects from that.
+void jumpClocksInTurn(SimulatedCluster& cluster, const FaultTargets& targets) {
+  const std::int64_t jump = targets.clockJump % longestSerialJumpMs;
+  for (std::int64_t turn = 0; turn < serialJumps && turn * serialJumpIntervalMs < targets.duration;
+       ++turn) {
+    const std::size_t index = (targets.controller + std::size_t(turn)) % cluster.controllerCount();
+    cluster.scheduleAfter(turn * serialJumpIntervalMs, [&cluster, index, jump] {
+      // Without a leader nobody may know the time yet. docs/design.md 3.6.
+      if (cluster.leader())
+        cluster.jumpClock(index, jump);
+    });
+  }
+}
+
+void correctClocks(SimulatedCluster& cluster, const FaultTargets&) {
+  for (std::size_t index = 0; index < cluster.controllerCount(); ++index)
+    cluster.correctClock(index);
+}
+
 void stallDisks(FaultInjector& injector, SimulatedCluster& cluster, const FaultTargets& targets,
                 Fault& fault) {
   fault.begin = [&injector, &cluster, targets] {
@@ -149,6 +172,7 @@
                          }),
                          endDiskFull),
       {"jump a clock", jumpClock},
+      lastingFault("jump all clocks in turn", jumpClocksInTurn, correctClocks),
   };
 }
 
--- a/source/simulator/simulated_cluster.hpp
+++ b/source/simulator/simulated_cluster.hpp
@@ -60,6 +60,9 @@
   std::vector<WriteAheadRecord> copyDisk(std::size_t index) const;
   void replaceDisk(std::size_t index, std::vector<WriteAheadRecord> records);
   void setClockOffset(std::size_t index, std::int64_t offset);
+  // Moves the clock by this many ms until it is corrected or the controller starts again.
+  void jumpClock(std::size_t index, std::int64_t by);
+  void correctClock(std::size_t index);
   // While the disk is full, a write fails and ends the process.
   void setDiskFull(std::size_t index, bool full);
   void transferLeadership(std::size_t index);
--- a/source/simulator/simulated_controllers.cpp
+++ b/source/simulator/simulated_controllers.cpp
@@ -17,6 +17,7 @@
 void SimulatedCluster::bootController(ControllerNode& node) {
   node.up = true;
   node.frozen = false;
+  node.clockJump = 0;
   ++node.generation;
   node.writeInFlight.reset();
   if (node.identity.value.empty())
@@ -75,7 +76,7 @@
     if (!node.up || node.generation != generation || node.frozen)
       return;
     node.core->step(MonotonicTime{now + node.monotonicBase},
-                    WallTime{epochMs + now + node.clockOffset});
+                    WallTime{epochMs + now + node.clockOffset + node.clockJump});
     processOutputs(node);
   });
 }
@@ -214,6 +215,12 @@
 void SimulatedCluster::setClockOffset(std::size_t index, std::int64_t offset) {
   controllers[index]->clockOffset = offset;
 }
+void SimulatedCluster::jumpClock(std::size_t index, std::int64_t by) {
+  controllers[index]->clockJump += by;
+}
+void SimulatedCluster::correctClock(std::size_t index) {
+  controllers[index]->clockJump = 0;
+}
 void SimulatedCluster::setDiskFull(std::size_t index, bool full) {
   controllers[index]->diskFull = full;
 }
--- a/source/simulator/simulated_nodes.hpp
+++ b/source/simulator/simulated_nodes.hpp
@@ -34,6 +34,7 @@
   std::vector<WriteAheadRecord> disk;
   std::optional<WriteAheadRecord> writeInFlight;
   std::int64_t diskStalledUntil = 0, diskDelay = 0, clockOffset = 0, monotonicBase = 0;
+  std::int64_t clockJump = 0;  // beside `clockOffset`; a start of the machine corrects it
   bool stepScheduled = false, diskFull = false;
   std::int64_t nextJoinAttemptAt = 0;
   std::optional<std::size_t> votersOverride;  // its voter count, if it differs from the others'
