A cluster has one identity for good; a machine that has known one bootstraps none

Both led for good, gateways changed between them, and tasks got two runs at once.

Cause: nothing told one cluster from another. Being blank was taken for never having known a cluster, by a process that had been a member a moment before, and routes of two clusters were compared by their terms. Ruled out: the rule that every seed must be blank (they were).

Change (design.md 3.8, with what was weighed and what cannot be held): the identity that bootstraps a cluster names it. Raft messages, joins, routes and requests carry the name as a trailing section, which older programs ignore, and another name is refused before a term is compared, with a log event that gives both. A new identity searches by the old one's route. Data without a name gets one by agreement (LeaderStarted).

--- a/source/base/types.hpp
+++ b/source/base/types.hpp
@@ -69,9 +69,20 @@
 using QueueName = StrongId<struct QueueNameTag, std::string>;
 using WorkerId = StrongId<struct WorkerIdTag, std::string>;
 using ControllerId = StrongId<struct ControllerIdTag, std::string>;
+using ClusterId = StrongId<struct ClusterIdTag, std::string>;
 using ZoneName = StrongId<struct ZoneNameTag, std::string>;
 using Address = StrongId<struct AddressTag, std::string>;
 
+// Reports whether there is nothing to serialize, which is the case for a cluster that was
+// bootstrapped before clusters had ids, and for a process that knows no cluster.
+inline bool isAbsent(const ClusterId& id) {
+  return id.value.empty();
+}
+// Reports whether both ids are known and name different clusters. docs/design.md 3.8.
+inline bool areDifferentClusters(const ClusterId& left, const ClusterId& right) {
+  return !isAbsent(left) && !isAbsent(right) && left != right;
+}
+
 // A length of time in milliseconds.
 struct Duration {
   std::int64_t milliseconds = 0;
--- a/source/checker/invariants.cpp
+++ b/source/checker/invariants.cpp
@@ -129,7 +129,15 @@
 CheckReport checkInvariants(std::vector<HistoryEvent> history,
                             const std::map<std::string, JobSubmission>& submissions,
                             const InvariantOptions& options) {
-  return InvariantChecker(std::move(history), submissions, options).check();
+  CheckReport report = InvariantChecker(std::move(history), submissions, options).check();
+  if (options.storedClusters.size() > 1) {
+    std::string clusters;
+    for (const auto& cluster : options.storedClusters)
+      clusters += (clusters.empty() ? "" : ", ") + cluster.value;
+    report.violations.push_back(
+        {Invariant::oneCluster, 0, "there were several clusters: " + clusters});
+  }
+  return report;
 }
 
 }  // namespace aniseline
--- a/source/checker/invariants.hpp
+++ b/source/checker/invariants.hpp
@@ -36,6 +36,7 @@
   cancelsAcknowledged = 21,  // a cancel is answered within seconds unless there is a fault
   apiKeysInForce = 22,       // an API key is valid exactly if a configuration in force contains it
   tenantCaps = 23,           // no task of a tenant starts while the tenant exceeds its cap
+  oneCluster = 24,           // all controllers store the state of the same cluster
 };
 constexpr int number(Invariant rule) {
   return int(rule);
@@ -72,6 +73,8 @@
   std::int64_t reservedTrialMemory = 0;
   // The time in ms by which the clock reading of an observer may be late.
   std::int64_t clockSlackMs = 300;
+  // Ids of the clusters of which any controller has stored state; rule 24 is checked by them.
+  std::set<ClusterId> storedClusters{};
 };
 
 // Checks the history against all rules. `submissions` are those recorded by the clients; they
--- a/source/checker/model/fingerprint.cpp
+++ b/source/checker/model/fingerprint.cpp
@@ -15,7 +15,7 @@
 std::string RaftNodeFingerprint::of(const RaftNode& node, MonotonicTime now) {
   OutputArchive archive;
   archive << node.selfMember << node.currentRole << node.currentTerm << node.votedFor
-          << node.knownLeader;
+          << node.knownLeader << node.currentCluster;
   archive << node.currentMembership << node.membershipIndex << node.latestSnapshot;
   archive << node.log.base.index << node.log.base.term << node.log.base.membership
           << node.log.entries;
--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -12,6 +12,7 @@
 // Limits the log volume, because a client may send a revoked key as often as it likes.
 constexpr Duration rejectedKeysReportInterval{1000};
 constexpr Duration growthReportInterval{1000};
+constexpr Duration foreignClusterReportInterval{1000};
 
 // Reports whether an event can make a lease or a drain end earlier than the deadlines computed so
 // far.
@@ -78,6 +79,7 @@
   if (stateMachine.applyCommittedEntries())
     clock.observeRecord(committed().now(), now);
   onRoleChange();
+  reportForeignCluster();
 }
 
 void Controller::onRoleChange() {
@@ -102,7 +104,8 @@
   timetables.invalidate();
   syncResponder.clear();
   requests.markAllPolls();
-  append(LeaderStarted{});
+  append(
+      LeaderStarted{isAbsent(raft.cluster()) ? ClusterId{raft.self().id.value} : raft.cluster()});
   logEvent(log_events::LeadershipStarted{raft.term(), raft.lastIndex()});
 }
 
@@ -222,6 +225,16 @@
         speculative().estimatedJobBytes(), options.maxJobBytes});
 }
 
+void Controller::reportForeignCluster() {
+  if (now < nextForeignClusterReport)
+    return;
+  const auto refused = raft.takeForeignSender();
+  if (!refused)
+    return;
+  nextForeignClusterReport = now + foreignClusterReportInterval;
+  logEvent(log_events::ForeignClusterRefused{raft.cluster(), refused->cluster, refused->id});
+}
+
 void Controller::onSnapshotPacked(PackedSnapshot snapshot) {
   if (stateMachine.snapshots().finishPacking())
     raft.compact(snapshot.index, std::move(snapshot.state));
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -65,6 +65,8 @@
   void submitRequest(RequestNumber number, ApiRequest request, MonotonicTime now);
   // Creates a cluster that consists of this controller only. Allowed only for a blank identity.
   void bootstrap(MonotonicTime now) { raft.bootstrap(now); }
+  // Binds a blank identity to the cluster that its machine has known before; see RaftNode.
+  void bindToCluster(const ClusterId& cluster) { raft.bindToCluster(cluster); }
   // Makes a blank identity ask this leader to add it to the cluster as a learner.
   void join(const Address& leader) { raft.setJoinAddress(leader); }
   void transferLeadership(MonotonicTime now) { raft.transferLeadership(now); }
@@ -122,6 +124,7 @@
   void reviewMembership();
   void reportRejectedKeys();
   void reportLimitedGrowth();
+  void reportForeignCluster();
 
   // Request handlers, one for each kind; handleRequest dispatches to them.
   bool hasRequestCapacity(const ApiRequest& request) const;
@@ -163,6 +166,7 @@
   void sendCommittedResponses();
   void sendResponse(RequestNumber number, ApiResponse response);
   ApiResponse notLeaderResponse() const;
+  static ApiResponse otherClusterResponse();
 
   ControllerOptions options;
   RaftNode raft;
@@ -174,6 +178,7 @@
   std::uint64_t rejectedKeys = 0;  // requests since the last report
   MonotonicTime nextKeyReport;
   MonotonicTime nextGrowthReport;
+  MonotonicTime nextForeignClusterReport;
   std::uint64_t residentBytes = 0;  // of the process, as last recorded; 0: unknown
   ReplicatedStateMachine stateMachine;
   RequestTable requests;
--- a/source/controller/log_event.cpp
+++ b/source/controller/log_event.cpp
@@ -58,6 +58,12 @@
              {"job_bytes", json(event.jobBytes)},
              {"job_bytes_limit", json(event.jobBytesLimit)}}};
   }
+  RenderedLogEvent operator()(const log_events::ForeignClusterRefused& event) const {
+    return {"foreign_cluster_refused",
+            {{"cluster", json(event.cluster.value)},
+             {"foreign_cluster", json(event.foreignCluster.value)},
+             {"sender", json(event.sender.value)}}};
+  }
   RenderedLogEvent operator()(const log_events::WorkerIdInUse& event) const {
     return {"worker id in use", {{"worker", json(event.worker.value)}}};
   }
--- a/source/controller/log_event.hpp
+++ b/source/controller/log_event.hpp
@@ -60,6 +60,12 @@
   std::uint64_t jobBytes = 0;  // estimated size of all jobs in one copy of the state
   std::uint64_t jobBytesLimit = 0;
 };
+// Messages of controllers that belong to another cluster were refused. docs/design.md 3.8.
+struct ForeignClusterRefused {
+  ClusterId cluster;  // of this controller
+  ClusterId foreignCluster;
+  ControllerId sender;
+};
 // A second process tried to register under the identifier of a live worker.
 struct WorkerIdInUse {
   WorkerId worker;
@@ -133,10 +139,10 @@
 using LogEvent = std::variant<
     log_events::SnapshotInstalled, log_events::UnreadableRecord, log_events::LeadershipStarted,
     log_events::LeadershipEnded, log_events::ServingStarted, log_events::ConfigAccepted,
-    log_events::ApiKeysRejected, log_events::StateGrowthLimited, log_events::WorkerIdInUse,
-    log_events::WorkerDraining, log_events::WorkerUnreachable, log_events::MembershipChanged,
-    log_events::MembershipChangeRefused, log_events::TaskDelayed, log_events::Occupancy,
-    log_events::JobLate>;
+    log_events::ApiKeysRejected, log_events::StateGrowthLimited, log_events::ForeignClusterRefused,
+    log_events::WorkerIdInUse, log_events::WorkerDraining, log_events::WorkerUnreachable,
+    log_events::MembershipChanged, log_events::MembershipChangeRefused, log_events::TaskDelayed,
+    log_events::Occupancy, log_events::JobLate>;
 using LogEventSignal = boost::signals2::signal<void(const LogEvent&)>;
 
 // An event in the form in which it appears in a log line or a trace.
--- a/source/controller/read_views.cpp
+++ b/source/controller/read_views.cpp
@@ -161,6 +161,7 @@
 LeaderRoute routeView(const RaftNode& raft, const ClusterState& committed,
                       const GatewayRegistry& gateways, MonotonicTime now) {
   LeaderRoute view;
+  view.cluster = raft.cluster();
   view.term = raft.term();
   view.config = committed.config().version;
   for (const auto& [name, queue] : committed.config().queues)
@@ -325,7 +326,8 @@
         json(picojson::object{{"address", json(address.value)},
                               {"zone", json(gateway.zone.value)},
                               {"unheard_ms", json((now - gateway.lastContact).milliseconds)}}));
-  return {{"term", json(raft.term().value)},
+  return {{"cluster", json(raft.cluster().value)},
+          {"term", json(raft.term().value)},
           {"commit", json(raft.commitIndex().value)},
           {"last", json(raft.lastIndex().value)},
           {"view", json(raft.snapshot().lastIncludedIndex.value)},
--- a/source/controller/replicated_state_machine.cpp
+++ b/source/controller/replicated_state_machine.cpp
@@ -46,16 +46,24 @@
   const bool isProposal = !proposals.empty() && proposals.front().index == appliedIndex &&
                           proposals.front().term == entry.term;
   if (isProposal) {
-    committedState.apply(proposals.front().record);
+    applyCommittedRecord(proposals.front().record);
     dropFirstProposal();
     return true;
   }
   auto record = unpack<LogRecord>(entry.payload);
   if (record)
-    committedState.apply(record.value());
+    applyCommittedRecord(record.value());
   return record.has_value();
 }
 
+// A cluster without an id gets the one in the first committed LeaderStarted that proposes one; a
+// node that has an id keeps it.
+void ReplicatedStateMachine::applyCommittedRecord(const LogRecord& record) {
+  committedState.apply(record);
+  if (const auto* started = boost::get<LeaderStarted>(&record.event))
+    raft.bindToCluster(started->cluster);
+}
+
 void ReplicatedStateMachine::dropFirstProposal() {
   totalProposalBytes -= proposals.front().bytes;
   proposals.pop_front();
--- a/source/controller/replicated_state_machine.hpp
+++ b/source/controller/replicated_state_machine.hpp
@@ -56,6 +56,7 @@
   };
   void restore(const Snapshot& snapshot);
   bool applyCommittedEntry(const LogEntry& entry);
+  void applyCommittedRecord(const LogRecord& record);
   void dropFirstProposal();
   void clearProposals();
 
--- a/source/controller/request_handlers.cpp
+++ b/source/controller/request_handlers.cpp
@@ -11,6 +11,8 @@
 }  // namespace
 
 void Controller::submitRequest(RequestNumber number, ApiRequest request, MonotonicTime at) {
+  if (areDifferentClusters(raft.cluster(), request.cluster))
+    return sendResponse(number, otherClusterResponse());
   if (!isLeading() || !raft.isLeader())
     return sendResponse(number, notLeaderResponse());
   if (!hasRequestCapacity(request))
--- a/source/controller/responses.cpp
+++ b/source/controller/responses.cpp
@@ -17,6 +17,13 @@
   return response;
 }
 
+// Names no leader, since this controller only knows that of its own cluster.
+ApiResponse Controller::otherClusterResponse() {
+  ApiResponse response = ApiResponse::notApplied("this controller belongs to another cluster");
+  response.notLeader = true;
+  return response;
+}
+
 void Controller::sendResponse(RequestNumber number, ApiResponse response) {
   responses.push_back({number, std::move(response)});
 }
--- a/source/daemons/agent_daemon.cpp
+++ b/source/daemons/agent_daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemons/connection_drain.hpp"
 #include "daemons/listening.hpp"
 #include "net/leader_forwarder.hpp"
+#include "net/foreign_route_log.hpp"
 #include "net/http_client.hpp"
 #include "net/log.hpp"
 #include "net/signals.hpp"
@@ -253,6 +254,10 @@
     const auto reply = queryRoute(*controllers.clientFor(target), RouteQuery{}, routeQueryTimeout);
     if (!reply || reply->uninitialized)
       return false;
+    if (areDifferentClusters(route.cluster, reply->view.cluster)) {
+      foreignRoutes.onRefused(route.cluster, *reply);
+      return false;
+    }
     route.mergeNewer(reply->view);
     route.gateways.clear();  // an agent sends its requests to controllers only
     return true;
@@ -262,6 +267,7 @@
   EventLoop loop;
   NodeAgent core;
   LeaderRoute route;
+  ForeignRouteLog foreignRoutes;
   LeaderForwarder forwarder;
   RpcClientPool controllers{loop};
   std::vector<std::unique_ptr<HttpClient>> idleClients;
--- a/source/daemons/cluster_discovery.cpp
+++ b/source/daemons/cluster_discovery.cpp
@@ -65,6 +65,7 @@
       searchRound();
       continue;
     }
+    withdrawBootstrap();
     discoveredRoute = LeaderRoute{};
     queryingControllers.clear();
     introduceToSeeds();
@@ -96,24 +97,43 @@
     const auto reply = queryRoute(*searchClients.clientFor(address), query, searchTimeout);
     if (!reply) {
       // A seed may be a gateway, which names the controllers. docs/design.md 9.5.
-      for (const auto& controller : fetchControllers(loop, address))
+      for (const auto& controller : fetchControllers(loop, address)) {
+        withdrawBootstrap();
         joinThrough(controller);
+      }
     } else if (reply->uninitialized)
       bootstrap.addBlankSeed(address, reply->hasDisk, reply->bootstrapCandidate);
     else
-      onClusterFound(reply->view);
+      onClusterFound(*reply);
   }
   if (!discoveredRoute.leader.value.empty())
     joinThrough(discoveredRoute.leader);
   if (local.mayBootstrap && isBlank() && discoveredRoute.controllers.empty() &&
       bootstrap.mayBootstrap()) {
     log(LogLevel::info, log_events::clusterBootstrapped);
+    withdrawBootstrap();
     hooks.controller().bootstrap(monotonicNow());
     hooks.wakeUp();
   }
 }
 
-void ClusterDiscovery::onClusterFound(const LeaderRoute& view) {
+// Reports whether a route may be followed. That of another cluster than this machine's is refused.
+bool ClusterDiscovery::acceptRoute(const RouteReply& reply) {
+  const ClusterId& own = hooks.controller().raftNode().cluster();
+  if (areDifferentClusters(own, reply.view.cluster)) {
+    foreignRoutes.onRefused(own, reply);
+    return false;
+  }
+  withdrawBootstrap();
+  if (isAbsent(own))
+    hooks.onClusterLearnt(reply.view.cluster);
+  return true;
+}
+
+void ClusterDiscovery::onClusterFound(const RouteReply& reply) {
+  if (!acceptRoute(reply))
+    return;
+  const LeaderRoute& view = reply.view;
   discoveredRoute.mergeNewer(view);
   if (!view.leader.value.empty())
     joinThrough(view.leader);
@@ -154,7 +174,7 @@
   const auto reply =
       queryRoute(*client, RouteQuery{{}, local.advertisedAddress, false}, routeTimeout);
   routeQueriesSent.erase(address);
-  if (reply && !reply->uninitialized && isBlank())
+  if (reply && !reply->uninitialized && isBlank() && acceptRoute(*reply))
     discoveredRoute.mergeNewer(reply->view);
 }
 
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -81,8 +81,9 @@
                    settings.bootstrap},
                   settings.seeds,
                   {[this]() -> Controller& { return *core; }, [this] { refreshSeeds(); },
-                   [this] {
-                     wakeUp();
+                   [this] { wakeUp(); },
+                   [this](const ClusterId& cluster) {
+                     onClusterLearnt(cluster);
                    }}),
         forwarder(
             loop, [this] { return discovery.route(); }, settings.seeds,
@@ -101,6 +102,8 @@
     if (!recovered)
       return 1;
     adoptIdentity(*recovered);
+    if (storage.hasKnownCluster())
+      discovery.withdrawBootstrap();
     if (!listen())
       return 1;
     startWriters();
@@ -128,6 +131,7 @@
     core = std::make_unique<Controller>(
         Member{identity, settings.advertisedAddress, ZoneName{settings.zone}, false}, options,
         randomSeed(), recovered.records, monotonicNow());
+    core->bindToCluster(storage.cluster());
     core->logEvent.connect([](const LogEvent& event) {
       const RenderedLogEvent rendered = render(event);
       log(LogLevel::info, rendered.name, rendered.fields);
@@ -150,13 +154,20 @@
     log(LogLevel::warning, log_events::identityRemovedFromCluster,
         {{"identity", json(identity.value)}});
     writers.reset();
+    storage.rememberCluster(core->raftNode().cluster());
+    LeaderRoute lastRoute = core->route(monotonicNow());
     auto newState = storage.beginAsNewIdentity();
     if (!newState)
       return false;
     adoptIdentity(*newState);
+    discovery.resumeSearch(std::move(lastRoute));
     startWriters();
     return true;
   }
+  void onClusterLearnt(const ClusterId& cluster) {
+    core->bindToCluster(cluster);
+    storage.rememberCluster(cluster);
+  }
   bool listen() {
     if (const IoError error = peerServer.listen(settings.peerAddress)) {
       logListenFailure(ListenError{settings.peerAddress, error});
@@ -211,9 +222,11 @@
          {"pending_bytes", json(core->pendingBytes())}});
   }
   void onRecordWritten(const DiskResult<void>& result, DiskVersion version) {
-    if (result)
+    if (result) {
       core->onRecordSynced(version, monotonicNow());
-    else {
+      // Only now: a bootstrap that is not durable has bootstrapped nothing.
+      storage.rememberCluster(core->raftNode().cluster());
+    } else {
       // The process must not acknowledge records that may not be on disk.
       logDiskError(log_events::diskWriteFailed, result.error());
       writeFailed = true;
@@ -261,6 +274,11 @@
       return ApiResponse::error(409, "conflict", "this controller has no disk");
     if (!core->raftNode().isBlank())
       return ApiResponse::error(409, "conflict", "this controller already belongs to a cluster");
+    if (storage.hasKnownCluster() || !discovery.route().controllers.empty())
+      return ApiResponse::error(409, "conflict",
+                                "this machine has known cluster '" + storage.cluster().value +
+                                    "'; only a machine with an empty disk bootstraps another one");
+    discovery.withdrawBootstrap();
     core->bootstrap(monotonicNow());
     return ApiResponse::of(202, {{"founded", json(identity.value)}});
   }
@@ -293,13 +311,14 @@
   }
   ApiResponse answerReadiness(bool alive) const {
     const RaftNode& raft = core->raftNode();
-    const bool ready =
-        alive && !raft.isBlank() && (raft.canServe() || !raft.leaderId().value.empty());
+    const bool ready = alive && diskWritable && !raft.isBlank() &&
+                       (raft.canServe() || !raft.leaderId().value.empty());
     return ApiResponse::of(ready ? 200 : 503,
                            {{"ready", json(ready)},
                             {"role", json(name(raft.role()))},
                             {"term", json(raft.term().value)},
                             {"identity", json(identity.value)},
+                            {"cluster", json(raft.cluster().value)},
                             {"config", json(core->committed().config().version.value)}});
   }
 
--- a/source/daemons/controller_storage.cpp
+++ b/source/daemons/controller_storage.cpp
@@ -36,18 +36,51 @@
   if (!isPersistent())
     return stateWithoutDisk();
   auto recovered = openAndLoad(folder);
-  if (recovered)
+  if (recovered) {
+    recoverCluster(recovered.value());
     return std::move(recovered.value());
+  }
   logDiskError(log_events::dataFolderOpenFailed, recovered.error());
   if (!recovered.error().isCorruption())
     return std::nullopt;
   auto newState = beginAsNewIdentity();
-  if (newState)
+  if (newState) {
+    recoverCluster(*newState);
     log(LogLevel::warning, log_events::newIdentityAfterCorruption,
         {{"identity", json(newState->identity.value)}});
+  }
   return newState;
 }
 
+// The folder of an older version records no cluster, and its records may name none.
+void ControllerStorage::recoverCluster(const RecoveredState& recovered) {
+  auto recorded = folder.readCluster();
+  if (!recorded)
+    logDiskError(log_events::dataFolderOpenFailed, recorded.error());
+  else
+    knownCluster = recorded.value();
+  clusterIsDurable = recorded && !isAbsent(knownCluster);
+  for (const auto& record : recovered.records)
+    if (isAbsent(knownCluster))
+      knownCluster = record.cluster;
+  everKnewCluster =
+      !recorded || !isAbsent(knownCluster) || !recovered.records.empty() || folder.hasQuarantined();
+}
+
+void ControllerStorage::rememberCluster(const ClusterId& cluster) {
+  if (isAbsent(cluster) || (cluster == knownCluster && clusterIsDurable))
+    return;
+  knownCluster = cluster;
+  everKnewCluster = true;
+  clusterIsDurable = true;
+  if (!isPersistent())
+    return;
+  if (auto written = folder.writeCluster(cluster); !written) {
+    logDiskError(log_events::diskWriteFailed, written.error());
+    clusterIsDurable = false;
+  }
+}
+
 std::optional<RecoveredState> ControllerStorage::beginAsNewIdentity() {
   if (auto quarantined = folder.quarantine(); !quarantined) {
     logDiskError(log_events::dataFolderQuarantineFailed, quarantined.error());
--- a/source/daemons/gateway_daemon.cpp
+++ b/source/daemons/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemons/connection_drain.hpp"
 #include "daemons/listening.hpp"
 #include "net/contacts.hpp"
+#include "net/foreign_route_log.hpp"
 #include "net/http_authorization.hpp"
 #include "net/log.hpp"
 #include "net/signals.hpp"
@@ -136,13 +137,15 @@
   }
   void publishRoute(const RouteReply& reply) {
     const LeaderRoute& route = reply.view;
-    const Address before =
-        directory.read([](const LeaderRoute& current) { return current.leader; });
+    const auto [leaderBefore, cluster] = directory.read(
+        [](const LeaderRoute& current) { return std::pair(current.leader, current.cluster); });
+    if (areDifferentClusters(cluster, route.cluster))
+      return foreignRoutes.onRefused(cluster, reply);
     if (!directory.publish(route))
       return;
     if (reply.isLeader || !route.leader.value.empty())
       routeConfirmedAt = monotonicNow().milliseconds;
-    if (route.leader != before && !route.leader.value.empty())
+    if (route.leader != leaderBefore && !route.leader.value.empty())
       log(LogLevel::info, log_events::leaderChanged,
           {{"address", json(route.leader.value)}, {"term", json(route.term.value)}});
   }
@@ -259,6 +262,7 @@
   RpcClientPool controllers{loop};
   std::set<Address> queriesInFlight;
   std::set<Address> discoveredControllers;  // controllers that other gateways named
+  ForeignRouteLog foreignRoutes;
   std::vector<std::thread> threads;
   // Shared by all threads.
   LeaderDirectory directory;                                   // written by the main thread only
--- a/source/net/data_folder.cpp
+++ b/source/net/data_folder.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t headerBytes = sizeof formatMark + 8 + 4;
 
 constexpr const char* identityName = "identity";
+constexpr const char* clusterName = "cluster";
+constexpr const char* quarantinePrefix = "aside-";
 constexpr std::string_view snapshotPrefix = "snapshot-";
 constexpr std::string_view logPrefix = "log-";
 // The suffix of a file that is still being written.
@@ -243,11 +245,32 @@
   }
 }
 
+bool DataFolder::hasQuarantined() const {
+  return fileSystem->exists(pathOf(quarantinePrefix + std::string("1")));
+}
+
+DiskResult<ClusterId> DataFolder::readCluster() const {
+  const std::string file = pathOf(clusterName);
+  if (!fileSystem->exists(file))
+    return ClusterId{};
+  auto bytes = fileSystem->read(file);
+  if (!bytes)
+    return bytes.error();
+  auto body = unframe(file, bytes.value());
+  if (!body)
+    return body.error();
+  return ClusterId{body.value()};
+}
+
+DiskResult<void> DataFolder::writeCluster(const ClusterId& cluster) {
+  return writeFileAtomically(clusterName, frame(cluster.value));
+}
+
 DiskResult<void> DataFolder::quarantine() {
   int number = 1;
-  while (fileSystem->exists(pathOf("aside-" + std::to_string(number))))
+  while (fileSystem->exists(pathOf(quarantinePrefix + std::to_string(number))))
     ++number;
-  const std::string target = pathOf("aside-" + std::to_string(number));
+  const std::string target = pathOf(quarantinePrefix + std::to_string(number));
   if (auto made = fileSystem->makeFolder(target); !made)
     return made;
   // The identity is moved first: state without an identity is never used as the state of a voter.
--- a/source/net/data_folder.hpp
+++ b/source/net/data_folder.hpp
@@ -27,8 +27,15 @@
   DiskResult<void> write(const WriteAheadRecord& record);
 
   // Moves the identity and the state to a subfolder. This retires the identity, which must never
-  // vote again; the next `openLocked` creates a new one.
+  // vote again; the next `openLocked` creates a new one. The recorded cluster stays.
   DiskResult<void> quarantine();
+  // Reports whether an identity of this folder has been retired.
+  bool hasQuarantined() const;
+
+  // Returns the recorded cluster; absent if none is recorded.
+  DiskResult<ClusterId> readCluster() const;
+  // Records durably to which cluster the controllers of this folder belong. docs/design.md 3.8.
+  DiskResult<void> writeCluster(const ClusterId& cluster);
 
   // Returns the same records as `load` without modifying the folder, so the folder may be in use by
   // another process.
--- a/source/net/leader_forwarder.cpp
+++ b/source/net/leader_forwarder.cpp
@@ -44,13 +44,16 @@
 Result<WireMessage, WireError> LeaderForwarder::callTarget(const Address& target,
                                                            const ApiRequest& request,
                                                            Duration timeout) {
-  const Term termAtStart = route().term;
+  const LeaderRoute routeAtStart = route();
+  ApiRequest bound = request;
+  bound.cluster = routeAtStart.cluster;
   const auto client = clients.clientFor(target);
-  return client->call(request, timeout, [&] {
+  return client->call(std::move(bound), timeout, [&] {
     if (shuttingDown())
       return true;
     const LeaderRoute current = route();
-    return current.term > termAtStart && !current.leader.value.empty() && current.leader != target;
+    return current.term > routeAtStart.term && !current.leader.value.empty() &&
+           current.leader != target;
   });
 }
 
--- a/source/net/log_events.hpp
+++ b/source/net/log_events.hpp
@@ -9,6 +9,7 @@
 constexpr const char* started = "started";
 constexpr const char* stopping = "stopping";
 constexpr const char* stopped = "stopped";
+constexpr const char* foreignRouteRefused = "foreign_route_refused";
 constexpr const char* listenFailed = "listen_failed";
 
 // Logged by a controller.
--- a/source/net/wire.hpp
+++ b/source/net/wire.hpp
@@ -35,6 +35,7 @@
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
     archive& view& id& peer& zone& uninitialized& isLeader& hasDisk& bootstrapCandidate;
+    serializeTrailingSection(archive, view.cluster);
   }
 };
 
--- a/source/raft/membership.cpp
+++ b/source/raft/membership.cpp
@@ -30,8 +30,8 @@
   if (!joinAddress.value.empty())
     targets.push_back(joinAddress);
   for (const auto& target : targets)
-    outgoingMessages.push_back(
-        {selfMember.id, ControllerId{}, target, JoinRequest{selfMember}, selfMember.address});
+    outgoingMessages.push_back({selfMember.id, ControllerId{}, target, JoinRequest{selfMember},
+                                selfMember.address, currentCluster});
   nextHeartbeatAt = now + RaftLimits::joinRetryInterval;
 }
 
@@ -67,8 +67,10 @@
 }
 
 void RaftNode::bootstrap(MonotonicTime now) {
-  if (!isBlank())
+  if (!isBlank() || !isAbsent(currentCluster))
     return;
+  // An identity is drawn at random and bootstraps at most one cluster, so its id names the cluster.
+  currentCluster = ClusterId{selfMember.id.value};
   currentTerm = currentTerm.next();
   votedFor = selfMember.id;
   Member firstMember = selfMember;
--- a/source/raft/messages.hpp
+++ b/source/raft/messages.hpp
@@ -188,9 +188,11 @@
   Address toAddress;
   PeerBody body;
   Address fromAddress;
+  ClusterId cluster{};  // cluster of the sender, if it knows one
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
     archive& from& to& toAddress& body& fromAddress;
+    serializeTrailingSection(archive, cluster);
   }
 };
 
--- a/source/raft/node.cpp
+++ b/source/raft/node.cpp
@@ -14,6 +14,8 @@
   for (const auto& record : restored) {
     currentTerm = record.term;
     votedFor = record.votedFor;
+    if (!isAbsent(record.cluster))
+      currentCluster = record.cluster;
     if (record.holdsSnapshot)
       latestSnapshot = record.snapshot;
     log.restore(record);
@@ -49,7 +51,8 @@
 }
 
 PeerMessage RaftNode::makeMessage(const ControllerId& to, PeerBody body) const {
-  return PeerMessage{selfMember.id, to, addressOf(to), std::move(body), selfMember.address};
+  return PeerMessage{selfMember.id, to, addressOf(to), std::move(body), selfMember.address,
+                     currentCluster};
 }
 
 void RaftNode::send(const ControllerId& to, PeerBody body) {
@@ -122,15 +125,39 @@
     campaign(ElectionKind::preVote, now);
 }
 
+void RaftNode::bindToCluster(const ClusterId& cluster) {
+  if (isAbsent(currentCluster))
+    currentCluster = cluster;
+}
+
+// Terms and log positions of two clusters say nothing about each other, so a message of another
+// cluster is refused before anything in it is compared. docs/design.md 3.8.
+bool RaftNode::isFromOtherCluster(const PeerMessage& message) {
+  if (!areDifferentClusters(currentCluster, message.cluster))
+    return false;
+  foreignSender = ForeignSender{message.from, message.cluster};
+  return true;
+}
+
+// The id is stored with the next record, which is written before anything of the leader's log is
+// acknowledged.
+void RaftNode::adoptClusterOfLeader(const PeerMessage& message) {
+  if (message.from == knownLeader)
+    bindToCluster(message.cluster);
+}
+
 void RaftNode::receive(const PeerMessage& message, MonotonicTime now) {
   currentTime = std::max(currentTime, now);
   const bool isJoinRequest = message.body.type() == typeid(JoinRequest);
   if (!isJoinRequest && message.to != selfMember.id)
     return;
+  if (isFromOtherCluster(message))
+    return;
   if (lastKnownAddresses.size() > RaftLimits::rememberedAddresses)
     lastKnownAddresses.clear();
   lastKnownAddresses[message.from] = message.fromAddress;
   boost::apply_visitor([&](const auto& body) { handle(message, body, now); }, message.body);
+  adoptClusterOfLeader(message);
   if (canServe() && membershipCommitted())
     proposeAddressChanges(now);
 }
--- a/source/raft/node.hpp
+++ b/source/raft/node.hpp
@@ -39,7 +39,8 @@
   // heartbeat interval.
   // \param wall  the machine's calendar clock
   void tick(MonotonicTime now, WallTime wall);
-  // Processes a received message. Ignores it if it is addressed to another identity.
+  // Processes a received message. Ignores it if it is addressed to another identity, and refuses it
+  // if it comes from another cluster.
   void receive(const PeerMessage& message, MonotonicTime now);
   // Reports that the record of this version, obtained from takeWrite, is durable.
   void onWriteSynced(DiskVersion version, MonotonicTime now);
@@ -59,8 +60,12 @@
   // docs/design.md 3.5.
   std::optional<MembershipChangeRefusal> membershipChangeRefusal(const Membership& proposed,
                                                                  MonotonicTime now) const;
-  // Bootstraps a cluster with this node as the only voter. Does nothing unless the node is blank.
+  // Bootstraps a cluster with this node as the only voter, named after this identity. Does nothing
+  // unless the node is blank and bound to no cluster.
   void bootstrap(MonotonicTime now);
+  // Binds this node to a cluster, unless it already belongs to one: from now on it refuses messages
+  // of any other cluster, and it does not bootstrap one. docs/design.md 3.8.
+  void bindToCluster(const ClusterId& cluster);
   // Starts transferring leadership to the voter with the most up-to-date log among those recently
   // in contact, if there is one. This leader does not serve until the transfer succeeds or the
   // maximum election timeout has elapsed.
@@ -107,6 +112,17 @@
   // Reports whether a committed change has removed this identity. The owner then continues under a
   // new one.
   bool removedFromCluster() const { return removed; }
+  // Returns the cluster that this node belongs or is bound to; absent if it knows none.
+  const ClusterId& cluster() const { return currentCluster; }
+  // Returns the sender and cluster of the latest refused message of another cluster since the last
+  // call, if there was one.
+  struct ForeignSender {
+    ControllerId id;
+    ClusterId cluster;
+  };
+  std::optional<ForeignSender> takeForeignSender() {
+    return std::exchange(foreignSender, std::nullopt);
+  }
   // Reports whether this node may stop without its copy being needed: a majority of the voters,
   // counting only those recently in contact and not this node, holds every entry that this node
   // knows to be committed. docs/design.md 3.5.
@@ -164,6 +180,8 @@
   enum class SendMode : std::uint8_t { dataOnly, heartbeat };
 
   // node.cpp
+  bool isFromOtherCluster(const PeerMessage& message);
+  void adoptClusterOfLeader(const PeerMessage& message);
   void detectPause(MonotonicTime now);
   void tickAsLeader(MonotonicTime now);
   void tickAsFollower(MonotonicTime now);
@@ -275,11 +293,13 @@
   MonotonicTime pauseGraceUntil;
   std::vector<PeerMessage> outgoingMessages;
   bool snapshotInstalled = false;
+  std::optional<ForeignSender> foreignSender;
   std::map<ControllerId, Address> lastKnownAddresses;  // of all senders, members or not
 
   // --- Durable state
   Term currentTerm;
   ControllerId votedFor;  // in currentTerm
+  ClusterId currentCluster;
   RaftLog log;
   Snapshot latestSnapshot;
   WriteAheadQueue writes;
--- a/source/raft/persistence.cpp
+++ b/source/raft/persistence.cpp
@@ -5,7 +5,7 @@
 namespace aniseline {
 
 std::optional<WriteAheadRecord> RaftNode::takeWrite() {
-  return writes.take({currentTerm, votedFor, latestSnapshot, log});
+  return writes.take({currentTerm, votedFor, latestSnapshot, log, currentCluster});
 }
 
 void RaftNode::onWriteSynced(DiskVersion version, MonotonicTime now) {
--- a/source/raft/write_ahead_queue.cpp
+++ b/source/raft/write_ahead_queue.cpp
@@ -28,6 +28,7 @@
   record.version = nextVersion;
   record.term = state.term;
   record.votedFor = state.votedFor;
+  record.cluster = state.cluster;
   record.holdsSnapshot = snapshotPending;
   record.firstIndex = dirtyFromIndex;
   if (snapshotPending) {
--- a/source/raft/write_ahead_queue.hpp
+++ b/source/raft/write_ahead_queue.hpp
@@ -15,6 +15,7 @@
   const ControllerId& votedFor;
   const Snapshot& snapshot;
   const RaftLog& log;
+  const ClusterId& cluster;
 };
 
 class WriteAheadQueue {
--- a/source/raft/write_ahead_record.hpp
+++ b/source/raft/write_ahead_record.hpp
@@ -18,9 +18,11 @@
   Snapshot snapshot;
   LogIndex firstIndex;  // index of the first of `entries`
   std::vector<LogEntry> entries;
+  ClusterId cluster{};  // the cluster that the log belongs to, if it has an id
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
     archive& version& holdsSnapshot& term& votedFor& snapshot& firstIndex& entries;
+    serializeTrailingSection(archive, cluster);
   }
 };
 
--- a/source/simulator/simulated_callers.cpp
+++ b/source/simulator/simulated_callers.cpp
@@ -347,6 +347,7 @@
   invariantOptions.reservedTrialMemory = reservedTrialMemory;
   invariantOptions.tenantByJob = tenantByJob;
   invariantOptions.lowestCaps = lowestCaps;
+  invariantOptions.storedClusters = storedClusters;
   return checkInvariants(history, submissions, invariantOptions);
 }
 
--- a/source/simulator/simulated_cluster.hpp
+++ b/source/simulator/simulated_cluster.hpp
@@ -154,6 +154,7 @@
   std::map<std::string, std::set<std::string>> poolsByQueue;
   std::int64_t reservedTrialMemory = 0;  // MB; the maximum that any configuration reserved
   std::map<std::string, std::string> lastObservedState;
+  std::set<ClusterId> storedClusters;   // clusters of which a controller has stored state
   std::vector<ObservedKeyUse> keyUses;  // answers to submissions that carried a key
   // Inputs of invariant 20; see InvariantOptions.
   std::map<std::string, TenantName> tenantByJob;
--- a/source/simulator/simulated_controllers.cpp
+++ b/source/simulator/simulated_controllers.cpp
@@ -29,6 +29,7 @@
   settings.voterCount = node.votersOverride.value_or(settings.voterCount);
   node.core = std::make_unique<Controller>(self, settings, random.next(), node.disk,
                                            MonotonicTime{now + node.monotonicBase});
+  node.core->bindToCluster(node.knownCluster);
   node.core->logEvent.connect([this, &node](const LogEvent& event) {
     if (onLogEvent)
       schedule(now, [this, index = node.index, event] { onLogEvent(index, event); });
@@ -60,6 +61,8 @@
       node.identity = ControllerId{};
       node.disk.clear();
       bootController(node);
+      // Its settings may still allow a bootstrap, and its seeds may all be blank.
+      node.core->bootstrap(MonotonicTime{now + node.monotonicBase});
       return;
     }
   }
@@ -98,6 +101,8 @@
   node.writeInFlight.reset();
   auto respond = [this, &node, version] {
     node.core->onRecordSynced(version, MonotonicTime{now + node.monotonicBase});
+    node.knownCluster = node.core->raftNode().cluster();
+    storedClusters.insert(node.knownCluster);
     scheduleStep(node);
   };
   if (node.frozen)
@@ -180,6 +185,7 @@
   killController(index, true);
   controllers[index]->disk.clear();
   controllers[index]->identity = ControllerId{};
+  controllers[index]->knownCluster = ClusterId{};
 }
 void SimulatedCluster::moveController(std::size_t index) {
   controllers[index]->address = Address{"10.0.0." + std::to_string(nextAddress++) + ":1"};
--- a/source/simulator/simulated_gateways.cpp
+++ b/source/simulator/simulated_gateways.cpp
@@ -87,6 +87,7 @@
         resume();
     });
   }
+  request.cluster = node.route.cluster;
   askController(node, step.target, request, step.timeout.milliseconds,
                 [this, &node, call, request, reply](std::optional<ApiResponse> answer,
                                                     LeaderCall::Failure failure) {
--- a/source/simulator/simulated_nodes.hpp
+++ b/source/simulator/simulated_nodes.hpp
@@ -29,6 +29,8 @@
   std::size_t index = 0;
   Address address;
   ControllerId identity;
+  // The cluster that the machine belongs to, which its disk records over all its identities.
+  ClusterId knownCluster;
   std::unique_ptr<Controller> core;
   SnapshotWriter snapshotWriter;
   std::vector<WriteAheadRecord> disk;
--- a/source/state/api_request.hpp
+++ b/source/state/api_request.hpp
@@ -55,6 +55,8 @@
   std::string packedConfig;      // a packed ClusterConfig, used instead of `text`
   ApiKeyDigest apiKey;           // API key of the client
   Duration clientTimeout{2500};  // how long the client waits; not forwarded
+  // The cluster that the request is meant for, as far as the sender knows it.
+  ClusterId cluster{};
   bool viaIngress() const { return !path.empty(); }
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
@@ -65,6 +67,7 @@
       archive& job;
     if (kind == RequestKind::syncWorker)
       archive& report;
+    serializeTrailingSection(archive, cluster);
   }
   /// Parses a request of the public interface. The error lists all errors with their paths.
   static Result<ApiRequest> parse(const std::string& method, const std::string& target,
--- a/source/state/event.hpp
+++ b/source/state/event.hpp
@@ -12,8 +12,13 @@
 
 /// The first entry of a new leader's term.
 struct LeaderStarted {
+  // The id of the cluster. In a cluster that was bootstrapped without an id, the first committed
+  // entry that proposes one gives it its id. docs/design.md 3.8.
+  ClusterId cluster{};
   template <class Archive>
-  void serialize(Archive&, unsigned) {}
+  void serialize(Archive& archive, unsigned) {
+    serializeTrailingSection(archive, cluster);
+  }
 };
 
 struct ConfigCommitted {
--- a/source/state/leader_route.cpp
+++ b/source/state/leader_route.cpp
@@ -21,8 +21,11 @@
 }
 
 bool LeaderRoute::mergeNewer(LeaderRoute other) {
-  if (other.term < term)
+  // The terms of two clusters say nothing about each other.
+  if (areDifferentClusters(cluster, other.cluster) || other.term < term)
     return false;
+  if (isAbsent(other.cluster))
+    other.cluster = cluster;
   other.config = std::max(other.config, config);
   if (other.leader.value.empty() && other.term == term)
     other.leader = leader;
--- a/source/state/leader_route.hpp
+++ b/source/state/leader_route.hpp
@@ -31,8 +31,10 @@
   std::vector<GatewayEndpoint> gateways;  // for workers and clients
   ConfigVersion config;
   std::vector<QueueName> priorityQueues;  // queues whose submissions are the last to be rejected
-  /// Adopts the route known to another process, unless it is older; the configuration version never
-  /// decreases. Reports whether the route was adopted. docs/design.md 6.5.
+  ClusterId cluster{};  // absent if unknown; RouteReply transmits it beside the route
+  /// Adopts the route known to another process, unless it is older or leads to another cluster; the
+  /// configuration version never decreases. Reports whether the route was adopted. docs/design.md
+  /// 3.8, 6.5.
   bool mergeNewer(LeaderRoute other);
   /// Reports whether another request is admitted while `inFlight` requests of at most `limit` are
   /// in progress. One fifth of the limit is reserved for submissions to priority queues and for
--- a/tests/checker/invariants_tests.cpp
+++ b/tests/checker/invariants_tests.cpp
@@ -127,6 +127,18 @@
             .count(12));
 }
 
+TEST(InvariantTests, findsASecondCluster) {
+  InvariantOptions options;
+  options.retriesByQueue["q"] = 0;
+  options.clockSlackMs = 0;
+  options.storedClusters = {ClusterId{"first"}};
+  CHECK(checkInvariants(goodRun(), {{"a", twoSteps()}}, options).violations.empty());
+  options.storedClusters.insert(ClusterId{"second"});
+  const CheckReport report = checkInvariants(goodRun(), {{"a", twoSteps()}}, options);
+  LONGS_EQUAL(1, report.violations.size());
+  CHECK(report.violations[0].rule == Invariant::oneCluster);
+}
+
 // Checks that missing events at the end of the history are reported as violations.
 TEST(InvariantTests, findsMissingEvents) {
   const auto late = makeEvent(K::stateObserved, 9000, 0, "", "", "open");
--- a/tests/net/data_folder_tests.cpp
+++ b/tests/net/data_folder_tests.cpp
@@ -96,3 +96,20 @@
   CHECK(first.open().has_value());
   CHECK(second.open().error().message().find("in use") != std::string::npos);
 }
+
+// A machine whose identity was retired must still know to which cluster it belongs, so that it
+// neither bootstraps another one nor joins one.
+TEST(DataFolderTests, theRecordedClusterOutlivesTheIdentity) {
+  DataFolder folder(path);
+  CHECK(folder.open().has_value());
+  CHECK(!folder.hasQuarantined());
+  CHECK(folder.readCluster().value().value.empty());
+  CHECK(folder.writeCluster(ClusterId{"first"}).has_value());
+  CHECK(folder.write(record(1, false)).has_value());
+  CHECK(folder.quarantine().has_value());
+  CHECK(folder.hasQuarantined());
+  DataFolder reopened(path);
+  STRCMP_EQUAL("first", reopened.readCluster().value().value.c_str());
+  damage(path + "/cluster", 0, 2);
+  CHECK(reopened.readCluster().error().isCorruption());
+}
--- a/tests/net/serialization_tests.cpp
+++ b/tests/net/serialization_tests.cpp
@@ -283,3 +283,20 @@
                              "ab"s)
              .has_value());
 }
+
+// The id of a cluster is a trailing section, which an older program ignores.
+TEST(Serialization, theClusterOfAMessageIsTransmitted) {
+  PeerMessage message{ControllerId{"a"},       ControllerId{"b"}, Address{"b:1"},
+                      peerBodyOfEachKind()[2], Address{"a:1"},    ClusterId{"first"}};
+  RouteReply reply;
+  reply.view.cluster = ClusterId{"first"};
+  ApiRequest request;
+  request.kind = RequestKind::syncWorker;
+  request.cluster = ClusterId{"first"};
+  const auto received = [](const WireBody& body) {
+    return std::move(decode(encode(WireMessage{7, body})).value().body);
+  };
+  STRCMP_EQUAL("first", boost::get<PeerMessage>(received(message)).cluster.value.c_str());
+  STRCMP_EQUAL("first", boost::get<RouteReply>(received(reply)).view.cluster.value.c_str());
+  STRCMP_EQUAL("first", boost::get<ApiRequest>(received(request)).cluster.value.c_str());
+}
--- a/tests/raft/write_ahead_queue_tests.cpp
+++ b/tests/raft/write_ahead_queue_tests.cpp
@@ -10,6 +10,7 @@
   RaftLog log;
   Snapshot snapshot;
   ControllerId votedFor{"a"};
+  ClusterId cluster{"first"};
 
   void append(std::size_t count) {
     for (std::size_t added = 0; added < count; ++added) {
@@ -18,7 +19,7 @@
     }
   }
   std::optional<WriteAheadRecord> take() {
-    return queue.take({Term{1}, votedFor, snapshot, log});
+    return queue.take({Term{1}, votedFor, snapshot, log, cluster});
   }
   // Returns the number of messages released.
   std::size_t sync(const WriteAheadRecord& record) {
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -39,6 +39,8 @@
 bash tests/called.sh
 # Bootstrap and discovery through a seed controller without a data folder.
 bash tests/meeting.sh
+# A controller that was frozen and replaced bootstraps no second cluster when it wakes.
+bash tests/one_cluster.sh
 # Soak test: real processes and sockets under signals, restarts and configuration changes; checks the outcome of every complete request.
 # Two seeds, one of them with kills and a wiped disk at the end; longer series are started by hand: tests/soak/README.md.
 for seed in 1 2; do
