A full disk no longer ends a controller

Cause: a failed write was taken for the end of what the process can do. A record that is not acknowledged can be written again.

Change: StateWriters writes the record again every 500 ms. Meanwhile the node starts no election, hands its leadership over and is not ready (disk_writable in /readyz, log events disk_write_failed once and disk_writable). The simulated fault "disk full" keeps the controller up.

--- a/source/checker/model/fingerprint.cpp
+++ b/source/checker/model/fingerprint.cpp
@@ -22,7 +22,7 @@
   archive << node.committedIndex << node.votesGranted << node.preVoteElection;
   archive << age(node.lastLeaderContactAt, now, node.options.electionTimeoutMin);
   archive << node.joinAddress << std::uint64_t(node.maxLearners);
-  archive << node.removed << node.snapshotInstalled << node.lastKnownAddresses;
+  archive << node.removed << node.diskWritable << node.snapshotInstalled << node.lastKnownAddresses;
   archive << node.lastAppendRound << node.lastAppendLeader << node.lastAppendTerm
           << node.verifiedIndex;
   archive << node.replicatedIndexWithoutSelf;
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -57,6 +57,8 @@
   // replaced by the latest one seen.
   void step(MonotonicTime now, WallTime wall);
   void receive(const PeerMessage& message, MonotonicTime now) { raft.receive(message, now); }
+  // Tells whether the disk takes writes; see RaftNode.
+  void setDiskWritable(bool writable) { raft.setDiskWritable(writable); }
   // Reports that the disk record of this version and all earlier ones are durable.
   void onRecordSynced(DiskVersion version, MonotonicTime now) { raft.onWriteSynced(version, now); }
   // Accepts a request, which receives exactly one response. The request is rejected at once if this
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -140,9 +140,8 @@
   void startWriters() {
     writers = std::make_unique<StateWriters>(
         loop, storage,
-        StateWriters::Callbacks{[this](const DiskResult<void>& result, DiskVersion version) {
-                                  onRecordWritten(result, version);
-                                },
+        StateWriters::Callbacks{[this](DiskVersion version) { onRecordWritten(version); },
+                                [this](const DiskError& error) { onWriteFailed(error); },
                                 [this](PackedSnapshot snapshot) {
                                   core->onSnapshotPacked(std::move(snapshot));
                                   wakeUp();
@@ -194,8 +193,6 @@
       log(LogLevel::error, log_events::stateUnreadable, {{"data", json(settings.dataFolder)}});
       std::_Exit(1);
     }
-    if (writeFailed)
-      std::_Exit(1);
     return true;
   }
   void carryOutEffects() {
@@ -221,18 +218,27 @@
          {"job_bytes_limit", json(options.maxJobBytes)},
          {"pending_bytes", json(core->pendingBytes())}});
   }
-  void onRecordWritten(const DiskResult<void>& result, DiskVersion version) {
-    if (result) {
-      core->onRecordSynced(version, monotonicNow());
-      // Only now: a bootstrap that is not durable has bootstrapped nothing.
-      storage.rememberCluster(core->raftNode().cluster());
-    } else {
-      // The process must not acknowledge records that may not be on disk.
-      logDiskError(log_events::diskWriteFailed, result.error());
-      writeFailed = true;
-    }
+  void onRecordWritten(DiskVersion version) {
+    setDiskWritable(true);
+    core->onRecordSynced(version, monotonicNow());
+    // Only now: a bootstrap that is not durable has bootstrapped nothing.
+    storage.rememberCluster(core->raftNode().cluster());
     wakeUp();
   }
+  // The record is written again until the disk takes it. Meanwhile nothing that it holds is
+  // acknowledged. docs/design.md 3.3.
+  void onWriteFailed(const DiskError& error) {
+    if (diskWritable)
+      logDiskError(log_events::diskWriteFailed, error);
+    setDiskWritable(false);
+    wakeUp();
+  }
+  void setDiskWritable(bool writable) {
+    if (writable && !diskWritable)
+      log(LogLevel::info, log_events::diskWritable);
+    diskWritable = writable;
+    core->setDiskWritable(writable);
+  }
   void wakeUp() {
     const std::unique_lock lock(wakeMutex);
     wakeRequested = true;
@@ -316,6 +322,7 @@
     return ApiResponse::of(ready ? 200 : 503,
                            {{"ready", json(ready)},
                             {"role", json(name(raft.role()))},
+                            {"disk_writable", json(diskWritable)},
                             {"term", json(raft.term().value)},
                             {"identity", json(identity.value)},
                             {"cluster", json(raft.cluster().value)},
@@ -405,7 +412,7 @@
   bool abortPendingRequests = false;  // pending requests of operators are answered at once
   MonotonicTime nextTransferAt{0};
   MonotonicTime nextMemoryReport;
-  bool writeFailed = false;
+  bool diskWritable = true;
   bool wakeRequested = false;
   boost::fibers::mutex wakeMutex;
   boost::fibers::condition_variable wakeCondition;
--- a/source/daemons/state_writers.cpp
+++ b/source/daemons/state_writers.cpp
@@ -12,14 +12,33 @@
 }
 
 void StateWriters::write(WriteAheadRecord record) {
+  submitWrite(std::make_shared<const WriteAheadRecord>(std::move(record)));
+}
+
+void StateWriters::submitWrite(std::shared_ptr<const WriteAheadRecord> record) {
   diskThread.submit([this, record = std::move(record), token = std::weak_ptr(lifetimeToken)] {
-    auto result = storage.write(record);
-    postToLoop(token, [this, result = std::move(result), version = record.version] {
-      callbacks.onRecordWritten(result, version);
+    auto result = storage.write(*record);
+    postToLoop(token, [this, result = std::move(result), record] {
+      if (result)
+        callbacks.onRecordWritten(record->version);
+      else
+        onWriteFailed(result.error(), record);
     });
   });
 }
 
+// Nothing that the record holds has been acknowledged, so writing it whole once more is safe, also
+// after a failed sync.
+void StateWriters::onWriteFailed(const DiskError& error,
+                                 std::shared_ptr<const WriteAheadRecord> record) {
+  callbacks.onWriteFailed(error);
+  runAfter(writeRetryInterval,
+           [this, record = std::move(record), token = std::weak_ptr(lifetimeToken)] {
+             if (token.lock())
+               submitWrite(record);
+           });
+}
+
 void StateWriters::updateSnapshot(SnapshotWork work) {
   snapshotThread.submit([this, work = std::move(work), token = std::weak_ptr(lifetimeToken)] {
     auto snapshot = snapshotWriter.process(work);
--- a/source/daemons/state_writers.hpp
+++ b/source/daemons/state_writers.hpp
@@ -14,14 +14,18 @@
 // All methods are called, and all callbacks run, on the event loop's thread.
 class StateWriters {
  public:
+  // The interval at which a record is written again if the disk has refused it.
+  static constexpr Duration writeRetryInterval{500};
   struct Callbacks {
-    std::function<void(const DiskResult<void>&, DiskVersion)> onRecordWritten;
+    std::function<void(DiskVersion)> onRecordWritten;
+    std::function<void(const DiskError&)> onWriteFailed;  // called for each failed attempt
     std::function<void(PackedSnapshot)> onSnapshotPacked;
   };
   StateWriters(EventLoop& loop, ControllerStorage& storage, Callbacks callbacks)
       : loop(loop), storage(storage), callbacks(std::move(callbacks)) {}
 
-  // Queues a record for writing. Records become durable in the order of the calls.
+  // Queues a record for writing. It is written again until the disk takes it. The next record may
+  // be queued only after `onRecordWritten`.
   void write(WriteAheadRecord record);
   // Applies the work to the snapshot writer's own copy of the state, and packs a snapshot if the
   // work requests one.
@@ -29,6 +33,8 @@
 
  private:
   struct LifetimeToken {};
+  void onWriteFailed(const DiskError& error, std::shared_ptr<const WriteAheadRecord> record);
+  void submitWrite(std::shared_ptr<const WriteAheadRecord> record);
   // Runs a callback on the event loop's thread, unless this object has been destroyed by then.
   template <class Callback>
   void postToLoop(std::weak_ptr<LifetimeToken> lifetimeToken, Callback callback);
--- a/source/net/log_events.hpp
+++ b/source/net/log_events.hpp
@@ -16,6 +16,7 @@
 constexpr const char* dataFolderOpenFailed = "data_folder_open_failed";
 constexpr const char* dataFolderQuarantineFailed = "data_folder_quarantine_failed";
 constexpr const char* diskWriteFailed = "disk_write_failed";
+constexpr const char* diskWritable = "disk_writable";
 constexpr const char* stateUnreadable = "state_unreadable";
 constexpr const char* newIdentityAfterCorruption = "new_identity_after_corruption";
 constexpr const char* identityRemovedFromCluster = "identity_removed_from_cluster";
--- a/source/raft/election.cpp
+++ b/source/raft/election.cpp
@@ -180,7 +180,7 @@
 }
 
 void RaftNode::handle(const PeerMessage& message, const TimeoutNow& body, MonotonicTime now) {
-  if (body.term == currentTerm && message.from == knownLeader)
+  if (body.term == currentTerm && message.from == knownLeader && diskWritable)
     campaign(ElectionKind::leaderTransfer, now);
 }
 
--- a/source/raft/node.cpp
+++ b/source/raft/node.cpp
@@ -115,13 +115,15 @@
                              now - rounds.lastStartTime() >= options.heartbeatInterval;
   if (now >= nextHeartbeatAt && canStartRound)
     broadcast(now);
+  if (!diskWritable && !transferringLeadership)
+    transferLeadership(now);
 }
 
 void RaftNode::tickAsFollower(MonotonicTime now) {
   if (now >= nextHeartbeatAt)
     requestJoin(now);
   promoteIfVoter();
-  if (currentRole != Role::learner && now >= electionDeadline && !removed)
+  if (currentRole != Role::learner && now >= electionDeadline && !removed && diskWritable)
     campaign(ElectionKind::preVote, now);
 }
 
--- a/source/raft/node.hpp
+++ b/source/raft/node.hpp
@@ -74,6 +74,10 @@
   // need. Does nothing unless `index` is committed and is later than the latest snapshot.
   // \param state  the owner's state with all entries up to `index` applied
   void compact(LogIndex index, std::string state);
+  // Tells whether the disk takes writes. While it does not, this node starts no election, and as a
+  // leader it transfers its leadership; its votes and acknowledgements wait for a sync anyway.
+  // docs/design.md 3.3.
+  void setDiskWritable(bool writable) { diskWritable = writable; }
   // Sets the address to send join requests to: that of a leader or of any other member.
   void setJoinAddress(const Address& address);
   // Sets the maximum number of learners. Each learner costs one copy of the log.
@@ -311,6 +315,7 @@
   Membership currentMembership;  // from the latest membership entry, committed or not
   LogIndex membershipIndex;      // index of that entry
   bool removed = false;
+  bool diskWritable = true;
   Address joinAddress;
   std::size_t maxLearners = 1;
 
--- a/source/simulator/faults_controllers.cpp
+++ b/source/simulator/faults_controllers.cpp
@@ -109,7 +109,6 @@
 
 void endDiskFull(SimulatedCluster& cluster, std::size_t index) {
   cluster.setDiskFull(index, false);
-  cluster.restartController(index);
 }
 
 // Returns a `begin` step that takes effect on every controller.
--- a/source/simulator/simulated_cluster.hpp
+++ b/source/simulator/simulated_cluster.hpp
@@ -63,7 +63,7 @@
   // Moves the clock by this many ms until it is corrected or the controller starts again.
   void jumpClock(std::size_t index, std::int64_t by);
   void correctClock(std::size_t index);
-  // While the disk is full, a write fails and ends the process.
+  // While the disk is full, writes fail and are tried again.
   void setDiskFull(std::size_t index, bool full);
   void transferLeadership(std::size_t index);
   void killGateway(std::size_t index);
--- a/source/simulator/simulated_controllers.cpp
+++ b/source/simulator/simulated_controllers.cpp
@@ -5,6 +5,8 @@
 
 namespace {
 
+constexpr std::int64_t diskRetryMs = 500;  // as StateWriters::writeRetryInterval
+
 std::string formatLogEvent(const LogEvent& event) {
   const RenderedLogEvent rendered = render(event);
   if (rendered.fields.empty())
@@ -90,8 +92,12 @@
   if (now < node.diskStalledUntil)
     return schedule(node.diskStalledUntil + 1,
                     [this, &node, generation] { finishWrite(node, generation); });
-  if (node.diskFull)
-    return killController(node.index, true);  // a failed write must not be acknowledged
+  if (node.diskFull) {
+    // The record is written again until the disk takes it, and not acknowledged before.
+    node.core->setDiskWritable(false);
+    return schedule(now + diskRetryMs,
+                    [this, &node, generation] { finishWrite(node, generation); });
+  }
   // The operating system completes the write while the process is frozen; the process learns of it
   // when it is thawed.
   const DiskVersion version = node.writeInFlight->version;
@@ -100,6 +106,7 @@
   node.disk.push_back(std::move(*node.writeInFlight));
   node.writeInFlight.reset();
   auto respond = [this, &node, version] {
+    node.core->setDiskWritable(true);
     node.core->onRecordSynced(version, MonotonicTime{now + node.monotonicBase});
     node.knownCluster = node.core->raftNode().cluster();
     storedClusters.insert(node.knownCluster);
