aniselinectl help does not destroy the event loop that its thread still uses

Cause: main returned, which destroys the EventLoop on its stack; the fiber scheduler of the thread outlives it and posts to its context when the thread ends (backtrace: FiberScheduler::notify from boost::fibers::scheduler::dispatch). On x86-64 the freed stack happened to hold the old bytes. All other ends of the program are std::_Exit, for that reason.

Change: this end is one too. Left: the scheduler should share the ownership of its context, so that no program can do this (docs/ROADMAP.md 2).

--- a/programs/aniselinectl.cpp
+++ b/programs/aniselinectl.cpp
@@ -78,7 +78,9 @@
       (arguments.size() == 1 ||
        findCommand(Arguments(arguments.begin() + 1, arguments.end()), nameLength))) {
     printHelp(options, arguments);
-    return 0;
+    // The fiber scheduler of this thread uses the event loop until the thread ends, so the loop
+    // must not be destroyed before.
+    std::_Exit(int(ExitCode::success));
   }
   startLog("aniselinectl", "", true);
   std::unique_ptr<GatewayClient> client;
