Logs of the leader's load and of the latency of starts, commits and ends

Change: dispatch_latency and leader_load once a second, agent_latency every 10 s, plans in occupancy. Nothing decides by them.

--- a/source/agent/node_agent.cpp
+++ b/source/agent/node_agent.cpp
@@ -121,7 +121,7 @@
   }
   if (report.draining)
     instances.noteDrainReported();
-  results.confirm(report, response.finalResultCount);
+  results.confirm(report, response.finalResultCount, now);
   // Orders under an expired lease are not followed. docs/design.md 5.3.
   if (lease.leaderLeaseValid(now))
     receiveOrders(response, now);
@@ -150,7 +150,7 @@
       // run that an earlier process of this agent staged was therefore never started.
       // docs/design.md 7.3.
       if (!known)
-        return recordResult(0, {runId, AttemptOutcome::neverStarted, ""});
+        return recordResult(0, {runId, AttemptOutcome::neverStarted, ""}, now);
       return runs.launch(runId, order, now);
     case OrderKind::stop:
       return runs.stop(runId, order, now);
@@ -207,7 +207,7 @@
     }
   });
   for (auto& result : neverStarted)
-    recordResult(0, std::move(result));
+    recordResult(0, std::move(result), now);
 }
 
 bool NodeAgent::startsBlocked(MonotonicTime now) const {
@@ -352,19 +352,20 @@
     const bool isVoid = polls.leaseExpired() && result.outcome == AttemptOutcome::succeeded;
     recordResult(
         result.sequenceNumber,
-        {result.runId, isVoid ? AttemptOutcome::stopped : result.outcome, result.checkpoint});
+        {result.runId, isVoid ? AttemptOutcome::stopped : result.outcome, result.checkpoint}, now);
   }
   polls.onReplyHandled(call);
   // An incomplete list does not prove that a run is absent.
   if (!reply.complete)
     return;
   for (auto& result : runs.resolveUnlisted(listedRuns, call.callId))
-    recordResult(0, std::move(result));
+    recordResult(0, std::move(result), now);
 }
 
-void NodeAgent::recordResult(std::uint64_t sequenceNumber, TaskRunResult result) {
+void NodeAgent::recordResult(std::uint64_t sequenceNumber, TaskRunResult result,
+                             MonotonicTime now) {
   runs.erase(result.runId);
-  results.add(sequenceNumber, std::move(result));
+  results.add(sequenceNumber, std::move(result), now);
 }
 
 MonotonicTime NodeAgent::nextWakeUp(MonotonicTime now) const {
--- a/source/agent/node_agent.hpp
+++ b/source/agent/node_agent.hpp
@@ -69,6 +69,13 @@
   // Returns the earliest time at which takeCalls may return new calls if no message arrives.
   MonotonicTime nextWakeUp(MonotonicTime now) const;
 
+  // Returns the latencies of this agent since the last call.
+  struct Latencies {
+    LatencyQuantiles start;         // from the receipt of an order to the worker's answer
+    LatencyQuantiles confirmation;  // from a result to its confirmation by the leader
+  };
+  Latencies takeLatencies() { return {runs.takeStartLatency(), results.takeConfirmationLatency()}; }
+
   // Returns the number of runs that, as far as the agent knows, the worker has or is to have.
   std::size_t runCount() const { return runs.size(); }
   // Returns the current instance; empty before the first registration.
@@ -100,7 +107,7 @@
 
   void onCandidateReply(const WorkerCall& call, const WorkerReply& reply, MonotonicTime now);
   void onPollReply(const WorkerCall& call, const WorkerReply& reply, MonotonicTime now);
-  void recordResult(std::uint64_t sequenceNumber, TaskRunResult result);
+  void recordResult(std::uint64_t sequenceNumber, TaskRunResult result, MonotonicTime now);
 
   NodeAgentOptions options;
   InstanceTracker instances;
--- a/source/agent/pending_results.cpp
+++ b/source/agent/pending_results.cpp
@@ -32,7 +32,7 @@
   return true;
 }
 
-void PendingResults::add(std::uint64_t sequenceNumber, TaskRunResult result) {
+void PendingResults::add(std::uint64_t sequenceNumber, TaskRunResult result, MonotonicTime now) {
   pendingCheckpoints.erase(result.runId);
   latestCheckpoints.erase(result.runId);
   auto position = pending.end();
@@ -40,7 +40,7 @@
     position = std::find_if(pending.begin(), pending.end(), [&](const PendingResult& other) {
       return other.sequenceNumber == 0 || other.sequenceNumber > sequenceNumber;
     });
-  pending.insert(position, PendingResult{sequenceNumber, std::move(result), false});
+  pending.insert(position, PendingResult{sequenceNumber, std::move(result), false, now});
 }
 
 void PendingResults::noteCheckpoint(const TaskRunId& runId, const std::string& checkpoint) {
@@ -64,7 +64,8 @@
     report.checkpoints.push_back({runId, checkpoint});
 }
 
-void PendingResults::confirm(const SyncReport& report, std::uint32_t finalResultCount) {
+void PendingResults::confirm(const SyncReport& report, std::uint32_t finalResultCount,
+                             MonotonicTime now) {
   for (const auto& reported : report.checkpoints) {
     auto found = pendingCheckpoints.find(reported.runId);
     if (found != pendingCheckpoints.end() && found->second == reported.checkpoint)
@@ -72,18 +73,19 @@
   }
   const std::size_t count = std::min<std::size_t>(finalResultCount, report.runResults.size());
   for (std::size_t index = 0; index < count; ++index)
-    confirmResult(report.runResults[index].runId);
+    confirmResult(report.runResults[index].runId, now);
 }
 
 // Results become final only in the order of their numbers, because the worker discards all results
 // up to a given number.
-void PendingResults::confirmResult(const TaskRunId& runId) {
+void PendingResults::confirmResult(const TaskRunId& runId, MonotonicTime now) {
   auto found = std::find_if(pending.begin(), pending.end(), [&](const PendingResult& entry) {
     return entry.result.runId == runId;
   });
   if (found == pending.end() || (found->sequenceNumber && found != pending.begin()))
     return;
   confirmedNumber = std::max(confirmedNumber, found->sequenceNumber);
+  confirmationLatency.record(now - found->recordedAt);
   pending.erase(found);
 }
 
--- a/source/agent/pending_results.hpp
+++ b/source/agent/pending_results.hpp
@@ -4,6 +4,7 @@
 #ifndef ANISELINE_AGENT_PENDING_RESULTS_HPP
 #define ANISELINE_AGENT_PENDING_RESULTS_HPP
 #include "agent/worker_messages.hpp"
+#include "base/latency_summary.hpp"
 #include "state/sync_report.hpp"
 
 namespace aniseline {
@@ -22,7 +23,7 @@
   bool isNew(std::uint64_t sequenceNumber);
   // Adds a result. Sequence number 0 means that the worker never started the run. Results are kept
   // in the order of the worker's sequence numbers, followed by those without one.
-  void add(std::uint64_t sequenceNumber, TaskRunResult result);
+  void add(std::uint64_t sequenceNumber, TaskRunResult result, MonotonicTime now);
   // Records a run's latest checkpoint, which is reported if it is new.
   void noteCheckpoint(const TaskRunId& runId, const std::string& checkpoint);
 
@@ -30,7 +31,9 @@
   void fillReport(SyncReport& report);
   // Handles the leader's response to a report: the checkpoints in the report are stored, and its
   // first `finalResultCount` results are final.
-  void confirm(const SyncReport& report, std::uint32_t finalResultCount);
+  void confirm(const SyncReport& report, std::uint32_t finalResultCount, MonotonicTime now);
+  // Returns how long results waited for their confirmation since the last call.
+  LatencyQuantiles takeConfirmationLatency() { return confirmationLatency.take(); }
   // Returns the sequence number up to which the worker may discard its results.
   std::uint64_t confirmedUpTo() const { return confirmedNumber; }
 
@@ -46,8 +49,9 @@
     std::uint64_t sequenceNumber = 0;
     TaskRunResult result;
     bool reported = false;
+    MonotonicTime recordedAt;
   };
-  void confirmResult(const TaskRunId& runId);
+  void confirmResult(const TaskRunId& runId, MonotonicTime now);
 
   std::deque<PendingResult> pending;
   std::map<TaskRunId, std::string> pendingCheckpoints;
@@ -55,6 +59,7 @@
   std::map<TaskRunId, std::string> latestCheckpoints;
   std::uint64_t confirmedNumber = 0;
   std::uint64_t highestNumber = 0;
+  LatencySummary confirmationLatency;
 };
 
 }  // namespace aniseline
--- a/source/agent/run_table.cpp
+++ b/source/agent/run_table.cpp
@@ -67,8 +67,10 @@
   TrackedRun& run = found->second;
   if (call.kind == WorkerCall::Kind::stop)
     run.onStopReply(status, now, nextPoll);
-  else if (run.onStartReply(status, now, nextPoll))
+  else if (run.onStartReply(status, now, nextPoll)) {
+    startLatency.record(now - run.startableSince());
     completeOrders(run);
+  }
 }
 
 std::optional<MonotonicTime> RunTable::nextCallAt() const {
--- a/source/agent/run_table.hpp
+++ b/source/agent/run_table.hpp
@@ -4,6 +4,7 @@
 #define ANISELINE_AGENT_RUN_TABLE_HPP
 #include "agent/node_agent_options.hpp"
 #include "agent/tracked_run.hpp"
+#include "base/latency_summary.hpp"
 
 namespace aniseline {
 
@@ -42,6 +43,10 @@
   void onReply(const WorkerCall& call, WorkerReply::Status status, MonotonicTime now,
                std::uint64_t nextPoll);
 
+  // Returns how long the starts since the last call took, from their orders to the worker's
+  // answers.
+  LatencyQuantiles takeStartLatency() { return startLatency.take(); }
+
   // Returns the earliest time at which a run without a call in flight needs a call, which may be in
   // the past; nothing if no run needs one.
   std::optional<MonotonicTime> nextCallAt() const;
@@ -67,6 +72,7 @@
   std::map<TaskRunId, TrackedRun> runs;
   std::set<OrderNumber> openOrders;
   std::size_t callsInFlight = 0;
+  LatencySummary startLatency;
 };
 
 }  // namespace aniseline
--- a/source/agent/tracked_run.cpp
+++ b/source/agent/tracked_run.cpp
@@ -25,7 +25,7 @@
 TrackedRun TrackedRun::fromStartOrder(const Order& order, MonotonicTime now) {
   TrackedRun run;
   run.startOrder = order;
-  run.notBefore = now;
+  run.notBefore = run.startableAt = now;
   run.staged = order.kind == OrderKind::stage;
   return run;
 }
@@ -39,7 +39,7 @@
 
 void TrackedRun::launch(MonotonicTime now) {
   staged = false;
-  notBefore = now;
+  notBefore = startableAt = now;
 }
 
 void TrackedRun::requestStop(MonotonicTime now) {
--- a/source/agent/tracked_run.hpp
+++ b/source/agent/tracked_run.hpp
@@ -28,6 +28,8 @@
 
   const Order& order() const { return startOrder; }
   bool isRunning() const { return running; }
+  // Returns when the order to start the run, or to launch it, was received.
+  MonotonicTime startableSince() const { return startableAt; }
   // Reports whether the run is staged and not launched yet.
   bool isStaged() const { return staged; }
   // Reports whether a poll is needed to learn the run's state. A run that is known to be running
@@ -98,6 +100,7 @@
   bool rejected = false;
   std::uint32_t unavailableReplies = 0;
   MonotonicTime notBefore{0};
+  MonotonicTime startableAt;
 };
 
 }  // namespace aniseline
--- a/source/controller/controller.cpp
+++ b/source/controller/controller.cpp
@@ -46,7 +46,8 @@
       memory(options.maxJobBytes),
       admission(options.policies, memory),
       openJobs(logEvent),
-      jobLatency(logEvent) {}
+      jobLatency(logEvent),
+      dispatchLatency(logEvent) {}
 
 void Controller::step(MonotonicTime at, WallTime wall) {
   if (hasUnreadableState())
@@ -65,6 +66,7 @@
     reviewMembership();
     reportRejectedKeys();
     reportLimitedGrowth();
+    dispatchLatency.report(now);
     followRaft(wall);  // sends out the new proposals in this same step
   }
   if (isLeading()) {
@@ -76,7 +78,10 @@
 
 void Controller::followRaft(WallTime wall) {
   raft.tick(now, wall);
-  if (stateMachine.applyCommittedEntries())
+  const auto onCommit = [this](Duration latency) {
+    dispatchLatency.recordCommit(latency);
+  };
+  if (stateMachine.applyCommittedEntries(now, onCommit))
     clock.observeRecord(committed().now(), now);
   onRoleChange();
   reportForeignCluster();
@@ -101,6 +106,7 @@
   admission.restart();
   retention.restart();
   jobLatency.clear();
+  dispatchLatency.clear();
   timetables.invalidate();
   syncResponder.clear();
   requests.markAllPolls();
@@ -139,6 +145,7 @@
 void Controller::append(Event event) {
   if (options.explainLateJobs)
     jobLatency.recordResults(speculative(), event, clusterNow());
+  dispatchLatency.recordEvent(speculative(), event, clusterNow());
   const Event& appended = stateMachine.append(std::move(event), clusterNow(), now);
   if (options.explainLateJobs)
     jobLatency.reportEnded(speculative());
--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -26,6 +26,7 @@
 #include "controller/lease_manager.hpp"
 #include "controller/log_event.hpp"
 #include "controller/membership_manager.hpp"
+#include "controller/dispatch_latency_tracker.hpp"
 #include "controller/job_latency_tracker.hpp"
 #include "controller/open_job_monitor.hpp"
 #include "controller/options.hpp"
@@ -196,6 +197,7 @@
   JobRetention retention;
   OpenJobMonitor openJobs;
   JobLatencyTracker jobLatency;
+  DispatchLatencyTracker dispatchLatency;
 };
 
 }  // namespace aniseline
--- a/source/controller/log_event.cpp
+++ b/source/controller/log_event.cpp
@@ -106,6 +106,7 @@
              {"workers", json(event.usableWorkers)},
              {"passed_over", json(event.excludedWorkers)},
              {"copies", json(event.redundantCopies)},
+             {"plans", json(event.plans)},
              {"held_by_cap", json(event.heldByTenantCap)},
              {"cores", json(event.cores)},
              {"cores_used", json(event.coresUsed)}}};
@@ -127,6 +128,12 @@
              {"took_ms", json(event.took.milliseconds)},
              {"chain", json(std::move(chain))}}};
   }
+  RenderedLogEvent operator()(const log_events::DispatchLatency& event) const {
+    return {"dispatch_latency",
+            {{"wait", json(render(event.wait))},
+             {"commit", json(render(event.commit))},
+             {"overhead", json(render(event.overhead))}}};
+  }
 };
 
 }  // namespace
--- a/source/controller/log_event.hpp
+++ b/source/controller/log_event.hpp
@@ -6,6 +6,7 @@
 #include "raft/membership_change.hpp"
 #include "state/event.hpp"
 #include "base/json.hpp"
+#include "base/latency_summary.hpp"
 #include <variant>
 
 namespace aniseline {
@@ -111,6 +112,7 @@
   std::size_t usableWorkers = 0;
   std::size_t excludedWorkers = 0;
   std::size_t redundantCopies = 0;
+  std::size_t plans = 0;            // since the last report
   std::size_t heldByTenantCap = 0;  // waiting tasks whose tenant has reached its cap
   double cores = 0;
   double coresUsed = 0;
@@ -134,6 +136,14 @@
   std::vector<Run> chain;
 };
 
+// How long the leader took in the last second to order starts, to commit records and to learn of
+// ends.
+struct DispatchLatency {
+  LatencyQuantiles wait;      // from a task's readiness to the order to start it
+  LatencyQuantiles commit;    // from the proposal of a record to its commit
+  LatencyQuantiles overhead;  // from the order to the reported end, less the requested runtime
+};
+
 }  // namespace log_events
 
 using LogEvent = std::variant<
@@ -142,7 +152,7 @@
     log_events::ApiKeysRejected, log_events::StateGrowthLimited, log_events::ForeignClusterRefused,
     log_events::WorkerIdInUse, log_events::WorkerDraining, log_events::WorkerUnreachable,
     log_events::MembershipChanged, log_events::MembershipChangeRefused, log_events::TaskDelayed,
-    log_events::Occupancy, log_events::JobLate>;
+    log_events::Occupancy, log_events::JobLate, log_events::DispatchLatency>;
 using LogEventSignal = boost::signals2::signal<void(const LogEvent&)>;
 
 // An event in the form in which it appears in a log line or a trace.
--- a/source/controller/planning_driver.cpp
+++ b/source/controller/planning_driver.cpp
@@ -64,6 +64,7 @@
   occupancy.openJobs = state.openJobs().size();
   occupancy.usableWorkers = plan.schedulableWorkers;
   occupancy.excludedWorkers = plan.excludedWorkers;
+  occupancy.plans = std::exchange(plansSinceReport, 0);
   occupancy.redundantCopies = plan.redundantCopies;
   occupancy.heldByTenantCap = plan.heldByTenantCap;
   occupancy.cores = double(plan.schedulableCores) / 1000;
@@ -76,6 +77,7 @@
   if (!isRequested(state, clusterNow, now) || !isPeriodOver(state, now))
     return std::nullopt;
   lastPlanAt = now;
+  ++plansSinceReport;
   periodSkipped = false;
   requested = false;
   Plan plan =
--- a/source/controller/planning_driver.hpp
+++ b/source/controller/planning_driver.hpp
@@ -56,6 +56,7 @@
   MonotonicTime lastPlanAt{-1'000'000};
   MonotonicTime nextDueCheck;
   MonotonicTime nextOccupancyReport;
+  std::size_t plansSinceReport = 0;
   // In units of the planner: single tasks, and gangs, which are placed as a whole.
   std::size_t pendingUnitsAtLastPlan = 0;
 };
--- a/source/controller/replicated_state_machine.cpp
+++ b/source/controller/replicated_state_machine.cpp
@@ -19,7 +19,8 @@
   snapshotScheduler.restart(snapshot.state);
 }
 
-bool ReplicatedStateMachine::applyCommittedEntries() {
+bool ReplicatedStateMachine::applyCommittedEntries(MonotonicTime now,
+                                                   const CommitObserver& onCommit) {
   const LogIndex before = appliedIndex;
   if (raft.takeSnapshotInstalled()) {
     restore(raft.snapshot());
@@ -30,7 +31,7 @@
     const LogEntry& entry = raft.entry(appliedIndex);
     if (entry.isMembership)
       continue;
-    if (applyCommittedEntry(entry)) {
+    if (applyCommittedEntry(entry, now, onCommit)) {
       snapshotScheduler.recordApplied(entry.payload);
     } else {
       unreadableState = true;
@@ -40,12 +41,14 @@
   return appliedIndex != before;
 }
 
-bool ReplicatedStateMachine::applyCommittedEntry(const LogEntry& entry) {
+bool ReplicatedStateMachine::applyCommittedEntry(const LogEntry& entry, MonotonicTime now,
+                                                 const CommitObserver& onCommit) {
   while (!proposals.empty() && proposals.front().index < appliedIndex)
     dropFirstProposal();
   const bool isProposal = !proposals.empty() && proposals.front().index == appliedIndex &&
                           proposals.front().term == entry.term;
   if (isProposal) {
+    onCommit(now - proposals.front().proposedAt);
     applyCommittedRecord(proposals.front().record);
     dropFirstProposal();
     return true;
@@ -101,7 +104,7 @@
   const std::size_t bytes = payload.size();
   const LogIndex index = raft.propose(std::move(payload), now);
   speculativeState->apply(record);
-  proposals.push_back({index, raft.term(), std::move(record), bytes});
+  proposals.push_back({index, raft.term(), std::move(record), bytes, now});
   totalProposalBytes += bytes;
   return proposals.back().record.event;
 }
--- a/source/controller/replicated_state_machine.hpp
+++ b/source/controller/replicated_state_machine.hpp
@@ -17,7 +17,9 @@
 
   // Brings the committed state up to the commit index, by an installed snapshot and by entries.
   // Reports whether anything was applied.
-  bool applyCommittedEntries();
+  // Reports the age of each proposal of this leader that has been committed to `onCommit`.
+  using CommitObserver = std::function<void(Duration)>;
+  bool applyCommittedEntries(MonotonicTime now, const CommitObserver& onCommit);
   const ClusterState& committed() const { return committedState; }
   // Returns the workers for which the committed state has received an order or a registration since
   // the last call.
@@ -53,9 +55,11 @@
     Term term;
     LogRecord record;
     std::size_t bytes = 0;  // packed size
+    MonotonicTime proposedAt;
   };
   void restore(const Snapshot& snapshot);
-  bool applyCommittedEntry(const LogEntry& entry);
+  bool applyCommittedEntry(const LogEntry& entry, MonotonicTime now,
+                           const CommitObserver& onCommit);
   void applyCommittedRecord(const LogRecord& record);
   void dropFirstProposal();
   void clearProposals();
--- a/source/daemons/agent_daemon.cpp
+++ b/source/daemons/agent_daemon.cpp
@@ -17,6 +17,7 @@
 // The longest wait before the core is polled for its next calls.
 constexpr Duration maxWaitInterval{500};
 constexpr Duration syncRetryDelay{100};
+constexpr Duration latencyReportInterval{10'000};
 constexpr Duration acknowledgementPollInterval{5};
 constexpr Duration drainReportRetryDelay{100};
 // The number of attempts to report an unknown instance's shutdown to the leader. An instance keeps
@@ -63,6 +64,7 @@
   void runOnce() {
     const MonotonicTime now = monotonicNow();
     startCallsAndSyncs(now);
+    reportLatencies(now);
     waitForWork(now);
   }
   // Keeps working until the response to the worker's next heartbeat has told the worker that its
@@ -90,6 +92,19 @@
     if (core.hasUrgentReport(now) && !urgentSyncInFlight)
       startSync(urgentSyncInFlight, Duration{0});
   }
+  void reportLatencies(MonotonicTime now) {
+    if (now < nextLatencyReport)
+      return;
+    nextLatencyReport = now + latencyReportInterval;
+    const auto latencies = core.takeLatencies();
+    const auto syncs = syncLatency.take();
+    if (syncs.count + latencies.start.count == 0)
+      return;
+    log(LogLevel::info, log_events::agentLatency,
+        {{"start", json(render(latencies.start))},
+         {"confirmation", json(render(latencies.confirmation))},
+         {"urgent_sync", json(render(syncs))}});
+  }
   void waitForWork(MonotonicTime now) {
     std::unique_lock lock(wakeMutex);
     const Duration interval = std::clamp(core.nextWakeUp(now) - now, Duration{1}, maxWaitInterval);
@@ -213,6 +228,8 @@
     request.targetId = request.report.id.value;
     const ApiResponse response = forwarder.forward(request);
     const MonotonicTime now = monotonicNow();
+    if (longPollTimeout == Duration{0})
+      syncLatency.record(now - sentAt);
     if (response.status == 200) {
       if (auto decoded = unpack<SyncResponse>(response.body))
         core.onSyncResponse(request.report, decoded.value(), sentAt, now);
@@ -277,6 +294,8 @@
   WorkerId loggedInstance;
   std::set<WorkerId> drainReportsInFlight;  // only instances that the core does not know
   std::set<WorkerId> drainReported;
+  MonotonicTime nextLatencyReport;
+  LatencySummary syncLatency;  // of syncs that do not wait for orders
   bool wakeRequested = false;
   boost::fibers::mutex wakeMutex;
   boost::fibers::condition_variable wakeCondition;
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -32,6 +32,7 @@
 constexpr Duration transferInterval{700};
 
 constexpr Duration memoryReportInterval{10'000};
+constexpr Duration loadReportInterval{1000};
 
 std::string joinAddresses(const std::vector<Address>& addresses) {
   std::string text;
@@ -184,8 +185,10 @@
   // has to end with an error, which has been logged.
   bool step() {
     lastStepAt.store(monotonicNow().milliseconds);
+    const auto began = std::chrono::steady_clock::now();
     core->step(monotonicNow(), wallNow());
     carryOutEffects();
+    recordStep(std::chrono::steady_clock::now() - began);
     reportMemory();
     if (core->raftNode().removedFromCluster() && !rejoinAsNewMember())
       return false;
@@ -200,10 +203,34 @@
       writers->write(std::move(*record));
     if (auto work = core->takeSnapshotWork(); !work.empty())
       writers->updateSnapshot(std::move(work));
-    for (auto& message : core->takeMessages())
+    for (auto& message : core->takeMessages()) {
+      ++load.messagesSent;
       peerSender.send(std::move(message));
-    for (auto& [number, response] : core->takeResponses())
+    }
+    for (auto& [number, response] : core->takeResponses()) {
+      ++load.responses;
       pendingResponses.respond(number, std::move(response));
+    }
+  }
+  // Logs once a second how busy a leader's event loop is.
+  void recordStep(std::chrono::nanoseconds took) {
+    ++load.steps;
+    load.stepTime += took;
+    load.longestStep = std::max(load.longestStep, took);
+    if (monotonicNow() < nextLoadReport)
+      return;
+    nextLoadReport = monotonicNow() + loadReportInterval;
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    if (core->raftNode().isLeader())
+      log(LogLevel::info, log_events::leaderLoad,
+          {{"steps", json(load.steps)},
+           {"step_ms", json(Milliseconds(load.stepTime).count())},
+           {"longest_step_ms", json(Milliseconds(load.longestStep).count())},
+           {"requests", json(load.requests)},
+           {"responses", json(load.responses)},
+           {"peer_messages_in", json(load.messagesReceived)},
+           {"peer_messages_out", json(load.messagesSent)}});
+    load = LoopLoad{};
   }
   // Logs the estimated size of the state beside the memory that the process really takes.
   void reportMemory() {
@@ -263,12 +290,14 @@
 
   void onPeerMessage(WireMessage message, const PeerServer::Connection& connection) {
     const std::uint64_t correlationId = message.correlationId;
-    if (const auto* peerMessage = boost::get<PeerMessage>(&message.body))
+    if (const auto* peerMessage = boost::get<PeerMessage>(&message.body)) {
+      ++load.messagesReceived;
       core->receive(*peerMessage, monotonicNow());
-    else if (auto* request = boost::get<ApiRequest>(&message.body))
+    } else if (auto* request = boost::get<ApiRequest>(&message.body)) {
+      ++load.requests;
       core->submitRequest(pendingResponses.add(connection, correlationId), std::move(*request),
                           monotonicNow());
-    else if (const auto* query = boost::get<RouteQuery>(&message.body)) {
+    } else if (const auto* query = boost::get<RouteQuery>(&message.body)) {
       discovery.onRouteQuery(*query);
       connection->send(encode(WireMessage{correlationId, discovery.routeReply(identity)}));
     } else if (boost::get<BootstrapRequest>(&message.body))
@@ -412,6 +441,18 @@
   bool abortPendingRequests = false;  // pending requests of operators are answered at once
   MonotonicTime nextTransferAt{0};
   MonotonicTime nextMemoryReport;
+  // What the event loop did since the last report.
+  struct LoopLoad {
+    std::uint64_t steps = 0;
+    std::chrono::nanoseconds stepTime{};
+    std::chrono::nanoseconds longestStep{};
+    std::uint64_t requests = 0;
+    std::uint64_t responses = 0;
+    std::uint64_t messagesReceived = 0;
+    std::uint64_t messagesSent = 0;
+  };
+  LoopLoad load;
+  MonotonicTime nextLoadReport;
   bool diskWritable = true;
   bool wakeRequested = false;
   boost::fibers::mutex wakeMutex;
--- a/source/net/log_events.hpp
+++ b/source/net/log_events.hpp
@@ -24,11 +24,13 @@
 constexpr const char* peerMessageRejected = "peer_message_rejected";
 constexpr const char* configurationAnswered = "configuration_answered";
 constexpr const char* memoryUsage = "memory_usage";
+constexpr const char* leaderLoad = "leader_load";
 
 // Logged by a gateway.
 constexpr const char* leaderChanged = "leader_changed";
 
 // Logged by an agent.
+constexpr const char* agentLatency = "agent_latency";
 constexpr const char* workerRegistered = "worker_registered";
 constexpr const char* workerDraining = "worker_draining";
 constexpr const char* settingNotSupported = "setting_not_supported";
--- a/tests/controller/log_event_tests.cpp
+++ b/tests/controller/log_event_tests.cpp
@@ -76,9 +76,19 @@
   occupancy.excludedWorkers = 8;
   occupancy.redundantCopies = 9;
   occupancy.heldByTenantCap = 10;
+  occupancy.plans = 11;
   occupancy.cores = 1.5;
   occupancy.coresUsed = 0.5;
   expectLine(
-      R"(occupancy {"attempts":5,"copies":9,"cores":1.5,"cores_used":0.5,"held_by_cap":10,"in_time":2,"late":3,"open":6,"passed_over":8,"past":4,"waiting":1,"workers":7})",
+      R"(occupancy {"attempts":5,"copies":9,"cores":1.5,"cores_used":0.5,"held_by_cap":10,"in_time":2,"late":3,"open":6,"passed_over":8,"past":4,"plans":11,"waiting":1,"workers":7})",
       occupancy);
 }
+
+TEST(LogEventTests, dispatchLatency) {
+  log_events::DispatchLatency latency;
+  latency.wait = {1, Duration{2}, Duration{3}, Duration{4}};
+  latency.commit = {5, Duration{6}, Duration{7}, Duration{8}};
+  expectLine(
+      R"(dispatch_latency {"commit":{"count":5,"max_ms":8,"p50_ms":6,"p95_ms":7},"overhead":{"count":0,"max_ms":0,"p50_ms":0,"p95_ms":0},"wait":{"count":1,"max_ms":4,"p50_ms":2,"p95_ms":3}})",
+      latency);
+}
