--- a/source/net/rpc_client.cpp
+++ b/source/net/rpc_client.cpp
@@ -164,8 +164,9 @@
   newConnection->writer = std::make_shared<WireWriter>(newConnection->socket);
   spawn([writer = newConnection->writer] { writer->run(); });
   spawn([newConnection] {
+    FrameReader reader(newConnection->socket);
     for (;;) {
-      auto message = readMessage(*newConnection->socket);
+      auto message = reader.readNext();
       if (!message)
         return newConnection->failAll(message.error());
       newConnection->complete(std::move(message.value()));
--- a/source/net/wire_connection.cpp
+++ b/source/net/wire_connection.cpp
@@ -1,6 +1,5 @@
 // Reads frames in bounded steps and writes queued messages in batches.
 #include "net/wire_connection.hpp"
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 namespace aniseline {
@@ -8,6 +7,8 @@
 namespace {
 
 constexpr std::size_t maxQueuedMessages = 20'000;  // per connection, regardless of message size
+constexpr std::size_t readBufferBytes = 4 * 1024;
+// The buffer grows as data arrives, so a peer can't force a large allocation with a false size.
 constexpr std::size_t maxReadStepBytes = 1024 * 1024;
 constexpr std::size_t writeBatchBytes = 256 * 1024;  // a batch of this size gets no more messages
 
@@ -15,34 +16,55 @@
   return WireError{WireError::Kind::connectionLost, error.message()};
 }
 
-IoError readInto(tcp::socket& socket, void* target, std::size_t bytes) {
-  return await([&](auto done) { asio::async_read(socket, asio::buffer(target, bytes), done); })
-      .error;
+}  // namespace
+
+void FrameReader::makeRoom(std::size_t bytes) {
+  if (begin == end)
+    begin = end = 0;
+  if (buffer.size() - begin >= bytes)
+    return;
+  buffer.erase(0, begin);
+  end -= std::exchange(begin, 0);
+  if (buffer.size() < bytes)
+    buffer.resize(bytes);
 }
 
-}  // namespace
+IoError FrameReader::fill(std::size_t bytes) {
+  while (buffered() < bytes) {
+    makeRoom(std::max(readBufferBytes, std::min(bytes, buffered() + maxReadStepBytes)));
+    const IoResult result = await([&](auto done) {
+      socket->async_read_some(asio::buffer(buffer.data() + end, buffer.size() - end), done);
+    });
+    if (result.error)
+      return result.error;
+    end += result.bytes;
+  }
+  return {};
+}
 
-Result<WireMessage, WireError> readMessage(tcp::socket& socket) {
+Result<WireMessage, WireError> FrameReader::readNext() {
   FrameHeader header;
-  if (const IoError error = readInto(socket, &header, sizeof header))
+  if (const IoError error = fill(sizeof header))
     return connectionLost(error);
+  std::memcpy(&header, buffer.data() + begin, sizeof header);
   if (auto error = checkHeader(header))
     return *error;
-  std::string body;
-  // The buffer grows as data arrives, so a peer can't force a large allocation with a false size.
-  while (body.size() < header.bodyBytes) {
-    const std::size_t before = body.size();
-    const std::size_t step = std::min<std::size_t>(header.bodyBytes - before, maxReadStepBytes);
-    body.resize(before + step);
-    if (const IoError error = readInto(socket, body.data() + before, step))
-      return connectionLost(error);
+  begin += sizeof header;
+  if (const IoError error = fill(header.bodyBytes))
+    return connectionLost(error);
+  const std::string body(buffer, begin, header.bodyBytes);
+  begin += header.bodyBytes;
+  if (buffer.size() > readBufferBytes && begin == end) {
+    buffer.clear();
+    buffer.shrink_to_fit();
+    begin = end = 0;
   }
   return decodeBody(header, body);
 }
 
 Result<WireMessage, WireError> WireReader::readNext() {
   for (;;) {
-    auto message = readMessage(*socket);
+    auto message = frames.readNext();
     if (!message || message.value().correlationId == 0)
       return message;
     if (message.value().correlationId > lastCorrelationId) {
--- a/source/net/wire_connection.hpp
+++ b/source/net/wire_connection.hpp
@@ -8,20 +8,37 @@
 
 namespace aniseline {
 
-// Reads one message. Another wire format or an invalid message is an error of kind `malformed`,
-// after which the connection has to be closed.
-Result<WireMessage, WireError> readMessage(tcp::socket& socket);
+// Reads the frames of one connection. It reads all bytes that have arrived, up to a buffer, at
+// once, so that many small messages cost one system call and one wake-up. Used by one fiber.
+class FrameReader {
+ public:
+  explicit FrameReader(std::shared_ptr<tcp::socket> socket) : socket(std::move(socket)) {}
+  // Returns the next message. Another wire format or an invalid message is an error of kind
+  // `malformed`, after which the connection has to be closed.
+  Result<WireMessage, WireError> readNext();
+
+ private:
+  std::size_t buffered() const { return end - begin; }
+  // Reads until at least this many bytes are buffered.
+  IoError fill(std::size_t bytes);
+  void makeRoom(std::size_t bytes);
+
+  std::shared_ptr<tcp::socket> socket;
+  std::string buffer;
+  std::size_t begin = 0;  // the unread part of the buffer
+  std::size_t end = 0;
+};
 
 // Reads the messages of one peer on one connection and drops duplicates. Correlation ids increase
 // on a connection, so a message with a lower or equal id is a duplicate.
 class WireReader {
  public:
-  explicit WireReader(std::shared_ptr<tcp::socket> socket) : socket(std::move(socket)) {}
+  explicit WireReader(std::shared_ptr<tcp::socket> socket) : frames(std::move(socket)) {}
   // Returns the next message that is not a duplicate of an earlier one.
   Result<WireMessage, WireError> readNext();
 
  private:
-  std::shared_ptr<tcp::socket> socket;
+  FrameReader frames;
   std::uint64_t lastCorrelationId = 0;
 };
 
