Look-ups of attempts walk the shorter index and build no list

Cause: findAttempt walked all attempts of a wide job for each confirmed result, and two questions of whether a job has any attempt built a list of them: 6.6 and 1.6% of a busy leader's samples. Change: the attempts of the worker are walked where they are fewer; hasAttemptOf answers without a list. Same answers: the tests of results, of starvation and of retention hold.

--- a/source/controller/job_retention.cpp
+++ b/source/controller/job_retention.cpp
@@ -37,7 +37,7 @@
     if (clusterNow - endedAt <= retention)
       break;
     // A job whose attempts are not all closed can't be compacted yet; it is looked at again.
-    const bool hasAttempts = !state.attemptsOf(id, AttemptScope::all).empty();
+    const bool hasAttempts = state.hasAttemptOf(id, AttemptScope::all);
     skipped = skipped || hasAttempts;
     if (!skipped)
       compactedThrough = endedAt;
--- a/source/scheduling/starvation_guard.cpp
+++ b/source/scheduling/starvation_guard.cpp
@@ -78,7 +78,7 @@
     return true;
   const JobId& job = unit.step().jobId();
   return !startedJobs.count(job) &&
-         context.clusterState().attemptsOf(job, AttemptScope::withoutAbandoned).empty();
+         !context.clusterState().hasAttemptOf(job, AttemptScope::withoutAbandoned);
 }
 
 bool StarvationGuard::fitsTwice(const PlacementUnit& unit) const {
--- a/source/state/cluster_state.cpp
+++ b/source/state/cluster_state.cpp
@@ -23,6 +23,13 @@
   return found;
 }
 
+bool ClusterState::hasAttemptOf(const JobId& job, AttemptScope scope) const {
+  const auto& numbers = tables.attemptIndex.ofJob(job);
+  return std::any_of(numbers.begin(), numbers.end(), [&](AttemptNumber number) {
+    return scope == AttemptScope::all || !tables.attempts.at(number).abandoned;
+  });
+}
+
 std::vector<AttemptNumber> ClusterState::attemptsOn(const WorkerId& worker) const {
   const auto& numbers = tables.attemptIndex.onWorker(worker);
   return std::vector<AttemptNumber>(numbers.begin(), numbers.end());
@@ -47,7 +54,9 @@
     return currentNumber;
   // The run is not the task's current attempt: it is abandoned, or belongs to a gang that has
   // completed.
-  for (auto number : tables.attemptIndex.ofJob(job->first)) {
+  const auto& ofJob = tables.attemptIndex.ofJob(job->first);
+  const auto& onWorker = tables.attemptIndex.onWorker(worker);
+  for (auto number : ofJob.size() < onWorker.size() ? ofJob : onWorker) {
     if (isOfRun(tables.attempts.at(number)))
       return number;
   }
--- a/source/state/cluster_state.hpp
+++ b/source/state/cluster_state.hpp
@@ -52,6 +52,7 @@
   /// Returns the number of open jobs of a queue; 0 for a queue without any.
   std::uint64_t openJobsOf(const QueueName& queue) const;
   std::vector<AttemptNumber> attemptsOf(const JobId& job, AttemptScope scope) const;
+  bool hasAttemptOf(const JobId& job, AttemptScope scope) const;
   std::vector<AttemptNumber> attemptsOn(const WorkerId& worker) const;
   /// Returns the attempt of a run on a worker, or number 0 if it is closed or unknown.
   /// docs/design.md 4.7.
