Checksums take eight bytes at a time

Cause: the checksum of frames and records looked up one byte after the other, 3.3% of a busy leader's samples in encode alone. Change: CRC-32 by slices of eight bytes.

--- a/source/base/types.hpp
+++ b/source/base/types.hpp
@@ -23,7 +23,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/crc.hpp>
 #include <boost/outcome.hpp>
 #include <boost/serialization/deque.hpp>
 #include <boost/serialization/map.hpp>
@@ -35,6 +34,7 @@
 #include <boost/variant.hpp>
 
 #include "base/archive.hpp"
+#include "base/checksum.hpp"
 
 namespace aniseline {
 
@@ -146,12 +146,6 @@
 template <class Value, class Error = CoreError>
 using Result = outcome::unchecked<Value, Error>;
 
-inline std::uint32_t checksum(std::string_view bytes) {
-  boost::crc_32_type sum;
-  sum.process_bytes(bytes.data(), bytes.size());
-  return sum.checksum();
-}
-
 // Serializes a value to bytes. The format version is checked once per file and once per frame, not
 // in each record. docs/design.md 9.3.
 template <class Value>
