--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -78,13 +78,13 @@
   void recordGateway(const GatewayEndpoint& gateway, MonotonicTime now) {
     gateways.recordContact(gateway, now);
   }
-  // Takes the state that the snapshot writer has packed in response to takeSnapshotWork.
+  // Takes the snapshot that was packed from the result of takeSnapshotWork.
   void onSnapshotPacked(PackedSnapshot snapshot);
 
   // These functions return the effects of the preceding calls; each effect is returned once.
   std::vector<PeerMessage> takeMessages() { return raft.takeMessages(); }
   std::optional<WriteAheadRecord> takeWrite() { return raft.takeWrite(); }
-  SnapshotWork takeSnapshotWork() { return stateMachine.snapshots().takeWork(); }
+  std::optional<SnapshotWork> takeSnapshotWork() { return stateMachine.snapshots().takeWork(); }
   std::vector<CompletedRequest> takeResponses() { return std::exchange(responses, {}); }
 
   const RaftNode& raftNode() const { return raft; }
--- a/source/controller/replicated_state_machine.cpp
+++ b/source/controller/replicated_state_machine.cpp
@@ -16,11 +16,10 @@
   else
     unreadableState = true;
   appliedIndex = snapshot.lastIncludedIndex;
-  snapshotScheduler.restart(snapshot.state);
+  snapshotScheduler.restart();
 }
 
-bool ReplicatedStateMachine::applyCommittedEntries(MonotonicTime now,
-                                                   const CommitObserver& onCommit) {
+bool ReplicatedStateMachine::applyCommittedEntries(MonotonicTime now, const CommitObserver& onCommit) {
   const LogIndex before = appliedIndex;
   if (raft.takeSnapshotInstalled()) {
     restore(raft.snapshot());
@@ -31,9 +30,7 @@
     const LogEntry& entry = raft.entry(appliedIndex);
     if (entry.isMembership)
       continue;
-    if (applyCommittedEntry(entry, now, onCommit)) {
-      snapshotScheduler.recordApplied(entry.payload);
-    } else {
+    if (!applyCommittedEntry(entry, now, onCommit)) {
       unreadableState = true;
       events(log_events::UnreadableRecord{appliedIndex});
     }
@@ -41,8 +38,7 @@
   return appliedIndex != before;
 }
 
-bool ReplicatedStateMachine::applyCommittedEntry(const LogEntry& entry, MonotonicTime now,
-                                                 const CommitObserver& onCommit) {
+bool ReplicatedStateMachine::applyCommittedEntry(const LogEntry& entry, MonotonicTime now, const CommitObserver& onCommit) {
   while (!proposals.empty() && proposals.front().index < appliedIndex)
     dropFirstProposal();
   const bool isProposal = !proposals.empty() && proposals.front().index == appliedIndex &&
--- a/source/controller/replicated_state_machine.hpp
+++ b/source/controller/replicated_state_machine.hpp
@@ -44,7 +44,7 @@
 
   SnapshotScheduler& snapshots() { return snapshotScheduler; }
   void requestSnapshotIfDue(const ControllerOptions& options) {
-    snapshotScheduler.requestIfDue(raft, appliedIndex, options);
+    snapshotScheduler.requestIfDue(raft, appliedIndex, committedState, options);
   }
 
  private:
@@ -58,8 +58,7 @@
     MonotonicTime proposedAt;
   };
   void restore(const Snapshot& snapshot);
-  bool applyCommittedEntry(const LogEntry& entry, MonotonicTime now,
-                           const CommitObserver& onCommit);
+  bool applyCommittedEntry(const LogEntry& entry, MonotonicTime now, const CommitObserver& onCommit);
   void applyCommittedRecord(const LogRecord& record);
   void dropFirstProposal();
   void clearProposals();
--- a/source/controller/snapshot_scheduler.cpp
+++ b/source/controller/snapshot_scheduler.cpp
@@ -4,13 +4,14 @@
 namespace aniseline {
 
 void SnapshotScheduler::requestIfDue(const RaftNode& raft, LogIndex appliedIndex,
+                                     const ClusterState& committed,
                                      const ControllerOptions& options) {
   if (raft.logRecordsSinceSnapshot() < options.maxRecordsBetweenSnapshots &&
       raft.logBytesSinceSnapshot() < options.maxBytesBetweenSnapshots)
     return;
   if (packing || appliedIndex <= raft.snapshot().lastIncludedIndex)
     return;
-  work.packThrough = appliedIndex;
+  work = SnapshotWork{appliedIndex, committed};
   packing = true;
 }
 
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -201,8 +201,8 @@
   void carryOutEffects() {
     if (auto record = core->takeWrite())
       writers->write(std::move(*record));
-    if (auto work = core->takeSnapshotWork(); !work.empty())
-      writers->updateSnapshot(std::move(work));
+    if (auto work = core->takeSnapshotWork())
+      writers->packSnapshot(std::move(*work));
     for (auto& message : core->takeMessages()) {
       ++load.messagesSent;
       peerSender.send(std::move(message));
--- a/source/daemons/state_writers.cpp
+++ b/source/daemons/state_writers.cpp
@@ -39,12 +39,10 @@
            });
 }
 
-void StateWriters::updateSnapshot(SnapshotWork work) {
-  snapshotThread.submit([this, work = std::move(work), token = std::weak_ptr(lifetimeToken)] {
-    auto snapshot = snapshotWriter.process(work);
-    if (!snapshot)
-      return;
-    postToLoop(token, [this, snapshot = std::move(*snapshot)]() mutable {
+void StateWriters::packSnapshot(SnapshotWork work) {
+  auto shared = std::make_shared<const SnapshotWork>(std::move(work));
+  snapshotThread.submit([this, shared, token = std::weak_ptr(lifetimeToken)] {
+    postToLoop(token, [this, snapshot = aniseline::packSnapshot(*shared)]() mutable {
       callbacks.onSnapshotPacked(std::move(snapshot));
     });
   });
--- a/source/daemons/state_writers.hpp
+++ b/source/daemons/state_writers.hpp
@@ -27,9 +27,7 @@
   // Queues a record for writing. It is written again until the disk takes it. The next record may
   // be queued only after `onRecordWritten`.
   void write(WriteAheadRecord record);
-  // Applies the work to the snapshot writer's own copy of the state, and packs a snapshot if the
-  // work requests one.
-  void updateSnapshot(SnapshotWork work);
+  void packSnapshot(SnapshotWork work);
 
  private:
   struct LifetimeToken {};
@@ -42,7 +40,6 @@
   EventLoop& loop;
   ControllerStorage& storage;
   Callbacks callbacks;
-  SnapshotWriter snapshotWriter;  // used only by the snapshot thread
   std::shared_ptr<LifetimeToken> lifetimeToken = std::make_shared<LifetimeToken>();
   // Declared last: their destructors join the threads, which use all other members.
   SerialWorker diskThread;
