After a plan the leader pauses three times as long as the step took

Cause: the pause after a plan grew only with what waited; a plan of a large cluster walks all workers and attempts even when little waits, and each urgent submission asked for one at once: 26 to 31% of a busy leader's samples, the more the slower its machine is. Change: the daemon tells the core how long each step took, and the next plan waits for three times as long as the step that planned, 60 ms at most. A step of 0.2 ms of a small cluster delays nothing.

--- a/source/controller/planning_driver.cpp
+++ b/source/controller/planning_driver.cpp
@@ -13,6 +13,10 @@
 // The cost of a plan grows with the number of waiting units. The pause after it grows in the same
 // way, so that planning never takes more than a fixed share of the time.
 constexpr std::int64_t waitingUnitsPerPauseMs = 100;
+// A step that plans takes at most one part in this number, plus one, of the time.
+constexpr std::int64_t pausePerStepTime = 3;
+// A process that was suspended during a step must not stop planning for long.
+constexpr Duration maxPauseByStepTime{60};
 }  // namespace
 
 void PlanningDriver::restart() {
@@ -44,8 +48,20 @@
   return requested;
 }
 
+void PlanningDriver::recordStepTime(std::chrono::microseconds time) {
+  if (!std::exchange(plannedInThisStep, false))
+    return;
+  const Duration pause{pausePerStepTime * std::int64_t(time.count()) / 1000};
+  pauseByStepTime = std::min(pause, maxPauseByStepTime);
+}
+
+Duration PlanningDriver::pauseAfterPlan() const {
+  const Duration pauseByUnits{std::int64_t(pendingUnitsAtLastPlan) / waitingUnitsPerPauseMs};
+  return std::max(pauseByUnits, pauseByStepTime);
+}
+
 bool PlanningDriver::isPeriodOver(const ClusterState& state, MonotonicTime now) const {
-  const Duration pause{std::int64_t(pendingUnitsAtLastPlan) / waitingUnitsPerPauseMs};
+  const Duration pause = pauseAfterPlan();
   const Duration period = periodSkipped ? pause : std::max(state.config().planner.period, pause);
   return now - lastPlanAt >= period;
 }
@@ -77,6 +93,7 @@
   if (!isRequested(state, clusterNow, now) || !isPeriodOver(state, now))
     return std::nullopt;
   lastPlanAt = now;
+  plannedInThisStep = true;
   ++plansSinceReport;
   periodSkipped = false;
   requested = false;
--- a/source/controller/planning_driver.hpp
+++ b/source/controller/planning_driver.hpp
@@ -7,6 +7,7 @@
 #include "controller/passed_over_tracker.hpp"
 #include "controller/urgent_demand_estimator.hpp"
 #include "controller/worker_pace_estimator.hpp"
+#include <chrono>
 
 namespace aniseline {
 
@@ -25,6 +26,9 @@
   void requestPlan() { requested = true; }
   // Lets the next plan start before the planning period has passed, because an urgent job arrived.
   void skipPeriod() { periodSkipped = true; }
+  // Records the processor time of the step that has just ended. If it made a plan, the next plan
+  // waits until planning takes no more than a fixed share of the time, however slow the machine is.
+  void recordStepTime(std::chrono::microseconds time);
   // Withdraws the request that the plan's own log record has caused.
   void planAppended() { requested = false; }
 
@@ -41,6 +45,7 @@
   PlannerHints hints(MonotonicTime now) const;
   bool isRequested(const ClusterState& state, ClusterTime clusterNow, MonotonicTime now);
   bool isPeriodOver(const ClusterState& state, MonotonicTime now) const;
+  Duration pauseAfterPlan() const;
   void reportOccupancy(const Plan& plan, const ClusterState& state, MonotonicTime now);
 
   const LeaseManager& leases;
@@ -59,6 +64,8 @@
   std::size_t plansSinceReport = 0;
   // In units of the planner: single tasks, and gangs, which are placed as a whole.
   std::size_t pendingUnitsAtLastPlan = 0;
+  bool plannedInThisStep = false;
+  Duration pauseByStepTime;
 };
 
 }  // namespace aniseline
--- a/source/controller/replicated_state_machine.cpp
+++ b/source/controller/replicated_state_machine.cpp
@@ -19,7 +19,8 @@
   snapshotScheduler.restart();
 }
 
-bool ReplicatedStateMachine::applyCommittedEntries(MonotonicTime now, const CommitObserver& onCommit) {
+bool ReplicatedStateMachine::applyCommittedEntries(MonotonicTime now,
+                                                   const CommitObserver& onCommit) {
   const LogIndex before = appliedIndex;
   if (raft.takeSnapshotInstalled()) {
     restore(raft.snapshot());
@@ -38,7 +39,8 @@
   return appliedIndex != before;
 }
 
-bool ReplicatedStateMachine::applyCommittedEntry(const LogEntry& entry, MonotonicTime now, const CommitObserver& onCommit) {
+bool ReplicatedStateMachine::applyCommittedEntry(const LogEntry& entry, MonotonicTime now,
+                                                 const CommitObserver& onCommit) {
   while (!proposals.empty() && proposals.front().index < appliedIndex)
     dropFirstProposal();
   const bool isProposal = !proposals.empty() && proposals.front().index == appliedIndex &&
--- a/source/controller/replicated_state_machine.hpp
+++ b/source/controller/replicated_state_machine.hpp
@@ -58,7 +58,8 @@
     MonotonicTime proposedAt;
   };
   void restore(const Snapshot& snapshot);
-  bool applyCommittedEntry(const LogEntry& entry, MonotonicTime now, const CommitObserver& onCommit);
+  bool applyCommittedEntry(const LogEntry& entry, MonotonicTime now,
+                           const CommitObserver& onCommit);
   void applyCommittedRecord(const LogRecord& record);
   void dropFirstProposal();
   void clearProposals();
--- a/source/controller/snapshot_scheduler.hpp
+++ b/source/controller/snapshot_scheduler.hpp
@@ -1,5 +1,5 @@
-// Decides when a snapshot is due, and copies the committed state for it. The daemon packs the copy on
-// another thread and returns the packed state. docs/design.md 3.4.
+// Decides when a snapshot is due, and copies the committed state for it. The daemon packs the copy
+// on another thread and returns the packed state. docs/design.md 3.4.
 #ifndef ANISELINE_CONTROLLER_SNAPSHOT_SCHEDULER_HPP
 #define ANISELINE_CONTROLLER_SNAPSHOT_SCHEDULER_HPP
 #include "controller/options.hpp"
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -214,6 +214,7 @@
   }
   // Logs once a second how busy a leader's event loop is.
   void recordStep(std::chrono::nanoseconds took) {
+    core->recordStepTime(std::chrono::duration_cast<std::chrono::microseconds>(took));
     ++load.steps;
     load.stepTime += took;
     load.longestStep = std::max(load.longestStep, took);
