Connections that wait are accepted without a step for each (the same cause elsewhere)

Cause, found by looking for the same cause in other places: the peers' listener took one connection in a turn of the event loop, in which a leader does a step. After a change of leader hundreds of agents and gateways connect at once, and the last one waited for as many steps. Change: acceptNext takes what waits before it suspends; both listeners use it.

--- a/source/daemons/peer_transport.cpp
+++ b/source/daemons/peer_transport.cpp
@@ -76,7 +76,7 @@
 void PeerServer::acceptConnections(const std::shared_ptr<tcp::acceptor>& acceptor) {
   while (!stopping) {
     auto socket = std::make_shared<tcp::socket>(loop.context);
-    if (await([&](auto done) { acceptor->async_accept(*socket, done); }).error) {
+    if (acceptNext(*acceptor, *socket)) {
       sleepFor(acceptRetryDelay);
       continue;
     }
--- a/source/net/event_loop.cpp
+++ b/source/net/event_loop.cpp
@@ -36,6 +36,8 @@
   acceptor.bind(endpoint, error);
   if (!error)
     acceptor.listen(backlog, error);
+  if (!error)
+    acceptor.non_blocking(true, error);
   return error;
 }
 
--- a/source/net/event_loop.hpp
+++ b/source/net/event_loop.hpp
@@ -89,6 +89,16 @@
   return future.get();
 }
 
+// Accepts the next connection of a non-blocking acceptor. Connections that already wait are
+// accepted without a turn of the event loop for each.
+inline IoError acceptNext(tcp::acceptor& acceptor, tcp::socket& socket) {
+  IoError error;
+  acceptor.accept(socket, error);
+  if (error != asio::error::would_block && error != asio::error::try_again)
+    return error;
+  return await([&](auto done) { acceptor.async_accept(socket, done); }).error;
+}
+
 // Starts a fiber on this thread. The caller has to join it.
 template <class Work>
 boost::fibers::fiber startFiber(Work&& work) {
--- a/source/net/http_server.cpp
+++ b/source/net/http_server.cpp
@@ -39,7 +39,7 @@
 void HttpServer::acceptConnections(const std::shared_ptr<tcp::acceptor>& listening) {
   while (stage < Stage::stopped) {
     tcp::socket socket(loop.context);
-    const IoError error = await([&](auto done) { listening->async_accept(socket, done); }).error;
+    const IoError error = acceptNext(*listening, socket);
     if (!error)
       startConnection(std::move(socket));
     else if (stage < Stage::stopped)
@@ -51,7 +51,6 @@
 // they are accepted first.
 void HttpServer::acceptBacklog() {
   IoError error;
-  acceptor->non_blocking(true, error);
   while (!error) {
     tcp::socket socket(loop.context);
     acceptor->accept(socket, error);
