--- a/source/controller/planning_driver.cpp
+++ b/source/controller/planning_driver.cpp
@@ -13,7 +13,7 @@
 // The cost of a plan grows with the number of waiting units. The pause after it grows in the same
 // way, so that planning never takes more than a fixed share of the time.
 constexpr std::int64_t waitingUnitsPerPauseMs = 100;
-// A step that plans takes at most one part in this number, plus one, of the time.
+// The pause after a step that planned, in multiples of the time that the step took.
 constexpr std::int64_t pausePerStepTime = 3;
 // A process that was suspended during a step must not stop planning for long.
 constexpr Duration maxPauseByStepTime{60};
