--- a/source/base/checksum.cpp
+++ b/source/base/checksum.cpp
@@ -1,5 +1,5 @@
-// Computes CRC-32 by slices of eight bytes: one table lookup for each byte, but without a dependency
-// of each lookup on the one before.
+// Computes CRC-32 by slices of eight bytes: one table lookup for each byte, but without a
+// dependency of each lookup on the one before.
 #include "base/checksum.hpp"
 #include <array>
 #include <cstddef>
