A route reply leaves out the queues that its receiver knows

A gateway asks each controller three times a second, so its link of 2 Mbit/s is filled by routes alone; agents ask too. Change: a query names the configuration whose queues the sender knows, and the reply leaves them out while it is in force; the receiver keeps those of the newest configuration. The field is a trailing section: older processes ignore it and are answered in full. Agents keep no queues. Tests: the three new ones; without omitQueuesOf and the rule of mergeNewer they do not compile or fail.

--- a/source/daemons/agent_daemon.cpp
+++ b/source/daemons/agent_daemon.cpp
@@ -268,7 +268,8 @@
     const Address target = known[turn % known.size()];
     if (target.value.empty())
       return false;
-    const auto reply = queryRoute(*controllers.clientFor(target), RouteQuery{}, routeQueryTimeout);
+    const RouteQuery query{{}, {}, false, route.config};
+    const auto reply = queryRoute(*controllers.clientFor(target), query, routeQueryTimeout);
     if (!reply || reply->uninitialized)
       return false;
     if (areDifferentClusters(route.cluster, reply->view.cluster)) {
@@ -276,7 +277,9 @@
       return false;
     }
     route.mergeNewer(reply->view);
-    route.gateways.clear();  // an agent sends its requests to controllers only
+    // An agent sends its requests to controllers only, and all of them are admitted.
+    route.gateways.clear();
+    route.priorityQueues.clear();
     return true;
   }
 
--- a/source/daemons/cluster_discovery.cpp
+++ b/source/daemons/cluster_discovery.cpp
@@ -32,9 +32,11 @@
   return isBlank() ? discoveredRoute : hooks.controller().route(monotonicNow());
 }
 
-RouteReply ClusterDiscovery::routeReply(const ControllerId& identity) const {
+RouteReply ClusterDiscovery::routeReply(const ControllerId& identity,
+                                        const RouteQuery& query) const {
   RouteReply reply;
   reply.view = route();
+  reply.view.omitQueuesOf(query.knownConfig);
   reply.id = identity;
   reply.peer = local.advertisedAddress;
   reply.zone = local.zone;
@@ -171,8 +173,8 @@
 
 void ClusterDiscovery::refreshRouteFrom(const Address& address) {
   const auto client = routeClients.clientFor(address);
-  const auto reply =
-      queryRoute(*client, RouteQuery{{}, local.advertisedAddress, false}, routeTimeout);
+  const RouteQuery query{{}, local.advertisedAddress, false, discoveredRoute.config};
+  const auto reply = queryRoute(*client, query, routeTimeout);
   routeQueriesSent.erase(address);
   if (reply && !reply->uninitialized && isBlank() && acceptRoute(*reply))
     discoveredRoute.mergeNewer(reply->view);
--- a/source/daemons/cluster_discovery.hpp
+++ b/source/daemons/cluster_discovery.hpp
@@ -45,7 +45,7 @@
   // that it discovered.
   LeaderRoute route() const;
   // Returns the reply to another process' route query.
-  RouteReply routeReply(const ControllerId& identity) const;
+  RouteReply routeReply(const ControllerId& identity, const RouteQuery& query) const;
   // Records the sender of a route query; called before the reply is made.
   void onRouteQuery(const RouteQuery& query);
 
--- a/source/daemons/controller_daemon.cpp
+++ b/source/daemons/controller_daemon.cpp
@@ -300,7 +300,7 @@
                           monotonicNow());
     } else if (const auto* query = boost::get<RouteQuery>(&message.body)) {
       discovery.onRouteQuery(*query);
-      connection->send(encode(WireMessage{correlationId, discovery.routeReply(identity)}));
+      connection->send(encode(WireMessage{correlationId, discovery.routeReply(identity, *query)}));
     } else if (boost::get<BootstrapRequest>(&message.body))
       connection->send(encode(WireMessage{correlationId, bootstrapOnRequest()}));
     wakeUp();
--- a/source/daemons/gateway_daemon.cpp
+++ b/source/daemons/gateway_daemon.cpp
@@ -124,7 +124,10 @@
     return sources;
   }
   void queryRouteFrom(const Address& address) {
-    const RouteQuery query{{settings.advertisedAddress, ZoneName{settings.zone}}, {}, false};
+    const ConfigVersion knownConfig =
+        directory.read([](const LeaderRoute& route) { return route.config; });
+    const RouteQuery query{
+        {settings.advertisedAddress, ZoneName{settings.zone}}, {}, false, knownConfig};
     const auto reply = queryRoute(*controllers.clientFor(address), query, routeQueryTimeout);
     // A seed may be another gateway, which names the controllers. docs/design.md 9.5.
     if (!reply && isSeed(address) && knowsNoController()) {
--- a/source/net/wire.hpp
+++ b/source/net/wire.hpp
@@ -10,15 +10,24 @@
 
 namespace aniseline {
 
+// Reports whether there is nothing to serialize: the sender knows no configuration.
+inline bool isAbsent(const ConfigVersion& version) {
+  return version == ConfigVersion{};
+}
+
 // Asks a process for the route to the leader and identifies the sender.
 struct RouteQuery {
   GatewayEndpoint gateway;  // the sender, if it is a gateway; else empty
   Address controller;       // the sender, if it is a controller; else empty
   // The sender is a controller without state and may bootstrap a cluster. docs/design.md 3.7
   bool canBootstrap = false;
+  // The configuration whose priority queues the sender knows; the reply leaves them out if it is
+  // still in force. Absent if the sender knows none.
+  ConfigVersion knownConfig{};
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
     archive& gateway& controller& canBootstrap;
+    serializeTrailingSection(archive, knownConfig);
   }
 };
 
--- a/source/state/leader_route.cpp
+++ b/source/state/leader_route.cpp
@@ -20,13 +20,21 @@
   return sameZone;
 }
 
+void LeaderRoute::omitQueuesOf(ConfigVersion known) {
+  if (known == config)
+    priorityQueues.clear();
+}
+
 bool LeaderRoute::mergeNewer(LeaderRoute other) {
   // The terms of two clusters say nothing about each other.
   if (areDifferentClusters(cluster, other.cluster) || other.term < term)
     return false;
   if (isAbsent(other.cluster))
     other.cluster = cluster;
-  other.config = std::max(other.config, config);
+  if (other.config <= config) {
+    other.config = config;
+    other.priorityQueues = std::move(priorityQueues);
+  }
   if (other.leader.value.empty() && other.term == term)
     other.leader = leader;
   *this = std::move(other);
--- a/source/state/leader_route.hpp
+++ b/source/state/leader_route.hpp
@@ -32,8 +32,12 @@
   ConfigVersion config;
   std::vector<QueueName> priorityQueues;  // queues whose submissions are the last to be rejected
   ClusterId cluster{};  // absent if unknown; RouteReply transmits it beside the route
+  /// Leaves out the priority queues, which grow with the configuration, for a process that knows
+  /// those of this configuration.
+  void omitQueuesOf(ConfigVersion known);
   /// Adopts the route known to another process, unless it is older or leads to another cluster; the
-  /// configuration version never decreases. Reports whether the route was adopted. docs/design.md
+  /// configuration version never decreases, and its priority queues are replaced only by those of a
+  /// newer one. Reports whether the route was adopted. docs/design.md
   /// 3.8, 6.5.
   bool mergeNewer(LeaderRoute other);
   /// Reports whether another request is admitted while `inFlight` requests of at most `limit` are
--- a/tests/gateway/leader_directory_tests.cpp
+++ b/tests/gateway/leader_directory_tests.cpp
@@ -40,3 +40,37 @@
     reader.join();
   LONGS_EQUAL(0, violations.load());
 }
+
+// Every route reply named all queues of the configuration, three times a second to each process,
+// which filled links of 2 Mbit/s after the configuration had grown.
+TEST(LeaderDirectoryTests, queuesThatAreKnownAreLeftOutOfARouteAndKept) {
+  LeaderRoute served;
+  served.term = Term{3};
+  served.config = ConfigVersion{7};
+  served.priorityQueues = {QueueName{"urgent"}};
+  LeaderDirectory directory;
+  CHECK(directory.publish(served));
+  LeaderRoute shortened = served;
+  shortened.omitQueuesOf(ConfigVersion{6});
+  LONGS_EQUAL(1, shortened.priorityQueues.size());
+  shortened.omitQueuesOf(ConfigVersion{7});
+  LONGS_EQUAL(0, shortened.priorityQueues.size());
+  shortened.leader = Address{"leader:1"};
+  CHECK(directory.publish(shortened));
+  const RcuReaderRegistration reader;
+  const LeaderRoute known = directory.read([](const LeaderRoute& route) { return route; });
+  STRCMP_EQUAL("leader:1", known.leader.value.c_str());
+  CHECK((known.priorityQueues == std::vector<QueueName>{QueueName{"urgent"}}));
+}
+
+TEST(LeaderDirectoryTests, queuesOfANewerConfigurationReplaceThoseThatAreKnown) {
+  LeaderRoute route;
+  route.config = ConfigVersion{7};
+  route.priorityQueues = {QueueName{"urgent"}};
+  LeaderRoute older = route;
+  CHECK(route.mergeNewer({{}, {}, {}, {}, ConfigVersion{8}, {QueueName{"other"}}}));
+  CHECK((route.priorityQueues == std::vector<QueueName>{QueueName{"other"}}));
+  CHECK(route.mergeNewer(older));
+  LONGS_EQUAL(8, route.config.value);
+  CHECK((route.priorityQueues == std::vector<QueueName>{QueueName{"other"}}));
+}
--- a/tests/net/serialization_tests.cpp
+++ b/tests/net/serialization_tests.cpp
@@ -300,3 +300,18 @@
   STRCMP_EQUAL("first", boost::get<RouteReply>(received(reply)).view.cluster.value.c_str());
   STRCMP_EQUAL("first", boost::get<ApiRequest>(received(request)).cluster.value.c_str());
 }
+
+// A process of an earlier version sends no known configuration and ignores the one that it gets.
+TEST(Serialization, theKnownConfigurationOfARouteQueryIsTransmittedBehindTheEarlierForm) {
+  const RouteQuery plain{GatewayEndpoint{Address{"s:1"}, ZoneName{"zone"}}, Address{"f:1"}, true};
+  RouteQuery extended = plain;
+  extended.knownConfig = ConfigVersion{7};
+  const std::string plainBytes = pack(WireMessage{7, plain});
+  const std::string extendedBytes = pack(WireMessage{7, extended});
+  CHECK(extendedBytes.starts_with(plainBytes));
+  LONGS_EQUAL(plainBytes.size() + sizeof(std::uint64_t), extendedBytes.size());
+  const auto received = decode(encode(WireMessage{7, extended}));
+  LONGS_EQUAL(7, boost::get<RouteQuery>(received.value().body).knownConfig.value);
+  const auto earlier = decode(encode(WireMessage{7, plain}));
+  LONGS_EQUAL(0, boost::get<RouteQuery>(earlier.value().body).knownConfig.value);
+}
