The test of waiting connections ends once the server has closed them

Cause: it destroyed its server 20 ms after it had closed its callers; on a slow machine fibers of the server might still end later and use it. Found by reading, not seen. Change: it waits for the server's notice of each closed connection. The assertion stays.

--- a/tests/daemons/peer_transport_tests.cpp
+++ b/tests/daemons/peer_transport_tests.cpp
@@ -19,11 +19,13 @@
 // were waiting to be accepted.
 int stepsToServeAll(SteppingLoop& loop) {
   int received = 0;
+  int closed = 0;
   PeerServer server(loop.events(), {[&](const WireMessage&, const PeerServer::Connection&) {
                                       ++received;
                                       loop.wakeUp();
                                     },
-                                    [](const PeerServer::Connection&) {
+                                    [&](const PeerServer::Connection&) {
+                                      ++closed;
                                     }});
   const Address address = freeLoopbackAddress(loop.events());
   if (server.listen(address))
@@ -36,7 +38,9 @@
   const int steps = loop.stepUntil([&] { return received == connectionCount; });
   server.stop();
   callers.clear();
-  sleepFor(Duration{20});  // its fibers end
+  while (closed < connectionCount)
+    sleepFor(Duration{1});
+  sleepFor(Duration{2 * acceptRetryDelay.milliseconds});  // its listening fiber ends
   return steps;
 }
 
