--- a/source/controller/controller.hpp
+++ b/source/controller/controller.hpp
@@ -73,7 +73,7 @@
   // Makes a blank identity ask this leader to add it to the cluster as a learner.
   void join(const Address& leader) { raft.setJoinAddress(leader); }
   void transferLeadership(MonotonicTime now) { raft.transferLeadership(now); }
-  // Records the processor time that the last step took; see PlanningDriver.
+  // Records how long the last step took; see PlanningDriver.
   void recordStepTime(std::chrono::microseconds time) { planning.recordStepTime(time); }
   // Records the resident memory of the process in bytes, which is shown beside the estimate.
   void recordResidentMemory(std::uint64_t bytes) { residentBytes = bytes; }
--- a/source/controller/planning_driver.hpp
+++ b/source/controller/planning_driver.hpp
@@ -26,7 +26,7 @@
   void requestPlan() { requested = true; }
   // Lets the next plan start before the planning period has passed, because an urgent job arrived.
   void skipPeriod() { periodSkipped = true; }
-  // Records the processor time of the step that has just ended. If it made a plan, the next plan
+  // Records how long the step that has just ended took. If it made a plan, the next plan
   // waits until planning takes no more than a fixed share of the time, however slow the machine is.
   void recordStepTime(std::chrono::microseconds time);
   // Withdraws the request that the plan's own log record has caused.
